--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module registers the keys that it writes."""
--- /dev/null
+++ b/bilberryhaven/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m bilberryhaven``."""
+
+from bilberryhaven import cmdline
+
+cmdline.run()
--- /dev/null
+++ b/bilberryhaven/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The role beside a backend server: admission and reports."""
--- /dev/null
+++ b/bilberryhaven/commands/session.py
@@ -0,0 +1,109 @@
+"""Sessions of instances: opened, closed, fenced by epoch."""
+
+import datetime
+
+from bilberryhaven import commands
+from bilberryhaven import errors
+from bilberryhaven.tables import instance
+from bilberryhaven.tables import job
+
+__all__ = ['CloseSession', 'OpenSession', 'QuarantineInstance']
+
+
+class OpenSession(commands.Command, kw_only=True, frozen=True):
+    """Register an instance's agent and give it a new session epoch.
+
+    Proposed only for an instance whose former session is closed.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    address: str
+    labels: dict[str, str]
+    capacity: instance.Capacity
+    at: datetime.datetime
+
+    def apply(self, state):
+        """Store the announcement and return the session's epoch."""
+        old = state.instances.find(self.name)
+        if old is not None and old.connected:
+            raise errors.RefusedError(
+                f'session {old.epoch} of {self.name} is still open',
+                step='open session',
+                peer=self.name,
+            )
+        row = instance.Instance(
+            name=self.name,
+            zone=self.zone,
+            rack=self.rack,
+            address=self.address,
+            announced=dict(self.labels),
+            capacity=self.capacity,
+            epoch=1,
+            connected=True,
+        )
+        if old is not None:
+            row.labels = old.labels
+            row.epoch = old.epoch + 1
+            row.draining = old.draining
+            row.version = old.version
+        state.instances.put(row)
+        return row.epoch
+
+
+class CloseSession(commands.Command, kw_only=True, frozen=True):
+    """End a session whose lease, with its margin, has run out.
+
+    What it held can't run any more: the backend server stops work whose
+    lease ran out. Repeatable jobs become pending again, others stay unknown.
+    """
+
+    name: str
+    epoch: int
+    at: datetime.datetime
+    reason: str = ''
+
+    def apply(self, state):
+        """Close the session and release its jobs."""
+        row = state.instances.get(self.name)
+        if row.epoch != self.epoch or not row.connected:
+            raise errors.FencedError(
+                f'session {self.epoch} of {self.name} is not the open one',
+                step='close session',
+                peer=self.name,
+            )
+        state.instances.update(self.name, connected=False)
+        for held in state.jobs.select('instance', self.name):
+            if held.state in job.ACTIVE_STATES:
+                self._release(state, held)
+        return row.epoch
+
+    def _release(self, state, held):
+        lost = f'session of {self.name} ended: {self.reason}'
+        repeatable = True
+        row = state.workloads.find(held.workload)
+        if row is not None:
+            repeatable = row.repeatable
+        if held.state == job.JobState.CANCELLING:
+            changes = {'state': job.JobState.CANCELLED, 'ended_at': self.at}
+        elif repeatable:
+            changes = {'state': job.JobState.PENDING}
+        else:
+            changes = {'state': job.JobState.UNKNOWN, 'ended_at': self.at}
+        state.jobs.update(
+            held.id, instance='', session=0, reason=lost, **changes
+        )
+
+
+class QuarantineInstance(commands.Command, kw_only=True, frozen=True):
+    """Set or lift an instance's quarantine."""
+
+    name: str
+    reason: str = ''
+
+    def apply(self, state):
+        """Store the reason; an empty one lifts the quarantine."""
+        state.instances.get(self.name)
+        state.instances.update(self.name, quarantined=self.reason)
+        return self.reason
--- /dev/null
+++ b/bilberryhaven/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The caller-facing role: request core, routing and HTTP."""
--- /dev/null
+++ b/bilberryhaven/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring of each role from settings."""
--- /dev/null
+++ b/bilberryhaven/selector.py
@@ -0,0 +1,120 @@
+"""Selectors over labels: parsing, matching and plain description."""
+
+import functools
+
+import lark
+
+from bilberryhaven import errors
+
+__all__ = ['Selector', 'parse_selector']
+
+CACHE_SIZE = 4096
+
+GRAMMAR = r"""
+    start: [expression]
+    ?expression: conjunction (("or" | "||") conjunction)*    -> any_of
+    ?conjunction: term (("and" | "&&" | ",") term)*          -> all_of
+    ?term: ("not" | "!") term                                -> negate
+         | "(" expression ")"
+         | KEY ("=" | "==") VALUE                            -> equals
+         | KEY "!=" VALUE                                    -> differs
+         | KEY "in" "(" VALUE ("," VALUE)* ")"               -> within
+         | KEY "notin" "(" VALUE ("," VALUE)* ")"            -> outside
+         | KEY                                               -> exists
+    KEY: /(?!(?:and|or|not|in|notin)\b)[A-Za-z0-9][A-Za-z0-9_.\/-]*/
+    VALUE: /[A-Za-z0-9][A-Za-z0-9_.\/-]*/
+    %ignore /\s+/
+"""
+
+
+class Selector:
+    """A parsed selector.
+
+    Args:
+        text: The selector as written.
+        matcher: Function from a mapping of labels to a bool.
+    """
+
+    def __init__(self, *, text, matcher):
+        self.text = text
+        self._matcher = matcher
+
+    def match(self, labels):
+        """Return whether ``labels``, a mapping, satisfy the selector."""
+        return self._matcher(labels)
+
+    def __repr__(self):
+        return f'Selector({self.text!r})'
+
+
+@lark.v_args(inline=True)
+class _Builder(lark.Transformer):
+    """Turns a parse tree into one matching function."""
+
+    def start(self, matcher=None):
+        return matcher or (lambda labels: True)
+
+    def any_of(self, *parts):
+        return lambda labels: any(part(labels) for part in parts)
+
+    def all_of(self, *parts):
+        return lambda labels: all(part(labels) for part in parts)
+
+    def negate(self, part):
+        return lambda labels: not part(labels)
+
+    def equals(self, key, value):
+        key, value = str(key), str(value)
+        return lambda labels: labels.get(key) == value
+
+    def differs(self, key, value):
+        key, value = str(key), str(value)
+        return lambda labels: labels.get(key) != value
+
+    def within(self, key, *values):
+        key, allowed = str(key), frozenset(map(str, values))
+        return lambda labels: labels.get(key) in allowed
+
+    def outside(self, key, *values):
+        key, banned = str(key), frozenset(map(str, values))
+        return lambda labels: labels.get(key) not in banned
+
+    def exists(self, key):
+        key = str(key)
+        return lambda labels: key in labels
+
+
+@functools.lru_cache(maxsize=1)
+def _build_parser():
+    return lark.Lark(GRAMMAR, parser='lalr', maybe_placeholders=False)
+
+
+def _describe_fault(text, error):
+    column = getattr(error, 'column', -1)
+    token = getattr(error, 'token', None)
+    if column < 1 or getattr(token, 'type', '') == '$END':
+        column = len(text) + 1
+    pointer = ' ' * (column - 1) + '^'
+    return f'column {column} of the selector:\n  {text}\n  {pointer}'
+
+
+@functools.lru_cache(maxsize=CACHE_SIZE)
+def parse_selector(text):
+    """Return the ``Selector`` that ``text`` describes.
+
+    Equality (``a=b``, ``a!=b``), sets (``a in (b,c)``, ``a notin (b)``),
+    existence (``a``, ``!a``), ``and`` or a comma, ``or``, ``not`` and
+    parentheses. The empty selector matches everything.
+
+    Raises:
+        SelectorError: The text can't be parsed; the message points at the
+            column.
+    """
+    try:
+        tree = _build_parser().parse(text)
+    except lark.exceptions.UnexpectedInput as error:
+        raise errors.SelectorError(
+            f'cannot read {_describe_fault(text, error)}',
+            step='parse selector',
+        ) from error
+    return Selector(text=text, matcher=_Builder().transform(tree))
--- /dev/null
+++ b/bilberryhaven/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend server."""
--- /dev/null
+++ b/bilberryhaven/tables/instance.py
@@ -0,0 +1,74 @@
+"""Instances: what each holds, where it is and which session it has."""
+
+import dataclasses
+
+from bilberryhaven import tables
+from bilberryhaven.tables import table
+
+__all__ = ['Capacity', 'Instance', 'InstanceTable']
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Capacity:
+    """What an instance holds at most.
+
+    Attributes:
+        slots: Requests and tasks at a time.
+        connections: Open connections to the backend server.
+        cpu: Processor cores.
+        memory_mb: Memory in MiB.
+        accelerators: Whole accelerators.
+    """
+
+    slots: int = 8
+    connections: int = 64
+    cpu: float = 16.0
+    memory_mb: int = 61440
+    accelerators: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Instance:
+    """One instance with its backend server and agent.
+
+    Attributes:
+        name: Unique name.
+        zone: Availability zone.
+        rack: Rack within the availability zone.
+        address: The agent's HOST:PORT.
+        announced: Labels that the agent announces.
+        labels: Labels set by operators; they go before announced ones.
+        capacity: What it holds.
+        epoch: Number of its newest session; 0 before the first.
+        connected: Whether that session is open.
+        draining: Whether it is leaving and takes nothing new.
+        quarantined: Reason for which it gets only probes, or empty.
+        version: Increases with each accepted change of labels.
+    """
+
+    name: str
+    zone: str = ''
+    rack: str = ''
+    address: str = ''
+    announced: dict[str, str] = dataclasses.field(default_factory=dict)
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    capacity: Capacity = dataclasses.field(default_factory=Capacity)
+    epoch: int = 0
+    connected: bool = False
+    draining: bool = False
+    quarantined: str = ''
+    version: int = 1
+
+    def merge_labels(self):
+        """Return the labels in effect, with name, zone and rack."""
+        fixed = {'instance': self.name, 'zone': self.zone, 'rack': self.rack}
+        return {**fixed, **self.announced, **self.labels}
+
+
+@tables.register('instances')
+class InstanceTable(table.Table):
+    """Instances by name."""
+
+    name = 'instances'
+    row_class = Instance
+    indexes = ('zone', 'connected')
--- /dev/null
+++ b/bilberryhaven/tables/table.py
@@ -0,0 +1,110 @@
+"""Base of the entity tables: rows by key, with secondary indexes."""
+
+import msgspec
+
+from bilberryhaven import errors
+
+__all__ = ['Table']
+
+
+class Table:
+    """Rows of one data class by key.
+
+    A subclass names its row class, its key field and the fields to index.
+    Rows change only through ``put``, ``update`` and ``remove``, so that the
+    indexes stay right. Iteration follows insertion, which is the same on each
+    replica.
+    """
+
+    name = ''
+    row_class = None
+    key = 'name'
+    indexes = ()
+
+    def __init__(self):
+        self._rows = {}
+        self._indexes = {field: {} for field in self.indexes}
+
+    def __len__(self):
+        return len(self._rows)
+
+    def __iter__(self):
+        return iter(self._rows.values())
+
+    def __contains__(self, key):
+        return key in self._rows
+
+    def find(self, key):
+        """Return the row at ``key``, or None."""
+        return self._rows.get(key)
+
+    def get(self, key):
+        """Return the row at ``key``.
+
+        Raises:
+            NotFoundError: There is no such row.
+        """
+        row = self._rows.get(key)
+        if row is None:
+            raise errors.NotFoundError(
+                f'{self.name} has no {key!r}', step='look-up'
+            )
+        return row
+
+    def put(self, row):
+        """Insert ``row``, or replace the one with its key."""
+        key = getattr(row, self.key)
+        old = self._rows.get(key)
+        for field, index in self._indexes.items():
+            value = getattr(row, field)
+            if old is not None:
+                self._unlink(index, getattr(old, field), key)
+            index.setdefault(value, {})[key] = None
+        self._rows[key] = row
+
+    def update(self, key, **changes):
+        """Set fields of the row at ``key`` and return the row."""
+        row = self.get(key)
+        for field, value in changes.items():
+            index = self._indexes.get(field)
+            if index is not None:
+                self._unlink(index, getattr(row, field), key)
+                index.setdefault(value, {})[key] = None
+            setattr(row, field, value)
+        return row
+
+    def remove(self, key):
+        """Remove and return the row at ``key``, or None."""
+        row = self._rows.pop(key, None)
+        if row is not None:
+            for field, index in self._indexes.items():
+                self._unlink(index, getattr(row, field), key)
+        return row
+
+    def select(self, field, value):
+        """Return the rows whose indexed ``field`` equals ``value``."""
+        keys = self._indexes[field].get(value, ())
+        return [self._rows[key] for key in keys]
+
+    def count(self, field, value):
+        """Return how many rows have ``value`` in the indexed ``field``."""
+        return len(self._indexes[field].get(value, ()))
+
+    def dump(self):
+        """Return the rows as MessagePack bytes."""
+        return msgspec.msgpack.encode(list(self._rows.values()))
+
+    def load(self, data):
+        """Replace all rows by those of ``dump``'s bytes."""
+        rows = msgspec.msgpack.decode(data, type=list[self.row_class])
+        self.__init__()
+        for row in rows:
+            self.put(row)
+
+    @staticmethod
+    def _unlink(index, value, key):
+        keys = index.get(value)
+        if keys is not None:
+            keys.pop(key, None)
+            if not keys:
+                del index[value]
--- /dev/null
+++ b/bilberryhaven/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes: Cap'n Proto over HTTP."""
--- /dev/null
+++ b/bilberryhaven/wire/client.py
@@ -0,0 +1,99 @@
+"""Client for other processes: one message out, one message back."""
+
+import urllib3
+
+from bilberryhaven import errors
+from bilberryhaven import util
+from bilberryhaven.wire import codec
+from bilberryhaven.wire import message
+
+__all__ = ['Client']
+
+CONTENT_TYPE = 'application/capnp'
+PATH = '/wire'
+MAX_CONNECTIONS_PER_PEER = 64
+MAX_PEERS = 8192
+
+
+class Client:
+    """Sends messages over kept-alive HTTP connections.
+
+    A connection on which an answer is late or incomplete is closed, so that
+    no answer is ever taken for another's.
+    """
+
+    def __init__(self):
+        self._pools = urllib3.PoolManager(
+            num_pools=MAX_PEERS,
+            maxsize=MAX_CONNECTIONS_PER_PEER,
+            retries=False,
+        )
+
+    def send(self, address, msg, *, timeout, step):
+        """Send ``msg`` to the process at ``address`` and return its reply.
+
+        Args:
+            address: HOST:PORT of the peer.
+            msg: A typed message.
+            timeout: Longest wait as a timedelta.
+            step: What the message is for, named in errors.
+
+        Raises:
+            PeerError: No whole answer came. The outcome is not_run where
+                no connection was made, else unknown.
+            BilberryhavenError: The peer answered with an error.
+        """
+        host, port = util.parse_address(address)
+        pool = self._pools.connection_from_host(host, port, scheme='http')
+        body = codec.encode(msg)
+        limit = max(timeout.total_seconds(), 0.001)
+        try:
+            response = pool.urlopen(
+                'POST',
+                PATH,
+                body=body,
+                headers={'Content-Type': CONTENT_TYPE},
+                timeout=urllib3.Timeout(total=limit),
+                retries=False,
+                redirect=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _describe_fault(error, address, step) from error
+        if response.status != 200:
+            raise errors.PeerError(
+                f'HTTP status {response.status}', step=step, peer=address
+            )
+        reply = codec.decode(response.data)
+        if isinstance(reply, message.ErrorReply):
+            raise _rebuild_error(reply, address)
+        return reply
+
+    def close(self):
+        """Close all idle connections."""
+        self._pools.clear()
+
+
+def _describe_fault(error, address, step):
+    outcome = errors.Outcome.UNKNOWN
+    refused = (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    )
+    if isinstance(error, refused):
+        outcome = errors.Outcome.NOT_RUN
+    return errors.PeerError(
+        f'no answer: {error}', step=step, peer=address, outcome=outcome
+    )
+
+
+def _rebuild_error(reply, address):
+    return errors.build_error(
+        {
+            'code': reply.code,
+            'message': reply.message,
+            'step': reply.step,
+            'peer': reply.peer or address,
+            'outcome': reply.outcome,
+            'request_id': reply.request_id,
+        }
+    )
--- /dev/null
+++ b/bilberryhaven/wire/codec.py
@@ -0,0 +1,121 @@
+"""Conversion between typed messages and Cap'n Proto bytes."""
+
+import dataclasses
+import functools
+import pathlib
+import typing
+
+import capnp
+
+from bilberryhaven import errors
+from bilberryhaven.wire import message
+
+__all__ = ['decode', 'encode']
+
+SCHEMA = pathlib.Path(__file__).with_name('schema.capnp')
+MAX_MESSAGE_WORDS = 64 * 1024 * 1024 // 8
+
+
+@functools.lru_cache(maxsize=1)
+def _load_schema():
+    capnp.remove_import_hook()
+    return capnp.load(str(SCHEMA))
+
+
+def _camelize(name):
+    head, *rest = name.split('_')
+    return head + ''.join(part.title() for part in rest)
+
+
+def _list_fields(cls):
+    hints = typing.get_type_hints(cls)
+    for field in dataclasses.fields(cls):
+        hint = hints[field.name]
+        (item,) = typing.get_args(hint) or (None,)
+        yield field.name, _camelize(field.name), hint, item
+
+
+@functools.cache
+def _build_writer(cls):
+    plain, structs, lists = [], [], []
+    for name, camel, hint, item in _list_fields(cls):
+        if dataclasses.is_dataclass(hint):
+            structs.append((name, camel, _build_writer(hint)))
+        elif dataclasses.is_dataclass(item):
+            lists.append((name, camel, _build_writer(item)))
+        else:
+            plain.append((name, camel))
+
+    def write(source, builder):
+        for name, camel in plain:
+            setattr(builder, camel, getattr(source, name))
+        for name, camel, write_part in structs:
+            write_part(getattr(source, name), builder.init(camel))
+        for name, camel, write_part in lists:
+            items = getattr(source, name)
+            if items:
+                slots = builder.init(camel, len(items))
+                for index, part in enumerate(items):
+                    write_part(part, slots[index])
+
+    return write
+
+
+@functools.cache
+def _build_reader(cls):
+    converters = []
+    for name, camel, hint, item in _list_fields(cls):
+        if dataclasses.is_dataclass(hint):
+            convert = _build_reader(hint)
+        elif dataclasses.is_dataclass(item):
+            convert = functools.partial(_read_list, _build_reader(item))
+        elif item is not None:
+            convert = list
+        else:
+            convert = None
+        converters.append((name, camel, convert))
+
+    def read(source):
+        values = {}
+        for name, camel, convert in converters:
+            value = getattr(source, camel)
+            values[name] = convert(value) if convert else value
+        return cls(**values)
+
+    return read
+
+
+def _read_list(read, items):
+    return [read(item) for item in items]
+
+
+@functools.lru_cache(maxsize=1)
+def _index_fields():
+    return {cls: name for name, cls in message.get_messages().items()}
+
+
+def encode(msg):
+    """Return the bytes of a typed message."""
+    envelope = _load_schema().Envelope.new_message()
+    field = _index_fields()[type(msg)]
+    _build_writer(type(msg))(msg, envelope.init(field))
+    return envelope.to_bytes()
+
+
+def decode(data):
+    """Return the typed message in ``data``.
+
+    Raises:
+        BadInputError: The bytes hold no known message.
+    """
+    try:
+        with _load_schema().Envelope.from_bytes(
+            data, traversal_limit_in_words=MAX_MESSAGE_WORDS
+        ) as envelope:
+            field = str(envelope.which())
+            cls = message.get_messages()[field]
+            return _build_reader(cls)(getattr(envelope, field))
+    except (capnp.KjException, KeyError, ValueError, TypeError) as error:
+        raise errors.BadInputError(
+            f'no message: {error}', step='decode message'
+        ) from error
--- /dev/null
+++ b/bilberryhaven/wire/schema.capnp
@@ -0,0 +1,264 @@
+@0xd1c5a7f04b9e2c31;
+# Messages between bilberryhaven's own processes. Durations, never instants,
+# cross the wire; names ending in Ms are milliseconds.
+
+struct Pair {
+  key @0 :Text;
+  value @1 :Text;
+}
+
+struct Capacity {
+  slots @0 :UInt32;
+  connections @1 :UInt32;
+  cpu @2 :Float64;
+  memoryMb @3 :UInt64;
+  accelerators @4 :UInt32;
+}
+
+# What an agent holds at the moment it answers.
+struct Load {
+  slots @0 :UInt32;
+  slotsUsed @1 :UInt32;
+  batchSlots @2 :UInt32;
+  connections @3 :UInt32;
+  connectionsUsed @4 :UInt32;
+  queued @5 :UInt32;
+  serviceMs @6 :Float64;
+  failureShare @7 :Float64;
+  draining @8 :Bool;
+}
+
+struct AdmitRequest {
+  requestId @0 :Text;
+  workload @1 :Text;
+  body @2 :Data;
+  deadlineMs @3 :UInt32;
+  urgent @4 :Bool;
+  idempotent @5 :Bool;
+  entry @6 :Text;
+  attempt @7 :UInt16;
+}
+
+# code is empty for an answer; length and digest cover body.
+struct AdmitReply {
+  requestId @0 :Text;
+  code @1 :Text;
+  message @2 :Text;
+  step @3 :Text;
+  outcome @4 :Text;
+  body @5 :Data;
+  length @6 :UInt64;
+  digest @7 :Text;
+  load @8 :Load;
+  retryAfterMs @9 :UInt32;
+}
+
+struct RevokeRequest {
+  requestIds @0 :List(Text);
+  entry @1 :Text;
+}
+
+# One state a request id, in order: notRun, started, finished.
+struct RevokeReply {
+  states @0 :List(Text);
+  load @1 :Load;
+}
+
+struct Announcement {
+  name @0 :Text;
+  zone @1 :Text;
+  rack @2 :Text;
+  address @3 :Text;
+  labels @4 :List(Pair);
+  capacity @5 :Capacity;
+}
+
+struct JobEvent {
+  jobId @0 :Text;
+  epoch @1 :UInt64;
+  kind @2 :Text;
+  body @3 :Data;
+  reason @4 :Text;
+}
+
+# Usage of one task or service, ageMs before the report was sent.
+struct Usage {
+  workload @0 :Text;
+  jobId @1 :Text;
+  ageMs @2 :UInt32;
+  cpu @3 :Float64;
+  memoryMb @4 :Float64;
+  latencyMs @5 :Float64;
+  load @6 :Float64;
+  progress @7 :Float64;
+}
+
+# epoch 0 asks for a new session and carries the announcement.
+# events are repeated until ackedEvents covers them.
+struct Heartbeat {
+  instance @0 :Text;
+  epoch @1 :UInt64;
+  revision @2 :UInt64;
+  announcement @3 :Announcement;
+  load @4 :Load;
+  firstEvent @5 :UInt64;
+  events @6 :List(JobEvent);
+  usage @7 :List(Usage);
+  running @8 :List(RunningJob);
+  leaving @9 :Bool;
+}
+
+struct RunningJob {
+  jobId @0 :Text;
+  epoch @1 :UInt64;
+}
+
+struct StartOrder {
+  jobId @0 :Text;
+  epoch @1 :UInt64;
+  workload @2 :Text;
+  payload @3 :Data;
+  checkpoint @4 :Data;
+  slots @5 :UInt32;
+}
+
+struct StopOrder {
+  jobId @0 :Text;
+  epoch @1 :UInt64;
+  reason @2 :Text;
+}
+
+struct ThrottleOrder {
+  jobId @0 :Text;
+  epoch @1 :UInt64;
+  share @2 :Float64;
+}
+
+# leaseMs counts from the moment the heartbeat was sent.
+struct HeartbeatReply {
+  instance @0 :Text;
+  epoch @1 :UInt64;
+  leaseMs @2 :UInt32;
+  revision @3 :UInt64;
+  ackedEvents @4 :UInt64;
+  starts @5 :List(StartOrder);
+  stops @6 :List(StopOrder);
+  throttles @7 :List(ThrottleOrder);
+  code @8 :Text;
+  message @9 :Text;
+}
+
+struct HeartbeatBatch {
+  entry @0 :Text;
+  heartbeats @1 :List(Heartbeat);
+}
+
+struct HeartbeatBatchReply {
+  replies @0 :List(HeartbeatReply);
+}
+
+struct WorkloadView {
+  name @0 :Text;
+  kind @1 :Text;
+  labels @2 :List(Pair);
+  runsOn @3 :Text;
+  sharesWith @4 :Text;
+  repeatable @5 :Bool;
+  held @6 :Text;
+}
+
+struct InstanceView {
+  name @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+  labels @3 :List(Pair);
+  capacity @4 :Capacity;
+  draining @5 :Bool;
+  connected @6 :Bool;
+  quarantined @7 :Text;
+  load @8 :Load;
+  loadAgeMs @9 :UInt32;
+  beside @10 :List(Text);
+}
+
+# What an entry holds: cursor is the position in the leader's change feed,
+# feed names that feed; another feed or cursor 0 gets everything.
+struct SyncRequest {
+  entry @0 :Text;
+  zone @1 :Text;
+  revision @2 :UInt64;
+  feed @3 :Text;
+  cursor @4 :UInt64;
+}
+
+struct SyncReply {
+  revision @0 :UInt64;
+  leaseMs @1 :UInt32;
+  feed @2 :Text;
+  cursor @3 :UInt64;
+  full @4 :Bool;
+  workloads @5 :List(WorkloadView);
+  instances @6 :List(InstanceView);
+}
+
+struct ClaimRequest {
+  requestId @0 :Text;
+  workload @1 :Text;
+  entry @2 :Text;
+}
+
+struct ClaimReply {
+  granted @0 :Bool;
+  holder @1 :Text;
+}
+
+# An operator's or caller's API request, relayed to the leader.
+struct CallRequest {
+  method @0 :Text;
+  path @1 :Text;
+  query @2 :Text;
+  body @3 :Data;
+  by @4 :Text;
+}
+
+struct CallReply {
+  status @0 :UInt16;
+  body @1 :Data;
+}
+
+struct ErrorReply {
+  code @0 :Text;
+  message @1 :Text;
+  step @2 :Text;
+  peer @3 :Text;
+  outcome @4 :Text;
+  requestId @5 :Text;
+}
+
+# A batch of messages of the consensus core, encoded by its own codec.
+struct ConsensusBatch {
+  sender @0 :Text;
+  messages @1 :List(Data);
+}
+
+struct Envelope {
+  union {
+    none @0 :Void;
+    errorReply @1 :ErrorReply;
+    admitRequest @2 :AdmitRequest;
+    admitReply @3 :AdmitReply;
+    revokeRequest @4 :RevokeRequest;
+    revokeReply @5 :RevokeReply;
+    heartbeat @6 :Heartbeat;
+    heartbeatReply @7 :HeartbeatReply;
+    heartbeatBatch @8 :HeartbeatBatch;
+    heartbeatBatchReply @9 :HeartbeatBatchReply;
+    syncRequest @10 :SyncRequest;
+    syncReply @11 :SyncReply;
+    claimRequest @12 :ClaimRequest;
+    claimReply @13 :ClaimReply;
+    callRequest @14 :CallRequest;
+    callReply @15 :CallReply;
+    consensusBatch @16 :ConsensusBatch;
+  }
+}
--- /dev/null
+++ b/bilberryhaven/wire/server.py
@@ -0,0 +1,156 @@
+"""HTTP server of a process: own messages, API, health and metrics."""
+
+import threading
+
+from cheroot import wsgi
+
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven import util
+from bilberryhaven.wire import client
+from bilberryhaven.wire import codec
+from bilberryhaven.wire import message
+
+__all__ = ['MAX_BODY_BYTES', 'Response', 'Server', 'build_error_reply']
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+STOP_TIMEOUT_SECONDS = 30
+REQUEST_QUEUE = 512
+REASONS = {
+    200: 'OK',
+    201: 'Created',
+    202: 'Accepted',
+    400: 'Bad Request',
+    404: 'Not Found',
+    405: 'Method Not Allowed',
+    409: 'Conflict',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+_logger = log.get_logger('wire')
+
+
+class Response:
+    """An HTTP answer.
+
+    Args:
+        status: HTTP status.
+        body: Bytes of the answer.
+        content_type: Its media type.
+        headers: More headers, a mapping.
+    """
+
+    def __init__(
+        self,
+        *,
+        status=200,
+        body=b'',
+        content_type='application/json',
+        headers=None,
+    ):
+        self.status = status
+        self.body = body
+        self.headers = {
+            'Content-Type': content_type,
+            'Content-Length': str(len(body)),
+            **(headers or {}),
+        }
+
+
+def build_error_reply(error):
+    """Return the message that carries ``error`` to a peer."""
+    return message.ErrorReply(**error.to_dict())
+
+
+class Server:
+    """Serves one process's port.
+
+    Args:
+        address: HOST:PORT to listen on; port 0 picks a free one.
+        handlers: Functions from a message to its reply, by message class.
+        fallback: Function from a WSGI environ and body to a ``Response``,
+            for all other paths.
+        threads: Requests served at a time.
+    """
+
+    def __init__(self, *, address, handlers, fallback=None, threads=16):
+        self._handlers = dict(handlers)
+        self._fallback = fallback
+        self._server = wsgi.Server(
+            util.parse_address(address),
+            self._serve,
+            numthreads=threads,
+            request_queue_size=REQUEST_QUEUE,
+            shutdown_timeout=STOP_TIMEOUT_SECONDS,
+        )
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.error_log = _log_server_error
+        self._thread = None
+
+    @property
+    def address(self):
+        """The HOST:PORT that it listens on, once started."""
+        host, port = self._server.bind_addr[:2]
+        return f'{host}:{port}'
+
+    def start(self):
+        """Listen, and serve in a thread of its own."""
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve, name='server', daemon=True
+        )
+        self._thread.start()
+
+    def stop(self):
+        """Stop listening and wait for the requests in progress."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(STOP_TIMEOUT_SECONDS)
+
+    def _serve(self, environ, start_response):
+        response = self._answer(environ)
+        reason = REASONS.get(response.status, 'Unknown')
+        headers = list(response.headers.items())
+        start_response(f'{response.status} {reason}', headers)
+        return [response.body]
+
+    def _answer(self, environ):
+        body = _read_body(environ)
+        if environ['PATH_INFO'] == client.PATH:
+            return self._answer_message(body)
+        if self._fallback is not None:
+            return self._fallback(environ, body)
+        return Response(status=404)
+
+    def _answer_message(self, body):
+        try:
+            msg = codec.decode(body)
+            handler = self._handlers.get(type(msg))
+            if handler is None:
+                raise errors.BadInputError(
+                    f'this role takes no {type(msg).__name__}', step='dispatch'
+                )
+            reply = handler(msg)
+        except errors.BilberryhavenError as error:
+            reply = build_error_reply(error)
+        except Exception as error:  # noqa: BLE001
+            _logger.exception('a handler failed')
+            fault = errors.InternalError(repr(error), step='dispatch')
+            reply = build_error_reply(fault)
+        return Response(
+            body=codec.encode(reply), content_type=client.CONTENT_TYPE
+        )
+
+
+def _read_body(environ):
+    length = int(environ.get('CONTENT_LENGTH') or 0)
+    return environ['wsgi.input'].read(length) if length else b''
+
+
+def _log_server_error(msg='', level=20, traceback=False):
+    _logger.warning('HTTP server: {}', msg)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,83 @@
+"""Tests of messages, client and server."""
+
+import threading
+
+import testtools
+from testtools import matchers
+
+from bilberryhaven import clock
+from bilberryhaven import errors
+from bilberryhaven.wire import client
+from bilberryhaven.wire import codec
+from bilberryhaven.wire import message
+from bilberryhaven.wire import server
+
+
+class TestCodec(testtools.TestCase):
+    def test_nested_message_survives(self):
+        beat = message.Heartbeat(
+            instance='a',
+            epoch=3,
+            announcement=message.Announcement(
+                name='a', labels=[message.Pair(key='k', value='v')]
+            ),
+            load=message.Load(slots=8, service_ms=1.5),
+            events=[message.JobEvent(job_id='j', epoch=1, kind='started')],
+        )
+        self.assertEqual(beat, codec.decode(codec.encode(beat)))
+
+    def test_damaged_bytes_are_refused(self):
+        for data in (b'', b'x', b'\xff' * 64):
+            self.assertRaises(errors.BadInputError, codec.decode, data)
+
+
+class TestExchange(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.release = threading.Event()
+        self.server = server.Server(
+            address='127.0.0.1:0',
+            handlers={message.ClaimRequest: self.answer},
+        )
+        self.server.start()
+        self.client = client.Client()
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.client.close)
+        self.addCleanup(self.release.set)
+
+    def answer(self, msg):
+        if msg.workload == 'slow':
+            self.release.wait()
+        if msg.workload == 'bad':
+            raise errors.OverloadError('full', step='claim')
+        return message.ClaimReply(granted=True, holder=msg.request_id)
+
+    def send(self, request_id, workload, seconds=5):
+        return self.client.send(
+            self.server.address,
+            message.ClaimRequest(
+                request_id=request_id, workload=workload, entry='e'
+            ),
+            timeout=clock.seconds(seconds),
+            step='claim',
+        )
+
+    def test_reply_comes_back(self):
+        self.assertEqual('r1', self.send('r1', 'w').holder)
+
+    def test_error_keeps_its_code(self):
+        error = self.assertRaises(errors.OverloadError, self.send, 'r', 'bad')
+        self.assertEqual('claim', error.step)
+
+    def test_late_answer_is_never_taken_for_another(self):
+        error = self.assertRaises(
+            errors.PeerError, self.send, 'late', 'slow', 0.05
+        )
+        self.assertEqual(errors.Outcome.UNKNOWN, error.outcome)
+        self.release.set()
+        self.assertEqual('next', self.send('next', 'w').holder)
+
+    def test_unreachable_peer_is_known_not_run(self):
+        self.server.stop()
+        error = self.assertRaises(errors.PeerError, self.send, 'r', 'w')
+        self.assertThat(error.outcome, matchers.Equals(errors.Outcome.NOT_RUN))
