--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -5,11 +5,11 @@
 import testtools
 
 from bilberryhaven import commands
-from bilberryhaven import errors
-from bilberryhaven import tables
 from bilberryhaven.commands import change
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
+from bilberryhaven import errors
+from bilberryhaven import tables
 from bilberryhaven.tables import instance
 from bilberryhaven.tables import job
 from bilberryhaven.tables import workload
