--- /dev/null
+++ b/bilberryhaven/control/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's work: sessions, leases, change feed and API."""
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -88,6 +88,7 @@
     idempotent: bool = False
     entry: str = ''
     attempt: int = 1
+    revision: int = 0
 
 
 @_declare_message
@@ -276,6 +277,16 @@
     beside: list[str] = _make_list()
 
 
+@_declare
+class Slowdown:
+    """How much slower a service answers beside a workload."""
+
+    service: str
+    beside: str
+    band: int
+    factor: float
+
+
 @_declare_message
 class SyncRequest:
     """An entry's renewal, with the position it has reached."""
@@ -298,6 +309,7 @@
     full: bool = False
     workloads: list[WorkloadView] = _make_list()
     instances: list[InstanceView] = _make_list()
+    slowdowns: list[Slowdown] = _make_list()
 
 
 @_declare_message
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -37,6 +37,7 @@
   idempotent @5 :Bool;
   entry @6 :Text;
   attempt @7 :UInt16;
+  revision @8 :UInt64;
 }
 
 # code is empty for an answer; length and digest cover body.
@@ -181,6 +182,14 @@
   beside @10 :List(Text);
 }
 
+# How much slower a service answers beside a workload, at a load band.
+struct Slowdown {
+  service @0 :Text;
+  beside @1 :Text;
+  band @2 :UInt16;
+  factor @3 :Float64;
+}
+
 # What an entry holds: cursor is the position in the leader's change feed,
 # feed names that feed; another feed or cursor 0 gets everything.
 struct SyncRequest {
@@ -199,6 +208,7 @@
   full @4 :Bool;
   workloads @5 :List(WorkloadView);
   instances @6 :List(InstanceView);
+  slowdowns @7 :List(Slowdown);
 }
 
 struct ClaimRequest {
