--- /dev/null
+++ b/bilberryhaven/consensus/actor.py
@@ -0,0 +1,253 @@
+"""The actor that runs a replica's driver on a thread of its own."""
+
+import collections
+import dataclasses
+import datetime
+import threading
+
+import pykka
+
+from bilberryhaven.consensus import driver as replica_driver
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import status
+from bilberryhaven import errors
+from bilberryhaven import log
+
+__all__ = [
+    'ChangeMembers',
+    'Close',
+    'Deliver',
+    'HandOver',
+    'Propose',
+    'ReplicaActor',
+    'Tick',
+    'View',
+]
+
+_logger = log.get_logger('consensus')
+
+
+@dataclasses.dataclass(kw_only=True, frozen=True, slots=True)
+class View:
+    """State that other threads may see.
+
+    Attributes:
+        status: The ``ReplicaStatus``.
+        serving: Whether it leads and has applied all of older terms.
+        lease_end: When its lease ends.
+    """
+
+    status: status.ReplicaStatus
+    serving: bool = False
+    lease_end: datetime.timedelta = datetime.timedelta.min
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Propose:
+    """Propose ``data``; ``done`` gets the result or an error."""
+
+    data: bytes
+    done: object
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Deliver:
+    """Messages of ``sender``; ``done``, if any, gets those in reply."""
+
+    sender: str
+    messages: list
+    done: object = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ChangeMembers:
+    """Add a learner or remove a member."""
+
+    add: tuple | None
+    remove: str | None
+    done: object
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class HandOver:
+    """Begin to transfer leadership."""
+
+    to: str | None
+    done: object
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class SnapshotSaved:
+    """The result of a save on another thread."""
+
+    result: object
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Flush:
+    """Carry out what the messages since the last flush brought."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Close:
+    """Close the files."""
+
+
+class ReplicaActor(pykka.ThreadingActor):
+    """Runs one driver; proposals that arrive together are one group.
+
+    Args:
+        name: The replica's name.
+        clock: The ``Clock``.
+        transport: The ``Transport``.
+        publish: Function of a ``View``, called after each change.
+        options: Further arguments of the ``Driver``, by name.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, name, clock, transport, publish, options):
+        super().__init__()
+        self._name = name
+        self._clock = clock
+        self._transport = transport
+        self._publish = publish
+        self._proposals = []
+        self._flush_queued = False
+        self._waiting = {}
+        self._outbox = collections.defaultdict(list)
+        self._driver = replica_driver.Driver(
+            name=name,
+            send=self._queue_message,
+            save=self._save,
+            publish=self._publish_view,
+            **options,
+        )
+        self._handlers = {
+            Propose: self._propose,
+            Deliver: self._deliver,
+            ChangeMembers: self._change_members,
+            HandOver: self._hand_over,
+            SnapshotSaved: self._record_snapshot,
+            Tick: self._tick,
+            Flush: self._flush,
+            Close: self._close,
+        }
+
+    def begin(self, voters):
+        """Recover, and take part in the quorum."""
+        self._driver.start(voters, self._clock.monotonic())
+        self._tick(None)
+
+    def on_receive(self, message):
+        """Process one of this module's messages."""
+        self._handlers[type(message)](message)
+
+    def on_failure(self, exception_type, exception_value, traceback):
+        """Leave the quorum after a fault of this program."""
+        fault = errors.InternalError(repr(exception_value), step='consensus')
+        self._driver.fail(fault)
+        self._publish_view()
+
+    def _queue_flush(self):
+        if not self._flush_queued:
+            self._flush_queued = True
+            self.actor_ref.tell(Flush())
+
+    def _propose(self, msg):
+        self._proposals.append((msg.data, msg.done))
+        self._queue_flush()
+
+    def _deliver(self, msg):
+        if msg.done is not None:
+            self._answer_waiting(msg.sender)
+            self._waiting[msg.sender] = msg.done
+        now = self._clock.monotonic()
+        for data in msg.messages:
+            try:
+                self._driver.step(message.decode(data), now)
+            except errors.BadInputError as error:
+                _logger.warning('message of {} dropped: {}', msg.sender, error)
+        self._queue_flush()
+
+    def _change_members(self, msg):
+        self._driver.change_members(
+            self._clock.monotonic(), msg.done, add=msg.add, remove=msg.remove
+        )
+        self._queue_flush()
+
+    def _hand_over(self, msg):
+        self._flush(None)
+        try:
+            now = self._clock.monotonic()
+            result = self._driver.core.transfer_leadership(now, msg.to)
+        except errors.BilberryhavenError as error:
+            result = error
+        msg.done(result)
+        self._queue_flush()
+
+    def _tick(self, msg):
+        self._driver.tick(self._clock.monotonic())
+        self._queue_flush()
+
+    def _flush(self, msg):
+        self._flush_queued = False
+        now = self._clock.monotonic()
+        if self._proposals:
+            proposals, self._proposals = self._proposals, []
+            self._driver.propose(proposals, now)
+        self._driver.flush(now)
+        for sender in list(self._waiting):
+            self._answer_waiting(sender)
+        for name, messages in self._outbox.items():
+            address = self._driver.find_address(name)
+            if address:
+                self._transport.send(address, messages)
+        self._outbox.clear()
+
+    def _answer_waiting(self, sender):
+        done = self._waiting.pop(sender, None)
+        if done is not None:
+            done(self._outbox.pop(sender, []))
+
+    def _queue_message(self, to, data):
+        self._outbox[to].append(data)
+
+    def _save(self, save):
+        def run():
+            try:
+                result = save()
+            except errors.StorageError as error:
+                result = error
+            self.actor_ref.tell(SnapshotSaved(result=result))
+
+        threading.Thread(target=run, name='snapshot', daemon=True).start()
+
+    def _record_snapshot(self, msg):
+        self._driver.record_snapshot(msg.result)
+        self._queue_flush()
+
+    def _close(self, msg):
+        self._flush(None)
+        self._driver.close()
+        self._publish_view()
+
+    def _publish_view(self):
+        driver = self._driver
+        core = driver.core
+        serving = core.is_leader and driver.applied >= core.noop_index
+        lease_end = datetime.timedelta.min
+        if serving:
+            lease_end = core.find_lease_end(self._clock.monotonic())
+        self._publish(
+            View(
+                status=driver.build_status(),
+                serving=serving,
+                lease_end=lease_end,
+            )
+        )
--- /dev/null
+++ b/bilberryhaven/consensus/core.py
@@ -0,0 +1,284 @@
+"""The consensus core: messages and time in, effects out; it does no I/O."""
+
+from bilberryhaven.consensus import effects as core_effects
+from bilberryhaven.consensus import election
+from bilberryhaven.consensus import lease
+from bilberryhaven.consensus import members as replica_members
+from bilberryhaven.consensus import membership
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import progress
+from bilberryhaven.consensus import replication
+from bilberryhaven.consensus import status
+from bilberryhaven.consensus import transfer
+from bilberryhaven import errors
+
+__all__ = ['Core']
+
+_HANDLERS = {
+    message.PreVoteRequest: election.handle_pre_vote_request,
+    message.PreVoteReply: election.handle_pre_vote_reply,
+    message.VoteRequest: election.handle_vote_request,
+    message.VoteReply: election.handle_vote_reply,
+    message.TransferRequest: election.handle_transfer_request,
+    message.AppendRequest: replication.handle_append_request,
+    message.AppendReply: replication.handle_append_reply,
+    message.SnapshotRequest: transfer.handle_snapshot_request,
+    message.SnapshotReply: transfer.handle_snapshot_reply,
+}
+KEPT_SNAPSHOTS = 2
+
+
+class Core:
+    """One replica's part in the consensus protocol.
+
+    Args:
+        name: The replica's name.
+        options: Timing and sizes.
+        random: Source of randomness for election timeouts.
+        hard_state: Recovered term and vote.
+        log: Recovered ``EntryLog``.
+        history: Recovered ``MemberHistory``.
+        snapshots: Recovered ``SnapshotMeta`` rows, newest last.
+
+    Attributes:
+        role: Its role.
+        term: Its newest term.
+        vote: Whom it voted for in that term, or empty.
+        leader: That term's leader, or empty.
+        commit: Newest committed entry.
+        peers: ``Progress`` by name, of a leader.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        options,
+        random,
+        hard_state,
+        log,
+        history,
+        snapshots=(),
+    ):
+        self.name = name
+        self.options = options
+        self.random = random
+        self.term = hard_state.term
+        self.vote = hard_state.vote
+        self.log = log
+        self.history = history
+        self.snapshots = list(snapshots)
+        self.role = status.Role.FOLLOWER
+        self.leader = ''
+        self.commit = snapshots[-1].index if snapshots else log.base_index
+        self.noop_index = 0
+        self.peers = {}
+        self.lease = None
+        self.handover = None
+        self.incoming = None
+        self.heard_at = None
+        self.election_at = None
+        self.heartbeat_at = None
+        self.pre_votes = set()
+        self.votes = set()
+        self._effects = core_effects.Effects()
+
+    @property
+    def members(self):
+        """The members in effect."""
+        return self.history.current
+
+    @property
+    def snapshot(self):
+        """The newest snapshot's description, or None."""
+        return self.snapshots[-1] if self.snapshots else None
+
+    @property
+    def is_leader(self):
+        """Whether it is the leader of its term."""
+        return self.role == status.Role.LEADER
+
+    def start(self, now):
+        """Begin to take part.
+
+        What was heard before a restart is forgotten, so a replica that has
+        taken part before grants no vote for an election timeout.
+        """
+        if self.term:
+            self.heard_at = now
+        self.reset_election_timer(now)
+        if self.members.is_quorum([self.name]):
+            self.election_at = now
+
+    def step(self, msg, now):
+        """Process a message from another replica, or from itself."""
+        _HANDLERS[type(msg)](self, msg, now)
+
+    def tick(self, now):
+        """Do what is due at ``now``."""
+        if self.is_leader:
+            self._tick_leader(now)
+        elif now >= self.election_at and self.name in self.members.voters:
+            election.start_pre_vote(self, now)
+
+    def _tick_leader(self, now):
+        contact = self.lease.find_contact(self.members, now)
+        if now >= contact + self.options.lease:
+            self.become_follower(self.term, now)
+            return
+        membership.check_handover(self, now)
+        if self.is_leader and now >= self.heartbeat_at:
+            membership.promote_learners(self, now)
+            replication.send_heartbeats(self, now)
+
+    def propose(self, items, now):
+        """Append entries with the data ``items``; return the first index.
+
+        Raises:
+            NotLeaderError: It is not the leader, or hands leadership over.
+        """
+        self.check_leader()
+        entries = [
+            message.Entry(self.term, message.EntryKind.DATA, data)
+            for data in items
+        ]
+        return replication.append_own(self, entries, now)
+
+    def change_members(self, now, *, add=None, remove=None):
+        """Append a change of members; return its index."""
+        self.check_leader()
+        return membership.change_members(self, now, add=add, remove=remove)
+
+    def transfer_leadership(self, now, to=None):
+        """Begin to hand leadership over; return the receiver's name."""
+        self.check_leader()
+        return membership.start_handover(self, now, to)
+
+    def check_leader(self):
+        """Return if proposals can be accepted.
+
+        Raises:
+            NotLeaderError: They can't.
+        """
+        if not self.is_leader or self.handover is not None:
+            leader = '' if self.is_leader else self.leader
+            raise errors.NotLeaderError(
+                f'{self.name} is not the leader',
+                step='propose',
+                peer=self.members.find_address(leader),
+            )
+
+    def find_lease_end(self, now):
+        """Return until when linearizable reads may be served."""
+        return self.lease.find_end(self.members, now, self.options.lease)
+
+    def record_snapshot(self, meta):
+        """Note a stored snapshot and drop the log that it replaces."""
+        if self.snapshot is not None and meta.index <= self.snapshot.index:
+            return
+        self.snapshots = [*self.snapshots, meta][-KEPT_SNAPSHOTS:]
+        index = min(meta.index - self.options.kept_entries, self.commit)
+        self.log.compact(index)
+        self.history.compact(self.log.base_index)
+
+    def take_effects(self):
+        """Return what is to be done since the last call."""
+        taken = self._effects
+        self._effects = core_effects.Effects()
+        return taken
+
+    def send(self, to, msg):
+        """Queue ``msg`` for the replica ``to``."""
+        self._effects.messages.append((to, msg))
+
+    def install(self, snapshot):
+        """Replace the log by ``snapshot``."""
+        meta = snapshot.meta
+        self._effects.install = snapshot
+        self._effects.append_from = None
+        self.log.reset(meta.index, meta.term)
+        self.history.reset(meta.index, meta.members)
+        self.snapshots = [meta]
+        self.commit = meta.index
+
+    def append(self, entries):
+        """Append entries to the log and queue their write."""
+        first = self.log.last_index + 1
+        self.log.append(entries)
+        for offset, entry in enumerate(entries):
+            if entry.kind == message.EntryKind.MEMBERS:
+                changed = replica_members.Members.decode(entry.data)
+                self.history.push(first + offset, changed)
+        queued = self._effects.append_from
+        self._effects.append_from = (
+            first if queued is None else min(queued, first)
+        )
+        return first
+
+    def truncate(self, index):
+        """Drop entries from ``index`` on, before others replace them."""
+        if index <= self.commit:
+            raise errors.InternalError(
+                f'committed entry {index} conflicts with the leader',
+                step='append',
+                peer=self.leader,
+            )
+        self.log.truncate(index)
+        self.history.truncate(index)
+
+    def set_hard_state(self, term, vote):
+        """Set term and vote and queue their write."""
+        self.term = term
+        self.vote = vote
+        self._effects.hard_state = core_effects.HardState(term=term, vote=vote)
+
+    def reset_election_timer(self, now):
+        """Wait a random election timeout before the next campaign."""
+        jitter = self.options.election_jitter * self.random.random()
+        self.election_at = now + self.options.election_timeout + jitter
+
+    def is_leader_heard(self, now):
+        """Return whether a leader was heard within an election timeout."""
+        if self.is_leader:
+            return self.handover is None or not self.handover.sent
+        if self.heard_at is None:
+            return False
+        return now < self.heard_at + self.options.election_timeout
+
+    def become_follower(self, term, now, leader=''):
+        """Follow ``leader``, or nobody yet, in ``term``."""
+        if term > self.term:
+            self.set_hard_state(term, '')
+        self.role = status.Role.FOLLOWER
+        self.leader = leader
+        self.peers = {}
+        self.lease = None
+        self.handover = None
+        self.reset_election_timer(now)
+
+    def become_leader(self, now):
+        """Lead the term; its first entry commits those of older terms."""
+        self.role = status.Role.LEADER
+        self.leader = self.name
+        self.incoming = None
+        self.handover = None
+        self.lease = lease.Lease(name=self.name, now=now)
+        self.peers = {}
+        self.update_peers(now)
+        noop = message.Entry(self.term, message.EntryKind.NOOP)
+        self.noop_index = replication.append_own(self, [noop], now)
+        replication.send_heartbeats(self, now)
+
+    def update_peers(self, now):
+        """Follow a change of members in ``peers``."""
+        wanted = set(self.members.list_names())
+        if self.history.index > self.commit:
+            wanted |= self.peers.keys()
+        for name in list(self.peers):
+            if name not in wanted:
+                del self.peers[name]
+        for name in self.members.list_names():
+            if name not in self.peers:
+                self.peers[name] = progress.Progress(
+                    next=self.log.last_index + 1, progress_at=now
+                )
--- /dev/null
+++ b/bilberryhaven/consensus/driver.py
@@ -0,0 +1,383 @@
+"""Drives the core: writes, syncs, sends and applies what it decides."""
+
+import contextlib
+import dataclasses
+
+from bilberryhaven.consensus import core as consensus_core
+from bilberryhaven.consensus import effects
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import status
+from bilberryhaven import errors
+from bilberryhaven import log
+
+__all__ = ['Driver']
+
+_logger = log.get_logger('consensus')
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Pending:
+    """A proposal that awaits its commit."""
+
+    term: int
+    done: object
+
+
+class Driver:
+    """One replica without threads; its caller passes in time and messages.
+
+    Args:
+        name: The replica's name.
+        storage: Its ``Storage``.
+        machine: Its ``Machine``.
+        options: Timing and sizes.
+        random: Source of randomness for election timeouts.
+        send: Function of (name, bytes) that sends a message.
+        save: Function of a call without arguments that runs it, perhaps on
+            another thread, and passes the result to ``record_snapshot``.
+        publish: Called after each change, before messages tell of it.
+        lock: Held while the machine is used.
+
+    Attributes:
+        core: The ``Core``, once started.
+        applied: Newest applied entry.
+        fault: Error that ended its part in the quorum, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        storage,
+        machine,
+        options,
+        random,
+        send,
+        save=None,
+        publish=None,
+        lock=None,
+    ):
+        self.name = name
+        self.core = None
+        self.applied = 0
+        self.fault = None
+        self._storage = storage
+        self._machine = machine
+        self._options = options
+        self._random = random
+        self._send = send
+        self._save = save or self._save_now
+        self._publish = publish or _do_nothing
+        self._lock = lock or contextlib.nullcontext()
+        self._addresses = {}
+        self._pending = {}
+        self._saving = False
+        self._snapshot_due = options.snapshot_entries
+
+    def start(self, voters, now):
+        """Recover from storage and begin to take part.
+
+        Args:
+            voters: Addresses of the first quorum by name, for an empty
+                folder.
+            now: The monotonic time.
+
+        Raises:
+            StorageError: A file is damaged or can't be read or written.
+        """
+        recovery = self._storage.recover(voters)
+        snapshots = ()
+        if recovery.meta is not None:
+            snapshots = (recovery.meta,)
+            self._load(recovery.meta, recovery.data)
+        self.core = consensus_core.Core(
+            name=self.name,
+            options=self._options,
+            random=self._random,
+            hard_state=recovery.hard_state,
+            log=recovery.log,
+            history=recovery.history,
+            snapshots=snapshots,
+        )
+        self.core.start(now)
+
+    def step(self, msg, now):
+        """Process a message; ``flush`` must follow."""
+        if self.fault is None:
+            self._guard(self.core.step, msg, now)
+
+    def tick(self, now):
+        """Do what is due; ``flush`` must follow."""
+        if self.fault is None:
+            self._guard(self.core.tick, now)
+
+    def propose(self, items, now):
+        """Append a group of proposals; ``flush`` must follow.
+
+        Args:
+            items: (data, done) pairs; ``done`` gets the result or an error.
+            now: The monotonic time.
+        """
+        try:
+            self._check_pending(len(items))
+            first = self.core.propose([data for data, _ in items], now)
+        except errors.BilberryhavenError as error:
+            for _, done in items:
+                done(error)
+            return
+        for offset, (_, done) in enumerate(items):
+            self._await(first + offset, done)
+
+    def change_members(self, now, done, *, add=None, remove=None):
+        """Append a change of members; ``flush`` must follow."""
+        try:
+            self._check_pending(1)
+            index = self.core.change_members(now, add=add, remove=remove)
+        except errors.BilberryhavenError as error:
+            done(error)
+            return
+        self._await(index, done)
+
+    def _check_pending(self, count):
+        if self.fault is not None:
+            raise errors.NotLeaderError(
+                f'{self.name} has failed: {self.fault}', step='propose'
+            )
+        if len(self._pending) + count > self._options.max_pending:
+            raise errors.OverloadError(
+                'too many proposals await their commit',
+                step='propose',
+                peer=self.name,
+            )
+
+    def _await(self, index, done):
+        self._pending[index] = _Pending(term=self.core.term, done=done)
+
+    def flush(self, now):
+        """Write, sync, send and apply until nothing is left to do."""
+        while self.fault is None:
+            taken = self.core.take_effects()
+            if taken.is_empty() and self.applied >= self.core.commit:
+                break
+            self._guard(self._carry_out, taken, now)
+        self._settle_lost()
+        self._publish()
+
+    def _carry_out(self, taken, now):
+        self._publish()
+        own = []
+        late = []
+        for to, msg in taken.messages:
+            if to == self.name:
+                own.append(msg)
+            elif effects.needs_sync(msg):
+                late.append((to, msg))
+            else:
+                self._send_message(to, msg)
+        if taken.needs_write():
+            self._write(taken)
+        for to, msg in late:
+            self._send_message(to, msg)
+        for msg in own:
+            self.core.step(msg, now)
+        if self.applied < self.core.commit:
+            with self._lock:
+                self._apply()
+        if self.applied >= self._snapshot_due and not self._saving:
+            self._take_snapshot()
+
+    def _load(self, meta, data):
+        with self._lock:
+            self._machine.load(data)
+        self.applied = meta.index
+        self._plan_snapshot()
+
+    def _write(self, taken):
+        core = self.core
+        hard_state = taken.hard_state
+        if taken.install is not None:
+            self._storage.install(taken.install, hard_state)
+            hard_state = None
+            self._load(taken.install.meta, taken.install.data)
+        first = taken.append_from
+        if hard_state is None and first is None:
+            return
+        self._storage.write(
+            hard_state=hard_state,
+            first=first or 0,
+            entries=core.log.list_from(first) if first else (),
+            log=core.log,
+            history=core.history,
+        )
+
+    def _send_message(self, to, msg):
+        if isinstance(msg, message.SnapshotRequest):
+            msg = self._fill_part(msg)
+        if msg is not None:
+            self.find_address(to)
+            self._send(to, message.encode(msg))
+
+    def find_address(self, name):
+        """Return the address of a member, also of one just removed."""
+        address = self.core.members.find_address(name)
+        if address:
+            self._addresses[name] = address
+        return self._addresses.get(name, '')
+
+    def _fill_part(self, msg):
+        try:
+            data = self._storage.read_part(msg.meta.index, msg.offset)
+        except errors.StorageError as error:
+            _logger.warning('snapshot part not sent: {}', error)
+            return None
+        return message.SnapshotRequest(
+            sender=msg.sender,
+            term=msg.term,
+            round=msg.round,
+            meta=msg.meta,
+            offset=msg.offset,
+            data=data,
+        )
+
+    def _apply(self):
+        core = self.core
+        while self.applied < core.commit:
+            index = self.applied + 1
+            entry = core.log.get(index)
+            result = None
+            if entry.kind == message.EntryKind.DATA:
+                result = self._apply_data(index, entry.data)
+            self.applied = index
+            self._settle(index, entry, result)
+
+    def _apply_data(self, index, data):
+        try:
+            return self._machine.apply(index, data)
+        except Exception as error:  # noqa: BLE001
+            _logger.exception('entry {} can not be applied', index)
+            return errors.InternalError(repr(error), step='apply')
+
+    def _settle(self, index, entry, result):
+        pending = self._pending.pop(index, None)
+        if pending is None:
+            return
+        if pending.term == entry.term:
+            pending.done(result)
+        else:
+            pending.done(self._build_unknown())
+
+    def _settle_lost(self):
+        if not self._pending:
+            return
+        core = self.core
+        leads = self.fault is None and core.is_leader
+        lost = [
+            index
+            for index, pending in self._pending.items()
+            if not leads or pending.term != core.term
+        ]
+        for index in lost:
+            self._pending.pop(index).done(self._build_unknown())
+
+    def _build_unknown(self):
+        leader = self.core.leader
+        return errors.PeerError(
+            'leadership was lost before the entry was committed',
+            step='commit',
+            peer=self.core.members.find_address(leader),
+            outcome=errors.Outcome.UNKNOWN,
+        )
+
+    def _plan_snapshot(self):
+        self._snapshot_due = self.applied + self._options.snapshot_entries
+
+    def _take_snapshot(self):
+        self._plan_snapshot()
+        self._saving = True
+        index = self.applied
+        term = self.core.log.find_term(index)
+        members = self.core.history.find_at(index)
+        with self._lock:
+            data = self._machine.dump()
+
+        def save():
+            return self._storage.save_snapshot(
+                index=index, term=term, members=members, data=data
+            )
+
+        self._save(save)
+
+    def _save_now(self, save):
+        try:
+            self.record_snapshot(save())
+        except errors.StorageError as error:
+            self.record_snapshot(error)
+
+    def record_snapshot(self, result):
+        """Take the result of a save: a ``SnapshotMeta``, or an error.
+
+        A snapshot that can't be stored is logged and tried again later, as
+        a new file; the log is kept meanwhile.
+        """
+        self._saving = False
+        if isinstance(result, errors.BilberryhavenError):
+            _logger.error('snapshot not stored: {}', result)
+            return
+        self.core.record_snapshot(result)
+        self._guard(self._storage.compact, self.core.log.base_index)
+
+    def _guard(self, function, *args):
+        try:
+            function(*args)
+        except (errors.StorageError, errors.InternalError) as error:
+            self.fail(error)
+
+    def build_status(self):
+        """Return the ``ReplicaStatus``."""
+        core = self.core
+        members = [
+            self._build_member_status(name)
+            for name in core.members.list_names()
+        ]
+        return status.ReplicaStatus(
+            name=self.name,
+            role=core.role,
+            term=core.term,
+            leader=core.leader,
+            leader_address=core.members.find_address(core.leader),
+            commit=core.commit,
+            applied=self.applied,
+            members=tuple(members),
+            last_index=core.log.last_index,
+            snapshot_index=core.snapshot.index if core.snapshot else 0,
+        )
+
+    def _build_member_status(self, name):
+        core = self.core
+        peer = core.peers.get(name)
+        return status.MemberStatus(
+            name=name,
+            address=core.members.find_address(name),
+            voter=name in core.members.voters,
+            match=peer.match if peer else 0,
+            answered_at=peer.answered_at if peer else None,
+        )
+
+    def fail(self, error):
+        """Leave the quorum after a fault, until a restart."""
+        _logger.critical('replica {} has failed: {}', self.name, error)
+        self.fault = error
+        self.core.role = status.Role.FAILED
+        self._settle_lost()
+
+    def close(self):
+        """Refuse what is pending and close the files."""
+        if self.fault is None:
+            self.fault = errors.DrainingError('stopped', step='stop')
+            self.core.role = status.Role.STOPPED
+        self._settle_lost()
+        self._storage.close()
+
+
+def _do_nothing():
+    pass
--- /dev/null
+++ b/bilberryhaven/consensus/election.py
@@ -0,0 +1,145 @@
+"""Elections: pre-vote, vote, and campaigns that the leader asked for."""
+
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import status
+
+__all__ = [
+    'handle_pre_vote_reply',
+    'handle_pre_vote_request',
+    'handle_transfer_request',
+    'handle_vote_reply',
+    'handle_vote_request',
+    'start_pre_vote',
+]
+
+
+def start_pre_vote(core, now):
+    """Ask whether a campaign could succeed, without raising the term.
+
+    A replica that was cut off thus doesn't depose a working leader when it
+    returns.
+    """
+    core.role = status.Role.CANDIDATE
+    core.leader = ''
+    core.votes = set()
+    core.pre_votes = {core.name}
+    core.reset_election_timer(now)
+    if core.members.is_quorum(core.pre_votes):
+        start_campaign(core, now)
+        return
+    request = message.PreVoteRequest(
+        sender=core.name,
+        term=core.term,
+        last_index=core.log.last_index,
+        last_term=core.log.last_term,
+    )
+    _send_to_voters(core, request)
+
+
+def start_campaign(core, now, *, transfer=False):
+    """Raise the term and ask for votes."""
+    core.role = status.Role.CANDIDATE
+    core.leader = ''
+    core.votes = set()
+    core.pre_votes = set()
+    core.set_hard_state(core.term + 1, core.name)
+    core.reset_election_timer(now)
+    request = message.VoteRequest(
+        sender=core.name,
+        term=core.term,
+        last_index=core.log.last_index,
+        last_term=core.log.last_term,
+        transfer=transfer,
+    )
+    _send_to_voters(core, request)
+    own = message.VoteReply(sender=core.name, term=core.term, granted=True)
+    core.send(core.name, own)
+
+
+def handle_pre_vote_request(core, msg, now):
+    """Answer whether the vote would be granted."""
+    granted = (
+        msg.term >= core.term
+        and not core.is_leader_heard(now)
+        and _is_up_to_date(core, msg)
+    )
+    reply = message.PreVoteReply(
+        sender=core.name,
+        term=core.term,
+        campaign_term=msg.term + 1,
+        granted=granted,
+    )
+    core.send(msg.sender, reply)
+
+
+def handle_pre_vote_reply(core, msg, now):
+    """Start the campaign once a quorum would vote for it."""
+    if msg.term > core.term:
+        core.become_follower(msg.term, now)
+        return
+    if core.role != status.Role.CANDIDATE or not core.pre_votes:
+        return
+    if not msg.granted or msg.campaign_term != core.term + 1:
+        return
+    core.pre_votes.add(msg.sender)
+    if core.members.is_quorum(core.pre_votes):
+        start_campaign(core, now)
+
+
+def handle_vote_request(core, msg, now):
+    """Grant the vote to at most one candidate a term.
+
+    While a leader is heard the request is ignored, which is what the
+    leader's lease rests on, unless that leader asked for the campaign.
+    """
+    if msg.term < core.term:
+        _send_vote_reply(core, msg, granted=False)
+        return
+    if not msg.transfer and core.is_leader_heard(now):
+        return
+    if msg.term > core.term:
+        core.become_follower(msg.term, now)
+    granted = core.vote in ('', msg.sender) and _is_up_to_date(core, msg)
+    if granted:
+        core.set_hard_state(core.term, msg.sender)
+        core.reset_election_timer(now)
+    _send_vote_reply(core, msg, granted=granted)
+
+
+def handle_vote_reply(core, msg, now):
+    """Lead once a quorum has voted."""
+    if msg.term > core.term:
+        core.become_follower(msg.term, now)
+        return
+    if core.role != status.Role.CANDIDATE or msg.term != core.term:
+        return
+    if msg.granted and not core.pre_votes:
+        core.votes.add(msg.sender)
+        if core.members.is_quorum(core.votes):
+            core.become_leader(now)
+
+
+def handle_transfer_request(core, msg, now):
+    """Campaign at once, since the leader hands leadership over."""
+    if msg.term != core.term or msg.sender != core.leader:
+        return
+    if core.role == status.Role.FOLLOWER and core.name in core.members.voters:
+        start_campaign(core, now, transfer=True)
+
+
+def _is_up_to_date(core, msg):
+    own = (core.log.last_term, core.log.last_index)
+    return (msg.last_term, msg.last_index) >= own
+
+
+def _send_vote_reply(core, msg, *, granted):
+    reply = message.VoteReply(
+        sender=core.name, term=core.term, granted=granted
+    )
+    core.send(msg.sender, reply)
+
+
+def _send_to_voters(core, msg):
+    for name in core.members.voters:
+        if name != core.name:
+            core.send(name, msg)
--- /dev/null
+++ b/bilberryhaven/consensus/files.py
@@ -0,0 +1,193 @@
+"""Folders of files that last only once they are synced."""
+
+import abc
+import contextlib
+import fcntl
+import os
+import pathlib
+
+from bilberryhaven import errors
+
+__all__ = ['Appender', 'DiskFolder', 'Folder']
+
+TEMP_SUFFIX = '.tmp'
+LOCK_NAME = 'lock'
+
+
+class Appender(abc.ABC):
+    """A file open for appending."""
+
+    @abc.abstractmethod
+    def write(self, data):
+        """Append ``data``; it lasts only after ``sync``."""
+
+    @abc.abstractmethod
+    def sync(self):
+        """Return once all that was written lasts."""
+
+    @abc.abstractmethod
+    def close(self):
+        """Close the file without a sync."""
+
+
+class Folder(abc.ABC):
+    """A flat folder. Its methods raise ``StorageError``."""
+
+    @abc.abstractmethod
+    def list_names(self):
+        """Return the names of whole files, sorted."""
+
+    @abc.abstractmethod
+    def read(self, name):
+        """Return the bytes of a file."""
+
+    @abc.abstractmethod
+    def read_part(self, name, offset, size):
+        """Return up to ``size`` bytes of a file from ``offset`` on."""
+
+    @abc.abstractmethod
+    def replace(self, name, data):
+        """Write a file whole or not at all, and sync it."""
+
+    @abc.abstractmethod
+    def open_appender(self, name):
+        """Return an ``Appender`` at the end of an existing file."""
+
+    @abc.abstractmethod
+    def remove(self, name):
+        """Remove a file if it exists."""
+
+    def describe(self, name):
+        """Return where the file is, for messages."""
+        return name
+
+    @abc.abstractmethod
+    def lock(self):
+        """Keep other processes from using the folder."""
+
+    @abc.abstractmethod
+    def unlock(self):
+        """End ``lock``."""
+
+
+class DiskFolder(Folder):
+    """A folder on disk, created if need be.
+
+    Args:
+        path: Its path.
+    """
+
+    def __init__(self, *, path):
+        self._path = pathlib.Path(path)
+        self._lock_file = None
+        with _translate('create folder', self._path):
+            self._path.mkdir(parents=True, exist_ok=True)
+
+    def list_names(self):
+        """Return the names of whole files; remove rests of unfinished ones."""
+        with _translate('list folder', self._path):
+            names = sorted(os.listdir(self._path))
+        for name in names:
+            if name.endswith(TEMP_SUFFIX):
+                self.remove(name)
+        return [
+            name
+            for name in names
+            if name != LOCK_NAME and not name.endswith(TEMP_SUFFIX)
+        ]
+
+    def read(self, name):
+        """Return the bytes of a file."""
+        with _translate('read file', self._path / name):
+            return (self._path / name).read_bytes()
+
+    def read_part(self, name, offset, size):
+        """Return up to ``size`` bytes of a file from ``offset`` on."""
+        path = self._path / name
+        with _translate('read file', path), open(path, 'rb') as file:
+            file.seek(offset)
+            return file.read(size)
+
+    def replace(self, name, data):
+        """Write a temporary file, sync it, rename it, sync the folder."""
+        path = self._path / name
+        temp = self._path / (name + TEMP_SUFFIX)
+        with _translate('write file', path):
+            try:
+                with open(temp, 'wb') as file:
+                    file.write(data)
+                    file.flush()
+                    os.fsync(file.fileno())
+                os.replace(temp, path)
+                self._sync_folder()
+            except OSError:
+                temp.unlink(missing_ok=True)
+                raise
+
+    def open_appender(self, name):
+        """Return an ``Appender`` at the end of an existing file."""
+        return _DiskAppender(self._path / name)
+
+    def remove(self, name):
+        """Remove a file if it exists."""
+        with _translate('remove file', self._path / name):
+            (self._path / name).unlink(missing_ok=True)
+
+    def describe(self, name):
+        """Return the file's path."""
+        return str(self._path / name)
+
+    def lock(self):
+        """Keep other processes from using the folder.
+
+        Raises:
+            StorageError: Another process uses it.
+        """
+        path = self._path / LOCK_NAME
+        with _translate('lock folder', path):
+            self._lock_file = open(path, 'wb')  # noqa: SIM115
+            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+    def unlock(self):
+        """End ``lock``."""
+        if self._lock_file is not None:
+            self._lock_file.close()
+            self._lock_file = None
+
+    def _sync_folder(self):
+        handle = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+
+class _DiskAppender(Appender):
+    def __init__(self, path):
+        self._path = path
+        with _translate('open file', path):
+            self._file = open(path, 'ab', buffering=0)  # noqa: SIM115
+
+    def write(self, data):
+        with _translate('write file', self._path):
+            view = memoryview(data)
+            while view:
+                view = view[self._file.write(view) :]
+
+    def sync(self):
+        with _translate('sync file', self._path):
+            os.fdatasync(self._file.fileno())
+
+    def close(self):
+        with _translate('close file', self._path):
+            self._file.close()
+
+
+@contextlib.contextmanager
+def _translate(step, path):
+    try:
+        yield
+    except OSError as error:
+        raise errors.StorageError(
+            f'{path}: {error.strerror or error}', step=step
+        ) from error
--- /dev/null
+++ b/bilberryhaven/consensus/membership.py
@@ -0,0 +1,165 @@
+"""Changes of members, one at a time, and hand-over of leadership."""
+
+import dataclasses
+import datetime
+
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import replication
+from bilberryhaven import errors
+
+__all__ = [
+    'Handover',
+    'change_members',
+    'check_handover',
+    'finish_change',
+    'promote_learners',
+    'start_handover',
+]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Handover:
+    """A transfer of leadership in progress.
+
+    Attributes:
+        to: Name of the receiver.
+        until: When it is given up.
+        sent: Whether the receiver was told to campaign.
+    """
+
+    to: str
+    until: datetime.timedelta
+    sent: bool = False
+
+
+def change_members(core, now, *, add=None, remove=None):
+    """Append one change of members; return its index.
+
+    Raises:
+        RefusedError: Another change is in progress, or the name is wrong.
+    """
+    if core.history.index > core.commit or core.commit < core.noop_index:
+        _refuse('another change of members is in progress')
+    if core.members.learners and remove not in core.members.learners:
+        waiting = ', '.join(core.members.learners)
+        _refuse(f'{waiting} has not caught up yet; wait, or remove it')
+    if add is not None:
+        return _append(core, _build_addition(core, *add), now)
+    return _append(core, _build_removal(core, remove), now)
+
+
+def _build_addition(core, name, address):
+    if name in core.members:
+        _refuse(f'{name} is a member already')
+    return core.members.add_learner(name, address)
+
+
+def _build_removal(core, name):
+    if name not in core.members:
+        _refuse(f'{name} is no member')
+    changed = core.members.remove(name)
+    if not changed.voters:
+        _refuse(f'{name} is the last voter')
+    return changed
+
+
+def _refuse(reason):
+    raise errors.RefusedError(reason, step='change members')
+
+
+def _append(core, changed, now):
+    entry = message.Entry(
+        core.term, message.EntryKind.MEMBERS, changed.encode()
+    )
+    index = core.append([entry])
+    core.update_peers(now)
+    replication.acknowledge_own(core)
+    for name in core.peers:
+        replication.send_appends(core, name, now)
+    return index
+
+
+def promote_learners(core, now):
+    """Make a learner a voter once it stores all that is committed."""
+    if core.history.index > core.commit or core.commit < core.noop_index:
+        return
+    for name in core.members.learners:
+        if is_caught_up(core, name, now):
+            _append(core, core.members.promote(name), now)
+            return
+
+
+def is_caught_up(core, name, now):
+    """Return whether ``name`` answers and stores all that is committed."""
+    peer = core.peers[name]
+    if peer.answered_at is None or peer.match < core.commit:
+        return False
+    return now < peer.answered_at + core.options.election_timeout
+
+
+def finish_change(core, now):
+    """Follow a committed change: drop peers, and leave if removed."""
+    if core.history.index > core.commit:
+        return
+    core.update_peers(now)
+    if core.name not in core.members.voters:
+        heir = _find_heir(core)
+        _send_transfer(core, heir)
+        core.become_follower(core.term, now)
+
+
+def start_handover(core, now, to=None):
+    """Stop taking proposals until ``to`` has caught up and campaigns.
+
+    Raises:
+        RefusedError: There is no other voter, or ``to`` is none.
+    """
+    to = to or _find_heir(core)
+    if to == core.name or to not in core.members.voters:
+        raise errors.RefusedError(
+            f'{to or "nobody"} can not take leadership over', step='transfer'
+        )
+    until = now + core.options.transfer_timeout
+    core.handover = Handover(to=to, until=until)
+    check_handover(core, now)
+    return to
+
+
+def check_handover(core, now):
+    """Tell the receiver to campaign once its log is complete.
+
+    From then on the lease is void, since the receiver's campaign isn't held
+    off by it; a leader whose receiver doesn't campaign steps down.
+    """
+    handover = core.handover
+    if handover is None:
+        return
+    if now >= handover.until:
+        core.handover = None
+        if handover.sent:
+            core.become_follower(core.term, now)
+        return
+    peer = core.peers.get(handover.to)
+    if handover.sent or peer is None:
+        return
+    done = core.commit == core.log.last_index
+    if done and peer.match == core.log.last_index:
+        handover.sent = True
+        _send_transfer(core, handover.to)
+
+
+def _send_transfer(core, name):
+    if name:
+        core.lease.revoke()
+        request = message.TransferRequest(sender=core.name, term=core.term)
+        core.send(name, request)
+
+
+def _find_heir(core):
+    others = [name for name in core.members.voters if name != core.name]
+    ranked = sorted(
+        others,
+        key=lambda name: (core.peers[name].match, name),
+        reverse=True,
+    )
+    return ranked[0] if ranked else ''
--- /dev/null
+++ b/bilberryhaven/consensus/memory.py
@@ -0,0 +1,122 @@
+"""A folder in memory that loses at a crash what wasn't synced."""
+
+import errno
+
+from bilberryhaven.consensus import files
+from bilberryhaven.consensus import frame
+from bilberryhaven import errors
+
+__all__ = ['MemoryFolder']
+
+
+class MemoryFolder(files.Folder):
+    """Files in memory, for tests.
+
+    Attributes:
+        fail_sync: Whether each sync fails.
+        capacity: Bytes after which writes fail, or None.
+    """
+
+    def __init__(self):
+        self._files = {}
+        self._synced = {}
+        self.fail_sync = False
+        self.capacity = None
+
+    def list_names(self):
+        """Return the names of whole files, sorted."""
+        return sorted(self._files)
+
+    def read(self, name):
+        """Return the bytes of a file."""
+        return bytes(self._files[name])
+
+    def read_part(self, name, offset, size):
+        """Return up to ``size`` bytes of a file from ``offset`` on."""
+        if name not in self._files:
+            raise _build_error('read file', errno.ENOENT)
+        return bytes(self._files[name][offset : offset + size])
+
+    def replace(self, name, data):
+        """Write a file whole and synced."""
+        self.check_space(len(data))
+        self.check_sync()
+        self._files[name] = bytearray(data)
+        self._synced[name] = len(data)
+
+    def open_appender(self, name):
+        """Return an ``Appender`` at the end of an existing file."""
+        return _MemoryAppender(self, name)
+
+    def remove(self, name):
+        """Remove a file if it exists."""
+        self._files.pop(name, None)
+        self._synced.pop(name, None)
+
+    def lock(self):
+        """Do nothing; the folder belongs to this process."""
+
+    def unlock(self):
+        """Do nothing."""
+
+    def append(self, name, data):
+        """Append bytes that aren't synced yet."""
+        self.check_space(len(data))
+        self._files[name] += data
+
+    def sync(self, name):
+        """Make what was written to a file last."""
+        self.check_sync()
+        self._synced[name] = len(self._files[name])
+
+    def check_sync(self):
+        """Raise if syncs are to fail."""
+        if self.fail_sync:
+            raise _build_error('sync file', errno.EIO)
+
+    def check_space(self, size):
+        """Raise if ``size`` more bytes don't fit."""
+        used = sum(len(data) for data in self._files.values())
+        if self.capacity is not None and used + size > self.capacity:
+            raise _build_error('write file', errno.ENOSPC)
+
+    def crash(self, random):
+        """Lose what wasn't synced, but perhaps for a torn part of it."""
+        for name, content in self._files.items():
+            synced = self._synced[name]
+            rest = len(content) - synced
+            if not rest:
+                continue
+            kept = synced + random.randint(0, rest)
+            del content[kept:]
+            if random.random() < 0.5:
+                _empty_sectors(content, synced, kept)
+
+    def damage(self, name, offset):
+        """Flip the bits of one byte."""
+        self._files[name][offset] ^= 0xFF
+
+
+def _empty_sectors(content, start, end):
+    border = start - start % frame.SECTOR_BYTES + frame.SECTOR_BYTES
+    border = min(border, end)
+    content[start:border] = bytes(border - start)
+
+
+class _MemoryAppender(files.Appender):
+    def __init__(self, folder, name):
+        self._folder = folder
+        self._name = name
+
+    def write(self, data):
+        self._folder.append(self._name, data)
+
+    def sync(self):
+        self._folder.sync(self._name)
+
+    def close(self):
+        pass
+
+
+def _build_error(step, number):
+    return errors.StorageError(f'error number {number}', step=step)
--- /dev/null
+++ b/bilberryhaven/consensus/message.py
@@ -0,0 +1,186 @@
+"""Messages between replicas, log entries and their codec."""
+
+import enum
+
+import msgspec
+
+from bilberryhaven.consensus import members as replica_members
+from bilberryhaven import errors
+
+__all__ = [
+    'AppendReply',
+    'AppendRequest',
+    'Entry',
+    'EntryKind',
+    'Message',
+    'PreVoteReply',
+    'PreVoteRequest',
+    'SnapshotMeta',
+    'SnapshotReply',
+    'SnapshotRequest',
+    'TransferRequest',
+    'VoteReply',
+    'VoteRequest',
+    'decode',
+    'encode',
+]
+
+
+class EntryKind(enum.IntEnum):
+    """What an entry's data is."""
+
+    NOOP = 0
+    DATA = 1
+    MEMBERS = 2
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One entry of the log."""
+
+    term: int
+    kind: int = EntryKind.DATA
+    data: bytes = b''
+
+
+class SnapshotMeta(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What a snapshot covers.
+
+    Attributes:
+        index: Newest entry that it covers.
+        term: That entry's term.
+        members: Members as of that entry.
+        size: Length of its data.
+        crc: CRC-32 of its data.
+    """
+
+    index: int
+    term: int
+    members: replica_members.Members
+    size: int = 0
+    crc: int = 0
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Base of all messages.
+
+    Attributes:
+        sender: Name of the sending replica.
+        term: Its term.
+    """
+
+    sender: str
+    term: int
+
+
+class PreVoteRequest(Message, frozen=True, kw_only=True, tag=1):
+    """Asks whether a campaign in ``term`` + 1 could succeed."""
+
+    last_index: int
+    last_term: int
+
+
+class PreVoteReply(Message, frozen=True, kw_only=True, tag=2):
+    """Whether the sender would grant its vote in ``campaign_term``."""
+
+    campaign_term: int
+    granted: bool
+
+
+class VoteRequest(Message, frozen=True, kw_only=True, tag=3):
+    """Asks for the vote in ``term``; ``transfer`` if the leader said so."""
+
+    last_index: int
+    last_term: int
+    transfer: bool = False
+
+
+class VoteReply(Message, frozen=True, kw_only=True, tag=4):
+    """Whether the vote in ``term`` was granted."""
+
+    granted: bool
+
+
+class AppendRequest(Message, frozen=True, kw_only=True, tag=5):
+    """Heartbeat of the leader, with entries after ``prev_index``.
+
+    Attributes:
+        prev_index: Entry before the first of ``entries``.
+        prev_term: That entry's term.
+        entries: Entries to append, perhaps none.
+        commit: The leader's commit index.
+        round: Number of the leader's heartbeat round.
+    """
+
+    prev_index: int
+    prev_term: int
+    commit: int
+    round: int
+    entries: list[Entry] = []
+
+
+class AppendReply(Message, frozen=True, kw_only=True, tag=6):
+    """Answer to an append; renews the lease of ``round``.
+
+    Attributes:
+        ok: Whether the log matched.
+        index: Newest matching entry, or where to try next if not ``ok``.
+        round: The request's round.
+    """
+
+    ok: bool
+    index: int
+    round: int
+
+
+class SnapshotRequest(Message, frozen=True, kw_only=True, tag=7):
+    """One part of a snapshot, at ``offset`` of its data."""
+
+    round: int
+    meta: SnapshotMeta
+    offset: int
+    data: bytes = b''
+
+
+class SnapshotReply(Message, frozen=True, kw_only=True, tag=8):
+    """How many bytes of the snapshot at ``index`` have arrived."""
+
+    round: int
+    index: int
+    offset: int
+
+
+class TransferRequest(Message, frozen=True, kw_only=True, tag=9):
+    """Tells a follower to campaign at once."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(
+    PreVoteRequest
+    | PreVoteReply
+    | VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | SnapshotReply
+    | TransferRequest
+)
+
+
+def encode(msg):
+    """Return the bytes of ``msg``."""
+    return _encoder.encode(msg)
+
+
+def decode(data):
+    """Return the message in ``data``.
+
+    Raises:
+        BadInputError: The bytes hold no known message.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise errors.BadInputError(
+            f'no consensus message: {error}', step='decode message'
+        ) from error
--- /dev/null
+++ b/bilberryhaven/consensus/progress.py
@@ -0,0 +1,65 @@
+"""What a leader knows of each other replica."""
+
+import dataclasses
+import datetime
+
+__all__ = ['Progress', 'Transfer']
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Transfer:
+    """A snapshot on its way to a replica.
+
+    Attributes:
+        meta: The snapshot.
+        offset: Bytes that the replica has confirmed.
+    """
+
+    meta: object
+    offset: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Progress:
+    """Replication state of one replica.
+
+    Attributes:
+        next: Next entry to send.
+        match: Newest entry known to be stored there.
+        in_flight: Append messages that await an answer.
+        probing: Whether the position of its log is still searched.
+        progress_at: When it last made progress or was reset.
+        answered_at: When it last answered, or None.
+        transfer: The snapshot being sent, or None.
+    """
+
+    next: int
+    match: int = 0
+    in_flight: int = 0
+    probing: bool = True
+    progress_at: datetime.timedelta = datetime.timedelta()
+    answered_at: datetime.timedelta | None = None
+    transfer: Transfer | None = None
+
+    def restart(self, now):
+        """Search the position again, after messages were lost."""
+        self.next = self.match + 1
+        self.in_flight = 0
+        self.probing = True
+        self.progress_at = now
+
+    def accept(self, index, now):
+        """Record that entries up to ``index`` are stored there."""
+        if index > self.match or self.probing:
+            self.progress_at = now
+        self.match = max(self.match, index)
+        self.next = max(self.next, self.match + 1)
+        self.in_flight = max(0, self.in_flight - 1)
+        self.probing = False
+
+    def reject(self, hint, now):
+        """Continue the search after ``hint``."""
+        self.next = max(self.match, min(hint, self.next - 1)) + 1
+        self.in_flight = 0
+        self.probing = True
+        self.progress_at = now
--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -1,28 +1,38 @@
 """A replica of the state machine: the facade that other packages use."""
 
 import concurrent.futures
+import dataclasses
+import functools
+import random
 import threading
 
+import pykka
+
+from bilberryhaven.consensus import actor
+from bilberryhaven.consensus import files
 from bilberryhaven.consensus import options as replica_options
 from bilberryhaven.consensus import status
+from bilberryhaven.consensus import storage
 from bilberryhaven import errors
 
 __all__ = ['Replica']
 
+STOP_TIMEOUT_SECONDS = 10
+HANDLE_TIMEOUT_SECONDS = 5
+
 
 class Replica:
     """Thread-safe facade of one replica.
 
-    This first version keeps a quorum of one, in memory.
-
     Args:
         name: Unique name of the replica.
         address: HOST:PORT that the others reach it at.
-        voters: Addresses of the first quorum, by name.
-        folder: Folder for its files.
+        voters: Addresses of the first quorum by name; used only if the
+            folder is empty. Empty for a replica that is to be added.
+        folder: Path of the folder for its files, or a ``files.Folder``.
         machine: The ``Machine`` that it keeps.
         clock: The ``Clock``.
-        transport: Sends messages to the others; None for a quorum of one.
+        transport: The ``Transport``; None for a quorum of one.
         options: Timing and sizes.
         on_leadership: Called with (leading, term) on the replica's thread
             when it has become able to serve as leader, and when it no
@@ -55,8 +65,12 @@
         self._transport = transport
         self._options = options or replica_options.Options()
         self._on_leadership = on_leadership
-        self._applied = 0
-        self._role = status.Role.STOPPED
+        self._leading_term = 0
+        self._view = actor.View(status=status.ReplicaStatus(name=name))
+        self._actor = None
+        self._not_leading = threading.Event()
+        self._not_leading.set()
+        self._stopping = threading.Event()
 
     def start(self):
         """Recover the state from the folder and join the quorum.
@@ -65,31 +79,56 @@
             DamagedFileError: A file fails its check; nothing was started.
             StorageError: A file can't be read or written.
         """
-        self._role = status.Role.LEADER
-        if self._on_leadership:
-            self._on_leadership(True, 1)
+        if self._transport is not None:
+            self._transport.bind(self.name, self._receive)
+        self._actor = actor.ReplicaActor.start(
+            name=self.name,
+            clock=self._clock,
+            transport=self._transport,
+            publish=self._publish,
+            options=self._build_driver_options(),
+        )
+        try:
+            self._actor.proxy().begin(self._voters).get()
+        except errors.StorageError:
+            self._actor.stop()
+            self._actor = None
+            raise
+        threading.Thread(target=self._run_timer, daemon=True).start()
+
+    def _build_driver_options(self):
+        folder = self._folder
+        if not isinstance(folder, files.Folder):
+            folder = files.DiskFolder(path=folder)
+        return {
+            'storage': storage.Storage(folder=folder, options=self._options),
+            'machine': self._machine,
+            'options': self._options,
+            'random': random.Random(),
+            'lock': self.machine_lock,
+        }
 
     def stop(self):
         """Hand leadership over, sync and close."""
-        if self._role == status.Role.LEADER and self._on_leadership:
-            self._on_leadership(False, 1)
-        self._role = status.Role.STOPPED
+        if self._actor is None:
+            return
+        if len(self._view.status.members) > 1 and self._leading_term:
+            try:
+                self.transfer_leadership()
+            except errors.BilberryhavenError:
+                pass
+        self._tell(actor.Close())
+        self._stopping.set()
+        self._actor.stop(timeout=STOP_TIMEOUT_SECONDS)
+        if self._transport is not None:
+            self._transport.close()
 
     def propose_future(self, data):
         """Propose ``data``; return a ``concurrent.futures.Future``."""
         future = concurrent.futures.Future()
-        try:
-            self.check_read()
-        except errors.NotLeaderError as error:
-            future.set_exception(error)
-            return future
-        with self.machine_lock:
-            self._applied += 1
-            result = self._machine.apply(self._applied, data)
-        if isinstance(result, Exception):
-            future.set_exception(result)
-        else:
-            future.set_result(result)
+        done = functools.partial(_settle, future)
+        if not self._tell(actor.Propose(data=data, done=done)):
+            future.set_exception(self._build_not_leader())
         return future
 
     def propose(self, data, *, timeout):
@@ -105,24 +144,20 @@
             DeadlineError: Not committed in time; outcome unknown.
             BilberryhavenError: The machine refused the entry.
         """
-        try:
-            return self.propose_future(data).result(timeout.total_seconds())
-        except concurrent.futures.TimeoutError as error:
-            raise errors.DeadlineError(
-                'the entry was not committed in time', step='commit'
-            ) from error
+        return _wait(self.propose_future(data), timeout, step='commit')
 
     def check_read(self):
         """Return if the machine may be read as current.
 
+        Take ``machine_lock`` first, check, then read.
+
         Raises:
             NotLeaderError: This replica is not the leader, or its lease has
                 run out; ``peer`` is the leader's address if known.
         """
-        if self._role != status.Role.LEADER:
-            raise errors.NotLeaderError(
-                f'{self.name} is not the leader', step='read'
-            )
+        view = self._view
+        if not view.serving or self._clock.monotonic() >= view.lease_end:
+            raise self._build_not_leader()
 
     def handle(self, batch, sender):
         """Process messages from ``sender`` and return those in reply.
@@ -131,35 +166,120 @@
             batch: Encoded messages, the ``messages`` of a ConsensusBatch.
             sender: Name of the replica that sent them.
         """
-        return []
+        future = concurrent.futures.Future()
+        done = functools.partial(_settle, future)
+        msg = actor.Deliver(sender=sender, messages=batch, done=done)
+        if not self._tell(msg):
+            return []
+        try:
+            return future.result(HANDLE_TIMEOUT_SECONDS)
+        except concurrent.futures.TimeoutError:
+            return []
 
     def status(self):
         """Return the ``ReplicaStatus``."""
-        return status.ReplicaStatus(
-            name=self.name,
-            role=self._role,
-            term=1,
-            leader=self.name,
-            leader_address=self.address,
-            commit=self._applied,
-            applied=self._applied,
-            last_index=self._applied,
-            lease_valid=self._role == status.Role.LEADER,
-        )
+        view = self._view
+        valid = view.serving and self._clock.monotonic() < view.lease_end
+        return dataclasses.replace(view.status, lease_valid=valid)
 
-    def change_members(self, *, add=None, remove=None):
+    def change_members(self, *, add=None, remove=None, timeout=None):
         """Add a learner, promoted once it has caught up, or remove one.
 
         Args:
             add: (name, address) pair, or None.
             remove: Name, or None.
+            timeout: Longest wait for the commit as a timedelta.
 
         Raises:
             RefusedError: Another change is in progress, or the name is
                 wrong.
+            BilberryhavenError: As for ``propose``.
         """
-        raise errors.RefusedError('not built yet', step='change members')
+        future = concurrent.futures.Future()
+        done = functools.partial(_settle, future)
+        msg = actor.ChangeMembers(add=add, remove=remove, done=done)
+        if not self._tell(msg):
+            raise self._build_not_leader()
+        limit = timeout or self._options.transfer_timeout * 5
+        return _wait(future, limit, step='change members')
 
     def transfer_leadership(self, to=None):
-        """Hand leadership to ``to``, or to the most advanced voter."""
-        raise errors.RefusedError('not built yet', step='transfer')
+        """Hand leadership to ``to``, or to the most advanced voter.
+
+        Returns once this replica leads no more.
+
+        Raises:
+            RefusedError: There is no such voter.
+            DeadlineError: It leads still.
+        """
+        future = concurrent.futures.Future()
+        done = functools.partial(_settle, future)
+        if not self._tell(actor.HandOver(to=to, done=done)):
+            raise self._build_not_leader()
+        limit = self._options.transfer_timeout * 2
+        _wait(future, limit, step='transfer')
+        if not self._not_leading.wait(limit.total_seconds()):
+            raise errors.DeadlineError(
+                'leadership was not handed over in time', step='transfer'
+            )
+
+    def _tell(self, msg):
+        if self._actor is None or self._stopping.is_set():
+            return False
+        try:
+            self._actor.tell(msg)
+        except pykka.ActorDeadError:
+            return False
+        return True
+
+    def _receive(self, messages):
+        self._tell(actor.Deliver(sender='', messages=messages))
+
+    def _run_timer(self):
+        interval = self._options.tick_interval.total_seconds()
+        while not self._stopping.wait(interval):
+            if not self._tell(actor.Tick()):
+                return
+
+    def _publish(self, view):
+        self._view = view
+        term = view.status.term if view.serving else 0
+        if term == self._leading_term:
+            return
+        previous, self._leading_term = self._leading_term, term
+        if previous:
+            self._notify(False, previous)
+        if term:
+            self._not_leading.clear()
+            self._notify(True, term)
+        else:
+            self._not_leading.set()
+
+    def _notify(self, leading, term):
+        if self._on_leadership is not None:
+            self._on_leadership(leading, term)
+
+    def _build_not_leader(self):
+        known = self._view.status
+        peer = known.leader_address if known.leader != self.name else ''
+        return errors.NotLeaderError(
+            f'{self.name} is not the leader', step='consensus', peer=peer
+        )
+
+
+def _settle(future, result):
+    if future.done():
+        return
+    if isinstance(result, Exception):
+        future.set_exception(result)
+    else:
+        future.set_result(result)
+
+
+def _wait(future, timeout, *, step):
+    try:
+        return future.result(timeout.total_seconds())
+    except concurrent.futures.TimeoutError as error:
+        raise errors.DeadlineError(
+            'there was no result in time', step=step
+        ) from error
--- /dev/null
+++ b/bilberryhaven/consensus/replication.py
@@ -0,0 +1,187 @@
+"""Log replication: appends, heartbeats and the commit rule."""
+
+from bilberryhaven.consensus import membership
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import status
+from bilberryhaven.consensus import transfer
+
+__all__ = [
+    'advance_commit',
+    'append_own',
+    'handle_append_reply',
+    'handle_append_request',
+    'send_appends',
+    'send_heartbeats',
+]
+
+RESEND_HEARTBEATS = 3
+
+
+def append_own(core, entries, now):
+    """Append the leader's entries and send them; return the first index."""
+    first = core.append(entries)
+    acknowledge_own(core)
+    for name in core.peers:
+        send_appends(core, name, now)
+    return first
+
+
+def acknowledge_own(core):
+    """Queue the leader's own answer, which counts once all is synced."""
+    reply = message.AppendReply(
+        sender=core.name,
+        term=core.term,
+        ok=True,
+        index=core.log.last_index,
+        round=core.lease.round,
+    )
+    core.send(core.name, reply)
+
+
+def send_heartbeats(core, now):
+    """Start a heartbeat round and resend what seems lost."""
+    core.lease.start_round(now)
+    core.heartbeat_at = now + core.options.heartbeat_interval
+    for name, peer in core.peers.items():
+        if name != core.name:
+            _restart_if_stalled(core, peer, now)
+            _send_heartbeat(core, name, peer)
+            send_appends(core, name, now)
+
+
+def _restart_if_stalled(core, peer, now):
+    limit = core.options.heartbeat_interval * RESEND_HEARTBEATS
+    if now >= peer.progress_at + limit:
+        if peer.transfer is not None:
+            transfer.resume_transfer(core, peer, now)
+        elif peer.in_flight:
+            peer.restart(now)
+
+
+def _send_heartbeat(core, name, peer):
+    prev_index = peer.next - 1
+    if core.log.find_term(prev_index) is None:
+        prev_index = core.log.base_index
+    core.send(name, _build_append(core, prev_index, []))
+
+
+def send_appends(core, name, now):
+    """Send to ``name`` the entries that it lacks, as its window allows."""
+    if name == core.name:
+        return
+    peer = core.peers[name]
+    window = 1 if peer.probing else core.options.append_window
+    while peer.in_flight < window and peer.transfer is None:
+        if core.log.find_term(peer.next - 1) is None:
+            transfer.start_transfer(core, name, now)
+            return
+        entries = core.log.list_chunk(peer.next, core.options.append_bytes)
+        if not entries:
+            return
+        core.send(name, _build_append(core, peer.next - 1, entries))
+        peer.next += len(entries)
+        peer.in_flight += 1
+
+
+def _build_append(core, prev_index, entries):
+    return message.AppendRequest(
+        sender=core.name,
+        term=core.term,
+        prev_index=prev_index,
+        prev_term=core.log.find_term(prev_index),
+        commit=core.commit,
+        round=core.lease.round,
+        entries=entries,
+    )
+
+
+def follow(core, msg, now):
+    """Follow the sender, a leader; return False if its term is over."""
+    if msg.term < core.term:
+        return False
+    if msg.term > core.term or core.role != status.Role.FOLLOWER:
+        core.become_follower(msg.term, now, msg.sender)
+    core.leader = msg.sender
+    core.heard_at = now
+    core.reset_election_timer(now)
+    return True
+
+
+def handle_append_request(core, msg, now):
+    """Append what matches the leader's log and answer."""
+    if not follow(core, msg, now):
+        _reply(core, msg, ok=False, index=core.commit)
+        return
+    prev_index, entries = msg.prev_index, msg.entries
+    if prev_index < core.log.base_index:
+        skipped = core.log.base_index - prev_index
+        prev_index, entries = core.log.base_index, entries[skipped:]
+    elif core.log.find_term(prev_index) != msg.prev_term:
+        _reply(core, msg, ok=False, index=_find_hint(core, prev_index))
+        return
+    held = core.log.find_conflict(prev_index, entries)
+    if held < len(entries):
+        first = prev_index + held + 1
+        if first <= core.log.last_index:
+            core.truncate(first)
+        core.append(entries[held:])
+    matched = max(msg.prev_index + len(msg.entries), core.log.base_index)
+    core.commit = max(core.commit, min(msg.commit, matched))
+    _reply(core, msg, ok=True, index=matched)
+
+
+def _find_hint(core, prev_index):
+    if prev_index > core.log.last_index:
+        return core.log.last_index
+    start = core.log.find_term_start(prev_index)
+    return max(start - 1, core.commit)
+
+
+def _reply(core, msg, *, ok, index):
+    reply = message.AppendReply(
+        sender=core.name, term=core.term, ok=ok, index=index, round=msg.round
+    )
+    core.send(msg.sender, reply)
+
+
+def note_answer(core, msg, now):
+    """Note an answer to the leader; return its sender's progress."""
+    if msg.term > core.term:
+        core.become_follower(msg.term, now)
+        return None
+    if not core.is_leader or msg.term != core.term:
+        return None
+    core.lease.record_answer(msg.sender, msg.round)
+    peer = core.peers.get(msg.sender)
+    if peer is not None:
+        peer.answered_at = now
+    return peer
+
+
+def handle_append_reply(core, msg, now):
+    """Advance the sender's progress and the commit index."""
+    peer = note_answer(core, msg, now)
+    if peer is None:
+        return
+    if msg.ok:
+        peer.accept(msg.index, now)
+        transfer.finish_transfer(peer)
+        advance_commit(core, now)
+    elif peer.transfer is None:
+        peer.reject(msg.index, now)
+    if core.is_leader:
+        send_appends(core, msg.sender, now)
+        membership.check_handover(core, now)
+
+
+def advance_commit(core, now):
+    """Commit what a quorum stores, if it is of the leader's own term."""
+    matches = {
+        name: core.peers[name].match if name in core.peers else 0
+        for name in core.members.voters
+    }
+    index = core.members.find_majority_value(matches)
+    if index <= core.commit or core.log.find_term(index) != core.term:
+        return
+    core.commit = index
+    membership.finish_change(core, now)
--- a/bilberryhaven/consensus/status.py
+++ b/bilberryhaven/consensus/status.py
@@ -1,6 +1,7 @@
 """What a replica tells of itself."""
 
 import dataclasses
+import datetime
 import enum
 
 __all__ = ['MemberStatus', 'ReplicaStatus', 'Role']
@@ -25,14 +26,15 @@
         address: Its HOST:PORT.
         voter: True for a voter, False for a learner.
         match: Newest entry known to be stored there; the leader knows.
-        active: Whether it answered lately; the leader knows.
+        answered_at: Monotonic time at which it answered last, or None; the
+            leader knows.
     """
 
     name: str
     address: str
     voter: bool
     match: int = 0
-    active: bool = False
+    answered_at: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(kw_only=True, frozen=True, slots=True)
--- /dev/null
+++ b/bilberryhaven/consensus/storage.py
@@ -0,0 +1,198 @@
+"""Storage of a replica: log segments and snapshots in one folder."""
+
+import contextlib
+import dataclasses
+
+from bilberryhaven.consensus import effects
+from bilberryhaven.consensus import log as entry_log
+from bilberryhaven.consensus import members as replica_members
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import segment
+from bilberryhaven.consensus import snapshot
+from bilberryhaven import errors
+
+__all__ = ['Recovery', 'Storage']
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Recovery:
+    """What a replica starts from.
+
+    Attributes:
+        hard_state: Term and vote.
+        log: The ``EntryLog``.
+        history: The ``MemberHistory``.
+        meta: The snapshot's description, or None.
+        data: The snapshot's data.
+    """
+
+    hard_state: effects.HardState
+    log: entry_log.EntryLog
+    history: replica_members.MemberHistory
+    meta: message.SnapshotMeta | None = None
+    data: bytes = b''
+
+
+class Storage:
+    """All files of one replica.
+
+    After a write or sync has failed nothing more is written: a later sync
+    that succeeds says nothing about the bytes of the failed one.
+
+    Args:
+        folder: The ``Folder``.
+        options: Timing and sizes.
+    """
+
+    def __init__(self, *, folder, options):
+        self._folder = folder
+        self._segments = segment.SegmentStore(
+            folder=folder, segment_bytes=options.segment_bytes
+        )
+        self._snapshots = snapshot.SnapshotStore(
+            folder=folder, part_bytes=options.chunk_bytes
+        )
+        self._fault = None
+
+    def recover(self, voters):
+        """Return the ``Recovery``; an empty folder starts with ``voters``.
+
+        Raises:
+            DamagedFileError: A file fails its check, or one is missing.
+            StorageError: A file can't be read, or the folder is in use.
+        """
+        self._folder.lock()
+        saved = self._snapshots.recover()
+        found = self._segments.recover()
+        if found is None:
+            if saved is not None:
+                self._raise_missing(saved[0].index)
+            return self._create(replica_members.Members(voters=voters))
+        recovery = Recovery(
+            hard_state=found.hard_state,
+            log=found.log,
+            history=_build_history(found.log, found.members),
+        )
+        if saved is not None:
+            recovery.meta, recovery.data = saved
+            self._restart_after_snapshot(recovery)
+        elif found.log.base_index:
+            self._raise_missing(found.log.base_index)
+        return recovery
+
+    def _create(self, members):
+        self._segments.begin(index=0, index_term=0, members=members)
+        return Recovery(
+            hard_state=effects.HardState(),
+            log=entry_log.EntryLog(),
+            history=replica_members.MemberHistory(index=0, members=members),
+        )
+
+    def _raise_missing(self, index):
+        raise errors.DamagedFileError(
+            f'{self._folder.describe("")}: the files before or after entry '
+            f'{index} are missing',
+            step='recover',
+        )
+
+    def _restart_after_snapshot(self, recovery):
+        meta, log = recovery.meta, recovery.log
+        if log.base_index > meta.index:
+            self._raise_missing(log.base_index)
+        if log.find_term(meta.index) != meta.term:
+            # A crash came between a received snapshot and the log's restart.
+            self._restart_log(meta)
+            log.reset(meta.index, meta.term)
+            recovery.history.reset(meta.index, meta.members)
+
+    def _restart_log(self, meta):
+        self._segments.begin(
+            index=meta.index,
+            index_term=meta.term,
+            members=meta.members,
+            reset=True,
+        )
+        self._segments.remove_old()
+
+    def write(self, *, hard_state, first, entries, log, history):
+        """Write and sync term, vote and entries as one group.
+
+        Args:
+            hard_state: The ``HardState``, or None if unchanged.
+            first: Index of the first entry.
+            entries: Entries that replace all from ``first`` on.
+            log: The ``EntryLog`` that holds them already.
+            history: The ``MemberHistory`` of that log.
+
+        Raises:
+            StorageError: It can't be written or synced; now or before.
+        """
+        with self._poison_on_error():
+            self._segments.write(
+                hard_state=hard_state, first=first, entries=entries
+            )
+            self._segments.sync()
+            if self._segments.is_full():
+                self._segments.begin(
+                    index=log.last_index,
+                    index_term=log.last_term,
+                    members=history.find_at(log.last_index),
+                )
+
+    def install(self, received, hard_state):
+        """Store a received snapshot and restart the log after it."""
+        with self._poison_on_error():
+            meta = received.meta
+            if hard_state is not None:
+                self._segments.set_hard_state(hard_state)
+            self._snapshots.save(
+                index=meta.index,
+                term=meta.term,
+                members=meta.members,
+                data=received.data,
+            )
+            self._restart_log(meta)
+
+    def save_snapshot(self, *, index, term, members, data):
+        """Store a snapshot and return its ``SnapshotMeta``.
+
+        Safe to call on another thread than the other methods.
+        """
+        return self._snapshots.save(
+            index=index, term=term, members=members, data=data
+        )
+
+    def read_part(self, index, offset):
+        """Return the part of a snapshot's data at ``offset``."""
+        return self._snapshots.read_part(index, offset)
+
+    def compact(self, index):
+        """Remove segments that hold only entries up to ``index``."""
+        with self._poison_on_error():
+            self._segments.compact(index)
+
+    def close(self):
+        """Close all files."""
+        self._segments.close()
+        self._folder.unlock()
+
+    @contextlib.contextmanager
+    def _poison_on_error(self):
+        if self._fault is not None:
+            raise self._fault
+        try:
+            yield
+        except errors.StorageError as error:
+            self._fault = error
+            raise
+
+
+def _build_history(log, members):
+    history = replica_members.MemberHistory(
+        index=log.base_index, members=members
+    )
+    for offset, entry in enumerate(log.list_from(log.base_index + 1)):
+        if entry.kind == message.EntryKind.MEMBERS:
+            changed = replica_members.Members.decode(entry.data)
+            history.push(log.base_index + 1 + offset, changed)
+    return history
--- /dev/null
+++ b/bilberryhaven/consensus/transport.py
@@ -0,0 +1,131 @@
+"""How replicas' messages reach one another."""
+
+import abc
+import queue
+import threading
+
+from bilberryhaven import clock
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import message
+
+__all__ = ['Transport', 'WireTransport']
+
+QUEUE_LENGTH = 256
+BATCH_BYTES = 4 * 1024 * 1024
+SEND_TIMEOUT = clock.seconds(1.0)
+POLL_SECONDS = 0.5
+
+_logger = log.get_logger('consensus')
+
+
+class Transport(abc.ABC):
+    """Sends messages; it may lose, repeat and reorder them."""
+
+    @abc.abstractmethod
+    def bind(self, name, deliver):
+        """Prepare to send.
+
+        Args:
+            name: Name of the sending replica.
+            deliver: Function of a list of bytes, called with the messages
+                that come back, on any thread.
+        """
+
+    @abc.abstractmethod
+    def send(self, address, messages):
+        """Send a list of encoded messages without waiting."""
+
+    @abc.abstractmethod
+    def close(self):
+        """Stop sending."""
+
+
+class WireTransport(Transport):
+    """Sends batches as ``ConsensusBatch``, one at a time to each peer.
+
+    Args:
+        client: The ``wire.client.Client``.
+    """
+
+    def __init__(self, *, client):
+        self._client = client
+        self._name = ''
+        self._deliver = None
+        self._senders = {}
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+
+    def bind(self, name, deliver):
+        """Prepare to send as ``name``."""
+        self._name = name
+        self._deliver = deliver
+
+    def send(self, address, messages):
+        """Queue messages for ``address``; drop them if the queue is full."""
+        waiting = self._get_queue(address)
+        for msg in messages:
+            try:
+                waiting.put_nowait(msg)
+            except queue.Full:
+                return
+
+    def close(self):
+        """Stop the sender threads."""
+        self._closed.set()
+
+    def _get_queue(self, address):
+        with self._lock:
+            if address not in self._senders:
+                waiting = queue.Queue(QUEUE_LENGTH)
+                self._senders[address] = waiting
+                threading.Thread(
+                    target=self._run,
+                    args=(address, waiting),
+                    name=f'consensus to {address}',
+                    daemon=True,
+                ).start()
+            return self._senders[address]
+
+    def _run(self, address, waiting):
+        while not self._closed.is_set():
+            batch = _take_batch(waiting)
+            if batch:
+                self._send_batch(address, batch, waiting)
+
+    def _send_batch(self, address, batch, waiting):
+        msg = message.ConsensusBatch(sender=self._name, messages=batch)
+        try:
+            reply = self._client.send(
+                address, msg, timeout=SEND_TIMEOUT, step='consensus'
+            )
+        except errors.BilberryhavenError as error:
+            _logger.debug('batch to {} lost: {}', address, error)
+            _drain(waiting)
+            return
+        if reply.messages and not self._closed.is_set():
+            self._deliver(reply.messages)
+
+
+def _take_batch(waiting):
+    try:
+        batch = [waiting.get(timeout=POLL_SECONDS)]
+    except queue.Empty:
+        return []
+    size = len(batch[0])
+    while size < BATCH_BYTES:
+        try:
+            batch.append(waiting.get_nowait())
+        except queue.Empty:
+            break
+        size += len(batch[-1])
+    return batch
+
+
+def _drain(waiting):
+    # What waited for a peer that can't be reached is out of date.
+    while True:
+        try:
+            waiting.get_nowait()
+        except queue.Empty:
+            return
