Add stateful fuzzing of the replicas

Change: virtual clocks that drift, a lossy network with one-way cuts, disks that lose what wasn't synced, power loss in the midst of a write; an oracle of answers given.

--- a/bilberryhaven/consensus/memory.py
+++ b/bilberryhaven/consensus/memory.py
@@ -6,7 +6,11 @@
 from bilberryhaven.consensus import frame
 from bilberryhaven import errors
 
-__all__ = ['MemoryFolder']
+__all__ = ['MemoryFolder', 'PowerLoss']
+
+
+class PowerLoss(Exception):
+    """The machine stopped in the midst of an operation."""
 
 
 class MemoryFolder(files.Folder):
@@ -15,6 +19,7 @@
     Attributes:
         fail_sync: Whether each sync fails.
         capacity: Bytes after which writes fail, or None.
+        fuse: Operations until ``PowerLoss`` is raised, or None.
     """
 
     def __init__(self):
@@ -22,6 +27,7 @@
         self._synced = {}
         self.fail_sync = False
         self.capacity = None
+        self.fuse = None
 
     def list_names(self):
         """Return the names of whole files, sorted."""
@@ -39,6 +45,7 @@
 
     def replace(self, name, data):
         """Write a file whole and synced."""
+        self._burn()
         self.check_space(len(data))
         self.check_sync()
         self._files[name] = bytearray(data)
@@ -50,6 +57,7 @@
 
     def remove(self, name):
         """Remove a file if it exists."""
+        self._burn()
         self._files.pop(name, None)
         self._synced.pop(name, None)
 
@@ -61,14 +69,23 @@
 
     def append(self, name, data):
         """Append bytes that aren't synced yet."""
+        self._burn()
         self.check_space(len(data))
         self._files[name] += data
 
     def sync(self, name):
         """Make what was written to a file last."""
+        self._burn()
         self.check_sync()
         self._synced[name] = len(self._files[name])
 
+    def _burn(self):
+        if self.fuse is None:
+            return
+        self.fuse -= 1
+        if self.fuse <= 0:
+            raise PowerLoss
+
     def check_sync(self):
         """Raise if syncs are to fail."""
         if self.fail_sync:
@@ -82,6 +99,8 @@
 
     def crash(self, random):
         """Lose what wasn't synced, but perhaps for a torn part of it."""
+        self.fuse = None
+        self.fail_sync = False
         for name, content in self._files.items():
             synced = self._synced[name]
             rest = len(content) - synced
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing; each module with a ``run(seed)`` is run."""
--- /dev/null
+++ b/tests/fuzz/consensus.py
@@ -0,0 +1,277 @@
+"""Stateful fuzzing of replicas against a simple oracle."""
+
+import datetime
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bilberryhaven import clock
+from bilberryhaven.commands import change
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven import errors
+from bilberryhaven.tables import workload
+from tests.fuzz import cluster
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+TARGETS = ('pump', 'silt')
+RATES = (1.0, 0.97, 1.03, 1.02, 0.98)
+EXAMPLES = 200
+STEPS = 50
+FUZZ_EXAMPLES = 2000
+MAX_NODES = 5
+PICK = strategies.integers(min_value=0, max_value=60)
+
+
+class ReplicaMachine(stateful.RuleBasedStateMachine):
+    """Operators, claims and faults in any order.
+
+    The oracle holds the answers that were given: the revision of each
+    accepted change, the winner of each version, the holder of each claim.
+    """
+
+    @stateful.initialize(
+        seed=strategies.integers(min_value=0, max_value=2**32),
+        size=strategies.sampled_from([3, 3, 5]),
+    )
+    def begin(self, seed, size):
+        self.cluster = cluster.Cluster(
+            names='abcde'[:size], seed=seed, rates=RATES
+        )
+        self.accepted = {}
+        self.winners = {}
+        self.holders = {}
+        self.sent = []
+        self.newest = 0
+        self.count = 0
+
+    def pick(self, choice, test=lambda node: True):
+        nodes = [n for n in self.cluster.nodes.values() if test(n)]
+        return nodes[choice % len(nodes)] if nodes else None
+
+    def pick_leader(self, choice):
+        return self.pick(choice, lambda node: node.leads and not node.paused)
+
+    def count_up(self):
+        return sum(node.up for node in self.cluster.nodes.values())
+
+    def check(self):
+        for node in self.cluster.nodes.values():
+            if self.cluster.can_read(node):
+                self.check_state(node.machine.state)
+
+    def check_state(self, state):
+        assert state.revision >= self.newest, 'a read misses a change'
+        for change_id, revision in self.accepted.items():
+            row = state.changes.find(change_id)
+            assert row is not None, f'change {change_id} is lost'
+            assert row.revision == revision, f'{change_id} was reverted'
+
+    def propose(self, command, node, record):
+        if node is not None:
+            self.cluster.propose(node, command, record)
+            self.check()
+
+    def send(self, command, choice):
+        def record(result):
+            if isinstance(result, errors.BilberryhavenError):
+                return
+            known = self.accepted.setdefault(result.id, result.revision)
+            assert known == result.revision, 'a resend got another answer'
+            winner = self.winners.setdefault(
+                (result.target, result.version), result.id
+            )
+            assert winner == result.id, 'a version has two winners'
+            self.newest = max(self.newest, result.revision)
+
+        self.propose(command, self.pick_leader(choice), record)
+
+    def build_change(self, name, expect):
+        self.count += 1
+        spec = workload.Workload(name=name, labels={'n': str(self.count)})
+        command = change.ApplyWorkload(
+            change_id=f'c{self.count}',
+            by='op',
+            at=NOW,
+            kind='workload',
+            name=name,
+            expect=expect,
+            spec=spec,
+        )
+        self.sent.append(command)
+        return command
+
+    @stateful.rule(
+        position=strategies.integers(min_value=0, max_value=1),
+        choice=PICK,
+        rivals=strategies.integers(min_value=1, max_value=3),
+    )
+    def race(self, position, choice, rivals):
+        """Operators with equal versions, perhaps at different leaders."""
+        name = TARGETS[position]
+        versions = [v for t, v in self.winners if t.endswith(name)]
+        expect = max(versions, default=0)
+        for rival in range(rivals):
+            self.send(self.build_change(name, expect), choice + rival)
+
+    @stateful.rule(choice=PICK, count=strategies.sampled_from([5, 60, 200]))
+    def change_many(self, choice, count):
+        node = self.pick_leader(choice)
+        if node is None:
+            return
+        for _ in range(count):
+            self.send(
+                self.build_change(TARGETS[0], change.ANY_VERSION), choice
+            )
+        self.run(0.3)
+
+    @stateful.rule(choice=PICK, which=PICK)
+    def resend(self, choice, which):
+        if self.sent:
+            self.send(self.sent[-1 - which % len(self.sent)], choice)
+
+    @stateful.rule(choice=PICK, request=PICK, holder=PICK)
+    def claim(self, choice, request, holder):
+        command = job_commands.ClaimRequest(
+            request_id=f'r{request % 6}',
+            workload='recipe',
+            holder=f'entry{holder}-{self.count}',
+            at=NOW,
+        )
+        self.count += 1
+
+        def record(result):
+            if isinstance(result, errors.BilberryhavenError):
+                return
+            assert result.request_id not in self.holders, 'claimed twice'
+            self.holders[result.request_id] = result.holder
+
+        self.propose(command, self.pick_leader(choice), record)
+
+    @stateful.rule(
+        seconds=strategies.sampled_from([0.05, 0.2, 0.5, 1.0, 2.0, 4.0])
+    )
+    def run(self, seconds):
+        self.cluster.run(seconds, self.check)
+
+    @stateful.rule(choice=PICK)
+    def crash(self, choice):
+        node = self.pick(choice, lambda node: node.up)
+        if node is not None:
+            self.cluster.crash(node.name)
+
+    @stateful.rule(choice=PICK, operations=PICK)
+    def lose_power_soon(self, choice, operations):
+        node = self.pick(choice, lambda node: node.up)
+        if node is not None:
+            node.folder.fuse = operations + 1
+
+    @stateful.rule(choice=PICK)
+    def restart(self, choice):
+        node = self.pick(choice, lambda node: not node.up)
+        if node is not None:
+            self.cluster.start(node.name)
+
+    @stateful.rule(choice=PICK)
+    def fail_disk(self, choice):
+        node = self.pick(choice, lambda node: node.up)
+        if node is not None:
+            node.folder.fail_sync = True
+
+    @stateful.rule(choice=PICK, other=PICK, both=strategies.booleans())
+    def cut_link(self, choice, other, both):
+        one, two = self.pick(choice).name, self.pick(other).name
+        self.cluster.blocked.add((one, two))
+        if both:
+            self.cluster.blocked.add((two, one))
+
+    @stateful.rule(choice=PICK)
+    def isolate(self, choice):
+        node = self.pick_leader(choice) or self.pick(choice)
+        self.cluster.partition([node.name])
+
+    @stateful.rule()
+    def heal_links(self):
+        self.cluster.blocked = set()
+
+    @stateful.rule(
+        loss=strategies.sampled_from([0.0, 0.05, 0.3]),
+        repeat=strategies.sampled_from([0.0, 0.2]),
+        jitter=strategies.sampled_from([0.0, 0.05, 0.4]),
+    )
+    def disturb(self, loss, repeat, jitter):
+        self.cluster.loss = loss
+        self.cluster.repeat = repeat
+        self.cluster.jitter = clock.seconds(jitter)
+
+    @stateful.rule(choice=PICK)
+    def pause(self, choice):
+        node = self.pick(choice, lambda node: node.up)
+        if node is not None:
+            node.paused = not node.paused
+
+    @stateful.rule(choice=PICK)
+    def hand_over(self, choice):
+        node = self.pick_leader(choice)
+        if node is not None:
+            self.cluster.transfer(node)
+            self.check()
+
+    @stateful.rule(choice=PICK)
+    def add_member(self, choice):
+        leader = self.pick_leader(choice)
+        if leader is None or len(self.cluster.nodes) >= MAX_NODES + 2:
+            return
+        self.count += 1
+        name = f'n{self.count}'
+        rate = RATES[self.count % len(RATES)]
+        self.cluster.add_node(name, rate=rate)
+        self.cluster.change(leader, 'change_members', add=(name, f'{name}:1'))
+
+    @stateful.rule(choice=PICK, which=PICK, lose=strategies.booleans())
+    def remove_member(self, choice, which, lose):
+        """Remove a member; perhaps another is lost right after."""
+        leader = self.pick_leader(choice)
+        if leader is None:
+            return
+        names = leader.driver.core.members.list_names()
+        name = names[which % len(names)]
+        if len(names) > 2:
+            self.cluster.change(leader, 'change_members', remove=name)
+            self.run(0.5)
+        if lose:
+            self.crash(which + 1)
+
+    def teardown(self):
+        """All that was accepted must be there once the faults end."""
+        if not hasattr(self, 'cluster'):
+            return
+        self.cluster.heal()
+        leader = self.cluster.find_leader(seconds=30)
+        self.check()
+        results = []
+        command = self.build_change(TARGETS[0], change.ANY_VERSION)
+        self.cluster.propose(leader, command, results.append)
+        self.cluster.run(3, self.check)
+        assert results and not isinstance(results[0], Exception), results
+        leader = self.cluster.find_leader()
+        self.cluster.settle(leader)
+        for name in leader.driver.core.members.voters:
+            self.check_state(self.cluster.nodes[name].machine.state)
+
+
+def build_settings(**fields):
+    return hypothesis.settings(
+        stateful_step_count=STEPS,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+        **fields,
+    )
+
+
+def run(seed):
+    """Fuzz longer than the tests do."""
+    settings = build_settings(max_examples=FUZZ_EXAMPLES)
+    factory = hypothesis.seed(seed)(ReplicaMachine)
+    stateful.run_state_machine_as_test(factory, settings=settings)
--- /dev/null
+++ b/tests/test_consensus_fuzz.py
@@ -0,0 +1,8 @@
+"""Stateful fuzzing of replicas, the same in every run."""
+
+from tests.fuzz import consensus
+
+TestReplicas = consensus.ReplicaMachine.TestCase
+TestReplicas.settings = consensus.build_settings(
+    max_examples=consensus.EXAMPLES, derandomize=True
+)
