Fuzz jobs too, and let time pass at each step

Change: an example begins with a leader, each step takes 0.1 s of virtual time, and grants end at most once each.

--- a/tests/fuzz/cluster.py
+++ b/tests/fuzz/cluster.py
@@ -117,7 +117,7 @@
     def _run(self, node, function, *args):
         try:
             function(*args)
-        except memory.PowerLoss:
+        except memory.PowerLossError:
             self.crash(node.name)
 
     def _send(self, sender, to, data):
@@ -209,7 +209,7 @@
         """Run until a node can serve reads and return it."""
         for _ in range(int(seconds / 0.1)):
             for node in self.nodes.values():
-                if self.can_read(node):
+                if self.can_read(node) and not node.driver.core.handover:
                     return node
             self.run(0.1)
         raise AssertionError('no leader was elected')
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -9,7 +9,9 @@
 from bilberryhaven import clock
 from bilberryhaven.commands import change
 from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
 from bilberryhaven import errors
+from bilberryhaven.tables import instance
 from bilberryhaven.tables import workload
 from tests.fuzz import cluster
 
@@ -20,6 +22,7 @@
 STEPS = 50
 FUZZ_EXAMPLES = 2000
 MAX_NODES = 5
+JOBS = ('j1', 'j2')
 PICK = strategies.integers(min_value=0, max_value=60)
 
 
@@ -44,6 +47,27 @@
         self.sent = []
         self.newest = 0
         self.count = 0
+        self.ended = set()
+        self.begin_jobs()
+
+    def begin_jobs(self):
+        survey = workload.Workload(name='survey', kind=workload.Kind.BATCH)
+        command = self.build_change('survey', 0, survey)
+        self.cluster.commit(command)
+        opened = session.OpenSession(
+            name='i',
+            zone='z',
+            rack='r',
+            address='i:1',
+            labels={},
+            capacity=instance.Capacity(),
+            at=NOW,
+        )
+        self.cluster.commit(opened)
+
+    @stateful.invariant()
+    def pass_time(self):
+        self.cluster.run(0.1, self.check)
 
     def pick(self, choice, test=lambda node: True):
         nodes = [n for n in self.cluster.nodes.values() if test(n)]
@@ -86,9 +110,10 @@
 
         self.propose(command, self.pick_leader(choice), record)
 
-    def build_change(self, name, expect):
+    def build_change(self, name, expect, spec=None):
         self.count += 1
-        spec = workload.Workload(name=name, labels={'n': str(self.count)})
+        labels = {'n': str(self.count)}
+        spec = spec or workload.Workload(name=name, labels=labels)
         command = change.ApplyWorkload(
             change_id=f'c{self.count}',
             by='op',
@@ -148,6 +173,42 @@
 
         self.propose(command, self.pick_leader(choice), record)
 
+    @stateful.rule(choice=PICK, job=strategies.sampled_from(JOBS))
+    def submit(self, choice, job):
+        command = job_commands.SubmitJob(
+            job_id=job, workload='survey', payload=b'', at=NOW
+        )
+        self.propose(command, self.pick_leader(choice), ignore)
+
+    @stateful.rule(choice=PICK, job=strategies.sampled_from(JOBS))
+    def grant(self, choice, job):
+        grant = job_commands.Grant(job_id=job, instance='i', session=1)
+        command = job_commands.GrantJobs(grants=[grant], at=NOW)
+        self.propose(command, self.pick_leader(choice), ignore)
+
+    @stateful.rule(
+        choice=PICK,
+        job=strategies.sampled_from(JOBS),
+        kind=strategies.sampled_from(['stopped', 'stopped', 'finished']),
+        age=strategies.integers(min_value=0, max_value=1),
+    )
+    def end_grant(self, choice, job, kind, age):
+        """Report the end of a grant, perhaps late or twice."""
+        node = self.pick_leader(choice)
+        row = node and node.machine.state.jobs.find(job)
+        if not row or row.epoch <= age:
+            return
+        epoch = row.epoch - age
+        event = job_commands.JobEvent(job_id=job, epoch=epoch, kind=kind)
+        command = job_commands.RecordEvents(events=[event], at=NOW)
+
+        def record(result):
+            if result == 1:
+                assert (job, epoch) not in self.ended, 'a grant ended twice'
+                self.ended.add((job, epoch))
+
+        self.propose(command, node, record)
+
     @stateful.rule(
         seconds=strategies.sampled_from([0.05, 0.2, 0.5, 1.0, 2.0, 4.0])
     )
@@ -260,6 +321,10 @@
             self.check_state(self.cluster.nodes[name].machine.state)
 
 
+def ignore(result):
+    """Take an answer that the oracle doesn't use."""
+
+
 def build_settings(**fields):
     return hypothesis.settings(
         stateful_step_count=STEPS,
