--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,255 @@
+"""Tests of the consensus core, one fault at a time."""
+
+import dataclasses
+import datetime
+import random
+
+import testtools
+
+from bilberryhaven import clock
+from bilberryhaven.commands import change
+from bilberryhaven.consensus import core
+from bilberryhaven.consensus import effects
+from bilberryhaven.consensus import log
+from bilberryhaven.consensus import members
+from bilberryhaven.consensus import message
+from bilberryhaven import errors
+from bilberryhaven.tables import workload
+from tests.fuzz import cluster
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+LITTLE_JITTER = dataclasses.replace(
+    cluster.OPTIONS, election_jitter=clock.seconds(0.05)
+)
+STEP = 0.005
+
+
+def build_change(number):
+    return change.ApplyWorkload(
+        change_id=f'c{number}',
+        by='op',
+        at=NOW,
+        kind='workload',
+        name='pump',
+        spec=workload.Workload(name='pump', labels={'n': str(number)}),
+    )
+
+
+class ClusterTestCase(testtools.TestCase):
+    def build(self, **arguments):
+        self.count = 0
+        self.cluster = cluster.Cluster(**arguments)
+        self.leader = self.cluster.find_leader()
+
+    def change(self):
+        self.count += 1
+        return self.cluster.commit(build_change(self.count))
+
+    def lead(self, name):
+        self.leader = self.cluster.nodes[name]
+        leader = self.cluster.find_leader()
+        if leader is not self.leader:
+            self.cluster.transfer(leader, name)
+        self.wait(lambda: self.cluster.can_read(self.leader))
+
+    def wait(self, test, seconds=20):
+        end = self.cluster.now + clock.seconds(seconds)
+        while not test():
+            self.assertLess(self.cluster.now, end)
+            self.cluster.run(0.1)
+
+    def write_elsewhere(self, seconds):
+        """Write at any other leader; the old one must not serve reads."""
+        old = self.leader
+        accepted = []
+        end = self.cluster.now + clock.seconds(seconds)
+        while self.cluster.now < end:
+            self.cluster.run(STEP)
+            for node in self.cluster.nodes.values():
+                if node.leads and node is not old:
+                    self.count += 1
+                    command = build_change(self.count)
+                    self.cluster.propose(node, command, accepted.append)
+            if accepted:
+                self.assertFalse(self.cluster.can_read(old), 'stale read')
+        self.assertTrue(accepted)
+
+
+class TestLease(ClusterTestCase):
+    def build_fine(self, **arguments):
+        step = clock.seconds(STEP)
+        self.build(options=LITTLE_JITTER, step=step, **arguments)
+        self.lead('a')
+
+    def test_lease_ends_before_others_elect_despite_drift(self):
+        self.build_fine(rates=(0.95, 1.05, 1.05))
+        self.cluster.partition('a')
+        self.write_elsewhere(2)
+
+    def test_hand_over_ends_the_lease(self):
+        self.build_fine()
+        self.cluster.blocked |= {('b', 'a'), ('c', 'a')}
+        self.cluster.transfer(self.leader, 'b')
+        self.write_elsewhere(0.5)
+
+    def test_voter_that_hears_the_leader_elects_no_other(self):
+        self.build_fine()
+        self.cluster.blocked |= {('a', 'c'), ('c', 'a')}
+        term = self.leader.driver.core.term
+        self.cluster.run(5)
+        self.assertTrue(self.cluster.can_read(self.leader))
+        self.assertEqual(term, self.leader.driver.core.term)
+
+    def test_restarted_voter_remembers_that_it_heard_a_leader(self):
+        for tenths in range(10):
+            self.build_fine()
+            self.cluster.blocked |= {('a', 'c'), ('c', 'a')}
+            self.cluster.run(3 + tenths / 10)
+            self.cluster.partition('a')
+            self.cluster.crash('b')
+            self.cluster.start('b')
+            self.write_elsewhere(3)
+
+    def test_isolated_leader_steps_down(self):
+        self.build_fine()
+        for other in 'bc':
+            self.cluster.blocked.add((other, 'a'))
+        self.cluster.run(1)
+        self.assertFalse(self.leader.leads)
+
+
+class TestElection(ClusterTestCase):
+    def test_returning_replica_deposes_nobody(self):
+        self.build()
+        self.lead('a')
+        term = self.leader.driver.core.term
+        self.cluster.partition('c')
+        self.cluster.run(30)
+        self.cluster.heal()
+        self.cluster.run(5)
+        self.assertTrue(self.leader.leads)
+        self.assertEqual(term, self.leader.driver.core.term)
+
+    def test_entry_of_an_older_term_is_committed_by_a_newer_one(self):
+        voters = members.Members(voters={name: name for name in 'abc'})
+        entries = [message.Entry(1), message.Entry(2)]
+        node = core.Core(
+            name='a',
+            options=LITTLE_JITTER,
+            random=random.Random(1),
+            hard_state=effects.HardState(term=3, vote='a'),
+            log=log.EntryLog(entries=entries),
+            history=members.MemberHistory(index=0, members=voters),
+        )
+        now = clock.seconds(1)
+        node.start(now)
+        node.become_leader(now)
+
+        def answer(sender, index):
+            reply = message.AppendReply(
+                sender=sender, term=3, ok=True, index=index, round=1
+            )
+            node.step(reply, now)
+
+        answer('a', 3)
+        answer('b', 2)
+        self.assertEqual(0, node.commit)
+        answer('b', 3)
+        self.assertEqual(3, node.commit)
+
+
+class TestDisk(ClusterTestCase):
+    def test_accepted_changes_outlive_a_power_cut_everywhere(self):
+        self.build()
+        for _ in range(5):
+            self.change()
+        for name in self.cluster.nodes:
+            self.cluster.crash(name)
+        self.cluster.heal()
+        leader = self.cluster.find_leader()
+        self.assertEqual(5, leader.machine.state.revision)
+
+    def test_failed_sync_is_never_taken_for_done(self):
+        self.build()
+        self.change()
+        self.leader.folder.fail_sync = True
+        result = self.change()
+        self.assertEqual(errors.Outcome.UNKNOWN, result.outcome)
+        self.assertIsInstance(self.leader.driver.fault, errors.StorageError)
+        self.leader.folder.fail_sync = False
+        self.cluster.run(3)
+        self.assertEqual('failed', self.leader.driver.core.role)
+        self.assertIsNot(self.leader, self.cluster.find_leader())
+        self.assertGreaterEqual(self.change().revision, 2)
+
+    def test_full_disk_makes_the_leader_step_down(self):
+        self.build()
+        self.leader.folder.capacity = 0
+        self.change()
+        self.assertFalse(self.leader.leads)
+        self.assertIsNot(self.leader, self.cluster.find_leader())
+
+    def test_disk_use_is_bounded_and_late_replica_catches_up(self):
+        self.build()
+        late = next(n for n in self.cluster.nodes if n != self.leader.name)
+        self.cluster.crash(late)
+        for _ in range(400):
+            self.change()
+        names = self.leader.folder.list_names()
+        self.assertEqual(2, sum(n.startswith('snapshot') for n in names))
+        self.assertLess(len(names), 12)
+        self.cluster.start(late)
+        self.cluster.settle(self.leader)
+
+
+class TestMembers(ClusterTestCase):
+    def change_members(self, **arguments):
+        leader = self.cluster.find_leader()
+        return self.cluster.change(leader, 'change_members', **arguments)
+
+    def list_voters(self):
+        leader = self.cluster.find_leader()
+        return ''.join(sorted(leader.driver.core.members.voters))
+
+    def test_replica_that_never_caught_up_gets_no_vote(self):
+        self.build()
+        self.change_members(add=('d', 'd:1'))
+        self.cluster.run(10)
+        self.assertEqual('abc', self.list_voters())
+
+    def test_second_loss_right_after_a_repair(self):
+        self.build()
+        for _ in range(100):
+            self.change()
+        self.lead('a')
+        self.cluster.crash('c')
+        self.cluster.add_node('d')
+        self.change_members(add=('d', 'd:1'))
+        self.wait(lambda: self.list_voters() == 'abcd')
+        self.cluster.run(1)
+        self.change_members(remove='c')
+        self.wait(lambda: self.list_voters() == 'abd')
+        self.cluster.crash('a')
+        self.assertEqual(101, self.change().revision)
+
+    def test_changes_of_members_come_one_at_a_time(self):
+        self.build()
+        self.cluster.partition(self.leader.name)
+        self.cluster.change(self.leader, 'change_members', add=('d', 'd:1'))
+        (refusal,) = self.cluster.change(
+            self.leader, 'change_members', remove='c'
+        )
+        self.assertIsInstance(refusal, errors.RefusedError)
+
+    def test_removed_leader_leaves(self):
+        self.build()
+        self.change_members(remove=self.leader.name)
+        self.cluster.run(1)
+        self.assertIsNot(self.leader, self.cluster.find_leader())
+        self.assertEqual(2, len(self.list_voters()))
+
+    def test_second_loss_in_five(self):
+        self.build(names='abcde')
+        self.cluster.crash('a')
+        self.cluster.crash('b')
+        self.assertEqual(1, self.change().revision)
