Mark instances whose agent is stopping

Cause: a stopping agent must get nothing new, but that is no operator's change and must end with its session. Change: LeaveSession sets leaving; Instance.takes_work() is the one test.

--- a/bilberryhaven/commands/job.py
+++ b/bilberryhaven/commands/job.py
@@ -83,9 +83,9 @@
         target = state.instances.find(grant.instance)
         if row is None or row.state != job.JobState.PENDING:
             return False
-        if target is None or not target.connected:
+        if target is None or not target.takes_work():
             return False
-        if target.epoch != grant.session or target.draining:
+        if target.epoch != grant.session:
             return False
         state.jobs.update(
             row.id,
--- a/bilberryhaven/commands/session.py
+++ b/bilberryhaven/commands/session.py
@@ -7,7 +7,12 @@
 from bilberryhaven.tables import instance
 from bilberryhaven.tables import job
 
-__all__ = ['CloseSession', 'OpenSession', 'QuarantineInstance']
+__all__ = [
+    'CloseSession',
+    'LeaveSession',
+    'OpenSession',
+    'QuarantineInstance',
+]
 
 
 class OpenSession(commands.Command, kw_only=True, frozen=True):
@@ -52,6 +57,20 @@
         return row.epoch
 
 
+class LeaveSession(commands.Command, kw_only=True, frozen=True):
+    """Grant nothing new to a session whose agent is stopping."""
+
+    name: str
+    epoch: int
+
+    def apply(self, state):
+        """Mark the instance if the session is the open one."""
+        row = state.instances.get(self.name)
+        if row.connected and row.epoch == self.epoch:
+            state.instances.update(self.name, leaving=True)
+        return row.leaving
+
+
 class CloseSession(commands.Command, kw_only=True, frozen=True):
     """End a session whose lease, with its margin, has run out.
 
--- a/bilberryhaven/tables/instance.py
+++ b/bilberryhaven/tables/instance.py
@@ -41,7 +41,8 @@
         capacity: What it holds.
         epoch: Number of its newest session; 0 before the first.
         connected: Whether that session is open.
-        draining: Whether it is leaving and takes nothing new.
+        draining: Whether an operator stops it: it takes nothing new.
+        leaving: Whether its agent is stopping; ends with the session.
         quarantined: Reason for which it gets only probes, or empty.
         version: Increases with each accepted change of labels.
     """
@@ -56,9 +57,14 @@
     epoch: int = 0
     connected: bool = False
     draining: bool = False
+    leaving: bool = False
     quarantined: str = ''
     version: int = 1
 
+    def takes_work(self):
+        """Return whether new work may be granted to it."""
+        return self.connected and not self.draining and not self.leaving
+
     def merge_labels(self):
         """Return the labels in effect, with name, zone and rack."""
         fixed = {'instance': self.name, 'zone': self.zone, 'rack': self.rack}
