--- a/bilberryhaven/control/context.py
+++ b/bilberryhaven/control/context.py
@@ -16,6 +16,7 @@
         role: ``agent`` or ``entry``.
         zone: Its availability zone.
         revision: Newest revision that it has acknowledged.
+        epoch: Epoch of an agent's session; 0 for an entry.
         lease_end: Monotonic time at which its lease, with the margin, has
             surely run out.
     """
@@ -24,6 +25,7 @@
     role: str
     zone: str = ''
     revision: int = 0
+    epoch: int = 0
     lease_end: datetime.timedelta = datetime.timedelta()
 
 
--- /dev/null
+++ b/bilberryhaven/control/sync.py
@@ -0,0 +1,68 @@
+"""Entries' sync requests: a lease, the revision and what changed."""
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.control import feed
+from bilberryhaven.control import heartbeat
+from bilberryhaven.tables import job
+from bilberryhaven.wire import message
+
+__all__ = ['SyncHandler']
+
+MILLISECOND = clocks.seconds(0.001)
+
+
+class SyncHandler:
+    """Answers sync requests with what is new to the entry.
+
+    Args:
+        leader: The ``Leader``.
+    """
+
+    def __init__(self, *, leader):
+        self._leader = leader
+
+    def handle(self, request):
+        """Return the ``SyncReply`` to a ``SyncRequest``."""
+        leader = self._leader
+        leader.ensure_ready()
+        leader.nodes.renew(
+            request.entry,
+            role='entry',
+            zone=request.zone,
+            revision=request.revision,
+        )
+        with leader.replica.machine_lock:
+            cursor, full, names = leader.feed.read(
+                request.feed, request.cursor
+            )
+            if full:
+                workloads = list(leader.state.workloads)
+                instances = list(leader.state.instances)
+            else:
+                workloads = self._find('workloads', names['workload'])
+                instances = self._find('instances', names['instance'])
+            return message.SyncReply(
+                revision=leader.state.revision,
+                lease_ms=heartbeat.LEASE_MS,
+                feed=leader.feed.id,
+                cursor=cursor,
+                full=full,
+                workloads=[feed.build_workload_view(w) for w in workloads],
+                instances=[self._build_instance(i) for i in instances],
+            )
+
+    def _find(self, table, names):
+        rows = getattr(self._leader.state, table)
+        found = (rows.find(name) for name in names)
+        return [row for row in found if row is not None]
+
+    def _build_instance(self, row):
+        jobs = self._leader.state.jobs.select('instance', row.name)
+        beside = {j.workload for j in jobs if j.state in job.ACTIVE_STATES}
+        age = self._leader.get_load_age(row.name)
+        return feed.build_instance_view(
+            row,
+            load=self._leader.get_load(row.name),
+            age_ms=int(age / MILLISECOND),
+            beside=beside,
+        )
--- /dev/null
+++ b/bilberryhaven/roles/control.py
@@ -0,0 +1,204 @@
+"""The control role: a replica of the log, the leader's work and the API."""
+
+import json
+import pathlib
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.consensus import replica
+from bilberryhaven.consensus import transport
+from bilberryhaven.control import api
+from bilberryhaven.control import heartbeat
+from bilberryhaven.control import leader
+from bilberryhaven.control import machine
+from bilberryhaven.control import sync
+from bilberryhaven import errors
+from bilberryhaven import metrics
+from bilberryhaven.roles import process
+from bilberryhaven import ticker
+from bilberryhaven.wire import client
+from bilberryhaven.wire import message
+from bilberryhaven.wire import server
+
+__all__ = ['ControlRole', 'run']
+
+TICK = clocks.seconds(0.1)
+RELAY_TIMEOUT = clocks.seconds(5)
+THREADS = 32
+API_PREFIX = '/v1/'
+
+
+class ControlRole:
+    """One control instance.
+
+    Args:
+        settings: The process's ``Settings``.
+        clock: The ``Clock``.
+    """
+
+    def __init__(self, *, settings, clock):
+        self._settings = settings
+        self._client = client.Client()
+        self.metrics = metrics.Metrics()
+        self.server = server.Server(
+            address=settings.listen,
+            handlers=self._list_handlers(),
+            fallback=self._serve_http,
+            threads=THREADS,
+        )
+        self._machine = machine.TableMachine(on_applied=self._note_applied)
+        self.replica = replica.Replica(
+            name=settings.name,
+            address=settings.advertise or settings.listen,
+            voters=settings.voters or {settings.name: settings.listen},
+            folder=pathlib.Path(settings.data),
+            machine=self._machine,
+            clock=clock,
+            transport=transport.WireTransport(
+                name=settings.name, client=self._client
+            ),
+        )
+        self.leader = leader.Leader(
+            settings=settings,
+            clock=clock,
+            replica=self.replica,
+            machine=self._machine,
+        )
+        self._beats = heartbeat.HeartbeatHandler(leader=self.leader)
+        self._sync = sync.SyncHandler(leader=self.leader)
+        self._clock = clock
+        self._stop_ticker = None
+
+    @property
+    def address(self):
+        """The HOST:PORT that it listens on."""
+        return self.server.address
+
+    def start(self):
+        """Load the data folder, listen and take part in the quorum."""
+        self.replica.start()
+        self.server.start()
+        self._stop_ticker = ticker.Ticker.launch(
+            name='systems',
+            func=self.leader.tick,
+            interval=TICK,
+            clock=self._clock,
+        )
+
+    def stop(self):
+        """Hand leadership over, finish requests, sync and stop."""
+        if self._stop_ticker is not None:
+            self._stop_ticker()
+        self.replica.stop()
+        self.server.stop()
+        self._client.close()
+
+    def _note_applied(self, command):
+        self.leader.note_applied(command)
+
+    def _list_handlers(self):
+        return {
+            message.HeartbeatBatch: lambda m: self._beats.handle_batch(m),
+            message.Heartbeat: lambda m: self._beats.handle(m),
+            message.SyncRequest: lambda m: self._sync.handle(m),
+            message.ClaimRequest: self._claim,
+            message.CallRequest: self._call,
+            message.ConsensusBatch: self._step,
+        }
+
+    def _step(self, batch):
+        replies = self.replica.handle(batch.messages, batch.sender)
+        return message.ConsensusBatch(
+            sender=self._settings.name, messages=replies
+        )
+
+    def _claim(self, request):
+        self.leader.ensure_ready()
+        return self.leader.claim(request)
+
+    def _call(self, request):
+        self.leader.ensure_ready()
+        status, body = api.handle(
+            self.leader,
+            request.method,
+            request.path,
+            request.query,
+            request.body,
+            request.by,
+        )
+        return message.CallReply(status=status, body=body)
+
+    def _serve_http(self, environ, body):
+        path = environ['PATH_INFO']
+        if path == '/healthz':
+            return server.Response(body=b'{"ok": true}')
+        if path == '/readyz':
+            return self._report_ready()
+        if path == '/metrics':
+            return self._report_metrics()
+        if not path.startswith(API_PREFIX):
+            return process.build_error_response(
+                errors.NotFoundError(f'no path {path}', step='dispatch')
+            )
+        request = message.CallRequest(
+            method=environ['REQUEST_METHOD'],
+            path=path,
+            query=environ.get('QUERY_STRING', ''),
+            body=body,
+            by=process.read_author(environ),
+        )
+        return self._answer_call(request)
+
+    def _answer_call(self, request):
+        try:
+            try:
+                reply = self._call(request)
+            except errors.NotLeaderError as error:
+                reply = self._relay(request, error)
+        except errors.BilberryhavenError as error:
+            return process.build_error_response(error)
+        return server.Response(status=reply.status, body=reply.body)
+
+    def _relay(self, request, error):
+        if not error.peer:
+            raise error
+        return self._client.send(
+            error.peer, request, timeout=RELAY_TIMEOUT, step='relay'
+        )
+
+    def _report_ready(self):
+        status = self.replica.status()
+        known = bool(status.leader)
+        body = {
+            'ready': known,
+            'role': str(status.role),
+            'leader': status.leader,
+            'term': status.term,
+        }
+        return server.Response(
+            status=200 if known else 503, body=json.dumps(body).encode()
+        )
+
+    def _report_metrics(self):
+        status = self.replica.status()
+        page = self.metrics
+        page.set('term', 'Current term.', status.term)
+        page.set('commit_index', 'Newest committed entry.', status.commit)
+        page.set(
+            'leading',
+            'Whether this instance leads.',
+            int(status.leader == self._settings.name),
+        )
+        state = self.leader.state
+        page.set('revision', 'Newest accepted change.', state.revision)
+        for table in ('workloads', 'instances', 'jobs'):
+            rows = len(getattr(state, table))
+            page.set('rows', 'Rows by table.', rows, table=table)
+        body, headers = page.render()
+        return server.Response(body=body, content_type=headers['Content-Type'])
+
+
+def run(settings, clock):
+    """Run a control instance until it is told to stop."""
+    return process.run_until_signal(
+        ControlRole(settings=settings, clock=clock), settings
+    )
