Send an entry everything only once from a quiet leader

Cause: a new feed began at position 0, which also asks for everything, so an entry of a quiet leader got the whole fleet with each sync. Change: positions begin at 1.

--- /dev/null
+++ b/bench/_slope.py
@@ -0,0 +1,61 @@
+"""Slopes over sizes, and processor time against a fixed reference loop."""
+
+import dataclasses
+import time
+
+__all__ = ['Slope', 'fit_slope', 'measure_cpu', 'time_reference']
+
+REFERENCE_STEPS = 200_000
+REPEATS = 3
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Slope:
+    """A line through measured points.
+
+    Attributes:
+        per_unit: Increase a unit of size.
+        base: Value at size 0.
+        spread: Largest distance of a point from the line, as a share of the
+            largest value.
+    """
+
+    per_unit: float
+    base: float
+    spread: float
+
+
+def fit_slope(points):
+    """Return the least-squares ``Slope`` through (size, value) pairs."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    over = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    under = sum((x - mean_x) ** 2 for x, _ in points)
+    per_unit = over / under
+    base = mean_y - per_unit * mean_x
+    largest = max(abs(y) for _, y in points) or 1.0
+    spread = max(abs(y - base - per_unit * x) for x, y in points) / largest
+    return Slope(per_unit=per_unit, base=base, spread=spread)
+
+
+def measure_cpu(func, repeats=REPEATS):
+    """Return the least processor time of ``func()`` in microseconds."""
+    taken = []
+    for _ in range(repeats):
+        start = time.process_time_ns()
+        func()
+        taken.append((time.process_time_ns() - start) / 1000)
+    return min(taken)
+
+
+def _run_reference():
+    total = 0
+    for step in range(REFERENCE_STEPS):
+        total += step & 7
+    return total
+
+
+def time_reference():
+    """Return the processor time of a reference step in nanoseconds."""
+    return measure_cpu(_run_reference) * 1000 / REFERENCE_STEPS
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,344 @@
+"""Slopes of what control holds, sends and computes, at several sizes.
+
+Keys ``capacity.<what>.{slope,base,spread}``; processor time in microseconds,
+with ``_ref`` beside it in steps of the reference loop.
+"""
+
+import datetime
+import threading
+import tracemalloc
+
+from bench import _slope
+from bilberryhaven import clock
+from bilberryhaven import commands
+from bilberryhaven.commands import change
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
+from bilberryhaven.control import heartbeat
+from bilberryhaven.control import leader
+from bilberryhaven.control import machine
+from bilberryhaven.control import sync
+from bilberryhaven import log
+from bilberryhaven import settings
+from bilberryhaven import tables
+from bilberryhaven.tables import instance
+from bilberryhaven.tables import workload
+from bilberryhaven.wire import codec
+from bilberryhaven.wire import message
+
+__all__ = ['measure']
+
+NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+FLEETS = (400, 800, 1600, 3200)
+JOBS_PER_INSTANCE = 20
+BATCH = 100
+TASKS = (4_000, 8_000, 16_000)
+VIEWS = (100, 400, 1600)
+RUNNING = (0, 8, 16, 32)
+NODES = (500, 1000, 2000, 4000)
+
+
+class _Future:
+    def __init__(self, value):
+        self._value = value
+
+    def result(self, timeout=None):
+        return self._value
+
+
+class ImmediateReplica:
+    """Commits at once, in memory: leaves the leader's own cost."""
+
+    def __init__(self, *, target):
+        self.machine_lock = threading.RLock()
+        self.term = 1
+        self._machine = target
+        self.log_bytes = 0
+
+    def check_read(self):
+        """Always lead."""
+
+    def status(self):
+        """Return itself; only ``term`` is read."""
+        return self
+
+    def propose_future(self, data):
+        """Apply ``data`` now."""
+        self.log_bytes += len(data)
+        return _Future(self._machine.apply(0, data))
+
+    def propose(self, data, *, timeout):
+        """Apply ``data`` now."""
+        return self.propose_future(data).result()
+
+
+def _build_leader():
+    target = machine.TableMachine(
+        on_applied=lambda command: made.note_applied(command)
+    )
+    made = leader.Leader(
+        settings=settings.Settings(),
+        clock=clock.ManualClock(),
+        replica=ImmediateReplica(target=target),
+        machine=target,
+    )
+    return made
+
+
+def _declare(lead, name='survey'):
+    spec = workload.Workload(name=name, kind=workload.Kind.BATCH)
+    lead.propose(
+        change.ApplyWorkload(
+            change_id=f'c-{name}',
+            by='bench',
+            at=NOW,
+            kind='workload',
+            name=name,
+            spec=spec,
+        )
+    )
+
+
+def _build_beat(name, epoch, running):
+    return message.Heartbeat(
+        instance=name,
+        epoch=epoch,
+        revision=1,
+        load=message.Load(slots=8, slots_used=running, batch_slots=running),
+        announcement=message.Announcement(
+            name=name, zone='pingtung', rack='r1', address='127.0.0.1:7100'
+        )
+        if epoch == 0
+        else message.Announcement(),
+        running=[
+            message.RunningJob(job_id=f'{name}-{i}', epoch=1)
+            for i in range(running)
+        ],
+    )
+
+
+def _fill_fleet(lead, count, jobs):
+    """Open sessions and start ``jobs`` jobs on each instance."""
+    for index in range(count):
+        name = f'i{index}'
+        lead.propose(
+            session.OpenSession(
+                name=name,
+                zone='pingtung',
+                rack='r',
+                address='127.0.0.1:7100',
+                labels={},
+                capacity=instance.Capacity(),
+                at=NOW,
+            )
+        )
+        _start_jobs(lead, name, jobs)
+
+
+def _start_jobs(lead, name, jobs):
+    ids = [f'{name}-{i}' for i in range(jobs)]
+    for job_id in ids:
+        lead.propose(
+            job_commands.SubmitJob(
+                job_id=job_id, workload='survey', payload=b'{}', at=NOW
+            )
+        )
+    grants = [
+        job_commands.Grant(job_id=job_id, instance=name, session=1)
+        for job_id in ids
+    ]
+    lead.propose(job_commands.GrantJobs(grants=grants, at=NOW))
+    events = [
+        job_commands.JobEvent(job_id=job_id, epoch=1, kind='started')
+        for job_id in ids
+    ]
+    lead.propose(job_commands.RecordEvents(events=events, at=NOW))
+
+
+def _beat_whole_fleet(handler, count):
+    for first in range(0, count, BATCH):
+        beats = [
+            _build_beat(f'i{index}', 1, JOBS_PER_INSTANCE)
+            for index in range(first, min(first + BATCH, count))
+        ]
+        data = codec.encode(
+            message.HeartbeatBatch(entry='e', heartbeats=beats)
+        )
+        yield data, handler
+
+
+def _measure_heartbeats():
+    """Processor time of the leader for one heartbeat of each instance."""
+    points = []
+    for count in FLEETS:
+        lead = _build_leader()
+        _declare(lead)
+        _fill_fleet(lead, count, JOBS_PER_INSTANCE)
+        handler = heartbeat.HeartbeatHandler(leader=lead)
+        batches = [data for data, _ in _beat_whole_fleet(handler, count)]
+
+        def run(batches=batches, handler=handler):
+            for data in batches:
+                codec.encode(handler.handle_batch(codec.decode(data)))
+
+        points.append((count, _slope.measure_cpu(run)))
+    return points
+
+
+def _measure_heartbeat_bytes():
+    asked, answered = [], []
+    for running in RUNNING:
+        beat = _build_beat('instance-0001', 1, running)
+        asked.append((running, len(codec.encode(beat))))
+        stops = [
+            message.StopOrder(job_id=f'job-{i:08}', epoch=1)
+            for i in range(running)
+        ]
+        reply = message.HeartbeatReply(
+            instance='instance-0001', epoch=1, stops=stops
+        )
+        answered.append((running, len(codec.encode(reply))))
+    return asked, answered
+
+
+def _measure_sync():
+    lead = _build_leader()
+    _declare(lead)
+    _fill_fleet(lead, max(VIEWS), 2)
+    handler = sync.SyncHandler(leader=lead)
+    start = handler.handle(message.SyncRequest(entry='e'))
+    cpu, size = [], []
+    for count in VIEWS:
+        before = handler.handle(
+            message.SyncRequest(
+                entry='e', feed=start.feed, cursor=start.cursor
+            )
+        )
+        for index in range(count):
+            lead.feed.touch('instance', f'i{index}')
+        request = message.SyncRequest(
+            entry='e', feed=before.feed, cursor=before.cursor
+        )
+        size.append((count, len(codec.encode(handler.handle(request)))))
+
+        def run(request=request):
+            codec.encode(handler.handle(request))
+
+        cpu.append((count, _slope.measure_cpu(run)))
+        start = handler.handle(request)
+    return cpu, size
+
+
+def _measure_state():
+    memory, dumped, dump_cpu, log_bytes, apply_cpu = [], [], [], [], []
+    for count in TASKS:
+        tracemalloc.start()
+        lead = _build_leader()
+        _declare(lead)
+        before = tracemalloc.get_traced_memory()[0]
+        _fill_fleet(lead, count // JOBS_PER_INSTANCE, JOBS_PER_INSTANCE)
+        memory.append((count, tracemalloc.get_traced_memory()[0] - before))
+        tracemalloc.stop()
+        state = lead.state
+        dumped.append((count, len(state.dump())))
+        dump_cpu.append((count, _slope.measure_cpu(state.dump)))
+        log_bytes.append((count, lead.replica.log_bytes))
+        apply_cpu.append((count, _slope.measure_cpu(lambda n=count: _run(n))))
+    return memory, dumped, dump_cpu, log_bytes, apply_cpu
+
+
+def _run(count):
+    lead = _build_leader()
+    _declare(lead)
+    _fill_fleet(lead, count // JOBS_PER_INSTANCE, JOBS_PER_INSTANCE)
+
+
+def _measure_changes():
+    """Processor time and log bytes of operators' label changes."""
+    cpu, size = [], []
+    for count in (500, 1000, 2000):
+        state = tables.State()
+        spec = workload.Workload(name='w')
+        first = change.ApplyWorkload(
+            change_id='c',
+            by='bench',
+            at=NOW,
+            kind='workload',
+            name='w',
+            spec=spec,
+        )
+        commands.apply(state, first)
+        batch = [
+            commands.encode(
+                change.ChangeLabels(
+                    change_id=f'change-{i:08}',
+                    by='operator',
+                    at=NOW,
+                    kind='workload',
+                    name='w',
+                    labels={'season': str(i)},
+                )
+            )
+            for i in range(count)
+        ]
+
+        def run(batch=batch, state=state):
+            for data in batch:
+                commands.apply(state, commands.decode(data))
+
+        cpu.append((count, _slope.measure_cpu(run, repeats=1)))
+        size.append((count, sum(map(len, batch))))
+    return cpu, size
+
+
+def _measure_nodes():
+    points = []
+    for count in NODES:
+        lead = _build_leader()
+        for index in range(count):
+            lead.nodes.renew(f'n{index}', role='agent', zone='z', revision=1)
+        points.append((count, _slope.measure_cpu(lead.list_nodes)))
+    return points
+
+
+def _report(figures, name, points, reference_ns=None):
+    slope = _slope.fit_slope(points)
+    figures[f'capacity.{name}.slope'] = round(slope.per_unit, 4)
+    figures[f'capacity.{name}.base'] = round(slope.base, 2)
+    figures[f'capacity.{name}.spread'] = round(slope.spread, 4)
+    if reference_ns:
+        steps = slope.per_unit * 1000 / reference_ns
+        figures[f'capacity.{name}.slope_ref'] = round(steps, 1)
+
+
+def measure():
+    """Return the flat mapping of keys to slopes."""
+    figures = {}
+    reference = _slope.time_reference()
+    figures['capacity.reference_step_ns'] = round(reference, 2)
+    handler = log.start_logging(level='error')
+    try:
+        _measure_all(figures, reference)
+    finally:
+        handler.pop_application()
+    return figures
+
+
+def _measure_all(figures, reference):
+    _report(figures, 'heartbeat_cpu_us', _measure_heartbeats(), reference)
+    asked, answered = _measure_heartbeat_bytes()
+    _report(figures, 'heartbeat_bytes_per_job', asked)
+    _report(figures, 'heartbeat_reply_bytes_per_order', answered)
+    cpu, size = _measure_sync()
+    _report(figures, 'sync_cpu_us_per_view', cpu, reference)
+    _report(figures, 'sync_bytes_per_view', size)
+    memory, dumped, dump_cpu, log_bytes, apply_cpu = _measure_state()
+    _report(figures, 'state_memory_bytes_per_job', memory)
+    _report(figures, 'snapshot_bytes_per_job', dumped)
+    _report(figures, 'snapshot_cpu_us_per_job', dump_cpu, reference)
+    _report(figures, 'log_bytes_per_job', log_bytes)
+    _report(figures, 'job_cpu_us', apply_cpu, reference)
+    cpu, size = _measure_changes()
+    _report(figures, 'change_cpu_us', cpu, reference)
+    _report(figures, 'change_log_bytes', size)
+    _report(figures, 'node_list_cpu_us', _measure_nodes(), reference)
--- a/bilberryhaven/control/feed.py
+++ b/bilberryhaven/control/feed.py
@@ -9,6 +9,8 @@
 __all__ = ['Feed', 'build_instance_view', 'build_workload_view', 'pack_labels']
 
 SLOTS_STEP = 2
+# Readers ask with 0 for everything, so positions begin beyond it.
+START = 1
 
 
 def pack_labels(labels):
@@ -79,7 +81,7 @@
         """Start a new feed; every reader takes everything once."""
         with self._lock:
             self.id = util.create_id('feed')
-            self._cursor = 0
+            self._cursor = START
             self._changed = collections.OrderedDict()
             self._loads.clear()
 
@@ -111,7 +113,7 @@
             cursor: Position that the reader has reached.
         """
         with self._lock:
-            if feed_id != self.id or cursor == 0:
+            if feed_id != self.id or cursor < START:
                 return self._cursor, True, {}
             names = {'workload': [], 'instance': []}
             for key, position in reversed(self._changed.items()):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -224,6 +224,13 @@
         third = self.sync_entry(first.feed, again.cursor)
         self.assertEqual(['w'], third.instances[0].beside)
 
+    def test_entry_gets_everything_once_from_a_quiet_leader(self):
+        self.beat()
+        self.replica.term = 2
+        first = self.sync_entry()
+        again = self.sync_entry(first.feed, first.cursor)
+        self.assertEqual((True, False), (first.full, again.full))
+
     def test_new_leader_sends_everything(self):
         first = self.sync_entry()
         self.replica.term = 2
