--- /dev/null
+++ b/bilberryhaven/control/api/instances.py
@@ -0,0 +1,68 @@
+"""Instances: read, labelled, drained."""
+
+from bilberryhaven.commands import change
+from bilberryhaven.control import api
+from bilberryhaven.control.api import changes
+from bilberryhaven.control.api import models
+from bilberryhaven.control.api import views
+from bilberryhaven import errors
+
+__all__ = []
+
+FIXED_LABELS = frozenset({'instance', 'zone', 'rack'})
+
+
+@api.route('GET', '/v1/instances')
+def list_instances(request):
+    """Return all instances with their newest loads."""
+    ctx = request.ctx
+    with ctx.read():
+        rows = list(ctx.state.instances)
+        shown = [views.show_instance(r, ctx.get_load(r.name)) for r in rows]
+    return {'instances': shown}
+
+
+@api.route('GET', '/v1/instances/{name}')
+def get_instance(request):
+    """Return one instance and the jobs on it."""
+    ctx = request.ctx
+    name = request.params['name']
+    with ctx.read():
+        row = ctx.state.instances.get(name)
+        shown = views.show_instance(row, ctx.get_load(name))
+        held = ctx.state.jobs.select('instance', name)
+        shown['jobs'] = [row.id for row in held]
+    return shown
+
+
+@api.route('PATCH', '/v1/instances/{name}/labels')
+def patch_labels(request):
+    """Set labels of an instance."""
+    body = request.decode(models.LabelsBody)
+    fixed = sorted(FIXED_LABELS & set(body.labels))
+    if fixed:
+        raise errors.BadInputError(
+            f'$.labels.{fixed[0]}: the agent announces this label, so it '
+            "can't be set",
+            step='read body',
+        )
+    return changes.propose_change(
+        request,
+        body,
+        change.ChangeLabels,
+        kind='instance',
+        labels=body.labels,
+    )
+
+
+@api.route('POST', '/v1/instances/{name}/drain')
+def drain_instance(request):
+    """Start or end the planned stop of an instance."""
+    body = request.decode(models.DrainBody)
+    return changes.propose_change(
+        request,
+        body,
+        change.DrainInstance,
+        kind='instance',
+        draining=body.draining,
+    )
--- /dev/null
+++ b/bilberryhaven/control/api/jobs.py
@@ -0,0 +1,115 @@
+"""Jobs: submitted, read, cancelled."""
+
+import datetime
+
+import msgspec
+
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven.control import api
+from bilberryhaven.control.api import models
+from bilberryhaven.control.api import views
+from bilberryhaven import errors
+from bilberryhaven.tables import job
+from bilberryhaven import util
+
+__all__ = []
+
+DEFAULT_LIMIT = 200
+MAX_LIMIT = 5000
+
+
+@api.route('POST', '/v1/jobs')
+def submit_job(request):
+    """Accept a job; a resend of its id finds the same job."""
+    body = request.decode(models.JobBody)
+    now = request.ctx.clock.wall()
+    key = body.id or request.query.get('idempotency_key')
+    command = job_commands.SubmitJob(
+        job_id=key or util.create_id('job'),
+        workload=body.workload,
+        payload=_read_payload(body.payload),
+        at=now,
+        deadline_at=_compute_deadline(now, body.deadline_ms),
+    )
+    request.request_id = command.job_id
+    row = request.ctx.propose(command)
+    if (row.workload, row.payload) != (command.workload, command.payload):
+        raise errors.ConflictError(
+            f'job {row.id!r} was submitted for workload {row.workload!r} '
+            'with another payload or workload; use another id',
+            step='submit job',
+        )
+    status = 201 if row.submitted_at == now else 200
+    return api.Answer(value=views.show_job(row), status=status)
+
+
+def _read_payload(raw):
+    value = msgspec.json.decode(raw)
+    return value.encode() if isinstance(value, str) else bytes(raw)
+
+
+def _compute_deadline(now, deadline_ms):
+    if deadline_ms is None:
+        return None
+    return now + datetime.timedelta(milliseconds=deadline_ms)
+
+
+@api.route('GET', '/v1/jobs')
+def list_jobs(request):
+    """Return the newest jobs, of one state, workload or instance."""
+    limit = request.read_number('limit', DEFAULT_LIMIT, high=MAX_LIMIT)
+    with request.ctx.read():
+        rows = _select_jobs(request.ctx.state.jobs, request.query)
+        shown = [views.show_job(r) for r in rows[max(0, len(rows) - limit) :]]
+    return {'total': len(rows), 'jobs': shown}
+
+
+def _select_jobs(table, query):
+    wanted = {f: query[f] for f in table.indexes if query.get(f)}
+    states = list(job.JobState)
+    if wanted.get('state', job.JobState.PENDING) not in states:
+        raise errors.BadInputError(
+            f'state={wanted["state"]!r} is no state; there are: '
+            f'{", ".join(states)}',
+            step='read query',
+        )
+    if not wanted:
+        return list(table)
+    field = next(iter(wanted))
+    rows = table.select(field, wanted[field])
+    return [
+        row
+        for row in rows
+        if all(getattr(row, key) == wanted[key] for key in wanted)
+    ]
+
+
+@api.route('GET', '/v1/jobs/{id}')
+def get_job(request):
+    """Return one job."""
+    with request.ctx.read():
+        return views.show_job(request.ctx.state.jobs.get(request.params['id']))
+
+
+@api.route('DELETE', '/v1/jobs/{id}')
+def cancel_job(request):
+    """Cancel one job; a repeat changes nothing."""
+    job_id = request.params['id']
+    state = _cancel(request, [job_id])[job_id]
+    if not state:
+        raise errors.NotFoundError(f'jobs has no {job_id!r}', step='cancel')
+    return {'id': job_id, 'state': state}
+
+
+@api.route('DELETE', '/v1/jobs')
+def cancel_jobs(request):
+    """Cancel many jobs at once; unknown ids have an empty state."""
+    body = request.decode(models.CancelBody)
+    return {'states': _cancel(request, body.ids)}
+
+
+def _cancel(request, job_ids):
+    command = job_commands.CancelJobs(
+        job_ids=job_ids, at=request.ctx.clock.wall()
+    )
+    return request.ctx.propose(command)
--- /dev/null
+++ b/bilberryhaven/control/api/members.py
@@ -0,0 +1,31 @@
+"""Control instances: read, added, removed."""
+
+from bilberryhaven.control import api
+from bilberryhaven.control.api import models
+from bilberryhaven.control.api import views
+from bilberryhaven import util
+
+__all__ = []
+
+
+@api.route('GET', '/v1/members')
+def list_members(request):
+    """Return the control instances."""
+    members = request.ctx.list_members()
+    return {'members': [views.show_row(row) for row in members]}
+
+
+@api.route('POST', '/v1/members')
+def add_member(request):
+    """Add a control instance; it votes once it has caught up."""
+    body = request.decode(models.MemberBody)
+    util.parse_address(body.address)
+    request.ctx.change_members(add=(body.name, body.address))
+    return list_members(request)
+
+
+@api.route('DELETE', '/v1/members/{name}')
+def remove_member(request):
+    """Remove a control instance."""
+    request.ctx.change_members(remove=request.params['name'])
+    return list_members(request)
--- /dev/null
+++ b/bilberryhaven/control/api/models.py
@@ -0,0 +1,167 @@
+"""Models of the API's request bodies, checked at the border."""
+
+import re
+import typing
+
+import msgspec
+
+from bilberryhaven.commands import change
+from bilberryhaven import errors
+from bilberryhaven import selector
+from bilberryhaven.tables import workload
+
+__all__ = [
+    'CancelBody',
+    'ChangeBody',
+    'DrainBody',
+    'JobBody',
+    'LabelsBody',
+    'MemberBody',
+    'SelectorsBody',
+    'TeamBody',
+    'WorkloadBody',
+    'check_name',
+    'check_selector',
+]
+
+NAME_PATTERN = r'^[A-Za-z0-9]([A-Za-z0-9._-]{0,98}[A-Za-z0-9])?$'
+KEY_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9_./-]{0,99}$'
+MAX_LABELS = 64
+MAX_SELECTOR = 2000
+MAX_ID = 200
+MAX_JOBS_A_CALL = 10_000
+MAX_DEADLINE_MS = 366 * 86_400_000
+
+Name = typing.Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+Key = typing.Annotated[str, msgspec.Meta(pattern=KEY_PATTERN)]
+Id = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_ID)]
+Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_SELECTOR)]
+Labels = typing.Annotated[dict[Key, Key], msgspec.Meta(max_length=MAX_LABELS)]
+LabelChanges = typing.Annotated[
+    dict[Key, Key | None],
+    msgspec.Meta(min_length=1, max_length=MAX_LABELS),
+]
+
+
+class Body(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Base of all bodies: unknown fields are refused."""
+
+
+class ChangeBody(Body, kw_only=True, frozen=True):
+    """Base of operators' writes.
+
+    Attributes:
+        by: Who sends it.
+        change_id: Idempotency key; a resend gets the first answer.
+        expect: Version that must be current, 0 for a target that must not
+            exist yet; without it any version will do.
+    """
+
+    by: typing.Annotated[str, msgspec.Meta(max_length=MAX_ID)] = ''
+    change_id: typing.Annotated[str, msgspec.Meta(max_length=MAX_ID)] = ''
+    expect: typing.Annotated[int, msgspec.Meta(ge=-1)] = change.ANY_VERSION
+
+
+class Resources(Body, kw_only=True, frozen=True):
+    """Declared need of one task."""
+
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1
+    cpu: typing.Annotated[float, msgspec.Meta(ge=0, le=100_000)] = 1.0
+    memory_mb: typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)] = 256
+    accelerators: typing.Annotated[int, msgspec.Meta(ge=0, le=1000)] = 0
+
+
+class WorkloadBody(ChangeBody, kw_only=True, frozen=True):
+    """Declaration of a workload."""
+
+    kind: workload.Kind
+    team: Name = 'default'
+    labels: Labels = {}
+    runs_on: Text = ''
+    shares_with: Text = ''
+    resources: Resources = Resources()
+    run_seconds: typing.Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 60.0
+    repeatable: bool = True
+
+
+class LabelsBody(ChangeBody, kw_only=True, frozen=True):
+    """Labels to set; null removes one."""
+
+    labels: LabelChanges
+
+
+class SelectorsBody(ChangeBody, kw_only=True, frozen=True):
+    """Selectors to set; one that is left out stays as it is."""
+
+    runs_on: Text | None = None
+    shares_with: Text | None = None
+
+
+class TeamBody(ChangeBody, kw_only=True, frozen=True):
+    """Quota and weight of a team."""
+
+    quota: typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)] = 0
+    weight: typing.Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 1.0
+
+
+class DrainBody(ChangeBody, kw_only=True, frozen=True):
+    """Whether an instance is to leave."""
+
+    draining: bool = True
+
+
+class JobBody(Body, kw_only=True, frozen=True):
+    """A job; its id makes a resend find the same job."""
+
+    workload: Name
+    id: typing.Annotated[str, msgspec.Meta(max_length=MAX_ID)] = ''
+    payload: msgspec.Raw = msgspec.Raw(b'""')
+    deadline_ms: (
+        typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_DEADLINE_MS)] | None
+    ) = None
+
+
+class CancelBody(Body, kw_only=True, frozen=True):
+    """Jobs to cancel."""
+
+    ids: typing.Annotated[
+        list[Id], msgspec.Meta(min_length=1, max_length=MAX_JOBS_A_CALL)
+    ]
+
+
+class MemberBody(Body, kw_only=True, frozen=True):
+    """A control instance to add."""
+
+    name: Name
+    address: str
+
+
+def check_name(name):
+    """Return ``name`` if it is allowed.
+
+    Raises:
+        BadInputError: It isn't.
+    """
+    if not re.search(NAME_PATTERN, name):
+        raise errors.BadInputError(
+            f'{name!r} is no name; use letters, digits, ".", "_" and "-", '
+            '100 at most',
+            step='check name',
+        )
+    return name
+
+
+def check_selector(field, text):
+    """Check that ``text`` can be parsed as the selector in ``field``.
+
+    Raises:
+        SelectorError: It can't; the message names field and column.
+    """
+    try:
+        selector.parse_selector(text)
+    except errors.SelectorError as error:
+        raise errors.SelectorError(
+            f'$.{field}: {error.message}', step='check selector'
+        ) from error
--- /dev/null
+++ b/bilberryhaven/control/api/teams.py
@@ -0,0 +1,59 @@
+"""Teams: their quotas and what they hold of them."""
+
+from bilberryhaven.commands import change
+from bilberryhaven.control import api
+from bilberryhaven.control.api import changes
+from bilberryhaven.control.api import models
+from bilberryhaven.control.api import views
+from bilberryhaven.tables import job
+
+__all__ = []
+
+
+@api.route('GET', '/v1/teams')
+def list_teams(request):
+    """Return all teams with the slots that they hold."""
+    state = request.ctx.state
+    with request.ctx.read():
+        held = _count_slots(state)
+        rows = [_show(row, held) for row in state.teams]
+    return {'teams': rows}
+
+
+@api.route('GET', '/v1/teams/{name}')
+def get_team(request):
+    """Return one team with the slots that it holds."""
+    state = request.ctx.state
+    with request.ctx.read():
+        row = state.teams.get(request.params['name'])
+        return _show(row, _count_slots(state))
+
+
+def _show(row, held):
+    return {**views.show_row(row), 'slots_held': held.get(row.name, 0)}
+
+
+def _count_slots(state):
+    held = {}
+    for stand in job.ACTIVE_STATES:
+        for row in state.jobs.select('state', stand):
+            owner = state.workloads.find(row.workload)
+            if owner is not None:
+                slots = held.get(owner.team, 0) + owner.resources.slots
+                held[owner.team] = slots
+    return held
+
+
+@api.route('PUT', '/v1/teams/{name}')
+def put_team(request):
+    """Create a team or change its quota and weight."""
+    models.check_name(request.params['name'])
+    body = request.decode(models.TeamBody)
+    return changes.propose_change(
+        request,
+        body,
+        change.ApplyTeam,
+        kind='team',
+        quota=body.quota,
+        weight=body.weight,
+    )
--- /dev/null
+++ b/bilberryhaven/control/api/views.py
@@ -0,0 +1,42 @@
+"""JSON forms of table rows."""
+
+import base64
+
+import msgspec
+
+__all__ = ['show_bytes', 'show_instance', 'show_job', 'show_row']
+
+
+def show_row(row):
+    """Return a row of plain fields as a JSON value."""
+    return msgspec.to_builtins(row)
+
+
+def show_instance(row, load=None):
+    """Return an instance with its labels in effect and newest load."""
+    fields = msgspec.to_builtins(row)
+    fields['set_labels'] = fields.pop('labels')
+    fields['labels'] = row.merge_labels()
+    fields['load'] = None if load is None else msgspec.to_builtins(load)
+    return fields
+
+
+def show_job(row):
+    """Return a job with its payload and result as JSON values."""
+    fields = msgspec.to_builtins(row, builtin_types=(bytes,))
+    fields['payload'] = show_bytes(row.payload)
+    fields['result'] = show_bytes(row.result)
+    fields['checkpoint_bytes'] = len(fields.pop('checkpoint'))
+    return fields
+
+
+def show_bytes(data):
+    """Return ``data`` as the JSON value it holds, as text or in base64."""
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.MsgspecError, RecursionError):
+        pass
+    try:
+        return data.decode()
+    except UnicodeDecodeError:
+        return {'base64': base64.b64encode(data).decode()}
--- /dev/null
+++ b/bilberryhaven/control/api/workloads.py
@@ -0,0 +1,84 @@
+"""Workloads: declared, labelled, given selectors."""
+
+from bilberryhaven.commands import change
+from bilberryhaven.control import api
+from bilberryhaven.control.api import changes
+from bilberryhaven.control.api import models
+from bilberryhaven.control.api import views
+from bilberryhaven.tables import workload
+
+__all__ = []
+
+
+@api.route('GET', '/v1/workloads')
+def list_workloads(request):
+    """Return all workloads."""
+    with request.ctx.read():
+        rows = request.ctx.state.workloads
+        return {'workloads': [views.show_row(row) for row in rows]}
+
+
+@api.route('GET', '/v1/workloads/{name}')
+def get_workload(request):
+    """Return one workload."""
+    with request.ctx.read():
+        row = request.ctx.state.workloads.get(request.params['name'])
+        return views.show_row(row)
+
+
+@api.route('PUT', '/v1/workloads/{name}')
+def put_workload(request):
+    """Create a workload or replace its declaration."""
+    body = request.decode(models.WorkloadBody)
+    name = models.check_name(request.params['name'])
+    models.check_selector('runs_on', body.runs_on)
+    models.check_selector('shares_with', body.shares_with)
+    need = body.resources
+    spec = workload.Workload(
+        name=name,
+        kind=body.kind,
+        team=body.team,
+        labels=body.labels,
+        runs_on=body.runs_on,
+        shares_with=body.shares_with,
+        resources=workload.Resources(
+            slots=need.slots,
+            cpu=need.cpu,
+            memory_mb=need.memory_mb,
+            accelerators=need.accelerators,
+        ),
+        run_seconds=body.run_seconds,
+        repeatable=body.repeatable,
+    )
+    return changes.propose_change(
+        request, body, change.ApplyWorkload, kind='workload', spec=spec
+    )
+
+
+@api.route('PATCH', '/v1/workloads/{name}/labels')
+def patch_labels(request):
+    """Set labels of a workload."""
+    body = request.decode(models.LabelsBody)
+    return changes.propose_change(
+        request,
+        body,
+        change.ChangeLabels,
+        kind='workload',
+        labels=body.labels,
+    )
+
+
+@api.route('PATCH', '/v1/workloads/{name}/selectors')
+def patch_selectors(request):
+    """Set selectors of a workload."""
+    body = request.decode(models.SelectorsBody)
+    models.check_selector('runs_on', body.runs_on or '')
+    models.check_selector('shares_with', body.shares_with or '')
+    return changes.propose_change(
+        request,
+        body,
+        change.ChangeSelectors,
+        kind='workload',
+        runs_on=body.runs_on,
+        shares_with=body.shares_with,
+    )
--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -12,6 +12,7 @@
     'FencedError',
     'InternalError',
     'LeaseLapsedError',
+    'MethodError',
     'NotFoundError',
     'NotLeaderError',
     'OptionError',
@@ -126,6 +127,13 @@
     status = 404
 
 
+class MethodError(BilberryhavenError):
+    """The path exists but doesn't take this method."""
+
+    code = 'bad_method'
+    status = 405
+
+
 class ConflictError(BilberryhavenError):
     """The change expects a version that isn't the current one."""
 
