--- a/bilberryhaven/systems/__init__.py
+++ b/bilberryhaven/systems/__init__.py
@@ -45,12 +45,18 @@
 class System:
     """Base of all systems.
 
+    Args:
+        memory: What the systems of one leader share; a new one by default.
+
     Attributes:
         order: Systems with lower numbers run first.
     """
 
     order = 100
 
+    def __init__(self, *, memory=None):
+        self.memory = memory or _build_memory()
+
     def run(self, world):
         """Return the commands to propose."""
         raise NotImplementedError
@@ -67,8 +73,19 @@
     return _registry.get(name)
 
 
-def build_systems():
-    """Return one of each registered system, in running order."""
+def _build_memory():
+    module = importlib.import_module(f'{__name__}.memory')
+    return module.Memory()
+
+
+def build_systems(*, memory=None):
+    """Return one of each registered system, in running order.
+
+    They share ``memory``, which a new leader starts empty and rebuilds from
+    the tables.
+    """
     _load_modules()
+    memory = memory or _build_memory()
     classes = [cls for _, cls in _registry.items()]
-    return [cls() for cls in sorted(classes, key=lambda cls: cls.order)]
+    ordered = sorted(classes, key=lambda cls: cls.order)
+    return [cls(memory=memory) for cls in ordered]
--- /dev/null
+++ b/bilberryhaven/systems/sharing.py
@@ -0,0 +1,62 @@
+"""Which workloads may run on which instances and beside which others."""
+
+from bilberryhaven import selector
+
+__all__ = ['Rules']
+
+
+class Rules:
+    """Selectors in force, with matches cached until a row changes."""
+
+    def __init__(self):
+        self._workloads = {}
+        self._labels = {}
+        self._pairs = {}
+
+    def put(self, row):
+        """Take in a new or changed workload row."""
+        self._forget(row.name)
+        self._workloads[row.name] = row
+        self._labels[row.name] = row.merge_labels()
+
+    def remove(self, name):
+        """Forget a workload."""
+        self._forget(name)
+        self._workloads.pop(name, None)
+        self._labels.pop(name, None)
+
+    def _forget(self, name):
+        stale = [pair for pair in self._pairs if name in pair]
+        for pair in stale:
+            del self._pairs[pair]
+
+    def may_run(self, row, labels):
+        """Return whether workload ``row`` may run where ``labels`` are."""
+        return selector.parse_selector(row.runs_on).match(labels)
+
+    def may_share(self, first, second):
+        """Return whether both workloads, by name, may be side by side."""
+        pair = (first, second)
+        known = self._pairs.get(pair)
+        if known is None:
+            known = self._accepts(first, second)
+            known = known and self._accepts(second, first)
+            self._pairs[pair] = known
+        return known
+
+    def _accepts(self, name, other):
+        row = self._workloads.get(name)
+        labels = self._labels.get(other)
+        if row is None or labels is None or not row.shares_with:
+            return True
+        return selector.parse_selector(row.shares_with).match(labels)
+
+    def list_unshared(self, name, node):
+        """Return the workloads on ``node`` that ``name`` can't be beside."""
+        beside = [*node.services, *node.counts]
+        return [other for other in beside if not self.may_share(name, other)]
+
+    def shares(self, name, node):
+        """Return whether ``name`` may be beside all that is on ``node``."""
+        beside = [*node.services, *node.counts]
+        return all(self.may_share(name, other) for other in beside)
--- a/bilberryhaven/tables/table.py
+++ b/bilberryhaven/tables/table.py
@@ -1,8 +1,11 @@
 """Base of the entity tables: rows by key, with secondary indexes."""
 
+import weakref
+
 import msgspec
 
 from bilberryhaven import errors
+from bilberryhaven.tables import journal
 
 __all__ = ['Table']
 
@@ -24,6 +27,7 @@
     def __init__(self):
         self._rows = {}
         self._indexes = {field: {} for field in self.indexes}
+        self._journals = weakref.WeakSet()
 
     def __len__(self):
         return len(self._rows)
@@ -61,6 +65,7 @@
                 self._unlink(index, getattr(old, field), key)
             index.setdefault(value, {})[key] = None
         self._rows[key] = row
+        self._note(key)
 
     def update(self, key, **changes):
         """Set fields of the row at ``key`` and return the row."""
@@ -71,6 +76,7 @@
                 self._unlink(index, getattr(row, field), key)
                 index.setdefault(value, {})[key] = None
             setattr(row, field, value)
+        self._note(key)
         return row
 
     def remove(self, key):
@@ -79,8 +85,18 @@
         if row is not None:
             for field, index in self._indexes.items():
                 self._unlink(index, getattr(row, field), key)
+            self._note(key)
         return row
 
+    def watch(self):
+        """Return a new ``Journal`` of this table's changes.
+
+        It lives as long as its reader keeps it.
+        """
+        made = journal.Journal()
+        self._journals.add(made)
+        return made
+
     def select(self, field, value):
         """Return the rows whose indexed ``field`` equals ``value``."""
         keys = self._indexes[field].get(value, ())
@@ -97,9 +113,17 @@
     def load(self, data):
         """Replace all rows by those of ``dump``'s bytes."""
         rows = msgspec.msgpack.decode(data, type=list[self.row_class])
+        journals = self._journals
         self.__init__()
         for row in rows:
             self.put(row)
+        self._journals = journals
+        for watcher in journals:
+            watcher.mark_reset()
+
+    def _note(self, key):
+        for watcher in self._journals:
+            watcher.add(key)
 
     @staticmethod
     def _unlink(index, value, key):
--- a/bilberryhaven/tables/workload.py
+++ b/bilberryhaven/tables/workload.py
@@ -65,6 +65,15 @@
     version: int = 1
     held: str = ''
 
+    def merge_labels(self):
+        """Return its labels, with its name, kind and team."""
+        fixed = {
+            'workload': self.name,
+            'kind': str(self.kind),
+            'team': self.team,
+        }
+        return {**fixed, **self.labels}
+
 
 @tables.register('workloads')
 class WorkloadTable(table.Table):
