Add the entry: view, request core, routing, shell and role

Cause: callers had no way to reach a backend server. Change: a view fed by sync replies with per-zone candidate arrays, a sans-I/O request core (claims, dispatch, retry budgets, revocation, stored answers), two-choice routing with three baselines, health records, the HTTP shell with relayed API calls and batched heartbeats, and the role. The wire client gives up on connecting after 500 ms, so that a lost peer doesn't use up the deadline.

--- /dev/null
+++ b/bilberryhaven/entry/answers.py
@@ -0,0 +1,93 @@
+"""Stored answers, for callers that send the same request again."""
+
+import collections
+import dataclasses
+import datetime
+
+__all__ = ['Answer', 'AnswerStore']
+
+KEPT_FOR = datetime.timedelta(minutes=10)
+MAX_BYTES = 16 * 1024 * 1024
+MAX_ANSWERS = 50_000
+OVERHEAD_BYTES = 200
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Answer:
+    """The answer to a request.
+
+    Attributes:
+        request_id: The request's id.
+        instance: Instance that answered, or empty.
+        body: The whole answer.
+        error: The error in its place, or None.
+    """
+
+    request_id: str
+    instance: str = ''
+    body: bytes = b''
+    error: Exception | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Record:
+    fingerprint: str
+    answer: Answer
+    expires_at: datetime.timedelta
+    size: int
+
+
+class AnswerStore:
+    """Answers by request id, for a stated time and in bounded memory.
+
+    Args:
+        kept_for: How long an answer is kept.
+        max_bytes: Most bytes kept; the oldest answers go first.
+    """
+
+    def __init__(self, *, kept_for=KEPT_FOR, max_bytes=MAX_BYTES):
+        self._kept_for = kept_for
+        self._max_bytes = max_bytes
+        self._records = collections.OrderedDict()
+        self._size = 0
+
+    def __len__(self):
+        return len(self._records)
+
+    @property
+    def size(self):
+        """Bytes kept."""
+        return self._size
+
+    def find(self, request_id, now):
+        """Return the (fingerprint, answer) pair stored for an id, or None."""
+        self._expire(now)
+        record = self._records.get(request_id)
+        return None if record is None else (record.fingerprint, record.answer)
+
+    def put(self, answer, *, fingerprint, now):
+        """Store ``answer`` with the fingerprint of its request."""
+        self._drop(answer.request_id)
+        size = len(answer.body) + len(answer.request_id) + OVERHEAD_BYTES
+        self._records[answer.request_id] = _Record(
+            fingerprint=fingerprint,
+            answer=answer,
+            expires_at=now + self._kept_for,
+            size=size,
+        )
+        self._size += size
+        self._expire(now)
+
+    def _expire(self, now):
+        while self._records:
+            request_id, record = next(iter(self._records.items()))
+            full = self._size > self._max_bytes
+            full = full or len(self._records) > MAX_ANSWERS
+            if record.expires_at > now and not full:
+                return
+            self._drop(request_id)
+
+    def _drop(self, request_id):
+        record = self._records.pop(request_id, None)
+        if record is not None:
+            self._size -= record.size
--- /dev/null
+++ b/bilberryhaven/entry/api.py
@@ -0,0 +1,215 @@
+"""HTTP of an entry: callers' requests, relayed API calls, health."""
+
+import datetime
+
+import msgspec
+
+from bilberryhaven.entry import effect
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven import util
+from bilberryhaven.wire import message
+from bilberryhaven.wire import server
+
+__all__ = ['Api', 'RequestBody']
+
+REQUESTS = '/v1/requests'
+MAX_TIMEOUT_MS = 120_000
+DEFAULT_TIMEOUT_MS = 10_000
+MAX_KEY_LENGTH = 200
+CALL_TIMEOUT = datetime.timedelta(seconds=10)
+REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
+
+_logger = log.get_logger('api')
+
+
+class RequestBody(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Body of ``POST /v1/requests``.
+
+    Attributes:
+        workload: Name of a service workload.
+        body: The caller's input, any JSON value.
+        deadline_ms: Time until the answer is useless.
+        idempotent: Whether it may run more than once.
+        urgent: Whether it goes before others that wait.
+    """
+
+    workload: str
+    body: msgspec.Raw = msgspec.Raw(b'null')
+    deadline_ms: int = DEFAULT_TIMEOUT_MS
+    idempotent: bool = False
+    urgent: bool = True
+
+
+class Api:
+    """Answers the paths that are no messages.
+
+    Args:
+        service: An ``EntryService``.
+        leader: A ``LeaderClient``.
+        metrics: The entry's ``Metrics``.
+    """
+
+    def __init__(self, *, service, leader, metrics):
+        self._service = service
+        self._leader = leader
+        self._metrics = metrics
+
+    def handle(self, environ, body):
+        """Return the ``Response`` to an HTTP request.
+
+        Args:
+            environ: Its WSGI environ.
+            body: Its body's bytes.
+        """
+        try:
+            return self._route(environ, body)
+        except errors.BilberryhavenError as error:
+            return build_error_response(error)
+        except Exception as error:  # noqa: BLE001
+            _logger.exception('a request failed')
+            fault = errors.InternalError(repr(error), step='serve')
+            return build_error_response(fault)
+
+    def _route(self, environ, body):
+        method = environ['REQUEST_METHOD']
+        path = environ['PATH_INFO']
+        if path == REQUESTS:
+            return self._serve_request(method, environ, body)
+        if path.startswith(f'{REQUESTS}/'):
+            return self._serve_cancel(method, path[len(REQUESTS) + 1 :])
+        if path.startswith('/v1/'):
+            return self._relay(method, path, environ, body)
+        if path == '/healthz':
+            return server.Response(body=b'{"status": "ok"}')
+        if path == '/readyz':
+            return self._serve_ready()
+        if path == '/metrics':
+            return self._serve_metrics()
+        raise errors.NotFoundError(f'there is no {path}', step='serve')
+
+    def _serve_request(self, method, environ, body):
+        if method != 'POST':
+            return _refuse_method(method)
+        request = parse_request(environ.get('HTTP_IDEMPOTENCY_KEY'), body)
+        answer = self._service.answer(request)
+        if answer.error is not None:
+            return build_error_response(answer.error)
+        return server.Response(body=_encode_answer(answer))
+
+    def _serve_cancel(self, method, request_id):
+        if method != 'DELETE':
+            return _refuse_method(method)
+        if not self._service.cancel(request_id):
+            raise errors.NotFoundError(
+                'no such request is in progress here',
+                step='cancel',
+                outcome=errors.Outcome.UNKNOWN,
+                request_id=request_id,
+            )
+        return server.Response(
+            status=202, body=msgspec.json.encode({'request_id': request_id})
+        )
+
+    def _relay(self, method, path, environ, body):
+        call = message.CallRequest(
+            method=method,
+            path=path,
+            query=environ.get('QUERY_STRING', ''),
+            body=body,
+            by=environ.get('HTTP_X_FORWARDED_USER', ''),
+        )
+        keyed = bool(environ.get('HTTP_IDEMPOTENCY_KEY'))
+        reply = self._leader.send(
+            call,
+            timeout=CALL_TIMEOUT,
+            step='relay call',
+            repeatable=keyed or method in REPEATABLE_METHODS,
+        )
+        return server.Response(status=reply.status, body=reply.body)
+
+    def _serve_ready(self):
+        if self._service.is_ready():
+            return server.Response(body=b'{"status": "ready"}')
+        error = errors.UnavailableError(
+            'the entry is stopping or has no lease', step='readyz'
+        )
+        return build_error_response(error)
+
+    def _serve_metrics(self):
+        text, headers = self._metrics.render(pending=self._service.pending)
+        return server.Response(
+            body=text, content_type=headers.get('Content-Type', 'text/plain')
+        )
+
+
+def parse_request(key, body):
+    """Return the ``Request`` in an HTTP body.
+
+    Args:
+        key: Value of ``Idempotency-Key``, or None.
+        body: The JSON text.
+
+    Raises:
+        BadInputError: Key or body isn't allowed.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=RequestBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.BadInputError(str(error), step='read request') from error
+    if not 0 < fields.deadline_ms <= MAX_TIMEOUT_MS:
+        raise errors.BadInputError(
+            f'deadline_ms is not in 1 to {MAX_TIMEOUT_MS}', step='read request'
+        )
+    if key is not None and not _is_key(key):
+        raise errors.BadInputError(
+            f'Idempotency-Key is not 1 to {MAX_KEY_LENGTH} printable '
+            'ASCII characters',
+            step='read request',
+        )
+    return effect.Request(
+        id=key or util.create_id('req'),
+        workload=fields.workload,
+        body=bytes(fields.body),
+        timeout=datetime.timedelta(milliseconds=fields.deadline_ms),
+        idempotent=fields.idempotent,
+        urgent=fields.urgent,
+        keyed=key is not None,
+    )
+
+
+def build_error_response(error):
+    """Return the ``Response`` that tells a caller of ``error``."""
+    headers = {}
+    if error.retry_after is not None:
+        headers['Retry-After'] = str(max(1, round(error.retry_after)))
+    return server.Response(
+        status=error.status,
+        body=msgspec.json.encode(error.to_dict()),
+        headers=headers,
+    )
+
+
+def _is_key(key):
+    printable = key.isascii() and key.isprintable()
+    return printable and 0 < len(key) <= MAX_KEY_LENGTH
+
+
+def _refuse_method(method):
+    error = errors.BadInputError(f'{method} is not allowed', step='serve')
+    response = build_error_response(error)
+    response.status = 405
+    return response
+
+
+def _encode_answer(answer):
+    """Return the JSON answer; a body that is no JSON goes in as text."""
+    fields = {'request_id': answer.request_id, 'instance': answer.instance}
+    try:
+        msgspec.json.decode(answer.body)
+        fields['body'] = msgspec.Raw(answer.body)
+    except msgspec.MsgspecError:
+        fields['body'] = answer.body.decode('utf-8', 'replace')
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/bilberryhaven/entry/leader.py
@@ -0,0 +1,117 @@
+"""Client of the leader: finds it among the control instances."""
+
+import datetime
+import threading
+
+from bilberryhaven import errors
+
+__all__ = ['LeaderClient']
+
+ATTEMPT_TIMEOUT = datetime.timedelta(seconds=2)
+PAUSE = datetime.timedelta(milliseconds=50)
+MAX_PAUSE = datetime.timedelta(milliseconds=500)
+
+
+class LeaderClient:
+    """Sends messages to the leader, wherever it is.
+
+    Args:
+        addresses: HOST:PORT of the control instances.
+        client: A ``wire`` client.
+        clock: Source of time.
+    """
+
+    def __init__(self, *, addresses, client, clock):
+        self._addresses = list(addresses)
+        self._client = client
+        self._clock = clock
+        self._leader = ''
+        self._turn = 0
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+
+    def send(self, msg, *, timeout, step, repeatable=True):
+        """Send ``msg`` to the leader and return its reply.
+
+        Args:
+            msg: A typed message.
+            timeout: Longest time for all attempts.
+            step: What the message is for.
+            repeatable: Whether it may be sent again after its outcome is
+                unknown.
+
+        Raises:
+            UnavailableError: No leader was reached in time.
+            PeerError: The answer was lost.
+            BilberryhavenError: The leader refused.
+        """
+        deadline = self._clock.monotonic() + timeout
+        pause = PAUSE
+        last = None
+        while not self._closed.is_set():
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= datetime.timedelta():
+                break
+            address = self._pick()
+            try:
+                return self._client.send(
+                    address,
+                    msg,
+                    timeout=min(remaining, ATTEMPT_TIMEOUT),
+                    step=step,
+                )
+            except errors.NotLeaderError as error:
+                last = error
+                if self._follow(address, error.peer):
+                    continue
+            except errors.PeerError as error:
+                last = error
+                self._forget(address)
+                lost = error.outcome != errors.Outcome.NOT_RUN
+                if lost and not repeatable:
+                    raise
+            self._closed.wait(min(pause, remaining).total_seconds())
+            pause = min(2 * pause, MAX_PAUSE)
+        raise _build_unavailable(last, step)
+
+    def close(self):
+        """End all attempts."""
+        self._closed.set()
+
+    def _pick(self):
+        with self._lock:
+            if self._leader:
+                return self._leader
+            if not self._addresses:
+                raise errors.UnavailableError(
+                    'the settings name no control instance', step='find leader'
+                )
+            self._turn += 1
+            return self._addresses[self._turn % len(self._addresses)]
+
+    def _follow(self, asked, named):
+        """Remember the leader that was named; return whether it is new."""
+        with self._lock:
+            known = bool(named) and named != asked
+            self._leader = named if known else ''
+            return known
+
+    def _forget(self, address):
+        with self._lock:
+            if self._leader == address:
+                self._leader = ''
+
+
+def _build_unavailable(last, step):
+    text = 'no leader was reached'
+    outcome = errors.Outcome.NOT_RUN
+    if last is not None:
+        text = f'{text}; last: {last.message}'
+        outcome = last.outcome
+    return errors.UnavailableError(
+        text,
+        step=step,
+        peer=last.peer if last else '',
+        outcome=outcome,
+        retry_after=1,
+    )
--- /dev/null
+++ b/bilberryhaven/entry/request.py
@@ -0,0 +1,592 @@
+"""Request core: each request from its arrival to its one answer.
+
+The core does no input or output. Each method takes one event and returns
+the effects that the shell carries out, whose results come back as events.
+"""
+
+import dataclasses
+import datetime
+import enum
+
+from bilberryhaven.entry import answers
+from bilberryhaven.entry import budget
+from bilberryhaven.entry import effect
+from bilberryhaven.entry import routing
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven import util
+
+__all__ = ['Limits', 'RequestCore']
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+ORIGIN = datetime.timedelta()
+RESERVE_SHARE = 0.1
+MAX_RESERVE = 100 * MILLISECOND
+HOP_MARGIN = 2 * MILLISECOND
+MAX_RESYNC = 500 * MILLISECOND
+REVOKE_TIMEOUT = 500 * MILLISECOND
+REFUSALS = frozenset({'overload', 'draining', 'refused', 'deadline'})
+CALLER_FAULTS = frozenset({'bad_input', 'not_found', 'conflict'})
+
+_logger = log.get_logger('entry')
+
+
+@dataclasses.dataclass(kw_only=True, frozen=True)
+class Limits:
+    """Bounds of a request core.
+
+    Attributes:
+        pending: Requests in progress at a time.
+        callers: Callers that wait for the same request.
+        attempts: Dispatches of one request.
+        retry_share: Retries as a share of requests.
+        retry_burst: Retries that may come at once.
+        failover_share: Retries after a connection that was never made, as
+            a share of requests; they add no load to any agent.
+        failover_burst: Such retries that may come at once.
+        max_timeout: Longest time until a request's deadline.
+    """
+
+    pending: int = 512
+    callers: int = 16
+    attempts: int = 4
+    retry_share: float = 0.08
+    retry_burst: int = 10
+    failover_share: float = 0.5
+    failover_burst: int = 100
+    max_timeout: datetime.timedelta = datetime.timedelta(seconds=120)
+
+
+class Step(enum.Enum):
+    """What a request waits for."""
+
+    CLAIM = 'claim'
+    DISPATCH = 'dispatch'
+    REVOKE = 'revoke'
+    RESYNC = 'resync'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Pending:
+    request: effect.Request
+    fingerprint: str
+    deadline: datetime.timedelta
+    repeatable: bool
+    callers: list
+    step: Step = Step.DISPATCH
+    holder: str = ''
+    dispatch: effect.Dispatch | None = None
+    attempts: int = 0
+    excluded: list = dataclasses.field(default_factory=list)
+    cancelled: bool = False
+    last_error: errors.BilberryhavenError | None = None
+    earlier: errors.Outcome = errors.Outcome.NOT_RUN
+
+    @property
+    def may_repeat(self):
+        return self.request.idempotent and self.repeatable
+
+
+class RequestCore:
+    """Decides what happens to each request.
+
+    Args:
+        name: Name of the entry.
+        view: Its ``View``.
+        policy: Its routing policy.
+        clock: Source of time.
+        random: Source of random numbers.
+        limits: Its ``Limits``.
+        store: Its ``AnswerStore``.
+    """
+
+    def __init__(
+        self, *, name, view, policy, clock, random, limits=None, store=None
+    ):
+        self.name = name
+        self.limits = limits or Limits()
+        self.draining = False
+        self.retries = 0
+        self.failovers = 0
+        self._view = view
+        self._clock = clock
+        self._router = routing.Router(
+            view=view, policy=policy, random=random, clock=clock
+        )
+        self._store = store or answers.AnswerStore()
+        self._retry_budget = budget.RetryBudget(
+            share=self.limits.retry_share, burst=self.limits.retry_burst
+        )
+        self._failover_budget = budget.RetryBudget(
+            share=self.limits.failover_share, burst=self.limits.failover_burst
+        )
+        self._pending = {}
+        self._holders = {}
+        self._claims = 0
+
+    def __len__(self):
+        return len(self._pending)
+
+    def submit(self, caller, request):
+        """Take in a caller's request.
+
+        Args:
+            caller: Opaque key of the caller, returned with its answer.
+            request: The ``Request``.
+        """
+        now = self._clock.monotonic()
+        fingerprint = _compute_fingerprint(request)
+        try:
+            found = self._find_known(caller, request, fingerprint, now)
+            if found is not None:
+                return found
+            workload = self._check(request, now)
+        except errors.BilberryhavenError as error:
+            return [self._refuse(caller, request, error)]
+        self._retry_budget.add_request()
+        self._failover_budget.add_request()
+        timeout = min(request.timeout, self.limits.max_timeout)
+        pending = _Pending(
+            request=request,
+            fingerprint=fingerprint,
+            deadline=now + timeout,
+            repeatable=workload.repeatable,
+            callers=[caller],
+        )
+        self._pending[request.id] = pending
+        if not workload.repeatable:
+            return self._claim(pending, now)
+        return self._dispatch(pending, now)
+
+    def handle_claim(self, claim, *, granted, error=None):
+        """Take in the leader's answer to a ``Claim``.
+
+        Args:
+            claim: The effect.
+            granted: Whether the claim was granted.
+            error: Why not.
+        """
+        pending = self._find(claim.request_id, Step.CLAIM)
+        if pending is None or pending.holder != claim.holder:
+            return []
+        if not granted:
+            return self._finish_error(pending, error)
+        return self._dispatch(pending, self._clock.monotonic())
+
+    def handle_reply(self, dispatch, reply):
+        """Take in the agent's ``AdmitReply`` to a ``Dispatch``."""
+        now = self._clock.monotonic()
+        if not self._settle(dispatch):
+            return []
+        fault = _check_whole(dispatch, reply)
+        if fault is None:
+            self._view.apply_load(dispatch.target, reply.load, at=now)
+        pending = self._find_dispatch(dispatch)
+        if fault is not None:
+            self._router.record_failure(dispatch)
+            return self._handle_lost(pending, fault, now) if pending else []
+        if not reply.code:
+            self._router.record_success(dispatch)
+            return self._answer(pending, dispatch, reply) if pending else []
+        error = _build_reply_error(dispatch, reply)
+        if _is_failure(error):
+            self._router.record_failure(dispatch)
+        return self._handle_error(pending, error, now) if pending else []
+
+    def handle_fault(self, dispatch, error):
+        """Take in that a ``Dispatch`` brought no whole reply.
+
+        Args:
+            dispatch: The effect.
+            error: A ``BilberryhavenError`` with the outcome.
+        """
+        if not self._settle(dispatch):
+            return []
+        now = self._clock.monotonic()
+        self._router.record_failure(dispatch)
+        pending = self._find_dispatch(dispatch)
+        if pending is None:
+            return []
+        if error.outcome == errors.Outcome.NOT_RUN:
+            return self._handle_error(pending, error, now, unreached=True)
+        return self._handle_lost(pending, error, now)
+
+    def handle_revoked(self, revoke, state):
+        """Take in the state of a revoked request.
+
+        Args:
+            revoke: The ``Revoke``.
+            state: ``not_run``, ``started``, ``finished``, or empty where
+                there was no reply.
+        """
+        pending = self._find(revoke.request_id, Step.REVOKE)
+        if pending is None or pending.dispatch is not revoke.dispatch:
+            return []
+        error = pending.last_error
+        now = self._clock.monotonic()
+        if state == 'not_run':
+            error.outcome = errors.Outcome.NOT_RUN
+            return self._handle_error(pending, error, now)
+        if state == 'finished':
+            error.outcome = errors.Outcome.RAN
+        if pending.may_repeat:
+            return self._retry(pending, error, now)
+        return self._finish_error(pending, error)
+
+    def handle_synced(self, request_id):
+        """Take in that the view was renewed after a ``Resync``."""
+        pending = self._find(request_id, Step.RESYNC)
+        if pending is None:
+            return []
+        return self._dispatch(pending, self._clock.monotonic())
+
+    def cancel(self, request_id):
+        """Stop a request: revoke it, and retry it no more."""
+        pending = self._pending.get(request_id)
+        if pending is None or pending.cancelled:
+            return []
+        pending.cancelled = True
+        if pending.step is Step.DISPATCH:
+            return [self._revoke(pending, self._clock.monotonic(), False)]
+        return []
+
+    def knows(self, request_id):
+        """Return whether a request is in progress."""
+        return request_id in self._pending
+
+    def leave(self, caller, request_id):
+        """Take in that a caller waits no longer; it is told so."""
+        pending = self._pending.get(request_id)
+        if pending is None or caller not in pending.callers:
+            return []
+        if pending.callers == [caller]:
+            return self._expire(pending)
+        pending.callers.remove(caller)
+        error = _build_deadline_error(pending)
+        error.request_id = request_id
+        answer = answers.Answer(request_id=request_id, error=error)
+        return [effect.Respond(caller=caller, answer=answer)]
+
+    def tick(self):
+        """Take in that time has passed; ends what is past its deadline."""
+        now = self._clock.monotonic()
+        effects = []
+        for pending in list(self._pending.values()):
+            if now >= pending.deadline:
+                effects += self._expire(pending)
+        return effects
+
+    def _expire(self, pending):
+        error = _build_deadline_error(pending)
+        if pending.step in (Step.CLAIM, Step.RESYNC):
+            error.outcome = errors.Outcome.NOT_RUN
+        return self._finish_error(pending, error)
+
+    def _find_known(self, caller, request, fingerprint, now):
+        stored = self._store.find(request.id, now)
+        pending = self._pending.get(request.id)
+        if stored is None and pending is None:
+            return None
+        known = stored[0] if stored is not None else pending.fingerprint
+        if known != fingerprint:
+            raise errors.ConflictError(
+                'the request id was used for another request', step='receive'
+            )
+        if stored is not None:
+            return [effect.Respond(caller=caller, answer=stored[1])]
+        if len(pending.callers) >= self.limits.callers:
+            raise errors.OverloadError(
+                'too many callers wait for this request',
+                step='receive',
+                outcome=errors.Outcome.UNKNOWN,
+                retry_after=1,
+            )
+        pending.callers.append(caller)
+        return []
+
+    def _check(self, request, now):
+        if self.draining:
+            raise errors.DrainingError(
+                'the entry is stopping', step='receive', retry_after=1
+            )
+        if not self._view.has_lease(now):
+            raise errors.LeaseLapsedError(
+                'the entry has no lease from the leader',
+                step='receive',
+                retry_after=1,
+            )
+        if request.timeout <= ORIGIN:
+            raise errors.DeadlineError(
+                'the deadline has passed',
+                step='receive',
+                outcome=errors.Outcome.NOT_RUN,
+            )
+        if len(self._pending) >= self.limits.pending:
+            raise errors.OverloadError(
+                'the entry has too many requests in progress',
+                step='receive',
+                retry_after=1,
+            )
+        return self._router.check_workload(request.workload)
+
+    def _claim(self, pending, now):
+        request = pending.request
+        pending.holder = self._holders.get(request.id, '')
+        if not pending.holder:
+            self._claims += 1
+            pending.holder = f'{self.name}/{self._claims}'
+        pending.step = Step.CLAIM
+        timeout = pending.deadline - now
+        return [
+            effect.Claim(
+                request_id=request.id,
+                workload=request.workload,
+                holder=pending.holder,
+                timeout=timeout,
+            )
+        ]
+
+    def _dispatch(self, pending, now):
+        request = pending.request
+        reserve = _compute_reserve(request)
+        remaining = pending.deadline - reserve - now
+        try:
+            choice = self._router.choose(
+                request, excluded=pending.excluded, remaining=remaining
+            )
+        except errors.BilberryhavenError as error:
+            return self._finish_error(pending, pending.last_error or error)
+        target = choice.target
+        pending.attempts += 1
+        pending.step = Step.DISPATCH
+        pending.last_error = None
+        way = target.distance_ms * MILLISECOND + HOP_MARGIN
+        deadline_ms = max(int((remaining - way) / MILLISECOND), 1)
+        pending.dispatch = effect.Dispatch(
+            request_id=request.id,
+            target=target,
+            address=target.address,
+            message=routing.build_admit_request(
+                request,
+                entry=self.name,
+                deadline_ms=deadline_ms,
+                attempt=pending.attempts,
+                revision=self._view.revision,
+            ),
+            timeout=remaining,
+            sent_at=now,
+        )
+        target.in_flight += 1
+        return [pending.dispatch]
+
+    def _settle(self, dispatch):
+        if dispatch.settled:
+            return False
+        dispatch.settled = True
+        dispatch.target.settle()
+        return True
+
+    def _answer(self, pending, dispatch, reply):
+        answer = answers.Answer(
+            request_id=pending.request.id,
+            instance=dispatch.target.name,
+            body=reply.body,
+        )
+        return self._finish(pending, answer)
+
+    def _handle_error(self, pending, error, now, unreached=False):
+        """Go on after an attempt that ended with ``error``."""
+        if error.code in CALLER_FAULTS:
+            return self._finish_error(pending, error)
+        if error.outcome == errors.Outcome.NOT_RUN or (
+            error.outcome == errors.Outcome.RAN and pending.may_repeat
+        ):
+            return self._retry(pending, error, now, unreached=unreached)
+        if error.outcome == errors.Outcome.UNKNOWN:
+            return self._handle_lost(pending, error, now)
+        return self._finish_error(pending, error)
+
+    def _handle_lost(self, pending, error, now):
+        """Go on after an attempt of which the outcome is unknown."""
+        pending.last_error = error
+        if pending.may_repeat and self._has_time(pending, now):
+            revoke = self._revoke(pending, now, False)
+            return [revoke, *self._retry(pending, error, now)]
+        if now >= pending.deadline:
+            return self._finish_error(pending, error)
+        pending.step = Step.REVOKE
+        return [self._revoke(pending, now, True)]
+
+    def _has_time(self, pending, now):
+        return now < pending.deadline - _compute_reserve(pending.request)
+
+    def _revoke(self, pending, now, awaited):
+        remaining = max(pending.deadline - now, MILLISECOND)
+        return effect.Revoke(
+            request_id=pending.request.id,
+            address=pending.dispatch.address,
+            timeout=min(remaining, REVOKE_TIMEOUT),
+            dispatch=pending.dispatch,
+            awaited=awaited,
+        )
+
+    def _retry(self, pending, error, now, unreached=False):
+        pending.last_error = error
+        if error.outcome != errors.Outcome.NOT_RUN:
+            pending.earlier = error.outcome
+        refused = error.code == errors.RefusedError.code
+        if not refused:
+            pending.excluded.append(pending.dispatch.target)
+        if not self._may_retry(pending, now, unreached or refused):
+            return self._finish_error(pending, error)
+        if refused:
+            pending.step = Step.RESYNC
+            timeout = min(MAX_RESYNC, pending.deadline - now)
+            return [
+                effect.Resync(request_id=pending.request.id, timeout=timeout)
+            ]
+        return self._dispatch(pending, now)
+
+    def _may_retry(self, pending, now, unreached):
+        if pending.cancelled or not self._has_time(pending, now):
+            return False
+        if pending.attempts >= self.limits.attempts:
+            return False
+        if not self._view.has_lease(now):
+            return False
+        if unreached:
+            allowed = self._failover_budget.take()
+            self.failovers += allowed
+        else:
+            allowed = self._retry_budget.take()
+            self.retries += allowed
+        return allowed
+
+    def _find(self, request_id, step):
+        pending = self._pending.get(request_id)
+        return pending if pending and pending.step is step else None
+
+    def _find_dispatch(self, dispatch):
+        pending = self._pending.get(dispatch.request_id)
+        if pending is None or pending.dispatch is not dispatch:
+            return None
+        return pending if pending.step is Step.DISPATCH else None
+
+    def _finish_error(self, pending, error):
+        if error is None:
+            error = _build_deadline_error(pending)
+        error.request_id = pending.request.id
+        if error.outcome == errors.Outcome.NOT_RUN:
+            error.outcome = pending.earlier
+        if pending.holder:
+            self._keep_claim(pending, error)
+        answer = answers.Answer(request_id=pending.request.id, error=error)
+        return self._finish(pending, answer)
+
+    def _keep_claim(self, pending, error):
+        """Keep the claim of a request that truly did not run."""
+        if error.outcome == errors.Outcome.NOT_RUN:
+            self._holders[pending.request.id] = pending.holder
+            while len(self._holders) > answers.MAX_ANSWERS:
+                del self._holders[next(iter(self._holders))]
+        else:
+            self._holders.pop(pending.request.id, None)
+
+    def _finish(self, pending, answer):
+        del self._pending[pending.request.id]
+        if answer.error is None:
+            self._holders.pop(pending.request.id, None)
+        if pending.request.keyed and _is_final(pending, answer.error):
+            self._store.put(
+                answer,
+                fingerprint=pending.fingerprint,
+                now=self._clock.monotonic(),
+            )
+        return [
+            effect.Respond(caller=caller, answer=answer)
+            for caller in pending.callers
+        ]
+
+    def _refuse(self, caller, request, error):
+        error.request_id = request.id
+        log.log_decision(
+            _logger,
+            'refuse',
+            reason=error.message,
+            request_id=request.id,
+            workload=request.workload,
+            code=error.code,
+        )
+        answer = answers.Answer(request_id=request.id, error=error)
+        return effect.Respond(caller=caller, answer=answer)
+
+
+def _compute_fingerprint(request):
+    if not request.keyed:
+        return ''
+    return util.compute_digest(
+        request.workload.encode() + b'\0' + request.body
+    )
+
+
+def _compute_reserve(request):
+    """Return the part of the time kept for a revocation at the end."""
+    return min(request.timeout * RESERVE_SHARE, MAX_RESERVE)
+
+
+def _check_whole(dispatch, reply):
+    """Return the fault of a reply that isn't whole or isn't its own."""
+    if reply.request_id != dispatch.request_id:
+        problem = "another request's answer"
+    elif reply.code:
+        return None
+    elif reply.length != len(reply.body):
+        problem = f'{len(reply.body)} of {reply.length} bytes'
+    elif reply.digest != util.compute_digest(reply.body):
+        problem = 'the digest differs'
+    else:
+        return None
+    return errors.TruncatedAnswerError(
+        problem, step='dispatch', peer=dispatch.target.name
+    )
+
+
+def _build_reply_error(dispatch, reply):
+    error = errors.build_error(
+        {
+            'code': reply.code,
+            'message': reply.message,
+            'step': reply.step or 'admit',
+            'peer': dispatch.target.name,
+            'outcome': reply.outcome or errors.Outcome.UNKNOWN,
+        }
+    )
+    if reply.retry_after_ms:
+        error.retry_after = reply.retry_after_ms / 1000
+    return error
+
+
+def _is_failure(error):
+    """Return whether ``error`` speaks against the instance."""
+    if error.code in CALLER_FAULTS:
+        return False
+    refused = error.outcome == errors.Outcome.NOT_RUN
+    return not (refused and error.code in REFUSALS)
+
+
+def _build_deadline_error(pending):
+    peer = pending.dispatch.target.name if pending.dispatch else ''
+    return errors.DeadlineError(
+        'the deadline passed before there was an answer',
+        step=pending.step.value,
+        peer=peer,
+    )
+
+
+def _is_final(pending, error):
+    """Return whether a resend must get this answer again."""
+    if error is None:
+        return True
+    if error.outcome == errors.Outcome.NOT_RUN:
+        return False
+    return not pending.may_repeat
--- /dev/null
+++ b/bilberryhaven/entry/routing.py
@@ -0,0 +1,197 @@
+"""Routing: checks a workload and asks the policy for an instance."""
+
+import datetime
+
+from bilberryhaven.entry import health
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.policies import route_base
+from bilberryhaven.wire import message
+
+__all__ = ['Router', 'build_admit_request']
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+SMOOTHING = 0.1
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 50.0
+
+_logger = log.get_logger('routing')
+
+
+class Router:
+    """Chooses the instance of each attempt and learns from its result.
+
+    Args:
+        view: The entry's ``View``.
+        policy: A ``RoutePolicy``.
+        random: Source of random numbers.
+        clock: Source of time.
+    """
+
+    def __init__(self, *, view, policy, random, clock):
+        self._view = view
+        self._policy = policy
+        self._random = random
+        self._clock = clock
+        self._monitor = health.Monitor(view=view)
+        self._means = {}
+
+    def check_workload(self, name):
+        """Return the ``WorkloadView`` called ``name`` if it takes requests.
+
+        Raises:
+            NotFoundError: There is no such workload.
+            BadInputError: It takes jobs, not requests.
+            RefusedError: It is held.
+        """
+        workload = self._view.workloads.get(name)
+        if workload is None:
+            raise errors.NotFoundError(
+                f'no workload is called {name!r}', step='route'
+            )
+        if workload.kind != 'service':
+            raise errors.BadInputError(
+                f'{name!r} is no service; submit a job', step='route'
+            )
+        if workload.held:
+            raise errors.RefusedError(
+                f'{name!r} is held: {workload.held}', step='route'
+            )
+        if self._monitor.check_hold(name, self._clock.monotonic()):
+            raise errors.UnavailableError(
+                f'{name!r} fails on every instance that was tried',
+                step='route',
+                retry_after=1,
+            )
+        return workload
+
+    def choose(self, request, *, excluded, remaining):
+        """Return the ``Choice`` for a request and log it.
+
+        Args:
+            request: The ``Request``.
+            excluded: Targets that were tried.
+            remaining: Time left for the answer.
+
+        Raises:
+            BilberryhavenError: Nothing can take the request in time.
+        """
+        if remaining <= datetime.timedelta():
+            raise errors.DeadlineError(
+                'the deadline has passed',
+                step='route',
+                outcome=errors.Outcome.NOT_RUN,
+            )
+        workload = self._view.workloads.get(request.workload)
+        if workload is None:
+            raise errors.NotFoundError(
+                f'no workload is called {request.workload!r}', step='route'
+            )
+        pool = self._view.get_pool(workload)
+        choice = self._pick(request, pool, excluded)
+        if choice is None:
+            raise self._explain_none(workload, pool, excluded)
+        self._check_time(choice, remaining)
+        self._log(request, choice)
+        return choice
+
+    def record_success(self, dispatch):
+        """Learn from an answer."""
+        target, workload = dispatch.target, dispatch.message.workload
+        self._monitor.record_success(workload, target)
+        elapsed = self._clock.monotonic() - dispatch.sent_at
+        spent = max(elapsed / MILLISECOND - target.distance_ms, 0.01)
+        mean = self._means.get(workload, spent)
+        ratio = min(max(spent / mean, MIN_SLOWNESS), MAX_SLOWNESS)
+        target.slowness += SMOOTHING * (ratio - target.slowness)
+        share = SMOOTHING / 4 if spent > 2 * mean else SMOOTHING
+        self._means[workload] = mean + share * (spent - mean)
+
+    def record_failure(self, dispatch):
+        """Learn from a failure."""
+        self._monitor.record_failure(
+            dispatch.message.workload,
+            dispatch.target,
+            self._clock.monotonic(),
+        )
+
+    def _pick(self, request, pool, excluded):
+        now = self._clock.monotonic()
+        if pool.aside:
+            probe = self._monitor.pick_probe(
+                pool, excluded, self._random, now, request.idempotent
+            )
+            if probe is not None:
+                return route_base.Choice(target=probe, reason='probe')
+        question = route_base.Question(
+            workload=request.workload,
+            pool=pool,
+            excluded=excluded,
+            mean_ms=self._means.get(request.workload, 0.0),
+            slowdowns=self._view.slowdowns,
+        )
+        choice = self._policy.choose(question)
+        if choice is None:
+            choice = self._pick_aside(pool, excluded)
+        return choice
+
+    def _pick_aside(self, pool, excluded):
+        """Return a quarantined instance where no other is left."""
+        rows = pool.aside.draw(self._random, 1, excluded)
+        if not rows:
+            return None
+        return route_base.Choice(target=rows[0], reason='all quarantined')
+
+    def _explain_none(self, workload, pool, excluded):
+        if excluded:
+            text = f'each of {len(excluded)} instances tried refused it'
+        elif not self._view.targets:
+            text = 'no instance is known'
+        else:
+            text = f'no instance in service matches {workload.runs_on!r}'
+        return errors.UnavailableError(
+            f'{workload.name!r}: {text}', step='route', retry_after=1
+        )
+
+    def _check_time(self, choice, remaining):
+        target = choice.target
+        busy = target.estimate_used() >= target.slots
+        if busy and choice.wait_ms > remaining / MILLISECOND:
+            raise errors.OverloadError(
+                'no instance can answer before the deadline',
+                step='route',
+                peer=target.name,
+                retry_after=1,
+            )
+
+    def _log(self, request, choice):
+        target = choice.target
+        log.log_decision(
+            _logger,
+            'route',
+            reason=choice.reason,
+            request_id=request.id,
+            workload=request.workload,
+            instance=target.name,
+            wait_ms=round(choice.wait_ms, 3),
+            cost_ms=round(choice.cost_ms, 3),
+            used=target.estimate_used(),
+            slowness=round(target.slowness, 3),
+            failing=round(target.health.share, 3),
+            rivals=choice.rivals,
+        )
+
+
+def build_admit_request(request, *, entry, deadline_ms, attempt, revision):
+    """Return the message that offers ``request`` to an agent."""
+    return message.AdmitRequest(
+        request_id=request.id,
+        workload=request.workload,
+        body=request.body,
+        deadline_ms=deadline_ms,
+        urgent=request.urgent,
+        idempotent=request.idempotent,
+        entry=entry,
+        attempt=attempt,
+        revision=revision,
+    )
--- /dev/null
+++ b/bilberryhaven/entry/sync.py
@@ -0,0 +1,79 @@
+"""Keeps the entry's view and lease up to date with the leader."""
+
+import dataclasses
+import datetime
+
+import pykka
+
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import message
+
+__all__ = ['Renew', 'SyncActor']
+
+TIMEOUT = datetime.timedelta(seconds=2)
+
+_logger = log.get_logger('sync')
+
+
+@dataclasses.dataclass(kw_only=True, frozen=True)
+class Renew:
+    """Ask for a renewal that is sent after ``wanted_at``."""
+
+    wanted_at: datetime.timedelta
+
+
+class SyncActor(pykka.ThreadingActor):
+    """Renews the lease and takes in changes.
+
+    Args:
+        name: Name of the entry.
+        view: Its ``View``.
+        lock: Lock that guards the view.
+        leader: A ``LeaderClient``.
+        clock: Source of time.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, name, view, lock, leader, clock):
+        super().__init__()
+        self._name = name
+        self._view = view
+        self._lock = lock
+        self._leader = leader
+        self._clock = clock
+        self._sent_at = datetime.timedelta(microseconds=-1)
+        self._failing = False
+
+    def on_receive(self, order):
+        """Renew unless a renewal was sent since it was asked for."""
+        if order.wanted_at > self._sent_at:
+            self._renew()
+        return None
+
+    def _renew(self):
+        view = self._view
+        request = message.SyncRequest(
+            entry=self._name,
+            zone=view.zone,
+            revision=view.revision,
+            feed=view.feed,
+            cursor=view.cursor,
+        )
+        sent_at = self._clock.monotonic()
+        try:
+            reply = self._leader.send(request, timeout=TIMEOUT, step='sync')
+        except errors.BilberryhavenError as error:
+            self._report(error)
+            return
+        with self._lock:
+            now = self._clock.monotonic()
+            view.apply(reply, sent_at=sent_at, now=now)
+        self._sent_at = sent_at
+        self._failing = False
+
+    def _report(self, error):
+        if not self._failing:
+            _logger.warning('the view was not renewed: {}', error)
+        self._failing = True
--- /dev/null
+++ b/bilberryhaven/roles/entry.py
@@ -0,0 +1,183 @@
+"""The entry role: wiring only."""
+
+import concurrent.futures
+import datetime
+import random
+import signal
+import threading
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.entry import api
+from bilberryhaven.entry import leader
+from bilberryhaven.entry import metrics
+from bilberryhaven.entry import relay
+from bilberryhaven.entry import request
+from bilberryhaven.entry import service
+from bilberryhaven.entry import sync
+from bilberryhaven.entry import ticker
+from bilberryhaven.entry import view
+from bilberryhaven import policies
+from bilberryhaven import util
+from bilberryhaven.wire import client
+from bilberryhaven.wire import message
+from bilberryhaven.wire import server
+
+__all__ = ['EntryRole', 'run']
+
+THREADS = 64
+POLICY = 'two_choice'
+SYNC_INTERVAL = datetime.timedelta(seconds=1)
+DRAIN_TIMEOUT = datetime.timedelta(seconds=125)
+KILL_SECONDS = 1
+RELAY_TIMEOUT = datetime.timedelta(seconds=3)
+
+
+class EntryRole:
+    """One entry process.
+
+    Args:
+        settings: The process's ``Settings``.
+        clock: Source of time.
+    """
+
+    def __init__(self, *, settings, clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        name = settings.name
+        delays = {zone.name: zone.delay_ms for zone in settings.zones}
+        self._view = view.View(zone=settings.zone, delays=delays)
+        self._client = client.Client()
+        self._leader = leader.LeaderClient(
+            addresses=settings.control, client=self._client, clock=clock
+        )
+        source = random.Random()
+        self._core = request.RequestCore(
+            name=util.create_id(name),
+            view=self._view,
+            policy=policies.get_policy_by_name(POLICY)(random=source),
+            clock=clock,
+            random=source,
+        )
+        self._metrics = metrics.Metrics()
+        self._server = server.Server(
+            address=settings.listen,
+            handlers={message.Heartbeat: self._relay_heartbeat},
+            fallback=self._handle,
+            threads=THREADS,
+        )
+        self._name = name
+        self._api = None
+        self._service = None
+        self._tickers = []
+        self._actors = []
+
+    @property
+    def address(self):
+        """HOST:PORT that it listens on, once started."""
+        return self._server.address
+
+    def start(self):
+        """Start to serve."""
+        self._start_actors()
+        self._service = service.EntryService(
+            name=self._name,
+            core=self._core,
+            view=self._view,
+            lock=self._lock,
+            client=self._client,
+            leader=self._leader,
+            syncer=self._syncer,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        self._api = api.Api(
+            service=self._service, leader=self._leader, metrics=self._metrics
+        )
+        self._server.start()
+        self._start_tickers()
+
+    def stop(self):
+        """Take nothing new, finish what is in progress, then stop."""
+        if self._service is not None:
+            self._service.drain(DRAIN_TIMEOUT)
+        self._server.stop()
+        self._close()
+
+    def kill(self):
+        """Stop at once, whatever is in progress."""
+        self._close()
+        closer = threading.Thread(target=self._server.stop, daemon=True)
+        closer.start()
+        closer.join(KILL_SECONDS)
+
+    def _close(self):
+        for item in self._tickers:
+            item.stop()
+        self._leader.close()
+        for actor in self._actors:
+            actor.stop(block=False)
+        if self._service is not None:
+            self._service.close()
+        self._client.close()
+
+    def is_ready(self):
+        """Return whether it takes new requests."""
+        return self._service is not None and self._service.is_ready()
+
+    def _start_actors(self):
+        self._syncer = sync.SyncActor.start(
+            name=self._name,
+            view=self._view,
+            lock=self._lock,
+            leader=self._leader,
+            clock=self._clock,
+        )
+        self._relay = relay.HeartbeatActor.start(
+            name=self._name,
+            leader=self._leader,
+            on_revision=self._notice_revision,
+        )
+        self._actors = [self._syncer, self._relay]
+
+    def _start_tickers(self):
+        self._tickers = [
+            ticker.Ticker(interval=SYNC_INTERVAL, func=self._tick),
+            ticker.Ticker(interval=relay.WINDOW, func=self._flush),
+        ]
+        for item in self._tickers:
+            item.start()
+
+    def _tick(self):
+        self._renew()
+        self._service.sweep()
+
+    def _renew(self):
+        self._syncer.tell(sync.Renew(wanted_at=self._clock.monotonic()))
+
+    def _flush(self):
+        self._relay.tell(relay.Flush())
+
+    def _notice_revision(self, revision):
+        if revision > self._view.revision:
+            self._renew()
+
+    def _handle(self, environ, body):
+        return self._api.handle(environ, body)
+
+    def _relay_heartbeat(self, heartbeat):
+        offer = relay.Offer(
+            heartbeat=heartbeat, future=concurrent.futures.Future()
+        )
+        self._relay.tell(offer)
+        return offer.future.result(RELAY_TIMEOUT.total_seconds())
+
+
+def run(settings, clock=None):
+    """Run an entry until the process is told to stop."""
+    role = EntryRole(settings=settings, clock=clock or clocks.SystemClock())
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    role.start()
+    stopped.wait()
+    role.stop()
--- a/bilberryhaven/wire/client.py
+++ b/bilberryhaven/wire/client.py
@@ -13,6 +13,7 @@
 PATH = '/wire'
 MAX_CONNECTIONS_PER_PEER = 64
 MAX_PEERS = 8192
+CONNECT_SECONDS = 0.5
 
 
 class Client:
@@ -53,7 +54,9 @@
                 PATH,
                 body=body,
                 headers={'Content-Type': CONTENT_TYPE},
-                timeout=urllib3.Timeout(total=limit),
+                timeout=urllib3.Timeout(
+                    connect=min(limit, CONNECT_SECONDS), total=limit
+                ),
                 retries=False,
                 redirect=False,
             )
