Index the fleet, share it fairly and judge failures

Change: pools by selector with rooms sampled in constant time; due times, team turns by share with every fourth place to the oldest; quotas; room claimed for what waits 30 s; failures weighed per instance against the rate elsewhere, quarantine capped at a tenth with probes, backoff and hold. GrantJobs refuses a grant over the slots or decided before a selector change. Job gains slots, hold, checkpoint_at, evicted_at.

--- /dev/null
+++ b/bilberryhaven/commands/checks.py
@@ -0,0 +1,47 @@
+"""Checks that a grant must still pass when it is applied."""
+
+from bilberryhaven import selector
+
+__all__ = ['has_room', 'matches_selectors', 'may_share']
+
+
+def has_room(state, target, spec):
+    """Return whether instance ``target`` has slots for one more ``spec``.
+
+    Accelerators are counted too; processors and memory are estimates and
+    are left to the leader.
+    """
+    slots = spec.resources.slots
+    accelerators = spec.resources.accelerators
+    for held in state.jobs.select('instance', target.name):
+        slots += held.slots
+        other = state.workloads.find(held.workload)
+        accelerators += other.resources.accelerators if other else 0
+    capacity = target.capacity
+    return slots <= capacity.slots and accelerators <= capacity.accelerators
+
+
+def matches_selectors(state, target, spec):
+    """Return whether ``spec`` may run on ``target`` beside what it holds."""
+    labels = target.merge_labels()
+    if not selector.parse_selector(spec.runs_on).match(labels):
+        return False
+    beside = {
+        row.workload for row in state.jobs.select('instance', target.name)
+    }
+    others = [state.workloads.find(name) for name in beside]
+    others += [
+        row
+        for row in state.workloads.select('kind', 'service')
+        if selector.parse_selector(row.runs_on).match(labels)
+    ]
+    return all(may_share(spec, row) for row in others if row is not None)
+
+
+def may_share(first, second):
+    """Return whether two workloads accept each other."""
+    return selector.parse_selector(first.shares_with).match(
+        second.merge_labels()
+    ) and selector.parse_selector(second.shares_with).match(
+        first.merge_labels()
+    )
--- a/bilberryhaven/commands/job.py
+++ b/bilberryhaven/commands/job.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bilberryhaven import commands
+from bilberryhaven.commands import checks
 from bilberryhaven import errors
 from bilberryhaven.tables import claim
 from bilberryhaven.tables import job
@@ -60,12 +61,22 @@
 
 
 class Grant(msgspec.Struct, kw_only=True, frozen=True):
-    """The right of one session to run one job."""
+    """The right of one session to run one job.
+
+    Attributes:
+        job_id: The job's id.
+        instance: The instance's name.
+        session: Epoch of the instance's session.
+        reason: Why it is granted there, for a person.
+        revision: Revision whose selectors were checked; an older one is
+            checked again.
+    """
 
     job_id: str
     instance: str
     session: int
     reason: str = ''
+    revision: int = -1
 
 
 class GrantJobs(commands.Command, kw_only=True, frozen=True):
@@ -87,6 +98,12 @@
             return False
         if target.epoch != grant.session or target.draining:
             return False
+        spec = state.workloads.get(row.workload)
+        if not checks.has_room(state, target, spec):
+            return False
+        checked = grant.revision == state.revision
+        if not checked and not checks.matches_selectors(state, target, spec):
+            return False
         state.jobs.update(
             row.id,
             state=job.JobState.GRANTED,
@@ -95,6 +112,7 @@
             epoch=row.epoch + 1,
             granted_at=self.at,
             reason=grant.reason,
+            slots=spec.resources.slots,
         )
         return True
 
@@ -152,6 +170,7 @@
 
 def _checkpoint(state, row, event, at):
     row.checkpoint = event.body
+    row.checkpoint_at = at
 
 
 def _finish(state, row, event, at):
@@ -171,6 +190,7 @@
 def _stop(state, row, event, at):
     if event.body:
         row.checkpoint = event.body
+        row.checkpoint_at = at
     if row.state == job.JobState.CANCELLING:
         _end(state, row, job.JobState.CANCELLED, at, 'cancelled')
     elif event.body or _is_repeatable(state, row):
@@ -209,6 +229,7 @@
         instance='',
         session=0,
         reason=reason,
+        hold=job.Hold.NONE,
     )
 
 
@@ -250,6 +271,7 @@
                     row.id,
                     state=job.JobState.EVICTING,
                     reason=eviction.reason,
+                    evicted_at=self.at,
                 )
                 marked.append(row.id)
         return marked
@@ -280,6 +302,7 @@
     """Hold pending jobs that can't run, with the reason."""
 
     reasons: dict[str, str]
+    hold: job.Hold = job.Hold.IMPOSSIBLE
 
     def apply(self, state):
         """Hold each that is pending; return their ids."""
@@ -288,14 +311,17 @@
             row = state.jobs.find(job_id)
             if row is not None and row.state == job.JobState.PENDING:
                 state.jobs.update(
-                    job_id, state=job.JobState.HELD, reason=reason
+                    job_id,
+                    state=job.JobState.HELD,
+                    reason=reason,
+                    hold=self.hold,
                 )
                 held.append(job_id)
         return held
 
 
 class ReleaseJobs(commands.Command, kw_only=True, frozen=True):
-    """Make held jobs pending again."""
+    """Make held jobs pending again, their failures forgotten."""
 
     job_ids: list[str]
     reason: str = ''
@@ -306,6 +332,7 @@
         for job_id in self.job_ids:
             row = state.jobs.find(job_id)
             if row is not None and row.state == job.JobState.HELD:
+                row.failures.clear()
                 _requeue(state, row, self.reason)
                 released.append(job_id)
         return released
--- /dev/null
+++ b/bilberryhaven/policies/place_interference.py
@@ -0,0 +1,75 @@
+"""Placement policy that weighs the learned harm to services."""
+
+import math
+
+from bilberryhaven import policies
+
+__all__ = ['InterferencePolicy']
+
+HARM_LIMIT = 9.0
+CROWDED = 0.8
+CROWDING = 0.5
+RACK_SPREAD = 2.0
+ZONE_SPREAD = 0.5
+RESTART_RISK = 0.5
+WASTED_ACCELERATORS = 0.2
+FULLNESS = 0.01
+
+
+def compute_harm(excess):
+    """Return the harm of a service that is slower by ``excess``."""
+    return min(excess * excess, HARM_LIMIT)
+
+
+@policies.register('place_interference')
+class InterferencePolicy:
+    """Scores instances by the harm that a task adds; the lowest is best.
+
+    Args:
+        memory: The leader's ``Memory``.
+    """
+
+    def __init__(self, *, memory):
+        self._memory = memory
+
+    def score(self, world, target, need, entry):
+        """Return the cost of placing a task of ``target`` on ``entry``."""
+        weights = world.objective
+        harm = self.compute_added_harm(target.name, entry)
+        cost = weights.tail_latency * harm
+        cost += weights.throughput * self._compute_crowding(need, entry)
+        if target.kind == 'watch':
+            cost += self._compute_spread(target.name, entry)
+        if self._memory.fleet.renewed and self._is_restart_due(entry):
+            cost += weights.evictions * RESTART_RISK
+        if entry.row.capacity.accelerators and not need.accelerators:
+            cost += WASTED_ACCELERATORS
+        return cost + FULLNESS * entry.slots
+
+    def compute_added_harm(self, name, entry):
+        """Return the harm that one more task adds to all services."""
+        total = 0.0
+        model = self._memory.interference
+        for service, load, band in self._memory.list_loads(entry):
+            before = model.sum_effects(service, band, entry.counts)
+            after = before + model.get_effect(service, name, band)
+            total += load * (
+                compute_harm(math.exp(after) - 1.0)
+                - compute_harm(math.exp(before) - 1.0)
+            )
+        return total
+
+    def _compute_crowding(self, need, entry):
+        holds = entry.row.capacity
+        share = (entry.cpu + need.cpu) / max(holds.cpu, 1e-6)
+        return CROWDING * max(share - CROWDED, 0.0)
+
+    def _compute_spread(self, name, entry):
+        spread = self._memory.fleet.spread
+        zone = entry.row.zone
+        in_zone = spread.get((name, zone), 0)
+        in_rack = spread.get((name, zone, entry.row.rack), 0)
+        return RACK_SPREAD * in_rack + ZONE_SPREAD * in_zone
+
+    def _is_restart_due(self, entry):
+        return entry.name not in self._memory.fleet.renewed
--- /dev/null
+++ b/bilberryhaven/systems/feasibility.py
@@ -0,0 +1,59 @@
+"""Whether any instance could ever run a workload, and what is lacking."""
+
+from bilberryhaven.systems import node as nodes
+
+__all__ = ['Feasibility']
+
+
+class Feasibility:
+    """Remembers for each workload one instance that could run it.
+
+    Args:
+        fleet: The ``Fleet``.
+    """
+
+    def __init__(self, *, fleet):
+        self._fleet = fleet
+        self._witnesses = {}
+
+    def could_run(self, target, entry):
+        """Return whether ``entry`` could run ``target`` if it held no job."""
+        rules = self._fleet.rules
+        return (
+            rules.may_run(target, entry.labels)
+            and entry.could_hold(self._fleet.get_need(target))
+            and all(rules.may_share(target.name, s) for s in entry.services)
+        )
+
+    def is_possible(self, target):
+        """Return whether some known instance could run ``target``."""
+        entry = self._fleet.nodes.get(self._witnesses.get(target.name, ''))
+        if entry is not None and self.could_run(target, entry):
+            return True
+        for entry in self._fleet.nodes.values():
+            if self.could_run(target, entry):
+                self._witnesses[target.name] = entry.name
+                return True
+        return False
+
+    def describe_lack(self, target):
+        """Return why no instance can run ``target``, for a person."""
+        matching = [
+            entry
+            for entry in self._fleet.nodes.values()
+            if self._fleet.rules.may_run(target, entry.labels)
+        ]
+        if not matching:
+            return f'no instance matches runs_on {target.runs_on!r}'
+        need = self._fleet.get_need(target)
+        for entry in matching:
+            empty = nodes.Node(
+                row=entry.row, name=entry.name, reserve=entry.reserve
+            )
+            lacks = nodes.list_shortages(empty, need)
+            if lacks:
+                return f'too large for {entry.name}: {", ".join(lacks)}'
+        return (
+            f'shares_with {target.shares_with!r}, or that of a service, '
+            'keeps it from each instance that matches'
+        )
--- /dev/null
+++ b/bilberryhaven/systems/health.py
@@ -0,0 +1,148 @@
+"""Quarantines bad instances; delays and holds jobs that keep failing."""
+
+import datetime
+
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
+from bilberryhaven import log
+from bilberryhaven import systems
+from bilberryhaven.systems import fleet as fleets
+from bilberryhaven.tables import job
+
+__all__ = ['HealthSystem']
+
+MAX_QUARANTINED_SHARE = 0.1
+MAX_FAILURES = 4
+MIN_PLACES = 3
+FIRST_BACKOFF = datetime.timedelta(seconds=1)
+MAX_BACKOFF = datetime.timedelta(seconds=60)
+REFUSED_DELAY = datetime.timedelta(milliseconds=500)
+PROBE_INTERVAL = datetime.timedelta(seconds=30)
+
+logger = log.get_logger('health')
+
+
+@systems.register('health')
+class HealthSystem(systems.System):
+    """Draws conclusions from how jobs left their instances."""
+
+    order = 100
+
+    def run(self, world):
+        """Return quarantines, lifted quarantines and holds."""
+        self.memory.refresh(world)
+        found = []
+        holds = {}
+        for outcome in self.memory.fleet.take_outcomes():
+            if outcome.kind == fleets.OutcomeKind.REFUSED:
+                until = world.now + REFUSED_DELAY
+                self.memory.backlog.delay(outcome.job_id, until)
+                continue
+            found += self._judge_instance(world, outcome)
+            if outcome.kind == fleets.OutcomeKind.FAILED:
+                self._judge_job(world, outcome, holds)
+        if holds:
+            found.append(
+                job_commands.HoldJobs(reasons=holds, hold=job.Hold.FAILING)
+            )
+        return found
+
+    def _judge_instance(self, world, outcome):
+        name = outcome.instance
+        failed = outcome.kind == fleets.OutcomeKind.FAILED
+        counts = self.memory.failures
+        counts.add(name, outcome.workload, failed=failed)
+        entry = self.memory.fleet.nodes.get(name)
+        if entry is None or not entry.row.connected:
+            return []
+        if entry.row.quarantined:
+            return self._judge_probe(world, name, failed)
+        if not failed or not counts.is_bad_instance(name):
+            return []
+        if not self._may_quarantine():
+            return []
+        return [self._quarantine(world, name)]
+
+    def _may_quarantine(self):
+        rows = [e.row for e in self.memory.fleet.nodes.values()]
+        connected = sum(row.connected for row in rows)
+        quarantined = sum(bool(row.quarantined) for row in rows)
+        limit = max(1, int(connected * MAX_QUARANTINED_SHARE))
+        return quarantined < limit and connected > 1
+
+    def _quarantine(self, world, name):
+        failures, tries, excess = self.memory.failures.compute_excess(name)
+        reason = (
+            f'{failures:.0f} of the last {tries:.0f} jobs failed here, '
+            f'{excess:.1f} more than elsewhere'
+        )
+        self.memory.probes[name] = (world.now + PROBE_INTERVAL, PROBE_INTERVAL)
+        log.log_decision(
+            logger,
+            'quarantine',
+            reason=reason,
+            instance=name,
+            failures=round(failures, 2),
+            tries=round(tries, 2),
+            excess=round(excess, 2),
+        )
+        return session.QuarantineInstance(name=name, reason=reason)
+
+    def _judge_probe(self, world, name, failed):
+        if failed:
+            _, interval = self.memory.probes.get(name, (None, PROBE_INTERVAL))
+            self.memory.probes[name] = (world.now + interval * 2, interval * 2)
+            return []
+        self.memory.probes.pop(name, None)
+        self.memory.failures.forget_instance(name)
+        log.log_decision(
+            logger,
+            'lift_quarantine',
+            reason='a probe succeeded',
+            instance=name,
+        )
+        return [session.QuarantineInstance(name=name)]
+
+    def _judge_job(self, world, outcome, holds):
+        row = world.state.jobs.find(outcome.job_id)
+        if row is None or row.state != job.JobState.PENDING:
+            return
+        places = self._list_places(row)
+        target = world.state.workloads.get(row.workload)
+        pool = self.memory.fleet.get_pool(target.runs_on)
+        enough = min(MIN_PLACES, max(len(pool.members), 1))
+        if sum(places.values()) >= MAX_FAILURES and len(places) >= enough:
+            holds[row.id] = self._describe(row, places)
+            return
+        count = len(row.failures) - 1
+        delay = min(FIRST_BACKOFF * 2 ** min(count, 10), MAX_BACKOFF)
+        self.memory.backlog.delay(row.id, world.now + delay)
+        log.log_decision(
+            logger,
+            'back_off',
+            reason=row.reason,
+            job=row.id,
+            failures=len(row.failures),
+            delay_s=delay.total_seconds(),
+        )
+
+    def _list_places(self, row):
+        places = {}
+        for name in row.failures:
+            entry = self.memory.fleet.nodes.get(name)
+            if entry is None or not entry.row.quarantined:
+                places[name] = places.get(name, 0) + 1
+        return places
+
+    def _describe(self, row, places):
+        times = ', '.join(f'{count} on {n}' for n, count in places.items())
+        reason = f'failed {times}; last: {row.reason}'
+        log.log_decision(
+            logger,
+            'hold',
+            reason=reason,
+            job=row.id,
+            workload=row.workload,
+            places=len(places),
+        )
+        return reason
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,26 +1,87 @@
 """What the systems of one leader share between ticks."""
 
-import dataclasses
+import random
 
+from bilberryhaven import policies
 from bilberryhaven.systems import backlog
+from bilberryhaven.systems import failures
+from bilberryhaven.systems import feasibility
 from bilberryhaven.systems import fleet
+from bilberryhaven.systems import history
+from bilberryhaven.systems import interference
+from bilberryhaven.systems import sizes
 
 __all__ = ['Memory']
 
+DEFAULT_POLICY = 'place_interference'
+DEFAULT_LOAD = 0.5
+
 
-@dataclasses.dataclass(kw_only=True, slots=True)
 class Memory:
-    """Derived indexes; none is replicated, all are rebuilt from the tables.
+    """Derived indexes and estimates of one leader.
+
+    None is replicated: a new leader rebuilds the indexes from the tables and
+    starts the estimates from their priors.
+
+    Args:
+        policy: Name of the placement policy.
+        seed: Seed of the sampling of candidates.
+        learned: Interference model; a new ``Interference`` by default.
 
     Attributes:
         fleet: What each instance holds.
         backlog: Pending jobs in the order in which they are served.
+        sizes: Learned needs and run times.
+        failures: Failures by instance and workload.
+        feasibility: Whether a workload can run anywhere.
+        interference: Learned slowdowns of services.
+        history: Past composition of each instance.
+        service_loads: Newest load by (instance, service).
+        mean_loads: Mean load by service.
+        reported: Instances whose services were reported on in this tick.
+        probes: (next time, interval) by quarantined instance.
+        claims: Instance on which room is kept, by job id.
+        waiting: Since when a workload's first job finds no place.
+        skips: (ticks left, width) of workloads that found no place.
+        pressed: Urgent jobs that found no place in this tick.
+        last_drain: When an instance was last seen draining, or None.
+        late_reports: Reports too old to be attributed.
+        skipped_reports: Reports beyond a tick's budget.
     """
 
-    fleet: object = dataclasses.field(default_factory=fleet.Fleet)
-    backlog: object = dataclasses.field(default_factory=backlog.Backlog)
+    def __init__(self, *, policy=DEFAULT_POLICY, seed=1, learned=None):
+        self.random = random.Random(seed)
+        self.sizes = sizes.Sizes()
+        self.fleet = fleet.Fleet(sizes=self.sizes)
+        self.backlog = backlog.Backlog(run_times=self.sizes)
+        self.failures = failures.FailureCounts()
+        self.feasibility = feasibility.Feasibility(fleet=self.fleet)
+        self.interference = learned or interference.Interference()
+        self.history = history.History()
+        self.service_loads = {}
+        self.mean_loads = {}
+        self.reported = {}
+        self.probes = {}
+        self.claims = {}
+        self.waiting = {}
+        self.skips = {}
+        self.pressed = []
+        self.last_drain = None
+        self.late_reports = 0
+        self.skipped_reports = 0
+        self.policy = policies.get_policy_by_name(policy)(memory=self)
 
     def refresh(self, world):
         """Bring the indexes up to date with the tables."""
         self.fleet.refresh(world.state, reserve=world.service_reserve)
-        self.backlog.refresh(world.state)
+        self.backlog.refresh(world.state, now=world.now)
+
+    def list_loads(self, entry):
+        """Return (service, load, band) of each service on ``entry``."""
+        found = []
+        for service in entry.services:
+            load = self.service_loads.get((entry.name, service))
+            if load is None:
+                load = self.mean_loads.get(service, DEFAULT_LOAD)
+            found.append((service, load, interference.get_band(load)))
+        return found
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -6,6 +6,8 @@
 
 __all__ = ['Charge', 'Node', 'list_shortages']
 
+ROUNDING = 1e-6
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Charge:
@@ -30,32 +32,37 @@
 
     Attributes:
         row: The instance's row.
+        name: The instance's name.
         labels: Its labels in effect.
         services: Names of the services that it serves.
         reserve: Slots that batch work leaves free for them.
         charges: Charge of each job that it holds, by job id.
-        counts: Number of jobs it holds, by workload.
+        claims: Charge of each job that room is kept for, by job id.
+        counts: Number of jobs held or expected, by workload.
         slots: Slots charged.
         cpu: Processor cores charged.
         memory_mb: Memory charged.
         accelerators: Accelerators charged.
+        pools: Pools whose selector it matches.
+        indexed: (open, roomy) as the pools have it.
+        shares: Share of full speed of each throttled job, by job id.
     """
 
     row: object
+    name: str
     labels: dict = dataclasses.field(default_factory=dict)
     services: tuple = ()
     reserve: int = 0
     charges: dict = dataclasses.field(default_factory=dict)
+    claims: dict = dataclasses.field(default_factory=dict)
     counts: dict = dataclasses.field(default_factory=dict)
     slots: int = 0
     cpu: float = 0.0
     memory_mb: float = 0.0
     accelerators: int = 0
-
-    @property
-    def name(self):
-        """The instance's name."""
-        return self.row.name
+    pools: list = dataclasses.field(default_factory=list)
+    indexed: tuple = (False, False)
+    shares: dict = dataclasses.field(default_factory=dict)
 
     @property
     def open(self):
@@ -69,29 +76,50 @@
         return self.row.capacity.slots - self.reserve - self.slots
 
     def add(self, charge):
-        """Charge a job."""
-        need = charge.need
+        """Charge a job that it holds."""
         self.charges[charge.job_id] = charge
-        name = charge.workload
-        self.counts[name] = self.counts.get(name, 0) + 1
-        self.slots += need.slots
-        self.cpu += need.cpu
-        self.memory_mb += need.memory_mb
-        self.accelerators += need.accelerators
+        self._count(charge, 1)
 
     def discard(self, job_id):
         """Take a job's charge back."""
         charge = self.charges.pop(job_id, None)
-        if charge is None:
-            return
+        self.shares.pop(job_id, None)
+        if charge is not None:
+            self._count(charge, -1)
+        return charge
+
+    def claim(self, charge):
+        """Keep room for a job that doesn't fit yet."""
+        if charge.job_id not in self.claims:
+            self.claims[charge.job_id] = charge
+            self._count(charge, 1)
+
+    def unclaim(self, job_id):
+        """Give up the room kept for a job."""
+        charge = self.claims.pop(job_id, None)
+        if charge is not None:
+            self._count(charge, -1)
+
+    def weigh_counts(self):
+        """Return the number of tasks by workload, throttled ones in part."""
+        counts = dict(self.counts)
+        for charge in self.claims.values():
+            counts[charge.workload] -= 1
+        for job_id, share in self.shares.items():
+            counts[self.charges[job_id].workload] -= 1.0 - share
+        return counts
+
+    def _count(self, charge, sign):
         need = charge.need
-        self.counts[charge.workload] -= 1
-        if not self.counts[charge.workload]:
+        count = self.counts.get(charge.workload, 0) + sign
+        if count:
+            self.counts[charge.workload] = count
+        else:
             del self.counts[charge.workload]
-        self.slots -= need.slots
-        self.cpu -= need.cpu
-        self.memory_mb -= need.memory_mb
-        self.accelerators -= need.accelerators
+        self.slots += sign * need.slots
+        self.cpu += sign * need.cpu
+        self.memory_mb += sign * need.memory_mb
+        self.accelerators += sign * need.accelerators
 
     def fits(self, need):
         """Return whether ``need`` fits into what is free."""
@@ -99,7 +127,7 @@
         return (
             self.slots + need.slots <= holds.slots - self.reserve
             and self.memory_mb + need.memory_mb <= holds.memory_mb
-            and self.cpu + need.cpu <= holds.cpu
+            and self.cpu + need.cpu <= holds.cpu + ROUNDING
             and self.accelerators + need.accelerators <= holds.accelerators
         )
 
@@ -132,5 +160,5 @@
         f'needs {needed:g} {name}, {max(total - used, 0):g} of '
         f'{max(total, 0):g} free'
         for name, total, used, needed in rows
-        if used + needed > total
+        if used + needed > total + ROUNDING
     ]
--- a/bilberryhaven/systems/placement.py
+++ b/bilberryhaven/systems/placement.py
@@ -1,21 +1,30 @@
-"""Grants pending jobs to instances; holds and releases impossible ones."""
+"""Grants pending jobs to instances, in batches and in fair order."""
+
+import datetime
 
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import log
 from bilberryhaven import systems
-from bilberryhaven.systems import node as nodes
+from bilberryhaven.systems import backlog as backlogs
+from bilberryhaven.systems import choice
+from bilberryhaven.systems import claims
+from bilberryhaven.systems import fairness
+from bilberryhaven.tables import workload
 
 __all__ = ['PlacementSystem']
 
 MAX_STARTS = 400
-MAX_HELD = 1000
+MAX_HELD = 2000
+MAX_SKIP = 8
+SMALL_POOL = 64
+PROBE_INTERVAL = datetime.timedelta(seconds=30)
 
 logger = log.get_logger('placement')
 
 
 @systems.register('placement')
 class PlacementSystem(systems.System):
-    """Places each pending job where it fits, in batches."""
+    """Places each pending job where it fits and does least harm."""
 
     order = 400
 
@@ -25,10 +34,12 @@
         self._holds = {}
 
     def run(self, world):
-        """Return the grants, holds and releases of this tick."""
+        """Return the grants and holds of this tick."""
         self.memory.refresh(world)
+        self.memory.pressed.clear()
         self._grants = []
         self._holds = {}
+        self._place_probes(world)
         self._place_jobs(world)
         found = []
         if self._grants:
@@ -37,33 +48,30 @@
             )
         if self._holds:
             found.append(job_commands.HoldJobs(reasons=self._holds))
-        return found + self._release_jobs(world)
+        return found
 
     def _place_jobs(self, world):
-        waiting = self.memory.backlog.list_workloads()
-        while waiting and len(self._grants) < MAX_STARTS:
-            waiting.sort(key=self._rank)
-            for name in list(waiting):
-                if not self._place_next(world, name):
-                    waiting.remove(name)
-
-    def _rank(self, name):
-        row = self.memory.backlog.peek(name)
-        return (row.submitted_at, row.id)
-
-    def _place_next(self, world, name):
-        row = self.memory.backlog.peek(name)
-        target = world.state.workloads.find(name)
-        if row is None or target is None or target.held:
-            return False
-        if self._exceeds_quota(world, target):
+        order = fairness.FairOrder(
+            state=world.state,
+            fleet=self.memory.fleet,
+            backlog=self.memory.backlog,
+        )
+        while len(self._grants) < MAX_STARTS:
+            name = order.take()
+            if name is None:
+                return
+            target = world.state.workloads.get(name)
+            if self._skips(target) or self._exceeds_quota(world, target):
+                continue
+            if self._place_next(world, target):
+                order.put_back(name)
+
+    def _skips(self, target):
+        left, width = self.memory.skips.get(target.name, (0, 1))
+        if left <= 0 or backlogs.is_urgent(target):
             return False
-        entry = self._choose(target)
-        if entry is not None:
-            self._grant(row, target, entry)
-        elif not self._is_possible(target):
-            self._hold(target)
-        return entry is not None and self.memory.backlog.peek(name)
+        self.memory.skips[target.name] = (left - 1, width)
+        return True
 
     def _exceeds_quota(self, world, target):
         team = world.state.teams.find(target.team)
@@ -72,32 +80,42 @@
         used = self.memory.fleet.used.get(target.team, 0)
         return used + target.resources.slots > team.quota
 
-    def _choose(self, target):
-        rules = self.memory.fleet.rules
-        best = None
-        for entry in self.memory.fleet.nodes.values():
-            if not entry.open or not entry.fits(target.resources):
-                continue
-            if best is not None and entry.free_slots <= best.free_slots:
-                continue
-            if not rules.may_run(target, entry.labels):
-                continue
-            if rules.shares(target.name, entry):
-                best = entry
-        return best
-
-    def _grant(self, row, target, entry):
-        reason = f'{entry.free_slots} slots free'
+    def _place_next(self, world, target):
+        job_id = self.memory.backlog.peek(target.name)[1]
+        row = world.state.jobs.get(job_id)
+        entry, score = self._choose(world, row, target)
+        if entry is not None:
+            self.memory.skips.pop(target.name, None)
+            self.memory.waiting.pop(target.name, None)
+            self._grant(world, row, target, entry, score)
+            return True
+        if not self.memory.feasibility.is_possible(target):
+            self._hold(target)
+        else:
+            self._wait(world, row, target)
+        return False
+
+    def _choose(self, world, row, target):
+        claimed = claims.take_claim(self.memory, row, target)
+        if claimed is not None:
+            return claimed, 0.0
+        return choice.choose_instance(self.memory, world, row, target)
+
+    def _wait(self, world, row, target):
+        pool = self.memory.fleet.get_pool(target.runs_on)
+        if len(pool.members) > SMALL_POOL:
+            width = self.memory.skips.get(target.name, (0, 1))[1]
+            self.memory.skips[target.name] = (width, min(width * 2, MAX_SKIP))
+        if backlogs.is_urgent(target):
+            self.memory.pressed.append((row, target))
+        else:
+            claims.claim_if_starving(self.memory, world, row, target)
+
+    def _grant(self, world, row, target, entry, score):
+        reason = f'cost {score:.3f}, {entry.free_slots} slots free'
         self.memory.backlog.pop(target.name)
-        self.memory.fleet.reserve(row, entry)
-        self._grants.append(
-            job_commands.Grant(
-                job_id=row.id,
-                instance=entry.name,
-                session=entry.row.epoch,
-                reason=reason,
-            )
-        )
+        self._issue(world, row, target, entry, reason)
+        wait = world.now - row.submitted_at
         log.log_decision(
             logger,
             'place',
@@ -105,60 +123,79 @@
             job=row.id,
             workload=target.name,
             instance=entry.name,
+            cost=round(score, 4),
             free_slots=entry.free_slots,
+            waited_s=wait.total_seconds(),
         )
 
-    def _is_possible(self, target):
-        return any(
-            self._could_run(target, entry)
-            for entry in self.memory.fleet.nodes.values()
-        )
-
-    def _could_run(self, target, entry):
-        rules = self.memory.fleet.rules
-        return (
-            rules.may_run(target, entry.labels)
-            and entry.could_hold(target.resources)
-            and all(rules.may_share(target.name, s) for s in entry.services)
+    def _issue(self, world, row, target, entry, reason):
+        self.memory.fleet.reserve(row, target, entry)
+        self._grants.append(
+            job_commands.Grant(
+                job_id=row.id,
+                instance=entry.name,
+                session=entry.row.epoch,
+                reason=reason,
+                revision=world.state.revision,
+            )
         )
 
     def _hold(self, target):
-        reason = f'no instance can run it: {self._describe(target)}'
+        reason = self.memory.feasibility.describe_lack(target)
         for job_id in self.memory.backlog.list_jobs(target.name)[:MAX_HELD]:
             self._holds[job_id] = reason
-        log.log_decision(logger, 'hold', reason=reason, workload=target.name)
-
-    def _describe(self, target):
-        fleet = self.memory.fleet
-        matching = [
-            entry
-            for entry in fleet.nodes.values()
-            if fleet.rules.may_run(target, entry.labels)
-        ]
-        if not matching:
-            return f'none matches runs_on {target.runs_on!r}'
-        for entry in matching:
-            empty = nodes.Node(row=entry.row, reserve=entry.reserve)
-            lacks = nodes.list_shortages(empty, target.resources)
-            if lacks:
-                return f'{entry.name} {", ".join(lacks)}'
-        return 'shares_with keeps it from each instance that matches'
-
-    def _release_jobs(self, world):
-        fleet = self.memory.fleet
-        if not fleet.changed and not fleet.edited:
-            return []
-        fleet.changed.clear()
-        fleet.edited.clear()
-        possible = {}
-        released = []
-        for row in world.state.jobs.select('state', 'held'):
-            if row.workload not in possible:
-                target = world.state.workloads.find(row.workload)
-                possible[row.workload] = target and self._is_possible(target)
-            if possible[row.workload]:
-                released.append(row.id)
-        if not released:
-            return []
-        reason = 'an instance that can run it was found'
-        return [job_commands.ReleaseJobs(job_ids=released, reason=reason)]
+        log.log_decision(
+            logger,
+            'hold',
+            reason=reason,
+            workload=target.name,
+            jobs=len(self._holds),
+        )
+
+    def _place_probes(self, world):
+        for entry in self._list_probed(world):
+            probe = self._find_probe(world, entry)
+            if probe is None:
+                continue
+            row, target = probe
+            self.memory.backlog.pop(target.name)
+            reason = f'probe of quarantined {entry.name}'
+            self._issue(world, row, target, entry, reason)
+            log.log_decision(
+                logger,
+                'probe',
+                reason=reason,
+                job=row.id,
+                workload=target.name,
+                instance=entry.name,
+            )
+
+    def _list_probed(self, world):
+        found = []
+        first = (world.now + PROBE_INTERVAL, PROBE_INTERVAL)
+        for name in self.memory.fleet.quarantined:
+            entry = self.memory.fleet.nodes[name]
+            due, _ = self.memory.probes.setdefault(name, first)
+            row = entry.row
+            busy = entry.charges or not row.connected or row.draining
+            if due <= world.now and not busy:
+                found.append(entry)
+        return found
+
+    def _find_probe(self, world, entry):
+        memory = self.memory
+        for name in memory.backlog.list_workloads():
+            target = world.state.workloads.find(name)
+            row = world.state.jobs.find(memory.backlog.peek(name)[1])
+            if target is None or target.held or not target.repeatable:
+                continue
+            if target.kind != workload.Kind.BATCH or row.failures:
+                continue
+            if backlogs.is_urgent(target) or row.deadline_at is not None:
+                continue
+            if self._exceeds_quota(world, target):
+                continue
+            if not memory.feasibility.could_run(target, entry):
+                continue
+            return row, target
+        return None
--- a/bilberryhaven/systems/sharing.py
+++ b/bilberryhaven/systems/sharing.py
@@ -26,9 +26,9 @@
         self._labels.pop(name, None)
 
     def _forget(self, name):
-        stale = [pair for pair in self._pairs if name in pair]
-        for pair in stale:
-            del self._pairs[pair]
+        self._pairs.pop(name, None)
+        for known in self._pairs.values():
+            known.pop(name, None)
 
     def may_run(self, row, labels):
         """Return whether workload ``row`` may run where ``labels`` are."""
@@ -36,13 +36,13 @@
 
     def may_share(self, first, second):
         """Return whether both workloads, by name, may be side by side."""
-        pair = (first, second)
-        known = self._pairs.get(pair)
-        if known is None:
-            known = self._accepts(first, second)
-            known = known and self._accepts(second, first)
-            self._pairs[pair] = known
-        return known
+        known = self._pairs.setdefault(first, {})
+        verdict = known.get(second)
+        if verdict is None:
+            verdict = self._accepts(first, second)
+            verdict = verdict and self._accepts(second, first)
+            known[second] = verdict
+        return verdict
 
     def _accepts(self, name, other):
         row = self._workloads.get(name)
--- /dev/null
+++ b/bilberryhaven/systems/sizes.py
@@ -0,0 +1,113 @@
+"""Learns what a workload's tasks really need and how long they run.
+
+Declared figures are priors of ``PRIOR_REPORTS`` reports' weight.
+"""
+
+import dataclasses
+import math
+
+__all__ = ['Sizes']
+
+PRIOR_REPORTS = 2.0
+PRIOR_RUNS = 2.0
+MAX_WEIGHT = 50.0
+MEMORY_DEVIATIONS = 2.0
+CPU_DEVIATIONS = 0.5
+MIN_CHANGE = 0.1
+MIN_REPORTS = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Mean:
+    count: float = 0.0
+    mean: float = 0.0
+    square: float = 0.0
+
+    def add(self, value):
+        self.count = min(self.count + 1.0, MAX_WEIGHT)
+        change = value - self.mean
+        self.mean += change / self.count
+        self.square += (change * (value - self.mean) - self.square) / (
+            self.count
+        )
+
+    def shrink(self, prior, weight, deviations=0.0):
+        """Return the mean, with a margin, drawn to ``prior``."""
+        deviation = math.sqrt(max(self.square, 0.0))
+        value = self.mean + deviations * deviation
+        return (value * self.count + prior * weight) / (self.count + weight)
+
+
+class Sizes:
+    """Needs and run times by workload.
+
+    Attributes:
+        changed: Names of workloads whose need changed notably.
+    """
+
+    def __init__(self):
+        self.changed = {}
+        self._cpu = {}
+        self._memory = {}
+        self._runs = {}
+        self._needs = {}
+
+    def add_usage(self, target, cpu, memory_mb):
+        """Learn from a report on one task of ``target``."""
+        name = target.name
+        self._cpu.setdefault(name, _Mean()).add(cpu)
+        self._memory.setdefault(name, _Mean()).add(memory_mb)
+        known = self.get_need(target)
+        made = self._compute_need(target)
+        if _differs(known.cpu, made.cpu) or _differs(
+            known.memory_mb, made.memory_mb
+        ):
+            self._needs[name] = (target.version, made)
+            self.changed[name] = None
+
+    def _compute_need(self, target):
+        declared = target.resources
+        cpu = self._cpu.get(target.name)
+        if cpu is None or cpu.count < MIN_REPORTS:
+            return declared
+        memory = self._memory[target.name]
+        return dataclasses.replace(
+            declared,
+            cpu=cpu.shrink(declared.cpu, PRIOR_REPORTS, CPU_DEVIATIONS),
+            memory_mb=round(
+                memory.shrink(
+                    declared.memory_mb, PRIOR_REPORTS, MEMORY_DEVIATIONS
+                )
+            ),
+        )
+
+    def get_need(self, target):
+        """Return the ``Resources`` expected of a task of ``target``."""
+        known = self._needs.get(target.name)
+        if known is not None and known[0] == target.version:
+            return known[1]
+        made = self._compute_need(target)
+        self._needs[target.name] = (target.version, made)
+        return made
+
+    def add_run(self, target, seconds):
+        """Learn from a task that finished after ``seconds``."""
+        mean = self._runs.setdefault(target.name, _Mean())
+        mean.add(math.log(max(seconds, 0.1)))
+
+    def get_run_seconds(self, target):
+        """Return the run time expected of a task of ``target``."""
+        prior = math.log(max(target.run_seconds, 0.1))
+        mean = self._runs.get(target.name)
+        if mean is None:
+            return target.run_seconds
+        return math.exp(mean.shrink(prior, PRIOR_RUNS))
+
+    def is_run_known(self, target):
+        """Return whether enough tasks finished to trust the run time."""
+        mean = self._runs.get(target.name)
+        return mean is not None and mean.count >= MIN_REPORTS
+
+
+def _differs(first, second):
+    return abs(first - second) > MIN_CHANGE * max(first, second, 1e-6)
--- a/bilberryhaven/tables/job.py
+++ b/bilberryhaven/tables/job.py
@@ -7,7 +7,14 @@
 from bilberryhaven import tables
 from bilberryhaven.tables import table
 
-__all__ = ['ACTIVE_STATES', 'END_STATES', 'Job', 'JobState', 'JobTable']
+__all__ = [
+    'ACTIVE_STATES',
+    'END_STATES',
+    'Hold',
+    'Job',
+    'JobState',
+    'JobTable',
+]
 
 
 class JobState(enum.StrEnum):
@@ -47,6 +54,18 @@
 )
 
 
+class Hold(enum.StrEnum):
+    """Why a job is held.
+
+    ``IMPOSSIBLE`` ends once an instance could run it, ``FAILING`` once its
+    workload is changed.
+    """
+
+    NONE = ''
+    IMPOSSIBLE = 'impossible'
+    FAILING = 'failing'
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Job:
     """One batch task or watch.
@@ -69,6 +88,10 @@
         failures: Instances on which it failed, oldest first.
         result: Its answer, once finished.
         reason: Why it stands where it stands, for a person.
+        slots: Slots that its newest grant takes.
+        hold: Why it is held, where it is.
+        checkpoint_at: When its newest checkpoint was recorded, or None.
+        evicted_at: When its newest eviction was ordered, or None.
     """
 
     id: str
@@ -88,6 +111,10 @@
     failures: list[str] = dataclasses.field(default_factory=list)
     result: bytes = b''
     reason: str = ''
+    slots: int = 1
+    hold: Hold = Hold.NONE
+    checkpoint_at: datetime.datetime | None = None
+    evicted_at: datetime.datetime | None = None
 
 
 @tables.register('jobs')
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,209 @@
+"""Tests of fairness, starvation, failing work and bad instances."""
+
+import datetime
+
+from bilberryhaven import commands
+from bilberryhaven.commands import change
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
+from bilberryhaven.systems import fleet
+from bilberryhaven.tables import workload
+from tests import test_systems
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class TestFairness(test_systems.SystemTestCase):
+    def apply_team(self, name, **fields):
+        self.changes += 1
+        self.do(
+            change.ApplyTeam(
+                change_id=f't{self.changes}',
+                by='op',
+                at=self.now,
+                kind='team',
+                name=name,
+                **fields,
+            )
+        )
+
+    def count_running(self, name):
+        rows = self.state.jobs.select('workload', name)
+        return sum(bool(row.instance) for row in rows)
+
+    def test_teams_share_by_weight_and_quota(self):
+        self.apply_team('big', weight=2.0)
+        self.apply_team('capped', quota=2)
+        for team in ('big', 'small', 'capped'):
+            self.declare(team, team=team)
+            self.submit(team, *[f'{team}{i}' for i in range(40)])
+        for name in 'abc':
+            self.open(name)
+        self.tick(3)
+        found = [self.count_running(t) for t in ('big', 'small', 'capped')]
+        self.assertEqual(24, sum(found))
+        self.assertEqual(2, found[2])
+        self.assertGreater(found[0], found[1])
+
+    def test_old_job_is_served_before_a_newer_backlog(self):
+        self.declare('old', team='a')
+        self.declare('busy', team='a')
+        self.open('i', slots=1)
+        self.submit('busy', 'b0')
+        self.tick()
+        self.submit('old', 'o')
+        self.now += SECOND
+        for i in range(1, 9):
+            self.submit('busy', f'b{i}')
+            self.tick(step=SECOND)
+        self.report('finished', 'b0')
+        self.tick()
+        self.assertEqual('i', self.job('o').instance)
+
+    def test_job_with_a_near_deadline_goes_first(self):
+        self.declare('silt', run_seconds=50)
+        self.open('i', slots=1)
+        self.submit('silt', 'first')
+        self.now += SECOND
+        self.submit('silt', 'due', deadline_at=self.now + 80 * SECOND)
+        self.tick()
+        self.assertEqual('i', self.job('due').instance)
+
+    def test_wide_job_gets_room_among_a_stream_of_narrow_ones(self):
+        self.declare('narrow', team='a')
+        self.declare('wide', resources=workload.Resources(slots=4))
+        self.open('i', slots=4)
+        self.submit('narrow', 'n0', 'n1', 'n2', 'n3')
+        self.tick()
+        self.submit('wide', 'w')
+        for i in range(4, 100):
+            self.submit('narrow', f'n{i}')
+            held = self.state.jobs.select('instance', 'i')
+            if held and held[0].id == 'w':
+                return
+            if held:
+                self.report('finished', held[0].id)
+            self.tick(step=SECOND)
+        self.fail('the wide job starved')
+
+
+class TestFailures(test_systems.SystemTestCase):
+    def fail_on(self, bad):
+        for row in list(self.state.jobs):
+            if row.instance and bad(row):
+                self.report('failed', row.id)
+            elif row.instance:
+                self.report('finished', row.id)
+
+    def test_instance_that_fails_everything_is_quarantined(self):
+        self.declare('silt')
+        self.declare('farm')
+        for name in 'abc':
+            self.open(name)
+        names = [f'j{i}' for i in range(60)]
+        self.submit('silt', *names[:30])
+        self.submit('farm', *names[30:])
+        for _ in range(40):
+            self.tick(step=SECOND)
+            self.fail_on(lambda row: row.instance == 'b')
+        rows = {row.name: row.quarantined for row in self.state.instances}
+        self.assertIn('failed here', rows['b'])
+        self.assertEqual(('', ''), (rows['a'], rows['c']))
+        states = {row.state for row in self.state.jobs}
+        self.assertEqual({'finished'}, states)
+
+    def test_probe_that_succeeds_lifts_the_quarantine(self):
+        self.declare('silt')
+        self.open('a')
+        self.do(session.QuarantineInstance(name='a', reason='bad'))
+        self.submit('silt', 'j', 'k')
+        self.tick(2)
+        self.assertEqual(0, self.count_on('a'))
+        self.tick(31, step=SECOND)
+        self.assertEqual(1, self.count_on('a'))
+        self.fail_on(lambda row: False)
+        self.tick(2)
+        self.assertEqual('', self.state.instances.get('a').quarantined)
+
+    def test_work_that_fails_everywhere_is_held_and_blames_no_instance(self):
+        self.declare('bad')
+        self.declare('good')
+        for name in 'abcd':
+            self.open(name)
+        self.submit('bad', *[f'b{i}' for i in range(6)])
+        for i in range(120):
+            self.submit('good', f'g{i}')
+            self.tick(step=SECOND)
+            self.fail_on(lambda row: row.workload == 'bad')
+        held = self.state.jobs.select('state', 'held')
+        self.assertEqual({'bad'}, {row.workload for row in held})
+        self.assertEqual(6, len(held))
+        self.assertIn(' on a', held[0].reason)
+        quarantined = [row.quarantined for row in self.state.instances]
+        self.assertEqual([''] * 4, quarantined)
+        self.declare('bad')
+        self.tick(2)
+        self.assertEqual(0, self.state.jobs.count('state', 'held'))
+
+    def test_failed_job_backs_off_and_goes_elsewhere(self):
+        self.declare('silt')
+        self.open('a')
+        self.open('b')
+        self.submit('silt', 'j')
+        self.tick()
+        first = self.job('j').instance
+        self.report('failed', 'j')
+        self.tick(5)
+        self.assertEqual('pending', self.job('j').state)
+        self.tick(6)
+        self.assertEqual({'a', 'b'}, {first, self.job('j').instance})
+
+
+class TestGrantChecks(test_systems.SystemTestCase):
+    def grant(self, job_id, revision):
+        grant = job_commands.Grant(
+            job_id=job_id, instance='a', session=1, revision=revision
+        )
+        command = job_commands.GrantJobs(grants=[grant], at=self.now)
+        return commands.apply(self.state, command)
+
+    def test_grant_decided_before_a_selector_change_is_refused(self):
+        self.declare('silt', runs_on='pond=yes')
+        self.open('a', labels={'pond': 'yes'})
+        self.submit('silt', 'j')
+        revision = self.state.revision
+        self.relabel('instance', 'a', pond='no')
+        self.assertEqual([], self.grant('j', revision))
+        self.relabel('instance', 'a', pond='yes')
+        self.assertEqual(['j'], self.grant('j', revision))
+
+    def test_grant_beyond_the_slots_is_refused(self):
+        self.declare('silt', resources=workload.Resources(slots=5))
+        self.open('a')
+        self.submit('silt', 'j', 'k')
+        granted = [self.grant(j, self.state.revision) for j in 'jk']
+        self.assertEqual([['j'], []], granted)
+
+
+class TestIndexes(test_systems.SystemTestCase):
+    def test_indexes_equal_those_rebuilt_by_a_new_leader(self):
+        self.declare('desk', kind=workload.Kind.SERVICE, runs_on='desk=yes')
+        self.declare('silt')
+        self.open('a', labels={'desk': 'yes'})
+        self.open('b')
+        self.submit('silt', *[f'j{i}' for i in range(20)])
+        self.tick(2)
+        self.report('finished', 'j1', 'j2')
+        self.relabel('instance', 'b', desk='yes')
+        self.state.load(self.state.dump())
+        self.tick(3)
+        rebuilt = fleet.Fleet()
+        rebuilt.refresh(self.state, reserve=self.reserve)
+        kept = self.systems[0].memory.fleet
+        kept.refresh(self.state, reserve=self.reserve)
+        for name, entry in rebuilt.nodes.items():
+            other = kept.nodes[name]
+            self.assertEqual(entry.charges, other.charges)
+            self.assertEqual(entry.services, other.services)
+            self.assertEqual(entry.slots, other.slots)
+        self.assertEqual(rebuilt.used, kept.used)
