--- /dev/null
+++ b/bilberryhaven/cmdline/__init__.py
@@ -0,0 +1,117 @@
+"""Command line: subcommands by decorator, one module a family.
+
+A role's process imports no more than it needs, so modules here import HTTP
+and tables only inside the functions that use them.
+"""
+
+import argparse
+import importlib
+import json
+import os
+import pkgutil
+import sys
+
+from bilberryhaven import errors
+from bilberryhaven import registry
+
+__all__ = ['Command', 'build_parser', 'main', 'register', 'run']
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+DEFAULT_SERVER = '127.0.0.1:7070'
+EPILOG = 'Exit status: 0 done, 1 refused (a code is on stderr), 2 usage.'
+
+_registry = registry.Registry(family='subcommand')
+register = _registry.register
+
+
+class Command:
+    """Base of all subcommands.
+
+    Attributes:
+        help: One line for ``--help``.
+        remote: Whether it talks to a server, so takes the options for that.
+    """
+
+    help = ''
+    remote = True
+
+    def add_arguments(self, parser):
+        """Add the subcommand's own arguments."""
+
+    def run(self, opts):
+        """Run it and return the exit status, None for done."""
+        raise NotImplementedError
+
+
+def _list_commands():
+    for module in pkgutil.iter_modules(__path__):
+        if not module.name.startswith('_'):
+            importlib.import_module(f'{__name__}.{module.name}')
+    return _registry.items()
+
+
+def _add_settings(parser, **options):
+    parser.add_argument(
+        '--settings', metavar='FILE', help='settings in YAML', **options
+    )
+
+
+def _add_remote(parser):
+    parser.add_argument(
+        '--server',
+        metavar='ADDRESS[,ADDRESS...]',
+        default=os.environ.get('BILBERRYHAVEN_SERVER', DEFAULT_SERVER),
+        help='entry or control instance; BILBERRYHAVEN_SERVER, or '
+        f'{DEFAULT_SERVER}, by default',
+    )
+    parser.add_argument(
+        '--output',
+        choices=('table', 'json'),
+        default='table',
+        help='for people or for programs',
+    )
+
+
+def build_parser():
+    """Return the parser of all subcommands."""
+    parser = argparse.ArgumentParser(
+        prog='bilberryhaven',
+        description='Scheduler for latency-critical and batch work.',
+        epilog=EPILOG,
+    )
+    _add_settings(parser)
+    subs = parser.add_subparsers(
+        dest='command', required=True, metavar='COMMAND'
+    )
+    for name, cls in _list_commands():
+        command = cls()
+        sub = subs.add_parser(name, help=cls.help, description=cls.help)
+        command.add_arguments(sub)
+        if cls.remote:
+            _add_remote(sub)
+        else:
+            _add_settings(sub, default=argparse.SUPPRESS)
+        sub.set_defaults(run=command.run)
+    return parser
+
+
+def main(args):
+    """Run the command line ``args`` and return the exit status."""
+    opts = build_parser().parse_args(args)
+    try:
+        return opts.run(opts) or EXIT_DONE
+    except errors.BilberryhavenError as error:
+        if getattr(opts, 'output', '') == 'json':
+            print(json.dumps(error.to_dict()), file=sys.stderr)
+        else:
+            print(error, file=sys.stderr)
+        return EXIT_REFUSED
+    except KeyboardInterrupt:
+        return EXIT_REFUSED
+
+
+def run():
+    """Run the process's command line and exit."""
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bilberryhaven/cmdline/_client.py
@@ -0,0 +1,147 @@
+"""Client of the JSON API; a write keeps its change id over retries."""
+
+import getpass
+import json
+import os
+import threading
+import urllib.parse
+
+import urllib3
+
+from bilberryhaven import errors
+from bilberryhaven import util
+
+__all__ = ['ApiClient', 'connect', 'quote']
+
+ATTEMPTS = 6
+FIRST_PAUSE_SECONDS = 0.2
+TIMEOUT_SECONDS = 15.0
+IN_FORCE_SECONDS = 12.0
+POLL_SECONDS = 0.1
+RETRIED_STATUSES = frozenset({502, 503, 504})
+
+
+def connect(opts):
+    """Return the client of the server that ``opts`` names."""
+    return ApiClient(servers=opts.server.split(','))
+
+
+def quote(name):
+    """Return ``name`` as one segment of a path."""
+    return urllib.parse.quote(name, safe='')
+
+
+def _get_user():
+    user = os.environ.get('BILBERRYHAVEN_USER')
+    if user:
+        return user
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return 'unknown'
+
+
+class ApiClient:
+    """Calls the API of one of several servers.
+
+    Args:
+        servers: Addresses, tried in turn.
+        pause: Function that waits for a number of seconds.
+    """
+
+    def __init__(self, *, servers, pause=None):
+        self._servers = [server.strip() for server in servers]
+        for server in self._servers:
+            util.parse_address(server)
+        self._pause = pause or threading.Event().wait
+        self._pools = urllib3.PoolManager(retries=False)
+
+    def call(self, method, path, body=None, *, query=None, retry=True):
+        """Return the JSON answer to one call.
+
+        Args:
+            method: HTTP method.
+            path: Path with its segments quoted.
+            body: JSON value of the body, or None.
+            query: Mapping of query fields; None values are left out.
+            retry: Whether a resend does no harm.
+
+        Raises:
+            BilberryhavenError: The last attempt's refusal or fault.
+        """
+        fields = {k: v for k, v in (query or {}).items() if v is not None}
+        if fields:
+            path = f'{path}?{urllib.parse.urlencode(fields)}'
+        pause = FIRST_PAUSE_SECONDS
+        for attempt in range(ATTEMPTS if retry else 1):
+            server = self._servers[attempt % len(self._servers)]
+            if attempt:
+                self._pause(pause)
+                pause *= 2
+            try:
+                return self._send(server, method, path, body)
+            except errors.BilberryhavenError as error:
+                last = error
+                if error.status not in RETRIED_STATUSES:
+                    raise
+        raise last
+
+    def change(self, method, path, body, *, change_id=None):
+        """Return the answer to an operator's write."""
+        body = {
+            'by': _get_user(),
+            **body,
+            'change_id': change_id or util.create_id('change'),
+        }
+        return self.call(method, path, body)
+
+    def wait_in_force(self, revision):
+        """Return the newest in-force answer, once true or time is over."""
+        polls = int(IN_FORCE_SECONDS / POLL_SECONDS)
+        for number in range(polls):
+            if number:
+                self._pause(POLL_SECONDS)
+            answer = self.call(
+                'GET', '/v1/in-force', query={'revision': revision}
+            )
+            if answer['in_force']:
+                break
+        return answer
+
+    def _send(self, server, method, path, body):
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            response = self._pools.request(
+                method,
+                f'http://{server}{path}',
+                body=data,
+                headers={'Content-Type': 'application/json'},
+                timeout=urllib3.Timeout(total=TIMEOUT_SECONDS),
+                redirect=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise errors.PeerError(
+                f'no answer from the server: {error}',
+                step=f'{method} {path}',
+                peer=server,
+            ) from error
+        return _read_answer(response, server, f'{method} {path}')
+
+
+def _read_answer(response, server, step):
+    try:
+        answer = json.loads(response.data)
+    except ValueError as error:
+        raise errors.PeerError(
+            f'HTTP status {response.status} without a JSON body',
+            step=step,
+            peer=server,
+        ) from error
+    if response.status < 300:
+        return answer
+    if not isinstance(answer, dict):
+        answer = {'message': f'HTTP status {response.status}: {answer}'}
+    answer.setdefault('step', step)
+    error = errors.build_error(answer)
+    error.peer = error.peer or server
+    raise error
--- /dev/null
+++ b/bilberryhaven/cmdline/_output.py
@@ -0,0 +1,40 @@
+"""Output of operators' subcommands: tables for people, or JSON."""
+
+import json
+import textwrap
+
+__all__ = ['format_labels', 'print_json', 'print_table']
+
+WIDTH = 80
+GAP = 2
+MIN_LAST_WIDTH = 20
+
+
+def print_json(value):
+    """Print ``value`` as JSON."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def format_labels(labels):
+    """Return labels as ``key=value`` words."""
+    return ' '.join(f'{key}={labels[key]}' for key in sorted(labels))
+
+
+def print_table(headers, rows):
+    """Print rows of strings under headers; the last column wraps."""
+    rows = [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(cell) for cell in column)
+        for column in zip(headers, *rows, strict=True)
+    ]
+    indent = sum(width + GAP for width in widths[:-1])
+    last = max(WIDTH - indent, MIN_LAST_WIDTH)
+    for row in [headers, *rows]:
+        head = ''.join(
+            cell.ljust(width + GAP)
+            for cell, width in zip(row[:-1], widths[:-1], strict=True)
+        )
+        lines = textwrap.wrap(row[-1], last) or ['']
+        print(f'{head}{lines[0]}'.rstrip())
+        for line in lines[1:]:
+            print(' ' * indent + line)
--- /dev/null
+++ b/bilberryhaven/cmdline/jobs.py
@@ -0,0 +1,143 @@
+"""Subcommands for jobs: submit, status, cancel."""
+
+import argparse
+import json
+import pathlib
+import sys
+
+from bilberryhaven import cmdline
+from bilberryhaven.cmdline import _output
+from bilberryhaven import errors
+from bilberryhaven import util
+
+__all__ = []
+
+
+def _connect(opts):
+    from bilberryhaven.cmdline import _client
+
+    return _client.connect(opts)
+
+
+def _read_payload(text):
+    if not text.startswith('@'):
+        return _parse_payload(text)
+    try:
+        return _parse_payload(pathlib.Path(text[1:]).read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.OptionError(
+            f'--payload {text}: {error}', step='read payload'
+        ) from error
+
+
+def _parse_payload(text):
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def _parse_seconds(text):
+    value = float(text)
+    if not 0 < value < 1e8:
+        raise argparse.ArgumentTypeError('must be above 0')
+    return value
+
+
+@cmdline.register('submit')
+class SubmitCommand(cmdline.Command):
+    """Submits a job."""
+
+    help = 'submit a job of a batch or watch workload'
+
+    def add_arguments(self, parser):
+        """Add the workload and the job's fields."""
+        parser.add_argument('workload', metavar='WORKLOAD')
+        parser.add_argument(
+            '--id', help='idempotency key; a resend finds the same job'
+        )
+        parser.add_argument(
+            '--payload',
+            default='',
+            metavar='JSON|@FILE',
+            help='input of the job',
+        )
+        parser.add_argument(
+            '--deadline',
+            type=_parse_seconds,
+            metavar='SECONDS',
+            help='by when it must have finished',
+        )
+
+    def run(self, opts):
+        """Send the job; its id is printed."""
+        body = {
+            'workload': opts.workload,
+            'id': opts.id or util.create_id('job'),
+            'payload': _read_payload(opts.payload),
+        }
+        if opts.deadline is not None:
+            body['deadline_ms'] = max(1, round(opts.deadline * 1000))
+        answer = _connect(opts).call('POST', '/v1/jobs', body)
+        if opts.output == 'json':
+            _output.print_json(answer)
+        else:
+            print(f'{answer["id"]}: {answer["state"]}')
+
+
+@cmdline.register('status')
+class StatusCommand(cmdline.Command):
+    """Shows a job."""
+
+    help = 'show where a job stands, and its result'
+
+    def add_arguments(self, parser):
+        """Add the job."""
+        parser.add_argument('id', metavar='JOB')
+
+    def run(self, opts):
+        """Print the job."""
+        from bilberryhaven.cmdline import _client
+
+        path = f'/v1/jobs/{_client.quote(opts.id)}'
+        answer = _client.connect(opts).call('GET', path)
+        if opts.output == 'json':
+            _output.print_json(answer)
+            return
+        rows = [
+            [key, json.dumps(value) if key == 'result' else value]
+            for key, value in answer.items()
+            if value not in ('', None, []) and key != 'session'
+        ]
+        _output.print_table(['FIELD', 'VALUE'], rows)
+
+
+@cmdline.register('cancel')
+class CancelCommand(cmdline.Command):
+    """Cancels jobs."""
+
+    help = 'cancel jobs; a repeat does no harm'
+
+    def add_arguments(self, parser):
+        """Add the jobs."""
+        parser.add_argument(
+            'ids', metavar='JOB', nargs='+', help='- reads ids from stdin'
+        )
+
+    def run(self, opts):
+        """Cancel all in one call; unknown ids are refused at the end."""
+        ids = opts.ids
+        if ids == ['-']:
+            ids = sys.stdin.read().split()
+        answer = _connect(opts).call('DELETE', '/v1/jobs', {'ids': ids})
+        states = answer['states']
+        if opts.output == 'json':
+            _output.print_json(answer)
+        else:
+            rows = [[i, states[i] or 'unknown id'] for i in states]
+            _output.print_table(['JOB', 'STATE'], rows)
+        missing = [job_id for job_id in states if not states[job_id]]
+        if missing:
+            raise errors.NotFoundError(
+                f'no such job: {", ".join(missing)}', step='cancel'
+            )
--- /dev/null
+++ b/bilberryhaven/cmdline/members.py
@@ -0,0 +1,45 @@
+"""Subcommand for the control instances."""
+
+from bilberryhaven import cmdline
+from bilberryhaven.cmdline import _output
+
+__all__ = []
+
+
+@cmdline.register('members')
+class MembersCommand(cmdline.Command):
+    """Lists, adds and removes control instances."""
+
+    help = 'list, add or remove control instances'
+
+    def add_arguments(self, parser):
+        """Add the action."""
+        parser.add_argument(
+            '--add',
+            nargs=2,
+            metavar=('NAME', 'ADDRESS'),
+            help='add one; it votes once it has caught up',
+        )
+        parser.add_argument('--remove', metavar='NAME', help='remove one')
+
+    def run(self, opts):
+        """Make the change, if one is asked for, and print the members."""
+        from bilberryhaven.cmdline import _client
+
+        client = _client.connect(opts)
+        if opts.add:
+            body = {'name': opts.add[0], 'address': opts.add[1]}
+            client.call('POST', '/v1/members', body, retry=False)
+        if opts.remove:
+            path = f'/v1/members/{_client.quote(opts.remove)}'
+            client.call('DELETE', path, retry=False)
+        answer = client.call('GET', '/v1/members')
+        if opts.output == 'json':
+            _output.print_json(answer)
+            return
+        rows = answer['members']
+        headers = list(rows[0]) if rows else ['name']
+        _output.print_table(
+            [key.upper() for key in headers],
+            [[row.get(key, '') for key in headers] for row in rows],
+        )
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,182 @@
+"""Tests of the command line against the API on a loopback port."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+
+import testtools
+from testtools import matchers
+
+from bilberryhaven import cmdline
+from bilberryhaven.cmdline import _client
+from bilberryhaven.cmdline import _output
+from bilberryhaven.control import api
+from bilberryhaven import errors
+from bilberryhaven.wire import server
+from tests import test_api
+
+WORKLOADS = """
+teams:
+  ponds: {quota: 20}
+---
+workloads:
+  survey:
+    kind: batch
+    team: ponds
+    runs_on: zone=a
+  watch: {kind: watch}
+"""
+
+
+class CommandLineTestCase(test_api.ApiTestCase):
+    def setUp(self):
+        super().setUp()
+        self.lost = 0
+        self.server = server.Server(
+            address='127.0.0.1:0', handlers={}, fallback=self.answer
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.folder = self.useTempDir()
+
+    def useTempDir(self):  # noqa: N802
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return pathlib.Path(folder.name)
+
+    def answer(self, environ, body):
+        status, data = api.handle(
+            self.ctx,
+            environ['REQUEST_METHOD'],
+            environ['PATH_INFO'],
+            environ['QUERY_STRING'],
+            body,
+            '',
+        )
+        if self.lost:
+            self.lost -= 1
+            return server.Response(status=502, body=b'lost')
+        return server.Response(status=status, body=data)
+
+    def run_line(self, *args, status=0):
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            try:
+                got = cmdline.main([*args, '--server', self.server.address])
+            except SystemExit as stop:
+                got = stop.code
+        self.assertEqual(status, got, err.getvalue())
+        return out.getvalue() if status == 0 else err.getvalue()
+
+    def write(self, text):
+        path = self.folder / 'file.yaml'
+        path.write_text(text)
+        return str(path)
+
+
+class TestSubcommands(CommandLineTestCase):
+    def test_apply_twice_changes_nothing_the_second_time(self):
+        path = self.write(WORKLOADS)
+        self.assertIn('in force everywhere', self.run_line('apply', path))
+        again = self.run_line('apply', path)
+        self.assertEqual(3, again.count('unchanged'))
+        self.assertEqual(3, self.ctx.state.revision)
+
+    def test_apply_names_all_faults_and_sends_nothing(self):
+        path = self.write(
+            'workloads: {a: {kind: nap}, "b c": {kind: batch}}\nlabels: {}\n'
+        )
+        text = self.run_line('apply', path, status=1)
+        for part in ('workloads.a', '$.kind', "'b c'", 'labels'):
+            self.assertIn(part, text)
+        self.assertEqual(0, self.ctx.state.revision)
+
+    def test_change_read_back(self):
+        self.declare()
+        self.open()
+        self.run_line('label', 'workload', 'survey', 'noise=high')
+        self.run_line('label', 'instance', 'i1', 'disk=fast')
+        self.run_line('select', 'survey', '--runs-on', 'disk=fast')
+        table = self.run_line('get', 'workloads')
+        self.assertIn('noise=high; runs on: disk=fast', table)
+        self.assertIn('nothing: it fits', self.run_line('explain', 'survey'))
+        self.assertIn('disk=fast', self.run_line('history', 'i1'))
+        self.assertIn('revision 4', self.run_line('in-force', 'survey'))
+
+    def test_refusal_has_its_code_on_stderr(self):
+        text = self.run_line('get', 'workloads', 'none', status=1)
+        self.assertThat(text, matchers.StartsWith('not_found: '))
+        self.declare()
+        text = self.run_line('select', 'survey', '--runs-on', 'a=(', status=1)
+        self.assertIn('bad_selector', text)
+
+    def test_usage_errors(self):
+        self.run_line('label', 'zone', 'a', 'b=c', status=2)
+        self.run_line('select', 'survey', status=2)
+        self.run_line('nothing', status=2)
+
+    def test_job_from_submission_to_cancellation(self):
+        self.declare()
+        line = self.run_line('submit', 'survey', '--id', 'j', '--payload', '1')
+        self.assertEqual('j: pending\n', line)
+        self.assertIn('pending', self.run_line('status', 'j'))
+        self.run_line('cancel', 'j')
+        got = json.loads(self.run_line('status', 'j', '--output', 'json'))
+        self.assertEqual('cancelled', got['state'])
+        self.run_line('cancel', 'none', status=1)
+
+    def test_every_kind_can_be_listed(self):
+        self.declare()
+        self.open()
+        for kind in ('workloads', 'instances', 'zones', 'teams', 'members'):
+            self.run_line('get', kind)
+            json.loads(self.run_line('get', kind, '--output', 'json'))
+
+    def test_members(self):
+        text = self.run_line('members', '--add', 'c2', '127.0.0.1:2')
+        self.assertIn('c2', text)
+        self.assertNotIn('c2', self.run_line('members', '--remove', 'c2'))
+
+
+class TestClient(CommandLineTestCase):
+    def test_write_whose_answer_is_lost_is_applied_once(self):
+        self.declare()
+        self.lost = 2
+        pauses = []
+        client = _client.ApiClient(
+            servers=[self.server.address], pause=pauses.append
+        )
+        path = '/v1/workloads/survey/labels'
+        answer = client.change('PATCH', path, {'labels': {'a': '1'}})
+        self.assertEqual((2, 2), (answer['version'], len(pauses)))
+        self.assertEqual(2, self.ctx.state.revision)
+
+    def test_next_server_is_tried(self):
+        client = _client.ApiClient(
+            servers=['127.0.0.1:1', self.server.address],
+            pause=lambda seconds: None,
+        )
+        self.assertEqual([], client.call('GET', '/v1/workloads')['workloads'])
+
+    def test_gives_up_with_a_code(self):
+        self.lost = 100
+        client = _client.ApiClient(
+            servers=[self.server.address], pause=lambda seconds: None
+        )
+        self.assertRaises(
+            errors.PeerError, client.call, 'GET', '/v1/workloads'
+        )
+
+
+class TestTable(testtools.TestCase):
+    def test_rows_fit_the_width(self):
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            _output.print_table(['A', 'B'], [['x' * 20, 'word ' * 60]])
+        lines = out.getvalue().splitlines()
+        self.assertThat(max(map(len, lines)), matchers.LessThan(81))
