--- a/bilberryhaven/agent/__init__.py
+++ b/bilberryhaven/agent/__init__.py
@@ -1,1 +1,1 @@
-"""The role beside a backend server: admission and reports."""
+"""Agent: admits work to the backend server beside it and reports on it."""
--- /dev/null
+++ b/bilberryhaven/agent/backend.py
@@ -0,0 +1,247 @@
+"""Client of the backend server's protocol, docs/backend-server.md."""
+
+import datetime
+from urllib import parse
+
+import msgspec
+import urllib3
+
+from bilberryhaven.agent import protocol
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import util
+
+__all__ = ['BackendClient']
+
+CONTROL_TIMEOUT = clocks.seconds(1)
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MIN_TIMEOUT = clocks.seconds(0.001)
+READ_BYTES = 64 * 1024
+
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.EmptyPoolError,
+)
+
+
+class BackendClient:
+    """Talks to one backend server over few, kept-alive connections.
+
+    A connection on which an answer is late, cut off or not the one asked for
+    is closed and never used again.
+
+    Args:
+        address: HOST:PORT of the backend server.
+        owner: Names this agent's incarnation; the server fences all others.
+        clock: Times the answers.
+        slots: Requests that may be in progress at a time.
+        control_connections: Connections for all other calls.
+    """
+
+    def __init__(self, *, address, owner, clock, slots, control_connections):
+        self._address = address
+        self._owner = owner
+        self._clock = clock
+        self._requests = _build_pool(address, slots)
+        self._control = _build_pool(address, control_connections)
+
+    def attach(self):
+        """Take over the backend server and return its ``Status``."""
+        body = protocol.Attachment(owner=self._owner)
+        return self._call('POST', '/v1/attach', body, protocol.Status)
+
+    def get_status(self):
+        """Return the ``Status``."""
+        return self._call('GET', '/v1/status', None, protocol.Status)
+
+    def get_usage(self):
+        """Return the ``UsageReport``."""
+        return self._call('GET', '/v1/usage', None, protocol.UsageReport)
+
+    def renew_lease(self, session, lease, ticket):
+        """Pass a lease on, counted from the ticket's issue."""
+        body = protocol.LeaseGrant(
+            session=session,
+            lease_ms=lease // datetime.timedelta(milliseconds=1),
+            ticket=ticket,
+            owner=self._owner,
+        )
+        return self._call('POST', '/v1/lease', body, protocol.Status)
+
+    def start_task(self, order, session):
+        """Start the job of a ``StartOrder`` and return its ``TaskStatus``."""
+        body = protocol.TaskStart(
+            id=order.job_id,
+            epoch=order.epoch,
+            session=session,
+            workload=order.workload,
+            owner=self._owner,
+            payload=order.payload,
+            checkpoint=order.checkpoint,
+            slots=order.slots,
+        )
+        return self._call('POST', '/v1/tasks', body, protocol.TaskStatus)
+
+    def stop_task(self, job_id, epoch):
+        """Checkpoint and stop a job; return its last ``TaskStatus``."""
+        return self._order(job_id, 'stop', epoch)
+
+    def checkpoint_task(self, job_id, epoch):
+        """Return the ``TaskStatus`` of a running job, with a checkpoint."""
+        return self._order(job_id, 'checkpoint', epoch)
+
+    def throttle_task(self, job_id, epoch, share):
+        """Limit a running job to a share of its speed."""
+        return self._order(job_id, 'throttle', epoch, share)
+
+    def forget_task(self, job_id, epoch):
+        """Let the backend server drop an ended job."""
+        body = protocol.TaskOrder(epoch=epoch, owner=self._owner)
+        path = f'/v1/tasks/{_quote(job_id)}'
+        return self._call('DELETE', path, body, protocol.Body)
+
+    def revoke_request(self, request_id):
+        """Keep a request from starting; return its ``RequestState``."""
+        path = f'/v1/requests/{_quote(request_id)}'
+        return self._call('DELETE', path, None, protocol.RequestState)
+
+    def run_request(self, request_id, workload, body, timeout):
+        """Run a request and return the body of its whole answer.
+
+        Raises:
+            TruncatedAnswerError: The answer isn't whole, or another's.
+            BilberryhavenError: It failed; the error tells the outcome.
+        """
+        request = protocol.ServiceRequest(
+            id=request_id,
+            workload=workload,
+            owner=self._owner,
+            body=body,
+            deadline_ms=timeout // datetime.timedelta(milliseconds=1),
+        )
+        answer = self._exchange(
+            self._requests,
+            'POST',
+            '/v1/requests',
+            request,
+            protocol.Answer,
+            timeout,
+        )
+        self._check_answer(answer, request_id)
+        return answer.body
+
+    def close(self):
+        """Close all connections."""
+        self._requests.close()
+        self._control.close()
+
+    def _order(self, job_id, verb, epoch, share=1.0):
+        body = protocol.TaskOrder(epoch=epoch, owner=self._owner, share=share)
+        path = f'/v1/tasks/{_quote(job_id)}/{verb}'
+        return self._call('POST', path, body, protocol.TaskStatus)
+
+    def _call(self, method, path, body, cls):
+        return self._exchange(
+            self._control, method, path, body, cls, CONTROL_TIMEOUT
+        )
+
+    def _exchange(self, pool, method, path, body, cls, timeout):
+        step = f'{method} {path}'
+        until = self._clock.monotonic() + timeout
+        limit = max(timeout, MIN_TIMEOUT).total_seconds()
+        try:
+            response = pool.urlopen(
+                method,
+                path,
+                body=b'' if body is None else msgspec.json.encode(body),
+                headers={'Content-Type': 'application/json'},
+                timeout=urllib3.Timeout(total=limit),
+                pool_timeout=limit,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+            data = self._read(response, until, step)
+        except urllib3.exceptions.HTTPError as error:
+            raise self._describe_fault(error, step) from error
+        if response.status >= 400:
+            raise self._rebuild_error(response.status, data, step)
+        return self._decode(cls, data, step)
+
+    def _read(self, response, until, step):
+        chunks, size = [], 0
+        try:
+            while chunk := response.read1(READ_BYTES):
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_ANSWER_BYTES:
+                    raise self._build_truncated('it is too long', step)
+                if self._clock.monotonic() > until:
+                    raise self._build_truncated('it came too slowly', step)
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return b''.join(chunks)
+
+    def _check_answer(self, answer, request_id):
+        step = 'check answer'
+        if answer.id != request_id:
+            raise self._build_truncated(f'it answers {answer.id!r}', step)
+        if answer.length != len(answer.body):
+            raise self._build_truncated(
+                f'{len(answer.body)} of {answer.length} bytes came', step
+            )
+        if answer.digest != util.compute_digest(answer.body):
+            raise self._build_truncated('its digest is another', step)
+
+    def _decode(self, cls, data, step):
+        try:
+            return protocol.read_body(cls, data, step=step)
+        except errors.BadInputError as error:
+            raise self._build_truncated(error.message, step) from error
+
+    def _build_truncated(self, reason, step):
+        return errors.TruncatedAnswerError(
+            f'unusable answer: {reason}', step=step, peer=self._address
+        )
+
+    def _describe_fault(self, error, step):
+        outcome = errors.Outcome.UNKNOWN
+        if isinstance(error, _NOT_SENT):
+            outcome = errors.Outcome.NOT_RUN
+        return errors.PeerError(
+            f'no answer: {error}',
+            step=step,
+            peer=self._address,
+            outcome=outcome,
+        )
+
+    def _rebuild_error(self, status, data, step):
+        try:
+            fields = msgspec.json.decode(data, type=dict[str, str])
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            fields = {}
+        if 'code' not in fields:
+            return errors.PeerError(
+                f'HTTP status {status}', step=step, peer=self._address
+            )
+        fields['peer'] = self._address
+        try:
+            return errors.build_error(fields)
+        except ValueError:
+            return errors.PeerError(
+                f'unreadable error {fields}', step=step, peer=self._address
+            )
+
+
+def _build_pool(address, size):
+    host, port = util.parse_address(address)
+    return urllib3.HTTPConnectionPool(
+        host, port=port, maxsize=size, block=True, retries=False
+    )
+
+
+def _quote(text):
+    return parse.quote(text, safe='')
--- /dev/null
+++ b/bilberryhaven/agent/jobs.py
@@ -0,0 +1,357 @@
+"""Jobs of an agent: orders from control, state at the backend server.
+
+Does no I/O: methods return the commands to carry out at the backend server
+and report events to the session.
+"""
+
+from bilberryhaven.agent import job
+from bilberryhaven import clock
+from bilberryhaven import log
+from bilberryhaven.wire import message
+
+__all__ = ['Jobs']
+
+CHECKPOINT_INTERVAL = clock.seconds(10)
+LIVE_STAGES = (
+    job.JobStage.STARTING,
+    job.JobStage.RUNNING,
+    job.JobStage.ORPHANED,
+)
+END_KINDS = {
+    'finished': 'finished',
+    'failed': 'failed',
+    'stopped': 'stopped',
+    'absent': 'refused',
+}
+
+_logger = log.get_logger('jobs')
+
+
+class Jobs:
+    """All jobs that were granted to this agent and aren't yet forgotten.
+
+    Args:
+        report: Called with each ``JobEvent``.
+        hold: Called with id, epoch and slots of a job found running.
+        release: Called with the id and epoch of a job that holds no slots
+            any more.
+    """
+
+    def __init__(self, *, report, hold, release):
+        self._report = report
+        self._hold = hold
+        self._release = release
+        self._resumed = False
+        self._jobs = {}
+
+    def list_running(self):
+        """Return a ``RunningJob`` for each job that may run."""
+        return [
+            message.RunningJob(job_id=row.id, epoch=row.epoch)
+            for row in self._jobs.values()
+            if row.stage in LIVE_STAGES
+        ]
+
+    def resume(self):
+        """Go on with a former incarnation's session."""
+        self._resumed = True
+
+    # Orders from control
+
+    def take_starts(self, orders, now):
+        """Return the orders that are new and need slots, and commands."""
+        fresh, commands = [], []
+        for order in orders:
+            known = self._jobs.get(order.job_id)
+            if known is not None and known.epoch >= order.epoch:
+                continue
+            if known is not None and known.stage is not job.JobStage.ENDED:
+                commands += self._orphan(known)
+                continue
+            self._jobs[order.job_id] = job.Job(
+                order=order,
+                stage=job.JobStage.WAITING,
+                checkpoint=order.checkpoint,
+                checkpoint_at=now + CHECKPOINT_INTERVAL,
+            )
+            fresh.append(order)
+        return fresh, commands
+
+    def take_stops(self, orders):
+        """Return the commands that carry out stop orders."""
+        commands = []
+        for order in orders:
+            known = self._jobs.get(order.job_id)
+            if known is None or known.epoch < order.epoch:
+                commands.append(
+                    job.StopTask(job_id=order.job_id, epoch=order.epoch)
+                )
+            elif known.epoch == order.epoch:
+                commands += self._take_stop(known, order)
+        return commands
+
+    def _take_stop(self, row, order):
+        row.stopping = order.reason or 'ordered'
+        if row.stage is job.JobStage.WAITING:
+            self._end(row, 'refused', f'stopped: {row.stopping}')
+            return []
+        return self._stop(row)
+
+    def take_throttles(self, orders):
+        """Return the commands that bring all shares in force."""
+        wanted = {(order.job_id, order.epoch): order.share for order in orders}
+        commands = []
+        for row in self._jobs.values():
+            row.wanted_share = wanted.get((row.id, row.epoch), 1.0)
+            running = row.stage is job.JobStage.RUNNING
+            if running and not row.busy and row.share != row.wanted_share:
+                row.busy = True
+                commands.append(
+                    job.ThrottleTask(
+                        job_id=row.id, epoch=row.epoch, share=row.wanted_share
+                    )
+                )
+        return commands
+
+    def run(self, job_id, epoch):
+        """Return the command that starts a job which now has its slots."""
+        row = self._find(job_id, epoch)
+        if row is None or row.stage is not job.JobStage.WAITING:
+            self._release(job_id, epoch)
+            return []
+        row.stage = job.JobStage.STARTING
+        row.busy = True
+        return [job.StartTask(order=row.order)]
+
+    def refuse(self, job_id, epoch, reason):
+        """Report a job that wasn't started."""
+        row = self._find(job_id, epoch)
+        if row is not None and row.stage is job.JobStage.WAITING:
+            self._end(row, 'refused', reason)
+
+    def orphan_all(self):
+        """Stop all jobs of a session that is gone; report nothing."""
+        self._resumed = False
+        commands = []
+        for row in list(self._jobs.values()):
+            commands += self._orphan(row)
+        return commands
+
+    # Results of commands
+
+    def record_status(self, task, epoch):
+        """Take over what the backend server says of one job."""
+        row = self._find(task.id, epoch)
+        if row is None:
+            return
+        row.busy = False
+        self._apply(row, task)
+
+    def record_throttled(self, task, epoch):
+        """Take over the share that is now in force."""
+        row = self._find(task.id, epoch)
+        if row is not None:
+            row.busy = False
+            row.share = task.share
+
+    def record_checkpoint(self, task, epoch, now):
+        """Report a checkpoint unless it is the one reported last."""
+        row = self._find(task.id, epoch)
+        if row is None:
+            return
+        row.busy = False
+        row.checkpoint_at = now + CHECKPOINT_INTERVAL
+        fresh = task.checkpoint not in (b'', row.checkpoint)
+        if fresh and row.stage is job.JobStage.RUNNING:
+            row.checkpoint = task.checkpoint
+            self._send(row, 'checkpoint', task.checkpoint)
+
+    def record_stopped(self, task, epoch, now):
+        """Take over the end of a job that was ordered to stop."""
+        row = self._find(task.id, epoch)
+        if row is None:
+            self._report_unknown(task, epoch, now)
+            return
+        row.busy = False
+        self._apply(row, task)
+
+    def record_start_error(self, job_id, epoch, reason, *, ran, known):
+        """Record that a start failed.
+
+        Args:
+            job_id: The job.
+            epoch: Its grant.
+            reason: Why, for a person.
+            ran: Whether the backend server tried to run it.
+            known: Whether it surely doesn't run; else it is tried again.
+        """
+        row = self._find(job_id, epoch)
+        if row is None:
+            return
+        row.busy = False
+        if known:
+            self._end(row, 'failed' if ran else 'refused', reason)
+
+    def record_error(self, job_id, epoch):
+        """Record that a command failed; it is repeated if still needed."""
+        row = self._find(job_id, epoch)
+        if row is not None:
+            row.busy = False
+
+    # State of the backend server
+
+    def observe(self, status, session, now):
+        """Reconcile with the backend server; return commands."""
+        tasks = {task.id: task for task in status.tasks}
+        commands = []
+        for row in list(self._jobs.values()):
+            if row.stage in LIVE_STAGES and not row.busy:
+                commands += self._reconcile(row, tasks.get(row.id), now)
+        for task in tasks.values():
+            if task.id not in self._jobs:
+                commands += self._adopt(task, session, now)
+        return commands
+
+    def lose_all(self, reason):
+        """Report that no job runs any more, for jobs that may have run."""
+        for row in list(self._jobs.values()):
+            if row.stage in LIVE_STAGES:
+                self._end(row, 'stopped', reason)
+
+    def forget_reported(self, pending_events):
+        """Return commands that forget ended jobs whose report is known."""
+        pending = {id(event) for event in pending_events}
+        commands = []
+        for row in self._jobs.values():
+            ended = row.stage is job.JobStage.ENDED and not row.busy
+            if ended and id(row.event) not in pending:
+                row.busy = True
+                commands.append(job.ForgetTask(job_id=row.id, epoch=row.epoch))
+        return commands
+
+    def record_forgotten(self, job_id, epoch):
+        """Drop an ended job that the backend server has dropped."""
+        row = self._find(job_id, epoch)
+        if row is not None and row.stage is job.JobStage.ENDED:
+            self._drop(row)
+
+    # Internals
+
+    def _find(self, job_id, epoch):
+        row = self._jobs.get(job_id)
+        return row if row is not None and row.epoch == epoch else None
+
+    def _reconcile(self, row, task, now):
+        if task is None or task.epoch != row.epoch:
+            if row.stage is job.JobStage.STARTING:
+                row.busy = True
+                return [job.StartTask(order=row.order)]
+            self._end(row, 'stopped', 'the backend server lost it')
+            return []
+        self._apply(row, task)
+        if row.stage is job.JobStage.ENDED:
+            return []
+        if row.stopping or row.stage is job.JobStage.ORPHANED:
+            return self._stop(row)
+        if now >= row.checkpoint_at:
+            row.busy = True
+            return [job.CheckpointTask(job_id=row.id, epoch=row.epoch)]
+        return []
+
+    def _apply(self, row, task):
+        if row.stage not in LIVE_STAGES or task.epoch != row.epoch:
+            return
+        if task.state in END_KINDS:
+            self._end(row, END_KINDS[task.state], task.reason, _get_body(task))
+            return
+        row.progress = task.progress
+        if row.stage is job.JobStage.STARTING:
+            row.stage = job.JobStage.RUNNING
+            self._send(row, 'started')
+
+    def _adopt(self, task, session, now):
+        """Take over a task that a former incarnation started."""
+        running = task.state == 'running'
+        if task.session != session or task.state == 'absent':
+            if running:
+                return [job.StopTask(job_id=task.id, epoch=task.epoch)]
+            return [job.ForgetTask(job_id=task.id, epoch=task.epoch)]
+        order = message.StartOrder(
+            job_id=task.id,
+            epoch=task.epoch,
+            workload=task.workload,
+            slots=task.slots,
+        )
+        row = job.Job(
+            order=order,
+            stage=job.JobStage.STARTING,
+            share=task.share,
+            checkpoint_at=now,
+        )
+        self._jobs[task.id] = row
+        if running:
+            self._hold(row.id, row.epoch, task.slots)
+        self._apply(row, task)
+        return []
+
+    def _report_unknown(self, task, epoch, now):
+        """Report the end of a grant whose start was never seen here."""
+        known = self._jobs.get(task.id)
+        if known is not None and known.stage is not job.JobStage.ENDED:
+            return
+        kind = END_KINDS.get(task.state, 'stopped')
+        if kind == 'refused' and self._resumed:
+            kind = 'stopped'
+        row = job.Job(
+            order=message.StartOrder(job_id=task.id, epoch=epoch, workload=''),
+            stage=job.JobStage.STARTING,
+            checkpoint_at=now,
+        )
+        self._jobs[task.id] = row
+        self._end(row, kind, task.reason, _get_body(task))
+
+    def _orphan(self, row):
+        if row.stage in (job.JobStage.WAITING, job.JobStage.ENDED):
+            self._drop(row)
+            return []
+        row.stage = job.JobStage.ORPHANED
+        return self._stop(row)
+
+    def _stop(self, row):
+        if row.busy or row.stage is job.JobStage.ENDED:
+            return []
+        row.busy = True
+        return [job.StopTask(job_id=row.id, epoch=row.epoch)]
+
+    def _end(self, row, kind, reason, body=b''):
+        orphaned = row.stage is job.JobStage.ORPHANED
+        row.stage = job.JobStage.ENDED
+        log.log_decision(
+            _logger,
+            kind,
+            reason=reason or 'done',
+            job_id=row.id,
+            epoch=row.epoch,
+        )
+        if not orphaned:
+            row.event = self._send(row, kind, body, reason)
+        self._release(row.id, row.epoch)
+
+    def _drop(self, row):
+        del self._jobs[row.id]
+        self._release(row.id, row.epoch)
+
+    def _send(self, row, kind, body=b'', reason=''):
+        event = message.JobEvent(
+            job_id=row.id,
+            epoch=row.epoch,
+            kind=kind,
+            body=body,
+            reason=reason,
+        )
+        self._report(event)
+        return event
+
+
+def _get_body(task):
+    return task.result if task.state == 'finished' else task.checkpoint
--- /dev/null
+++ b/bilberryhaven/agent/links.py
@@ -0,0 +1,102 @@
+"""Ways from an agent to the leader: through entries, else directly."""
+
+import dataclasses
+import datetime
+import zlib
+
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import message
+
+__all__ = ['Links', 'Sent']
+
+TIMEOUT = clocks.seconds(0.8)
+MAX_WAYS = 3
+
+_logger = log.get_logger('links')
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Sent:
+    """A reply, with the time at which its heartbeat was sent."""
+
+    reply: message.HeartbeatReply
+    sent_at: datetime.timedelta
+
+
+class Links:
+    """Sends heartbeats to entries in turn, else to control instances.
+
+    Args:
+        client: The ``wire.client.Client``.
+        entries: Addresses of entries.
+        control: Addresses of control instances.
+        name: The agent's name; spreads agents over the entries.
+        clock: Times the sending.
+    """
+
+    def __init__(self, *, client, entries, control, name, clock):
+        self._client = client
+        self._clock = clock
+        first = zlib.crc32(name.encode()) % max(len(entries), 1)
+        self._entries = [*entries[first:], *entries[:first]]
+        self._control = list(control)
+        self._leader = ''
+
+    def send(self, beat):
+        """Return the ``Sent`` of the first way that gives a reply.
+
+        Raises:
+            UnavailableError: No way led to a leader.
+        """
+        faults = []
+        for address in self._list_ways():
+            sent_at = self._clock.monotonic()
+            try:
+                reply = self._send_to(address, beat)
+                return Sent(reply=reply, sent_at=sent_at)
+            except errors.BilberryhavenError as error:
+                faults.append(f'{address}: {error.code}')
+                self._turn(address)
+        raise errors.UnavailableError(
+            f'no way to the leader: {"; ".join(faults) or "none is set"}',
+            step='heartbeat',
+        )
+
+    def _list_ways(self):
+        leader = [self._leader] if self._leader else []
+        others = [way for way in self._control if way != self._leader]
+        return [*self._entries[:2], *leader, *others][:MAX_WAYS]
+
+    def _send_to(self, address, beat):
+        try:
+            reply = self._exchange(address, beat)
+        except errors.NotLeaderError as error:
+            if not error.peer or error.peer == address:
+                raise
+            self._leader = error.peer
+            reply = self._exchange(error.peer, beat)
+        if reply.code in ('not_leader', 'unavailable'):
+            raise errors.UnavailableError(reply.message, step='heartbeat')
+        return reply
+
+    def _exchange(self, address, beat):
+        reply = self._client.send(
+            address, beat, timeout=TIMEOUT, step='heartbeat'
+        )
+        if not isinstance(reply, message.HeartbeatReply):
+            raise errors.PeerError(
+                f'answered {type(reply).__name__}',
+                step='heartbeat',
+                peer=address,
+            )
+        return reply
+
+    def _turn(self, address):
+        for ways in (self._entries, self._control):
+            if address in ways:
+                ways.remove(address)
+                ways.append(address)
+        if address == self._leader:
+            self._leader = ''
--- /dev/null
+++ b/bilberryhaven/agent/reporter.py
@@ -0,0 +1,327 @@
+"""Reporter: heartbeats to control, leases to the backend server, jobs."""
+
+import dataclasses
+import datetime
+
+import pykka
+
+from bilberryhaven.agent import actors
+from bilberryhaven.agent import effects
+from bilberryhaven.agent import job
+from bilberryhaven.agent import jobs
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import message
+
+__all__ = ['Beat', 'INTERVAL', 'Leave', 'ReporterActor']
+
+INTERVAL = clocks.seconds(1)
+USAGE_INTERVAL = clocks.seconds(2)
+LEASE_MARGIN = clocks.seconds(0.5)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+NO_TIME = datetime.timedelta()
+
+_logger = log.get_logger('reporter')
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Beat:
+    """Send a heartbeat now."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Leave:
+    """Report from now on that the agent is leaving."""
+
+
+class ReporterActor(pykka.ThreadingActor):
+    """Keeps the session alive and the jobs as control wants them.
+
+    Args:
+        session: The ``Session``.
+        admission: Proxy of the ``AdmissionActor``.
+        backend: The ``BackendClient``.
+        links: The ways to the leader.
+        clock: Times heartbeats and leases.
+        owner: This incarnation's name, with its address before the slash.
+        on_replaced: Called once another agent is attached.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        *,
+        session,
+        admission,
+        backend,
+        links,
+        clock,
+        owner,
+        on_replaced,
+    ):
+        super().__init__()
+        self._session = session
+        self._admission = admission
+        self._backend = backend
+        self._links = links
+        self._clock = clock
+        self._owner = owner
+        self._on_replaced = on_replaced
+        self._runner = None
+        self._jobs = jobs.Jobs(
+            report=self._report,
+            hold=admission.hold_job.defer,
+            release=admission.end_job.defer,
+        )
+        self._boot = ''
+        self._replaced = False
+        self._leaving = False
+        self._has_left = False
+        self._beat_due = False
+        self._usage_at = NO_TIME
+        self._usage = []
+        self._backend_until = NO_TIME
+
+    def on_start(self):
+        """Start the actor that carries out commands on tasks."""
+        ref = self.actor_ref
+        self._runner = actors.TaskActor.start(
+            backend=self._backend, on_result=ref.tell
+        )
+
+    def on_stop(self):
+        """Stop the actor that carries out commands on tasks."""
+        self._runner.stop(block=False)
+
+    def on_receive(self, msg):
+        """Handle one typed message."""
+        if isinstance(msg, Beat):
+            self._beat_due = False
+            self._beat()
+        elif isinstance(msg, Leave):
+            self._leaving = True
+            self._schedule_beat()
+        elif isinstance(msg, effects.RunJob):
+            self._carry_out(self._jobs.run(msg.job_id, msg.epoch))
+        elif isinstance(msg, effects.RefuseJob):
+            self._jobs.refuse(msg.job_id, msg.epoch, msg.reason)
+        elif isinstance(msg, actors.CommandDone):
+            self._record_done(msg.command, msg.task)
+        elif isinstance(msg, actors.CommandError):
+            self._record_error(msg.command, msg.error)
+
+    # Views, called through a proxy
+
+    def is_ready(self):
+        """Return whether the agent has a session that is in force."""
+        return not self._session.has_lapsed(self._clock.monotonic())
+
+    def has_work(self):
+        """Return whether the session isn't closed yet."""
+        if self._session.has_lapsed(self._clock.monotonic()):
+            return False
+        return not self._has_left
+
+    # One heartbeat
+
+    def _beat(self):
+        self._admission.tick.defer()
+        status = self._observe_backend()
+        if not self._boot or self._replaced or self._has_left:
+            return
+        beat = self._session.build_heartbeat(
+            load=self._admission.get_load().get(),
+            usage=self._take_usage(status),
+            running=self._jobs.list_running(),
+            leaving=self._leaving,
+        )
+        try:
+            sent = self._links.send(beat)
+        except errors.BilberryhavenError as error:
+            _logger.warning('heartbeat failed: {}', error)
+            return
+        self._handle_reply(sent.reply, sent.sent_at, status)
+
+    def _handle_reply(self, reply, sent_at, status):
+        former = self._session.epoch
+        renewed = self._session.accept(reply, sent_at)
+        if former and self._session.epoch != former:
+            self._admission.drop_lease.defer()
+            self._carry_out(self._jobs.orphan_all())
+        if not renewed:
+            if not self._session.epoch:
+                self._admission.drop_lease.defer()
+                self._has_left = self._leaving
+            return
+        if status is not None and not self._pass_lease(sent_at, status):
+            return
+        self._admission.renew_lease.defer(
+            self._session.lease_until, self._session.revision
+        )
+        if status is not None:
+            self._obey(reply)
+        self._carry_out(
+            self._jobs.forget_reported(self._session.pending_events)
+        )
+
+    def _pass_lease(self, sent_at, status):
+        """Extend the backend server's lease; return whether it agreed."""
+        until = sent_at + self._session.lease
+        self._backend_until = max(self._backend_until, until)
+        try:
+            self._backend.renew_lease(
+                self._session.epoch, self._session.lease, status.ticket
+            )
+        except errors.BilberryhavenError as error:
+            _logger.warning('the lease was not passed on: {}', error)
+            return False
+        return True
+
+    def _obey(self, reply):
+        now = self._clock.monotonic()
+        if not self._leaving:
+            fresh, commands = self._jobs.take_starts(reply.starts, now)
+            self._carry_out(commands)
+            for order in fresh:
+                self._admission.start_job.defer(
+                    order.job_id, order.epoch, order.slots
+                )
+        self._carry_out(self._jobs.take_stops(reply.stops))
+        self._carry_out(self._jobs.take_throttles(reply.throttles))
+
+    # Backend server
+
+    def _observe_backend(self):
+        """Return the backend server's ``Status``, or None."""
+        try:
+            status = self._get_status()
+        except errors.BilberryhavenError as error:
+            self._log_lost_backend(error)
+            return None
+        now = self._clock.monotonic()
+        self._carry_out(self._jobs.observe(status, self._session.epoch, now))
+        self._settle()
+        return status
+
+    def _get_status(self):
+        if not self._boot:
+            return self._attach()
+        status = self._backend.get_status()
+        if status.boot != self._boot:
+            return self._attach()
+        if status.owner != self._owner:
+            self._give_way(status.owner)
+        return status
+
+    def _attach(self):
+        asked_at = self._clock.monotonic()
+        status = self._backend.attach()
+        self._admission.adopt.defer([row.id for row in status.requests])
+        if not self._boot:
+            self._resume(status, asked_at)
+        self._boot = status.boot
+        return status
+
+    def _give_way(self, owner):
+        _logger.warning('agent {} has taken over the backend server', owner)
+        self._replaced = True
+        self._admission.drop_lease.defer()
+        self._on_replaced()
+
+    def _resume(self, status, asked_at):
+        """Go on with a former incarnation's session if it still runs."""
+        lease = status.lease_remaining_ms * MILLISECOND
+        former_address = status.former_owner.partition('/')[0]
+        if not lease or former_address != self._owner.partition('/')[0]:
+            return
+        _logger.info('going on with session {}', status.session)
+        self._session.resume(status.session)
+        self._jobs.resume()
+        self._backend_until = asked_at + lease
+
+    def _log_lost_backend(self, error):
+        _logger.warning('the backend server does not answer: {}', error)
+        lapsed = self._clock.monotonic() > self._backend_until + LEASE_MARGIN
+        if lapsed:
+            self._jobs.lose_all('the backend server did not answer')
+
+    def _settle(self):
+        for request_id in self._admission.list_lingering().get():
+            try:
+                state = self._backend.revoke_request(request_id).state
+            except errors.BilberryhavenError as error:
+                _logger.warning('{} is not settled: {}', request_id, error)
+                return
+            self._admission.settle.defer(request_id, state)
+
+    def _take_usage(self, status):
+        now = self._clock.monotonic()
+        if status is None or now < self._usage_at:
+            return []
+        self._usage_at = now + USAGE_INTERVAL
+        try:
+            report = self._backend.get_usage()
+        except errors.BilberryhavenError as error:
+            _logger.warning('no usage: {}', error)
+            return []
+        return [
+            message.Usage(
+                workload=item.workload,
+                job_id=item.job_id,
+                age_ms=report.age_ms,
+                cpu=item.cpu,
+                memory_mb=item.memory_mb,
+                latency_ms=item.latency_ms,
+                load=item.load,
+                progress=item.progress,
+            )
+            for item in report.usage
+        ]
+
+    # Commands
+
+    def _carry_out(self, commands):
+        runner = self._runner.proxy()
+        for command in commands:
+            runner.carry_out.defer(command, self._session.epoch)
+
+    def _record_done(self, command, task):
+        now = self._clock.monotonic()
+        if isinstance(command, job.StartTask):
+            self._jobs.record_status(task, command.order.epoch)
+        elif isinstance(command, job.StopTask):
+            self._jobs.record_stopped(task, command.epoch, now)
+        elif isinstance(command, job.CheckpointTask):
+            self._jobs.record_checkpoint(task, command.epoch, now)
+        elif isinstance(command, job.ThrottleTask):
+            self._jobs.record_throttled(task, command.epoch)
+        else:
+            self._jobs.record_forgotten(command.job_id, command.epoch)
+
+    def _record_error(self, command, error):
+        if not isinstance(command, job.StartTask):
+            self._jobs.record_error(command.job_id, command.epoch)
+            return
+        lapsed = isinstance(
+            error, errors.LeaseLapsedError | errors.FencedError
+        )
+        refused = lapsed or isinstance(error, errors.OverloadError)
+        known = refused or not isinstance(error, errors.PeerError)
+        self._jobs.record_start_error(
+            command.order.job_id,
+            command.order.epoch,
+            str(error),
+            ran=not refused,
+            known=known,
+        )
+
+    def _report(self, event):
+        self._session.report(event)
+        self._schedule_beat()
+
+    def _schedule_beat(self):
+        if not self._beat_due:
+            self._beat_due = True
+            self.actor_ref.tell(Beat())
--- /dev/null
+++ b/bilberryhaven/agent/service.py
@@ -0,0 +1,226 @@
+"""The agent of one backend server: its actors, server and life."""
+
+import json
+import threading
+
+from bilberryhaven.agent import actors
+from bilberryhaven.agent import admission
+from bilberryhaven.agent import backend
+from bilberryhaven.agent import limits
+from bilberryhaven.agent import links
+from bilberryhaven.agent import reporter
+from bilberryhaven.agent import requests
+from bilberryhaven.agent import session
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven import ticker
+from bilberryhaven.wire import client
+from bilberryhaven.wire import message
+from bilberryhaven.wire import server
+
+__all__ = ['Agent']
+
+SPARE_THREADS = 8
+POLL_SECONDS = 0.02
+BEAT_TIMEOUT = 10
+DRAIN_TIMEOUT = clocks.seconds(30)
+DRAIN_NOTICE = clocks.seconds(3)
+
+_logger = log.get_logger('agent')
+
+
+class Agent:
+    """Admits work to one backend server and reports on it.
+
+    Args:
+        announcement: The instance, as it is announced; its address is set
+            once the port is known.
+        listen: HOST:PORT to listen on; port 0 picks a free one.
+        backend_address: HOST:PORT of the backend server.
+        entries: Addresses of entries that relay heartbeats.
+        control: Addresses of control instances.
+        clock: Times everything.
+        drain_notice: How long a leaving agent still answers refusals.
+        on_replaced: Called once another agent has taken over.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement,
+        listen,
+        backend_address,
+        entries,
+        control,
+        clock,
+        drain_notice=DRAIN_NOTICE,
+        on_replaced=None,
+    ):
+        self._announcement = announcement
+        self._backend_address = backend_address
+        self._entries = entries
+        self._control = control
+        self._clock = clock
+        self._drain_notice = drain_notice
+        self._on_replaced = on_replaced or _do_nothing
+        self._incarnation = _count_milliseconds(clock)
+        self._limits = limits.Limits(
+            slots=announcement.capacity.slots,
+            connections=announcement.capacity.connections,
+        )
+        threads = self._limits.slots + self._limits.queue + SPARE_THREADS
+        self._server = server.Server(
+            address=listen,
+            handlers={
+                message.AdmitRequest: self._admit,
+                message.RevokeRequest: self._revoke,
+            },
+            fallback=self._serve_health,
+            threads=threads,
+        )
+        self._client = client.Client()
+        self._requests = None
+        self._stopped = threading.Event()
+
+    @property
+    def address(self):
+        """The HOST:PORT that it listens on, once started."""
+        return self._server.address
+
+    def start(self):
+        """Listen, attach to the backend server and ask for a session."""
+        self._server.start()
+        if not self._announcement.address:
+            self._announcement.address = self._server.address
+        self._start_actors()
+        self._stop_ticker = ticker.Ticker.launch(
+            name='heartbeat',
+            func=self._send_beat,
+            interval=reporter.INTERVAL,
+            clock=self._clock,
+        )
+
+    def stop(self):
+        """Take no new work, finish what runs, hand jobs back, then stop."""
+        if self._stopped.is_set():
+            return
+        _logger.info('leaving')
+        self._admission.drain().get()
+        self._reporter.tell(reporter.Leave())
+        until = self._clock.monotonic() + self._drain_notice
+        bound = until + DRAIN_TIMEOUT
+        while self._is_busy(until) and self._clock.monotonic() < bound:
+            self._stopped.wait(POLL_SECONDS)
+        self._stop_ticker()
+        self._server.stop()
+        self._close()
+
+    def kill(self):
+        """Stop at once, as a process that dies; for tests."""
+        self._stop_ticker()
+        self._close()
+        threading.Thread(target=self._server.stop, daemon=True).start()
+
+    def is_ready(self):
+        """Return whether the agent admits work."""
+        return self._reporter.proxy().is_ready().get()
+
+    def _admit(self, msg):
+        self._ensure_started()
+        return self._requests.admit(msg)
+
+    def _revoke(self, msg):
+        self._ensure_started()
+        return self._requests.revoke(msg)
+
+    def _ensure_started(self):
+        if self._requests is None:
+            raise errors.LeaseLapsedError('the agent starts', step='admit')
+
+    def _start_actors(self):
+        owner = f'{self._announcement.address}/{self._incarnation}'
+        backend_client = backend.BackendClient(
+            address=self._backend_address,
+            owner=owner,
+            clock=self._clock,
+            slots=self._limits.slots,
+            control_connections=self._limits.control_connections,
+        )
+        self._backend = backend_client
+        core = admission.AdmissionCore(
+            limits=self._limits,
+            now=self._clock.monotonic(),
+            incarnation=self._incarnation,
+        )
+        self._admission_ref = actors.AdmissionActor.start(
+            core=core, clock=self._clock, on_job=self._tell_reporter
+        )
+        self._admission = self._admission_ref.proxy()
+        self._reporter = reporter.ReporterActor.start(
+            session=session.Session(
+                announcement=self._announcement,
+                first_event=self._incarnation,
+            ),
+            admission=self._admission,
+            backend=backend_client,
+            links=links.Links(
+                client=self._client,
+                entries=self._entries,
+                control=self._control,
+                name=self._announcement.name,
+                clock=self._clock,
+            ),
+            clock=self._clock,
+            owner=owner,
+            on_replaced=self._on_replaced,
+        )
+        self._requests = requests.RequestHandler(
+            admission=self._admission,
+            backend=backend_client,
+            clock=self._clock,
+            on_doubt=lambda: self._reporter.tell(reporter.Beat()),
+        )
+
+    def _send_beat(self):
+        self._reporter.ask(reporter.Beat(), timeout=BEAT_TIMEOUT)
+
+    def _tell_reporter(self, effect):
+        self._reporter.tell(effect)
+
+    def _is_busy(self, until):
+        if self._clock.monotonic() < until:
+            return True
+        if self._admission.has_requests().get():
+            return True
+        return self._reporter.proxy().has_work().get()
+
+    def _close(self):
+        self._reporter.stop(block=False)
+        self._admission_ref.stop(block=False)
+        self._backend.close()
+        self._client.close()
+        self._stopped.set()
+
+    def _serve_health(self, environ, body):
+        path = environ['PATH_INFO']
+        if path == '/healthz':
+            return server.Response(body=b'{"ok": true}')
+        if path == '/readyz':
+            ready = self.is_ready()
+            return server.Response(
+                status=200 if ready else 503,
+                body=b'{"ready": true}' if ready else b'{"ready": false}',
+            )
+        error = errors.NotFoundError(f'no page {path}', step='dispatch')
+        return server.Response(
+            status=error.status, body=json.dumps(error.to_dict()).encode()
+        )
+
+
+def _do_nothing():
+    pass
+
+
+def _count_milliseconds(clock):
+    return int(clock.wall().timestamp() * 1000)
--- /dev/null
+++ b/bilberryhaven/agent/slots.py
@@ -0,0 +1,100 @@
+"""Slots of a backend server: requests that run and jobs that are granted."""
+
+import collections
+import dataclasses
+import datetime
+
+from bilberryhaven.agent import effects
+
+__all__ = ['JobSlots']
+
+KEPT_ENDED = 1024
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _WaitingJob:
+    epoch: int
+    slots: int
+    until: datetime.timedelta
+
+
+class JobSlots:
+    """Slots that jobs hold or wait for, each job once.
+
+    Args:
+        limits: The agent's limits.
+    """
+
+    def __init__(self, *, limits):
+        self._limits = limits
+        self._held = {}
+        self._waiting = collections.OrderedDict()
+        self._ended = collections.OrderedDict()
+
+    @property
+    def used(self):
+        """Slots that jobs hold."""
+        return sum(slots for _, slots in self._held.values())
+
+    def list_held(self):
+        """Return the (job id, epoch) pairs that hold slots."""
+        return [(job_id, epoch) for job_id, (epoch, _) in self._held.items()]
+
+    def ask(self, job_id, epoch, slots, now):
+        """Let a job wait for slots; return whether it is new."""
+        if epoch <= self._get_newest(job_id):
+            return False
+        until = now + self._limits.job_wait
+        self._waiting[job_id] = _WaitingJob(
+            epoch=epoch, slots=slots, until=until
+        )
+        return True
+
+    def hold(self, job_id, epoch, slots):
+        """Count slots of a job that already runs."""
+        self._held[job_id] = (epoch, slots)
+
+    def release(self, job_id, epoch):
+        """Free the slots of a job's grant, and of older ones."""
+        held_epoch, _ = self._held.get(job_id, (0, 0))
+        if held_epoch and held_epoch <= epoch:
+            del self._held[job_id]
+        waiting = self._waiting.get(job_id)
+        if waiting is not None and waiting.epoch <= epoch:
+            del self._waiting[job_id]
+        self._remember(job_id, epoch)
+
+    def start_next(self, free):
+        """Return the effect that starts the first job that fits, or None."""
+        for job_id, job in self._waiting.items():
+            if job.slots <= free and job_id not in self._held:
+                del self._waiting[job_id]
+                self._held[job_id] = (job.epoch, job.slots)
+                return effects.RunJob(job_id=job_id, epoch=job.epoch)
+        return None
+
+    def refuse(self, now, reason, *, everything=False):
+        """Return the refusals of jobs that waited too long, or of all."""
+        late = [
+            (job_id, job.epoch)
+            for job_id, job in self._waiting.items()
+            if everything or job.until <= now
+        ]
+        for job_id, epoch in late:
+            self.release(job_id, epoch)
+        return [
+            effects.RefuseJob(job_id=job_id, epoch=epoch, reason=reason)
+            for job_id, epoch in late
+        ]
+
+    def _get_newest(self, job_id):
+        held_epoch, _ = self._held.get(job_id, (0, 0))
+        waiting = self._waiting.get(job_id)
+        waiting_epoch = waiting.epoch if waiting else 0
+        return max(held_epoch, waiting_epoch, self._ended.get(job_id, 0))
+
+    def _remember(self, job_id, epoch):
+        self._ended[job_id] = max(epoch, self._ended.get(job_id, 0))
+        self._ended.move_to_end(job_id)
+        if len(self._ended) > KEPT_ENDED:
+            self._ended.popitem(last=False)
--- /dev/null
+++ b/bilberryhaven/roles/standin.py
@@ -0,0 +1,17 @@
+"""The stand-in backend server, as a process of its own."""
+
+from bilberryhaven.roles import process
+from bilberryhaven.standin import server
+
+__all__ = ['run']
+
+
+def run(settings, clock):
+    """Run a stand-in backend server until it is told to stop."""
+    role = server.StandinServer(
+        name=settings.name,
+        address=settings.listen,
+        capacity=settings.capacity,
+        clock=clock,
+    )
+    return process.run_until_signal(role, settings)
--- a/bilberryhaven/standin/__init__.py
+++ b/bilberryhaven/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-in backend server."""
+"""Stand-in backend server: speaks the protocol of docs/backend-server.md."""
--- /dev/null
+++ b/bilberryhaven/standin/usage.py
@@ -0,0 +1,61 @@
+"""Usage of a stand-in backend server's tasks, reported with a lag."""
+
+import collections
+import datetime
+
+from bilberryhaven.agent import protocol
+from bilberryhaven.standin import tasks
+
+__all__ = ['UsageLog']
+
+KEPT_SAMPLES = 1000
+
+
+class UsageLog:
+    """Samples taken when asked, each shown only after the lag.
+
+    Args:
+        clock: Times the samples.
+        lag: How old a sample is when it is shown, a timedelta.
+    """
+
+    def __init__(self, *, clock, lag):
+        self._clock = clock
+        self._lag = lag
+        self._samples = collections.deque(maxlen=KEPT_SAMPLES)
+
+    def report(self, known_tasks, requests):
+        """Take a sample and return the newest one older than the lag."""
+        now = self._clock.monotonic()
+        self._samples.append((now, _measure(known_tasks, requests)))
+        shown = self._samples[0]
+        while (
+            len(self._samples) > 1 and self._samples[1][0] <= now - self._lag
+        ):
+            self._samples.popleft()
+            shown = self._samples[0]
+        taken_at, items = shown
+        if now - taken_at < self._lag:
+            return protocol.UsageReport(age_ms=0)
+        age = (now - taken_at) // datetime.timedelta(milliseconds=1)
+        return protocol.UsageReport(age_ms=age, usage=items)
+
+
+def _measure(known_tasks, requests):
+    items = []
+    for task in known_tasks:
+        if task.state == tasks.TaskState.RUNNING:
+            status = task.describe()
+            items.append(
+                protocol.UsageItem(
+                    workload=status.workload,
+                    job_id=status.id,
+                    cpu=status.slots * status.share,
+                    memory_mb=task.payload.memory_mb,
+                    progress=status.progress,
+                )
+            )
+    counts = collections.Counter(request.workload for request in requests)
+    for workload, count in counts.items():
+        items.append(protocol.UsageItem(workload=workload, load=count))
+    return items
