Split admission; let entries echo the agent's incarnation

Change: fences and requests in progress are modules of their own; Load and AdmitRequest carry the agent's incarnation (@9 in both); an admit that echoes another one is refused; 0 means that the entry knows none. No job starts once the lease ran out.

--- a/bilberryhaven/agent/effects.py
+++ b/bilberryhaven/agent/effects.py
@@ -2,10 +2,28 @@
 
 import dataclasses
 import datetime
+import enum
 
 from bilberryhaven import errors
 
-__all__ = ['RefuseJob', 'Reply', 'Request', 'Result', 'Run', 'RunJob']
+__all__ = [
+    'RefuseJob',
+    'Reply',
+    'Request',
+    'Result',
+    'Run',
+    'RunJob',
+    'Settled',
+]
+
+
+class Settled(enum.StrEnum):
+    """Fate of a request, as backend servers and revocations tell it."""
+
+    NOT_RUN = 'not_run'
+    STARTED = 'started'
+    RUNNING = 'running'
+    FINISHED = 'finished'
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- /dev/null
+++ b/bilberryhaven/agent/fence.py
@@ -0,0 +1,85 @@
+"""Conditions under which an agent may admit work at all."""
+
+import dataclasses
+import datetime
+
+__all__ = ['Fence', 'Refusal', 'check_deadline']
+
+NO_TIME = datetime.timedelta()
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Refusal:
+    """Why work isn't admitted: an error code and a reason for a person."""
+
+    code: str
+    reason: str
+
+
+OVERLOAD = Refusal(
+    code='overload', reason='the queue is full or its wait is too long'
+)
+NO_MEMORY = Refusal(
+    code='overload', reason='no room to remember another request'
+)
+REVOKED = Refusal(code='refused', reason='the request was revoked')
+REUSED = Refusal(code='bad_input', reason='the id belongs to another request')
+MAY_RUN = Refusal(code='refused', reason='an earlier dispatch may still run')
+DISPLACED = Refusal(code='overload', reason='urgent work displaced it')
+
+
+class Fence:
+    """Lease, revision, incarnation and draining of an agent.
+
+    Args:
+        incarnation: Differs after each start of the agent.
+    """
+
+    def __init__(self, *, incarnation):
+        self.incarnation = incarnation
+        self.draining = False
+        self._lease_until = NO_TIME
+        self._revision = 0
+
+    def renew(self, until, revision):
+        """Admit until ``until`` at ``revision``; neither ever goes back."""
+        self._lease_until = max(self._lease_until, until)
+        self._revision = max(self._revision, revision)
+
+    def drop_lease(self):
+        """Admit nothing until the lease is renewed."""
+        self._lease_until = NO_TIME
+
+    def check_lease(self, now):
+        """Return the ``Refusal`` of an agent without a lease, or None."""
+        if now >= self._lease_until:
+            return Refusal(code='lease_lapsed', reason='the lease ran out')
+        return None
+
+    def check_agent(self, now):
+        """Return the ``Refusal`` of all new work, or None."""
+        if self.draining:
+            return Refusal(code='draining', reason='the agent is leaving')
+        return self.check_lease(now)
+
+    def check_request(self, request, now):
+        """Return the ``Refusal`` of a dispatch, or None."""
+        refusal = self.check_agent(now)
+        if refusal is not None:
+            return refusal
+        if request.incarnation not in (0, self.incarnation):
+            return Refusal(
+                code='refused', reason='it was sent to a former incarnation'
+            )
+        if request.revision < self._revision:
+            return Refusal(
+                code='refused', reason=f'revision {self._revision} is in force'
+            )
+        return check_deadline(request, now)
+
+
+def check_deadline(request, now):
+    """Return the ``Refusal`` of a request that is too late, or None."""
+    if request.deadline_at <= now:
+        return Refusal(code='deadline', reason='its deadline passed')
+    return None
--- a/bilberryhaven/agent/memory.py
+++ b/bilberryhaven/agent/memory.py
@@ -5,6 +5,7 @@
 import datetime
 
 from bilberryhaven.agent import effects
+from bilberryhaven import errors
 
 __all__ = ['Memory', 'Record']
 
@@ -18,14 +19,14 @@
         ran: Whether it ran or may have; else this is a tombstone.
         repeatable: Whether a repeat may run again.
         expires_at: When it may be forgotten.
-        result: What repeats are told, or None where the answer was dropped.
+        result: What repeats are told.
     """
 
     fingerprint: str
     ran: bool
     repeatable: bool
     expires_at: datetime.timedelta
-    result: effects.Result | None
+    result: effects.Result
 
 
 class Memory:
@@ -76,7 +77,7 @@
         """Keep a record, and its answer while the bytes suffice."""
         self.forget(request_id)
         self._records[request_id] = record
-        if record.result is not None and record.result.body:
+        if record.result.body:
             self._answers[request_id] = len(record.result.body)
             self._answer_bytes += len(record.result.body)
         while self._answer_bytes > self._limits.kept_bytes:
@@ -97,7 +98,11 @@
 
     def _drop_answer(self, request_id):
         self._answer_bytes -= self._answers.pop(request_id)
-        self._records[request_id].result = None
+        self._records[request_id].result = effects.Result(
+            code='refused',
+            message='it ran before; its answer is no longer kept',
+            outcome=errors.Outcome.RAN,
+        )
 
     def _drop_repeatable(self, now):
         for request_id, record in self._records.items():
--- a/bilberryhaven/agent/queue.py
+++ b/bilberryhaven/agent/queue.py
@@ -38,23 +38,20 @@
         """Return how many would go before a new request."""
         return len(self._urgent) if request.urgent else len(self)
 
-    def pop_displaced(self, request):
-        """Remove the newest that an urgent request may displace, or None."""
+    def find_displaced(self, request):
+        """Return the id of the newest that an urgent one displaces, or ''."""
         if request.urgent and self._other:
-            return self._other.popitem()[1]
-        return None
+            return next(reversed(self._other))
+        return ''
 
-    def pop_expired(self, now):
-        """Remove and return the requests whose deadline has passed."""
-        expired = [
-            request
+    def list_expired(self, now):
+        """Return the ids of the requests whose deadline has passed."""
+        return [
+            request.request_id
             for requests in (self._urgent, self._other)
             for request in requests.values()
             if request.deadline_at <= now
         ]
-        for request in expired:
-            self.remove(request)
-        return expired
 
     def _select(self, request):
         return self._urgent if request.urgent else self._other
--- a/bilberryhaven/agent/requests.py
+++ b/bilberryhaven/agent/requests.py
@@ -61,6 +61,7 @@
             urgent=msg.urgent,
             idempotent=msg.idempotent,
             revision=msg.revision,
+            incarnation=msg.incarnation,
         )
 
     def _wait(self, waiter, deadline_at):
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -62,6 +62,7 @@
     service_ms: float = 0.0
     failure_share: float = 0.0
     draining: bool = False
+    incarnation: int = 0
 
 
 @_declare_message
@@ -89,6 +90,7 @@
     entry: str = ''
     attempt: int = 1
     revision: int = 0
+    incarnation: int = 0
 
 
 @_declare_message
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -15,7 +15,9 @@
   accelerators @4 :UInt32;
 }
 
-# What an agent holds at the moment it answers.
+# What an agent holds at the moment it answers. incarnation differs after
+# each start of the agent; an AdmitRequest echoes the newest one that the entry
+# knows, 0 if none, and is refused by any other.
 struct Load {
   slots @0 :UInt32;
   slotsUsed @1 :UInt32;
@@ -26,6 +28,7 @@
   serviceMs @6 :Float64;
   failureShare @7 :Float64;
   draining @8 :Bool;
+  incarnation @9 :UInt64;
 }
 
 struct AdmitRequest {
@@ -38,6 +41,7 @@
   entry @6 :Text;
   attempt @7 :UInt16;
   revision @8 :UInt64;
+  incarnation @9 :UInt64;
 }
 
 # code is empty for an answer; length and digest cover body.
