Learn slowdowns, throttle, evict and serve urgent work

Change: a diagonal Kalman step learns each pair's effect per load band from reports attributed by event time; sizes and run times from usage; placement scored by harm; throttle, then evict where the benefit over the remaining run beats lost work and the weight of evictions, a watch once an hour at most; reserved slots follow what services use; urgent and nearly late jobs get room by the cheapest eviction, with headroom kept; drains let short and unrepeatable work finish. Checked: tests.test_placement_load, test_placement, test_systems, test_commands, 41 passed. Conclusion: works on small cases; constants are still to be measured.

--- a/bilberryhaven/policies/place_interference.py
+++ b/bilberryhaven/policies/place_interference.py
@@ -1,12 +1,9 @@
 """Placement policy that weighs the learned harm to services."""
 
-import math
-
 from bilberryhaven import policies
 
 __all__ = ['InterferencePolicy']
 
-HARM_LIMIT = 9.0
 CROWDED = 0.8
 CROWDING = 0.5
 RACK_SPREAD = 2.0
@@ -16,11 +13,6 @@
 FULLNESS = 0.01
 
 
-def compute_harm(excess):
-    """Return the harm of a service that is slower by ``excess``."""
-    return min(excess * excess, HARM_LIMIT)
-
-
 @policies.register('place_interference')
 class InterferencePolicy:
     """Scores instances by the harm that a task adds; the lowest is best.
@@ -35,7 +27,7 @@
     def score(self, world, target, need, entry):
         """Return the cost of placing a task of ``target`` on ``entry``."""
         weights = world.objective
-        harm = self.compute_added_harm(target.name, entry)
+        harm = self._memory.compute_harm_change(entry, target.name, 1.0)
         cost = weights.tail_latency * harm
         cost += weights.throughput * self._compute_crowding(need, entry)
         if target.kind == 'watch':
@@ -46,19 +38,6 @@
             cost += WASTED_ACCELERATORS
         return cost + FULLNESS * entry.slots
 
-    def compute_added_harm(self, name, entry):
-        """Return the harm that one more task adds to all services."""
-        total = 0.0
-        model = self._memory.interference
-        for service, load, band in self._memory.list_loads(entry):
-            before = model.sum_effects(service, band, entry.counts)
-            after = before + model.get_effect(service, name, band)
-            total += load * (
-                compute_harm(math.exp(after) - 1.0)
-                - compute_harm(math.exp(before) - 1.0)
-            )
-        return total
-
     def _compute_crowding(self, need, entry):
         holds = entry.row.capacity
         share = (entry.cpu + need.cpu) / max(holds.cpu, 1e-6)
--- a/bilberryhaven/systems/backlog.py
+++ b/bilberryhaven/systems/backlog.py
@@ -42,6 +42,7 @@
         self._queued = {}
         self._delays = {}
         self._delayed = []
+        self._urgent = {}
 
     def refresh(self, state, *, now):
         """Take in what changed in ``state`` since the last call."""
@@ -67,6 +68,16 @@
             self._queued[job_id] = due
             queue = self._queues.setdefault(row.workload, [])
             heapq.heappush(queue, (due, job_id))
+            if due == row.submitted_at:
+                self._urgent[row.workload] = (
+                    self._urgent.get(row.workload, 0) + 1
+                )
+
+    def take_urgent(self):
+        """Return how many urgent jobs of each workload came since last."""
+        found = self._urgent
+        self._urgent = {}
+        return found
 
     def compute_due(self, row):
         """Return when job ``row`` is due to start."""
--- a/bilberryhaven/systems/choice.py
+++ b/bilberryhaven/systems/choice.py
@@ -1,5 +1,7 @@
 """Chooses an instance for a job among a bounded number of candidates."""
 
+from bilberryhaven.systems import backlog as backlogs
+
 __all__ = ['choose_instance']
 
 SAMPLE = 24
@@ -25,10 +27,14 @@
 def _pick(memory, world, row, target, names):
     fleet = memory.fleet
     need = fleet.get_need(target)
+    urgent = backlogs.is_urgent(target)
     best, best_score = None, 0.0
     for name in names:
         entry = fleet.nodes[name]
-        if not entry.fits(need) or not fleet.rules.shares(target.name, entry):
+        headroom = 0 if urgent else entry.headroom
+        if not entry.fits(need, headroom=headroom):
+            continue
+        if not fleet.rules.shares(target.name, entry):
             continue
         score = memory.policy.score(world, target, need, entry)
         if name in row.failures:
--- a/bilberryhaven/systems/fleet.py
+++ b/bilberryhaven/systems/fleet.py
@@ -68,6 +68,7 @@
 
     def _clear(self):
         self.nodes = {}
+        self._node_list = None
         self.rules = sharing.Rules()
         self.used = {}
         self.spread = {}
@@ -165,6 +166,7 @@
         entry = self.nodes.get(name)
         if entry is None:
             entry = self.nodes[name] = nodes.Node(row=row, name=name)
+            self._node_list = None
         elif entry.row.epoch != row.epoch:
             self.renewed[name] = None
         if row.quarantined:
@@ -185,6 +187,7 @@
         entry = self.nodes.pop(name, None)
         self.quarantined.pop(name, None)
         if entry is not None:
+            self._node_list = None
             for pool in entry.pools:
                 pool.set_place(name, is_open=False, is_roomy=False)
 
@@ -205,6 +208,12 @@
         for pool in entry.pools:
             pool.set_place(entry.name, is_open=is_open, is_roomy=is_roomy)
 
+    def list_nodes(self):
+        """Return all nodes as a list that must not be changed."""
+        if self._node_list is None:
+            self._node_list = list(self.nodes.values())
+        return self._node_list
+
     def get_pool(self, runs_on):
         """Return the ``Pool`` of the selector ``runs_on``."""
         pool = self._pools.get(runs_on)
--- a/bilberryhaven/systems/history.py
+++ b/bilberryhaven/systems/history.py
@@ -22,6 +22,10 @@
         while len(entries) > 1 and entries[1][0] < now - KEPT_S:
             entries.popleft()
 
+    def has(self, instance):
+        """Return whether anything is known of ``instance``."""
+        return instance in self._entries
+
     def find(self, instance, at):
         """Return the counts that held at the time ``at``, or None.
 
--- a/bilberryhaven/systems/interference.py
+++ b/bilberryhaven/systems/interference.py
@@ -15,12 +15,12 @@
 BANDS = 4
 NOISE_VARIANCE = 0.04
 PRIOR_EFFECT = 0.02
-PRIOR_VARIANCE = 0.02
+PRIOR_VARIANCE = 0.05
 BASE_VARIANCE = 0.25
 MAX_EFFECT = 1.5
 MIN_EFFECT = -0.02
 HALF_LIFE_S = 900.0
-DRIFT = 1e-5
+MIN_VARIANCE = 0.002
 MAX_STEP = 1.0
 
 
@@ -111,7 +111,8 @@
         for term, weight in terms:
             gain = term.variance * weight / spread
             term.mean += gain * error
-            term.variance *= 1.0 - gain * weight
+            variance = term.variance * (1.0 - gain * weight)
+            term.variance = max(variance, MIN_VARIANCE)
             term.at = now
             term.count += 1
         self._settle(service, band, counts)
@@ -122,7 +123,6 @@
         if base is None:
             base = Effect(value, BASE_VARIANCE, now)
             self._bases[key] = base
-        base.variance += DRIFT * (now - base.at)
         return base
 
     def _age_effect(self, service, workload, band, now):
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,5 +1,6 @@
 """What the systems of one leader share between ticks."""
 
+import math
 import random
 
 from bilberryhaven import policies
@@ -15,6 +16,20 @@
 
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
+LINEAR_EXCESS = 2.0
+
+
+def compute_harm(excess):
+    """Return the harm of a service that is slower by ``excess``.
+
+    It grows with the square, since the slowest decide the tail, and in a
+    straight line beyond ``LINEAR_EXCESS``.
+    """
+    if excess <= 0.0:
+        return 0.0
+    if excess <= LINEAR_EXCESS:
+        return excess * excess
+    return LINEAR_EXCESS * (2.0 * excess - LINEAR_EXCESS)
 
 
 class Memory:
@@ -76,6 +91,37 @@
         self.fleet.refresh(world.state, reserve=world.service_reserve)
         self.backlog.refresh(world.state, now=world.now)
 
+    def compute_harm(self, entry):
+        """Return the harm done to all services on ``entry``."""
+        counts = entry.weigh_counts() if entry.shares else entry.counts
+        total = 0.0
+        for service, load, band in self.list_loads(entry):
+            factor = self.interference.predict(service, band, counts)
+            total += load * compute_harm(factor - 1.0)
+        return total
+
+    def compute_harm_change(self, entry, workload, change):
+        """Return how the harm on ``entry`` changes with the work beside.
+
+        Args:
+            entry: The node.
+            workload: Name of the batch workload of which there is more or
+                less.
+            change: Number of tasks, also in part or negative.
+        """
+        counts = entry.weigh_counts() if entry.shares else entry.counts
+        model = self.interference
+        total = 0.0
+        for service, load, band in self.list_loads(entry):
+            before = model.sum_effects(service, band, counts)
+            effect = model.get_effect(service, workload, band)
+            after = before + change * effect
+            total += load * (
+                compute_harm(math.exp(after) - 1.0)
+                - compute_harm(math.exp(before) - 1.0)
+            )
+        return total
+
     def list_loads(self, entry):
         """Return (service, load, band) of each service on ``entry``."""
         found = []
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -36,6 +36,7 @@
         labels: Its labels in effect.
         services: Names of the services that it serves.
         reserve: Slots that batch work leaves free for them.
+        headroom: Further slots left free for urgent jobs.
         charges: Charge of each job that it holds, by job id.
         claims: Charge of each job that room is kept for, by job id.
         counts: Number of jobs held or expected, by workload.
@@ -53,6 +54,7 @@
     labels: dict = dataclasses.field(default_factory=dict)
     services: tuple = ()
     reserve: int = 0
+    headroom: int = 0
     charges: dict = dataclasses.field(default_factory=dict)
     claims: dict = dataclasses.field(default_factory=dict)
     counts: dict = dataclasses.field(default_factory=dict)
@@ -121,11 +123,12 @@
         self.memory_mb += sign * need.memory_mb
         self.accelerators += sign * need.accelerators
 
-    def fits(self, need):
-        """Return whether ``need`` fits into what is free."""
+    def fits(self, need, *, headroom=0):
+        """Return whether ``need`` fits and leaves ``headroom`` slots."""
         holds = self.row.capacity
+        kept = self.reserve + headroom
         return (
-            self.slots + need.slots <= holds.slots - self.reserve
+            self.slots + need.slots <= holds.slots - kept
             and self.memory_mb + need.memory_mb <= holds.memory_mb
             and self.cpu + need.cpu <= holds.cpu + ROUNDING
             and self.accelerators + need.accelerators <= holds.accelerators
--- a/bilberryhaven/systems/placement.py
+++ b/bilberryhaven/systems/placement.py
@@ -106,11 +106,18 @@
         if len(pool.members) > SMALL_POOL:
             width = self.memory.skips.get(target.name, (0, 1))[1]
             self.memory.skips[target.name] = (width, min(width * 2, MAX_SKIP))
-        if backlogs.is_urgent(target):
+        if self._cannot_wait(world, row, target):
             self.memory.pressed.append((row, target))
         else:
             claims.claim_if_starving(self.memory, world, row, target)
 
+    def _cannot_wait(self, world, row, target):
+        if backlogs.is_urgent(target):
+            return True
+        if row.deadline_at is None or row.deadline_at <= world.now:
+            return False
+        return self.memory.backlog.compute_due(row) <= world.now
+
     def _grant(self, world, row, target, entry, score):
         reason = f'cost {score:.3f}, {entry.free_slots} slots free'
         self.memory.backlog.pop(target.name)
--- a/bilberryhaven/systems/relocation.py
+++ b/bilberryhaven/systems/relocation.py
@@ -1,12 +1,19 @@
 """Evicts jobs from instances that drain or no longer match."""
 
+import datetime
+
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import log
 from bilberryhaven import systems
+from bilberryhaven.systems import victims
 from bilberryhaven.tables import job
+from bilberryhaven.tables import workload
 
 __all__ = ['RelocationSystem']
 
+DRAIN_GRACE_S = 20.0
+WAVE = datetime.timedelta(seconds=600)
+
 logger = log.get_logger('relocation')
 
 
@@ -23,14 +30,27 @@
         suspects = self.memory.fleet.suspects
         for name in list(suspects):
             entry = self.memory.fleet.nodes.get(name)
-            if entry is not None:
-                evictions += self._check(world, entry)
-        suspects.clear()
+            found = self._check(world, entry) if entry is not None else []
+            evictions += found
+            if entry is None or not (found or self._is_emptying(entry)):
+                del suspects[name]
+        self._end_wave(world)
         if not evictions:
             return []
         return [job_commands.EvictJobs(evictions=evictions, at=world.now)]
 
+    def _is_emptying(self, entry):
+        return entry.row.draining and entry.row.connected and entry.charges
+
+    def _end_wave(self, world):
+        """Forget which instances restarted once no more of them drain."""
+        last = self.memory.last_drain
+        if last is None or world.now - last > WAVE:
+            self.memory.fleet.renewed.clear()
+
     def _check(self, world, entry):
+        if entry.row.draining:
+            return self._drain(world, entry)
         found = []
         kept = set(entry.services)
         for row in self._list_jobs(world, entry):
@@ -41,6 +61,32 @@
                 kept.add(row.workload)
         return found
 
+    def _drain(self, world, entry):
+        self.memory.last_drain = world.now
+        reason = f'{entry.name} is draining'
+        return [
+            self._evict(row, entry, reason)
+            for row in self._list_jobs(world, entry)
+            if not self._may_finish(world, row)
+        ]
+
+    def _may_finish(self, world, row):
+        """Return whether a job on a draining instance is left to finish.
+
+        So is what can't be repeated, and what is nearly done.
+        """
+        target = world.state.workloads.find(row.workload)
+        if target is None or row.state != job.JobState.RUNNING:
+            return False
+        if target.kind == workload.Kind.WATCH:
+            return False
+        if not target.repeatable:
+            return True
+        if not self.memory.sizes.is_run_known(target):
+            return False
+        left = victims.estimate_remaining(self.memory, world, row, target)
+        return left <= DRAIN_GRACE_S
+
     def _list_jobs(self, world, entry):
         rows = [world.state.jobs.find(key) for key in entry.charges]
         moving = (job.JobState.EVICTING, job.JobState.CANCELLING)
@@ -48,8 +94,6 @@
         return sorted(rows, key=lambda row: (row.granted_at, row.id))
 
     def _find_fault(self, world, entry, row, kept):
-        if entry.row.draining:
-            return f'{entry.name} is draining'
         target = world.state.workloads.find(row.workload)
         if target is None:
             return ''
--- /dev/null
+++ b/bilberryhaven/systems/reserving.py
@@ -0,0 +1,121 @@
+"""Keeps slots free for service requests, more while they are in demand."""
+
+import datetime
+
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven import log
+from bilberryhaven import systems
+from bilberryhaven.systems import victims
+
+__all__ = ['ReservingSystem']
+
+NODES_PER_TICK = 700
+QUIET = datetime.timedelta(seconds=30)
+SUSTAINED = datetime.timedelta(seconds=1)
+
+logger = log.get_logger('reserving')
+
+
+@systems.register('reserving')
+class ReservingSystem(systems.System):
+    """Follows the slots that services use on each instance."""
+
+    order = 240
+
+    def __init__(self, *, memory=None):
+        super().__init__(memory=memory)
+        self._position = 0
+        self._busy = {}
+        self._short = {}
+
+    def run(self, world):
+        """Return evictions where batch work holds reserved slots."""
+        self.memory.refresh(world)
+        evictions = []
+        for entry in self._list_next():
+            if entry.services:
+                self._follow(world, entry)
+                if entry.free_slots < 0:
+                    evictions += self._restore(world, entry)
+                else:
+                    self._short.pop(entry.name, None)
+        if not evictions:
+            return []
+        return [job_commands.EvictJobs(evictions=evictions, at=world.now)]
+
+    def _list_next(self):
+        entries = self.memory.fleet.list_nodes()
+        count = min(NODES_PER_TICK, len(entries))
+        start = self._position % max(len(entries), 1)
+        self._position = start + count
+        found = entries[start : start + count]
+        return found + entries[: count - len(found)]
+
+    def _follow(self, world, entry):
+        load = world.loads.get(entry.name)
+        if load is None:
+            return
+        used = max(load.slots_used - load.batch_slots, 0)
+        total = entry.row.capacity.slots
+        wanted = world.service_reserve
+        if used >= wanted or load.queued:
+            wanted = min(max(wanted, used + 1), total)
+        if wanted > world.service_reserve:
+            self._busy[entry.name] = world.now
+        last = self._busy.get(entry.name)
+        if (
+            wanted >= entry.reserve
+            or last is None
+            or world.now - last >= QUIET
+        ):
+            self.memory.fleet.set_reserve(entry, wanted)
+
+    def _restore(self, world, entry):
+        since = self._short.setdefault(entry.name, world.now)
+        load = world.loads.get(entry.name)
+        queued = load is not None and load.queued
+        pressed = queued or entry.reserve <= world.service_reserve
+        if not pressed or world.now - since < SUSTAINED:
+            return []
+        missing = -entry.free_slots - _count_leaving(world, entry)
+        if missing <= 0:
+            return []
+        del self._short[entry.name]
+        return self._evict_cheapest(world, entry, missing)
+
+    def _evict_cheapest(self, world, entry, missing):
+        pairs = victims.list_movable(world, entry)
+        pairs.sort(key=lambda p: (victims.compute_cost(world, *p), p[0].id))
+        found = []
+        for row, target in pairs:
+            if missing <= 0:
+                break
+            missing -= row.slots
+            found.append(self._evict(world, entry, row, target))
+        return found
+
+    def _evict(self, world, entry, row, target):
+        reason = f'services need {entry.reserve} slots on {entry.name}'
+        log.log_decision(
+            logger,
+            'evict',
+            reason=reason,
+            job=row.id,
+            workload=row.workload,
+            instance=entry.name,
+            reserve=entry.reserve,
+            free_slots=entry.free_slots,
+            cost=round(victims.compute_cost(world, row, target), 4),
+        )
+        return job_commands.Eviction(
+            job_id=row.id, epoch=row.epoch, reason=reason
+        )
+
+
+def _count_leaving(world, entry):
+    total = 0
+    for job_id in entry.charges:
+        row = world.state.jobs.find(job_id)
+        if row is not None and row.state in ('evicting', 'cancelling'):
+            total += row.slots
+    return total
--- /dev/null
+++ b/bilberryhaven/systems/urgency.py
@@ -0,0 +1,127 @@
+"""Makes room at once for urgent jobs and for those about to be late."""
+
+import datetime
+import math
+
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven import log
+from bilberryhaven import systems
+from bilberryhaven.systems import backlog as backlogs
+from bilberryhaven.systems import claims
+from bilberryhaven.systems import victims
+
+__all__ = ['UrgencySystem']
+
+CANDIDATES = 64
+START_BOUND_S = 2.7
+MAX_HEADROOM_SHARE = 0.05
+RATE_WEIGHT = 0.1
+INTERVAL = datetime.timedelta(seconds=1)
+
+logger = log.get_logger('urgency')
+
+
+@systems.register('urgency')
+class UrgencySystem(systems.System):
+    """Evicts the cheapest for what can't wait; keeps headroom for more."""
+
+    order = 450
+
+    def __init__(self, *, memory=None):
+        super().__init__(memory=memory)
+        self._next = None
+        self._rates = {}
+        self._kept = {}
+
+    def run(self, world):
+        """Return the evictions of this tick."""
+        self._count_arrivals(world)
+        if self._next is None or world.now >= self._next:
+            self._next = world.now + INTERVAL
+            self._keep_headroom(world)
+        evictions = []
+        for row, target in self.memory.pressed:
+            if row.id not in self.memory.claims:
+                evictions += self._make_room(world, row, target)
+        if not evictions:
+            return []
+        return [job_commands.EvictJobs(evictions=evictions, at=world.now)]
+
+    def _make_room(self, world, row, target):
+        best = self._find_room(world, target)
+        if best is None:
+            return []
+        entry, rows = best
+        claims.make_claim(self.memory, row, target, entry)
+        return [self._evict(world, victim, row, entry) for victim in rows]
+
+    def _find_room(self, world, target):
+        memory = self.memory
+        need = memory.fleet.get_need(target)
+        pool = memory.fleet.get_pool(target.runs_on)
+        best, best_cost = None, math.inf
+        for name in pool.members.sample(memory.random, CANDIDATES):
+            entry = memory.fleet.nodes[name]
+            if entry.claims or not memory.feasibility.could_run(target, entry):
+                continue
+            unshared = memory.fleet.rules.list_unshared(target.name, entry)
+            rows = victims.pick_victims(world, entry, need, unshared=unshared)
+            if rows is None:
+                continue
+            cost = self._sum_costs(world, rows)
+            if cost < best_cost:
+                best, best_cost = (entry, rows), cost
+        return best
+
+    def _sum_costs(self, world, rows):
+        find = world.state.workloads.get
+        return sum(
+            victims.compute_cost(world, row, find(row.workload))
+            for row in rows
+        )
+
+    def _evict(self, world, victim, row, entry):
+        reason = f'makes room for {row.id}, which cannot wait'
+        target = world.state.workloads.get(victim.workload)
+        log.log_decision(
+            logger,
+            'evict',
+            reason=reason,
+            job=victim.id,
+            workload=victim.workload,
+            instance=entry.name,
+            cost=round(victims.compute_cost(world, victim, target), 4),
+            waited_s=(world.now - row.submitted_at).total_seconds(),
+        )
+        return job_commands.Eviction(
+            job_id=victim.id, epoch=victim.epoch, reason=reason
+        )
+
+    def _count_arrivals(self, world):
+        for name, count in self.memory.backlog.take_urgent().items():
+            self._rates[name] = self._rates.get(name, 0.0) + count * (
+                RATE_WEIGHT
+            )
+
+    def _keep_headroom(self, world):
+        for name in self._rates:
+            self._rates[name] *= 1.0 - RATE_WEIGHT
+        wanted = {}
+        for target in world.state.workloads:
+            if target.kind != 'service' and backlogs.is_urgent(target):
+                self._want_headroom(target, wanted)
+        for name in self._kept:
+            entry = self.memory.fleet.nodes.get(name)
+            if entry is not None and name not in wanted:
+                entry.headroom = 0
+        for name, slots in wanted.items():
+            self.memory.fleet.nodes[name].headroom = slots
+        self._kept = wanted
+
+    def _want_headroom(self, target, wanted):
+        pool = self.memory.fleet.get_pool(target.runs_on)
+        rate = self._rates.get(target.name, 0.0)
+        count = math.ceil(2 * rate * START_BOUND_S) + 1
+        limit = max(1, int(len(pool.members) * MAX_HEADROOM_SHARE))
+        for name in sorted(pool.members.slice(0, min(count, limit))):
+            wanted[name] = wanted.get(name, 0) + target.resources.slots
--- /dev/null
+++ b/bilberryhaven/systems/victims.py
@@ -0,0 +1,126 @@
+"""What it costs to evict a job, and which jobs may be evicted at all."""
+
+import datetime
+import math
+
+from bilberryhaven.systems import backlog as backlogs
+from bilberryhaven.tables import job
+
+__all__ = [
+    'compute_cost',
+    'estimate_remaining',
+    'list_movable',
+    'may_evict',
+    'pick_victims',
+]
+
+WATCH_INTERVAL = datetime.timedelta(hours=1)
+MIN_RUN_TIME = datetime.timedelta(seconds=30)
+EVICTION_COST = 1.0
+LOST_WORK_S = 60.0
+WATCH_COST = 4.0
+
+
+def list_movable(world, entry):
+    """Return (row, workload) of jobs on ``entry`` that may be evicted."""
+    found = []
+    for job_id in entry.charges:
+        row = world.state.jobs.find(job_id)
+        target = world.state.workloads.find(row.workload) if row else None
+        if target is not None and may_evict(world, row, target):
+            found.append((row, target))
+    return found
+
+
+def may_evict(world, row, target):
+    """Return whether the job may be evicted for the good of other work.
+
+    Urgent jobs, jobs that can't be repeated and jobs with a deadline stay;
+    so do watches that were evicted within the last hour.
+    """
+    if row.state not in (job.JobState.GRANTED, job.JobState.RUNNING):
+        return False
+    if not target.repeatable or backlogs.is_urgent(target):
+        return False
+    if row.deadline_at is not None:
+        return False
+    if target.kind == 'watch' and row.evicted_at is not None:
+        return world.now - row.evicted_at >= WATCH_INTERVAL
+    return True
+
+
+def has_run_enough(world, row):
+    """Return whether the job ran for the minimum time since its start."""
+    since = row.started_at or row.granted_at
+    return since is not None and world.now - since >= MIN_RUN_TIME
+
+
+def estimate_remaining(memory, world, row, target):
+    """Return the seconds that the job is expected to run on."""
+    if target.kind == 'watch':
+        return math.inf
+    expected = memory.sizes.get_run_seconds(target)
+    if row.started_at is None:
+        return expected
+    elapsed = (world.now - row.started_at).total_seconds()
+    return max(expected - elapsed, 0.1 * expected, 0.25 * elapsed - expected)
+
+
+def compute_lost_seconds(world, row):
+    """Return the seconds of work since the job's last checkpoint."""
+    if row.started_at is None:
+        return 0.0
+    since = row.started_at
+    if row.checkpoint_at is not None:
+        since = max(since, row.checkpoint_at)
+    return max((world.now - since).total_seconds(), 0.0)
+
+
+def compute_cost(world, row, target):
+    """Return the cost of evicting the job, in units of the objective."""
+    weights = world.objective
+    each = EVICTION_COST * (1 + row.evictions)
+    if target.kind == 'watch':
+        each *= WATCH_COST
+    lost = compute_lost_seconds(world, row) / LOST_WORK_S
+    return weights.evictions * each + weights.throughput * lost
+
+
+def pick_victims(world, entry, need, *, unshared=()):
+    """Return the cheapest rows whose eviction makes ``need`` fit, or None.
+
+    Args:
+        world: The ``World``.
+        entry: The node.
+        need: The ``Resources`` to make room for.
+        unshared: Workloads that must leave in any case.
+    """
+    movable = list_movable(world, entry)
+    movable.sort(key=lambda pair: (compute_cost(world, *pair), pair[0].id))
+    chosen = [row for row, _ in movable if row.workload in unshared]
+    if {row.workload for row in chosen} != set(unshared):
+        return None
+    for row, _ in movable:
+        if _fits_without(entry, need, chosen):
+            break
+        if row not in chosen:
+            chosen.append(row)
+    return chosen if _fits_without(entry, need, chosen) else None
+
+
+def _fits_without(entry, need, rows):
+    holds = entry.row.capacity
+    freed = [entry.charges[row.id].need for row in rows]
+    limits = (
+        ('slots', holds.slots - entry.reserve),
+        ('cpu', holds.cpu + 1e-6),
+        ('memory_mb', holds.memory_mb),
+        ('accelerators', holds.accelerators),
+    )
+    return all(
+        getattr(entry, name)
+        - sum(getattr(each, name) for each in freed)
+        + getattr(need, name)
+        <= limit
+        for name, limit in limits
+    )
--- /dev/null
+++ b/tests/test_placement_load.py
@@ -0,0 +1,278 @@
+"""Tests of learning, throttling, eviction and urgent work."""
+
+import datetime
+
+from bilberryhaven import settings
+from bilberryhaven.tables import workload
+from bilberryhaven.wire import message
+from tests import test_systems
+
+SECOND = datetime.timedelta(seconds=1)
+HEARTBEAT = datetime.timedelta(seconds=1)
+URGENT_BOUND = datetime.timedelta(seconds=2.7)
+
+
+class LoadTestCase(test_systems.SystemTestCase):
+    """Services whose latency depends on what runs beside them."""
+
+    slowdowns = {'noisy': 1.6, 'quiet': 1.02}
+    silent = ()
+
+    def setUp(self):
+        super().setUp()
+        self.declare('desk', kind=workload.Kind.SERVICE, runs_on='desk=yes')
+        self.declare('noisy', labels={'app': 'noisy'})
+        self.declare('quiet')
+
+    def measure(self, name, load):
+        factor = 1.0
+        for row in self.state.jobs.select('instance', name):
+            share = self.throttles.get(row.id, 1.0)
+            factor *= self.slowdowns.get(row.workload, 1.0) ** share
+        return message.Usage(
+            workload='desk', latency_ms=10 * factor, load=load
+        )
+
+    def list_usage(self, load):
+        return [
+            (row.name, self.measure(row.name, load))
+            for row in self.state.instances
+            if 'desk' in row.announced and row.name not in self.silent
+        ]
+
+    def live(self, seconds, load=0.6):
+        for _ in range(seconds):
+            self.tick(usage=self.list_usage(load), step=SECOND)
+            for row in list(self.state.jobs.select('state', 'granted')):
+                self.report('started', row.id)
+            for row in list(self.state.jobs.select('state', 'evicting')):
+                self.report('stopped', row.id, body=b'half')
+
+    @property
+    def memory(self):
+        return self.systems[0].memory
+
+    def get_effect(self, name, band=2):
+        return self.memory.interference.get_effect('desk', name, band)
+
+
+class TestLearning(LoadTestCase):
+    def setUp(self):
+        super().setUp()
+        for name in 'abcd':
+            self.open(name, labels={'desk': 'yes'})
+
+    def test_tells_noisy_from_quiet_work_and_places_by_it(self):
+        self.submit('noisy', 'n0', 'n1', 'n2')
+        self.submit('quiet', *[f'q{i}' for i in range(6)])
+        self.live(60)
+        self.assertGreater(self.get_effect('noisy'), 0.3)
+        self.assertLess(self.get_effect('quiet'), 0.1)
+        self.open('e')
+        self.submit('noisy', 'n9')
+        self.live(2)
+        self.assertEqual('e', self.job('n9').instance)
+
+    def test_late_report_counts_for_what_ran_then(self):
+        self.submit('noisy', 'n0')
+        self.live(30)
+        place = self.job('n0').instance
+        self.report('finished', 'n0')
+        learned = self.get_effect('noisy')
+        late = message.Usage(
+            workload='desk', latency_ms=16.0, load=0.6, age_ms=3000
+        )
+        self.tick(usage=[(place, late)] * 5, step=SECOND)
+        base = self.memory.interference.get_base_ms('desk', 2)
+        self.assertLess(abs(base - 10.0), 1.0)
+        self.assertLess(abs(self.get_effect('noisy') - learned), 0.1)
+
+    def test_report_older_than_the_history_is_counted(self):
+        self.submit('quiet', 'q')
+        self.live(3)
+        place = self.job('q').instance
+        before = self.memory.late_reports
+        late = message.Usage(
+            workload='desk', latency_ms=90.0, load=0.6, age_ms=600_000
+        )
+        self.tick(usage=[(place, late)])
+        self.assertEqual(before + 1, self.memory.late_reports)
+
+    def test_declared_size_gives_way_to_usage(self):
+        need = workload.Resources(cpu=16.0, memory_mb=4000)
+        self.declare('big', resources=need)
+        self.submit('big', *[f'b{i}' for i in range(20)])
+        self.tick()
+        before = self.state.jobs.count('state', 'granted')
+        usage = message.Usage(
+            workload='big', job_id='b0', cpu=1.5, memory_mb=500
+        )
+        self.tick(40, usage=[('a', usage)])
+        after = self.state.jobs.count('state', 'granted')
+        self.assertEqual((4, 20), (before, after))
+
+
+class TestReaction(LoadTestCase):
+    def test_throttles_noisy_work_and_lets_it_go_when_load_falls(self):
+        self.declare('noisy', runs_on='batch=yes')
+        self.open('a', labels={'desk': 'yes', 'batch': 'yes'})
+        self.open('c', labels={'desk': 'yes'})
+        self.live(5)
+        self.submit('noisy', 'n0', 'n1')
+        self.live(60)
+        self.assertEqual({'n0', 'n1'}, set(self.throttles))
+        self.live(240, load=0.0)
+        self.assertEqual({}, self.throttles)
+
+    def test_evicts_what_throttling_cannot_mend(self):
+        self.slowdowns = {'noisy': 5.0}
+        self.open('a', labels={'desk': 'yes', 'batch': 'yes'})
+        self.open('c', labels={'desk': 'yes'})
+        self.live(5)
+        self.declare('noisy', run_seconds=3000, runs_on='batch=yes')
+        self.submit('noisy', 'n0', 'n1', 'n2')
+        self.live(5)
+        self.open('b', labels={'batch': 'yes'})
+        self.live(200)
+        self.assertEqual(0, self.count_on('a'))
+        self.assertEqual(3, self.count_on('b'))
+        self.assertEqual(1, self.job('n0').evictions)
+
+    def test_no_eviction_without_a_better_place(self):
+        self.slowdowns = {'noisy': 5.0}
+        self.declare('noisy', runs_on='batch=yes')
+        self.open('a', labels={'desk': 'yes', 'batch': 'yes'})
+        self.open('c', labels={'desk': 'yes'})
+        self.live(5)
+        self.submit('noisy', 'n0', 'n1', 'n2')
+        self.live(200)
+        self.assertEqual(0, self.job('n0').evictions)
+
+    def test_watch_is_not_evicted_twice_within_an_hour(self):
+        self.slowdowns = {'tide': 5.0}
+        self.declare('tide', kind=workload.Kind.WATCH, runs_on='batch=yes')
+        self.open('a', labels={'desk': 'yes', 'batch': 'yes'})
+        self.open('c', labels={'desk': 'yes'})
+        self.live(5)
+        self.submit('tide', 't0', 't1', 't2')
+        self.live(5)
+        self.open('b', labels={'batch': 'yes'})
+        self.live(200)
+        moved = self.count_on('b')
+        self.assertGreater(moved, 0)
+        self.declare('desk', kind=workload.Kind.SERVICE)
+        self.open('d', labels={'batch': 'yes', 'desk': 'yes'})
+        self.live(300)
+        rows = list(self.state.jobs)
+        self.assertEqual(3, len([row for row in rows if row.instance]))
+        self.assertLessEqual(max(row.evictions for row in rows), 1)
+
+    def test_slots_that_services_need_are_given_back(self):
+        self.reserve = 2
+        self.declare('desk', kind=workload.Kind.SERVICE, runs_on='later=yes')
+        self.open('a')
+        self.submit('quiet', *[f'q{i}' for i in range(8)])
+        self.tick(2)
+        self.assertEqual(8, self.count_on('a'))
+        self.relabel('instance', 'a', later='yes')
+        self.live(3)
+        self.assertEqual(6, self.count_on('a'))
+        self.loads['a'] = message.Load(
+            slots=8, slots_used=8, batch_slots=6, queued=5
+        )
+        self.live(4)
+        self.assertEqual(5, self.count_on('a'))
+
+
+class TestDrain(LoadTestCase):
+    def test_work_that_is_nearly_done_or_unrepeatable_may_finish(self):
+        self.declare('once', repeatable=False, run_seconds=900)
+        self.open('a')
+        for i in range(5):
+            self.submit('quiet', f'q{i}')
+            self.live(30)
+            self.report('finished', f'q{i}')
+        self.submit('quiet', 'short', 'new')
+        self.submit('once', 'o')
+        self.submit('noisy', 'n')
+        self.live(21)
+        self.drain('a')
+        self.tick()
+        states = [str(self.job(j).state) for j in ('short', 'o', 'n')]
+        self.assertEqual(['running', 'running', 'evicting'], states)
+
+
+class TestUrgency(LoadTestCase):
+    """Agents that get orders at a heartbeat and report events at once."""
+
+    def setUp(self):
+        super().setUp()
+        self.declare('liner', labels={'urgent': 'yes'})
+        self.stops = {}
+
+    def beat(self, name):
+        for row in list(self.state.jobs.select('instance', name)):
+            if row.state == 'granted':
+                self.report('started', row.id)
+            elif row.state == 'evicting':
+                self.report('stopped', row.id, body=b'half')
+
+    def run_until_started(self, job_id):
+        since = self.now
+        for i in range(100):
+            self.tick()
+            names = [row.name for row in self.state.instances]
+            for position, name in enumerate(names):
+                if i % 10 == position % 10:
+                    self.beat(name)
+            if self.job(job_id).state == 'running':
+                return self.now - since
+        self.fail('never started')
+
+    def test_urgent_job_starts_in_time_though_all_slots_hold_batch(self):
+        for name in 'abcdef':
+            self.open(name)
+        self.declare('liner')
+        self.submit('quiet', *[f'q{i}' for i in range(60)])
+        self.live(3)
+        self.assertEqual(48, self.state.jobs.count('state', 'running'))
+        self.declare('liner', labels={'urgent': 'yes'})
+        for i in range(12):
+            self.submit('liner', f'u{i}')
+            self.assertLess(self.run_until_started(f'u{i}'), URGENT_BOUND)
+
+    def test_headroom_lets_an_urgent_job_start_without_an_eviction(self):
+        for name in 'abcdef':
+            self.open(name)
+        self.tick()
+        self.submit('quiet', *[f'q{i}' for i in range(60)])
+        self.live(3)
+        self.assertEqual(47, self.state.jobs.count('state', 'running'))
+        self.submit('liner', 'u')
+        self.run_until_started('u')
+        self.assertEqual(0, sum(row.evictions for row in self.state.jobs))
+
+    def test_job_about_to_miss_its_deadline_gets_room(self):
+        self.declare('silt', run_seconds=60)
+        self.open('a', slots=1)
+        self.submit('quiet', 'q')
+        self.live(3)
+        deadline = self.now + 100 * SECOND
+        self.submit('silt', 's', deadline_at=deadline)
+        self.live(20)
+        self.assertEqual('a', self.job('s').instance)
+
+
+class TestObjective(LoadTestCase):
+    def test_weight_of_evictions_keeps_work_in_place(self):
+        self.slowdowns = {'noisy': 5.0}
+        heavy = settings.Objective(evictions=1000.0)
+        self.objective = heavy
+        self.open('a', labels={'desk': 'yes'})
+        self.live(5)
+        self.declare('noisy', run_seconds=3000)
+        self.submit('noisy', 'n0', 'n1', 'n2')
+        self.live(5)
+        self.open('b')
+        self.live(200)
+        self.assertEqual(0, sum(row.evictions for row in self.state.jobs))
--- a/tests/test_systems.py
+++ b/tests/test_systems.py
@@ -23,6 +23,7 @@
     """A state with the systems of one leader over it."""
 
     reserve = 0
+    objective = settings.Objective()
 
     def setUp(self):
         super().setUp()
@@ -122,7 +123,7 @@
                 now=self.now,
                 loads=self.loads,
                 usage=list(usage),
-                objective=settings.Objective(),
+                objective=self.objective,
                 service_reserve=self.reserve,
                 throttles=self.throttles,
             )
