Add a colocation bench of placement policies

Cause: the policy's constants and the issue's targets need figures. Change: a seeded fleet of 24 stand-ins with pair slowdowns the policies never see, late reports, silent instances; six cases, three baselines, the policy with, without and with a told estimator under both deployments' weights. Conclusion: ready to tune against.

--- /dev/null
+++ b/bench/_baselines.py
@@ -0,0 +1,114 @@
+"""Policies that ``placement`` is compared with."""
+
+import random
+
+from bench import _colocation
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven import policies
+from bilberryhaven import systems
+from bilberryhaven.systems import interference
+
+__all__ = ['PriorInterference', 'ReactiveSystem', 'ToldInterference']
+
+
+@policies.register('place_random')
+class RandomPolicy:
+    """Any instance on which the declared size fits."""
+
+    def __init__(self, *, memory):
+        self._random = random.Random(5)
+
+    def score(self, world, target, need, entry):
+        """Return a random cost."""
+        return self._random.random()
+
+
+@policies.register('place_least_loaded')
+class LeastLoadedPolicy:
+    """The instance with the smallest share of its processors declared."""
+
+    def __init__(self, *, memory):
+        pass
+
+    def score(self, world, target, need, entry):
+        """Return the larger share in use of slots and processors."""
+        holds = entry.row.capacity
+        return max(entry.cpu / holds.cpu, entry.slots / holds.slots)
+
+
+@policies.register('place_best_fit')
+class BestFitPolicy:
+    """The instance that has least left."""
+
+    def __init__(self, *, memory):
+        pass
+
+    def score(self, world, target, need, entry):
+        """Return the larger share left of slots and processors."""
+        holds = entry.row.capacity
+        return -max(entry.cpu / holds.cpu, entry.slots / holds.slots)
+
+
+class ReactiveSystem(systems.System):
+    """Evicts the youngest task where a service was reported slow twice."""
+
+    order = 260
+    limit = 2.0
+    interval_s = 10
+
+    def __init__(self, *, memory=None):
+        super().__init__(memory=memory)
+        self._slow = {}
+        self._last = {}
+
+    def run(self, world):
+        """Return at most one eviction an instance."""
+        evictions = []
+        for name, usage in world.usage:
+            if usage.job_id:
+                continue
+            base = _colocation.BASE_MS[usage.workload]
+            base /= 1.0 - 0.5 * usage.load
+            if usage.latency_ms < self.limit * base:
+                self._slow[name] = 0
+                continue
+            self._slow[name] = self._slow.get(name, 0) + 1
+            since = world.now.timestamp() - self._last.get(name, 0.0)
+            if self._slow[name] >= 2 and since >= self.interval_s:
+                evictions += self._evict_youngest(world, name)
+        if not evictions:
+            return []
+        return [job_commands.EvictJobs(evictions=evictions, at=world.now)]
+
+    def _evict_youngest(self, world, name):
+        rows = [
+            row
+            for row in world.state.jobs.select('instance', name)
+            if row.state == 'running'
+        ]
+        if not rows:
+            return []
+        self._last[name] = world.now.timestamp()
+        self._slow[name] = 0
+        row = max(rows, key=lambda row: (row.started_at, row.id))
+        return [
+            job_commands.Eviction(
+                job_id=row.id, epoch=row.epoch, reason='service is slow'
+            )
+        ]
+
+
+class PriorInterference(interference.Interference):
+    """Never learns: the policy without its estimator."""
+
+    def observe(self, service, band, counts, latency_ms, now):
+        """Ignore the report."""
+
+
+class ToldInterference(PriorInterference):
+    """Knows the true table."""
+
+    def get_effect(self, service, workload, band):
+        """Return the true effect in the middle of the band."""
+        load = (band + 0.5) / interference.BANDS
+        return _colocation.compute_effect(service, workload, load)
--- /dev/null
+++ b/bench/_colocation.py
@@ -0,0 +1,494 @@
+"""A small fleet of stand-ins on which batch tasks slow services.
+
+How much is in a table that the policies never see; they get usage reports
+that are 1 to 10 seconds late, and nothing from some instances.
+"""
+
+import dataclasses
+import datetime
+import heapq
+import math
+import random
+
+from bilberryhaven import commands
+from bilberryhaven.commands import change
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
+from bilberryhaven import systems
+from bilberryhaven import tables
+from bilberryhaven.tables import instance
+from bilberryhaven.tables import workload
+from bilberryhaven.wire import message
+
+__all__ = ['BASE_MS', 'Colocation', 'Scenario', 'compute_effect']
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+SECOND = datetime.timedelta(seconds=1)
+BASE_MS = {'desk': 20.0, 'prices': 8.0, 'quotes': 40.0}
+SERVED = ('desk', 'desk', 'desk prices', 'prices', 'desk quotes', '')
+INSTANCES = 24
+PER_RACK = 3
+SLOTS = 8
+CPU = 16.0
+MEMORY_MB = 61440
+SILENT_EVERY = 8
+REPORT_S = 2
+WARM_UP_S = 60
+CHECKPOINT_S = 30
+REQUESTS_A_SECOND = 6
+LATENCY_SIGMA = 0.25
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Task:
+    """What a batch workload's tasks are like in truth."""
+
+    name: str
+    cpu: float
+    memory_mb: int
+    seconds: float
+    per_second: float
+    checkpoints: bool = True
+    noisy: bool = False
+
+
+TASKS = (
+    Task(
+        name='survey',
+        cpu=2.0,
+        memory_mb=4000,
+        seconds=90,
+        per_second=0.28,
+        noisy=True,
+    ),
+    Task(
+        name='render',
+        cpu=3.0,
+        memory_mb=6000,
+        seconds=60,
+        per_second=0.28,
+        noisy=True,
+    ),
+    Task(name='index', cpu=1.0, memory_mb=3000, seconds=120, per_second=0.22),
+    Task(
+        name='recipe',
+        cpu=1.0,
+        memory_mb=1000,
+        seconds=30,
+        per_second=0.5,
+        checkpoints=False,
+    ),
+    Task(name='archive', cpu=1.5, memory_mb=5000, seconds=60, per_second=0.3),
+)
+WATCHES = ('tide', 'stock')
+WATCHES_EACH = 5
+EFFECTS = {
+    ('desk', 'survey'): 0.30,
+    ('desk', 'render'): 0.03,
+    ('prices', 'survey'): 0.03,
+    ('prices', 'render'): 0.32,
+    ('quotes', 'survey'): 0.12,
+    ('quotes', 'render'): 0.20,
+    ('quotes', 'index'): 0.10,
+    ('desk', 'archive'): 0.06,
+}
+QUIET_EFFECT = 0.01
+
+
+def compute_effect(service, name, load):
+    """Return the true effect of a task, in logarithms of latency."""
+    full = EFFECTS.get((service, name), QUIET_EFFECT)
+    return full * (0.4 + 1.2 * load * load)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Scenario:
+    """What happens in a run.
+
+    Attributes:
+        name: The case's name.
+        seconds: How long it lasts.
+        waves: Whether noisy tasks arrive in waves.
+        shifted: Whether load moves between services half-way.
+        misdeclared: Whether declared sizes are off by x0.1 to x10.
+        rack_lost: Whether a rack is lost half-way.
+        rolling: Whether each instance is restarted in turn.
+    """
+
+    name: str
+    seconds: int = 360
+    waves: bool = False
+    shifted: bool = False
+    misdeclared: bool = False
+    rack_lost: bool = False
+    rolling: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    task: object
+    seconds: float
+    done: float = 0.0
+    saved: float = 0.0
+
+
+class Colocation:
+    """Runs one scenario under one set of systems.
+
+    Args:
+        scenario: The ``Scenario``.
+        objective: Weights of the three measures.
+        running: The systems, in running order.
+        seed: Seed of the loads, arrivals and delays.
+    """
+
+    def __init__(self, *, scenario, objective, running, seed):
+        self._scenario = scenario
+        self._objective = objective
+        self._systems = running
+        self._random = random.Random(seed)
+        self._noise = random.Random(seed + 1)
+        self.state = tables.State()
+        self.now = START
+        self.second = 0
+        self.latencies = []
+        self.alone = []
+        self.evictions = 0
+        self.watch_repeats = 0
+        self.work_done = 0.0
+        self._works = {}
+        self._reports = []
+        self._throttles = {}
+        self._count = 0
+        self._watch_evictions = {}
+        self._down = {}
+        self._draining = {}
+        self._set_up()
+
+    def _do(self, command):
+        return commands.apply(self.state, command)
+
+    def _set_up(self):
+        for name in BASE_MS:
+            self._declare(name, workload.Kind.SERVICE, runs_on=f'{name}=yes')
+        factors = random.Random(99)
+        for task in TASKS:
+            factor = 1.0
+            if self._scenario.misdeclared:
+                factor = 10 ** factors.uniform(-1, 1)
+            need = workload.Resources(
+                cpu=min(task.cpu * factor, CPU),
+                memory_mb=min(int(task.memory_mb * factor), MEMORY_MB),
+            )
+            self._declare(
+                task.name,
+                workload.Kind.BATCH,
+                resources=need,
+                run_seconds=task.seconds * factor,
+            )
+        for name in WATCHES:
+            self._declare(name, workload.Kind.WATCH)
+        for number in range(INSTANCES):
+            self._open(number)
+        for name in WATCHES:
+            for _ in range(WATCHES_EACH):
+                self._submit(name)
+
+    def _change_id(self):
+        self._count += 1
+        return {
+            'change_id': f'c{self._count}',
+            'by': 'bench',
+            'at': self.now,
+        }
+
+    def _declare(self, name, kind, **fields):
+        spec = workload.Workload(name=name, kind=kind, **fields)
+        self._do(
+            change.ApplyWorkload(
+                kind='workload', name=name, spec=spec, **self._change_id()
+            )
+        )
+
+    def _open(self, number):
+        served = SERVED[number % len(SERVED)].split()
+        self._do(
+            session.OpenSession(
+                name=f'i{number:02}',
+                zone=f'z{number % 3}',
+                rack=f'r{number // PER_RACK}',
+                address='127.0.0.1:1',
+                labels={name: 'yes' for name in served},
+                capacity=instance.Capacity(
+                    slots=SLOTS, cpu=CPU, memory_mb=MEMORY_MB
+                ),
+                at=self.now,
+            )
+        )
+
+    def _submit(self, name):
+        self._count += 1
+        self._do(
+            job_commands.SubmitJob(
+                job_id=f'{name}-{self._count}',
+                workload=name,
+                payload=b'',
+                at=self.now,
+            )
+        )
+
+    def run(self):
+        """Run the scenario to its end."""
+        for self.second in range(self._scenario.seconds):
+            self.now += SECOND
+            self._disturb()
+            self._submit_arrivals()
+            self._work()
+            self._serve()
+            self._tick()
+        return self
+
+    def _submit_arrivals(self):
+        for task in TASKS:
+            rate = task.per_second
+            if self._scenario.waves and task.noisy:
+                rate *= 2.2 if self.second % 120 < 45 else 0.3
+            while rate > 0.0:
+                if self._random.random() < rate:
+                    self._submit(task.name)
+                rate -= 1.0
+
+    def _get_load(self, number, service):
+        wave = math.sin(self.second / 60.0 + number * 0.7)
+        load = 0.5 + 0.15 * wave + 0.1 * (number % 3 - 1)
+        if self._scenario.shifted:
+            late = self.second > self._scenario.seconds / 2
+            up = (service == 'prices') == late
+            load += 0.25 if up else -0.25
+        return min(max(load, 0.05), 0.95)
+
+    def _serve(self):
+        for row in self.state.instances:
+            if not row.connected:
+                continue
+            number = int(row.name[1:])
+            held = [
+                held
+                for held in self.state.jobs.select('instance', row.name)
+                if held.state != 'granted'
+            ]
+            for service in SERVED[number % len(SERVED)].split():
+                self._serve_requests(row.name, number, service, held)
+            if number % SILENT_EVERY and self.second % REPORT_S == 0:
+                self._report_jobs(row.name, held)
+
+    def _serve_requests(self, name, number, service, held):
+        load = self._get_load(number, service)
+        effect = sum(
+            self._throttles.get(row.id, 1.0)
+            * compute_effect(service, row.workload, load)
+            for row in held
+        )
+        alone = BASE_MS[service] / (1.0 - 0.5 * load)
+        total = 0.0
+        count = max(int(REQUESTS_A_SECOND * load), 1)
+        for _ in range(count):
+            own = math.exp(self._noise.gauss(0.0, LATENCY_SIGMA))
+            if self.second >= WARM_UP_S:
+                self.alone.append(alone * own / BASE_MS[service])
+                self.latencies.append(
+                    alone * own * math.exp(effect) / BASE_MS[service]
+                )
+            total += alone * own * math.exp(effect)
+        if number % SILENT_EVERY and self.second % REPORT_S == 0:
+            usage = message.Usage(
+                workload=service, latency_ms=total / count, load=load
+            )
+            self._report(name, usage)
+
+    def _report(self, name, usage):
+        delay = self._noise.uniform(1.0, 10.0)
+        usage.age_ms = int(delay * 1000)
+        self._count += 1
+        item = (self.second + delay, self._count, name, usage)
+        heapq.heappush(self._reports, item)
+
+    def _report_jobs(self, name, held):
+        for row in held:
+            work = self._works.get(row.id)
+            if work is None or work.task is None:
+                continue
+            noise = math.exp(self._noise.gauss(0.0, 0.1))
+            self._report(
+                name,
+                message.Usage(
+                    workload=row.workload,
+                    job_id=row.id,
+                    cpu=work.task.cpu * noise,
+                    memory_mb=work.task.memory_mb * noise,
+                ),
+            )
+
+    def _work(self):
+        events = []
+        for row in list(self.state.instances):
+            if row.connected:
+                events += self._work_on(row)
+        if events:
+            self._do(job_commands.RecordEvents(events=events, at=self.now))
+
+    def _work_on(self, target):
+        events = []
+        running = []
+        for row in self.state.jobs.select('instance', target.name):
+            if row.state == 'granted':
+                self._start(row)
+                events.append(self._build_event(row, 'started'))
+            elif row.state == 'evicting':
+                events.append(self._stop(row))
+            elif row.state == 'running':
+                running.append(row)
+        return events + self._advance(target, running)
+
+    def _start(self, row):
+        work = self._works.get(row.id)
+        if work is None:
+            task = next((t for t in TASKS if t.name == row.workload), None)
+            seconds = math.inf
+            if task is not None:
+                spread = math.exp(self._random.gauss(0.0, 0.3))
+                seconds = task.seconds * spread
+            work = _Work(task, seconds)
+            self._works[row.id] = work
+        work.done = work.saved
+
+    def _stop(self, row):
+        self._lose(row)
+        body = b'saved' if self._works[row.id].saved else b''
+        return self._build_event(row, 'stopped', body)
+
+    def _lose(self, row):
+        work = self._works.get(row.id)
+        if work is not None and work.task is not None:
+            self.work_done -= work.done - work.saved
+            work.done = work.saved
+
+    def _advance(self, target, rows):
+        tasks = [self._works[row.id].task for row in rows]
+        demand = sum(t.cpu for t in tasks if t is not None)
+        speed = min(1.0, CPU / demand) if demand else 1.0
+        memory = sum(t.memory_mb for t in tasks if t is not None)
+        events = []
+        for row, task in zip(rows, tasks, strict=True):
+            if task is None:
+                continue
+            if memory > target.capacity.memory_mb:
+                memory -= task.memory_mb
+                self._lose(row)
+                events.append(self._build_event(row, 'failed'))
+                continue
+            events += self._advance_one(row, task, speed)
+        return events
+
+    def _advance_one(self, row, task, speed):
+        work = self._works[row.id]
+        step = speed * self._throttles.get(row.id, 1.0)
+        work.done += step
+        self.work_done += step
+        if work.done >= work.seconds:
+            return [self._build_event(row, 'finished')]
+        if task.checkpoints and work.done - work.saved >= CHECKPOINT_S:
+            work.saved = work.done
+            return [self._build_event(row, 'checkpoint', b'saved')]
+        return []
+
+    def _build_event(self, row, kind, body=b''):
+        return job_commands.JobEvent(
+            job_id=row.id,
+            epoch=row.epoch,
+            kind=job_commands.EventKind(kind),
+            body=body,
+            reason='stand-in',
+        )
+
+    def _tick(self):
+        usage = []
+        while self._reports and self._reports[0][0] <= self.second:
+            _, _, name, item = heapq.heappop(self._reports)
+            usage.append((name, item))
+        world = systems.World(
+            state=self.state,
+            now=self.now,
+            loads={},
+            usage=usage,
+            objective=self._objective,
+            service_reserve=2,
+            throttles=self._throttles,
+        )
+        for system in self._systems:
+            for command in system.run(world):
+                result = self._do(command)
+                if isinstance(command, job_commands.EvictJobs):
+                    self._count_evictions(result, command)
+
+    def _count_evictions(self, job_ids, command):
+        self.evictions += len(job_ids)
+        reasons = {item.job_id: item.reason for item in command.evictions}
+        for job_id in job_ids:
+            if 'draining' in reasons[job_id]:
+                continue
+            row = self.state.jobs.get(job_id)
+            if row.workload in WATCHES:
+                if job_id in self._watch_evictions:
+                    self.watch_repeats += 1
+                self._watch_evictions[job_id] = self.now
+
+    def _disturb(self):
+        if self._scenario.rack_lost:
+            self._lose_rack()
+        if self._scenario.rolling:
+            self._roll()
+        for number, since in list(self._down.items()):
+            if self.second >= since:
+                del self._down[number]
+                self._open(number)
+
+    def _lose_rack(self):
+        if self.second == self._scenario.seconds // 2:
+            for number in range(PER_RACK, 2 * PER_RACK):
+                self._close(number, 90)
+
+    def _close(self, number, seconds):
+        row = self.state.instances.get(f'i{number:02}')
+        for held in self.state.jobs.select('instance', row.name):
+            self._lose(held)
+        self._do(
+            session.CloseSession(
+                name=row.name, epoch=row.epoch, at=self.now, reason='lost'
+            )
+        )
+        self._down[number] = self.second + seconds
+
+    def _roll(self):
+        step = 10
+        start = self.second - WARM_UP_S
+        if start >= 0 and start % step == 0 and start // step < INSTANCES:
+            self._drain(start // step, draining=True)
+            self._draining[start // step] = self.second
+        for number, since in list(self._draining.items()):
+            name = f'i{number:02}'
+            empty = not self.state.jobs.count('instance', name)
+            if empty or self.second - since > 60:
+                del self._draining[number]
+                self._close(number, 5)
+                self._drain(number, draining=False)
+
+    def _drain(self, number, *, draining):
+        self._do(
+            change.DrainInstance(
+                kind='instance',
+                name=f'i{number:02}',
+                draining=draining,
+                **self._change_id(),
+            )
+        )
--- a/bilberryhaven/systems/explanation.py
+++ b/bilberryhaven/systems/explanation.py
@@ -89,7 +89,7 @@
         return Verdict.RUNS_ON, f'runs_on {target.runs_on!r} does not match'
     if not entry.row.connected:
         return Verdict.DISCONNECTED, 'its session is closed'
-    if entry.row.draining:
+    if entry.emptying:
         return Verdict.DRAINING, 'it is leaving and takes nothing new'
     if entry.row.quarantined:
         return Verdict.QUARANTINED, entry.row.quarantined
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -69,8 +69,12 @@
     @property
     def open(self):
         """Whether it takes new work."""
-        row = self.row
-        return row.connected and not row.draining and not row.quarantined
+        return self.row.takes_work() and not self.row.quarantined
+
+    @property
+    def emptying(self):
+        """Whether its jobs must leave it."""
+        return self.row.draining or self.row.leaving
 
     @property
     def free_slots(self):
--- a/bilberryhaven/systems/placement.py
+++ b/bilberryhaven/systems/placement.py
@@ -184,7 +184,7 @@
             entry = self.memory.fleet.nodes[name]
             due, _ = self.memory.probes.setdefault(name, first)
             row = entry.row
-            busy = entry.charges or not row.connected or row.draining
+            busy = entry.charges or not row.takes_work()
             if due <= world.now and not busy:
                 found.append(entry)
         return found
--- a/bilberryhaven/systems/relocation.py
+++ b/bilberryhaven/systems/relocation.py
@@ -40,7 +40,7 @@
         return [job_commands.EvictJobs(evictions=evictions, at=world.now)]
 
     def _is_emptying(self, entry):
-        return entry.row.draining and entry.row.connected and entry.charges
+        return entry.emptying and entry.row.connected and entry.charges
 
     def _end_wave(self, world):
         """Forget which instances restarted once no more of them drain."""
@@ -49,7 +49,7 @@
             self.memory.fleet.renewed.clear()
 
     def _check(self, world, entry):
-        if entry.row.draining:
+        if entry.emptying:
             return self._drain(world, entry)
         found = []
         kept = set(entry.services)
