Let the instance of the command-line test hold its lease

Cause: each write waited 12 s for an instance that never reported. Change: the test gives it a lease and a revision. Conclusion: the wait itself is right.

--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -99,6 +99,7 @@
     def test_change_read_back(self):
         self.declare()
         self.open()
+        self.hold_lease('i1', revision=99)
         self.run_line('label', 'workload', 'survey', 'noise=high')
         self.run_line('label', 'instance', 'i1', 'disk=fast')
         self.run_line('select', 'survey', '--runs-on', 'disk=fast')
