--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -58,22 +58,30 @@
     )
 
 
-def _add_remote(parser):
+def _add_server(parser, **options):
     parser.add_argument(
         '--server',
         metavar='ADDRESS[,ADDRESS...]',
-        default=os.environ.get('BILBERRYHAVEN_SERVER', DEFAULT_SERVER),
         help='entry or control instance; BILBERRYHAVEN_SERVER, or '
         f'{DEFAULT_SERVER}, by default',
+        **options,
     )
+
+
+def _add_output(parser, **options):
     parser.add_argument(
         '--output',
         choices=('table', 'json'),
-        default='table',
         help='for people or for programs',
+        **options,
     )
 
 
+def _add_remote(parser):
+    _add_server(parser, default=argparse.SUPPRESS)
+    _add_output(parser, default=argparse.SUPPRESS)
+
+
 def build_parser():
     """Return the parser of all subcommands."""
     parser = argparse.ArgumentParser(
@@ -82,6 +90,11 @@
         epilog=EPILOG,
     )
     _add_settings(parser)
+    _add_server(
+        parser,
+        default=os.environ.get('BILBERRYHAVEN_SERVER', DEFAULT_SERVER),
+    )
+    _add_output(parser, default='table')
     subs = parser.add_subparsers(
         dest='command', required=True, metavar='COMMAND'
     )
@@ -103,7 +116,7 @@
     try:
         return opts.run(opts) or EXIT_DONE
     except errors.BilberryhavenError as error:
-        if getattr(opts, 'output', '') == 'json':
+        if opts.output == 'json':
             print(json.dumps(error.to_dict()), file=sys.stderr)
         else:
             print(error, file=sys.stderr)
--- a/bilberryhaven/cmdline/_client.py
+++ b/bilberryhaven/cmdline/_client.py
@@ -115,7 +115,7 @@
                 method,
                 f'http://{server}{path}',
                 body=data,
-                headers={'Content-Type': 'application/json'},
+                headers=_build_headers(body),
                 timeout=urllib3.Timeout(total=TIMEOUT_SECONDS),
                 redirect=False,
             )
@@ -128,6 +128,14 @@
         return _read_answer(response, server, f'{method} {path}')
 
 
+def _build_headers(body):
+    headers = {'Content-Type': 'application/json'}
+    key = (body or {}).get('change_id') or (body or {}).get('id')
+    if key:
+        headers['Idempotency-Key'] = key
+    return headers
+
+
 def _read_answer(response, server, step):
     try:
         answer = json.loads(response.data)
--- a/bilberryhaven/cmdline/_output.py
+++ b/bilberryhaven/cmdline/_output.py
@@ -3,7 +3,7 @@
 import json
 import textwrap
 
-__all__ = ['format_labels', 'print_json', 'print_table']
+__all__ = ['format_labels', 'print_json', 'print_table', 'print_text']
 
 WIDTH = 80
 GAP = 2
@@ -20,6 +20,11 @@
     return ' '.join(f'{key}={labels[key]}' for key in sorted(labels))
 
 
+def print_text(text):
+    """Print ``text`` wrapped to the width."""
+    print(textwrap.fill(text, WIDTH))
+
+
 def print_table(headers, rows):
     """Print rows of strings under headers; the last column wraps."""
     rows = [[str(cell) for cell in row] for row in rows]
--- a/bilberryhaven/cmdline/reads.py
+++ b/bilberryhaven/cmdline/reads.py
@@ -5,6 +5,8 @@
 
 __all__ = []
 
+MAX_NAMES = 6
+
 
 def _fetch(opts, path, query=None):
     from bilberryhaven.cmdline import _client
@@ -233,26 +235,46 @@
         if opts.output == 'json':
             _output.print_json(answer)
             return
-        print(answer['summary'])
+        for line in [answer['summary'], *answer['notes']]:
+            _output.print_text(line)
         rows = answer['rows']
-        if rows and 'lacks' in rows[0]:
-            _output.print_table(
-                ['INSTANCE', 'ZONE', 'WHAT IT LACKS'],
-                [
-                    [
-                        row['instance'],
-                        row['zone'],
-                        '; '.join(row['lacks']) or 'nothing: it fits',
-                    ]
-                    for row in rows
-                ],
-            )
+        if answer['kind'] == 'instance':
+            _print_jobs(rows)
         elif rows:
-            headers = list(rows[0])
-            _output.print_table(
-                [key.upper() for key in headers],
-                [[row[key] for key in headers] for row in rows],
-            )
+            _print_verdicts(rows)
+
+
+def _print_jobs(rows):
+    if rows:
+        _output.print_table(
+            ['JOB', 'WORKLOAD', 'STATE', 'WHY IT IS HERE'],
+            [[r['job'], r['workload'], r['state'], r['reason']] for r in rows],
+        )
+
+
+def _print_verdicts(rows):
+    """Print instances of one verdict and reason as one row."""
+    groups = {}
+    for row in rows:
+        key = (row['verdict'], row['reason'])
+        groups.setdefault(key, []).append(row['instance'])
+    _output.print_table(
+        ['VERDICT', 'COUNT', 'INSTANCES AND REASON'],
+        [
+            [
+                verdict,
+                len(names),
+                f'{_shorten(names)}: {reason}',
+            ]
+            for (verdict, reason), names in groups.items()
+        ],
+    )
+
+
+def _shorten(names):
+    shown = ', '.join(names[:MAX_NAMES])
+    more = len(names) - MAX_NAMES
+    return f'{shown} and {more} more' if more > 0 else shown
 
 
 @cmdline.register('history')
--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -4,6 +4,7 @@
 import functools
 import importlib
 import pkgutil
+import re
 import urllib.parse
 
 import msgspec
@@ -13,8 +14,16 @@
 from bilberryhaven import registry
 from bilberryhaven import util
 
-__all__ = ['Answer', 'Request', 'handle', 'list_routes', 'route']
+__all__ = [
+    'Answer',
+    'ID_PATTERN',
+    'Request',
+    'handle',
+    'list_routes',
+    'route',
+]
 
+ID_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._:@=+-]{0,199}$'
 MAX_NUMBER = 2**53
 MAX_DIGITS = 18
 
@@ -29,7 +38,7 @@
     Attributes:
         ctx: The ``Context`` of the leader that answers it.
         method: HTTP method.
-        path: Decoded path.
+        path: Percent-decoded path.
         params: Values of the pattern's variables.
         query: First value of each query field.
         body: Bytes of the body.
@@ -61,6 +70,20 @@
                 step='read body',
             ) from error
 
+    def read_key(self):
+        """Return the idempotency key, None if there is none.
+
+        Raises:
+            BadInputError: It has characters that ids may not have.
+        """
+        key = self.query.get('idempotency_key')
+        if key and not re.search(ID_PATTERN, key):
+            raise errors.BadInputError(
+                f'idempotency key {key!r} does not match {ID_PATTERN}',
+                step='read query',
+            )
+        return key or None
+
     def read_number(self, field, default, *, low=0, high=MAX_NUMBER):
         """Return the query's ``field`` as an int within its bounds."""
         text = self.query.get(field, '')
@@ -115,8 +138,9 @@
     Args:
         ctx: The leader's ``Context``.
         method: HTTP method.
-        path: Path as sent, still percent-encoded.
-        query: Query string as sent.
+        path: Path, percent-decoded.
+        query: Query string as sent. ``idempotency_key`` in it stands for
+            the header of that name.
         body: Bytes of the body.
         by: Who sent it, if the receiver knows.
 
@@ -156,8 +180,7 @@
 
 
 def _find_handler(request):
-    parts = request.path.strip('/').split('/')
-    segments = [urllib.parse.unquote(part) for part in parts]
+    segments = request.path.strip('/').split('/')
     methods = set()
     for method, pattern, handler in list_routes():
         params = _match(pattern, segments)
--- a/bilberryhaven/control/api/changes.py
+++ b/bilberryhaven/control/api/changes.py
@@ -9,8 +9,8 @@
 
 __all__ = ['propose_change']
 
-DEFAULT_WAIT_SECONDS = 8
-MAX_WAIT_SECONDS = 20
+DEFAULT_WAIT_SECONDS = 3
+MAX_WAIT_SECONDS = 4
 POLL_SECONDS = 0.05
 MAX_WAITERS = 6
 TABLES = {'workload': 'workloads', 'instance': 'instances', 'team': 'teams'}
@@ -30,7 +30,7 @@
     """
     wait_seconds = _read_wait(request)
     name = request.params['name']
-    change_id = body.change_id or request.query.get('change_id')
+    change_id = body.change_id or request.read_key()
     command = command_class(
         change_id=change_id or util.create_id('change'),
         by=body.by or request.by or 'unknown',
--- a/bilberryhaven/control/api/jobs.py
+++ b/bilberryhaven/control/api/jobs.py
@@ -23,7 +23,7 @@
     """Accept a job; a resend of its id finds the same job."""
     body = request.decode(models.JobBody)
     now = request.ctx.clock.wall()
-    key = body.id or request.query.get('idempotency_key')
+    key = body.id or request.read_key()
     command = job_commands.SubmitJob(
         job_id=key or util.create_id('job'),
         workload=body.workload,
--- a/bilberryhaven/control/api/teams.py
+++ b/bilberryhaven/control/api/teams.py
@@ -7,7 +7,7 @@
 from bilberryhaven.control.api import views
 from bilberryhaven.tables import job
 
-__all__ = []
+__all__ = ['count_slots']
 
 
 @api.route('GET', '/v1/teams')
@@ -15,7 +15,7 @@
     """Return all teams with the slots that they hold."""
     state = request.ctx.state
     with request.ctx.read():
-        held = _count_slots(state)
+        held = count_slots(state)
         rows = [_show(row, held) for row in state.teams]
     return {'teams': rows}
 
@@ -26,14 +26,15 @@
     state = request.ctx.state
     with request.ctx.read():
         row = state.teams.get(request.params['name'])
-        return _show(row, _count_slots(state))
+        return _show(row, count_slots(state))
 
 
 def _show(row, held):
     return {**views.show_row(row), 'slots_held': held.get(row.name, 0)}
 
 
-def _count_slots(state):
+def count_slots(state):
+    """Return the slots that active jobs hold, by team."""
     held = {}
     for stand in job.ACTIVE_STATES:
         for row in state.jobs.select('state', stand):
