--- a/bilberryhaven/cmdline/apply.py
+++ b/bilberryhaven/cmdline/apply.py
@@ -4,11 +4,13 @@
 from bilberryhaven.cmdline import _output
 from bilberryhaven.cmdline import changes
 from bilberryhaven import errors
+from bilberryhaven import validation
 from bilberryhaven import yamlfile
 
 __all__ = []
 
 FAMILIES = ('teams', 'workloads')
+WRITE_FIELDS = ('by', 'change_id', 'expect')
 
 
 @cmdline.register('apply')
@@ -76,35 +78,42 @@
     Raises:
         BadInputError: The file can't be used; all faults are named.
     """
-    import msgspec
-
-    from bilberryhaven.control.api import models
-
-    kinds = {'teams': models.TeamBody, 'workloads': models.WorkloadBody}
     faults = []
     entries = []
     for number, tree in enumerate(yamlfile.load_documents(path), 1):
         where = f'{path}, document {number}'
         for family, name, fields in _list_entities(tree, where, faults):
-            try:
-                models.check_name(name)
-                body = msgspec.convert(fields, type=kinds[family])
-                if family == 'workloads':
-                    models.check_selector('runs_on', body.runs_on)
-                    models.check_selector('shares_with', body.shares_with)
-            except (msgspec.ValidationError, errors.BadInputError) as error:
-                text = getattr(error, 'message', str(error))
-                faults.append(f'{where}: {family}.{name}: {text}')
-                continue
-            spec = msgspec.to_builtins(body)
-            for key in ('by', 'change_id', 'expect'):
-                del spec[key]
+            spec, found = _read_entity(family, name, fields)
+            prefix = f'{where}: {family}.{name}'
+            faults += [f'{prefix}: {fault}' for fault in found]
             entries.append((family, name, spec))
     if faults:
         raise errors.BadInputError('\n'.join(faults), step='read declarations')
     return sorted(entries, key=lambda entry: FAMILIES.index(entry[0]))
 
 
+def _read_entity(family, name, fields):
+    """Return an entity's fields and the faults in them."""
+    import msgspec
+
+    from bilberryhaven.control.api import models
+
+    kinds = {'teams': models.TeamBody, 'workloads': models.WorkloadBody}
+    body, faults = validation.convert(fields, kinds[family])
+    faults = [str(fault) for fault in faults]
+    try:
+        models.check_name(name)
+        if family == 'workloads' and body is not None:
+            models.check_selector('runs_on', body.runs_on)
+            models.check_selector('shares_with', body.shares_with)
+    except errors.BadInputError as error:
+        faults.append(error.message)
+    spec = {} if body is None else msgspec.to_builtins(body)
+    for key in WRITE_FIELDS:
+        spec.pop(key, None)
+    return spec, faults
+
+
 def _list_entities(tree, where, faults):
     if not isinstance(tree, dict):
         faults.append(f'{where}: write "workloads:" or "teams:"')
--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -13,6 +13,7 @@
 from bilberryhaven import log
 from bilberryhaven import registry
 from bilberryhaven import util
+from bilberryhaven import validation
 
 __all__ = [
     'Answer',
@@ -65,8 +66,10 @@
         try:
             return msgspec.json.decode(self.body or b'{}', type=kind)
         except (msgspec.MsgspecError, RecursionError) as error:
+            faults = _list_faults(self.body, kind) or [error]
+            listed = '; '.join(str(fault) for fault in faults)
             raise errors.BadInputError(
-                f'the body of {self.method} {self.path}: {error}',
+                f'the body of {self.method} {self.path}: {listed}',
                 step='read body',
             ) from error
 
@@ -98,6 +101,15 @@
         return int(text)
 
 
+def _list_faults(body, kind):
+    """Return all faults of a body that is JSON; none if it isn't."""
+    try:
+        tree = msgspec.json.decode(body or b'{}')
+    except (msgspec.MsgspecError, RecursionError):
+        return []
+    return validation.convert(tree, kind)[1]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Answer:
     """What a handler answers, if not status 200.
--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -1,14 +1,42 @@
 """Settings of a process: YAML files checked against typed models."""
 
-import pathlib
+import ipaddress
+import typing
 
 import msgspec
-import yaml
 
 from bilberryhaven import errors
 from bilberryhaven import util
-
-__all__ = ['Objective', 'Settings', 'Zone', 'load_settings']
+from bilberryhaven import validation
+from bilberryhaven import yamlfile
+
+__all__ = [
+    'Capacity',
+    'Objective',
+    'Settings',
+    'StandaloneOptions',
+    'Zone',
+    'load_settings',
+]
+
+MAX_DELAY_MS = 10_000
+MAX_WEIGHT = 1_000_000
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 1_000_000
+MAX_CORES = 100_000
+MAX_MEMORY_MB = 1_000_000_000
+MAX_ACCELERATORS = 10_000
+MAX_STANDALONE = 1_000
+
+Name = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=r'^[A-Za-z0-9]([A-Za-z0-9._-]{0,98}[A-Za-z0-9])?$'),
+]
+Label = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9_./-]{0,99}$')
+]
+Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+Level = typing.Literal['debug', 'info', 'notice', 'warning', 'error']
 
 
 class Objective(
@@ -16,9 +44,9 @@
 ):
     """Weights of the three measures; only their ratios count."""
 
-    tail_latency: float = 1.0
-    throughput: float = 1.0
-    evictions: float = 1.0
+    tail_latency: Weight = 1.0
+    throughput: Weight = 1.0
+    evictions: Weight = 1.0
 
 
 class Zone(
@@ -32,9 +60,11 @@
         delay_ms: One-way delay to other availability zones.
     """
 
-    name: str
+    name: Name
     region: str = ''
-    delay_ms: float = 0.0
+    delay_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DELAY_MS)] = (
+        0.0
+    )
 
 
 class Capacity(
@@ -42,11 +72,17 @@
 ):
     """What an instance holds at most."""
 
-    slots: int = 8
-    connections: int = 64
-    cpu: float = 16.0
-    memory_mb: int = 61440
-    accelerators: int = 0
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 8
+    connections: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=MAX_CONNECTIONS)
+    ] = 64
+    cpu: typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 16.0
+    memory_mb: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)] = (
+        61440
+    )
+    accelerators: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)
+    ] = 0
 
 
 class StandaloneOptions(
@@ -59,8 +95,12 @@
         instances_per_rack: How many share a rack.
     """
 
-    instances: int = 11
-    instances_per_rack: int = 3
+    instances: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_STANDALONE)] = (
+        11
+    )
+    instances_per_rack: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=MAX_STANDALONE)
+    ] = 3
 
 
 class Settings(
@@ -88,23 +128,25 @@
         log_level: Lowest level that is logged.
     """
 
-    name: str = 'standalone'
+    name: Name = 'standalone'
     zone: str = ''
     rack: str = ''
     listen: str = '127.0.0.1:7070'
     advertise: str = ''
-    data: str = 'data'
+    data: typing.Annotated[str, msgspec.Meta(min_length=1)] = 'data'
     control: list[str] = []
     entries: list[str] = []
-    voters: dict[str, str] = {}
+    voters: dict[Name, str] = {}
     backend: str = ''
-    labels: dict[str, str] = {}
+    labels: dict[Label, Label] = {}
     capacity: Capacity = Capacity()
     zones: list[Zone] = []
     objective: Objective = Objective()
-    service_reserve: int = 2
+    service_reserve: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=MAX_SLOTS)
+    ] = 2
     standalone: StandaloneOptions = StandaloneOptions()
-    log_level: str = 'info'
+    log_level: Level = 'info'
 
     def __post_init__(self):
         util.parse_address(self.listen)
@@ -116,19 +158,89 @@
     """Return the ``Settings`` in the YAML file at ``path``.
 
     Raises:
-        SettingsError: The file can't be read or a value isn't allowed.
+        SettingsError: The file can't be read or values aren't allowed; the
+            message lists them all.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-        tree = yaml.safe_load(text) or {}
-        return msgspec.convert(tree, type=Settings)
-    except (
-        OSError,
-        UnicodeDecodeError,
-        yaml.YAMLError,
-        msgspec.ValidationError,
-        errors.OptionError,
-    ) as error:
+    documents = yamlfile.load_documents(path)
+    if len(documents) > 1:
         raise errors.SettingsError(
-            f'{path}: {error}', step='load settings'
-        ) from error
+            f'{path}: one document is allowed, this has {len(documents)}',
+            step='load settings',
+        )
+    tree = documents[0] if documents else {}
+    faults = _list_address_faults(tree)
+    bad = {fault.path.partition('[')[0].partition('.')[0] for fault in faults}
+    if isinstance(tree, dict):
+        tree = {key: tree[key] for key in tree if key not in bad}
+    loaded, found = validation.convert(tree, Settings)
+    faults += found
+    if loaded is not None:
+        faults += _list_reference_faults(loaded, bad)
+    if faults:
+        lines = '\n'.join(f'{path}: {fault}' for fault in faults)
+        raise errors.SettingsError(lines, step='load settings')
+    return loaded
+
+
+def _list_address_faults(tree):
+    """Return the faults of all addresses that are texts."""
+    if not isinstance(tree, dict):
+        return []
+    found = {key: tree.get(key) for key in ('listen', 'advertise', 'backend')}
+    for key in ('control', 'entries'):
+        items = tree.get(key)
+        if isinstance(items, list):
+            found |= {f'{key}[{i}]': item for i, item in enumerate(items)}
+    voters = tree.get('voters')
+    if isinstance(voters, dict):
+        found |= {f'voters.{name}': voters[name] for name in voters}
+    return [
+        validation.Fault(path=where, message=message)
+        for where, address in found.items()
+        if isinstance(address, str)
+        for message in _check_address(where, address)
+    ]
+
+
+def _check_address(where, address):
+    if not address and where in ('advertise', 'backend'):
+        return
+    try:
+        host, port = util.parse_address(address)
+        ip = ipaddress.ip_address(host.strip('[]'))
+    except (errors.OptionError, ValueError):
+        yield (
+            f'{address!r} is refused: write IP:PORT with an IP number, such '
+            'as 127.0.0.1:7000'
+        )
+        return
+    if where == 'listen':
+        return
+    if port == 0 or ip.is_unspecified:
+        yield f'{address!r} is refused: others must be able to reach it'
+
+
+def _list_reference_faults(loaded, bad):
+    """Return the faults of values that don't go together."""
+    faults = []
+
+    def add(path, message):
+        if path not in bad:
+            faults.append(validation.Fault(path=path, message=message))
+
+    names = [zone.name for zone in loaded.zones]
+    for index, name in enumerate(names):
+        if name in names[:index]:
+            add(f'zones[{index}].name', f'{name!r} is there twice')
+    if names and loaded.zone and loaded.zone not in names:
+        add('zone', f'{loaded.zone!r} is none of zones: {", ".join(names)}')
+    slots = loaded.capacity.slots
+    if loaded.service_reserve > slots:
+        add(
+            'service_reserve',
+            f'{loaded.service_reserve} is refused: capacity.slots is {slots}',
+        )
+    goal = loaded.objective
+    if not goal.tail_latency + goal.throughput + goal.evictions:
+        add('objective', 'one weight must be above 0')
+    return faults
