Refuse deeply nested selectors and say what is expected

Cause: 2,000 exclamation marks ended in a RecursionError; keys such as in.x could be set as labels but not selected; a fault gave only its column. Change: length and nesting are bounded, faults list what may stand there. Conclusion: any text is parsed or refused with bad_selector.

--- a/bilberryhaven/selector.py
+++ b/bilberryhaven/selector.py
@@ -1,6 +1,7 @@
 """Selectors over labels: parsing, matching and plain description."""
 
 import functools
+import re
 
 import lark
 
@@ -9,6 +10,10 @@
 __all__ = ['Selector', 'parse_selector']
 
 CACHE_SIZE = 4096
+MAX_LENGTH = 2000
+MAX_NESTING = 100
+NESTING = re.compile(r'\(|!(?!=)|\bnot\b')
+NAMES = {'KEY': 'a label key', 'VALUE': 'a value', '$END': 'the end'}
 
 GRAMMAR = r"""
     start: [expression]
@@ -21,7 +26,7 @@
          | KEY "in" "(" VALUE ("," VALUE)* ")"               -> within
          | KEY "notin" "(" VALUE ("," VALUE)* ")"            -> outside
          | KEY                                               -> exists
-    KEY: /(?!(?:and|or|not|in|notin)\b)[A-Za-z0-9][A-Za-z0-9_.\/-]*/
+    KEY: /(?!(?:and|or|not|in|notin)(?![\w.\/-]))[A-Za-z0-9][A-Za-z0-9_.\/-]*/
     VALUE: /[A-Za-z0-9][A-Za-z0-9_.\/-]*/
     %ignore /\s+/
 """
@@ -95,7 +100,34 @@
     if column < 1 or getattr(token, 'type', '') == '$END':
         column = len(text) + 1
     pointer = ' ' * (column - 1) + '^'
-    return f'column {column} of the selector:\n  {text}\n  {pointer}'
+    return (
+        f'column {column} of the selector:\n  {text}\n  {pointer}\n'
+        f'expected there: {_describe_expected(error)}'
+    )
+
+
+def _describe_expected(error):
+    expected = getattr(error, 'accepts', None)
+    if not expected:
+        expected = getattr(error, 'allowed', None) or error.expected
+    texts = {
+        term.name: repr(term.pattern.value)
+        for term in _build_parser().terminals
+    }
+    found = {NAMES.get(name) or texts.get(name, name) for name in expected}
+    return ', '.join(sorted(found, key=lambda text: text.strip("'")))
+
+
+def _check_size(text):
+    fault = ''
+    if len(text) > MAX_LENGTH:
+        fault = f'is {len(text)} characters long, {MAX_LENGTH} are allowed'
+    elif len(NESTING.findall(text)) > MAX_NESTING:
+        fault = f'has more than {MAX_NESTING} parentheses and negations'
+    if fault:
+        raise errors.SelectorError(
+            f'the selector {fault}', step='parse selector'
+        )
 
 
 @functools.lru_cache(maxsize=CACHE_SIZE)
@@ -110,6 +142,8 @@
         SelectorError: The text can't be parsed; the message points at the
             column.
     """
+    _check_size(text)
+    text = re.sub(r'\s', ' ', text)
     try:
         tree = _build_parser().parse(text)
     except lark.exceptions.UnexpectedInput as error:
--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -1,5 +1,8 @@
 """Tests of selectors."""
 
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
 import testtools
 
 from bilberryhaven import errors
@@ -18,9 +21,16 @@
     ('a=1 or b=2, c=3', {'a': '1'}, True),
     ('(a=1 or b=2), c=3', {'a': '1'}, False),
     ('inside=1', {'inside': '1'}, True),
+    ('in.x=1\nand not-b', {'in.x': '1', 'not-b': ''}, True),
 ]
 
-BAD = [('zone in (a', 11), ('= a', 1), ('a=1 b=2', 5), ('a and', 6)]
+BAD = [
+    ('a\n&', 3),
+    ('zone in (a', 11),
+    ('= a', 1),
+    ('a=1 b=2', 5),
+    ('a and', 6),
+]
 
 
 class TestSelector(testtools.TestCase):
@@ -35,3 +45,37 @@
                 errors.SelectorError, selector.parse_selector, text
             )
             self.assertIn(f'column {column} ', error.message)
+
+    def test_fault_says_what_is_expected(self):
+        error = self.assertRaises(
+            errors.SelectorError, selector.parse_selector, 'zone=a, team='
+        )
+        self.assertIn('expected there: a value', error.message)
+
+    def test_deep_nesting_is_refused(self):
+        for text in (
+            '!' * 1999 + 'a',
+            '(' * 900 + 'a' + ')' * 900,
+            'a' * 3000,
+        ):
+            self.assertRaises(
+                errors.SelectorError, selector.parse_selector, text
+            )
+
+    @hypothesis_settings(derandomize=True, database=None, deadline=None)
+    @given(
+        words=strategies.lists(
+            strategies.sampled_from(
+                ['a', 'in', 'not', 'and', 'or', '!', '=', '!=', '(', ')', ',']
+            )
+            | strategies.text(max_size=3),
+            max_size=12,
+        )
+    )
+    def test_any_text_is_parsed_or_refused(self, words):
+        try:
+            parsed = selector.parse_selector(' '.join(words))
+        except errors.SelectorError as error:
+            self.assertIn('expected there: ', error.message)
+        else:
+            self.assertIsInstance(parsed.match({'a': '1'}), bool)
