--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 SEED ?= 1
-.PHONY: demo test lint format binary bench fuzz lock clean
+.PHONY: demo test lint format binary check-binary bench fuzz lock clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -27,10 +27,15 @@
 	$(VENV)/bin/ruff check --fix .
 
 binary: $(VENV)/.ready
+	rm -rf build
 	mkdir -p dist
 	$(VENV)/bin/shiv --quiet -c bilberryhaven -o dist/bilberryhaven \
+	    -p '/usr/bin/env python3.11' --root '~/.cache/bilberryhaven' \
 	    -r requirements.txt --no-build-isolation .
 
+check-binary: binary
+	$(PY) -m unittest tests.check_binary
+
 bench: $(VENV)/.ready
 	$(PY) -m bench
 
