Run the whole path: standalone and demo over all roles

Change: the demo looks for its question in the answer; agents stop side by side; stand-ins count starts by job, so that at most once is shown.

--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -53,9 +53,7 @@
             folder=pathlib.Path(settings.data),
             machine=self._machine,
             clock=clock,
-            transport=transport.WireTransport(
-                name=settings.name, client=self._client
-            ),
+            transport=transport.WireTransport(client=self._client),
         )
         self.leader = leader.Leader(
             settings=settings,
--- a/bilberryhaven/roles/demo.py
+++ b/bilberryhaven/roles/demo.py
@@ -248,7 +248,7 @@
 
     def _send_request(self, number):
         start = self._clock.monotonic()
-        question = f'{self._deployment.name} {number}'
+        question = f'question {number} of {self._deployment.name}'
         body = {
             'workload': self._deployment.service,
             'body': question,
@@ -260,7 +260,7 @@
         except errors.BilberryhavenError as error:
             self._say(f'a request failed: {error}')
             return None
-        if not str(answer['body']).endswith(question):
+        if question not in str(answer['body']):
             return None
         taken = self._clock.monotonic() - start
         return taken.total_seconds() * 1000
@@ -303,7 +303,7 @@
 
     def _count_starts(self, job_id):
         servers = self._system.standins.values()
-        return sum(server.count_starts(job_id) for server in servers)
+        return sum(server.task_starts[job_id] for server in servers)
 
     def _start_watch(self):
         job_id = f'{self._deployment.watch}-1'
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -3,10 +3,8 @@
 import concurrent.futures
 import datetime
 import random
-import signal
 import threading
 
-from bilberryhaven import clock as clocks
 from bilberryhaven.entry import api
 from bilberryhaven.entry import leader
 from bilberryhaven.entry import metrics
@@ -17,6 +15,7 @@
 from bilberryhaven.entry import ticker
 from bilberryhaven.entry import view
 from bilberryhaven import policies
+from bilberryhaven.roles import process
 from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import message
@@ -172,12 +171,8 @@
         return offer.future.result(RELAY_TIMEOUT.total_seconds())
 
 
-def run(settings, clock=None):
+def run(settings, clock):
     """Run an entry until the process is told to stop."""
-    role = EntryRole(settings=settings, clock=clock or clocks.SystemClock())
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
-    role.start()
-    stopped.wait()
-    role.stop()
+    return process.run_until_signal(
+        EntryRole(settings=settings, clock=clock), settings
+    )
--- a/bilberryhaven/roles/standalone.py
+++ b/bilberryhaven/roles/standalone.py
@@ -16,6 +16,8 @@
 ANY_PORT = '127.0.0.1:0'
 START_TIMEOUT = clocks.seconds(30)
 DEFAULT_ZONE = 'local'
+# Control and entry start before the agents and stop after them.
+FIRST_AGENT = 2
 
 _logger = log.get_logger('standalone')
 
@@ -93,10 +95,9 @@
 
     def stop(self):
         """Stop all roles gracefully, agents first."""
-        for actor in reversed(self._actors):
-            proxy = actor.proxy()
-            proxy.stop_role().get()
-            actor.stop()
+        self._halt(self._actors[FIRST_AGENT:])
+        for actor in reversed(self._actors[:FIRST_AGENT]):
+            self._halt([actor])
         for server in self.standins.values():
             server.stop()
 
@@ -144,6 +145,13 @@
             self._settings, name=name, listen=listen, **fields
         )
 
+    def _halt(self, actors):
+        actors = list(actors)
+        stopped = [actor.proxy().stop_role() for actor in actors]
+        for actor, future in zip(actors, stopped, strict=True):
+            future.get()
+            actor.stop()
+
     def _launch(self, roles):
         started = []
         for role in roles:
--- a/bilberryhaven/standin/server.py
+++ b/bilberryhaven/standin/server.py
@@ -84,6 +84,11 @@
         """How often each request id was run, a Counter."""
         return self._requests.runs
 
+    @property
+    def task_starts(self):
+        """How often each job was started, a Counter."""
+        return self._tasks.starts
+
     def start(self):
         """Listen and serve."""
         self._http.start()
--- a/bilberryhaven/standin/tasks.py
+++ b/bilberryhaven/standin/tasks.py
@@ -113,6 +113,7 @@
         self._ledger = ledger
         self._faults = faults
         self._tasks = collections.OrderedDict()
+        self.starts = collections.Counter()
         self.session = 0
         self._lease_until = datetime.timedelta()
 
@@ -175,6 +176,7 @@
             done=done,
             counted_at=self._clock.monotonic(),
         )
+        self.starts[order.id] += 1
         self._keep(task)
         return task
 
