Fuzz the request core against an oracle

Cause: the core's promises were checked by example only. Change: the core is split (pending, reply); a cancelled request is never dispatched later; a lapsed lease stops retries too; a rule-based machine with callers, a lossy network, agents that restart, a leader and restarts of the entry checks single whole answers, true not_run, runs at most once, budgets.

--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -4,89 +4,28 @@
 the effects that the shell carries out, whose results come back as events.
 """
 
-import dataclasses
 import datetime
-import enum
 
 from bilberryhaven.entry import answers
 from bilberryhaven.entry import budget
 from bilberryhaven.entry import effect
+from bilberryhaven.entry import pending as pendings
+from bilberryhaven.entry import reply as replies
 from bilberryhaven.entry import routing
 from bilberryhaven import errors
 from bilberryhaven import log
-from bilberryhaven import util
 
-__all__ = ['Limits', 'RequestCore']
+__all__ = ['RequestCore']
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ORIGIN = datetime.timedelta()
-RESERVE_SHARE = 0.1
-MAX_RESERVE = 100 * MILLISECOND
 HOP_MARGIN = 2 * MILLISECOND
 MAX_RESYNC = 500 * MILLISECOND
 REVOKE_TIMEOUT = 500 * MILLISECOND
-REFUSALS = frozenset({'overload', 'draining', 'refused', 'deadline'})
-CALLER_FAULTS = frozenset({'bad_input', 'not_found', 'conflict'})
 
 _logger = log.get_logger('entry')
 
 
-@dataclasses.dataclass(kw_only=True, frozen=True)
-class Limits:
-    """Bounds of a request core.
-
-    Attributes:
-        pending: Requests in progress at a time.
-        callers: Callers that wait for the same request.
-        attempts: Dispatches of one request.
-        retry_share: Retries as a share of requests.
-        retry_burst: Retries that may come at once.
-        failover_share: Retries after a connection that was never made, as
-            a share of requests; they add no load to any agent.
-        failover_burst: Such retries that may come at once.
-        max_timeout: Longest time until a request's deadline.
-    """
-
-    pending: int = 512
-    callers: int = 16
-    attempts: int = 4
-    retry_share: float = 0.08
-    retry_burst: int = 10
-    failover_share: float = 0.5
-    failover_burst: int = 100
-    max_timeout: datetime.timedelta = datetime.timedelta(seconds=120)
-
-
-class Step(enum.Enum):
-    """What a request waits for."""
-
-    CLAIM = 'claim'
-    DISPATCH = 'dispatch'
-    REVOKE = 'revoke'
-    RESYNC = 'resync'
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Pending:
-    request: effect.Request
-    fingerprint: str
-    deadline: datetime.timedelta
-    repeatable: bool
-    callers: list
-    step: Step = Step.DISPATCH
-    holder: str = ''
-    dispatch: effect.Dispatch | None = None
-    attempts: int = 0
-    excluded: list = dataclasses.field(default_factory=list)
-    cancelled: bool = False
-    last_error: errors.BilberryhavenError | None = None
-    earlier: errors.Outcome = errors.Outcome.NOT_RUN
-
-    @property
-    def may_repeat(self):
-        return self.request.idempotent and self.repeatable
-
-
 class RequestCore:
     """Decides what happens to each request.
 
@@ -104,7 +43,7 @@
         self, *, name, view, policy, clock, random, limits=None, store=None
     ):
         self.name = name
-        self.limits = limits or Limits()
+        self.limits = limits or pendings.Limits()
         self.draining = False
         self.retries = 0
         self.failovers = 0
@@ -135,7 +74,7 @@
             request: The ``Request``.
         """
         now = self._clock.monotonic()
-        fingerprint = _compute_fingerprint(request)
+        fingerprint = pendings.compute_fingerprint(request)
         try:
             found = self._find_known(caller, request, fingerprint, now)
             if found is not None:
@@ -146,7 +85,7 @@
         self._retry_budget.add_request()
         self._failover_budget.add_request()
         timeout = min(request.timeout, self.limits.max_timeout)
-        pending = _Pending(
+        pending = pendings.Pending(
             request=request,
             fingerprint=fingerprint,
             deadline=now + timeout,
@@ -166,19 +105,19 @@
             granted: Whether the claim was granted.
             error: Why not.
         """
-        pending = self._find(claim.request_id, Step.CLAIM)
+        pending = self._find(claim.request_id, pendings.Step.CLAIM)
         if pending is None or pending.holder != claim.holder:
             return []
         if not granted:
             return self._finish_error(pending, error)
-        return self._dispatch(pending, self._clock.monotonic())
+        return self._go_on(pending)
 
     def handle_reply(self, dispatch, reply):
         """Take in the agent's ``AdmitReply`` to a ``Dispatch``."""
         now = self._clock.monotonic()
         if not self._settle(dispatch):
             return []
-        fault = _check_whole(dispatch, reply)
+        fault = replies.check_whole(dispatch, reply)
         if fault is None:
             self._view.apply_load(dispatch.target, reply.load, at=now)
         pending = self._find_dispatch(dispatch)
@@ -188,8 +127,8 @@
         if not reply.code:
             self._router.record_success(dispatch)
             return self._answer(pending, dispatch, reply) if pending else []
-        error = _build_reply_error(dispatch, reply)
-        if _is_failure(error):
+        error = replies.build_reply_error(dispatch, reply)
+        if replies.is_failure(error):
             self._router.record_failure(dispatch)
         return self._handle_error(pending, error, now) if pending else []
 
@@ -219,7 +158,7 @@
             state: ``not_run``, ``started``, ``finished``, or empty where
                 there was no reply.
         """
-        pending = self._find(revoke.request_id, Step.REVOKE)
+        pending = self._find(revoke.request_id, pendings.Step.REVOKE)
         if pending is None or pending.dispatch is not revoke.dispatch:
             return []
         error = pending.last_error
@@ -235,10 +174,8 @@
 
     def handle_synced(self, request_id):
         """Take in that the view was renewed after a ``Resync``."""
-        pending = self._find(request_id, Step.RESYNC)
-        if pending is None:
-            return []
-        return self._dispatch(pending, self._clock.monotonic())
+        pending = self._find(request_id, pendings.Step.RESYNC)
+        return [] if pending is None else self._go_on(pending)
 
     def cancel(self, request_id):
         """Stop a request: revoke it, and retry it no more."""
@@ -246,7 +183,7 @@
         if pending is None or pending.cancelled:
             return []
         pending.cancelled = True
-        if pending.step is Step.DISPATCH:
+        if pending.step is pendings.Step.DISPATCH:
             return [self._revoke(pending, self._clock.monotonic(), False)]
         return []
 
@@ -254,6 +191,10 @@
         """Return whether a request is in progress."""
         return request_id in self._pending
 
+    def list_ids(self):
+        """Return the ids of the requests in progress."""
+        return list(self._pending)
+
     def leave(self, caller, request_id):
         """Take in that a caller waits no longer; it is told so."""
         pending = self._pending.get(request_id)
@@ -262,7 +203,7 @@
         if pending.callers == [caller]:
             return self._expire(pending)
         pending.callers.remove(caller)
-        error = _build_deadline_error(pending)
+        error = replies.build_deadline_error(pending)
         error.request_id = request_id
         answer = answers.Answer(request_id=request_id, error=error)
         return [effect.Respond(caller=caller, answer=answer)]
@@ -276,9 +217,16 @@
                 effects += self._expire(pending)
         return effects
 
+    def _go_on(self, pending):
+        """Dispatch a request that waited, unless it was cancelled."""
+        if pending.cancelled:
+            error = errors.RefusedError('it was cancelled', step='cancel')
+            return self._finish_error(pending, error)
+        return self._dispatch(pending, self._clock.monotonic())
+
     def _expire(self, pending):
-        error = _build_deadline_error(pending)
-        if pending.step in (Step.CLAIM, Step.RESYNC):
+        error = replies.build_deadline_error(pending)
+        if pending.step in (pendings.Step.CLAIM, pendings.Step.RESYNC):
             error.outcome = errors.Outcome.NOT_RUN
         return self._finish_error(pending, error)
 
@@ -309,12 +257,7 @@
             raise errors.DrainingError(
                 'the entry is stopping', step='receive', retry_after=1
             )
-        if not self._view.has_lease(now):
-            raise errors.LeaseLapsedError(
-                'the entry has no lease from the leader',
-                step='receive',
-                retry_after=1,
-            )
+        self._check_lease(now)
         if request.timeout <= ORIGIN:
             raise errors.DeadlineError(
                 'the deadline has passed',
@@ -329,13 +272,21 @@
             )
         return self._router.check_workload(request.workload)
 
+    def _check_lease(self, now):
+        if not self._view.has_lease(now):
+            raise errors.LeaseLapsedError(
+                'the entry has no lease from the leader',
+                step='receive',
+                retry_after=1,
+            )
+
     def _claim(self, pending, now):
         request = pending.request
         pending.holder = self._holders.get(request.id, '')
         if not pending.holder:
             self._claims += 1
             pending.holder = f'{self.name}/{self._claims}'
-        pending.step = Step.CLAIM
+        pending.step = pendings.Step.CLAIM
         timeout = pending.deadline - now
         return [
             effect.Claim(
@@ -348,9 +299,10 @@
 
     def _dispatch(self, pending, now):
         request = pending.request
-        reserve = _compute_reserve(request)
+        reserve = pendings.compute_reserve(request)
         remaining = pending.deadline - reserve - now
         try:
+            self._check_lease(now)
             choice = self._router.choose(
                 request, excluded=pending.excluded, remaining=remaining
             )
@@ -358,7 +310,7 @@
             return self._finish_error(pending, pending.last_error or error)
         target = choice.target
         pending.attempts += 1
-        pending.step = Step.DISPATCH
+        pending.step = pendings.Step.DISPATCH
         pending.last_error = None
         way = target.distance_ms * MILLISECOND + HOP_MARGIN
         deadline_ms = max(int((remaining - way) / MILLISECOND), 1)
@@ -396,7 +348,7 @@
 
     def _handle_error(self, pending, error, now, unreached=False):
         """Go on after an attempt that ended with ``error``."""
-        if error.code in CALLER_FAULTS:
+        if error.code in replies.CALLER_FAULTS:
             return self._finish_error(pending, error)
         if error.outcome == errors.Outcome.NOT_RUN or (
             error.outcome == errors.Outcome.RAN and pending.may_repeat
@@ -414,11 +366,13 @@
             return [revoke, *self._retry(pending, error, now)]
         if now >= pending.deadline:
             return self._finish_error(pending, error)
-        pending.step = Step.REVOKE
+        pending.step = pendings.Step.REVOKE
         return [self._revoke(pending, now, True)]
 
     def _has_time(self, pending, now):
-        return now < pending.deadline - _compute_reserve(pending.request)
+        return now < pending.deadline - pendings.compute_reserve(
+            pending.request
+        )
 
     def _revoke(self, pending, now, awaited):
         remaining = max(pending.deadline - now, MILLISECOND)
@@ -435,12 +389,14 @@
         if error.outcome != errors.Outcome.NOT_RUN:
             pending.earlier = error.outcome
         refused = error.code == errors.RefusedError.code
+        refused = refused and not pending.resynced
         if not refused:
             pending.excluded.append(pending.dispatch.target)
         if not self._may_retry(pending, now, unreached or refused):
             return self._finish_error(pending, error)
         if refused:
-            pending.step = Step.RESYNC
+            pending.step = pendings.Step.RESYNC
+            pending.resynced = True
             timeout = min(MAX_RESYNC, pending.deadline - now)
             return [
                 effect.Resync(request_id=pending.request.id, timeout=timeout)
@@ -452,8 +408,6 @@
             return False
         if pending.attempts >= self.limits.attempts:
             return False
-        if not self._view.has_lease(now):
-            return False
         if unreached:
             allowed = self._failover_budget.take()
             self.failovers += allowed
@@ -470,11 +424,11 @@
         pending = self._pending.get(dispatch.request_id)
         if pending is None or pending.dispatch is not dispatch:
             return None
-        return pending if pending.step is Step.DISPATCH else None
+        return pending if pending.step is pendings.Step.DISPATCH else None
 
     def _finish_error(self, pending, error):
         if error is None:
-            error = _build_deadline_error(pending)
+            error = replies.build_deadline_error(pending)
         error.request_id = pending.request.id
         if error.outcome == errors.Outcome.NOT_RUN:
             error.outcome = pending.earlier
@@ -496,7 +450,7 @@
         del self._pending[pending.request.id]
         if answer.error is None:
             self._holders.pop(pending.request.id, None)
-        if pending.request.keyed and _is_final(pending, answer.error):
+        if pending.request.keyed and pendings.is_final(pending, answer.error):
             self._store.put(
                 answer,
                 fingerprint=pending.fingerprint,
@@ -519,74 +473,3 @@
         )
         answer = answers.Answer(request_id=request.id, error=error)
         return effect.Respond(caller=caller, answer=answer)
-
-
-def _compute_fingerprint(request):
-    if not request.keyed:
-        return ''
-    return util.compute_digest(
-        request.workload.encode() + b'\0' + request.body
-    )
-
-
-def _compute_reserve(request):
-    """Return the part of the time kept for a revocation at the end."""
-    return min(request.timeout * RESERVE_SHARE, MAX_RESERVE)
-
-
-def _check_whole(dispatch, reply):
-    """Return the fault of a reply that isn't whole or isn't its own."""
-    if reply.request_id != dispatch.request_id:
-        problem = "another request's answer"
-    elif reply.code:
-        return None
-    elif reply.length != len(reply.body):
-        problem = f'{len(reply.body)} of {reply.length} bytes'
-    elif reply.digest != util.compute_digest(reply.body):
-        problem = 'the digest differs'
-    else:
-        return None
-    return errors.TruncatedAnswerError(
-        problem, step='dispatch', peer=dispatch.target.name
-    )
-
-
-def _build_reply_error(dispatch, reply):
-    error = errors.build_error(
-        {
-            'code': reply.code,
-            'message': reply.message,
-            'step': reply.step or 'admit',
-            'peer': dispatch.target.name,
-            'outcome': reply.outcome or errors.Outcome.UNKNOWN,
-        }
-    )
-    if reply.retry_after_ms:
-        error.retry_after = reply.retry_after_ms / 1000
-    return error
-
-
-def _is_failure(error):
-    """Return whether ``error`` speaks against the instance."""
-    if error.code in CALLER_FAULTS:
-        return False
-    refused = error.outcome == errors.Outcome.NOT_RUN
-    return not (refused and error.code in REFUSALS)
-
-
-def _build_deadline_error(pending):
-    peer = pending.dispatch.target.name if pending.dispatch else ''
-    return errors.DeadlineError(
-        'the deadline passed before there was an answer',
-        step=pending.step.value,
-        peer=peer,
-    )
-
-
-def _is_final(pending, error):
-    """Return whether a resend must get this answer again."""
-    if error is None:
-        return True
-    if error.outcome == errors.Outcome.NOT_RUN:
-        return False
-    return not pending.may_repeat
--- /dev/null
+++ b/tests/fuzz/request.py
@@ -0,0 +1,488 @@
+"""Stateful fuzzing of the entry's request core against a simple oracle."""
+
+import collections
+import contextlib
+import dataclasses
+import datetime
+import io
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import logbook
+
+from bilberryhaven import clock
+from bilberryhaven.entry import answers
+from bilberryhaven.entry import effect
+from bilberryhaven.entry import pending
+from bilberryhaven.entry import request
+from bilberryhaven.entry import view
+from bilberryhaven import errors
+from bilberryhaven.policies import route_two_choice
+from bilberryhaven import util
+from bilberryhaven.wire import message
+
+MS = datetime.timedelta(milliseconds=1)
+INSTANCES = ('a', 'b', 'c')
+KEYS = ('k1', 'k2', 'k3', '')
+LIMITS = pending.Limits(
+    pending=12,
+    callers=3,
+    retry_share=0.1,
+    retry_burst=2,
+    failover_share=0.1,
+    failover_burst=2,
+)
+PICK = st.integers(0, 1000)
+
+
+@dataclasses.dataclass(eq=False)
+class Submission:
+    """One request as the core accepted it, and what became of it."""
+
+    request: effect.Request
+    callers: list
+    repeatable: bool
+    deadline: datetime.timedelta
+    cancelled: bool = False
+    runs: int = 0
+    dispatches: int = 0
+    may_have_run: bool = False
+    outcome: str = ''
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """A request that an agent started; ``copy`` is its packet."""
+
+    dispatch: effect.Dispatch
+    submission: Submission
+    done: bool = False
+
+
+class Agent:
+    """Oracle of one agent: runs each id once, obeys tombstones."""
+
+    def __init__(self):
+        self.restart()
+
+    def restart(self):
+        self.buried = set()
+        self.runs = {}
+        self.amnesia = getattr(self, 'amnesia', None) is not None
+
+    def revoke(self, request_id):
+        run = self.runs.get(request_id)
+        if run is not None:
+            return 'finished' if run.done else 'started'
+        self.buried.add(request_id)
+        return 'started' if self.amnesia else 'not_run'
+
+
+def answer_to(item):
+    return f'answer to {item.id} '.encode() + item.body
+
+
+def build_reply(msg, code='', outcome='', body=b''):
+    return message.AdmitReply(
+        request_id=msg.request_id,
+        code=code,
+        outcome=outcome,
+        body=body,
+        length=len(body),
+        digest=util.compute_digest(body),
+        load=message.Load(slots=8),
+    )
+
+
+class RequestMachine(stateful.RuleBasedStateMachine):
+    """Callers, network, leader and agents around one request core."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = clock.ManualClock()
+        self.agents = {name: Agent() for name in INSTANCES}
+        self.claims = {}
+        self.answered = {}
+        self.requests = {}
+        self.submissions = []
+        self.names = 0
+        self.recipe_runs = collections.Counter()
+        self.quiet = logbook.NullHandler()
+        self.quiet.push_application()
+        self.start_entry()
+
+    def teardown(self):
+        self.quiet.pop_application()
+
+    def start_entry(self):
+        self.names += 1
+        self.packets, self.replies, self.waiting = [], [], []
+        self.revokes, self.asked, self.resyncs = [], [], []
+        self.current, self.final, self.accepted = {}, {}, 0
+        self.retries = self.failovers = 0
+        self.view = view.View()
+        self.core = request.RequestCore(
+            name=f'entry{self.names}',
+            view=self.view,
+            policy=route_two_choice.TwoChoicePolicy(
+                random=random.Random(self.names)
+            ),
+            clock=self.clock,
+            random=random.Random(self.names),
+            limits=LIMITS,
+            store=answers.AnswerStore(max_bytes=4000),
+        )
+        self.sync()
+
+    def sync(self):
+        now = self.clock.monotonic()
+        reply = message.SyncReply(
+            revision=1,
+            lease_ms=4000,
+            feed='f',
+            cursor=1,
+            full=True,
+            workloads=[
+                message.WorkloadView(name='price', kind='service'),
+                message.WorkloadView(
+                    name='recipe', kind='service', repeatable=False
+                ),
+            ],
+            instances=[
+                message.InstanceView(name=name, address=f'{name}:1')
+                for name in INSTANCES
+            ],
+        )
+        self.view.apply(reply, sent_at=now, now=now)
+
+    # Effects
+
+    def carry_out(self, effects, cause=''):
+        for item in effects:
+            if isinstance(item, effect.Respond):
+                self.check_answer(item)
+            elif isinstance(item, effect.Dispatch):
+                self.check_dispatch(item, cause)
+            elif isinstance(item, effect.Revoke):
+                self.revokes.append(item)
+            elif isinstance(item, effect.Claim):
+                self.asked.append(item)
+            else:
+                self.resyncs.append(item)
+
+    def check_dispatch(self, item, cause):
+        now = self.clock.monotonic()
+        assert self.view.has_lease(now), 'dispatched without a lease'
+        submission = self.current[item.request_id]
+        assert item.message.deadline_ms * MS < submission.deadline - now
+        assert not submission.cancelled, 'dispatched after its cancellation'
+        submission.dispatches += 1
+        assert submission.dispatches <= LIMITS.attempts
+        if submission.may_have_run:
+            assert submission.request.idempotent and submission.repeatable
+        if submission.dispatches > 1:
+            self.failovers += cause == 'unreached'
+            self.retries += cause != 'unreached'
+        self.check_budget()
+        if not submission.repeatable:
+            holder = self.claims.get(item.request_id, '')
+            assert holder.startswith(f'{self.core.name}/')
+        self.packets.append((item, submission))
+        self.waiting.append(item)
+
+    def check_budget(self):
+        for used, share, burst in (
+            (self.retries, LIMITS.retry_share, LIMITS.retry_burst),
+            (self.failovers, LIMITS.failover_share, LIMITS.failover_burst),
+        ):
+            assert used <= burst + share * self.accepted + 1e-6, used
+
+    def check_answer(self, item):
+        caller, answer = item.caller, item.answer
+        assert caller in self.answered, 'a stranger was answered'
+        assert self.answered[caller] is None, 'answered twice'
+        self.answered[caller] = answer
+        if answer.error is None:
+            expected = answer_to(self.requests[caller])
+            assert answer.body == expected, 'not its own whole answer'
+        submission = self.current.get(answer.request_id)
+        if submission is None or caller not in submission.callers:
+            return
+        if answer.error is None:
+            assert submission.runs
+        else:
+            submission.outcome = answer.error.outcome
+        if submission.request.keyed and answer.error is None:
+            self.final[answer.request_id] = answer.body
+        submission.callers.remove(caller)
+        if not submission.callers:
+            del self.current[answer.request_id]
+
+    def take(self, items, pick):
+        return items.pop(pick % len(items))
+
+    # Callers
+
+    @stateful.rule(
+        key=st.sampled_from(KEYS),
+        workload=st.sampled_from(('price', 'price', 'recipe')),
+        body=st.sampled_from((b'1', b'1', b'1', b'2')),
+        idempotent=st.booleans(),
+        timeout=st.sampled_from((400, 9000, 9000)),
+    )
+    def submit(self, key, workload, body, idempotent, timeout):
+        self.names += 1
+        item = effect.Request(
+            id=key or f'r{self.names}',
+            workload=workload,
+            body=body,
+            timeout=timeout * MS,
+            idempotent=idempotent,
+            keyed=bool(key),
+        )
+        caller = f'caller{self.names}'
+        self.answered[caller] = None
+        self.requests[caller] = item
+        known = self.current.get(item.id)
+        stored = self.final.get(item.id)
+        effects = self.core.submit(caller, item)
+        if known is not None and not effects:
+            known.callers.append(caller)
+        elif known is None and self.core.knows(item.id):
+            assert stored is None, 'a stored answer was forgotten'
+            self.accepted += 1
+            end = self.clock.monotonic() + item.timeout
+            known = Submission(item, [caller], workload == 'price', end)
+            self.current[item.id] = known
+            self.submissions.append(known)
+        self.carry_out(effects)
+
+    @stateful.precondition(lambda self: self.current)
+    @stateful.rule(pick=PICK)
+    def cancel(self, pick):
+        ids = sorted(self.current)
+        request_id = ids[pick % len(ids)]
+        self.current[request_id].cancelled = True
+        self.carry_out(self.core.cancel(request_id))
+
+    @stateful.precondition(lambda self: self.current)
+    @stateful.rule(pick=PICK)
+    def leave(self, pick):
+        ids = sorted(self.current)
+        submission = self.current[ids[pick % len(ids)]]
+        caller = submission.callers[pick % len(submission.callers)]
+        if submission.dispatches:
+            self.carry_out(self.core.leave(caller, submission.request.id))
+
+    # Leader
+
+    @stateful.precondition(lambda self: self.asked)
+    @stateful.rule(pick=PICK, lost=st.sampled_from(('', '', 'way', 'back')))
+    def answer_claim(self, pick, lost):
+        claim = self.take(self.asked, pick)
+        if lost != 'way':
+            self.claims.setdefault(claim.request_id, claim.holder)
+        error = errors.PeerError('lost', step='claim', outcome='not_run')
+        granted = not lost and self.claims[claim.request_id] == claim.holder
+        if not lost and not granted:
+            error = errors.RefusedError(
+                'claimed', step='claim', outcome='unknown'
+            )
+        self.carry_out(
+            self.core.handle_claim(claim, granted=granted, error=error)
+        )
+
+    @stateful.rule()
+    def renew(self):
+        self.sync()
+        resyncs, self.resyncs = self.resyncs, []
+        for item in resyncs:
+            self.carry_out(
+                self.core.handle_synced(item.request_id), 'unreached'
+            )
+
+    # Network and agents
+
+    @stateful.precondition(lambda self: self.packets)
+    @stateful.rule(
+        pick=PICK,
+        again=st.sampled_from((False, False, True)),
+        refusal=st.sampled_from(('', '', '', 'overload', 'refused')),
+        code=st.sampled_from(('', 'internal', 'wait')),
+    )
+    def arrive(self, pick, again, refusal, code):
+        item, submission = self.packets[pick % len(self.packets)]
+        if not again:
+            self.packets.remove((item, submission))
+        agent = self.agents[item.target.name]
+        msg = item.message
+        if msg.request_id in agent.buried:
+            refusal = 'refused'
+        elif msg.request_id in agent.runs:
+            return
+        if refusal:
+            reply = build_reply(msg, refusal, 'not_run')
+            self.replies.append((item, reply))
+            if again:
+                agent.buried.add(msg.request_id)
+            return
+        run = agent.runs[msg.request_id] = Run(item, submission)
+        submission.runs += 1
+        self.recipe_runs[msg.request_id] += msg.workload == 'recipe'
+        if code != 'wait':
+            self.end(run, code)
+
+    @stateful.rule(pick=PICK, code=st.sampled_from(('', '', '', 'internal')))
+    def finish(self, pick, code):
+        runs = [
+            run
+            for agent in self.agents.values()
+            for run in agent.runs.values()
+            if not run.done
+        ]
+        if runs:
+            run = runs[pick % len(runs)]
+            self.end(run, code)
+
+    def end(self, run, code):
+        run.done = True
+        msg = run.dispatch.message
+        body = b'' if code else answer_to(run.submission.request)
+        reply = build_reply(msg, code, 'ran' if code else '', body)
+        self.replies.append((run.dispatch, reply))
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule(
+        pick=PICK,
+        twice=st.booleans(),
+        damage=st.sampled_from(('', '', 'cut', 'flip', 'crossed')),
+    )
+    def reply(self, pick, twice, damage):
+        item, reply = self.take(self.replies, pick)
+        if twice:
+            self.replies.append((item, reply))
+        if damage == 'crossed' and self.replies:
+            reply = self.replies[pick % len(self.replies)][1]
+        elif damage == 'cut' and not reply.code:
+            reply = dataclasses.replace(reply, body=reply.body[:-1])
+        elif damage == 'flip' and not reply.code:
+            body = bytes([reply.body[0] ^ 1]) + reply.body[1:]
+            reply = dataclasses.replace(reply, body=body)
+        self.note(item, reply.outcome != 'not_run')
+        cause = 'unreached' if reply.code == 'refused' else ''
+        self.carry_out(self.core.handle_reply(item, reply), cause)
+        self.discard(item)
+
+    def note(self, item, may_have_run):
+        """Record what the entry can know of a dispatch."""
+        submission = self.current.get(item.request_id)
+        if submission and item in self.waiting and may_have_run:
+            submission.may_have_run = True
+
+    def discard(self, item):
+        if item in self.waiting:
+            self.waiting.remove(item)
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(pick=PICK, made=st.booleans())
+    def break_connection(self, pick, made):
+        item = self.waiting[pick % len(self.waiting)]
+        untouched = any(packet is item for packet, _ in self.packets)
+        made = made or not untouched or self.was_delivered(item)
+        if not made:
+            self.packets = [p for p in self.packets if p[0] is not item]
+        self.note(item, made)
+        error = errors.PeerError(
+            'broken', step='dispatch', outcome='unknown' if made else 'not_run'
+        )
+        self.carry_out(
+            self.core.handle_fault(item, error), '' if made else 'unreached'
+        )
+        self.discard(item)
+
+    def was_delivered(self, item):
+        agent = self.agents[item.target.name]
+        run = agent.runs.get(item.request_id)
+        return run is not None or item.request_id in agent.buried
+
+    @stateful.precondition(lambda self: self.revokes)
+    @stateful.rule(pick=PICK, lost=st.sampled_from(('', '', 'way', 'back')))
+    def revoke(self, pick, lost):
+        item = self.take(self.revokes, pick)
+        name = item.dispatch.target.name
+        state = ''
+        if lost != 'way':
+            state = self.agents[name].revoke(item.request_id)
+        if lost:
+            state = ''
+        if not item.awaited:
+            return
+        submission = self.current.get(item.request_id)
+        newest = submission and submission.dispatches == (
+            item.dispatch.message.attempt
+        )
+        if newest and state == 'not_run' and submission.runs == 0:
+            submission.may_have_run = False
+        self.carry_out(self.core.handle_revoked(item, state))
+
+    # Time and restarts
+
+    @stateful.rule(step=st.sampled_from((1, 1, 30, 30, 500, 3000)))
+    def advance(self, step):
+        self.clock.advance(step * MS)
+        self.carry_out(self.core.tick())
+        now = self.clock.monotonic()
+        assert all(item.deadline > now for item in self.current.values())
+
+    @stateful.rule(name=st.sampled_from(INSTANCES), pick=st.integers(0, 3))
+    def restart_agent(self, name, pick):
+        if pick:
+            return
+        self.packets = [p for p in self.packets if p[0].target.name != name]
+        self.replies = [r for r in self.replies if r[0].target.name != name]
+        self.agents[name].restart()
+
+    @stateful.rule(pick=st.integers(0, 9))
+    def restart_entry(self, pick):
+        if pick == 0:
+            packets = self.packets
+            self.start_entry()
+            self.packets = packets
+
+    # Properties
+
+    @stateful.invariant()
+    def work_runs_as_told(self):
+        for item in self.submissions:
+            if not (item.request.idempotent and item.repeatable):
+                assert item.runs <= 1, 'ran twice'
+            if item.outcome == errors.Outcome.NOT_RUN:
+                assert item.runs == 0, 'ran after "not run"'
+        assert max(self.recipe_runs.values(), default=0) <= 1
+
+    @stateful.invariant()
+    def in_flight_is_counted(self):
+        for target in self.view.targets.values():
+            held = [item for item in self.waiting if item.target is target]
+            assert target.in_flight == len(held)
+
+    @stateful.invariant()
+    def core_is_bounded(self):
+        assert len(self.core) <= LIMITS.pending
+        assert set(self.current) == set(self.core.list_ids())
+
+
+def run(seed, *, examples=2000, steps=80):
+    """Fuzz with ``seed``; raise on the first violated property."""
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    machine = hypothesis.seed(seed)(RequestMachine)
+    with contextlib.redirect_stderr(io.StringIO()):
+        stateful.run_state_machine_as_test(machine, settings=settings)
