Learn slowdowns by a forgetting ridge regression

Change: decayed sums of products, solved for each report's own terms, with a load slope and effects that can't be negative.

--- a/bench/_baselines.py
+++ b/bench/_baselines.py
@@ -101,7 +101,7 @@
 class PriorInterference(interference.Interference):
     """Never learns: the policy without its estimator."""
 
-    def observe(self, service, band, counts, latency_ms, now):
+    def observe(self, service, load, counts, latency_ms, now):
         """Ignore the report."""
 
 
--- a/bench/_colocation.py
+++ b/bench/_colocation.py
@@ -239,7 +239,8 @@
 
     def run(self):
         """Run the scenario to its end."""
-        for self.second in range(self._scenario.seconds):
+        for second in range(self._scenario.seconds):
+            self.second = second
             self.now += SECOND
             self._disturb()
             self._submit_arrivals()
--- a/bilberryhaven/systems/interference.py
+++ b/bilberryhaven/systems/interference.py
@@ -1,44 +1,31 @@
 """Learns how much a batch workload slows a service that runs beside it.
 
-The logarithm of a service's latency is taken as the sum of a base and of one
-effect for each task beside it, per band of the service's load. Each report
-corrects all of them by a Kalman step with a diagonal covariance: what is
-uncertain moves most. A new effect starts from its neighbour band or from the
-workload's mean over all services, and returns there as it ages.
+The logarithm of a service's latency is taken as the sum of a base, which
+rises with the service's load, and of one effect for each task beside it. One
+regression a service and load band learns them. While reports are few, an
+effect stays near that of the neighbour band, or near the workload's mean over
+all services; as reports age they count less.
 """
 
-import dataclasses
 import math
 
-__all__ = ['BANDS', 'Effect', 'Interference', 'get_band']
+from bilberryhaven.systems import regression
+
+__all__ = ['BANDS', 'Interference', 'get_band']
 
 BANDS = 4
 NOISE_VARIANCE = 0.04
 PRIOR_EFFECT = 0.02
-PRIOR_VARIANCE = 0.05
-BASE_VARIANCE = 0.25
-MAX_EFFECT = 1.5
-MIN_EFFECT = -0.02
-HALF_LIFE_S = 900.0
-MIN_VARIANCE = 0.002
-MAX_STEP = 1.0
-
-
-@dataclasses.dataclass(slots=True)
-class Effect:
-    """One learned term.
-
-    Attributes:
-        mean: Its expected value, in logarithms of latency.
-        variance: How uncertain it is.
-        at: When it was updated, in seconds.
-        count: How many reports moved it.
-    """
-
-    mean: float
-    variance: float
-    at: float
-    count: int = 0
+PRIOR_VARIANCE = 0.01
+BASE_VARIANCE = 1.0
+PRIOR_SLOPE = 0.5
+SLOPE_VARIANCE = 1.0
+LEAST_EFFECT = 0.0
+MEMORY_S = 900.0
+MAX_ERROR = 1.5
+MEAN_COUNT = 200
+BASE = ''
+SLOPE = '/load'
 
 
 def get_band(load):
@@ -50,22 +37,23 @@
     """Effects by service, batch workload and load band."""
 
     def __init__(self):
-        self._bases = {}
-        self._effects = {}
+        self._models = {}
         self._means = {}
 
     def get_effect(self, service, workload, band):
         """Return the expected effect of one task, in logarithms."""
-        known = self._effects.get((service, workload, band))
-        if known is not None:
-            return known.mean
+        model = self._models.get((service, band))
+        if model is not None:
+            known = model.means.get(workload)
+            if known is not None:
+                return known
         return self._get_prior(service, workload, band)
 
     def _get_prior(self, service, workload, band):
         for near in (band - 1, band + 1):
-            known = self._effects.get((service, workload, near))
-            if known is not None and known.count:
-                return known.mean
+            model = self._models.get((service, near))
+            if model is not None and workload in model.means:
+                return model.means[workload]
         total = self._means.get(workload)
         if total is None:
             return PRIOR_EFFECT
@@ -89,79 +77,62 @@
             total += count * self.get_effect(service, workload, band)
         return total
 
-    def observe(self, service, band, counts, latency_ms, now):
+    def observe(self, service, load, counts, latency_ms, now):
         """Learn from one report.
 
         Args:
             service: The service's name.
-            band: Band of its load when it was measured.
+            load: Its load when it was measured.
             counts: Number of tasks beside it then, by workload.
             latency_ms: Its latency.
             now: Seconds on any fixed clock.
         """
+        band = get_band(load)
         value = math.log(max(latency_ms, 1e-3))
-        terms = [(self._get_base(service, band, value, now), 1.0)]
+        model = self._get_model(service, band, value)
+        weights = {BASE: 1.0, SLOPE: load - (band + 0.5) / BANDS}
         for workload, count in counts.items():
-            effect = self._age_effect(service, workload, band, now)
-            terms.append((effect, count))
-        expected = sum(term.mean * weight for term, weight in terms)
-        spread = sum(term.variance * weight**2 for term, weight in terms)
-        error = max(min(value - expected, MAX_STEP), -MAX_STEP)
-        spread += NOISE_VARIANCE
-        for term, weight in terms:
-            gain = term.variance * weight / spread
-            term.mean += gain * error
-            variance = term.variance * (1.0 - gain * weight)
-            term.variance = max(variance, MIN_VARIANCE)
-            term.at = now
-            term.count += 1
-        self._settle(service, band, counts)
-
-    def _get_base(self, service, band, value, now):
-        key = (service, band)
-        base = self._bases.get(key)
-        if base is None:
-            base = Effect(value, BASE_VARIANCE, now)
-            self._bases[key] = base
-        return base
-
-    def _age_effect(self, service, workload, band, now):
-        key = (service, workload, band)
-        effect = self._effects.get(key)
-        if effect is None:
-            prior = self._get_prior(service, workload, band)
-            effect = Effect(prior, PRIOR_VARIANCE, now)
-            self._effects[key] = effect
-            return effect
-        kept = 0.5 ** ((now - effect.at) / HALF_LIFE_S)
-        effect.variance = (
-            effect.variance * kept + (1.0 - kept) * PRIOR_VARIANCE
+            if workload not in model.means:
+                self._add_effect(model, service, workload, band)
+            weights[workload] = count
+        model.observe(weights, value, now)
+        self._settle(model, counts)
+
+    def _get_model(self, service, band, value):
+        model = self._models.get((service, band))
+        if model is None:
+            model = self._models[(service, band)] = regression.Regression(
+                noise=NOISE_VARIANCE, memory_s=MEMORY_S, max_error=MAX_ERROR
+            )
+            model.add_term(BASE, mean=value, variance=BASE_VARIANCE)
+            model.add_term(SLOPE, mean=PRIOR_SLOPE, variance=SLOPE_VARIANCE)
+        return model
+
+    def _add_effect(self, model, service, workload, band):
+        model.add_term(
+            workload,
+            mean=self._get_prior(service, workload, band),
+            variance=PRIOR_VARIANCE,
+            least=LEAST_EFFECT,
         )
-        if kept < 0.9:
-            prior = PRIOR_EFFECT
-            effect.mean = effect.mean * kept + (1.0 - kept) * prior
-        return effect
 
-    def _settle(self, service, band, counts):
+    def _settle(self, model, counts):
         for workload in counts:
-            effect = self._effects[(service, workload, band)]
-            effect.mean = min(max(effect.mean, MIN_EFFECT), MAX_EFFECT)
             mean, count = self._means.get(workload, (0.0, 0))
-            count = min(count + 1, 200)
-            self._means[workload] = (
-                mean + (effect.mean - mean) / count,
-                count,
-            )
+            count = min(count + 1, MEAN_COUNT)
+            mean += (model.means[workload] - mean) / count
+            self._means[workload] = (mean, count)
 
     def list_slowdowns(self):
         """Return (service, workload, band, factor) of each learned effect."""
         return [
-            (service, workload, band, math.exp(effect.mean))
-            for (service, workload, band), effect in self._effects.items()
-            if effect.count
+            (service, workload, band, math.exp(effect))
+            for (service, band), model in self._models.items()
+            for workload, effect in model.means.items()
+            if workload not in (BASE, SLOPE)
         ]
 
     def get_base_ms(self, service, band):
         """Return the latency of ``service`` alone, or None if not known."""
-        base = self._bases.get((service, band))
-        return math.exp(base.mean) if base is not None else None
+        model = self._models.get((service, band))
+        return math.exp(model.means[BASE]) if model is not None else None
--- a/bilberryhaven/systems/learning.py
+++ b/bilberryhaven/systems/learning.py
@@ -7,7 +7,6 @@
 
 from bilberryhaven import systems
 from bilberryhaven.systems import fleet as fleets
-from bilberryhaven.systems import interference
 
 __all__ = ['LearningSystem']
 
@@ -74,7 +73,7 @@
             return
         memory.interference.observe(
             usage.workload,
-            interference.get_band(usage.load),
+            usage.load,
             counts,
             usage.latency_ms,
             now,
