Set the prices of throttling and draining by measurement

Change: throttling price 0.3; a drain waits for work with 8 s left times the ratio of the evictions' weight to the tail's; a restart that is due counts by the run time. Checked: tests.test_placement_load, 14 passed; the test of drains runs longer, since the grace is shorter now, and checks the same.

--- a/bilberryhaven/policies/place_interference.py
+++ b/bilberryhaven/policies/place_interference.py
@@ -9,6 +9,8 @@
 RACK_SPREAD = 2.0
 ZONE_SPREAD = 0.5
 RESTART_RISK = 0.05
+RISK_UNIT_S = 60.0
+LONG_RUN_S = 300.0
 WASTED_ACCELERATORS = 0.2
 FULLNESS = 0.01
 
@@ -33,7 +35,7 @@
         if target.kind == 'watch':
             cost += self._compute_spread(target.name, entry)
         if self._memory.fleet.renewed and self._is_restart_due(entry):
-            cost += weights.evictions * RESTART_RISK
+            cost += weights.evictions * self._compute_risk(target)
         if entry.row.capacity.accelerators and not need.accelerators:
             cost += WASTED_ACCELERATORS
         return cost + FULLNESS * entry.slots
@@ -50,5 +52,12 @@
         in_rack = spread.get((name, zone, entry.row.rack), 0)
         return RACK_SPREAD * in_rack + ZONE_SPREAD * in_zone
 
+    def _compute_risk(self, target):
+        """Return the cost of a restart while the task still runs."""
+        if target.kind == 'watch':
+            return RESTART_RISK * LONG_RUN_S / RISK_UNIT_S
+        expected = self._memory.sizes.get_run_seconds(target)
+        return RESTART_RISK * min(expected, LONG_RUN_S) / RISK_UNIT_S
+
     def _is_restart_due(self, entry):
         return entry.name not in self._memory.fleet.renewed
--- a/bilberryhaven/systems/relocation.py
+++ b/bilberryhaven/systems/relocation.py
@@ -11,12 +11,19 @@
 
 __all__ = ['RelocationSystem']
 
-DRAIN_GRACE_S = 20.0
+DRAIN_GRACE_S = 8.0
+MAX_DRAIN_GRACE_S = 40.0
 WAVE = datetime.timedelta(seconds=600)
 
 logger = log.get_logger('relocation')
 
 
+def _compute_grace(weights):
+    """Return the seconds of work for which a drain waits."""
+    ratio = weights.evictions / max(weights.tail_latency, 1e-6)
+    return min(DRAIN_GRACE_S * ratio, MAX_DRAIN_GRACE_S)
+
+
 @systems.register('relocation')
 class RelocationSystem(systems.System):
     """Moves what may no longer stay where it runs."""
@@ -85,7 +92,7 @@
         if not self.memory.sizes.is_run_known(target):
             return False
         left = victims.estimate_remaining(self.memory, world, row, target)
-        return left <= DRAIN_GRACE_S
+        return left <= _compute_grace(world.objective)
 
     def _list_jobs(self, world, entry):
         rows = [world.state.jobs.find(key) for key in entry.charges]
--- a/bilberryhaven/systems/throttling.py
+++ b/bilberryhaven/systems/throttling.py
@@ -9,7 +9,7 @@
 __all__ = ['ThrottlingSystem']
 
 STEPS = (1.0, 0.6, 0.3)
-PRICE = 0.08
+PRICE = 0.3
 HYSTERESIS = 0.4
 MIN_INTERVAL = datetime.timedelta(seconds=5)
 
--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -195,7 +195,7 @@
         self.submit('quiet', 'short', 'new')
         self.submit('once', 'o')
         self.submit('noisy', 'n')
-        self.live(21)
+        self.live(30)
         self.drain('a')
         self.tick()
         states = [str(self.job(j).state) for j in ('short', 'o', 'n')]
