Fuzz placement against an oracle of plain scans

Cause: never over capacity, never against a selector, never in two places, resumed once, nothing starved and equal replicas must hold in any history.

--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing; each module has ``run(seed)``."""
--- /dev/null
+++ b/tests/test_placement_fuzz.py
@@ -0,0 +1,10 @@
+"""Stateful fuzzing of placement with fixed choices."""
+
+import testtools
+
+from tests.fuzz import placement
+
+
+class TestPlacementFuzz(testtools.TestCase):
+    def test_random_histories(self):
+        placement.run()
