Mend what a first walk through a running system showed

Change: sorted lists, wrapped answers, members say whether they are active, explain says which selector put a job there and beside what it runs. Run: tests.test_cmdline, test_api, test_settings, test_errors, test_selector. Two faults seen elsewhere: relocation looks at draining but not at leaving, so an agent that stops with a job on it never ends (systems/relocation.py, _find_fault); standalone stops its agents one after another, 3 s each.

--- a/bilberryhaven/cmdline/_client.py
+++ b/bilberryhaven/cmdline/_client.py
@@ -120,14 +120,27 @@
                 redirect=False,
             )
         except urllib3.exceptions.HTTPError as error:
-            raise errors.PeerError(
-                f'no answer from the server: {error}',
-                step=f'{method} {path}',
-                peer=server,
-            ) from error
+            raise _describe_fault(error, server, f'{method} {path}') from error
         return _read_answer(response, server, f'{method} {path}')
 
 
+def _describe_fault(error, server, step):
+    refused = (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    )
+    if isinstance(error, refused):
+        return errors.UnavailableError(
+            f'nothing answers at {server}; is it the address of an entry or '
+            'control instance, and does that run?',
+            step=step,
+            peer=server,
+        )
+    return errors.PeerError(
+        f'the answer was lost: {error}', step=step, peer=server
+    )
+
+
 def _build_headers(body):
     headers = {'Content-Type': 'application/json'}
     key = (body or {}).get('change_id') or (body or {}).get('id')
--- a/bilberryhaven/cmdline/apply.py
+++ b/bilberryhaven/cmdline/apply.py
@@ -69,7 +69,7 @@
         text = f'unchanged (version {answer["version"]})'
         if answer['revision']:
             text = changes.describe_change(answer)
-        print(f'{answer["name"]}: {text}')
+        _output.print_text(f'{answer["name"]}: {text}')
 
 
 def read_declarations(path):
--- a/bilberryhaven/cmdline/changes.py
+++ b/bilberryhaven/cmdline/changes.py
@@ -51,22 +51,20 @@
     if opts.output == 'json':
         _output.print_json(answer)
     else:
-        print(describe_change(answer))
+        _output.print_text(describe_change(answer))
 
 
 def describe_change(answer):
     """Return a line on an accepted change and whether it is in force."""
-    text = (
-        f'accepted as revision {answer["revision"]} '
-        f'(version {answer["version"]}, change {answer["change_id"]})'
-    )
+    text = f'revision {answer["revision"]}, version {answer["version"]}'
+    if answer.get('in_force'):
+        return f'{text}, in force everywhere'
+    text = f'{text}, accepted as change {answer["change_id"]}'
     if 'in_force' not in answer:
         return text
-    if answer['in_force']:
-        return f'{text}; in force everywhere'
     behind = ', '.join(answer['behind'])
     return (
-        f'{text}; NOT yet in force on: {behind}. It will not revert; see '
+        f'{text}; NOT yet in force on {behind}. It will not revert; see '
         '"bilberryhaven in-force"'
     )
 
--- a/bilberryhaven/cmdline/jobs.py
+++ b/bilberryhaven/cmdline/jobs.py
@@ -85,6 +85,12 @@
             print(f'{answer["id"]}: {answer["state"]}')
 
 
+def _format_value(key, value):
+    if key in ('payload', 'result'):
+        return json.dumps(value)
+    return ', '.join(value) if isinstance(value, list) else value
+
+
 @cmdline.register('status')
 class StatusCommand(cmdline.Command):
     """Shows a job."""
@@ -105,9 +111,9 @@
             _output.print_json(answer)
             return
         rows = [
-            [key, json.dumps(value) if key == 'result' else value]
-            for key, value in answer.items()
-            if value not in ('', None, []) and key != 'session'
+            [key, _format_value(key, answer[key])]
+            for key in answer
+            if answer[key] not in ('', None, []) and key != 'session'
         ]
         _output.print_table(['FIELD', 'VALUE'], rows)
 
--- a/bilberryhaven/cmdline/members.py
+++ b/bilberryhaven/cmdline/members.py
@@ -3,7 +3,15 @@
 from bilberryhaven import cmdline
 from bilberryhaven.cmdline import _output
 
-__all__ = []
+__all__ = ['list_members']
+
+COLUMNS = ('name', 'address', 'voter', 'active', 'match')
+
+
+def list_members(rows):
+    """Return headers and cells of the table of control instances."""
+    headers = ['NAME', 'ADDRESS', 'VOTER', 'ACTIVE', 'NEWEST ENTRY']
+    return headers, [[row.get(key, '?') for key in COLUMNS] for row in rows]
 
 
 @cmdline.register('members')
@@ -37,9 +45,4 @@
         if opts.output == 'json':
             _output.print_json(answer)
             return
-        rows = answer['members']
-        headers = list(rows[0]) if rows else ['name']
-        _output.print_table(
-            [key.upper() for key in headers],
-            [[row.get(key, '') for key in headers] for row in rows],
-        )
+        _output.print_table(*list_members(answer['members']))
--- a/bilberryhaven/cmdline/reads.py
+++ b/bilberryhaven/cmdline/reads.py
@@ -1,7 +1,10 @@
 """Subcommands that read: get, in-force, explain, history."""
 
+import re
+
 from bilberryhaven import cmdline
 from bilberryhaven.cmdline import _output
+from bilberryhaven.cmdline import members
 
 __all__ = []
 
@@ -71,6 +74,8 @@
     states = ['connected' if row['connected'] else 'lost']
     if row['draining']:
         states.append('draining')
+    if row['leaving']:
+        states.append('stopping')
     if row['quarantined']:
         states.append('quarantined')
     return ','.join(states)
@@ -104,11 +109,6 @@
     ]
 
 
-def _list_members(rows):
-    headers = sorted({key for row in rows for key in row}) or ['name']
-    return headers, [[row.get(key, '') for key in headers] for row in rows]
-
-
 def _list_jobs(rows):
     headers = ['ID', 'WORKLOAD', 'STATE', 'INSTANCE', 'REASON']
     return headers, [
@@ -128,7 +128,7 @@
     'instances': _list_instances,
     'zones': _list_zones,
     'teams': _list_teams,
-    'members': _list_members,
+    'members': members.list_members,
     'jobs': _list_jobs,
 }
 
@@ -158,11 +158,20 @@
             _print_one(answer)
         else:
             rows = answer[opts.kind]
+            if opts.kind != 'jobs':
+                rows = sorted(rows, key=_build_sort_key)
             if opts.name:
                 rows = [row for row in rows if row['name'] == opts.name]
             _output.print_table(*LISTERS[opts.kind](rows))
 
 
+def _build_sort_key(row):
+    """Return a key that puts ``a-9`` before ``a-10``."""
+    parts = re.split(r'(\d+)', row['name'])
+    parts[1::2] = [int(number) for number in parts[1::2]]
+    return parts
+
+
 def _print_one(answer):
     rows = [[key, _format_value(answer[key])] for key in answer]
     _output.print_table(['FIELD', 'VALUE'], rows)
@@ -173,6 +182,8 @@
         return _output.format_labels(value) or '-'
     if isinstance(value, list):
         return ', '.join(str(item) for item in value) or '-'
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
     return '-' if value in ('', None) else str(value)
 
 
@@ -309,5 +320,6 @@
 
 
 def _describe_row(row):
-    text = _output.format_labels(row['fields'])
+    fields = row['fields']
+    text = '; '.join(f'{key}={fields[key]}' for key in fields if fields[key])
     return f'{text} ({row["error"]})' if row['error'] else text
--- a/bilberryhaven/control/api/explain.py
+++ b/bilberryhaven/control/api/explain.py
@@ -3,6 +3,7 @@
 from bilberryhaven.control import api
 from bilberryhaven.control.api import teams
 from bilberryhaven import errors
+from bilberryhaven import selector
 from bilberryhaven.systems import explanation
 from bilberryhaven.tables import job
 from bilberryhaven.tables import workload
@@ -75,11 +76,7 @@
 def _list_job_notes(ctx, row, rows):
     notes = []
     if row.state in PLACED:
-        notes.append(
-            'It was placed where the expected cost to tail latency, '
-            'throughput and evictions, weighted as in the settings, was '
-            'lowest among the instances that fit.'
-        )
+        notes += _list_placed_notes(ctx.state, row)
     if row.evictions:
         held = 'from its checkpoint' if row.checkpoint else 'from the start'
         notes.append(f'It was evicted {row.evictions} times, resumes {held}.')
@@ -98,6 +95,29 @@
     return notes
 
 
+def _list_placed_notes(state, row):
+    notes = [
+        'It was placed where the expected cost to tail latency, throughput '
+        'and evictions, weighted as in the settings, was lowest among the '
+        'instances that fit.'
+    ]
+    owner = state.workloads.find(row.workload)
+    where = state.instances.find(row.instance)
+    if owner is not None and where is not None and owner.runs_on:
+        rule = selector.parse_selector(owner.runs_on)
+        matches = rule.match(where.merge_labels())
+        verb = 'matches' if matches else 'no longer matches'
+        notes.append(f'runs_on {owner.runs_on!r} {verb} {where.name}.')
+    beside = {
+        held.workload
+        for held in state.jobs.select('instance', row.instance)
+        if held.id != row.id
+    }
+    if beside:
+        notes.append(f'Beside it run jobs of: {", ".join(sorted(beside))}.')
+    return notes
+
+
 def _describe_fits(rows):
     fits = sum(row['verdict'] == explanation.Verdict.FITS for row in rows)
     if fits:
@@ -214,6 +234,8 @@
         faults.append('its agent has no session, it stopped or is cut off')
     if row.draining:
         faults.append('it is draining')
+    if row.leaving:
+        faults.append('its agent is stopping')
     if row.quarantined:
         faults.append(f'it is quarantined: {row.quarantined}')
     return faults
--- a/bilberryhaven/control/api/members.py
+++ b/bilberryhaven/control/api/members.py
@@ -1,5 +1,6 @@
 """Control instances: read, added, removed."""
 
+from bilberryhaven import clock
 from bilberryhaven.control import api
 from bilberryhaven.control.api import models
 from bilberryhaven.control.api import views
@@ -7,12 +8,25 @@
 
 __all__ = []
 
+ACTIVE = clock.seconds(3)
+
 
 @api.route('GET', '/v1/members')
 def list_members(request):
     """Return the control instances."""
+    now = request.ctx.clock.monotonic()
     members = request.ctx.list_members()
-    return {'members': [views.show_row(row) for row in members]}
+    return {'members': [_show(row, now) for row in members]}
+
+
+def _show(row, now):
+    """Return a member; ``active`` means that it answered lately."""
+    fields = views.show_row(row)
+    if 'answered_at' in fields:
+        del fields['answered_at']
+        answered = row.answered_at
+        fields['active'] = answered is not None and now - answered < ACTIVE
+    return fields
 
 
 @api.route('POST', '/v1/members')
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -210,7 +210,7 @@
         self.assertIn('memory_mb', rows[1]['reason'])
 
     def test_running_job_says_why_it_is_there(self):
-        self.declare()
+        self.declare(runs_on='zone=a')
         self.open()
         self.call(
             'POST', '/v1/jobs', {'workload': 'survey', 'id': 'j'}, status=201
@@ -222,6 +222,7 @@
         self.ctx.propose(job_commands.GrantJobs(grants=[grant], at=now))
         got = self.call('GET', '/v1/explain/j')
         self.assertIn('on i1: most free slots', got['summary'])
+        self.assertIn("runs_on 'zone=a' matches i1.", got['notes'])
 
 
 class TestRouting(ApiTestCase):
