--- a/bilberryhaven/consensus/memory.py
+++ b/bilberryhaven/consensus/memory.py
@@ -6,10 +6,10 @@
 from bilberryhaven.consensus import frame
 from bilberryhaven import errors
 
-__all__ = ['MemoryFolder', 'PowerLoss']
+__all__ = ['MemoryFolder', 'PowerLossError']
 
 
-class PowerLoss(Exception):
+class PowerLossError(Exception):
     """The machine stopped in the midst of an operation."""
 
 
@@ -19,7 +19,7 @@
     Attributes:
         fail_sync: Whether each sync fails.
         capacity: Bytes after which writes fail, or None.
-        fuse: Operations until ``PowerLoss`` is raised, or None.
+        fuse: Operations until ``PowerLossError`` is raised, or None.
     """
 
     def __init__(self):
@@ -84,7 +84,7 @@
             return
         self.fuse -= 1
         if self.fuse <= 0:
-            raise PowerLoss
+            raise PowerLossError
 
     def check_sync(self):
         """Raise if syncs are to fail."""
--- a/tests/fuzz/cluster.py
+++ b/tests/fuzz/cluster.py
@@ -117,7 +117,7 @@
     def _run(self, node, function, *args):
         try:
             function(*args)
-        except memory.PowerLoss:
+        except memory.PowerLossError:
             self.crash(node.name)
 
     def _send(self, sender, to, data):
