--- /dev/null
+++ b/bilberryhaven/systems/relocation.py
@@ -0,0 +1,127 @@
+"""Evicts jobs from instances that drain or no longer match."""
+
+import datetime
+
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven import log
+from bilberryhaven import systems
+from bilberryhaven.systems import victims
+from bilberryhaven.tables import job
+from bilberryhaven.tables import workload
+
+__all__ = ['RelocationSystem']
+
+DRAIN_GRACE_S = 8.0
+MAX_DRAIN_GRACE_S = 40.0
+WAVE = datetime.timedelta(seconds=600)
+
+logger = log.get_logger('relocation')
+
+
+def _compute_grace(weights):
+    """Return the seconds of work for which a drain waits."""
+    ratio = weights.evictions / max(weights.tail_latency, 1e-6)
+    return min(DRAIN_GRACE_S * ratio, MAX_DRAIN_GRACE_S)
+
+
+@systems.register('relocation')
+class RelocationSystem(systems.System):
+    """Moves what may no longer stay where it runs."""
+
+    order = 200
+
+    def run(self, world):
+        """Return the evictions of this tick."""
+        self.memory.refresh(world)
+        evictions = []
+        suspects = self.memory.fleet.suspects
+        for name in list(suspects):
+            entry = self.memory.fleet.nodes.get(name)
+            found = self._check(world, entry) if entry is not None else []
+            evictions += found
+            if entry is None or not (found or self._is_emptying(entry)):
+                del suspects[name]
+        self._end_wave(world)
+        if not evictions:
+            return []
+        return [job_commands.EvictJobs(evictions=evictions, at=world.now)]
+
+    def _is_emptying(self, entry):
+        return entry.emptying and entry.row.connected and entry.charges
+
+    def _end_wave(self, world):
+        """Forget which instances restarted once no more of them drain."""
+        last = self.memory.last_drain
+        if last is None or world.now - last > WAVE:
+            self.memory.fleet.renewed.clear()
+
+    def _check(self, world, entry):
+        if entry.emptying:
+            return self._drain(world, entry)
+        found = []
+        kept = set(entry.services)
+        for row in self._list_jobs(world, entry):
+            reason = self._find_fault(world, entry, row, kept)
+            if reason:
+                found.append(self._evict(row, entry, reason))
+            else:
+                kept.add(row.workload)
+        return found
+
+    def _drain(self, world, entry):
+        self.memory.last_drain = world.now
+        reason = f'{entry.name} is draining'
+        return [
+            self._evict(row, entry, reason)
+            for row in self._list_jobs(world, entry)
+            if not self._may_finish(world, row)
+        ]
+
+    def _may_finish(self, world, row):
+        """Return whether a job on a draining instance is left to finish.
+
+        So is what can't be repeated, and what is nearly done.
+        """
+        target = world.state.workloads.find(row.workload)
+        if target is None or row.state != job.JobState.RUNNING:
+            return False
+        if target.kind == workload.Kind.WATCH:
+            return False
+        if not target.repeatable:
+            return True
+        if not self.memory.sizes.is_run_known(target):
+            return False
+        left = victims.estimate_remaining(self.memory, world, row, target)
+        return left <= _compute_grace(world.objective)
+
+    def _list_jobs(self, world, entry):
+        rows = [world.state.jobs.find(key) for key in entry.charges]
+        moving = (job.JobState.EVICTING, job.JobState.CANCELLING)
+        rows = [row for row in rows if row and row.state not in moving]
+        return sorted(rows, key=lambda row: (row.granted_at, row.id))
+
+    def _find_fault(self, world, entry, row, kept):
+        target = world.state.workloads.find(row.workload)
+        if target is None:
+            return ''
+        rules = self.memory.fleet.rules
+        if not rules.may_run(target, entry.labels):
+            return f'runs_on {target.runs_on!r} no longer matches'
+        for other in sorted(kept):
+            if not rules.may_share(target.name, other):
+                return f'may no longer share the instance with {other}'
+        return ''
+
+    def _evict(self, row, entry, reason):
+        log.log_decision(
+            logger,
+            'evict',
+            reason=reason,
+            job=row.id,
+            workload=row.workload,
+            instance=entry.name,
+            evictions=row.evictions,
+        )
+        return job_commands.Eviction(
+            job_id=row.id, epoch=row.epoch, reason=reason
+        )
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the fuzzing of every module, longer than the tests do."""
+"""Runs every module's fuzzing with one seed, longer than the tests do."""
 
 import argparse
 import importlib
@@ -7,17 +7,18 @@
 from tests import fuzz
 
 
-def run():
+def main():
     parser = argparse.ArgumentParser(prog='tests.fuzz')
     parser.add_argument('--seed', type=int, default=1)
-    seed = parser.parse_args().seed
-    for found in sorted(pkgutil.iter_modules(fuzz.__path__)):
+    opts = parser.parse_args()
+    for found in pkgutil.iter_modules(fuzz.__path__):
         if found.name.startswith('_'):
             continue
         module = importlib.import_module(f'tests.fuzz.{found.name}')
         if hasattr(module, 'run'):
-            module.run(seed)
-            print(f'{found.name}: passed with seed {seed}')
+            module.run(opts.seed)
+            print(f'{found.name}: seed {opts.seed} passed')
 
 
-run()
+if __name__ == '__main__':
+    main()
