--- a/bilberryhaven/consensus/driver.py
+++ b/bilberryhaven/consensus/driver.py
@@ -118,6 +118,9 @@
             items: (data, done) pairs; ``done`` gets the result or an error.
             now: The monotonic time.
         """
+        items = [item for item in items if self._check_size(*item)]
+        if not items:
+            return
         try:
             self._check_pending(len(items))
             first = self.core.propose([data for data, _ in items], now)
@@ -138,6 +141,17 @@
             return
         self._await(index, done)
 
+    def _check_size(self, data, done):
+        limit = self._options.max_entry_bytes
+        if len(data) <= limit:
+            return True
+        error = errors.BadInputError(
+            f'{len(data)} bytes are more than the {limit} allowed',
+            step='propose',
+        )
+        done(error)
+        return False
+
     def _check_pending(self, count):
         if self.fault is not None:
             raise errors.NotLeaderError(
--- a/bilberryhaven/consensus/files.py
+++ b/bilberryhaven/consensus/files.py
@@ -145,8 +145,13 @@
         """
         path = self._path / LOCK_NAME
         with _translate('lock folder', path):
-            self._lock_file = open(path, 'wb')  # noqa: SIM115
-            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            lock_file = open(path, 'wb')  # noqa: SIM115
+            try:
+                fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                lock_file.close()
+                raise
+            self._lock_file = lock_file
 
     def unlock(self):
         """End ``lock``."""
--- a/bilberryhaven/consensus/options.py
+++ b/bilberryhaven/consensus/options.py
@@ -28,6 +28,7 @@
         append_bytes: Largest data of one append message.
         append_window: Append messages in flight to one peer.
         chunk_bytes: Size of a snapshot transfer's parts.
+        max_entry_bytes: Largest proposal.
         max_pending: Proposals that may await their commit at a time.
     """
 
@@ -43,6 +44,7 @@
     append_bytes: int = 1024 * 1024
     append_window: int = 8
     chunk_bytes: int = 512 * 1024
+    max_entry_bytes: int = 4 * 1024 * 1024
     max_pending: int = 10_000
 
     @property
--- a/bilberryhaven/consensus/transport.py
+++ b/bilberryhaven/consensus/transport.py
@@ -12,7 +12,7 @@
 __all__ = ['Transport', 'WireTransport']
 
 QUEUE_LENGTH = 256
-BATCH_BYTES = 4 * 1024 * 1024
+BATCH_BYTES = 2 * 1024 * 1024
 SEND_TIMEOUT = clock.seconds(1.0)
 POLL_SECONDS = 0.5
 
