Fuzz the admission core against an oracle

Cause: nothing searched the core's state space. Change: a stateful machine with entries, a backend server, restarts of either side and an oracle; queued requests are checked against the revision again before they start; tests.fuzz runs modules by seed.

--- a/bilberryhaven/agent/admission.py
+++ b/bilberryhaven/agent/admission.py
@@ -274,7 +274,7 @@
         row = self._active.pop_next()
         if row is None:
             return []
-        refusal = lapsed or fence.check_deadline(row.request, now)
+        refusal = self._fence.check_start(row.request, now)
         if refusal is not None:
             return self._reject(row.request.request_id, refusal, now)
         self._active.start(row, now)
--- a/bilberryhaven/agent/fence.py
+++ b/bilberryhaven/agent/fence.py
@@ -71,11 +71,16 @@
             return Refusal(
                 code='refused', reason='it was sent to a former incarnation'
             )
-        if request.revision < self._revision:
+        return self.check_start(request, now)
+
+    def check_start(self, request, now):
+        """Return the ``Refusal`` of a request about to start, or None."""
+        refusal = self.check_lease(now) or check_deadline(request, now)
+        if refusal is None and request.revision < self._revision:
             return Refusal(
                 code='refused', reason=f'revision {self._revision} is in force'
             )
-        return check_deadline(request, now)
+        return refusal
 
 
 def check_deadline(request, now):
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing; each module's ``run(seed)`` searches with that seed."""
--- /dev/null
+++ b/tests/fuzz/admission_world.py
@@ -0,0 +1,256 @@
+"""What surrounds an admission core: a backend server and an oracle."""
+
+import collections
+import dataclasses
+import datetime
+
+from bilberryhaven.agent import admission
+from bilberryhaven.agent import effects
+from bilberryhaven.agent import limits
+from bilberryhaven import clock
+from bilberryhaven import errors
+
+LIMITS = limits.Limits(
+    slots=3,
+    connections=7,
+    control_connections=1,
+    queue=8,
+    max_deadline=clock.seconds(5),
+    kept_for=clock.seconds(5),
+    kept_ids=14,
+    kept_bytes=40,
+    job_wait=clock.seconds(2),
+)
+BODY = b'answer to '
+
+
+@dataclasses.dataclass(kw_only=True)
+class Dispatch:
+    """An admit that an entry sent.
+
+    Attributes:
+        request: What was sent.
+        sent_at: When.
+        order: Position among all admits and revocations.
+    """
+
+    request: effects.Request
+    sent_at: datetime.timedelta
+    order: int
+
+
+class World:
+    """A backend server, entries' dispatches and what must hold of them."""
+
+    def __init__(self):
+        self.now = clock.seconds(100)
+        self.order = 0
+        self.incarnation = 0
+        self.revision = 1
+        self.sent = {}
+        self.executing = {}
+        self.backend_revoked = set()
+        self.executions = collections.Counter()
+        self.idempotent = {}
+        self.last_deadline = {}
+        self.waiting = {}
+        self.buried = {}
+        self.jobs = {}
+        self.jobs_run = set()
+        self.newest_epoch = collections.Counter()
+        self.lease_until = datetime.timedelta()
+        self.draining = False
+        self.start_agent()
+
+    # Life of the agent and the backend server
+
+    def start_agent(self):
+        """Start an agent; it attaches, adopts what runs, fences the rest."""
+        self.incarnation += 1
+        self.core = admission.AdmissionCore(
+            limits=LIMITS, now=self.now, incarnation=self.incarnation
+        )
+        self.sent.clear()
+        self.waiting.clear()
+        self.draining = False
+        self.lease_until = datetime.timedelta()
+        self.core.adopt(list(self.executing), self.now)
+        for job_id, (epoch, slots) in self.jobs.items():
+            self.core.hold_job(job_id, epoch, slots)
+
+    def restart_backend(self):
+        """Lose all that runs; the agent sees each connection break."""
+        lost = [*self.sent, *self.executing]
+        self.sent.clear()
+        self.executing.clear()
+        self.backend_revoked.clear()
+        for request_id in lost:
+            if request_id not in self.core.list_lingering():
+                self.lose_connection(request_id)
+        for job_id, (epoch, _) in list(self.jobs.items()):
+            self.end_job(job_id, epoch)
+        self.settle()
+
+    def renew_lease(self):
+        """Renew the lease at the newest revision."""
+        self.lease_until = self.now + clock.seconds(4)
+        self.core.renew_lease(self.lease_until, self.revision)
+
+    # Entries
+
+    def deliver(self, dispatch):
+        """Hand a dispatch to the agent."""
+        request = dataclasses.replace(dispatch.request)
+        self.waiting[request.ticket] = dispatch
+        self.perform(self.core.admit(request, self.now))
+
+    def revoke(self, request_ids):
+        """Revoke, and check what was claimed."""
+        self.order += 1
+        states, effs = self.core.revoke(request_ids, self.now)
+        self.perform(effs)
+        for request_id, state in zip(request_ids, states, strict=True):
+            if state != effects.Settled.NOT_RUN:
+                continue
+            self.check_never_ran(request_id)
+            self.buried[request_id] = (self.order, self.incarnation)
+
+    def check_never_ran(self, request_id):
+        """Check a claim that a request has not run and won't."""
+        assert request_id not in self.sent, 'not_run, but it was sent'
+        assert request_id not in self.executing, 'not_run, but it runs'
+        last = self.last_deadline.get(request_id, self.now)
+        if self.now < last + LIMITS.kept_for:
+            assert not self.executions[request_id], 'not_run, but it ran'
+
+    # The backend server
+
+    def begin(self, request_id):
+        """Start a request that reached the backend server."""
+        del self.sent[request_id]
+        if request_id in self.backend_revoked:
+            self.fail(request_id, errors.Outcome.NOT_RUN)
+            return
+        assert request_id not in self.executing, 'runs twice at a time'
+        self.executing[request_id] = self.incarnation
+        self.executions[request_id] += 1
+        if not self.idempotent[request_id]:
+            assert self.executions[request_id] == 1, 'ran twice'
+
+    def answer(self, request_id):
+        """Finish a request whose answer arrives, if anyone awaits it."""
+        del self.executing[request_id]
+        if request_id not in self.core.list_lingering():
+            body = BODY + request_id.encode()
+            self.perform(self.core.complete(request_id, body, self.now))
+
+    def fail(self, request_id, outcome):
+        """Let a request fail with an outcome that is true."""
+        self.sent.pop(request_id, None)
+        if outcome != errors.Outcome.UNKNOWN:
+            self.executing.pop(request_id, None)
+        if request_id not in self.core.list_lingering():
+            self.lose_connection(request_id, outcome)
+
+    def lose_connection(self, request_id, outcome=errors.Outcome.UNKNOWN):
+        """Tell the agent how a request that was sent ended."""
+        self.perform(
+            self.core.fail(request_id, 'peer', 'lost', outcome, self.now)
+        )
+
+    def settle(self):
+        """Let the agent ask for the fate of lingering requests."""
+        for request_id in self.core.list_lingering():
+            state = effects.Settled.FINISHED
+            if request_id in self.executing:
+                state = effects.Settled.RUNNING
+            elif request_id in self.sent:
+                del self.sent[request_id]
+                self.backend_revoked.add(request_id)
+                state = effects.Settled.NOT_RUN
+            self.perform(self.core.settle(request_id, state, self.now))
+
+    def end_job(self, job_id, epoch):
+        """End a job that runs."""
+        del self.jobs[job_id]
+        self.perform(self.core.end_job(job_id, epoch, self.now))
+
+    # Effects
+
+    def perform(self, effs):
+        """Carry effects out and check each."""
+        for effect in effs:
+            if isinstance(effect, effects.Run):
+                self.run(effect)
+            elif isinstance(effect, effects.Reply):
+                self.reply(effect)
+            elif isinstance(effect, effects.RunJob):
+                self.run_job(effect)
+        self.check()
+
+    def run(self, effect):
+        """Check an order to run a request and send it."""
+        dispatch = self.waiting[effect.ticket]
+        request = dispatch.request
+        assert self.now < self.lease_until, 'started without a lease'
+        assert request.revision >= self.revision_in_force(), 'old revision'
+        assert self.now < request.deadline_at, 'started past its deadline'
+        assert request.incarnation in (0, self.incarnation), 'old dispatch'
+        assert request.request_id not in self.sent, 'sent twice'
+        self.check_not_buried(dispatch)
+        self.sent[request.request_id] = effect.ticket
+        self.backend_revoked.discard(request.request_id)
+
+    def revision_in_force(self):
+        """Return the revision of which the agent was told."""
+        return self.core._fence._revision
+
+    def check_not_buried(self, dispatch):
+        """Check that no revocation said that this dispatch didn't run."""
+        request_id = dispatch.request.request_id
+        order, incarnation = self.buried.get(request_id, (0, 0))
+        assert dispatch.order > order, 'runs after not_run was said'
+        assert incarnation != self.incarnation, 'runs despite its tombstone'
+
+    def reply(self, effect):
+        """Check an answer or refusal."""
+        dispatch = self.waiting.pop(effect.ticket)
+        request_id = dispatch.request.request_id
+        assert effect.request_id == request_id, 'crossed answer'
+        if not effect.result.code:
+            assert effect.result.body == BODY + request_id.encode()
+        if effect.result.outcome == errors.Outcome.NOT_RUN:
+            assert request_id not in self.executing, 'not_run, but it runs'
+            assert request_id not in self.sent, 'not_run, but it was sent'
+
+    def run_job(self, effect):
+        """Check an order to run a job and run it."""
+        key = (effect.job_id, effect.epoch)
+        assert key not in self.jobs_run, 'job started twice'
+        assert effect.job_id not in self.jobs, 'job runs in two epochs'
+        assert effect.epoch >= self.newest_epoch[effect.job_id], 'old epoch'
+        assert self.now < self.lease_until, 'job started without a lease'
+        assert not self.draining, 'job started while draining'
+        self.newest_epoch[effect.job_id] = effect.epoch
+        self.jobs_run.add(key)
+        self.jobs[effect.job_id] = (effect.epoch, 1)
+
+    # What must always hold
+
+    def check(self):
+        """Check limits and bounds."""
+        slots = len(self.sent) + len(self.executing)
+        slots += sum(count for _, count in self.jobs.values())
+        assert slots <= LIMITS.slots, 'over the slots'
+        awaited = {row.request.request_id for row in self.waiting.values()}
+        held = awaited | set(self.sent) | set(self.executing)
+        spare = LIMITS.connections - LIMITS.control_connections
+        assert len(held) <= spare, 'over the connections'
+        assert self.core._memory.answer_bytes <= LIMITS.kept_bytes
+        assert len(self.core._memory) <= LIMITS.kept_ids
+
+    def check_nothing_waits_in_vain(self):
+        """Check that no request waits while a slot is free."""
+        load = self.core.build_load()
+        if load.queued:
+            assert load.slots_used >= load.slots, 'waits beside a free slot'
--- /dev/null
+++ b/tests/test_agent_admission.py
@@ -0,0 +1,14 @@
+"""Tests of the admission core."""
+
+import testtools
+
+from hypothesis import stateful
+
+from tests.fuzz import admission
+
+
+class TestFuzzed(testtools.TestCase):
+    def test_arbitrary_steps_keep_every_promise(self):
+        stateful.run_state_machine_as_test(
+            admission.AdmissionMachine, settings=admission.CI
+        )
