--- /dev/null
+++ b/bilberryhaven/agent/admission.py
@@ -0,0 +1,393 @@
+"""Admission core: decides what the backend server runs; does no I/O.
+
+Each method takes the current monotonic time and returns effects, which the
+caller carries out in order.
+"""
+
+import datetime
+
+from bilberryhaven.agent import active
+from bilberryhaven.agent import effects
+from bilberryhaven.agent import fence
+from bilberryhaven.agent import gauge
+from bilberryhaven.agent import limits as bounds
+from bilberryhaven.agent import memory
+from bilberryhaven.agent import slots
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import message
+
+__all__ = ['AdmissionCore']
+
+NO_TIME = datetime.timedelta()
+_logger = log.get_logger('admission')
+
+
+class AdmissionCore:
+    """The only authority over a backend server's slots and connections.
+
+    Args:
+        limits: What is admitted and remembered at most.
+        now: Time of the start.
+        incarnation: Differs after each start of the agent; entries echo it.
+    """
+
+    def __init__(self, *, limits=None, now=NO_TIME, incarnation=0):
+        self._limits = limits or bounds.Limits()
+        self._memory = memory.Memory(limits=self._limits, now=now)
+        self._active = active.ActiveTable()
+        self._jobs = slots.JobSlots(limits=self._limits)
+        self._gauge = gauge.Gauge()
+        self._fence = fence.Fence(incarnation=incarnation)
+
+    @property
+    def slots_used(self):
+        """Slots in use by requests and jobs."""
+        return self._active.slots_used + self._jobs.used
+
+    @property
+    def connections_used(self):
+        """Connections held by requests, waiting ones included."""
+        return len(self._active) + self._limits.control_connections
+
+    def has_requests(self):
+        """Return whether a request waits or runs for a caller."""
+        return self._active.awaited > 0
+
+    def list_lingering(self):
+        """Return the ids of requests that may run without a caller."""
+        return self._active.list_lingering()
+
+    def build_load(self):
+        """Return the ``Load`` that goes with each answer."""
+        return message.Load(
+            slots=self._limits.slots,
+            slots_used=self.slots_used,
+            batch_slots=self._jobs.used,
+            connections=self._limits.connections,
+            connections_used=self.connections_used,
+            queued=self._active.queued,
+            service_ms=self._gauge.service_ms,
+            failure_share=self._gauge.failure_share,
+            draining=self._fence.draining,
+            incarnation=self._fence.incarnation,
+        )
+
+    def renew_lease(self, until, revision):
+        """Admit until ``until`` at ``revision``; neither ever goes back."""
+        self._fence.renew(until, revision)
+
+    def drop_lease(self):
+        """Admit nothing more until the lease is renewed."""
+        self._fence.drop_lease()
+
+    def drain(self, now):
+        """Refuse new work from now on; what was admitted goes on."""
+        self._fence.draining = True
+        return self._jobs.refuse(now, 'the agent is leaving', everything=True)
+
+    def admit(self, request, now):
+        """Decide on one dispatch of a request.
+
+        A refusal with ``not_run`` is about this dispatch; where an earlier
+        one may have run, the outcome is unknown.
+        """
+        latest = now + self._limits.max_deadline
+        request.deadline_at = min(request.deadline_at, latest)
+        known = self._answer_known(request, now)
+        if known is not None:
+            return known
+        refusal = self._fence.check_request(request, now)
+        if refusal is None and not self._has_memory(now):
+            refusal = fence.NO_MEMORY
+        if refusal is None:
+            return self._enqueue(request, now)
+        return [self._refuse(request, refusal, now)]
+
+    def complete(self, request_id, body, now):
+        """Record the whole answer of a request that ran."""
+        self._gauge.record_success(now - self._active.get(request_id).since)
+        return self._end(request_id, effects.Result(body=body), now)
+
+    def fail(self, request_id, code, reason, outcome, now):
+        """Record a failure of a request that was sent.
+
+        An unknown outcome keeps its slot until ``settle`` frees it.
+        """
+        self._gauge.record_failure()
+        result = effects.Result(code=code, message=reason, outcome=outcome)
+        if outcome != errors.Outcome.UNKNOWN:
+            return self._end(request_id, result, now)
+        row = self._active.get(request_id)
+        replies = _reply_all(row, result)
+        self._active.linger(row)
+        return replies
+
+    def settle(self, request_id, state, now):
+        """Free a lingering request's slot unless it still runs."""
+        row = self._active.find(request_id)
+        if row is None or row.stage is not active.Stage.LINGERING:
+            return []
+        if state == effects.Settled.RUNNING:
+            return []
+        result = effects.Result(
+            code='peer',
+            message='its answer was lost',
+            outcome=errors.Outcome.UNKNOWN,
+        )
+        return self._end(request_id, result, now)
+
+    def adopt(self, request_ids, now):
+        """Count requests that run for a former agent."""
+        for request_id in request_ids:
+            if self._active.find(request_id) is None:
+                request = effects.Request(
+                    ticket=0,
+                    request_id=request_id,
+                    deadline_at=now + self._limits.max_deadline,
+                )
+                self._active.adopt(request, now)
+
+    def revoke(self, request_ids, now):
+        """Keep requests from ever starting.
+
+        Returns:
+            The ``effects.Settled`` state of each, and the effects.
+        """
+        states, effs = [], []
+        for request_id in request_ids:
+            row = self._active.find(request_id)
+            if row is not None and row.stage is active.Stage.QUEUED:
+                effs += self._reject(request_id, fence.REVOKED, now)
+            states.append(self._revoke(request_id, row, now))
+        return states, effs + self._start_next(now)
+
+    def tick(self, now):
+        """Refuse what waited too long and start what fits."""
+        effs = []
+        for request_id in self._active.list_expired(now):
+            request = self._active.get(request_id).request
+            refusal = fence.check_deadline(request, now)
+            effs += self._reject(request_id, refusal, now)
+        effs += self._jobs.refuse(now, 'no slot became free')
+        return effs + self._start_next(now)
+
+    def start_job(self, job_id, epoch, slots_wanted, now):
+        """Start a granted job now or when slots are free, once an epoch."""
+        refusal = self._fence.check_agent(now)
+        if refusal is not None:
+            return [
+                effects.RefuseJob(
+                    job_id=job_id, epoch=epoch, reason=refusal.reason
+                )
+            ]
+        if not self._jobs.ask(job_id, epoch, slots_wanted, now):
+            return []
+        return self._start_next(now)
+
+    def hold_job(self, job_id, epoch, slots_held):
+        """Count a job that the backend server already runs."""
+        self._jobs.hold(job_id, epoch, slots_held)
+
+    def end_job(self, job_id, epoch, now):
+        """Free the slots of a job that no longer runs."""
+        self._jobs.release(job_id, epoch)
+        return self._start_next(now)
+
+    def _answer_known(self, request, now):
+        """Return the effects for a request that is known, or None."""
+        row = self._active.find(request.request_id)
+        if row is not None:
+            return self._join(row, request, now)
+        record = self._memory.find(request.request_id, now)
+        if record is None:
+            return None
+        if record.fingerprint not in ('', request.fingerprint):
+            return [self._refuse(request, fence.REUSED, now)]
+        if record.ran and record.repeatable:
+            return None
+        self._log(request, 'repeat', record.result.code or 'answered before')
+        return [_build_reply(request, record.result)]
+
+    def _join(self, row, request, now):
+        if row.request.fingerprint not in ('', request.fingerprint):
+            return [self._refuse(request, fence.REUSED, now)]
+        if row.stage is active.Stage.LINGERING:
+            return [self._refuse(request, fence.MAY_RUN, now)]
+        row.tickets.append(request.ticket)
+        self._log(request, 'join', f'already {row.stage.value}')
+        return []
+
+    def _enqueue(self, request, now):
+        if not self._has_connection() or not self._is_in_time(request, now):
+            return [self._refuse(request, fence.OVERLOAD, now)]
+        effs = []
+        if self._is_queue_full():
+            displaced = self._active.find_displaced(request)
+            if not displaced:
+                return [self._refuse(request, fence.OVERLOAD, now)]
+            effs = self._reject(displaced, fence.DISPLACED, now)
+        row = self._active.enqueue(request, now)
+        effs += self._start_next(now)
+        if row.stage is active.Stage.QUEUED:
+            self._log(request, 'queue', 'no slot is free')
+        return effs
+
+    def _has_memory(self, now):
+        return self._memory.has_room(len(self._active), now)
+
+    def _has_connection(self):
+        return self.connections_used < self._limits.connections
+
+    def _has_free_slot(self):
+        return self.slots_used < self._limits.slots
+
+    def _is_queue_full(self):
+        if self._active.queued < self._limits.queue:
+            return False
+        return self._active.queued > 0 or not self._has_free_slot()
+
+    def _is_in_time(self, request, now):
+        if self._has_free_slot() and not self._active.queued:
+            return True
+        ahead = self._active.count_ahead(request) + 1
+        share = max(self._limits.slots - self._jobs.used, 1)
+        wait = self._gauge.service_time * (ahead / share)
+        return now + wait <= request.deadline_at
+
+    def _start_next(self, now):
+        effs = []
+        while self._has_free_slot():
+            more = self._start_one(now)
+            if not more:
+                break
+            effs += more
+        return effs
+
+    def _start_one(self, now):
+        lapsed = self._fence.check_lease(now)
+        if not self._active.has_urgent() and not lapsed:
+            free = self._limits.slots - self.slots_used
+            job = self._jobs.start_next(free)
+            if job is not None:
+                return [job]
+        row = self._active.pop_next()
+        if row is None:
+            return []
+        refusal = lapsed or fence.check_deadline(row.request, now)
+        if refusal is not None:
+            return self._reject(row.request.request_id, refusal, now)
+        self._active.start(row, now)
+        self._log(row.request, 'run', 'a slot is free')
+        return [
+            effects.Run(
+                ticket=row.tickets[0], request_id=row.request.request_id
+            )
+        ]
+
+    def _end(self, request_id, result, now):
+        row = self._active.remove(request_id)
+        if result.outcome != errors.Outcome.NOT_RUN:
+            request = row.request
+            kept_from = max(now, request.deadline_at)
+            record = memory.Record(
+                fingerprint=request.fingerprint,
+                ran=True,
+                repeatable=request.idempotent and bool(result.code),
+                expires_at=kept_from + self._limits.kept_for,
+                result=result,
+            )
+            self._memory.keep(request_id, record)
+        return _reply_all(row, result) + self._start_next(now)
+
+    def _reject(self, request_id, refusal, now):
+        """Refuse a request that waits, to all who wait for it."""
+        row = self._active.remove(request_id)
+        result = self._build_refusal(row.request, refusal, now)
+        return _reply_all(row, result)
+
+    def _refuse(self, request, refusal, now):
+        """Refuse one dispatch."""
+        return _build_reply(
+            request, self._build_refusal(request, refusal, now)
+        )
+
+    def _build_refusal(self, request, refusal, now):
+        retry_after = None
+        if refusal.code == 'overload':
+            retry_after = self._gauge.service_time
+        outcome = self._get_outcome(request.request_id, now)
+        self._log(request, 'refuse', refusal.reason, code=refusal.code)
+        return effects.Result(
+            code=refusal.code,
+            message=refusal.reason,
+            outcome=outcome,
+            retry_after=retry_after,
+        )
+
+    def _get_outcome(self, request_id, now):
+        """Return what is known of a request that isn't started now."""
+        record = self._memory.find(request_id, now)
+        if record is not None and record.ran:
+            return errors.Outcome.UNKNOWN
+        if self._active.find(request_id) is not None:
+            return errors.Outcome.UNKNOWN
+        return errors.Outcome.NOT_RUN
+
+    def _revoke(self, request_id, row, now):
+        """Return where a revoked request stands; bury it unless it ran."""
+        if row is not None and row.stage is not active.Stage.QUEUED:
+            return effects.Settled.STARTED
+        record = self._memory.find(request_id, now)
+        if record is not None and record.ran:
+            failed = bool(record.result.code)
+            return (
+                effects.Settled.STARTED if failed else effects.Settled.FINISHED
+            )
+        if not self._has_memory(now):
+            return effects.Settled.STARTED
+        self._bury(request_id, row, now)
+        if row is None and not self._memory.is_complete(now):
+            return effects.Settled.STARTED
+        return effects.Settled.NOT_RUN
+
+    def _bury(self, request_id, row, now):
+        """Keep a tombstone, so that the request never starts."""
+        record = memory.Record(
+            fingerprint=row.request.fingerprint if row else '',
+            ran=False,
+            repeatable=False,
+            expires_at=now + self._limits.horizon,
+            result=effects.Result(
+                code=fence.REVOKED.code,
+                message=fence.REVOKED.reason,
+                outcome=errors.Outcome.NOT_RUN,
+            ),
+        )
+        self._memory.keep(request_id, record)
+
+    def _log(self, request, decision, reason, **terms):
+        log.log_decision(
+            _logger,
+            decision,
+            reason=reason,
+            request_id=request.request_id,
+            slots_used=self.slots_used,
+            queued=self._active.queued,
+            **terms,
+        )
+
+
+def _build_reply(request, result):
+    return effects.Reply(
+        ticket=request.ticket, request_id=request.request_id, result=result
+    )
+
+
+def _reply_all(row, result):
+    return [
+        effects.Reply(
+            ticket=ticket, request_id=row.request.request_id, result=result
+        )
+        for ticket in row.tickets
+    ]
