--- a/bilberryhaven/entry/pool.py
+++ b/bilberryhaven/entry/pool.py
@@ -43,22 +43,29 @@
     def draw(self, random, count, excluded):
         """Return up to ``count`` different items that aren't excluded.
 
-        A long list is drawn from; one that isn't is looked through from a
-        random start.
+        Where random draws hit too few, the list is looked through from a
+        random start, no further than the items that aren't allowed reach.
         """
         size = len(self._items)
-        if size <= count + len(excluded) + MAX_DRAWS:
-            allowed = [item for item in self._items if item not in excluded]
-            return random.sample(allowed, min(count, len(allowed)))
         drawn = []
-        for _ in range(MAX_DRAWS * count):
-            item = self._items[int(random.random() * size)]
-            if item not in excluded and item not in drawn:
-                drawn.append(item)
-                if len(drawn) == count:
-                    break
+        if size:
+            tries = [int(random.random() * size) for _ in range(MAX_DRAWS)]
+            self._collect(tries, drawn, count, excluded)
+        if len(drawn) < min(count, size):
+            start = int(random.random() * size)
+            reach = min(size, count + len(excluded))
+            tries = [(start + step) % size for step in range(reach)]
+            self._collect(tries, drawn, count, excluded)
         return drawn
 
+    def _collect(self, tries, drawn, count, excluded):
+        for place in tries:
+            item = self._items[place]
+            if len(drawn) == count:
+                return
+            if item not in drawn and item not in excluded:
+                drawn.append(item)
+
 
 class Pool:
     """The instances that a workload may run on, by availability zone.
--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -323,6 +323,7 @@
                 entry=self.name,
                 deadline_ms=deadline_ms,
                 attempt=pending.attempts,
+                incarnation=target.incarnation,
                 revision=self._view.revision,
             ),
             timeout=remaining,
--- a/bilberryhaven/entry/routing.py
+++ b/bilberryhaven/entry/routing.py
@@ -182,16 +182,18 @@
         )
 
 
-def build_admit_request(request, *, entry, deadline_ms, attempt, revision):
-    """Return the message that offers ``request`` to an agent."""
+def build_admit_request(request, **fields):
+    """Return the message that offers ``request`` to an agent.
+
+    Args:
+        request: The ``Request``.
+        **fields: Fields of the ``AdmitRequest`` that aren't the request's.
+    """
     return message.AdmitRequest(
         request_id=request.id,
         workload=request.workload,
         body=request.body,
-        deadline_ms=deadline_ms,
         urgent=request.urgent,
         idempotent=request.idempotent,
-        entry=entry,
-        attempt=attempt,
-        revision=revision,
+        **fields,
     )
--- a/bilberryhaven/entry/view.py
+++ b/bilberryhaven/entry/view.py
@@ -42,6 +42,7 @@
         slowness: Its answer times relative to the workload's mean.
         health: Record of its recent failures.
         failure_share: Share of failed requests, as last reported.
+        incarnation: Differs after each start of its agent; 0 if unknown.
     """
 
     name: str
@@ -61,6 +62,7 @@
     counted: int = 0
     slowness: float = 1.0
     failure_share: float = 0.0
+    incarnation: int = 0
     health: object = dataclasses.field(default_factory=health.Health)
 
     def settle(self):
@@ -133,6 +135,7 @@
         target.counted = min(target.in_flight, target.used)
         target.service_ms = load.service_ms or target.service_ms
         target.failure_share = load.failure_share
+        target.incarnation = load.incarnation or target.incarnation
         target.slots = load.slots or target.slots
         if load.draining and not target.draining:
             target.draining = True
