Bound the work of a tick and measure it

Cause: a tick with 180 starts took 750 ms whatever the fleet's size, most of it in sums over effects that weren't known yet. Change: effects in one mapping a service and band, strain of an instance kept until its jobs change, ten candidates sampled from large pools, shares_with looked at only where one is set, at most 80 instances weighed for throttling and 400 reports learned from a tick. Checked: tests.test_systems, test_placement, test_placement_load, test_placement_fuzz passed.

--- a/bench/_baselines.py
+++ b/bench/_baselines.py
@@ -108,7 +108,7 @@
 class ToldInterference(PriorInterference):
     """Knows the true table."""
 
-    def get_effect(self, service, workload, band):
+    def _get_prior(self, service, workload, band):
         """Return the true effect in the middle of the band."""
         load = (band + 0.5) / interference.BANDS
         return _colocation.compute_effect(service, workload, load)
--- /dev/null
+++ b/bench/_ticks.py
@@ -0,0 +1,228 @@
+"""Cost of a tick of the systems by size of the fleet."""
+
+import dataclasses
+import datetime
+import io
+import itertools
+import random
+import time
+import tracemalloc
+
+from bench import _slope
+from bilberryhaven import commands
+from bilberryhaven.commands import job as job_commands
+from bilberryhaven import log
+from bilberryhaven import settings
+from bilberryhaven import systems
+from bilberryhaven import tables
+from bilberryhaven.tables import instance
+from bilberryhaven.tables import job
+from bilberryhaven.tables import workload
+from bilberryhaven.wire import message
+
+__all__ = ['measure_ticks']
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+TICK = datetime.timedelta(milliseconds=100)
+FLEETS = (850, 1700, 3400, 6800)
+STARTS_A_TICK = 180
+RUNNING_EACH = 16
+SLOTS = 24
+SERVICES = 30
+SERVED_EACH = 4
+WORKLOADS = 200
+TEAMS = 66
+USAGE_A_TICK = 400
+WARM_UP_TICKS = 15
+TICKS = 25
+MEMORY_TASKS = 10_000
+
+
+class _Discard(io.TextIOBase):
+    def write(self, text):
+        return len(text)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Load:
+    """A fleet in its steady state.
+
+    Attributes:
+        size: Number of instances.
+        starts: Jobs that are submitted, start and finish each tick.
+    """
+
+    size: int
+    starts: int
+    state: object = dataclasses.field(default_factory=tables.State)
+    now: datetime.datetime = START
+    ids: object = dataclasses.field(default_factory=itertools.count)
+    random: object = dataclasses.field(
+        default_factory=lambda: random.Random(3)
+    )
+    throttles: dict = dataclasses.field(default_factory=dict)
+
+    def fill(self):
+        """Put workloads, instances and running jobs into the tables."""
+        for number in range(SERVICES):
+            self._put_workload(
+                f's{number}', workload.Kind.SERVICE, runs_on=f's{number}'
+            )
+        for number in range(WORKLOADS):
+            runs_on = '' if number % 4 else f'zone=z{number % 19}'
+            self._put_workload(
+                f'b{number}', workload.Kind.BATCH, runs_on=runs_on
+            )
+        for number in range(self.size):
+            self._put_instance(number)
+        return self
+
+    def _put_workload(self, name, kind, **fields):
+        self.state.workloads.put(
+            workload.Workload(
+                name=name,
+                kind=kind,
+                team=f't{len(self.state.workloads) % TEAMS}',
+                **fields,
+            )
+        )
+
+    def _put_instance(self, number):
+        first = number % SERVICES
+        labels = {
+            f's{(first + step * 7) % SERVICES}': 'yes'
+            for step in range(SERVED_EACH)
+        }
+        name = f'i{number}'
+        self.state.instances.put(
+            instance.Instance(
+                name=name,
+                zone=f'z{number % 19}',
+                rack=f'r{number // 40}',
+                announced=labels,
+                capacity=instance.Capacity(
+                    slots=SLOTS, cpu=64.0, memory_mb=250_000
+                ),
+                epoch=1,
+                connected=True,
+            )
+        )
+        for _ in range(RUNNING_EACH):
+            row = self._build_job()
+            row.state = job.JobState.RUNNING
+            row.instance = name
+            row.epoch = row.session = 1
+            row.granted_at = row.started_at = START
+            self.state.jobs.put(row)
+
+    def _build_job(self):
+        number = next(self.ids)
+        return job.Job(
+            id=f'job-{number:08}',
+            workload=f'b{number % WORKLOADS}',
+            payload=b'payload',
+            submitted_at=self.now,
+        )
+
+    def _submit(self):
+        for _ in range(self.starts):
+            self.state.jobs.put(self._build_job())
+
+    def _finish(self):
+        first = list(itertools.islice(self.state.jobs, self.starts * 2))
+        for row in first[: self.starts]:
+            self.state.jobs.remove(row.id)
+
+    def _list_usage(self):
+        found = []
+        for _ in range(USAGE_A_TICK):
+            number = self.random.randrange(self.size)
+            service = f's{number % SERVICES}'
+            latency = 10 * self.random.lognormvariate(0, 0.2)
+            usage = message.Usage(
+                workload=service,
+                latency_ms=latency,
+                load=self.random.random(),
+                age_ms=2000,
+            )
+            found.append((f'i{number}', usage))
+        return found
+
+    def tick(self, running):
+        """Run one tick and return the systems' processor time in ms."""
+        self.now += TICK
+        self._submit()
+        self._finish()
+        world = systems.World(
+            state=self.state,
+            now=self.now,
+            loads={},
+            usage=self._list_usage(),
+            objective=settings.Objective(),
+            throttles=self.throttles,
+        )
+        begin = time.process_time_ns()
+        batch = []
+        for system in running:
+            batch.extend(system.run(world))
+        taken = (time.process_time_ns() - begin) / 1e6
+        for command in batch:
+            commands.apply(self.state, command)
+            if isinstance(command, job_commands.GrantJobs):
+                self._start(command)
+        return taken
+
+    def _start(self, command):
+        for grant in command.grants:
+            row = self.state.jobs.get(grant.job_id)
+            row.started_at = self.now
+            self.state.jobs.update(row.id, state=job.JobState.RUNNING)
+
+
+def measure_fleet(size, starts):
+    """Return the median processor time of a tick in ms."""
+    load = Load(size=size, starts=starts).fill()
+    running = systems.build_systems()
+    taken = [load.tick(running) for _ in range(WARM_UP_TICKS + TICKS)]
+    return sorted(taken[WARM_UP_TICKS:])[TICKS // 2]
+
+
+def measure_bytes():
+    """Return the bytes of tables and indexes a running task."""
+    load = Load(size=MEMORY_TASKS // RUNNING_EACH, starts=0).fill()
+    running = systems.build_systems()
+    load.tick(running)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for _ in range(MEMORY_TASKS):
+        row = load._build_job()
+        row.state = job.JobState.RUNNING
+        row.instance = f'i{next(load.ids) % load.size}'
+        row.granted_at = row.started_at = START
+        load.state.jobs.put(row)
+    load.tick(running)
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return (after - before) / MEMORY_TASKS
+
+
+def measure_ticks():
+    """Return cost and slope of a tick, with decision lines logged."""
+    handler = log.start_logging(stream=_Discard())
+    try:
+        points = [(n, measure_fleet(n, STARTS_A_TICK)) for n in FLEETS]
+        idle = measure_fleet(FLEETS[-1], 0)
+    finally:
+        handler.pop_application()
+    slope = _slope.fit_slope(points)
+    largest = points[-1][1]
+    return {
+        'placement.tick_ms': round(largest, 2),
+        'placement.tick_ms_no_starts': round(idle, 2),
+        'placement.tick_ms_smallest': round(points[0][1], 2),
+        'placement.tick_us_per_instance': round(slope.per_unit * 1000, 3),
+        'placement.decision_us_per_start': round(
+            (largest - idle) * 1000 / STARTS_A_TICK, 1
+        ),
+        'placement.bytes_per_task': round(measure_bytes()),
+    }
--- a/bilberryhaven/systems/choice.py
+++ b/bilberryhaven/systems/choice.py
@@ -4,7 +4,8 @@
 
 __all__ = ['choose_instance']
 
-SAMPLE = 24
+FEW = 32
+SAMPLE = 10
 WALK = 64
 FAILED_HERE = 100.0
 
@@ -17,9 +18,10 @@
     cost doesn't grow with the fleet.
     """
     pool = memory.fleet.get_pool(target.runs_on)
-    names = pool.roomy.sample(memory.random, SAMPLE)
+    count = SAMPLE if len(pool.roomy) > FEW else FEW
+    names = pool.roomy.sample(memory.random, count)
     best = _pick(memory, world, row, target, names)
-    if best[0] is None and len(pool.roomy) > SAMPLE:
+    if best[0] is None and len(pool.roomy) > FEW:
         best = _pick(memory, world, row, target, pool.walk(WALK))
     return best
 
--- a/bilberryhaven/systems/fleet.py
+++ b/bilberryhaven/systems/fleet.py
@@ -157,6 +157,7 @@
             if self.rules.may_run(row, entry.labels)
         )
         entry.reserve = self._reserve if entry.services else 0
+        entry.strains = None
 
     def _take_instance(self, name):
         row = self._state.instances.find(name)
--- a/bilberryhaven/systems/interference.py
+++ b/bilberryhaven/systems/interference.py
@@ -24,6 +24,7 @@
 MEMORY_S = 900.0
 MAX_ERROR = 1.5
 MEAN_COUNT = 200
+PRIORS_KEPT = 2000
 BASE = ''
 SLOPE = '/load'
 
@@ -33,21 +34,44 @@
     return min(max(int(load * BANDS), 0), BANDS - 1)
 
 
+class _Effects(dict):
+    """Effects of one service and band; unknown ones become their prior."""
+
+    __slots__ = ('_band', '_find_prior', '_service')
+
+    def __init__(self, service, band, find_prior):
+        super().__init__()
+        self._service = service
+        self._band = band
+        self._find_prior = find_prior
+
+    def __missing__(self, workload):
+        found = self._find_prior(self._service, workload, self._band)
+        self[workload] = found
+        return found
+
+
 class Interference:
     """Effects by service, batch workload and load band."""
 
     def __init__(self):
         self._models = {}
         self._means = {}
+        self._effects = {}
+        self._count = 0
+
+    def get_effects(self, service, band):
+        """Return the effects of one task in logarithms, by workload."""
+        key = (service, band)
+        found = self._effects.get(key)
+        if found is None:
+            found = _Effects(service, band, self._get_prior)
+            self._effects[key] = found
+        return found
 
     def get_effect(self, service, workload, band):
         """Return the expected effect of one task, in logarithms."""
-        model = self._models.get((service, band))
-        if model is not None:
-            known = model.means.get(workload)
-            if known is not None:
-                return known
-        return self._get_prior(service, workload, band)
+        return self.get_effects(service, band)[workload]
 
     def _get_prior(self, service, workload, band):
         for near in (band - 1, band + 1):
@@ -72,10 +96,10 @@
 
     def sum_effects(self, service, band, counts):
         """Return the logarithm of ``predict``."""
-        total = 0.0
-        for workload, count in counts.items():
-            total += count * self.get_effect(service, workload, band)
-        return total
+        effects = self.get_effects(service, band)
+        return sum(
+            [count * effects[workload] for workload, count in counts.items()]
+        )
 
     def observe(self, service, load, counts, latency_ms, now):
         """Learn from one report.
@@ -96,7 +120,7 @@
                 self._add_effect(model, service, workload, band)
             weights[workload] = count
         model.observe(weights, value, now)
-        self._settle(model, counts)
+        self._settle(service, band, model, counts)
 
     def _get_model(self, service, band, value):
         model = self._models.get((service, band))
@@ -116,12 +140,24 @@
             least=LEAST_EFFECT,
         )
 
-    def _settle(self, model, counts):
+    def _settle(self, service, band, model, counts):
+        effects = self.get_effects(service, band)
         for workload in counts:
+            effects[workload] = model.means[workload]
             mean, count = self._means.get(workload, (0.0, 0))
             count = min(count + 1, MEAN_COUNT)
             mean += (model.means[workload] - mean) / count
             self._means[workload] = (mean, count)
+        self._count += 1
+        if self._count % PRIORS_KEPT == 0:
+            self._forget_priors()
+
+    def _forget_priors(self):
+        for key, effects in self._effects.items():
+            model = self._models.get(key)
+            known = model.means if model is not None else {}
+            for workload in [name for name in effects if name not in known]:
+                del effects[workload]
 
     def list_slowdowns(self):
         """Return (service, workload, band, factor) of each learned effect."""
--- a/bilberryhaven/systems/learning.py
+++ b/bilberryhaven/systems/learning.py
@@ -10,7 +10,7 @@
 
 __all__ = ['LearningSystem']
 
-MAX_REPORTS = 1500
+MAX_REPORTS = 400
 START_LAG_S = 0.5
 LOAD_WEIGHT = 0.3
 MEAN_LOAD_WEIGHT = 0.02
@@ -25,6 +25,7 @@
     def run(self, world):
         """Take in this tick's reports and return no commands."""
         memory = self.memory
+        memory.begin_tick()
         memory.refresh(world)
         now = world.now.timestamp()
         self._note_history(now)
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,5 +1,6 @@
 """What the systems of one leader share between ticks."""
 
+import dataclasses
 import math
 import random
 
@@ -17,6 +18,24 @@
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
 LINEAR_EXCESS = 2.0
+KEPT_TICKS = 10
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Strain:
+    """What one service on an instance suffers.
+
+    Attributes:
+        load: The service's load there.
+        effects: Effect of one task in logarithms, by workload.
+        total: Sum of the effects of all tasks beside it.
+        harm: The harm that this does.
+    """
+
+    load: float
+    effects: dict
+    total: float
+    harm: float
 
 
 def compute_harm(excess):
@@ -65,6 +84,7 @@
     """
 
     def __init__(self, *, policy=DEFAULT_POLICY, seed=1, learned=None):
+        self._tick = 0
         self.random = random.Random(seed)
         self.sizes = sizes.Sizes()
         self.fleet = fleet.Fleet(sizes=self.sizes)
@@ -86,6 +106,10 @@
         self.skipped_reports = 0
         self.policy = policies.get_policy_by_name(policy)(memory=self)
 
+    def begin_tick(self):
+        """Count a tick; what was computed long ago is computed anew."""
+        self._tick += 1
+
     def refresh(self, world):
         """Bring the indexes up to date with the tables."""
         self.fleet.refresh(world.state, reserve=world.service_reserve)
@@ -93,12 +117,7 @@
 
     def compute_harm(self, entry):
         """Return the harm done to all services on ``entry``."""
-        counts = entry.weigh_counts() if entry.shares else entry.counts
-        total = 0.0
-        for service, load, band in self.list_loads(entry):
-            factor = self.interference.predict(service, band, counts)
-            total += load * compute_harm(factor - 1.0)
-        return total
+        return sum([item.harm for item in self._list_strains(entry)])
 
     def compute_harm_change(self, entry, workload, change):
         """Return how the harm on ``entry`` changes with the work beside.
@@ -109,25 +128,40 @@
                 less.
             change: Number of tasks, also in part or negative.
         """
-        counts = entry.weigh_counts() if entry.shares else entry.counts
-        model = self.interference
         total = 0.0
-        for service, load, band in self.list_loads(entry):
-            before = model.sum_effects(service, band, counts)
-            effect = model.get_effect(service, workload, band)
-            after = before + change * effect
-            total += load * (
-                compute_harm(math.exp(after) - 1.0)
-                - compute_harm(math.exp(before) - 1.0)
-            )
+        for item in self._list_strains(entry):
+            after = item.total + change * item.effects[workload]
+            harm = compute_harm(math.exp(after) - 1.0)
+            total += item.load * harm - item.harm
         return total
 
-    def list_loads(self, entry):
-        """Return (service, load, band) of each service on ``entry``."""
-        found = []
+    def _list_strains(self, entry):
+        if (
+            entry.strains is None
+            or entry.strained_at < self._tick - KEPT_TICKS
+        ):
+            counts = entry.weigh_counts() if entry.shares else entry.counts
+            entry.strains = [
+                self._build_strain(service, load, counts)
+                for service, load in self._list_loads(entry)
+            ]
+            entry.strained_at = self._tick
+        return entry.strains
+
+    def _build_strain(self, service, load, counts):
+        band = interference.get_band(load)
+        effects = self.interference.get_effects(service, band)
+        total = self.interference.sum_effects(service, band, counts)
+        return Strain(
+            load=load,
+            effects=effects,
+            total=total,
+            harm=load * compute_harm(math.exp(total) - 1.0),
+        )
+
+    def _list_loads(self, entry):
         for service in entry.services:
             load = self.service_loads.get((entry.name, service))
             if load is None:
                 load = self.mean_loads.get(service, DEFAULT_LOAD)
-            found.append((service, load, interference.get_band(load)))
-        return found
+            yield service, load
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -47,6 +47,8 @@
         pools: Pools whose selector it matches.
         indexed: (open, roomy) as the pools have it.
         shares: Share of full speed of each throttled job, by job id.
+        strains: What its services suffer, or None where not computed.
+        strained_at: Number of the tick in which that was computed.
     """
 
     row: object
@@ -65,6 +67,8 @@
     pools: list = dataclasses.field(default_factory=list)
     indexed: tuple = (False, False)
     shares: dict = dataclasses.field(default_factory=dict)
+    strains: list | None = None
+    strained_at: int = 0
 
     @property
     def open(self):
@@ -115,7 +119,15 @@
             counts[self.charges[job_id].workload] -= 1.0 - share
         return counts
 
+    def set_share(self, job_id, share):
+        """Note that a job is throttled to ``share``, 1 for not at all."""
+        self.shares.pop(job_id, None)
+        if share < 1.0:
+            self.shares[job_id] = share
+        self.strains = None
+
     def _count(self, charge, sign):
+        self.strains = None
         need = charge.need
         count = self.counts.get(charge.workload, 0) + sign
         if count:
--- a/bilberryhaven/systems/sharing.py
+++ b/bilberryhaven/systems/sharing.py
@@ -12,12 +12,15 @@
         self._workloads = {}
         self._labels = {}
         self._pairs = {}
+        self._choosy = set()
 
     def put(self, row):
         """Take in a new or changed workload row."""
         self._forget(row.name)
         self._workloads[row.name] = row
         self._labels[row.name] = row.merge_labels()
+        if row.shares_with:
+            self._choosy.add(row.name)
 
     def remove(self, name):
         """Forget a workload."""
@@ -26,6 +29,7 @@
         self._labels.pop(name, None)
 
     def _forget(self, name):
+        self._choosy.discard(name)
         self._pairs.pop(name, None)
         for known in self._pairs.values():
             known.pop(name, None)
@@ -59,4 +63,6 @@
     def shares(self, name, node):
         """Return whether ``name`` may be beside all that is on ``node``."""
         beside = [*node.services, *node.counts]
+        if name not in self._choosy:
+            beside = self._choosy.intersection(beside)
         return all(self.may_share(name, other) for other in beside)
--- a/bilberryhaven/systems/throttling.py
+++ b/bilberryhaven/systems/throttling.py
@@ -1,6 +1,7 @@
 """Throttles batch tasks where they harm a service more than they gain."""
 
 import datetime
+import itertools
 
 from bilberryhaven import log
 from bilberryhaven import systems
@@ -9,7 +10,9 @@
 __all__ = ['ThrottlingSystem']
 
 STEPS = (1.0, 0.6, 0.3)
+MIN_STEP = 0.3
 PRICE = 0.3
+MAX_NODES = 80
 HYSTERESIS = 0.4
 MIN_INTERVAL = datetime.timedelta(seconds=5)
 
@@ -31,10 +34,12 @@
         """Edit ``world.throttles`` and return no commands."""
         self.memory.refresh(world)
         self._drop_gone(world)
-        for name in self.memory.reported:
+        for name in itertools.islice(self.memory.reported, MAX_NODES):
             entry = self.memory.fleet.nodes.get(name)
             if entry is None or not entry.charges:
                 continue
+            if self._is_harmless(world, entry):
+                continue
             last = self._adjusted.get(name)
             if last is None or world.now - last >= MIN_INTERVAL:
                 self._adjust(world, entry)
@@ -47,6 +52,12 @@
                 del self._throttled[job_id]
                 world.throttles.pop(job_id, None)
 
+    def _is_harmless(self, world, entry):
+        """Return whether not even stopping all work there would pay."""
+        least = world.objective.throughput * PRICE * MIN_STEP
+        harm = world.objective.tail_latency * self.memory.compute_harm(entry)
+        return harm < least and not entry.shares
+
     def _adjust(self, world, entry):
         options = [
             option
@@ -87,12 +98,11 @@
 
     def _set_share(self, world, entry, row, share, gain):
         self._adjusted[entry.name] = world.now
+        entry.set_share(row.id, share)
         if share == STEPS[0]:
-            entry.shares.pop(row.id, None)
             world.throttles.pop(row.id, None)
             self._throttled.pop(row.id, None)
         else:
-            entry.shares[row.id] = share
             world.throttles[row.id] = share
             self._throttled[row.id] = entry.name
         self.memory.fleet.moved[entry.name] = None
