--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -4,6 +4,7 @@
 import functools
 import importlib
 import pkgutil
+import re
 import urllib.parse
 
 import msgspec
@@ -12,9 +13,18 @@
 from bilberryhaven import log
 from bilberryhaven import registry
 from bilberryhaven import util
-
-__all__ = ['Answer', 'Request', 'handle', 'list_routes', 'route']
-
+from bilberryhaven import validation
+
+__all__ = [
+    'Answer',
+    'ID_PATTERN',
+    'Request',
+    'handle',
+    'list_routes',
+    'route',
+]
+
+ID_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._:@=+-]{0,199}$'
 MAX_NUMBER = 2**53
 MAX_DIGITS = 18
 
@@ -29,7 +39,7 @@
     Attributes:
         ctx: The ``Context`` of the leader that answers it.
         method: HTTP method.
-        path: Decoded path.
+        path: Percent-decoded path.
         params: Values of the pattern's variables.
         query: First value of each query field.
         body: Bytes of the body.
@@ -56,11 +66,27 @@
         try:
             return msgspec.json.decode(self.body or b'{}', type=kind)
         except (msgspec.MsgspecError, RecursionError) as error:
+            faults = _list_faults(self.body, kind) or [error]
+            listed = '; '.join(str(fault) for fault in faults)
             raise errors.BadInputError(
-                f'the body of {self.method} {self.path}: {error}',
+                f'the body of {self.method} {self.path}: {listed}',
                 step='read body',
             ) from error
 
+    def read_key(self):
+        """Return the idempotency key, None if there is none.
+
+        Raises:
+            BadInputError: It has characters that ids may not have.
+        """
+        key = self.query.get('idempotency_key')
+        if key and not re.search(ID_PATTERN, key):
+            raise errors.BadInputError(
+                f'idempotency key {key!r} does not match {ID_PATTERN}',
+                step='read query',
+            )
+        return key or None
+
     def read_number(self, field, default, *, low=0, high=MAX_NUMBER):
         """Return the query's ``field`` as an int within its bounds."""
         text = self.query.get(field, '')
@@ -75,6 +101,15 @@
         return int(text)
 
 
+def _list_faults(body, kind):
+    """Return all faults of a body that is JSON; none if it isn't."""
+    try:
+        tree = msgspec.json.decode(body or b'{}')
+    except (msgspec.MsgspecError, RecursionError):
+        return []
+    return validation.convert(tree, kind)[1]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Answer:
     """What a handler answers, if not status 200.
@@ -115,8 +150,9 @@
     Args:
         ctx: The leader's ``Context``.
         method: HTTP method.
-        path: Path as sent, still percent-encoded.
-        query: Query string as sent.
+        path: Path, percent-decoded.
+        query: Query string as sent. ``idempotency_key`` in it stands for
+            the header of that name.
         body: Bytes of the body.
         by: Who sent it, if the receiver knows.
 
@@ -156,8 +192,7 @@
 
 
 def _find_handler(request):
-    parts = request.path.strip('/').split('/')
-    segments = [urllib.parse.unquote(part) for part in parts]
+    segments = request.path.strip('/').split('/')
     methods = set()
     for method, pattern, handler in list_routes():
         params = _match(pattern, segments)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -128,10 +128,10 @@
 
     def test_bad_bodies_name_the_field(self):
         cases = [
-            ({'kind': 'batch', 'resources': {'slots': 0}}, '$.resources'),
+            ({'kind': 'batch', 'resources': {'slots': 0}}, 'resources.slots'),
             ({'kind': 'batch', 'runs_on': 'a=('}, '$.runs_on'),
             ({'kind': 'batch', 'colour': 1}, 'colour'),
-            ({'kind': 'nap'}, '$.kind'),
+            ({'kind': 'nap'}, 'allowed are service, batch, watch'),
         ]
         for body, path in cases:
             error = self.call('PUT', '/v1/workloads/w', body, status=400)
@@ -204,11 +204,13 @@
         body = {'workload': 'survey', 'id': 'j'}
         self.call('POST', '/v1/jobs', body, status=201)
         rows = self.call('GET', '/v1/explain/j')['rows']
-        self.assertIn('runs_on: gpu', rows[0]['lacks'][0])
-        self.assertEqual(1, len(rows[1]['lacks']))
+        self.assertEqual(
+            ['runs_on', 'resources'], [row['verdict'] for row in rows]
+        )
+        self.assertIn('memory_mb', rows[1]['reason'])
 
     def test_running_job_says_why_it_is_there(self):
-        self.declare()
+        self.declare(runs_on='zone=a')
         self.open()
         self.call(
             'POST', '/v1/jobs', {'workload': 'survey', 'id': 'j'}, status=201
@@ -220,6 +222,7 @@
         self.ctx.propose(job_commands.GrantJobs(grants=[grant], at=now))
         got = self.call('GET', '/v1/explain/j')
         self.assertIn('on i1: most free slots', got['summary'])
+        self.assertIn("runs_on 'zone=a' matches i1.", got['notes'])
 
 
 class TestRouting(ApiTestCase):
