Test the terms of placement and eviction

Cause: switching off the minimum run time, lost work, spread, restarts due, crowding and accelerators went unnoticed. Change: one test each.

--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from bilberryhaven.commands import session
 from bilberryhaven import settings
 from bilberryhaven.tables import workload
 from bilberryhaven.wire import message
@@ -263,6 +264,138 @@
         self.assertEqual('a', self.job('s').instance)
 
 
+class TestVictims(LoadTestCase):
+    """Which job makes room for an urgent one on a full instance."""
+
+    def setUp(self):
+        super().setUp()
+        self.declare('liner', labels={'urgent': 'yes'})
+        self.declare('once', repeatable=False)
+        self.declare('held')
+        self.open('a', slots=4)
+
+    def evict_for_urgent(self):
+        free = 4 - self.count_on('a')
+        self.submit('liner', *[f'u{i}' for i in range(free + 1)])
+        self.tick(2)
+        rows = self.state.jobs.select('state', 'evicting')
+        return [row.id for row in rows]
+
+    def test_work_since_the_last_checkpoint_counts(self):
+        self.submit('held', 'x', 'y')
+        self.live(100)
+        self.report('checkpoint', 'y', body=b'half')
+        self.assertEqual(['y'], self.evict_for_urgent())
+
+    def test_earlier_evictions_count(self):
+        self.submit('held', 'x', 'y')
+        self.live(10)
+        self.job('x').evictions = 3
+        self.assertEqual(['y'], self.evict_for_urgent())
+
+    def test_deadlines_and_unrepeatable_work_are_left_alone(self):
+        self.submit('once', 'o')
+        self.submit('held', 'd', deadline_at=self.now + 900 * SECOND)
+        self.live(3)
+        self.submit('held', 'x')
+        self.live(3)
+        self.job('x').evictions = 5
+        self.assertEqual(['x'], self.evict_for_urgent())
+
+
+class TestPace(LoadTestCase):
+    """How soon and how often harm leads to evictions."""
+
+    def setUp(self):
+        super().setUp()
+        self.slowdowns = {'noisy': 5.0}
+        self.declare('noisy', run_seconds=3000, runs_on='batch=yes')
+        self.open('a', labels={'desk': 'yes', 'batch': 'yes'})
+        self.open('c', labels={'desk': 'yes'})
+        self.live(5)
+        self.times = []
+
+    def live_and_watch(self, seconds, load=0.6):
+        for _ in range(seconds):
+            self.live(1, load=load)
+            rows = [row for row in self.state.jobs if row.evicted_at]
+            self.times += [
+                row.evicted_at
+                for row in rows
+                if row.evicted_at not in self.times
+            ]
+
+    def test_a_job_runs_for_a_minimum_time(self):
+        self.submit('noisy', 'n0', 'n1', 'n2')
+        self.live(2)
+        self.open('b', labels={'batch': 'yes'})
+        self.live_and_watch(26)
+        self.assertEqual([], self.times)
+        self.live_and_watch(100)
+        self.assertNotEqual([], self.times)
+
+    def test_harm_must_last_and_evictions_keep_their_distance(self):
+        self.submit('noisy', 'n0', 'n1', 'n2')
+        self.live(60, load=0.0)
+        self.open('b', labels={'batch': 'yes'})
+        self.live_and_watch(13)
+        self.assertEqual([], self.times)
+        self.live_and_watch(200)
+        gaps = [
+            later - earlier
+            for earlier, later in zip(self.times, self.times[1:], strict=False)
+        ]
+        self.assertGreaterEqual(len(gaps), 1)
+        self.assertGreaterEqual(min(gaps), 30 * SECOND)
+
+
+class TestTerms(LoadTestCase):
+    """Terms of a placement's cost other than harm."""
+
+    def list_places(self, name):
+        rows = self.state.jobs.select('workload', name)
+        return sorted(row.instance for row in rows)
+
+    def test_watches_spread_over_zones_and_racks(self):
+        self.declare('tide', kind=workload.Kind.WATCH)
+        for name, zone, rack in ('aas', 'bas', 'cat', 'dbs', 'ebt'):
+            self.open(name, zone=zone, rack=zone + rack)
+        self.submit('tide', 't0', 't1', 't2', 't3')
+        self.tick(2)
+        rows = self.state.instances
+        racks = {rows.get(n).rack for n in self.list_places('tide')}
+        self.assertEqual({'as', 'at', 'bs', 'bt'}, racks)
+
+    def test_plain_work_leaves_accelerators_free(self):
+        self.open('a', accelerators=4)
+        self.open('b')
+        self.submit('quiet', *[f'q{i}' for i in range(8)])
+        self.tick()
+        self.assertEqual(['b'] * 8, self.list_places('quiet'))
+
+    def test_crowded_processors_are_avoided(self):
+        self.open('a', cpu=4)
+        self.open('b', cpu=64)
+        self.submit('quiet', *[f'q{i}' for i in range(10)])
+        self.tick()
+        self.assertEqual(3, self.list_places('quiet').count('a'))
+
+    def test_restarted_instances_are_preferred_during_restarts(self):
+        for name in 'abc':
+            self.open(name)
+        self.tick()
+        self.drain('a')
+        self.tick()
+        self.do(session.CloseSession(name='a', epoch=1, at=self.now))
+        self.drain('a', draining=False)
+        self.open('a')
+        self.drain('b')
+        self.tick()
+        self.submit('quiet', 'q0', 'q1')
+        self.tick()
+        self.assertEqual(['a', 'a'], self.list_places('quiet'))
+
+
 class TestObjective(LoadTestCase):
     def test_weight_of_evictions_keeps_work_in_place(self):
         self.slowdowns = {'noisy': 5.0}
--- a/tests/test_systems.py
+++ b/tests/test_systems.py
@@ -66,7 +66,7 @@
             )
         )
 
-    def drain(self, name):
+    def drain(self, name, draining=True):
         self.changes += 1
         self.do(
             change.DrainInstance(
@@ -75,6 +75,7 @@
                 at=self.now,
                 kind='instance',
                 name=name,
+                draining=draining,
             )
         )
 
