Fuzz sessions: leases, orders and reports under faults

Cause: that a job never runs in two places, resumes once and ends once was shown for the log but not for the leader's leases and orders. Change: stateful fuzzing of the real leader, heartbeat handler, systems and commands; agents and servers with drifting clocks; messages late, lost and repeated; failovers, restarts, isolation; an oracle in true time.

--- /dev/null
+++ b/tests/test_session_fuzz.py
@@ -0,0 +1,10 @@
+"""Runs the fuzzing of sessions with the fixed seed of CI."""
+
+import testtools
+
+from tests.fuzz import session
+
+
+class TestSessionFuzz(testtools.TestCase):
+    def test_sessions_against_the_oracle(self):
+        session.run(None, examples=session.EXAMPLES)
