--- a/bilberryhaven/consensus/actor.py
+++ b/bilberryhaven/consensus/actor.py
@@ -105,18 +105,22 @@
         name: The replica's name.
         clock: The ``Clock``.
         transport: The ``Transport``.
+        hold: Longest time for which proposals wait while leadership is
+            handed over.
         publish: Function of a ``View``, called after each change.
         options: Further arguments of the ``Driver``, by name.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, *, name, clock, transport, publish, options):
+    def __init__(self, *, name, clock, transport, hold, publish, options):
         super().__init__()
         self._name = name
         self._clock = clock
         self._transport = transport
         self._publish = publish
+        self._hold = hold
+        self._hold_until = None
         self._proposals = []
         self._flush_queued = False
         self._waiting = {}
@@ -186,6 +190,7 @@
         try:
             now = self._clock.monotonic()
             result = self._driver.core.transfer_leadership(now, msg.to)
+            self._hold_until = now + self._hold
         except errors.BilberryhavenError as error:
             result = error
         msg.done(result)
@@ -198,7 +203,7 @@
     def _flush(self, msg):
         self._flush_queued = False
         now = self._clock.monotonic()
-        if self._proposals:
+        if self._proposals and not self._must_hold(now):
             proposals, self._proposals = self._proposals, []
             self._driver.propose(proposals, now)
         self._driver.flush(now)
@@ -210,6 +215,16 @@
                 self._transport.send(address, messages)
         self._outbox.clear()
 
+    def _must_hold(self, now):
+        # Until the next leader is known a refusal couldn't name it.
+        if self._hold_until is None:
+            return False
+        core = self._driver.core
+        done = core.handover is None and core.leader
+        if done or now >= self._hold_until:
+            self._hold_until = None
+        return self._hold_until is not None
+
     def _answer_waiting(self, sender):
         done = self._waiting.pop(sender, None)
         if done is not None:
@@ -224,7 +239,10 @@
                 result = save()
             except errors.StorageError as error:
                 result = error
-            self.actor_ref.tell(SnapshotSaved(result=result))
+            try:
+                self.actor_ref.tell(SnapshotSaved(result=result))
+            except pykka.ActorDeadError:
+                _logger.debug('stopped while a snapshot was stored')
 
         threading.Thread(target=run, name='snapshot', daemon=True).start()
 
@@ -233,6 +251,7 @@
         self._queue_flush()
 
     def _close(self, msg):
+        self._hold_until = None
         self._flush(None)
         self._driver.close()
         self._publish_view()
--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -68,8 +68,7 @@
         self._leading_term = 0
         self._view = actor.View(status=status.ReplicaStatus(name=name))
         self._actor = None
-        self._not_leading = threading.Event()
-        self._not_leading.set()
+        self._follows = threading.Event()
         self._stopping = threading.Event()
 
     def start(self):
@@ -86,6 +85,7 @@
             clock=self._clock,
             transport=self._transport,
             publish=self._publish,
+            hold=self._options.transfer_timeout * 2,
             options=self._build_driver_options(),
         )
         try:
@@ -206,7 +206,8 @@
     def transfer_leadership(self, to=None):
         """Hand leadership to ``to``, or to the most advanced voter.
 
-        Returns once this replica leads no more.
+        Returns once this replica follows the next leader. Proposals made
+        meanwhile wait, and are then refused with that leader as ``peer``.
 
         Raises:
             RefusedError: There is no such voter.
@@ -218,7 +219,7 @@
             raise self._build_not_leader()
         limit = self._options.transfer_timeout * 2
         _wait(future, limit, step='transfer')
-        if not self._not_leading.wait(limit.total_seconds()):
+        if not self._follows.wait(limit.total_seconds()):
             raise errors.DeadlineError(
                 'leadership was not handed over in time', step='transfer'
             )
@@ -243,6 +244,10 @@
 
     def _publish(self, view):
         self._view = view
+        if view.status.leader not in ('', self.name):
+            self._follows.set()
+        else:
+            self._follows.clear()
         term = view.status.term if view.serving else 0
         if term == self._leading_term:
             return
@@ -250,10 +255,7 @@
         if previous:
             self._notify(False, previous)
         if term:
-            self._not_leading.clear()
             self._notify(True, term)
-        else:
-            self._not_leading.set()
 
     def _notify(self, leading, term):
         if self._on_leadership is not None:
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -18,11 +18,12 @@
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 TARGETS = ('pump', 'silt')
 RATES = (1.0, 0.97, 1.03, 1.02, 0.98)
-EXAMPLES = 200
+EXAMPLES = 300
 STEPS = 50
 FUZZ_EXAMPLES = 2000
 MAX_NODES = 5
 JOBS = ('j1', 'j2')
+ACTIONS = ('start', 'start', ('stopped', 0), ('stopped', 1), ('finished', 0))
 PICK = strategies.integers(min_value=0, max_value=60)
 
 
@@ -174,27 +175,35 @@
 
         self.propose(command, self.pick_leader(choice), record)
 
-    @stateful.rule(choice=PICK, job=strategies.sampled_from(JOBS))
-    def start_job(self, choice, job):
+    @stateful.rule(
+        choice=PICK,
+        job=strategies.sampled_from(JOBS),
+        actions=strategies.lists(strategies.sampled_from(ACTIONS)),
+    )
+    def handle_job(self, choice, job, actions):
+        """Grants and reports of one job; some reports are out of date."""
+        for action in actions:
+            node = self.pick_leader(choice)
+            if node is None:
+                return
+            if action == 'start':
+                self.start_job(node, job)
+            else:
+                self.end_grant(node, job, *action)
+            self.run(0.2)
+
+    def start_job(self, node, job):
         submission = job_commands.SubmitJob(
             job_id=job, workload='survey', payload=b'', at=NOW
         )
-        self.propose(submission, self.pick_leader(choice), ignore)
+        self.propose(submission, node, ignore)
         grant = job_commands.Grant(job_id=job, instance='i', session=1)
         command = job_commands.GrantJobs(grants=[grant], at=NOW)
-        self.propose(command, self.pick_leader(choice), ignore)
+        self.propose(command, node, ignore)
 
-    @stateful.rule(
-        choice=PICK,
-        job=strategies.sampled_from(JOBS),
-        kind=strategies.sampled_from(['stopped', 'stopped', 'finished']),
-        age=strategies.integers(min_value=0, max_value=1),
-    )
-    def end_grant(self, choice, job, kind, age):
-        """Report the end of a grant, perhaps late or twice."""
-        node = self.pick_leader(choice)
-        row = node and node.machine.state.jobs.find(job)
-        if not row or row.epoch <= age:
+    def end_grant(self, node, job, kind, age):
+        row = node.machine.state.jobs.find(job)
+        if row is None or row.epoch <= age:
             return
         epoch = row.epoch - age
         event = job_commands.JobEvent(job_id=job, epoch=epoch, kind=kind)
--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -9,6 +9,7 @@
 
 from bilberryhaven import clock
 from bilberryhaven.consensus import machine
+from bilberryhaven.consensus import options
 from bilberryhaven.consensus import replica
 from bilberryhaven.consensus import transport
 from bilberryhaven import errors
@@ -17,6 +18,11 @@
 from bilberryhaven.wire import server
 
 TIMEOUT = clock.seconds(20)
+OPTIONS = options.Options(
+    election_timeout=clock.seconds(0.5),
+    election_jitter=clock.seconds(0.2),
+    transfer_timeout=clock.seconds(0.4),
+)
 
 
 class ListMachine(machine.Machine):
@@ -64,6 +70,7 @@
             machine=self.machine,
             clock=clock.SystemClock(),
             transport=transport.WireTransport(client=client.Client()),
+            options=OPTIONS,
             on_leadership=self.note_leadership,
         )
         self.replica.start()
@@ -83,6 +90,14 @@
         self.server.stop()
 
 
+def stop_all(nodes):
+    threads = [threading.Thread(target=node.stop) for node in nodes]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 class ReplicaTestCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -94,9 +109,9 @@
     def build(self, names):
         self.nodes = [Node(name=name, folder=self.folder) for name in names]
         voters = {node.name: node.server.address for node in self.nodes}
+        self.addCleanup(stop_all, list(self.nodes))
         for node in self.nodes:
             node.start(voters)
-            self.addCleanup(node.stop)
 
     def find_leader(self):
         for _ in range(int(TIMEOUT.total_seconds() / 0.05)):
@@ -158,6 +173,21 @@
         result = heir.replica.propose(b'y', timeout=TIMEOUT)
         self.assertEqual(501, result)
 
+    def test_proposals_during_a_hand_over_learn_the_next_leader(self):
+        self.build('abc')
+        leader = self.find_leader()
+        stopper = threading.Thread(target=leader.replica.stop)
+        stopper.start()
+        addresses = {node.server.address for node in self.nodes}
+        refused = None
+        while refused is None:
+            try:
+                leader.replica.propose(b'x', timeout=TIMEOUT)
+            except errors.NotLeaderError as error:
+                refused = error
+        stopper.join()
+        self.assertIn(refused.peer, addresses - {leader.server.address})
+
     def test_follower_names_the_leader(self):
         self.build('abc')
         leader = self.find_leader()
