--- a/bilberryhaven/consensus/driver.py
+++ b/bilberryhaven/consensus/driver.py
@@ -1,11 +1,11 @@
 """Drives the core: writes, syncs, sends and applies what it decides."""
 
 import contextlib
-import dataclasses
 
 from bilberryhaven.consensus import core as consensus_core
 from bilberryhaven.consensus import effects
 from bilberryhaven.consensus import message
+from bilberryhaven.consensus import pending
 from bilberryhaven.consensus import status
 from bilberryhaven import errors
 from bilberryhaven import log
@@ -15,14 +15,6 @@
 _logger = log.get_logger('consensus')
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Pending:
-    """A proposal that awaits its commit."""
-
-    term: int
-    done: object
-
-
 class Driver:
     """One replica without threads; its caller passes in time and messages.
 
@@ -70,7 +62,7 @@
         self._publish = publish or _do_nothing
         self._lock = lock or contextlib.nullcontext()
         self._addresses = {}
-        self._pending = {}
+        self._pending = pending.PendingTable()
         self._saving = False
         self._snapshot_due = options.snapshot_entries
 
@@ -129,7 +121,7 @@
                 done(error)
             return
         for offset, (_, done) in enumerate(items):
-            self._await(first + offset, done)
+            self._pending.add(first + offset, self.core.term, done)
 
     def change_members(self, now, done, *, add=None, remove=None):
         """Append a change of members; ``flush`` must follow."""
@@ -139,7 +131,7 @@
         except errors.BilberryhavenError as error:
             done(error)
             return
-        self._await(index, done)
+        self._pending.add(index, self.core.term, done)
 
     def _check_size(self, data, done):
         limit = self._options.max_entry_bytes
@@ -164,9 +156,6 @@
                 peer=self.name,
             )
 
-    def _await(self, index, done):
-        self._pending[index] = _Pending(term=self.core.term, done=done)
-
     def flush(self, now):
         """Write, sync, send and apply until nothing is left to do."""
         while self.fault is None:
@@ -262,7 +251,7 @@
             if entry.kind == message.EntryKind.DATA:
                 result = self._apply_data(index, entry.data)
             self.applied = index
-            self._settle(index, entry, result)
+            self._pending.settle(index, entry.term, result)
 
     def _apply_data(self, index, data):
         try:
@@ -271,36 +260,11 @@
             _logger.exception('entry {} can not be applied', index)
             return errors.InternalError(repr(error), step='apply')
 
-    def _settle(self, index, entry, result):
-        pending = self._pending.pop(index, None)
-        if pending is None:
-            return
-        if pending.term == entry.term:
-            pending.done(result)
-        else:
-            pending.done(self._build_unknown())
-
     def _settle_lost(self):
-        if not self._pending:
-            return
         core = self.core
         leads = self.fault is None and core.is_leader
-        lost = [
-            index
-            for index, pending in self._pending.items()
-            if not leads or pending.term != core.term
-        ]
-        for index in lost:
-            self._pending.pop(index).done(self._build_unknown())
-
-    def _build_unknown(self):
-        leader = self.core.leader
-        return errors.PeerError(
-            'leadership was lost before the entry was committed',
-            step='commit',
-            peer=self.core.members.find_address(leader),
-            outcome=errors.Outcome.UNKNOWN,
-        )
+        peer = core.members.find_address(core.leader)
+        self._pending.settle_lost(core.term if leads else None, peer)
 
     def _plan_snapshot(self):
         self._snapshot_due = self.applied + self._options.snapshot_entries
--- /dev/null
+++ b/bilberryhaven/consensus/pending.py
@@ -0,0 +1,71 @@
+"""Proposals that await their commit."""
+
+import dataclasses
+
+from bilberryhaven import errors
+
+__all__ = ['PendingTable']
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Pending:
+    """One proposal.
+
+    Attributes:
+        term: Term in which it was appended.
+        done: Function of its result or error.
+    """
+
+    term: int
+    done: object
+
+
+class PendingTable:
+    """Proposals by the index of their entry."""
+
+    def __init__(self):
+        self._rows = {}
+        self._term = None
+
+    def __len__(self):
+        return len(self._rows)
+
+    def add(self, index, term, done):
+        """Add the proposal that became entry ``index``."""
+        self._rows[index] = _Pending(term=term, done=done)
+
+    def settle(self, index, term, result):
+        """Answer the proposal at ``index``, whose entry was applied.
+
+        Args:
+            index: The entry.
+            term: Its term; another than the proposal's means that another
+                leader's entry took its place.
+            result: What applying it returned.
+        """
+        row = self._rows.pop(index, None)
+        if row is not None:
+            row.done(result if row.term == term else _build_unknown(''))
+
+    def settle_lost(self, term, peer):
+        """Answer all that were not appended in ``term``.
+
+        Args:
+            term: The term that this replica leads, or None.
+            peer: Address of the leader, if known.
+        """
+        if term is not None and term == self._term:
+            return
+        self._term = term
+        lost = [i for i, row in self._rows.items() if row.term != term]
+        for index in lost:
+            self._rows.pop(index).done(_build_unknown(peer))
+
+
+def _build_unknown(peer):
+    return errors.PeerError(
+        'leadership was lost before the entry was committed',
+        step='commit',
+        peer=peer,
+        outcome=errors.Outcome.UNKNOWN,
+    )
