Restore a quorum from one folder; wait for a new leader's first commit

Cause: after the loss of a majority there was no way on; a caller who is sent on to a leader that was just elected was refused.

--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -70,6 +70,7 @@
         self._actor = None
         self._follows = threading.Event()
         self._stopping = threading.Event()
+        self._changed = threading.Condition()
 
     def start(self):
         """Recover the state from the folder and join the quorum.
@@ -149,16 +150,25 @@
     def check_read(self):
         """Return if the machine may be read as current.
 
-        Take ``machine_lock`` first, check, then read.
+        Waits for a newly elected leader's first commit. Call it, then take
+        ``machine_lock`` and read.
 
         Raises:
             NotLeaderError: This replica is not the leader, or its lease has
                 run out; ``peer`` is the leader's address if known.
         """
+        if self._is_elect():
+            limit = self._options.lease.total_seconds()
+            with self._changed:
+                self._changed.wait_for(lambda: not self._is_elect(), limit)
         view = self._view
         if not view.serving or self._clock.monotonic() >= view.lease_end:
             raise self._build_not_leader()
 
+    def _is_elect(self):
+        view = self._view
+        return view.status.role == status.Role.LEADER and not view.serving
+
     def handle(self, batch, sender):
         """Process messages from ``sender`` and return those in reply.
 
@@ -243,7 +253,9 @@
                 return
 
     def _publish(self, view):
-        self._view = view
+        with self._changed:
+            self._view = view
+            self._changed.notify_all()
         if view.status.leader not in ('', self.name):
             self._follows.set()
         else:
--- /dev/null
+++ b/bilberryhaven/consensus/restore.py
@@ -0,0 +1,63 @@
+"""Makes a quorum of one from a data folder, after a majority was lost."""
+
+from bilberryhaven.consensus import effects
+from bilberryhaven.consensus import files
+from bilberryhaven.consensus import members
+from bilberryhaven.consensus import message
+from bilberryhaven.consensus import options as replica_options
+from bilberryhaven.consensus import storage
+from bilberryhaven import errors
+
+__all__ = ['restore_quorum']
+
+
+def restore_quorum(*, folder, name, address, options=None):
+    """Make ``name`` the only voter of the log in ``folder``.
+
+    What the folder holds counts as committed from then on. What only the
+    lost replicas held is gone.
+
+    Args:
+        folder: Path of the data folder, or a ``files.Folder``.
+        name: Name of the replica that the folder belongs to.
+        address: HOST:PORT that it will be reached at.
+        options: Timing and sizes.
+
+    Returns:
+        The newest entry that the folder held.
+
+    Raises:
+        RefusedError: The folder is empty.
+        StorageError: It is damaged, in use or can't be written.
+    """
+    if not isinstance(folder, files.Folder):
+        folder = files.DiskFolder(path=folder)
+    if not folder.list_names():
+        raise errors.RefusedError(
+            'the data folder is empty', step='restore', peer=name
+        )
+    store = storage.Storage(
+        folder=folder, options=options or replica_options.Options()
+    )
+    try:
+        return _replace_members(store, name, address)
+    finally:
+        store.close()
+
+
+def _replace_members(store, name, address):
+    found = store.recover({})
+    newest = found.log.last_index
+    alone = members.Members(voters={name: address})
+    term = found.hard_state.term + 1
+    entry = message.Entry(term, message.EntryKind.MEMBERS, alone.encode())
+    found.log.append([entry])
+    found.history.push(newest + 1, alone)
+    store.write(
+        hard_state=effects.HardState(term=term, vote=name),
+        first=newest + 1,
+        entries=[entry],
+        log=found.log,
+        history=found.history,
+    )
+    return newest
--- a/bilberryhaven/consensus/segment.py
+++ b/bilberryhaven/consensus/segment.py
@@ -10,11 +10,14 @@
 from bilberryhaven.consensus import members as replica_members
 from bilberryhaven.consensus import message
 from bilberryhaven import errors
+from bilberryhaven import log as logs
 
 __all__ = ['RecoveredLog', 'SegmentStore']
 
 PREFIX = 'log-'
 
+_logger = logs.get_logger('consensus')
+
 
 class _Begin(msgspec.Struct, array_like=True, kw_only=True, tag=1):
     """First frame of a segment: the state before its first entry."""
@@ -111,6 +114,13 @@
             end = offset + frame.HEADER_BYTES + len(payload)
         if end == 0:
             raise _build_damage(path, 0, 'the segment is empty')
+        if end < len(data):
+            _logger.warning(
+                '{}: cut off {} bytes that a crash tore, at offset {}',
+                path,
+                len(data) - end,
+                end,
+            )
         if last:
             self._reopen(name, data[:end])
         return recovered
--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -11,6 +11,7 @@
 from bilberryhaven.consensus import machine
 from bilberryhaven.consensus import options
 from bilberryhaven.consensus import replica
+from bilberryhaven.consensus import restore
 from bilberryhaven.consensus import transport
 from bilberryhaven import errors
 from bilberryhaven.wire import client
@@ -199,6 +200,26 @@
         self.assertEqual(leader.server.address, error.peer)
         leader.replica.check_read()
 
+    def test_quorum_is_restored_from_one_folder(self):
+        self.build('abc')
+        leader = self.find_leader()
+        for _ in range(5):
+            leader.replica.propose(b'x', timeout=TIMEOUT)
+        stop_all(self.nodes)
+        folder = self.folder / leader.name
+        restore.restore_quorum(folder=folder, name=leader.name, address='a:1')
+        again = Node(name=leader.name, folder=self.folder)
+        again.start({})
+        self.addCleanup(again.stop)
+        self.assertEqual(6, again.replica.propose(b'y', timeout=TIMEOUT))
+        self.assertRaises(
+            errors.RefusedError,
+            restore.restore_quorum,
+            folder=self.folder / 'none',
+            name='a',
+            address='a:1',
+        )
+
     def test_new_member_takes_part(self):
         self.build('abc')
         leader = self.find_leader().replica
