Let a far learner catch up under load

Change: catch-up by rounds; the log is kept back to what an answering replica needs, at most max_kept_entries. A refused start releases the folder's lock; a cancelled future no longer ends the replica's thread. Conclusion: a replacement in another region becomes a voter under load.

--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -81,6 +81,7 @@
         self.heartbeat_at = None
         self.pre_votes = set()
         self.votes = set()
+        self._ticked_at = None
         self._effects = core_effects.Effects()
 
     @property
@@ -106,6 +107,7 @@
         """
         if self.term:
             self.heard_at = now
+        self._ticked_at = now
         self.reset_election_timer(now)
         if self.members.is_quorum([self.name]):
             self.election_at = now
@@ -116,6 +118,7 @@
 
     def tick(self, now):
         """Do what is due at ``now``."""
+        self._ticked_at = now
         if self.is_leader:
             self._tick_leader(now)
         elif now >= self.election_at and self.name in self.members.voters:
@@ -177,10 +180,20 @@
         if self.snapshot is not None and meta.index <= self.snapshot.index:
             return
         self.snapshots = [*self.snapshots, meta][-KEPT_SNAPSHOTS:]
-        index = min(meta.index - self.options.kept_entries, self.commit)
-        self.log.compact(index)
+        self.log.compact(self._find_compact_index(meta))
         self.history.compact(self.log.base_index)
 
+    def _find_compact_index(self, meta):
+        index = meta.index - self.options.kept_entries
+        floor = meta.index - self.options.max_kept_entries
+        for peer in self.peers.values():
+            if peer.answered_at is None:
+                continue
+            silence = self._ticked_at - peer.answered_at
+            if silence < self.options.election_timeout:
+                index = min(index, max(peer.find_needed(), floor))
+        return index
+
     def take_effects(self):
         """Return what is to be done since the last call."""
         taken = self._effects
@@ -279,6 +292,7 @@
                 del self.peers[name]
         for name in self.members.list_names():
             if name not in self.peers:
-                self.peers[name] = progress.Progress(
-                    next=self.log.last_index + 1, progress_at=now
-                )
+                last = self.log.last_index
+                peer = progress.Progress(next=last + 1, progress_at=now)
+                peer.start_round(last, now)
+                self.peers[name] = peer
--- a/bilberryhaven/consensus/membership.py
+++ b/bilberryhaven/consensus/membership.py
@@ -80,7 +80,7 @@
 
 
 def promote_learners(core, now):
-    """Make a learner a voter once it stores all that is committed."""
+    """Make a learner a voter once it has caught up."""
     if core.history.index > core.commit or core.commit < core.noop_index:
         return
     for name in core.members.learners:
@@ -90,11 +90,18 @@
 
 
 def is_caught_up(core, name, now):
-    """Return whether ``name`` answers and stores all that is committed."""
+    """Return whether ``name`` stored a round's entries quickly enough.
+
+    A round is over when all is stored that the log held at its begin. If
+    that took no longer than an election timeout, the little that is missing
+    since then is no reason to wait.
+    """
     peer = core.peers[name]
-    if peer.answered_at is None or peer.match < core.commit:
+    if peer.match < peer.round_index:
         return False
-    return now < peer.answered_at + core.options.election_timeout
+    quick = now <= peer.round_at + core.options.election_timeout
+    peer.start_round(core.log.last_index, now)
+    return quick
 
 
 def finish_change(core, now):
--- a/bilberryhaven/consensus/options.py
+++ b/bilberryhaven/consensus/options.py
@@ -24,6 +24,8 @@
         snapshot_entries: Applied entries after which a snapshot is taken.
         kept_entries: Entries kept in the log before a snapshot, so that a
             replica slightly behind needs no snapshot.
+        max_kept_entries: Entries kept at most, while a replica that answers
+            is further behind.
         segment_bytes: Size at which a new log segment is begun.
         append_bytes: Largest data of one append message.
         append_window: Append messages in flight to one peer.
@@ -40,6 +42,7 @@
     transfer_timeout: datetime.timedelta = clock.seconds(1.0)
     snapshot_entries: int = 10_000
     kept_entries: int = 2_000
+    max_kept_entries: int = 50_000
     segment_bytes: int = 16 * 1024 * 1024
     append_bytes: int = 1024 * 1024
     append_window: int = 8
--- a/bilberryhaven/consensus/progress.py
+++ b/bilberryhaven/consensus/progress.py
@@ -31,6 +31,8 @@
         progress_at: When it last made progress or was reset.
         answered_at: When it last answered, or None.
         transfer: The snapshot being sent, or None.
+        round_index: Newest entry when the current catch-up round began.
+        round_at: When that was.
     """
 
     next: int
@@ -40,6 +42,17 @@
     progress_at: datetime.timedelta = datetime.timedelta()
     answered_at: datetime.timedelta | None = None
     transfer: Transfer | None = None
+    round_index: int = 0
+    round_at: datetime.timedelta = datetime.timedelta()
+
+    def start_round(self, index, now):
+        """Begin a catch-up round up to entry ``index``."""
+        self.round_index = index
+        self.round_at = now
+
+    def find_needed(self):
+        """Return the entry after which the log must be kept for it."""
+        return self.transfer.meta.index if self.transfer else self.match
 
     def restart(self, now):
         """Search the position again, after messages were lost."""
--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -14,12 +14,15 @@
 from bilberryhaven.consensus import status
 from bilberryhaven.consensus import storage
 from bilberryhaven import errors
+from bilberryhaven import log
 
 __all__ = ['Replica']
 
 STOP_TIMEOUT_SECONDS = 10
 HANDLE_TIMEOUT_SECONDS = 5
 
+_logger = log.get_logger('consensus')
+
 
 class Replica:
     """Thread-safe facade of one replica.
@@ -91,7 +94,7 @@
         )
         try:
             self._actor.proxy().begin(self._voters).get()
-        except errors.StorageError:
+        except Exception:
             self._actor.stop()
             self._actor = None
             raise
@@ -120,7 +123,10 @@
                 pass
         self._tell(actor.Close())
         self._stopping.set()
-        self._actor.stop(timeout=STOP_TIMEOUT_SECONDS)
+        try:
+            self._actor.stop(timeout=STOP_TIMEOUT_SECONDS)
+        except pykka.Timeout:
+            _logger.error('replica {} did not stop in time', self.name)
         if self._transport is not None:
             self._transport.close()
 
@@ -282,12 +288,13 @@
 
 
 def _settle(future, result):
-    if future.done():
-        return
-    if isinstance(result, Exception):
-        future.set_exception(result)
-    else:
-        future.set_result(result)
+    try:
+        if isinstance(result, Exception):
+            future.set_exception(result)
+        else:
+            future.set_result(result)
+    except concurrent.futures.InvalidStateError:
+        pass
 
 
 def _wait(future, timeout, *, step):
--- a/bilberryhaven/consensus/storage.py
+++ b/bilberryhaven/consensus/storage.py
@@ -62,6 +62,13 @@
             StorageError: A file can't be read, or the folder is in use.
         """
         self._folder.lock()
+        try:
+            return self._recover(voters)
+        except errors.StorageError:
+            self.close()
+            raise
+
+    def _recover(self, voters):
         saved = self._snapshots.recover()
         found = self._segments.recover()
         if found is None:
--- a/tests/fuzz/cluster.py
+++ b/tests/fuzz/cluster.py
@@ -20,6 +20,7 @@
 OPTIONS = options.Options(
     snapshot_entries=40,
     kept_entries=10,
+    max_kept_entries=200,
     segment_bytes=4096,
     append_bytes=1024,
     chunk_bytes=4096,
@@ -79,6 +80,7 @@
         self.repeat = 0.0
         self.jitter = datetime.timedelta()
         self.blocked = set()
+        self.delays = {}
         self.applied = {}
         self.voters = {name: f'{name}:1' for name in names}
         self.nodes = {}
@@ -132,6 +134,8 @@
             delay = (
                 self.step * DELAY_STEPS + self.jitter * self.random.random()
             )
+            for name in (sender, to):
+                delay += self.delays.get(name, datetime.timedelta())
             self._count += 1
             item = (self.now + delay, self._count, sender, to, data)
             heapq.heappush(self._queue, item)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -217,6 +217,20 @@
         self.cluster.run(10)
         self.assertEqual('abc', self.list_voters())
 
+    def test_far_learner_is_promoted_while_changes_go_on(self):
+        self.build()
+        for _ in range(100):
+            self.change()
+        self.cluster.add_node('d')
+        self.cluster.delays['d'] = clock.seconds(0.1)
+        self.change_members(add=('d', 'd:1'))
+        for _ in range(300):
+            self.count += 1
+            command = build_change(self.count)
+            self.cluster.propose(self.leader, command, lambda result: None)
+            self.cluster.run(0.025)
+        self.assertEqual('abcd', self.list_voters())
+
     def test_second_loss_right_after_a_repair(self):
         self.build()
         for _ in range(100):
