--- a/bilberryhaven/agent/slots.py
+++ b/bilberryhaven/agent/slots.py
@@ -81,7 +81,8 @@
             if everything or job.until <= now
         ]
         for job_id, epoch in late:
-            self.release(job_id, epoch)
+            del self._waiting[job_id]
+            self._remember(job_id, epoch)
         return [
             effects.RefuseJob(job_id=job_id, epoch=epoch, reason=reason)
             for job_id, epoch in late
