--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -135,7 +135,7 @@
             load=self._admission.get_load().get(),
             usage=self._take_usage(status),
             running=self._jobs.list_running(),
-            leaving=self._leaving,
+            leaving=self._is_leaving(),
         )
         try:
             sent = self._links.send(beat)
@@ -144,6 +144,14 @@
             return
         self._handle_reply(sent.reply, sent.sent_at, status)
 
+    def _is_leaving(self):
+        """Return whether to report that the agent is leaving.
+
+        Control closes the session of a leaving agent without jobs, so that
+        is reported only once no request is in progress.
+        """
+        return self._leaving and not self._admission.has_requests().get()
+
     def _handle_reply(self, reply, sent_at, status):
         former = self._session.epoch
         renewed = self._session.accept(reply, sent_at)
--- a/bilberryhaven/agent/service.py
+++ b/bilberryhaven/agent/service.py
@@ -63,7 +63,8 @@
         self._control = control
         self._clock = clock
         self._drain_notice = drain_notice
-        self._on_replaced = on_replaced or _do_nothing
+        self._on_replaced = on_replaced
+        self._replaced = threading.Event()
         self._incarnation = _count_milliseconds(clock)
         self._limits = limits.Limits(
             slots=announcement.capacity.slots,
@@ -126,6 +127,15 @@
         """Return whether the agent admits work."""
         return self._reporter.proxy().is_ready().get()
 
+    def is_replaced(self):
+        """Return whether another agent has taken over."""
+        return self._replaced.is_set()
+
+    def _give_way(self):
+        self._replaced.set()
+        if self._on_replaced is not None:
+            self._on_replaced()
+
     def _admit(self, msg):
         self._ensure_started()
         return self._requests.admit(msg)
@@ -173,7 +183,7 @@
             ),
             clock=self._clock,
             owner=owner,
-            on_replaced=self._on_replaced,
+            on_replaced=self._give_way,
         )
         self._requests = requests.RequestHandler(
             admission=self._admission,
@@ -218,9 +228,5 @@
         )
 
 
-def _do_nothing():
-    pass
-
-
 def _count_milliseconds(clock):
     return int(clock.wall().timestamp() * 1000)
