Bound slow input, code every HTTP error and let averages fade

Cause: headers sent byte by byte could hold a thread for ever; errors of the HTTP library were plain text or 500; chunked bodies were left unread and taken for the next request; an instance avoided for failures or slowness was never tried again, as only requests could show its recovery. A relayed write is repeated only where it has a change id or id. The failing-instance test failed before the fading (0 probes in 3 s; the instance was never tried again).

--- a/bilberryhaven/entry/api.py
+++ b/bilberryhaven/entry/api.py
@@ -18,7 +18,7 @@
 DEFAULT_TIMEOUT_MS = 10_000
 MAX_KEY_LENGTH = 200
 CALL_TIMEOUT = datetime.timedelta(seconds=10)
-REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
+REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'DELETE'})
 
 _logger = log.get_logger('api')
 
@@ -43,6 +43,13 @@
     urgent: bool = True
 
 
+class WriteKeys(msgspec.Struct, kw_only=True, frozen=True):
+    """Fields of a write that let its receiver recognise a resend."""
+
+    change_id: str | None = None
+    id: str | None = None
+
+
 class Api:
     """Answers the paths that are no messages.
 
@@ -67,11 +74,11 @@
         try:
             return self._route(environ, body)
         except errors.BilberryhavenError as error:
-            return build_error_response(error)
+            return server.build_error_response(error)
         except Exception as error:  # noqa: BLE001
             _logger.exception('a request failed')
             fault = errors.InternalError(repr(error), step='serve')
-            return build_error_response(fault)
+            return server.build_error_response(fault)
 
     def _route(self, environ, body):
         method = environ['REQUEST_METHOD']
@@ -96,7 +103,7 @@
         request = parse_request(environ.get('HTTP_IDEMPOTENCY_KEY'), body)
         answer = self._service.answer(request)
         if answer.error is not None:
-            return build_error_response(answer.error)
+            return server.build_error_response(answer.error)
         return server.Response(body=_encode_answer(answer))
 
     def _serve_cancel(self, method, request_id):
@@ -119,14 +126,13 @@
             path=path,
             query=environ.get('QUERY_STRING', ''),
             body=body,
-            by=environ.get('HTTP_X_FORWARDED_USER', ''),
+            by=server.read_author(environ),
         )
-        keyed = bool(environ.get('HTTP_IDEMPOTENCY_KEY'))
         reply = self._leader.send(
             call,
             timeout=CALL_TIMEOUT,
             step='relay call',
-            repeatable=keyed or method in REPEATABLE_METHODS,
+            repeatable=_is_repeatable(method, body),
         )
         return server.Response(status=reply.status, body=reply.body)
 
@@ -136,7 +142,7 @@
         error = errors.UnavailableError(
             'the entry is stopping or has no lease', step='readyz'
         )
-        return build_error_response(error)
+        return server.build_error_response(error)
 
     def _serve_metrics(self):
         text, headers = self._metrics.render(pending=self._service.pending)
@@ -180,16 +186,15 @@
     )
 
 
-def build_error_response(error):
-    """Return the ``Response`` that tells a caller of ``error``."""
-    headers = {}
-    if error.retry_after is not None:
-        headers['Retry-After'] = str(max(1, round(error.retry_after)))
-    return server.Response(
-        status=error.status,
-        body=msgspec.json.encode(error.to_dict()),
-        headers=headers,
-    )
+def _is_repeatable(method, body):
+    """Return whether a call may be sent again after its answer was lost."""
+    if method in REPEATABLE_METHODS:
+        return True
+    try:
+        keys = msgspec.json.decode(body, type=WriteKeys)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return False
+    return bool(keys.change_id or keys.id)
 
 
 def _is_key(key):
@@ -199,7 +204,7 @@
 
 def _refuse_method(method):
     error = errors.BadInputError(f'{method} is not allowed', step='serve')
-    response = build_error_response(error)
+    response = server.build_error_response(error)
     response.status = 405
     return response
 
--- /dev/null
+++ b/bilberryhaven/entry/fading.py
@@ -0,0 +1,43 @@
+"""Averages that fade while nothing new is learned."""
+
+import datetime
+
+__all__ = ['Fading']
+
+ORIGIN = datetime.timedelta()
+
+
+class Fading:
+    """A moving average that returns to its rest value with time.
+
+    Without this, an instance that was once avoided would never be tried
+    again, since only requests to it could show that it has recovered.
+
+    Args:
+        rest: Value that it returns to.
+        half_life: Time in which the distance to it halves.
+        weight: Weight of a new sample.
+    """
+
+    __slots__ = ('_at', '_half_life', '_rest', '_value', '_weight')
+
+    def __init__(self, *, rest, half_life, weight=1.0):
+        self._rest = rest
+        self._half_life = half_life
+        self._weight = weight
+        self._value = rest
+        self._at = ORIGIN
+
+    def get(self, now):
+        """Return the average at monotonic time ``now``."""
+        distance = self._value - self._rest
+        if not distance:
+            return self._rest
+        age = (now - self._at) / self._half_life
+        return self._rest + distance * 0.5 ** max(age, 0.0)
+
+    def add(self, sample, now):
+        """Take in a sample."""
+        value = self.get(now)
+        self._value = value + self._weight * (sample - value)
+        self._at = now
--- a/bilberryhaven/entry/health.py
+++ b/bilberryhaven/entry/health.py
@@ -3,10 +3,13 @@
 import dataclasses
 import datetime
 
+from bilberryhaven.entry import fading
+
 __all__ = ['Health', 'Monitor']
 
 ORIGIN = datetime.timedelta()
 SMOOTHING = 0.2
+HALF_LIFE = datetime.timedelta(seconds=2)
 QUARANTINE_STREAK = 4
 RELEASE_STREAK = 3
 HOLD_INSTANCES = 3
@@ -19,6 +22,10 @@
 MAX_SHARE = 0.8
 
 
+def _build_share():
+    return fading.Fading(rest=0.0, half_life=HALF_LIFE, weight=SMOOTHING)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Health:
     """Recent results of one instance.
@@ -32,7 +39,7 @@
         interval: Time between probes.
     """
 
-    share: float = 0.0
+    share: fading.Fading = dataclasses.field(default_factory=_build_share)
     streak: int = 0
     successes: int = 0
     quarantined: bool = False
@@ -78,11 +85,11 @@
         self._records = {}
         self._aside = {}
 
-    def record_success(self, workload, target):
+    def record_success(self, workload, target, now):
         """Note that ``target`` answered a request of ``workload``."""
         self._records.pop(workload, None)
         state = target.health
-        state.share *= 1 - SMOOTHING
+        state.share.add(0.0, now)
         state.streak = 0
         state.successes += 1
         if state.quarantined and state.successes >= RELEASE_STREAK:
@@ -97,13 +104,16 @@
         state = target.health
         if record.held:
             return
-        state.share += SMOOTHING * (1 - state.share)
+        state.share.add(1.0, now)
         state.streak += 1
         state.successes = 0
         if state.quarantined:
             state.interval = min(2 * state.interval, MAX_PROBE_INTERVAL)
             state.probe_at = now + state.interval
-        elif state.streak >= QUARANTINE_STREAK or state.share > MAX_SHARE:
+        elif (
+            state.streak >= QUARANTINE_STREAK
+            or state.share.get(now) > MAX_SHARE
+        ):
             self._quarantine(target, now)
 
     def check_hold(self, workload, now):
--- a/bilberryhaven/entry/routing.py
+++ b/bilberryhaven/entry/routing.py
@@ -98,12 +98,13 @@
     def record_success(self, dispatch):
         """Learn from an answer."""
         target, workload = dispatch.target, dispatch.message.workload
-        self._monitor.record_success(workload, target)
-        elapsed = self._clock.monotonic() - dispatch.sent_at
+        now = self._clock.monotonic()
+        self._monitor.record_success(workload, target, now)
+        elapsed = now - dispatch.sent_at
         spent = max(elapsed / MILLISECOND - target.distance_ms, 0.01)
         mean = self._means.get(workload, spent)
         ratio = min(max(spent / mean, MIN_SLOWNESS), MAX_SLOWNESS)
-        target.slowness += SMOOTHING * (ratio - target.slowness)
+        target.slowness.add(ratio, now)
         share = SMOOTHING / 4 if spent > 2 * mean else SMOOTHING
         self._means[workload] = mean + share * (spent - mean)
 
@@ -126,6 +127,7 @@
         question = route_base.Question(
             workload=request.workload,
             pool=pool,
+            now=now,
             excluded=excluded,
             mean_ms=self._means.get(request.workload, 0.0),
             slowdowns=self._view.slowdowns,
@@ -166,6 +168,7 @@
 
     def _log(self, request, choice):
         target = choice.target
+        now = self._clock.monotonic()
         log.log_decision(
             _logger,
             'route',
@@ -176,8 +179,8 @@
             wait_ms=round(choice.wait_ms, 3),
             cost_ms=round(choice.cost_ms, 3),
             used=target.estimate_used(),
-            slowness=round(target.slowness, 3),
-            failing=round(target.health.share, 3),
+            slowness=round(target.slowness.get(now), 3),
+            failing=round(target.estimate_failing(now), 3),
             rivals=choice.rivals,
         )
 
--- a/bilberryhaven/entry/view.py
+++ b/bilberryhaven/entry/view.py
@@ -8,6 +8,7 @@
 import dataclasses
 import datetime
 
+from bilberryhaven.entry import fading
 from bilberryhaven.entry import health
 from bilberryhaven.entry import pool
 from bilberryhaven import selector
@@ -17,6 +18,17 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ORIGIN = datetime.timedelta()
 ROUND_TRIP = 2
+SMOOTHING = 0.1
+SLOW_HALF_LIFE = datetime.timedelta(seconds=5)
+FAIL_HALF_LIFE = datetime.timedelta(seconds=2)
+
+
+def _build_slowness():
+    return fading.Fading(rest=1.0, half_life=SLOW_HALF_LIFE, weight=SMOOTHING)
+
+
+def _build_failing():
+    return fading.Fading(rest=0.0, half_life=FAIL_HALF_LIFE)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -41,7 +53,8 @@
         counted: Requests of this entry among ``used``.
         slowness: Its answer times relative to the workload's mean.
         health: Record of its recent failures.
-        failure_share: Share of failed requests, as last reported.
+        reported_share: Share of failed requests, as last reported.
+        reported_failing: That share, fading since it last grew.
         incarnation: Differs after each start of its agent; 0 if unknown.
     """
 
@@ -60,8 +73,13 @@
     reported_at: datetime.timedelta = ORIGIN
     in_flight: int = 0
     counted: int = 0
-    slowness: float = 1.0
-    failure_share: float = 0.0
+    slowness: fading.Fading = dataclasses.field(
+        default_factory=_build_slowness
+    )
+    reported_share: float = 0.0
+    reported_failing: fading.Fading = dataclasses.field(
+        default_factory=_build_failing
+    )
     incarnation: int = 0
     health: object = dataclasses.field(default_factory=health.Health)
 
@@ -72,6 +90,11 @@
             self.counted -= 1
             self.used -= 1
 
+    def estimate_failing(self, now):
+        """Return its share of failures, as seen here or reported."""
+        own = self.health.share.get(now)
+        return max(own, self.reported_failing.get(now))
+
     def estimate_used(self):
         """Return its load: others' as reported, this entry's as known."""
         return max(self.used - self.counted, 0) + self.in_flight
@@ -134,7 +157,9 @@
         target.used = load.slots_used + load.queued
         target.counted = min(target.in_flight, target.used)
         target.service_ms = load.service_ms or target.service_ms
-        target.failure_share = load.failure_share
+        if load.failure_share > target.reported_share:
+            target.reported_failing.add(load.failure_share, at)
+        target.reported_share = load.failure_share
         target.incarnation = load.incarnation or target.incarnation
         target.slots = load.slots or target.slots
         if load.draining and not target.draining:
--- a/bilberryhaven/policies/route_base.py
+++ b/bilberryhaven/policies/route_base.py
@@ -1,6 +1,7 @@
 """Base of the routing policies, and what they decide."""
 
 import dataclasses
+import datetime
 
 __all__ = ['Choice', 'RoutePolicy']
 
@@ -60,6 +61,7 @@
     Attributes:
         workload: Name of its workload.
         pool: The workload's candidates.
+        now: Monotonic time.
         excluded: Instances that must not be chosen.
         mean_ms: Mean service time of the workload.
         slowdowns: Factors by (service, beside, band).
@@ -67,6 +69,7 @@
 
     workload: str
     pool: object
+    now: datetime.timedelta = datetime.timedelta()
     excluded: list = dataclasses.field(default_factory=list)
     mean_ms: float = 0.0
     slowdowns: dict = dataclasses.field(default_factory=dict)
--- a/bilberryhaven/policies/route_two_choice.py
+++ b/bilberryhaven/policies/route_two_choice.py
@@ -17,6 +17,9 @@
 BUSY_WEIGHT = 0.5
 FAILURE_WEIGHT = 8.0
 BANDS = 4
+MAX_SLOWNESS = 2.0
+MAX_FAILING = 0.1
+MIN_FAILING = 0.05
 
 
 def compute_slowdown(question, target, used):
@@ -37,7 +40,8 @@
     used = target.estimate_used()
     slots = max(target.slots, 1)
     service = mean * max(
-        target.slowness, compute_slowdown(question, target, used)
+        target.slowness.get(question.now),
+        compute_slowdown(question, target, used),
     )
     queued = max(used + 1 - slots, 0)
     return service * (1 + queued / slots) + target.distance_ms
@@ -46,9 +50,10 @@
 def compute_cost(question, target, wait_ms):
     """Return ``wait_ms`` with the penalties of load, link and failures."""
     share = min(target.estimate_used() / max(target.slots, 1), 1.0)
-    failing = max(target.health.share, target.failure_share)
+    failing = target.estimate_failing(question.now)
     cost = wait_ms * (1 + BUSY_WEIGHT * share * share)
-    cost *= 1 + FAILURE_WEIGHT * failing
+    if failing > MIN_FAILING:
+        cost *= 1 + FAILURE_WEIGHT * failing
     return cost + (LINK_COST_MS if target.distance_ms else 0.0)
 
 
@@ -61,7 +66,7 @@
         drawn = question.pool.draw_local(
             self._random, CHOICES, question.excluded
         )
-        if not drawn or all(_is_busy(target) for target in drawn):
+        if not drawn or all(_is_busy(question, target) for target in drawn):
             drawn += question.pool.draw_remote(
                 self._random, CHOICES, question.excluded
             )
@@ -84,7 +89,8 @@
         return best
 
 
-def _is_busy(target):
-    failing = max(target.health.share, target.failure_share)
+def _is_busy(question, target):
+    failing = target.estimate_failing(question.now)
+    slow = target.slowness.get(question.now) > MAX_SLOWNESS
     busy = target.estimate_used() >= target.slots
-    return busy or failing > 0.1 or target.slowness > 2.0
+    return busy or slow or failing > MAX_FAILING
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -134,7 +134,7 @@
         if path == '/metrics':
             return self._report_metrics()
         if not path.startswith(API_PREFIX):
-            return process.build_error_response(
+            return server.build_error_response(
                 errors.NotFoundError(f'no path {path}', step='dispatch')
             )
         request = message.CallRequest(
@@ -142,7 +142,7 @@
             path=path,
             query=environ.get('QUERY_STRING', ''),
             body=body,
-            by=process.read_author(environ),
+            by=server.read_author(environ),
         )
         return self._answer_call(request)
 
@@ -153,7 +153,7 @@
             except errors.NotLeaderError as error:
                 reply = self._relay(request, error)
         except errors.BilberryhavenError as error:
-            return process.build_error_response(error)
+            return server.build_error_response(error)
         return server.Response(status=reply.status, body=reply.body)
 
     def _relay(self, request, error):
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -1,7 +1,9 @@
 """HTTP server of a process: own messages, API, health and metrics."""
 
+import json
 import threading
 
+from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
 from bilberryhaven import errors
@@ -9,13 +11,23 @@
 from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import codec
+from bilberryhaven.wire import connection
 from bilberryhaven.wire import message
 
-__all__ = ['MAX_BODY_BYTES', 'Response', 'Server', 'build_error_reply']
+__all__ = [
+    'MAX_BODY_BYTES',
+    'Response',
+    'Server',
+    'build_error_reply',
+    'build_error_response',
+    'read_author',
+]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
 STOP_TIMEOUT_SECONDS = 30
 REQUEST_QUEUE = 512
+AUTHOR_HEADER = 'HTTP_X_BILBERRYHAVEN_BY'
 REASONS = {
     200: 'OK',
     201: 'Created',
@@ -67,6 +79,23 @@
     return message.ErrorReply(**error.to_dict())
 
 
+def build_error_response(error):
+    """Return the ``Response`` that tells an HTTP client of ``error``."""
+    headers = {}
+    if error.retry_after is not None:
+        headers['Retry-After'] = str(max(1, round(error.retry_after)))
+    return Response(
+        status=error.status,
+        body=json.dumps(error.to_dict()).encode(),
+        headers=headers,
+    )
+
+
+def read_author(environ):
+    """Return who sent an API request, as its header says."""
+    return environ.get(AUTHOR_HEADER) or environ.get('REMOTE_ADDR', '')
+
+
 class Server:
     """Serves one process's port.
 
@@ -89,6 +118,11 @@
             shutdown_timeout=STOP_TIMEOUT_SECONDS,
         )
         self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._guard = connection.ReadGuard()
+        self._server.ConnectionClass = connection.build_connection_class(
+            self._guard
+        )
         self._server.error_log = _log_server_error
         self._thread = None
 
@@ -105,10 +139,12 @@
             target=self._server.serve, name='server', daemon=True
         )
         self._thread.start()
+        self._guard.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
         self._server.stop()
+        self._guard.stop()
         if self._thread is not None:
             self._thread.join(STOP_TIMEOUT_SECONDS)
 
@@ -120,7 +156,12 @@
         return [response.body]
 
     def _answer(self, environ):
-        body = _read_body(environ)
+        try:
+            body = _read_body(environ)
+        except errors.BilberryhavenError as error:
+            return build_error_response(error)
+        finally:
+            self._guard.end()
         if environ['PATH_INFO'] == client.PATH:
             return self._answer_message(body)
         if self._fallback is not None:
@@ -148,8 +189,22 @@
 
 
 def _read_body(environ):
+    """Return the whole body; chunked ones have no length."""
+    source = environ['wsgi.input']
+    if environ.get('HTTP_TRANSFER_ENCODING'):
+        try:
+            return source.read()
+        except (cheroot_errors.MaxSizeExceeded, ValueError) as error:
+            raise errors.BadInputError(
+                f'unreadable chunks: {error!r}', step='read request'
+            ) from error
     length = int(environ.get('CONTENT_LENGTH') or 0)
-    return environ['wsgi.input'].read(length) if length else b''
+    body = source.read(length) if length > 0 else b''
+    if len(body) != length:
+        raise errors.BadInputError(
+            f'{len(body)} of {length} bytes arrived', step='read request'
+        )
+    return body
 
 
 def _log_server_error(msg='', level=20, traceback=False):
--- a/tests/fuzz/request.py
+++ b/tests/fuzz/request.py
@@ -314,6 +314,8 @@
         pick = draw(PICK)
         lost = draw(st.sampled_from(('', '', 'way', 'back')))
         claim = self.take(self.asked, pick)
+        if draw(st.booleans()):
+            self.asked.append(claim)
         if lost != 'way':
             self.claims.setdefault(claim.request_id, claim.holder)
         error = errors.PeerError('lost', step='claim', outcome='not_run')
@@ -451,7 +453,7 @@
     # Time and restarts
 
     def advance(self, draw):
-        step = draw(st.sampled_from((1, 1, 1, 30, 30, 500)))
+        step = draw(st.sampled_from((1, 1, 1, 1, 30, 30, 30, 500, 3000)))
         self.clock.advance(step * MS)
         self.carry_out(self.core.tick())
         now = self.clock.monotonic()
--- /dev/null
+++ b/tests/test_entry_core.py
@@ -0,0 +1,298 @@
+"""Tests of single decisions of the entry's cores."""
+
+import random
+
+import testtools
+from testtools import matchers
+
+from bilberryhaven import clock
+from bilberryhaven.entry import effect
+from bilberryhaven.entry import health
+from bilberryhaven.entry import pending
+from bilberryhaven.entry import request
+from bilberryhaven.entry import view
+from bilberryhaven import errors
+from bilberryhaven.policies import route_two_choice
+from bilberryhaven import util
+from bilberryhaven.wire import message
+
+LIMITS = pending.Limits(retry_burst=50, failover_burst=50)
+
+
+def pair(text):
+    return [
+        message.Pair(key=item.split('=')[0], value=item.split('=')[1])
+        for item in text.split()
+    ]
+
+
+def instance(name, labels='', **fields):
+    return message.InstanceView(
+        name=name, address=f'{name}:1', labels=pair(labels), **fields
+    )
+
+
+class CoreTestCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.view = view.View(zone='z1', delays={'z1': 3, 'z2': 3})
+        self.core = request.RequestCore(
+            name='e',
+            view=self.view,
+            policy=route_two_choice.TwoChoicePolicy(random=random.Random(1)),
+            clock=self.clock,
+            random=random.Random(1),
+            limits=LIMITS,
+        )
+        self.count = 0
+
+    def sync(self, *instances, workloads=(), full=False):
+        now = self.clock.monotonic()
+        reply = message.SyncReply(
+            revision=1,
+            lease_ms=4000,
+            feed='f',
+            cursor=1,
+            full=full,
+            instances=list(instances),
+            workloads=[
+                message.WorkloadView(name='price', kind='service'),
+                message.WorkloadView(
+                    name='recipe', kind='service', repeatable=False
+                ),
+                *workloads,
+            ],
+        )
+        self.view.apply(reply, sent_at=now, now=now)
+
+    def submit(self, workload='price', key='', **fields):
+        self.count += 1
+        item = effect.Request(
+            id=key or f'r{self.count}',
+            workload=workload,
+            timeout=clock.seconds(1),
+            keyed=bool(key),
+            **fields,
+        )
+        return self.core.submit(self.count, item)[-1]
+
+    def reply(self, dispatch, code='', outcome='', **load):
+        body = b'' if code else b'x'
+        effects = self.core.handle_reply(
+            dispatch,
+            message.AdmitReply(
+                request_id=dispatch.request_id,
+                code=code,
+                outcome=outcome,
+                body=body,
+                length=len(body),
+                digest=util.compute_digest(body),
+                load=message.Load(slots=8, **load),
+            ),
+        )
+        return effects[-1]
+
+    def lose(self, dispatch):
+        error = errors.PeerError('lost', step='dispatch')
+        return self.core.handle_fault(dispatch, error)[-1]
+
+    def grant(self, claim):
+        return self.core.handle_claim(claim, granted=True)[-1]
+
+
+class TestRequests(CoreTestCase):
+    def test_claim_of_work_that_may_have_run_is_never_used_again(self):
+        self.sync(instance('a'))
+        claim = self.submit('recipe', key='k')
+        revoke = self.lose(self.grant(claim))
+        answer = self.core.handle_revoked(revoke, 'started')[-1].answer
+        self.assertEqual(errors.Outcome.UNKNOWN, answer.error.outcome)
+        self.clock.advance(clock.seconds(700))
+        self.sync()
+        again = self.submit('recipe', key='k')
+        self.assertNotEqual(claim.holder, again.holder)
+
+    def test_claim_of_work_that_did_not_run_is_kept(self):
+        self.sync(instance('a'))
+        claim = self.submit('recipe', key='k')
+        answer = self.reply(self.grant(claim), 'overload', 'not_run').answer
+        self.assertEqual(errors.Outcome.NOT_RUN, answer.error.outcome)
+        self.assertEqual(claim.holder, self.submit('recipe', key='k').holder)
+
+    def test_attempts_are_limited(self):
+        self.sync(*(instance(f'i{number}') for number in range(9)))
+        item = self.submit()
+        for _ in range(LIMITS.attempts - 1):
+            item = self.reply(item, 'overload', 'not_run')
+        answer = self.reply(item, 'overload', 'not_run').answer
+        self.assertEqual('overload', answer.error.code)
+
+    def test_late_state_of_an_earlier_dispatch_is_ignored(self):
+        self.sync(instance('a'), instance('b'))
+        old = self.lose(self.submit(key='k', idempotent=False))
+        self.clock.advance(clock.seconds(2))
+        self.core.tick()
+        self.core._store._drop('k')
+        newer = self.lose(self.submit(key='k'))
+        self.assertEqual([], self.core.handle_revoked(old, 'not_run'))
+        answer = self.core.handle_revoked(newer, 'started')[-1].answer
+        self.assertEqual(errors.Outcome.UNKNOWN, answer.error.outcome)
+
+    def test_newer_revision_renews_the_view_before_the_retry(self):
+        self.sync(instance('a'))
+        item = self.reply(self.submit(), 'refused', 'not_run')
+        self.assertIsInstance(item, effect.Resync)
+        again = self.core.handle_synced(item.request_id)[-1]
+        self.assertEqual('a', again.target.name)
+
+    def test_without_a_lease_nothing_is_taken(self):
+        self.sync(instance('a'))
+        self.clock.advance(clock.seconds(4))
+        error = self.submit().answer.error
+        self.assertEqual('lease_lapsed', error.code)
+        self.assertEqual(errors.Outcome.NOT_RUN, error.outcome)
+
+    def test_incarnation_is_echoed(self):
+        self.sync(instance('a'))
+        self.reply(self.submit(), incarnation=9)
+        self.assertEqual(9, self.submit().message.incarnation)
+
+
+class TestRouting(CoreTestCase):
+    def route(self, count=20, **fields):
+        names = set()
+        for _ in range(count):
+            item = self.submit(**fields)
+            names.add(item.target.name)
+            self.reply(item)
+        return names
+
+    def test_selectors_and_sharing_decide_where_it_runs(self):
+        workloads = [
+            message.WorkloadView(
+                name='liner',
+                kind='service',
+                labels=pair('crew=bank'),
+                runs_on='disk=ssd',
+                shares_with='tier!=noisy',
+            ),
+            message.WorkloadView(
+                name='survey', kind='batch', labels=pair('tier=noisy')
+            ),
+            message.WorkloadView(
+                name='watch', kind='watch', shares_with='crew!=bank'
+            ),
+        ]
+        self.sync(
+            instance('a', 'disk=ssd'),
+            instance('b', 'disk=hdd'),
+            instance('c', 'disk=ssd', beside=['survey']),
+            instance('d', 'disk=ssd', beside=['watch']),
+            workloads=workloads,
+        )
+        self.assertEqual({'a'}, self.route(workload='liner'))
+        self.sync(instance('a', 'disk=hdd'), instance('c', 'disk=ssd'))
+        self.assertEqual({'c'}, self.route(workload='liner'))
+
+    def test_draining_instance_gets_nothing_new(self):
+        self.sync(instance('a'), instance('b'))
+        self.assertEqual({'a', 'b'}, self.route())
+        self.sync(instance('a', draining=True))
+        self.assertEqual({'b'}, self.route())
+
+    def test_instance_that_says_it_drains_gets_nothing_new(self):
+        self.sync(instance('a'), instance('b'))
+        while self.route(1) != {'a'}:
+            continue
+        for _ in range(20):
+            item = self.submit()
+            self.reply(item, draining=item.target.name == 'a')
+        self.assertEqual({'b'}, self.route())
+
+    def test_missing_instance_is_forgotten_after_a_full_sync(self):
+        self.sync(instance('a'), instance('b'))
+        self.route()
+        self.sync(instance('b'), full=True)
+        self.assertEqual({'b'}, self.route())
+
+    def test_other_zone_is_used_when_the_own_is_busy(self):
+        self.sync(
+            *(instance(f'l{number}', zone='z1') for number in range(3)),
+            *(instance(f'f{number}', zone='z2') for number in range(3)),
+        )
+        local = {self.submit().target.zone for _ in range(12)}
+        self.assertEqual({'z1'}, local)
+        zones = [self.submit().target.zone for _ in range(30)]
+        self.assertIn('z2', zones)
+
+    def test_nothing_matches_is_told_at_once(self):
+        held = message.WorkloadView(name='x', kind='service', held='broken')
+        self.sync(workloads=[held])
+        self.assertEqual('unavailable', self.submit().answer.error.code)
+        self.assertEqual('refused', self.submit('x').answer.error.code)
+        self.assertEqual('not_found', self.submit('y').answer.error.code)
+
+    def test_full_instances_refuse_early(self):
+        self.sync(instance('a', capacity=message.Capacity(slots=1)))
+        self.clock.advance(clock.seconds(0))
+        first = self.submit()
+        self.clock.advance(clock.seconds(0.5))
+        self.reply(first)
+        items = [self.submit() for _ in range(40)]
+        refused = [item for item in items if isinstance(item, effect.Respond)]
+        self.assertThat(len(refused), matchers.GreaterThan(20))
+        error = refused[0].answer.error
+        self.assertEqual(('overload', 1), (error.code, error.retry_after))
+
+
+class TestHealth(CoreTestCase):
+    def run_requests(self, count, fails):
+        names = []
+        for number in range(count):
+            if number % 100 == 0:
+                self.sync()
+            item = self.submit(idempotent=True)
+            while isinstance(item, effect.Dispatch):
+                name = item.target.name
+                names.append(name)
+                if fails(name):
+                    item = self.reply(item, 'internal', 'ran')
+                else:
+                    item = self.reply(item)
+            self.clock.advance(clock.seconds(0.005))
+        return names
+
+    def test_failing_instance_is_set_aside_and_probed(self):
+        self.sync(*(instance(f'i{number}') for number in range(5)))
+        names = self.run_requests(100, lambda name: name == 'i0')
+        self.assertThat(names.count('i0'), matchers.LessThan(10))
+        names = self.run_requests(4000, lambda name: name == 'i0')
+        self.assertIn(names.count('i0'), range(1, 20))
+        self.assertTrue(self.view.targets['i0'].health.quarantined)
+        names = self.run_requests(8000, lambda name: False)
+        self.assertThat(names.count('i0'), matchers.GreaterThan(100))
+
+    def test_workload_that_fails_everywhere_is_held(self):
+        self.sync(*(instance(f'i{number}') for number in range(5)))
+        names = self.run_requests(100, lambda name: True)
+        self.assertThat(len(names), matchers.LessThan(30))
+        answer = self.submit().answer
+        self.assertEqual('unavailable', answer.error.code)
+        self.clock.advance(clock.seconds(1))
+        self.run_requests(1, lambda name: False)
+        self.assertIsInstance(self.submit(), effect.Dispatch)
+
+    def test_set_aside_share_is_capped(self):
+        self.sync(*(instance(f'i{number}') for number in range(4)))
+        monitor = health.Monitor(view=self.view)
+        now = self.clock.monotonic()
+        for item in self.view.targets.values():
+            for _ in range(10):
+                monitor.record_failure(item.name, item, now)
+        aside = [
+            item
+            for item in self.view.targets.values()
+            if item.health.quarantined
+        ]
+        self.assertThat(len(aside), matchers.LessThan(3))
