--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -47,6 +47,11 @@
         self.release.wait(WAIT_SECONDS)
         return self.echo(msg)
 
+    def cut(self, msg):
+        reply = self.echo(msg)
+        reply.body = reply.body[:-1]
+        return reply
+
     def refuse(self, msg):
         return message.AdmitReply(
             request_id=msg.request_id,
@@ -91,6 +96,8 @@
         self.calls = []
         self.claims = {}
         self.silent = False
+        self.leader = ''
+        self.syncs = 0
         self.server = server.Server(
             address='127.0.0.1:0',
             handlers={
@@ -104,10 +111,13 @@
 
     def _check(self):
         if self.silent:
-            raise errors.NotLeaderError('no leader', step='fake')
+            raise errors.NotLeaderError(
+                'no leader', step='fake', peer=self.leader
+            )
 
     def _sync(self, msg):
         self._check()
+        self.syncs += 1
         return message.SyncReply(
             revision=self.revision,
             lease_ms=self.lease_ms,
--- a/tests/fuzz/request.py
+++ b/tests/fuzz/request.py
@@ -120,6 +120,7 @@
         self.names += 1
         self.packets, self.replies, self.waiting = [], [], []
         self.revokes, self.asked, self.resyncs = [], [], []
+        self.owners = {}
         self.current, self.final, self.accepted = {}, {}, 0
         self.retries = self.extra = 0
         self.view = view.View()
@@ -190,6 +191,7 @@
             holder = self.claims.get(item.request_id, '')
             assert holder.startswith(f'{self.core.name}/')
         self.packets.append((item, submission))
+        self.owners[item] = submission
         self.waiting.append(item)
 
     def check_budget(self):
@@ -400,9 +402,8 @@
 
     def note(self, item, may_have_run):
         """Record what the entry can know of a dispatch."""
-        submission = self.current.get(item.request_id)
-        if submission and item in self.waiting and may_have_run:
-            submission.may_have_run = True
+        if item in self.waiting and may_have_run:
+            self.owners[item].may_have_run = True
 
     def discard(self, item):
         if item in self.waiting:
--- a/tests/test_entry_shell.py
+++ b/tests/test_entry_shell.py
@@ -118,6 +118,93 @@
         call = self.leader.calls[0]
         self.assertEqual(('/v1/workloads', 'x=1'), (call.path, call.query))
 
+    def start_slow(self, count):
+        for agent in self.agents:
+            agent.respond = agent.wait
+        jobs = [
+            self.pool.submit(
+                self.post, {'workload': 'price'}, key=f'k{number}'
+            )
+            for number in range(count)
+        ]
+        entry_fakes.wait_until(lambda: self.count_seen() == count)
+        return jobs
+
+    def release(self):
+        for agent in self.agents:
+            agent.release.set()
+
+    def test_stop_finishes_what_is_in_progress(self):
+        jobs = self.start_slow(8)
+        stopping = self.pool.submit(self.role.stop)
+        entry_fakes.wait_until(lambda: not self.role.is_ready())
+        self.assertEqual(503, self.fetch('GET', '/readyz')[0])
+        status, error = self.post({'workload': 'price'})
+        self.assertEqual((503, 'draining'), (status, error['code']))
+        self.release()
+        for job in jobs:
+            self.assertEqual(200, job.result()[0])
+        stopping.result(30)
+
+    def test_leaving_instance_gets_nothing_after_the_next_sync(self):
+        self.agents[0].load.draining = True
+        seen = self.leader.syncs
+        entry_fakes.wait_until(lambda: self.leader.syncs >= seen + 2)
+        for _ in range(10):
+            self.assertEqual(200, self.post({'workload': 'price'})[0])
+        self.assertEqual([], self.agents[0].seen)
+
+    def test_lapsed_lease_refuses(self):
+        self.leader.silent = True
+        entry_fakes.wait_until(lambda: not self.role.is_ready())
+        status, error = self.post({'workload': 'price'})
+        self.assertEqual((503, 'lease_lapsed'), (status, error['code']))
+        self.assertEqual('not_run', error['outcome'])
+        self.assertEqual(0, self.count_seen())
+
+    def test_cancellations_reach_the_agents(self):
+        jobs = self.start_slow(16)
+        for _ in range(2):
+            for number in range(16):
+                status, _ = self.fetch('DELETE', f'/v1/requests/k{number}')
+                self.assertEqual(202, status)
+        entry_fakes.wait_until(
+            lambda: sum(len(agent.revoked) for agent in self.agents) == 16
+        )
+        self.release()
+        self.assertEqual({200}, {job.result()[0] for job in jobs})
+        status, _ = self.fetch('DELETE', '/v1/requests/unknown')
+        self.assertEqual(404, status)
+
+    def test_cut_answer_is_never_passed_on(self):
+        for agent in self.agents:
+            agent.respond = agent.cut
+            agent.state = 'finished'
+        status, error = self.post({'workload': 'price', 'body': 'whole'})
+        self.assertEqual((502, 'truncated_answer'), (status, error['code']))
+        self.assertEqual('ran', error['outcome'])
+        self.agents[1].respond = self.agents[1].echo
+        for _ in range(4):
+            status, answer = self.post(
+                {'workload': 'price', 'body': 'whole', 'idempotent': True}
+            )
+            self.assertEqual((200, 'whole'), (status, answer.get('body')))
+
+    def test_unreachable_agent_costs_no_request(self):
+        self.agents[0].server.stop()
+        for _ in range(6):
+            status, answer = self.post({'workload': 'price'})
+            self.assertEqual((200, 'b'), (status, answer.get('instance')))
+
+    def test_new_leader_is_followed(self):
+        other = entry_fakes.FakeLeader(agents=self.agents)
+        self.addCleanup(other.server.stop)
+        self.leader.leader = other.server.address
+        self.leader.silent = True
+        entry_fakes.wait_until(lambda: other.syncs)
+        status, _ = self.fetch('GET', '/v1/instances')
+        self.assertEqual((200, 1), (status, len(other.calls)))
+
     def test_metrics_are_served(self):
         self.post({'workload': 'price'})
         url = f'http://{self.role.address}/metrics'
