Split the request core's intake, claim names and budgets

Change: intake.py, claims.py and budgets of their own; two tests; sockets of the tests are closed together. Conclusion: behaviour unchanged.

--- a/bilberryhaven/entry/budget.py
+++ b/bilberryhaven/entry/budget.py
@@ -1,6 +1,6 @@
-"""Retry budget: retries as a share of requests."""
+"""Retry budgets: retries as a share of requests."""
 
-__all__ = ['RetryBudget']
+__all__ = ['RetryBudget', 'RetryBudgets']
 
 
 class RetryBudget:
@@ -26,3 +26,41 @@
             return False
         self._tokens -= 1
         return True
+
+
+class RetryBudgets:
+    """A budget of retries, and one of those that add no load.
+
+    Args:
+        limits: The entry's ``Limits``.
+
+    Attributes:
+        retries: Retries allowed so far.
+        failovers: Retries allowed so far after attempts that no agent
+            accepted, because it wasn't reached or held a newer revision.
+    """
+
+    def __init__(self, *, limits):
+        self.retries = 0
+        self.failovers = 0
+        self._retry = RetryBudget(
+            share=limits.retry_share, burst=limits.retry_burst
+        )
+        self._failover = RetryBudget(
+            share=limits.failover_share, burst=limits.failover_burst
+        )
+
+    def add_request(self):
+        """Add a request's shares."""
+        self._retry.add_request()
+        self._failover.add_request()
+
+    def take(self, *, unreached):
+        """Take a retry; return whether it is allowed."""
+        if unreached:
+            allowed = self._failover.take()
+            self.failovers += allowed
+        else:
+            allowed = self._retry.take()
+            self.retries += allowed
+        return allowed
--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -8,23 +8,21 @@
 
 from bilberryhaven.entry import answers
 from bilberryhaven.entry import budget
+from bilberryhaven.entry import claims
 from bilberryhaven.entry import effect
+from bilberryhaven.entry import intake
 from bilberryhaven.entry import pending as pendings
 from bilberryhaven.entry import reply as replies
 from bilberryhaven.entry import routing
 from bilberryhaven import errors
-from bilberryhaven import log
 
 __all__ = ['RequestCore']
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
-ORIGIN = datetime.timedelta()
 HOP_MARGIN = 2 * MILLISECOND
 MAX_RESYNC = 500 * MILLISECOND
 REVOKE_TIMEOUT = 500 * MILLISECOND
 
-_logger = log.get_logger('entry')
-
 
 class RequestCore:
     """Decides what happens to each request.
@@ -44,24 +42,18 @@
     ):
         self.name = name
         self.limits = limits or pendings.Limits()
-        self.draining = False
-        self.retries = 0
-        self.failovers = 0
         self._view = view
         self._clock = clock
         self._router = routing.Router(
             view=view, policy=policy, random=random, clock=clock
         )
-        self._store = store or answers.AnswerStore()
-        self._retry_budget = budget.RetryBudget(
-            share=self.limits.retry_share, burst=self.limits.retry_burst
-        )
-        self._failover_budget = budget.RetryBudget(
-            share=self.limits.failover_share, burst=self.limits.failover_burst
+        self.intake = intake.Intake(
+            view=view, router=self._router, limits=self.limits
         )
+        self.budgets = budget.RetryBudgets(limits=self.limits)
+        self._store = store or answers.AnswerStore()
+        self._names = claims.ClaimNames(name=name)
         self._pending = {}
-        self._holders = {}
-        self._claims = 0
 
     def __len__(self):
         return len(self._pending)
@@ -79,11 +71,10 @@
             found = self._find_known(caller, request, fingerprint, now)
             if found is not None:
                 return found
-            workload = self._check(request, now)
+            workload = self.intake.check(request, len(self), now)
         except errors.BilberryhavenError as error:
-            return [self._refuse(caller, request, error)]
-        self._retry_budget.add_request()
-        self._failover_budget.add_request()
+            return [intake.build_refusal(caller, request, error)]
+        self.budgets.add_request()
         timeout = min(request.timeout, self.limits.max_timeout)
         pending = pendings.Pending(
             request=request,
@@ -236,56 +227,15 @@
         if stored is None and pending is None:
             return None
         known = stored[0] if stored is not None else pending.fingerprint
-        if known != fingerprint:
-            raise errors.ConflictError(
-                'the request id was used for another request', step='receive'
-            )
+        intake.check_same(known, fingerprint)
         if stored is not None:
             return [effect.Respond(caller=caller, answer=stored[1])]
-        if len(pending.callers) >= self.limits.callers:
-            raise errors.OverloadError(
-                'too many callers wait for this request',
-                step='receive',
-                outcome=errors.Outcome.UNKNOWN,
-                retry_after=1,
-            )
-        pending.callers.append(caller)
+        self.intake.join(pending, caller)
         return []
 
-    def _check(self, request, now):
-        if self.draining:
-            raise errors.DrainingError(
-                'the entry is stopping', step='receive', retry_after=1
-            )
-        self._check_lease(now)
-        if request.timeout <= ORIGIN:
-            raise errors.DeadlineError(
-                'the deadline has passed',
-                step='receive',
-                outcome=errors.Outcome.NOT_RUN,
-            )
-        if len(self._pending) >= self.limits.pending:
-            raise errors.OverloadError(
-                'the entry has too many requests in progress',
-                step='receive',
-                retry_after=1,
-            )
-        return self._router.check_workload(request.workload)
-
-    def _check_lease(self, now):
-        if not self._view.has_lease(now):
-            raise errors.LeaseLapsedError(
-                'the entry has no lease from the leader',
-                step='receive',
-                retry_after=1,
-            )
-
     def _claim(self, pending, now):
         request = pending.request
-        pending.holder = self._holders.get(request.id, '')
-        if not pending.holder:
-            self._claims += 1
-            pending.holder = f'{self.name}/{self._claims}'
+        pending.holder = self._names.pick(request.id)
         pending.step = pendings.Step.CLAIM
         timeout = pending.deadline - now
         return [
@@ -302,7 +252,7 @@
         reserve = pendings.compute_reserve(request)
         remaining = pending.deadline - reserve - now
         try:
-            self._check_lease(now)
+            self.intake.check_lease(now)
             choice = self._router.choose(
                 request, excluded=pending.excluded, remaining=remaining
             )
@@ -409,13 +359,7 @@
             return False
         if pending.attempts >= self.limits.attempts:
             return False
-        if unreached:
-            allowed = self._failover_budget.take()
-            self.failovers += allowed
-        else:
-            allowed = self._retry_budget.take()
-            self.retries += allowed
-        return allowed
+        return self.budgets.take(unreached=unreached)
 
     def _find(self, request_id, step):
         pending = self._pending.get(request_id)
@@ -433,24 +377,17 @@
         error.request_id = pending.request.id
         if error.outcome == errors.Outcome.NOT_RUN:
             error.outcome = pending.earlier
-        if pending.holder:
-            self._keep_claim(pending, error)
         answer = answers.Answer(request_id=pending.request.id, error=error)
         return self._finish(pending, answer)
 
-    def _keep_claim(self, pending, error):
-        """Keep the claim of a request that truly did not run."""
-        if error.outcome == errors.Outcome.NOT_RUN:
-            self._holders[pending.request.id] = pending.holder
-            while len(self._holders) > answers.MAX_ANSWERS:
-                del self._holders[next(iter(self._holders))]
-        else:
-            self._holders.pop(pending.request.id, None)
-
     def _finish(self, pending, answer):
         del self._pending[pending.request.id]
-        if answer.error is None:
-            self._holders.pop(pending.request.id, None)
+        if pending.holder:
+            self._names.record_end(
+                pending.request.id,
+                pending.holder,
+                answer.error and answer.error.outcome,
+            )
         if pending.request.keyed and pendings.is_final(pending, answer.error):
             self._store.put(
                 answer,
@@ -461,16 +398,3 @@
             effect.Respond(caller=caller, answer=answer)
             for caller in pending.callers
         ]
-
-    def _refuse(self, caller, request, error):
-        error.request_id = request.id
-        log.log_decision(
-            _logger,
-            'refuse',
-            reason=error.message,
-            request_id=request.id,
-            workload=request.workload,
-            code=error.code,
-        )
-        answer = answers.Answer(request_id=request.id, error=error)
-        return effect.Respond(caller=caller, answer=answer)
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -164,6 +164,15 @@
     return role
 
 
+def stop_all(servers):
+    """Stop the servers, all at a time."""
+    threads = [threading.Thread(target=item.stop) for item in servers]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(WAIT_SECONDS)
+
+
 def wait_until(condition):
     """Wait for ``condition()`` to hold, within a bound."""
     pause = threading.Event()
--- a/tests/fuzz/request.py
+++ b/tests/fuzz/request.py
@@ -196,11 +196,15 @@
 
     def check_budget(self):
         core = self.core
-        assert self.retries <= core.retries
-        assert self.extra <= core.retries + core.failovers
+        assert self.retries <= core.budgets.retries
+        assert self.extra <= core.budgets.retries + core.budgets.failovers
         for used, share, burst in (
-            (core.retries, LIMITS.retry_share, LIMITS.retry_burst),
-            (core.failovers, LIMITS.failover_share, LIMITS.failover_burst),
+            (core.budgets.retries, LIMITS.retry_share, LIMITS.retry_burst),
+            (
+                core.budgets.failovers,
+                LIMITS.failover_share,
+                LIMITS.failover_burst,
+            ),
         ):
             assert used <= burst + share * self.accepted + 1e-6, used
 
--- a/tests/test_entry_core.py
+++ b/tests/test_entry_core.py
@@ -6,6 +6,7 @@
 from testtools import matchers
 
 from bilberryhaven import clock
+from bilberryhaven.entry import budget
 from bilberryhaven.entry import effect
 from bilberryhaven.entry import health
 from bilberryhaven.entry import pending
@@ -139,6 +140,31 @@
         answer = self.core.handle_revoked(newer, 'started')[-1].answer
         self.assertEqual(errors.Outcome.UNKNOWN, answer.error.outcome)
 
+    def test_late_reply_to_an_earlier_submission_is_ignored(self):
+        self.sync(instance('a'), instance('b'))
+        old = self.submit(key='k', idempotent=True)
+        self.clock.advance(clock.seconds(2))
+        self.core.tick()
+        newer = self.submit(key='k', idempotent=True)
+        late = message.AdmitReply(
+            request_id='k', code='overload', outcome='not_run'
+        )
+        self.assertEqual([], self.core.handle_reply(old, late))
+        self.assertEqual(b'x', self.reply(newer).answer.body)
+
+    def test_retries_stay_within_their_budget(self):
+        self.sync(*(instance(f'i{number}') for number in range(9)))
+        self.core.budgets = budget.RetryBudgets(
+            limits=pending.Limits(retry_share=0.1, retry_burst=2)
+        )
+        sent = 0
+        for _ in range(100):
+            item = self.submit()
+            while isinstance(item, effect.Dispatch):
+                sent += 1
+                item = self.reply(item, 'overload', 'not_run')
+        self.assertIn(sent, range(110, 113))
+
     def test_newer_revision_renews_the_view_before_the_retry(self):
         self.sync(instance('a'))
         item = self.reply(self.submit(), 'refused', 'not_run')
--- a/tests/test_entry_input.py
+++ b/tests/test_entry_input.py
@@ -67,8 +67,9 @@
         self.role = entry_fakes.start_entry(
             control=[self.leader.server.address]
         )
-        for fake in (self.leader, self.agent):
-            self.addCleanup(fake.server.stop)
+        self.addCleanup(
+            entry_fakes.stop_all, [self.leader.server, self.agent.server]
+        )
         self.addCleanup(self.role.kill)
         entry_fakes.wait_until(self.role.is_ready)
 
--- a/tests/test_entry_shell.py
+++ b/tests/test_entry_shell.py
@@ -26,8 +26,8 @@
         )
         self.http = urllib3.PoolManager(retries=False, maxsize=64)
         self.pool = concurrent.futures.ThreadPoolExecutor(32)
-        for server in (self.leader, *self.agents):
-            self.addCleanup(server.server.stop)
+        fakes = (self.leader, *self.agents)
+        self.addCleanup(entry_fakes.stop_all, [fake.server for fake in fakes])
         self.addCleanup(self.role.kill)
         self.addCleanup(self.pool.shutdown)
         for agent in self.agents:
