--- a/tests/fuzz/request.py
+++ b/tests/fuzz/request.py
@@ -120,6 +120,7 @@
         self.names += 1
         self.packets, self.replies, self.waiting = [], [], []
         self.revokes, self.asked, self.resyncs = [], [], []
+        self.owners = {}
         self.current, self.final, self.accepted = {}, {}, 0
         self.retries = self.extra = 0
         self.view = view.View()
@@ -190,15 +191,20 @@
             holder = self.claims.get(item.request_id, '')
             assert holder.startswith(f'{self.core.name}/')
         self.packets.append((item, submission))
+        self.owners[item] = submission
         self.waiting.append(item)
 
     def check_budget(self):
         core = self.core
-        assert self.retries <= core.retries
-        assert self.extra <= core.retries + core.failovers
+        assert self.retries <= core.budgets.retries
+        assert self.extra <= core.budgets.retries + core.budgets.failovers
         for used, share, burst in (
-            (core.retries, LIMITS.retry_share, LIMITS.retry_burst),
-            (core.failovers, LIMITS.failover_share, LIMITS.failover_burst),
+            (core.budgets.retries, LIMITS.retry_share, LIMITS.retry_burst),
+            (
+                core.budgets.failovers,
+                LIMITS.failover_share,
+                LIMITS.failover_burst,
+            ),
         ):
             assert used <= burst + share * self.accepted + 1e-6, used
 
@@ -314,6 +320,8 @@
         pick = draw(PICK)
         lost = draw(st.sampled_from(('', '', 'way', 'back')))
         claim = self.take(self.asked, pick)
+        if draw(st.booleans()):
+            self.asked.append(claim)
         if lost != 'way':
             self.claims.setdefault(claim.request_id, claim.holder)
         error = errors.PeerError('lost', step='claim', outcome='not_run')
@@ -398,9 +406,8 @@
 
     def note(self, item, may_have_run):
         """Record what the entry can know of a dispatch."""
-        submission = self.current.get(item.request_id)
-        if submission and item in self.waiting and may_have_run:
-            submission.may_have_run = True
+        if item in self.waiting and may_have_run:
+            self.owners[item].may_have_run = True
 
     def discard(self, item):
         if item in self.waiting:
@@ -451,7 +458,7 @@
     # Time and restarts
 
     def advance(self, draw):
-        step = draw(st.sampled_from((1, 1, 1, 30, 30, 500)))
+        step = draw(st.sampled_from((1, 1, 1, 1, 30, 30, 30, 500, 3000)))
         self.clock.advance(step * MS)
         self.carry_out(self.core.tick())
         now = self.clock.monotonic()
