--- a/bilberryhaven/systems/learning.py
+++ b/bilberryhaven/systems/learning.py
@@ -11,6 +11,7 @@
 __all__ = ['LearningSystem']
 
 MAX_REPORTS = 400
+MAX_LEARNED = 60
 START_LAG_S = 0.5
 LOAD_WEIGHT = 0.3
 MEAN_LOAD_WEIGHT = 0.02
@@ -22,6 +23,10 @@
 
     order = 50
 
+    def __init__(self, *, memory=None):
+        super().__init__(memory=memory)
+        self._learned = 0
+
     def run(self, world):
         """Take in this tick's reports and return no commands."""
         memory = self.memory
@@ -30,6 +35,7 @@
         now = world.now.timestamp()
         self._note_history(now)
         memory.reported.clear()
+        self._learned = 0
         for instance, usage in self._limit(world.usage):
             if usage.job_id:
                 self._learn_size(world, usage)
@@ -68,6 +74,10 @@
             return
         self._learn_load(instance, usage)
         memory.reported[instance] = None
+        self._learned += 1
+        if self._learned > MAX_LEARNED:
+            memory.skipped_reports += 1
+            return
         counts = self._find_counts(entry, now - usage.age_ms / 1000)
         if counts is None:
             memory.late_reports += 1
--- a/bilberryhaven/systems/regression.py
+++ b/bilberryhaven/systems/regression.py
@@ -1,8 +1,9 @@
 """Ridge regression that forgets, solved a few coordinates at a time.
 
 Holds the decayed sums of products of the terms that were observed together.
-After each observation only its own terms are solved for anew, with all others
-as they are, so that a step costs little and the sequence still converges.
+After each observation some of its own terms are solved for anew, in turn, with
+all others as they are, so that a step costs little and the sequence still
+converges.
 """
 
 import math
@@ -10,6 +11,7 @@
 __all__ = ['Regression']
 
 MAX_SCALE = 1e9
+MAX_SOLVED = 8
 
 
 class Regression:
@@ -30,6 +32,7 @@
         self._products = {}
         self._targets = {}
         self._origin = None
+        self._turn = 0
 
     def add_term(self, key, *, mean, variance, least=-math.inf):
         """Add a term unless it is there.
@@ -62,8 +65,11 @@
         expected = self.predict(weights)
         error = max(min(value - expected, self._max_error), -self._max_error)
         self._add(weights, expected + error, scale)
-        for key in weights:
-            self._solve(key, scale)
+        keys = list(weights)
+        count = min(len(keys), MAX_SOLVED)
+        for step in range(count):
+            self._solve(keys[(self._turn + step) % len(keys)], scale)
+        self._turn += count
 
     def _get_scale(self, now):
         if self._origin is None:
--- a/tests/fuzz/placement.py
+++ b/tests/fuzz/placement.py
@@ -55,6 +55,7 @@
         self.epochs = {}
         self.stopped = {}
         self.broken = set()
+        self.sent = []
         self.systems = systems.build_systems()
         for name in (SERVICE, *BATCH):
             self.declare(name, '', '', 'x', 1, 'a')
@@ -243,8 +244,25 @@
             kind=job_commands.EventKind(kind),
             body=body,
         )
+        self.sent.append(event)
         self.do(job_commands.RecordEvents(events=[event], at=self.now))
 
+    def list_old_events(self):
+        return [
+            event
+            for event in self.sent
+            if self.state.jobs.get(event.job_id).epoch != event.epoch
+            and self.state.jobs.get(event.job_id).state in job.ACTIVE_STATES
+        ]
+
+    @stateful.precondition(lambda self: self.list_old_events())
+    @stateful.rule(data=strategies.data())
+    def repeat_old_event(self, data):
+        event = data.draw(choose(self.list_old_events()))
+        before = self.state.dump()
+        self.do(job_commands.RecordEvents(events=[event], at=self.now))
+        assert self.state.dump() == before, 'an old event was not fenced'
+
     @stateful.rule(name=choose(INSTANCES))
     def refuse(self, name):
         for row in list(self.state.jobs.select('instance', name)):
--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -315,6 +315,17 @@
         self.job('x').evictions = 5
         self.assertEqual(['x'], self.evict_for_urgent())
 
+    def test_watch_stays_for_an_hour_after_an_eviction(self):
+        self.declare('tide', kind=workload.Kind.WATCH)
+        self.submit('tide', 't0', 't1', 't2')
+        self.live(3)
+        for row in self.state.jobs:
+            row.evicted_at = self.now
+        self.assertEqual([], self.evict_for_urgent())
+        self.tick(step=3601 * SECOND)
+        self.tick()
+        self.assertEqual(1, self.state.jobs.count('state', 'evicting'))
+
 
 class TestPace(LoadTestCase):
     """How soon and how often harm leads to evictions."""
