Give the oldest job its turn by places given, over all ticks

Counting failed turns too could keep the oldest's turn on a full fleet for ever. Change: the number of places given decides whose turn it is. Checked: tests.test_placement, test_placement_load, test_systems, test_placement_fuzz, 53 passed.

--- a/bilberryhaven/systems/fairness.py
+++ b/bilberryhaven/systems/fairness.py
@@ -22,13 +22,17 @@
         state: The replicated tables.
         fleet: The ``Fleet``; its ``used`` is followed as jobs are placed.
         backlog: The ``Backlog``.
+        served: Number of places given so far, in all ticks.
+
+    Attributes:
+        served: The same, kept up to date.
     """
 
-    def __init__(self, *, state, fleet, backlog):
+    def __init__(self, *, state, fleet, backlog, served):
         self._state = state
         self._fleet = fleet
         self._backlog = backlog
-        self._count = 0
+        self.served = served
         self._urgent = []
         self._teams = {}
         for name in backlog.list_workloads():
@@ -56,12 +60,12 @@
     def take(self):
         """Return the name of the workload to serve next, or None.
 
-        Call ``put_back`` unless the workload can't be placed now.
+        Call ``put_back`` once a job of it was placed; else it gets no
+        further turn in this tick.
         """
         if self._urgent:
             return heapq.heappop(self._urgent)[1]
-        self._count += 1
-        if self._count % OLDEST_EVERY == 0:
+        if self.served % OLDEST_EVERY == OLDEST_EVERY - 1:
             name = self._take_oldest()
             if name is not None:
                 return name
@@ -101,7 +105,8 @@
             heapq.heappush(self._by_age, (heap[0], team))
 
     def put_back(self, name):
-        """Let ``name`` have further turns, if it has pending jobs."""
+        """Count a place given to ``name`` and let it have further ones."""
+        self.served += 1
         if self._backlog.peek(name) is None:
             return
         target = self._state.workloads.get(name)
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -77,6 +77,7 @@
         probes: (next time, interval) by quarantined instance.
         claims: ``Claim`` list of room kept, by workload.
         serials: Numbers of the claims.
+        served: Number of places given to waiting workloads.
         waiting: Since when a workload's first job finds no place.
         skips: (ticks left, width) of workloads that found no place.
         pressed: First (job, workload) of work that can't wait, where it
@@ -102,6 +103,7 @@
         self.probes = {}
         self.claims = {}
         self.serials = itertools.count(1)
+        self.served = 0
         self.waiting = {}
         self.skips = {}
         self.pressed = []
--- a/bilberryhaven/systems/placement.py
+++ b/bilberryhaven/systems/placement.py
@@ -55,16 +55,18 @@
             state=world.state,
             fleet=self.memory.fleet,
             backlog=self.memory.backlog,
+            served=self.memory.served,
         )
         while len(self._grants) < MAX_STARTS:
             name = order.take()
             if name is None:
-                return
+                break
             target = world.state.workloads.get(name)
             if self._skips(target) or self._exceeds_quota(world, target):
                 continue
             if self._place_next(world, target):
                 order.put_back(name)
+        self.memory.served = order.served
 
     def _skips(self, target):
         left, width = self.memory.skips.get(target.name, (0, 1))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -79,6 +79,7 @@
         self.submit('long', 'l')
         self.tick()
         self.submit('light', *[f'l{i}' for i in range(5)])
+        self.now += SECOND
         self.submit('heavy', *[f'h{i}' for i in range(60)])
         for _ in range(8):
             self.tick(step=SECOND)
