Tick and beat after each step of the fuzzing

Change: each step is followed by a tick and a heartbeat; longer waits. Checked: tests.test_placement_fuzz passed.

--- a/tests/fuzz/placement.py
+++ b/tests/fuzz/placement.py
@@ -56,6 +56,7 @@
         self.stopped = {}
         self.broken = set()
         self.sent = []
+        self.steps = 0
         self.systems = systems.build_systems()
         for name in (SERVICE, *BATCH):
             self.declare(name, '', '', 'x', 1, 'a')
@@ -137,9 +138,9 @@
             )
         )
 
-    @stateful.rule(name=choose(BATCH), count=strategies.integers(1, 6))
-    def submit(self, name, count):
-        for _ in range(count):
+    @stateful.rule(name=choose(BATCH), jobs=strategies.integers(1, 6))
+    def submit(self, name, jobs):
+        for _ in range(jobs):
             self.count += 1
             self.do(
                 job_commands.SubmitJob(
@@ -280,10 +281,22 @@
 
     # What the leader does.
 
-    @stateful.rule(ticks=strategies.integers(1, 4), latency=choose((0, 5, 50)))
-    def tick(self, ticks, latency):
-        for _ in range(ticks):
-            self.run_systems(latency)
+    @stateful.rule(latency=choose((0, 5, 50)))
+    def tick(self, latency):
+        self.run_systems(latency)
+        for name in INSTANCES:
+            self.beat(name, finishes=False)
+
+    @stateful.rule(seconds=choose((1, 31, 700)))
+    def wait(self, seconds):
+        self.run_systems(step=datetime.timedelta(seconds=seconds))
+
+    @stateful.invariant()
+    def time_passes(self):
+        """One tick and one agent's heartbeat after each step."""
+        self.steps += 1
+        self.run_systems()
+        self.beat(INSTANCES[self.steps % len(INSTANCES)], finishes=False)
 
     def run_systems(self, latency=0, step=TICK):
         self.now += step
