Check selectors of work left to finish on a drain

Change: a draining instance's jobs are checked as any other's first. At most 700 suspects are checked a tick, strains are kept by time, not ticks.

--- a/bilberryhaven/systems/learning.py
+++ b/bilberryhaven/systems/learning.py
@@ -30,9 +30,9 @@
     def run(self, world):
         """Take in this tick's reports and return no commands."""
         memory = self.memory
-        memory.begin_tick()
-        memory.refresh(world)
         now = world.now.timestamp()
+        memory.begin_tick(now)
+        memory.refresh(world)
         self._note_history(now)
         memory.reported.clear()
         self._learned = 0
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -19,7 +19,7 @@
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
 LINEAR_EXCESS = 2.0
-KEPT_TICKS = 10
+KEPT_S = 3.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -88,7 +88,7 @@
     """
 
     def __init__(self, *, policy=DEFAULT_POLICY, seed=1, learned=None):
-        self._tick = 0
+        self._now = 0.0
         self.random = random.Random(seed)
         self.sizes = sizes.Sizes()
         self.fleet = fleet.Fleet(sizes=self.sizes)
@@ -112,9 +112,9 @@
         self.skipped_reports = 0
         self.policy = policies.get_policy_by_name(policy)(memory=self)
 
-    def begin_tick(self):
-        """Count a tick; what was computed long ago is computed anew."""
-        self._tick += 1
+    def begin_tick(self, now):
+        """Set the time in seconds; what is old is computed anew."""
+        self._now = now
 
     def refresh(self, world):
         """Bring the indexes up to date with the tables."""
@@ -142,16 +142,13 @@
         return total
 
     def _list_strains(self, entry):
-        if (
-            entry.strains is None
-            or entry.strained_at < self._tick - KEPT_TICKS
-        ):
+        if entry.strains is None or entry.strained_at < self._now - KEPT_S:
             counts = entry.weigh_counts() if entry.shares else entry.counts
             entry.strains = [
                 self._build_strain(service, load, counts)
                 for service, load in self._list_loads(entry)
             ]
-            entry.strained_at = self._tick
+            entry.strained_at = self._now
         return entry.strains
 
     def _build_strain(self, service, load, counts):
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -48,7 +48,7 @@
         indexed: (open, roomy) as the pools have it.
         shares: Share of full speed of each throttled job, by job id.
         strains: What its services suffer, or None where not computed.
-        strained_at: Number of the tick in which that was computed.
+        strained_at: When that was computed, in seconds.
     """
 
     row: object
@@ -68,7 +68,7 @@
     indexed: tuple = (False, False)
     shares: dict = dataclasses.field(default_factory=dict)
     strains: list | None = None
-    strained_at: int = 0
+    strained_at: float = 0.0
 
     @property
     def open(self):
--- a/bilberryhaven/systems/relocation.py
+++ b/bilberryhaven/systems/relocation.py
@@ -1,6 +1,7 @@
 """Evicts jobs from instances that drain or no longer match."""
 
 import datetime
+import itertools
 
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import log
@@ -13,6 +14,7 @@
 
 DRAIN_GRACE_S = 8.0
 MAX_DRAIN_GRACE_S = 40.0
+MAX_CHECKED = 700
 WAVE = datetime.timedelta(seconds=600)
 
 logger = log.get_logger('relocation')
@@ -35,12 +37,13 @@
         self.memory.refresh(world)
         evictions = []
         suspects = self.memory.fleet.suspects
-        for name in list(suspects):
+        for name in list(itertools.islice(suspects, MAX_CHECKED)):
             entry = self.memory.fleet.nodes.get(name)
             found = self._check(world, entry) if entry is not None else []
             evictions += found
-            if entry is None or not (found or self._is_emptying(entry)):
-                del suspects[name]
+            del suspects[name]
+            if found or (entry is not None and self._is_emptying(entry)):
+                suspects[name] = None
         self._end_wave(world)
         if not evictions:
             return []
@@ -57,25 +60,23 @@
 
     def _check(self, world, entry):
         if entry.emptying:
-            return self._drain(world, entry)
+            self.memory.last_drain = world.now
         found = []
         kept = set(entry.services)
         for row in self._list_jobs(world, entry):
             reason = self._find_fault(world, entry, row, kept)
+            if not reason and entry.emptying:
+                reason = self._find_departure(world, entry, row)
             if reason:
                 found.append(self._evict(row, entry, reason))
             else:
                 kept.add(row.workload)
         return found
 
-    def _drain(self, world, entry):
-        self.memory.last_drain = world.now
-        reason = f'{entry.name} is draining'
-        return [
-            self._evict(row, entry, reason)
-            for row in self._list_jobs(world, entry)
-            if not self._may_finish(world, row)
-        ]
+    def _find_departure(self, world, entry, row):
+        if self._may_finish(world, row):
+            return ''
+        return f'{entry.name} is draining'
 
     def _may_finish(self, world, row):
         """Return whether a job on a draining instance is left to finish.
--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -202,6 +202,18 @@
         states = [str(self.job(j).state) for j in ('short', 'o', 'n')]
         self.assertEqual(['running', 'running', 'evicting'], states)
 
+    def test_work_left_to_finish_still_obeys_selectors(self):
+        self.declare('once', repeatable=False)
+        self.open('a')
+        self.submit('once', 'o')
+        self.live(2)
+        self.drain('a')
+        self.tick()
+        self.assertEqual('running', self.job('o').state)
+        self.declare('once', repeatable=False, runs_on='pond=yes')
+        self.tick()
+        self.assertEqual('evicting', self.job('o').state)
+
 
 class TestUrgency(LoadTestCase):
     """Agents that get orders at a heartbeat and report events at once."""
