--- a/tests/fuzz/placement.py
+++ b/tests/fuzz/placement.py
@@ -55,6 +55,8 @@
         self.epochs = {}
         self.stopped = {}
         self.broken = set()
+        self.sent = []
+        self.steps = 0
         self.systems = systems.build_systems()
         for name in (SERVICE, *BATCH):
             self.declare(name, '', '', 'x', 1, 'a')
@@ -136,9 +138,9 @@
             )
         )
 
-    @stateful.rule(name=choose(BATCH), count=strategies.integers(1, 6))
-    def submit(self, name, count):
-        for _ in range(count):
+    @stateful.rule(name=choose(BATCH), jobs=strategies.integers(1, 6))
+    def submit(self, name, jobs):
+        for _ in range(jobs):
             self.count += 1
             self.do(
                 job_commands.SubmitJob(
@@ -243,8 +245,25 @@
             kind=job_commands.EventKind(kind),
             body=body,
         )
+        self.sent.append(event)
         self.do(job_commands.RecordEvents(events=[event], at=self.now))
 
+    def list_old_events(self):
+        return [
+            event
+            for event in self.sent
+            if self.state.jobs.get(event.job_id).epoch != event.epoch
+            and self.state.jobs.get(event.job_id).state in job.ACTIVE_STATES
+        ]
+
+    @stateful.precondition(lambda self: self.list_old_events())
+    @stateful.rule(data=strategies.data())
+    def repeat_old_event(self, data):
+        event = data.draw(choose(self.list_old_events()))
+        before = self.state.dump()
+        self.do(job_commands.RecordEvents(events=[event], at=self.now))
+        assert self.state.dump() == before, 'an old event was not fenced'
+
     @stateful.rule(name=choose(INSTANCES))
     def refuse(self, name):
         for row in list(self.state.jobs.select('instance', name)):
@@ -262,10 +281,22 @@
 
     # What the leader does.
 
-    @stateful.rule(ticks=strategies.integers(1, 4), latency=choose((0, 5, 50)))
-    def tick(self, ticks, latency):
-        for _ in range(ticks):
-            self.run_systems(latency)
+    @stateful.rule(latency=choose((0, 5, 50)))
+    def tick(self, latency):
+        self.run_systems(latency)
+        for name in INSTANCES:
+            self.beat(name, finishes=False)
+
+    @stateful.rule(seconds=choose((1, 31, 700)))
+    def wait(self, seconds):
+        self.run_systems(step=datetime.timedelta(seconds=seconds))
+
+    @stateful.invariant()
+    def time_passes(self):
+        """One tick and one agent's heartbeat after each step."""
+        self.steps += 1
+        self.run_systems()
+        self.beat(INSTANCES[self.steps % len(INSTANCES)], finishes=False)
 
     def run_systems(self, latency=0, step=TICK):
         self.now += step
