Bound retries of the command line and name the id to resend

Cause: a trial without a quorum: a write was refused only after 66 s, and its change id was nowhere to be seen; an accepted change exited with 1 if the leader was lost while waiting for it to be in force. Change: no attempt starts after 20 s; an unknown outcome of any attempt stays unknown and the id is printed; an accepted change is told as accepted. Conclusion: a tired reader sees what to type next.

--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -12,6 +12,7 @@
 import sys
 import urllib.parse
 
+from bilberryhaven import clock
 from bilberryhaven import errors
 from bilberryhaven import registry
 
@@ -58,7 +59,9 @@
     """Return the client of the server that ``opts`` names."""
     from bilberryhaven.cmdline import _client
 
-    return _client.ApiClient(servers=opts.server.split(','))
+    return _client.ApiClient(
+        servers=opts.server.split(','), clock=clock.SystemClock()
+    )
 
 
 def quote(name):
@@ -137,15 +140,25 @@
     try:
         return opts.run(opts) or EXIT_DONE
     except errors.BilberryhavenError as error:
-        if opts.output == 'json':
-            print(json.dumps(error.to_dict()), file=sys.stderr)
-        else:
-            print(error, file=sys.stderr)
+        _print_error(opts, error)
         return EXIT_REFUSED
     except KeyboardInterrupt:
         return EXIT_REFUSED
 
 
+def _print_error(opts, error):
+    if opts.output == 'json':
+        print(json.dumps(error.to_dict()), file=sys.stderr)
+        return
+    print(error, file=sys.stderr)
+    if error.request_id and error.outcome == errors.Outcome.UNKNOWN:
+        print(
+            'It may have run. A resend with the same id finds out and runs '
+            f'nothing twice: {error.request_id}',
+            file=sys.stderr,
+        )
+
+
 def run():
     """Run the process's command line and exit."""
     sys.exit(main(sys.argv[1:]))
--- a/bilberryhaven/cmdline/_client.py
+++ b/bilberryhaven/cmdline/_client.py
@@ -8,13 +8,15 @@
 
 import urllib3
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import util
 
 __all__ = ['ApiClient']
 
 ATTEMPTS = 6
-FIRST_PAUSE_SECONDS = 0.2
+RETRY_SECONDS = 20
+FIRST_PAUSE_SECONDS = 0.1
 TIMEOUT_SECONDS = 15.0
 IN_FORCE_SECONDS = 12.0
 POLL_SECONDS = 0.1
@@ -36,13 +38,15 @@
 
     Args:
         servers: Addresses, tried in turn.
+        clock: The ``Clock``.
         pause: Function that waits for a number of seconds.
     """
 
-    def __init__(self, *, servers, pause=None):
+    def __init__(self, *, servers, clock, pause=None):
         self._servers = [server.strip() for server in servers]
         for server in self._servers:
             util.parse_address(server)
+        self._clock = clock
         self._pause = pause or threading.Event().wait
         self._pools = urllib3.PoolManager(retries=False)
 
@@ -62,18 +66,29 @@
         fields = {k: v for k, v in (query or {}).items() if v is not None}
         if fields:
             path = f'{path}?{urllib.parse.urlencode(fields)}'
-        pause = FIRST_PAUSE_SECONDS
-        for attempt in range(ATTEMPTS if retry else 1):
-            server = self._servers[attempt % len(self._servers)]
+        if not retry:
+            return self._send(self._servers[0], method, path, body)
+        return self._send_until_answered(method, path, body)
+
+    def _send_until_answered(self, method, path, body):
+        outcome = None
+        end = self._clock.monotonic() + clocks.seconds(RETRY_SECONDS)
+        for attempt in range(ATTEMPTS):
             if attempt:
-                self._pause(pause)
-                pause *= 2
+                self._pause(FIRST_PAUSE_SECONDS * 2**attempt)
+            server = self._servers[attempt % len(self._servers)]
             try:
                 return self._send(server, method, path, body)
             except errors.BilberryhavenError as error:
                 last = error
-                if error.status not in RETRIED_STATUSES:
-                    raise
+            if last.status not in RETRIED_STATUSES:
+                break
+            if last.outcome != errors.Outcome.NOT_RUN:
+                outcome = last.outcome
+            if self._clock.monotonic() > end:
+                break
+        if outcome is not None and last.status in RETRIED_STATUSES:
+            last.outcome = outcome
         raise last
 
     def read(self, base, name=None, query=None):
@@ -89,20 +104,35 @@
             **body,
             'change_id': change_id or util.create_id('change'),
         }
-        return self.call(method, path, body)
+        return self.submit(method, path, body, key=body['change_id'])
+
+    def submit(self, method, path, body, *, key):
+        """Return the answer to a write whose idempotency key is ``key``."""
+        try:
+            return self.call(method, path, body)
+        except errors.BilberryhavenError as error:
+            error.request_id = key
+            raise
 
     def wait_in_force(self, revision):
-        """Return the newest in-force answer, once true or time is over."""
-        polls = int(IN_FORCE_SECONDS / POLL_SECONDS)
-        for number in range(polls):
+        """Return whether a revision is in force, asked until it is so.
+
+        Returns:
+            A mapping with ``in_force`` and ``behind``; in_force is None if
+            nobody could be asked.
+        """
+        query = {'revision': revision, 'nodes': 0}
+        answer = {'in_force': None, 'behind': []}
+        for number in range(int(IN_FORCE_SECONDS / POLL_SECONDS)):
             if number:
                 self._pause(POLL_SECONDS)
-            answer = self.call(
-                'GET', '/v1/in-force', query={'revision': revision, 'nodes': 0}
-            )
+            try:
+                answer = self.call('GET', '/v1/in-force', query=query)
+            except errors.BilberryhavenError:
+                break
             if answer['in_force']:
                 break
-        return answer
+        return {key: answer[key] for key in ('in_force', 'behind')}
 
     def _send(self, server, method, path, body):
         data = None if body is None else json.dumps(body).encode()
--- a/bilberryhaven/cmdline/apply.py
+++ b/bilberryhaven/cmdline/apply.py
@@ -39,8 +39,7 @@
         if revision and not opts.no_wait:
             found = client.wait_in_force(revision)
             for answer in answers:
-                answer['in_force'] = found['in_force']
-                answer['behind'] = found['behind']
+                answer.update(found)
         _print_answers(opts, answers)
 
 
--- a/bilberryhaven/cmdline/changes.py
+++ b/bilberryhaven/cmdline/changes.py
@@ -43,9 +43,7 @@
         body = {**body, 'expect': opts.expect}
     answer = client.change(method, path, body, change_id=opts.change_id)
     if not opts.no_wait:
-        found = client.wait_in_force(answer['revision'])
-        answer['in_force'] = found['in_force']
-        answer['behind'] = found['behind']
+        answer.update(client.wait_in_force(answer['revision']))
     if opts.output == 'json':
         _output.print_json(answer)
     else:
@@ -60,6 +58,8 @@
     text = f'{text}, accepted as change {answer["change_id"]}'
     if 'in_force' not in answer:
         return text
+    if answer['in_force'] is None:
+        return f'{text}; the leader could not be asked if it is in force yet'
     behind = ', '.join(answer['behind'])
     return (
         f'{text}; NOT yet in force on {behind}. It will not revert; see '
--- a/bilberryhaven/cmdline/jobs.py
+++ b/bilberryhaven/cmdline/jobs.py
@@ -72,7 +72,8 @@
         }
         if opts.deadline is not None:
             body['deadline_ms'] = max(1, round(opts.deadline * 1000))
-        answer = cmdline.connect(opts).call('POST', '/v1/jobs', body)
+        client = cmdline.connect(opts)
+        answer = client.submit('POST', '/v1/jobs', body, key=body['id'])
         if opts.output == 'json':
             _output.print_json(answer)
         else:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -9,6 +9,7 @@
 import testtools
 from testtools import matchers
 
+from bilberryhaven import clock
 from bilberryhaven import cmdline
 from bilberryhaven.cmdline import _client
 from bilberryhaven.cmdline import _output
@@ -154,33 +155,57 @@
 
 
 class TestClient(CommandLineTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.pauses = []
+
+    def build(self, *servers):
+        return _client.ApiClient(
+            servers=[*servers, self.server.address],
+            clock=self.clock,
+            pause=self.pauses.append,
+        )
+
     def test_write_whose_answer_is_lost_is_applied_once(self):
         self.declare()
         self.lost = 2
-        pauses = []
-        client = _client.ApiClient(
-            servers=[self.server.address], pause=pauses.append
-        )
         path = '/v1/workloads/survey/labels'
-        answer = client.change('PATCH', path, {'labels': {'a': '1'}})
-        self.assertEqual((2, 2), (answer['version'], len(pauses)))
+        answer = self.build().change('PATCH', path, {'labels': {'a': '1'}})
+        self.assertEqual((2, 2), (answer['version'], len(self.pauses)))
         self.assertEqual(2, self.ctx.state.revision)
 
     def test_next_server_is_tried(self):
-        client = _client.ApiClient(
-            servers=['127.0.0.1:1', self.server.address],
-            pause=lambda seconds: None,
-        )
+        client = self.build('127.0.0.1:1')
         self.assertEqual([], client.call('GET', '/v1/workloads')['workloads'])
 
-    def test_gives_up_with_a_code(self):
+    def test_gives_up_with_the_id_to_resend(self):
         self.lost = 100
+        body = {'workload': 'survey', 'id': 'j'}
+        error = self.assertRaises(
+            errors.PeerError,
+            lambda: self.build('127.0.0.1:1').submit(
+                'POST', '/v1/jobs', body, key='j'
+            ),
+        )
+        self.assertEqual(
+            ('j', errors.Outcome.UNKNOWN), (error.request_id, error.outcome)
+        )
+
+    def test_gives_up_when_attempts_take_long(self):
+        self.lost = 100
+
+        def pause(seconds):
+            self.pauses.append(seconds)
+            self.clock.advance(clock.seconds(11))
+
         client = _client.ApiClient(
-            servers=[self.server.address], pause=lambda seconds: None
+            servers=[self.server.address], clock=self.clock, pause=pause
         )
         self.assertRaises(
             errors.PeerError, client.call, 'GET', '/v1/workloads'
         )
+        self.assertEqual(2, len(self.pauses))
 
 
 class TestTable(testtools.TestCase):
