Let a role load only its own subcommands; check commands on the pages

Cause: the parsers of all subcommands stay in an agent's memory. Change: a role's name loads the roles family only; help has a fixed width, so that argparse needs no terminal library; a test parses each command that README and docs show.

--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import functools
 import importlib
 import json
 import os
@@ -29,6 +30,8 @@
 EXIT_DONE = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
+WIDTH = 79
+ROLES_MODULE = 'roles'
 DEFAULT_SERVER = '127.0.0.1:7070'
 EPILOG = 'Exit status: 0 done, 1 refused (a code is on stderr), 2 usage.'
 
@@ -69,13 +72,31 @@
     return urllib.parse.quote(name, safe='')
 
 
-def _list_commands():
+def _list_commands(args):
+    """Return the subcommands, only those of roles if ``args`` name one.
+
+    A role's process keeps what it has imported for as long as it runs.
+    """
+    importlib.import_module(f'{__name__}.{ROLES_MODULE}')
+    if _find_command(args) in _registry.names():
+        return _registry.items()
     for module in pkgutil.iter_modules(__path__):
         if not module.name.startswith('_'):
             importlib.import_module(f'{__name__}.{module.name}')
     return _registry.items()
 
 
+def _find_command(args):
+    """Return the first word that is no option nor an option's value."""
+    words = iter(args)
+    for word in words:
+        if not word.startswith('-'):
+            return word
+        if '=' not in word:
+            next(words, None)
+    return None
+
+
 def _add_settings(parser, **options):
     parser.add_argument(
         '--settings', metavar='FILE', help='settings in YAML', **options
@@ -106,9 +127,11 @@
     _add_output(parser, default=argparse.SUPPRESS)
 
 
-def build_parser():
-    """Return the parser of all subcommands."""
+def build_parser(args=()):
+    """Return the parser of all subcommands that ``args`` may name."""
+    formatter = functools.partial(argparse.HelpFormatter, width=WIDTH)
     parser = argparse.ArgumentParser(
+        formatter_class=formatter,
         prog='bilberryhaven',
         description='Scheduler for latency-critical and batch work.',
         epilog=EPILOG,
@@ -120,11 +143,16 @@
     )
     _add_output(parser, default='table')
     subs = parser.add_subparsers(
-        dest='command', required=True, metavar='COMMAND'
+        dest='command', required=True, metavar='COMMAND', prog=parser.prog
     )
-    for name, cls in _list_commands():
+    for name, cls in _list_commands(args):
         command = cls()
-        sub = subs.add_parser(name, help=cls.help, description=cls.help)
+        sub = subs.add_parser(
+            name,
+            help=cls.help,
+            description=cls.help,
+            formatter_class=formatter,
+        )
         command.add_arguments(sub)
         if cls.remote:
             _add_remote(sub)
@@ -136,7 +164,7 @@
 
 def main(args):
     """Run the command line ``args`` and return the exit status."""
-    opts = build_parser().parse_args(args)
+    opts = build_parser(args).parse_args(args)
     try:
         return opts.run(opts) or EXIT_DONE
     except errors.BilberryhavenError as error:
--- a/bilberryhaven/validation.py
+++ b/bilberryhaven/validation.py
@@ -1,7 +1,6 @@
 """Checks trees against typed models and reports all faults at once."""
 
 import dataclasses
-import difflib
 import enum
 import typing
 
@@ -130,6 +129,8 @@
 
 
 def _describe_unknown(key, known):
+    import difflib
+
     near = difflib.get_close_matches(str(key), known, n=1)
     if near:
         return f'unknown key; did you mean {near[0]!r}?'
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -4,6 +4,9 @@
 import io
 import json
 import pathlib
+import shlex
+import subprocess
+import sys
 import tempfile
 
 import testtools
@@ -18,6 +21,7 @@
 from bilberryhaven.wire import server
 from tests import test_api
 
+ROOT = pathlib.Path(__file__).parent.parent
 WORKLOADS = """
 teams:
   ponds: {quota: 20}
@@ -208,6 +212,36 @@
         self.assertEqual(2, len(self.pauses))
 
 
+class TestPages(testtools.TestCase):
+    def test_commands_on_the_pages_can_be_parsed(self):
+        parser = cmdline.build_parser()
+        pages = [ROOT / 'README.md', *sorted((ROOT / 'docs').glob('*.md'))]
+        found = []
+        for page in pages:
+            for line in page.read_text().splitlines():
+                if line.startswith('    bilberryhaven '):
+                    words = shlex.split(line, comments=True)[1:]
+                    found.append(parser.parse_args(words).command)
+        for name in ('standalone', 'apply', 'label', 'explain', 'drain'):
+            self.assertIn(name, found)
+
+    def test_role_loads_no_other_family(self):
+        code = (
+            'import sys; from bilberryhaven import cmdline; '
+            "cmdline.build_parser(['--settings', 'x', 'agent']); "
+            "print([name for name in ('bilberryhaven.cmdline.get', "
+            "'bilberryhaven.tables', 'lark', 'urllib3') "
+            'if name in sys.modules])'
+        )
+        done = subprocess.run(
+            [sys.executable, '-c', code],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual('[]\n', done.stdout, done.stderr)
+
+
 class TestTable(testtools.TestCase):
     def test_rows_fit_the_width(self):
         out = io.StringIO()
