Filter jobs, and say what an instance serves and why it is closed

Cause: a walk with faulty stand-ins: a long list of jobs was cut silently, a quarantined instance did not say how it comes back.

--- a/bilberryhaven/cmdline/get.py
+++ b/bilberryhaven/cmdline/get.py
@@ -7,6 +7,8 @@
 
 __all__ = []
 
+JOB_FILTERS = ('state', 'workload', 'instance')
+
 
 def _list_workloads(rows):
     headers = ['NAME', 'KIND', 'TEAM', 'VERSION', 'LABELS AND SELECTORS']
@@ -128,14 +130,23 @@
         """Add the kind and name."""
         parser.add_argument('kind', metavar='KIND', choices=list(LISTERS))
         parser.add_argument('name', metavar='NAME', nargs='?')
-        parser.add_argument('--state', help='only jobs in this state')
+        for option in JOB_FILTERS:
+            parser.add_argument(
+                f'--{option}',
+                metavar=option.upper(),
+                help=f'only jobs of this {option}',
+            )
+        parser.add_argument(
+            '--limit', type=int, metavar='N', help='newest jobs shown'
+        )
 
     def run(self, opts):
         """Print a list, or one entity in full."""
         base = f'/v1/{opts.kind}'
         whole = opts.kind in ('zones', 'members')
         name = None if whole else opts.name
-        query = {'state': opts.state}
+        query = {option: getattr(opts, option) for option in JOB_FILTERS}
+        query['limit'] = opts.limit
         answer = cmdline.connect(opts).read(base, name, query)
         if opts.output == 'json':
             _output.print_json(answer)
@@ -148,6 +159,8 @@
             if opts.name:
                 rows = _pick_rows(rows, opts.kind, opts.name)
             _output.print_table(*LISTERS[opts.kind](rows))
+            if answer.get('total', 0) > len(rows):
+                print(f'(the newest {len(rows)} of {answer["total"]})')
 
 
 def _pick_rows(rows, kind, name):
--- a/bilberryhaven/control/api/explain.py
+++ b/bilberryhaven/control/api/explain.py
@@ -218,6 +218,14 @@
     ]
     load = ctx.get_load(row.name)
     notes = []
+    if row.quarantined:
+        notes.append(
+            'It gets one probe at a time and takes work again by itself once '
+            'one succeeds.'
+        )
+    services = _list_services(ctx.state, row)
+    if services:
+        notes.append(f'Services that may run here: {", ".join(services)}.')
     if load is not None:
         notes.append(
             f'By its last report {load.slots_used} of {load.slots} slots and '
@@ -228,6 +236,15 @@
     return _build('instance', row, stand, summary, rows=rows, notes=notes)
 
 
+def _list_services(state, row):
+    labels = row.merge_labels()
+    return [
+        owner.name
+        for owner in state.workloads.select('kind', workload.Kind.SERVICE)
+        if selector.parse_selector(owner.runs_on).match(labels)
+    ]
+
+
 def _list_faults(row):
     faults = []
     if not row.connected:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -227,6 +227,24 @@
         )
         self.assertIn('memory_mb', rows[1]['reason'])
 
+    def test_instance_says_what_it_serves_and_why_it_is_closed(self):
+        self.declare('check', kind='service', runs_on='zone=a')
+        self.declare('other', kind='service', runs_on='zone=b')
+        self.open()
+        self.ctx.propose(
+            session.QuarantineInstance(name='i1', reason='fails all')
+        )
+        got = self.call('GET', '/v1/explain/i1')
+        self.assertIn('quarantined: fails all', got['summary'])
+        self.assertIn('Services that may run here: check.', got['notes'])
+
+    def test_workload_out_of_quota_says_so(self):
+        self.call('PUT', '/v1/teams/ponds', {'quota': 1})
+        self.declare(team='ponds', resources={'slots': 2})
+        self.open()
+        notes = self.call('GET', '/v1/explain/survey')['notes']
+        self.assertIn('holds 0 of its quota of 1 slots', notes[0])
+
     def test_running_job_says_why_it_is_there(self):
         self.declare(runs_on='zone=a')
         self.open()
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -152,6 +152,16 @@
         self.assertIn('not yet in force on 50 nodes', lines[0])
         self.assertThat(len(lines), matchers.LessThan(10))
 
+    def test_jobs_are_filtered_and_limited(self):
+        self.declare()
+        for number in range(5):
+            self.run_line('submit', 'survey', '--id', f'j{number}')
+        text = self.run_line('get', 'jobs', '--limit', '2')
+        self.assertIn('(the newest 2 of 5)', text)
+        text = self.run_line('get', 'jobs', '--state', 'held')
+        self.assertNotIn('survey', text)
+        self.run_line('get', 'jobs', '--state', 'x', status=1)
+
     def test_members(self):
         text = self.run_line('members', '--add', 'c2', '127.0.0.1:2')
         self.assertIn('c2', text)
