--- a/bilberryhaven/control/api/changes.py
+++ b/bilberryhaven/control/api/changes.py
@@ -33,7 +33,7 @@
     change_id = body.change_id or request.read_key()
     command = command_class(
         change_id=change_id or util.create_id('change'),
-        by=body.by or request.by or 'unknown',
+        by=_name_author(request, body),
         at=request.ctx.clock.wall(),
         kind=kind,
         name=name,
@@ -66,6 +66,12 @@
     return answer
 
 
+def _name_author(request, body):
+    """Return who the body names and who the receiver knows."""
+    names = dict.fromkeys(name for name in (body.by, request.by) if name)
+    return ' via '.join(names) or 'unknown'
+
+
 def _read_wait(request):
     wait = request.query.get('wait')
     if wait is None:
--- a/bilberryhaven/control/api/jobs.py
+++ b/bilberryhaven/control/api/jobs.py
@@ -16,6 +16,7 @@
 
 DEFAULT_LIMIT = 200
 MAX_LIMIT = 5000
+MAX_PAYLOAD_BYTES = 256 * 1024
 
 
 @api.route('POST', '/v1/jobs')
@@ -45,7 +46,13 @@
 
 def _read_payload(raw):
     value = msgspec.json.decode(raw)
-    return value.encode() if isinstance(value, str) else bytes(raw)
+    data = value.encode() if isinstance(value, str) else bytes(raw)
+    if len(data) > MAX_PAYLOAD_BYTES:
+        raise errors.BadInputError(
+            f'payload: {len(data)} bytes, {MAX_PAYLOAD_BYTES} are allowed',
+            step='read body',
+        )
+    return data
 
 
 def _compute_deadline(now, deadline_ms):
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -139,7 +139,7 @@
     def test_history_says_who(self):
         self.declare(by='amal')
         got = self.call('GET', '/v1/history/survey')['changes']
-        self.assertEqual(['amal'], [row['by'] for row in got])
+        self.assertEqual(['amal via op'], [row['by'] for row in got])
         path = '/v1/history/workload/survey'
         self.assertEqual(got, self.call('GET', path)['changes'])
         self.call('GET', '/v1/history/none', status=404)
@@ -203,6 +203,12 @@
         body['payload'] = {'pond': 4}
         self.call('POST', '/v1/jobs', body, status=409)
 
+    def test_large_payload_is_refused(self):
+        self.declare()
+        body = {'workload': 'survey', 'payload': 'x' * 300_000}
+        error = self.call('POST', '/v1/jobs', body, status=400)
+        self.assertIn('payload: 300000 bytes', error['message'])
+
     def test_burst_of_cancellations(self):
         self.declare()
         ids = [f'j{number}' for number in range(50)]
