--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -9,7 +9,9 @@
 from bilberryhaven import clock
 from bilberryhaven.commands import change
 from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
 from bilberryhaven import errors
+from bilberryhaven.tables import instance
 from bilberryhaven.tables import workload
 from tests.fuzz import cluster
 
@@ -20,6 +22,7 @@
 STEPS = 50
 FUZZ_EXAMPLES = 2000
 MAX_NODES = 5
+JOBS = ('j1', 'j2')
 PICK = strategies.integers(min_value=0, max_value=60)
 
 
@@ -44,6 +47,27 @@
         self.sent = []
         self.newest = 0
         self.count = 0
+        self.ended = set()
+        self.begin_jobs()
+
+    def begin_jobs(self):
+        survey = workload.Workload(name='survey', kind=workload.Kind.BATCH)
+        command = self.build_change('survey', 0, survey)
+        self.cluster.commit(command)
+        opened = session.OpenSession(
+            name='i',
+            zone='z',
+            rack='r',
+            address='i:1',
+            labels={},
+            capacity=instance.Capacity(),
+            at=NOW,
+        )
+        self.cluster.commit(opened)
+
+    @stateful.invariant()
+    def pass_time(self):
+        self.cluster.run(0.1, self.check)
 
     def pick(self, choice, test=lambda node: True):
         nodes = [n for n in self.cluster.nodes.values() if test(n)]
@@ -68,11 +92,11 @@
             assert row.revision == revision, f'{change_id} was reverted'
 
     def propose(self, command, node, record):
-        if node is not None:
+        if node is not None and node.up:
             self.cluster.propose(node, command, record)
             self.check()
 
-    def send(self, command, choice):
+    def send(self, command, node):
         def record(result):
             if isinstance(result, errors.BilberryhavenError):
                 return
@@ -84,11 +108,12 @@
             assert winner == result.id, 'a version has two winners'
             self.newest = max(self.newest, result.revision)
 
-        self.propose(command, self.pick_leader(choice), record)
+        self.propose(command, node, record)
 
-    def build_change(self, name, expect):
+    def build_change(self, name, expect, spec=None):
         self.count += 1
-        spec = workload.Workload(name=name, labels={'n': str(self.count)})
+        labels = {'n': str(self.count)}
+        spec = spec or workload.Workload(name=name, labels=labels)
         command = change.ApplyWorkload(
             change_id=f'c{self.count}',
             by='op',
@@ -112,7 +137,8 @@
         versions = [v for t, v in self.winners if t.endswith(name)]
         expect = max(versions, default=0)
         for rival in range(rivals):
-            self.send(self.build_change(name, expect), choice + rival)
+            command = self.build_change(name, expect)
+            self.send(command, self.pick_leader(choice + rival))
 
     @stateful.rule(choice=PICK, count=strategies.sampled_from([5, 60, 200]))
     def change_many(self, choice, count):
@@ -120,15 +146,15 @@
         if node is None:
             return
         for _ in range(count):
-            self.send(
-                self.build_change(TARGETS[0], change.ANY_VERSION), choice
-            )
+            command = self.build_change(TARGETS[0], change.ANY_VERSION)
+            self.send(command, node)
         self.run(0.3)
 
     @stateful.rule(choice=PICK, which=PICK)
     def resend(self, choice, which):
         if self.sent:
-            self.send(self.sent[-1 - which % len(self.sent)], choice)
+            command = self.sent[-1 - which % len(self.sent)]
+            self.send(command, self.pick_leader(choice))
 
     @stateful.rule(choice=PICK, request=PICK, holder=PICK)
     def claim(self, choice, request, holder):
@@ -148,6 +174,39 @@
 
         self.propose(command, self.pick_leader(choice), record)
 
+    @stateful.rule(choice=PICK, job=strategies.sampled_from(JOBS))
+    def start_job(self, choice, job):
+        submission = job_commands.SubmitJob(
+            job_id=job, workload='survey', payload=b'', at=NOW
+        )
+        self.propose(submission, self.pick_leader(choice), ignore)
+        grant = job_commands.Grant(job_id=job, instance='i', session=1)
+        command = job_commands.GrantJobs(grants=[grant], at=NOW)
+        self.propose(command, self.pick_leader(choice), ignore)
+
+    @stateful.rule(
+        choice=PICK,
+        job=strategies.sampled_from(JOBS),
+        kind=strategies.sampled_from(['stopped', 'stopped', 'finished']),
+        age=strategies.integers(min_value=0, max_value=1),
+    )
+    def end_grant(self, choice, job, kind, age):
+        """Report the end of a grant, perhaps late or twice."""
+        node = self.pick_leader(choice)
+        row = node and node.machine.state.jobs.find(job)
+        if not row or row.epoch <= age:
+            return
+        epoch = row.epoch - age
+        event = job_commands.JobEvent(job_id=job, epoch=epoch, kind=kind)
+        command = job_commands.RecordEvents(events=[event], at=NOW)
+
+        def record(result):
+            if result == 1:
+                assert (job, epoch) not in self.ended, 'a grant ended twice'
+                self.ended.add((job, epoch))
+
+        self.propose(command, node, record)
+
     @stateful.rule(
         seconds=strategies.sampled_from([0.05, 0.2, 0.5, 1.0, 2.0, 4.0])
     )
@@ -190,6 +249,23 @@
         node = self.pick_leader(choice) or self.pick(choice)
         self.cluster.partition([node.name])
 
+    @stateful.rule(choice=PICK, inward=strategies.booleans())
+    def depose(self, choice, inward):
+        """Cut the leader off; operators go on at the next one."""
+        old = self.pick_leader(choice)
+        if old is None:
+            return
+        for name in self.cluster.nodes:
+            self.cluster.blocked.add((old.name, name))
+            if inward:
+                self.cluster.blocked.add((name, old.name))
+        for _ in range(30):
+            self.run(0.1)
+            new = self.pick(choice, lambda n: n.leads and n is not old)
+            if new is not None:
+                command = self.build_change(TARGETS[1], change.ANY_VERSION)
+                self.send(command, new)
+
     @stateful.rule()
     def heal_links(self):
         self.cluster.blocked = set()
@@ -247,19 +323,21 @@
         if not hasattr(self, 'cluster'):
             return
         self.cluster.heal()
-        leader = self.cluster.find_leader(seconds=30)
+        self.cluster.find_leader(seconds=30)
         self.check()
-        results = []
         command = self.build_change(TARGETS[0], change.ANY_VERSION)
-        self.cluster.propose(leader, command, results.append)
-        self.cluster.run(3, self.check)
-        assert results and not isinstance(results[0], Exception), results
+        results = [self.cluster.commit(command) for _ in range(3)]
+        assert not isinstance(results[-1], Exception), results
         leader = self.cluster.find_leader()
         self.cluster.settle(leader)
         for name in leader.driver.core.members.voters:
             self.check_state(self.cluster.nodes[name].machine.state)
 
 
+def ignore(result):
+    """Take an answer that the oracle doesn't use."""
+
+
 def build_settings(**fields):
     return hypothesis.settings(
         stateful_step_count=STEPS,
