Measure control and entry from outside; add a ten-minute soak

Change: bench/fleet.py watches real processes at four numbers of agents; bench/soak.py loads a fleet for ten minutes and reports memory's growth.

--- /dev/null
+++ b/bench/_watch.py
@@ -0,0 +1,49 @@
+"""Processor time and memory of other processes, read from outside."""
+
+import dataclasses
+import os
+import pathlib
+
+__all__ = ['Reading', 'read_process']
+
+KIB = 1024
+TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+UTIME_FIELD = 11
+
+
+@dataclasses.dataclass(kw_only=True, frozen=True, slots=True)
+class Reading:
+    """A process at one moment.
+
+    Attributes:
+        rss_mb: Resident memory, file-backed pages included.
+        anon_mb: Its anonymous part.
+        cpu_seconds: Processor time used so far.
+        threads: Threads.
+    """
+
+    rss_mb: float
+    anon_mb: float
+    cpu_seconds: float
+    threads: int
+
+
+def read_process(pid):
+    """Return the ``Reading`` of the process ``pid``."""
+    folder = pathlib.Path('/proc') / str(pid)
+    status = dict(
+        line.split(':', 1)
+        for line in (folder / 'status').read_text().splitlines()
+    )
+    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[UTIME_FIELD]) + int(fields[UTIME_FIELD + 1])
+    return Reading(
+        rss_mb=_read_mb(status['VmRSS']),
+        anon_mb=_read_mb(status['RssAnon']),
+        cpu_seconds=ticks / TICKS_PER_SECOND,
+        threads=int(status['Threads']),
+    )
+
+
+def _read_mb(text):
+    return int(text.split()[0]) / KIB
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,73 @@
+"""Control and entry as real processes, at several numbers of agents.
+
+Keys ``fleet.<role>.{cpu_percent_per_agent,cpu_percent_base,rss_mb_per_agent,
+rss_mb_base,spread,anon_mb}``: processor time in percent of one core while
+the agents renew each second and nothing else happens.
+"""
+
+import time
+
+from bench import _slope
+from bench import _watch
+from bench import soak
+from tests import processes
+
+__all__ = ['measure']
+
+SIZES = (2, 6, 12, 20)
+WATCH_SECONDS = 8.0
+SETTLE_SECONDS = 3.0
+ENTRIES = 1
+
+
+def _watch_roles(agents):
+    """Return (cpu percent, rss, anon) by role at one number of agents."""
+    fleet = processes.Fleet(controls=3, entries=ENTRIES, agents=agents)
+    try:
+        soak.wait_connected(fleet)
+        soak.declare_workloads(fleet)
+        time.sleep(SETTLE_SECONDS)
+        leader = fleet.find_leader()
+        others = [n for n in fleet.list_names('control') if n != leader]
+        names = {
+            'leader': leader,
+            'follower': others[0],
+            'entry': 'entry-1',
+            'agent': 'agent-1',
+        }
+        before = {r: _read(fleet, n) for r, n in names.items()}
+        start = time.monotonic()
+        time.sleep(WATCH_SECONDS)
+        taken = time.monotonic() - start
+        after = {r: _read(fleet, n) for r, n in names.items()}
+    finally:
+        fleet.close()
+    return {
+        role: (
+            100 * (after[role].cpu_seconds - before[role].cpu_seconds) / taken,
+            after[role].rss_mb,
+            after[role].anon_mb,
+        )
+        for role in names
+    }
+
+
+def _read(fleet, name):
+    return _watch.read_process(fleet.processes[name].pid)
+
+
+def measure():
+    """Return the flat mapping of keys to figures."""
+    found = [(size, _watch_roles(size)) for size in SIZES]
+    figures = {}
+    for role in found[0][1]:
+        cpu = _slope.fit_slope([(n, by[role][0]) for n, by in found])
+        rss = _slope.fit_slope([(n, by[role][1]) for n, by in found])
+        key = f'fleet.{role}'
+        figures[f'{key}.cpu_percent_per_agent'] = round(cpu.per_unit, 4)
+        figures[f'{key}.cpu_percent_base'] = round(cpu.base, 3)
+        figures[f'{key}.spread'] = round(cpu.spread, 3)
+        figures[f'{key}.rss_mb_per_agent'] = round(rss.per_unit, 4)
+        figures[f'{key}.rss_mb_base'] = round(rss.base, 2)
+        figures[f'{key}.anon_mb'] = round(found[-1][1][role][2], 2)
+    return figures
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,133 @@
+"""Ten minutes of steady work on real processes; reports memory's growth.
+
+``python -m bench.soak [SECONDS]`` prints one JSON line a minute, and last
+the growth of each role in MB an hour over the second half.
+"""
+
+import json
+import sys
+import threading
+import time
+
+from bench import _slope
+from bench import _watch
+from bilberryhaven import errors
+from tests import processes
+
+SECONDS = 600
+REQUESTS_PER_SECOND = 20
+JOBS_PER_SECOND = 2
+READ_SECONDS = 10
+MINUTE = 60
+HOUR = 3600
+
+
+class Load:
+    """Sends requests and short jobs at a steady rate.
+
+    Args:
+        fleet: The ``Fleet``.
+    """
+
+    def __init__(self, *, fleet):
+        self._fleet = fleet
+        self.sent = 0
+        self.failed = 0
+        self.stopping = threading.Event()
+
+    def run(self):
+        """Send until told to stop."""
+        number = 0
+        while not self.stopping.wait(1 / REQUESTS_PER_SECOND):
+            number += 1
+            self._try(self._ask, number)
+            if number % (REQUESTS_PER_SECOND // JOBS_PER_SECOND) == 0:
+                self._try(self._submit, number)
+
+    def _try(self, func, number):
+        self.sent += 1
+        try:
+            func(number)
+        except errors.BilberryhavenError:
+            self.failed += 1
+
+    def _ask(self, number):
+        body = {'workload': 'price-check', 'body': number, 'idempotent': True}
+        entry = f'entry-{number % 2 + 1}'
+        self._fleet.call(entry, 'POST', '/v1/requests', body)
+
+    def _submit(self, number):
+        body = {
+            'id': f'quote-{number}',
+            'workload': 'quote',
+            'payload': {'seconds': 1},
+        }
+        self._fleet.call_any('POST', '/v1/jobs', body)
+
+
+def declare_workloads(fleet):
+    """Declare a service and a batch workload and wait until in force."""
+    for name, kind in (('price-check', 'service'), ('quote', 'batch')):
+        fleet.call_any('PUT', f'/v1/workloads/{name}', {'kind': kind})
+    fleet.wait(
+        lambda: fleet.call_any('GET', '/v1/in-force')['in_force'],
+        processes.START_SECONDS,
+        'workloads in force',
+    )
+
+
+def wait_connected(fleet):
+    """Wait until each agent has a session."""
+    count = len(fleet.list_names('agent'))
+
+    def is_complete():
+        rows = fleet.call_any('GET', '/v1/instances')['instances']
+        return sum(row['connected'] for row in rows) == count
+
+    fleet.wait(is_complete, processes.START_SECONDS, 'agents connected')
+
+
+def _read_all(fleet):
+    return {
+        name: _watch.read_process(process.pid).rss_mb
+        for name, process in fleet.processes.items()
+        if not name.startswith('backend')
+    }
+
+
+def run(seconds):
+    """Run the soak and print its readings."""
+    fleet = processes.Fleet()
+    load = Load(fleet=fleet)
+    sender = threading.Thread(target=load.run, daemon=True)
+    readings = []
+    try:
+        wait_connected(fleet)
+        declare_workloads(fleet)
+        sender.start()
+        start = time.monotonic()
+        while time.monotonic() - start < seconds:
+            time.sleep(READ_SECONDS)
+            at = time.monotonic() - start
+            readings.append((at, _read_all(fleet)))
+            if len(readings) % (MINUTE // READ_SECONDS) == 0:
+                line = {'second': round(at), 'sent': load.sent}
+                line |= {'failed': load.failed, 'rss_mb': readings[-1][1]}
+                print(json.dumps(line), flush=True)
+    finally:
+        load.stopping.set()
+        fleet.close()
+    _report(readings)
+
+
+def _report(readings):
+    half = readings[len(readings) // 2 :]
+    growth = {}
+    for name in half[0][1]:
+        points = [(at / HOUR, values[name]) for at, values in half]
+        growth[name] = round(_slope.fit_slope(points).per_unit, 1)
+    print(json.dumps({'growth_mb_per_hour': growth}))
+
+
+if __name__ == '__main__':
+    run(int(sys.argv[1]) if len(sys.argv) > 1 else SECONDS)
