Answer unreadable HTTP requests with coded JSON errors

Cause: the HTTP library answers malformed, oversize or timed-out requests in plain text; a negative Content-Length was passed on to a read; bodies of the backend protocol with huge or negative numbers weren't refused. Change: one connection class for both surfaces writes coded JSON and closes; Content-Length must be digits; numbers of the protocol have bounds.

--- a/bilberryhaven/agent/protocol.py
+++ b/bilberryhaven/agent/protocol.py
@@ -1,5 +1,7 @@
 """Validated models of the JSON bodies of the backend server protocol."""
 
+import typing
+
 import msgspec
 
 from bilberryhaven import errors
@@ -21,6 +23,11 @@
 ]
 
 
+MAX_COUNT = 2**53
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Slots = typing.Annotated[int, msgspec.Meta(ge=1, le=1024)]
+
+
 class Body(msgspec.Struct, kw_only=True):
     """Base of all bodies; unknown fields are ignored."""
 
@@ -38,7 +45,7 @@
     workload: str
     owner: str = ''
     body: bytes = b''
-    deadline_ms: int = 0
+    deadline_ms: Count = 0
 
 
 class Answer(Body):
@@ -46,7 +53,7 @@
 
     id: str
     body: bytes
-    length: int
+    length: Count
     digest: str
 
 
@@ -61,19 +68,19 @@
     """A task to start under a grant's epoch and a session's lease."""
 
     id: str
-    epoch: int
-    session: int
+    epoch: Count
+    session: Count
     workload: str = ''
     owner: str = ''
     payload: bytes = b''
     checkpoint: bytes = b''
-    slots: int = 1
+    slots: Slots = 1
 
 
 class TaskOrder(Body):
     """An order about a task's grant; ``share`` is for a throttle."""
 
-    epoch: int
+    epoch: Count
     owner: str = ''
     share: float = 1.0
 
@@ -81,9 +88,9 @@
 class LeaseGrant(Body):
     """A renewed lease, counted from the moment the ticket was issued."""
 
-    session: int
-    lease_ms: int
-    ticket: int
+    session: Count
+    lease_ms: Count
+    ticket: Count
     owner: str = ''
 
 
@@ -91,13 +98,13 @@
     """State of one task."""
 
     id: str
-    epoch: int
-    session: int
+    epoch: Count
+    session: Count
     workload: str
     state: str
     progress: float = 0.0
     share: float = 1.0
-    slots: int = 1
+    slots: Slots = 1
     reason: str = ''
     checkpoint: bytes = b''
     result: bytes = b''
@@ -128,10 +135,10 @@
     boot: str
     owner: str = ''
     former_owner: str = ''
-    ticket: int = 0
-    session: int = 0
-    lease_remaining_ms: int = 0
-    slots_used: int = 0
+    ticket: Count = 0
+    session: Count = 0
+    lease_remaining_ms: Count = 0
+    slots_used: Count = 0
     requests: list[RequestStatus] = []
     tasks: list[TaskStatus] = []
 
@@ -151,7 +158,7 @@
 class UsageReport(Body):
     """Usage as it was ``age_ms`` ago."""
 
-    age_ms: int
+    age_ms: Count
     usage: list[UsageItem] = []
 
 
--- a/bilberryhaven/standin/http.py
+++ b/bilberryhaven/standin/http.py
@@ -3,12 +3,12 @@
 import socket
 import threading
 
-from cheroot import server as http_server
 from cheroot import wsgi
 import msgspec
 
 from bilberryhaven import errors
 from bilberryhaven import util
+from bilberryhaven.wire import connection
 from bilberryhaven.wire import server
 
 __all__ = ['HttpServer', 'Reply']
@@ -105,21 +105,14 @@
     def _answer(self, environ):
         parts = environ['PATH_INFO'].strip('/').split('/')
         try:
-            body = _read_input(environ)
+            body = server.read_body(environ)
             return self._handle(environ['REQUEST_METHOD'], parts, body)
         except errors.BilberryhavenError as error:
             return Reply(status=error.status, value=error.to_dict())
 
 
-def _read_input(environ):
-    length = environ.get('CONTENT_LENGTH') or '0'
-    if not length.isdigit():
-        raise errors.BadInputError('bad Content-Length', step='read body')
-    return environ['wsgi.input'].read(int(length))
-
-
 def _build_connection_class(ledger, lock):
-    class CountedConnection(http_server.HTTPConnection):
+    class CountedConnection(connection.JsonErrorConnection):
         def __init__(self, *args, **kwargs):
             super().__init__(*args, **kwargs)
             self._counted = True
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -1,5 +1,6 @@
 """HTTP server of a process: own messages, API, health and metrics."""
 
+import json
 import threading
 
 from cheroot import wsgi
@@ -9,9 +10,16 @@
 from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import codec
+from bilberryhaven.wire import connection
 from bilberryhaven.wire import message
 
-__all__ = ['MAX_BODY_BYTES', 'Response', 'Server', 'build_error_reply']
+__all__ = [
+    'MAX_BODY_BYTES',
+    'Response',
+    'Server',
+    'build_error_reply',
+    'read_body',
+]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 STOP_TIMEOUT_SECONDS = 30
@@ -89,6 +97,7 @@
             shutdown_timeout=STOP_TIMEOUT_SECONDS,
         )
         self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.ConnectionClass = connection.JsonErrorConnection
         self._server.error_log = _log_server_error
         self._thread = None
 
@@ -120,7 +129,12 @@
         return [response.body]
 
     def _answer(self, environ):
-        body = _read_body(environ)
+        try:
+            body = read_body(environ)
+        except errors.BadInputError as error:
+            return Response(
+                status=error.status, body=json.dumps(error.to_dict()).encode()
+            )
         if environ['PATH_INFO'] == client.PATH:
             return self._answer_message(body)
         if self._fallback is not None:
@@ -147,9 +161,18 @@
         )
 
 
-def _read_body(environ):
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    return environ['wsgi.input'].read(length) if length else b''
+def read_body(environ):
+    """Return the body of a WSGI request.
+
+    Raises:
+        BadInputError: Its declared length is no number.
+    """
+    length = environ.get('CONTENT_LENGTH') or '0'
+    if not length.isdigit():
+        raise errors.BadInputError(
+            f'Content-Length is {length!r}', step='read body'
+        )
+    return environ['wsgi.input'].read(int(length)) if int(length) else b''
 
 
 def _log_server_error(msg='', level=20, traceback=False):
