Explain a job straight from the tables; add a crowded case

Change: explain_job charges only instances that match; throttling price 0.45; a crowded case in the bench.

--- a/bench/_colocation.py
+++ b/bench/_colocation.py
@@ -108,6 +108,7 @@
     Attributes:
         name: The case's name.
         seconds: How long it lasts.
+        arrivals: Factor of the usual rate at which jobs arrive.
         waves: Whether noisy tasks arrive in waves.
         shifted: Whether load moves between services half-way.
         misdeclared: Whether declared sizes are off by x0.1 to x10.
@@ -117,6 +118,7 @@
 
     name: str
     seconds: int = 360
+    arrivals: float = 1.0
     waves: bool = False
     shifted: bool = False
     misdeclared: bool = False
@@ -251,7 +253,7 @@
 
     def _submit_arrivals(self):
         for task in TASKS:
-            rate = task.per_second
+            rate = task.per_second * self._scenario.arrivals
             if self._scenario.waves and task.noisy:
                 rate *= 2.2 if self.second % 120 < 45 else 0.3
             while rate > 0.0:
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -32,6 +32,7 @@
     _colocation.Scenario(name='misdeclared', misdeclared=True),
     _colocation.Scenario(name='rack_lost', rack_lost=True),
     _colocation.Scenario(name='rolling', rolling=True),
+    _colocation.Scenario(name='crowded', arrivals=1.35),
 )
 OBJECTIVES = {
     'lianhe': settings.Objective(
--- a/bilberryhaven/systems/explanation.py
+++ b/bilberryhaven/systems/explanation.py
@@ -3,9 +3,10 @@
 import dataclasses
 import enum
 
-from bilberryhaven.systems import fleet as fleets
 from bilberryhaven.systems import node as nodes
+from bilberryhaven.systems import sharing
 from bilberryhaven.tables import job
+from bilberryhaven.tables import workload
 
 __all__ = ['Row', 'Verdict', 'explain_job', 'explain_workload']
 
@@ -60,43 +61,83 @@
 
 def _explain(state, name, row, service_reserve):
     target = state.workloads.get(name)
-    fleet = fleets.Fleet()
-    fleet.refresh(state, reserve=service_reserve)
-    rows = [
-        _judge(fleet, target, row, entry) for entry in fleet.nodes.values()
-    ]
+    judge = _Judge(state=state, target=target, reserve=service_reserve)
+    rows = [judge.judge(place, row) for place in state.instances]
     order = list(Verdict)
-    return sorted(
-        rows, key=lambda row: (order.index(row.verdict), row.instance)
-    )
-
-
-def _judge(fleet, target, row, entry):
-    verdict, reason = _find_verdict(fleet, target, row, entry)
-    return Row(instance=entry.name, verdict=verdict, reason=reason)
-
-
-def _runs_on(row, entry):
-    if row is None or row.instance != entry.name:
+    rows.sort(key=lambda found: (order.index(found.verdict), found.instance))
+    return rows
+
+
+class _Judge:
+    """Compares one workload with instances, straight from the tables."""
+
+    def __init__(self, *, state, target, reserve):
+        self._state = state
+        self._target = target
+        self._reserve = reserve
+        self._rules = sharing.Rules()
+        for row in state.workloads:
+            self._rules.put(row)
+        self._services = state.workloads.select('kind', workload.Kind.SERVICE)
+
+    def judge(self, place, row):
+        """Return the ``Row`` on instance ``place`` for job ``row``."""
+        verdict, reason = self._find_verdict(place, row)
+        return Row(instance=place.name, verdict=verdict, reason=reason)
+
+    def _find_verdict(self, place, row):
+        target = self._target
+        if _runs_on(row, place):
+            return Verdict.RUNS_HERE, row.reason or str(row.state)
+        if not self._rules.may_run(target, place.merge_labels()):
+            return (
+                Verdict.RUNS_ON,
+                f'runs_on {target.runs_on!r} does not match',
+            )
+        if not place.connected:
+            return Verdict.DISCONNECTED, 'its session is closed'
+        if not place.takes_work():
+            return Verdict.DRAINING, 'it is leaving and takes nothing new'
+        if place.quarantined:
+            return Verdict.QUARANTINED, place.quarantined
+        return self._find_room(self._build_node(place))
+
+    def _find_room(self, entry):
+        target = self._target
+        others = self._rules.list_unshared(target.name, entry)
+        if others:
+            names = ', '.join(sorted(set(others)))
+            return Verdict.SHARES_WITH, f'may not share with {names}'
+        lacks = nodes.list_shortages(entry, target.resources)
+        if lacks:
+            return Verdict.RESOURCES, '; '.join(lacks)
+        return Verdict.FITS, f'{entry.free_slots} slots free'
+
+    def _build_node(self, place):
+        entry = nodes.Node(row=place, name=place.name)
+        entry.labels = place.merge_labels()
+        entry.services = tuple(
+            row.name
+            for row in self._services
+            if self._rules.may_run(row, entry.labels)
+        )
+        entry.reserve = self._reserve if entry.services else 0
+        for held in self._state.jobs.select('instance', place.name):
+            owner = self._state.workloads.find(held.workload)
+            if held.state in job.ACTIVE_STATES and owner is not None:
+                need = dataclasses.replace(owner.resources, slots=held.slots)
+                entry.add(
+                    nodes.Charge(
+                        job_id=held.id,
+                        workload=held.workload,
+                        team=owner.team,
+                        need=need,
+                    )
+                )
+        return entry
+
+
+def _runs_on(row, place):
+    if row is None or row.instance != place.name:
         return False
     return row.state in job.ACTIVE_STATES
-
-
-def _find_verdict(fleet, target, row, entry):
-    if _runs_on(row, entry):
-        return Verdict.RUNS_HERE, row.reason or str(row.state)
-    if not fleet.rules.may_run(target, entry.labels):
-        return Verdict.RUNS_ON, f'runs_on {target.runs_on!r} does not match'
-    if not entry.row.connected:
-        return Verdict.DISCONNECTED, 'its session is closed'
-    if entry.emptying:
-        return Verdict.DRAINING, 'it is leaving and takes nothing new'
-    if entry.row.quarantined:
-        return Verdict.QUARANTINED, entry.row.quarantined
-    others = fleet.rules.list_unshared(target.name, entry)
-    if others:
-        return Verdict.SHARES_WITH, f'may not share with {", ".join(others)}'
-    lacks = nodes.list_shortages(entry, target.resources)
-    if lacks:
-        return Verdict.RESOURCES, '; '.join(lacks)
-    return Verdict.FITS, f'{entry.free_slots} slots free'
--- a/bilberryhaven/systems/throttling.py
+++ b/bilberryhaven/systems/throttling.py
@@ -11,7 +11,7 @@
 
 STEPS = (1.0, 0.6, 0.3)
 MIN_STEP = 0.3
-PRICE = 0.3
+PRICE = 0.45
 MAX_NODES = 80
 HYSTERESIS = 0.4
 MIN_INTERVAL = datetime.timedelta(seconds=5)
