Keep the strain of an instance up to date as jobs come and go

Change: a Strain a service follows each job by one addition and is computed anew on reports and after 3 s; 8 candidates of large pools, 40 reports learned a tick. Checked: tests.test_systems, test_placement, test_placement_load, test_placement_fuzz, 54 passed.

--- a/bilberryhaven/systems/choice.py
+++ b/bilberryhaven/systems/choice.py
@@ -5,7 +5,7 @@
 __all__ = ['choose_instance']
 
 FEW = 32
-SAMPLE = 10
+SAMPLE = 8
 WALK = 64
 FAILED_HERE = 100.0
 
--- a/bilberryhaven/systems/learning.py
+++ b/bilberryhaven/systems/learning.py
@@ -11,7 +11,7 @@
 __all__ = ['LearningSystem']
 
 MAX_REPORTS = 400
-MAX_LEARNED = 60
+MAX_LEARNED = 40
 START_LAG_S = 0.5
 LOAD_WEIGHT = 0.3
 MEAN_LOAD_WEIGHT = 0.02
@@ -74,6 +74,7 @@
             return
         self._learn_load(instance, usage)
         memory.reported[instance] = None
+        entry.strains = None
         self._learned += 1
         if self._learned > MAX_LEARNED:
             memory.skipped_reports += 1
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,8 +1,6 @@
 """What the systems of one leader share between ticks."""
 
-import dataclasses
 import itertools
-import math
 import random
 
 from bilberryhaven import policies
@@ -13,45 +11,15 @@
 from bilberryhaven.systems import history
 from bilberryhaven.systems import interference
 from bilberryhaven.systems import sizes
+from bilberryhaven.systems import strain
 
 __all__ = ['Memory']
 
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
-LINEAR_EXCESS = 2.0
 KEPT_S = 3.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Strain:
-    """What one service on an instance suffers.
-
-    Attributes:
-        load: The service's load there.
-        effects: Effect of one task in logarithms, by workload.
-        total: Sum of the effects of all tasks beside it.
-        harm: The harm that this does.
-    """
-
-    load: float
-    effects: dict
-    total: float
-    harm: float
-
-
-def compute_harm(excess):
-    """Return the harm of a service that is slower by ``excess``.
-
-    It grows with the square, since the slowest decide the tail, and in a
-    straight line beyond ``LINEAR_EXCESS``.
-    """
-    if excess <= 0.0:
-        return 0.0
-    if excess <= LINEAR_EXCESS:
-        return excess * excess
-    return LINEAR_EXCESS * (2.0 * excess - LINEAR_EXCESS)
-
-
 class Memory:
     """Derived indexes and estimates of one leader.
 
@@ -136,9 +104,7 @@
         """
         total = 0.0
         for item in self._list_strains(entry):
-            after = item.total + change * item.effects[workload]
-            harm = compute_harm(math.exp(after) - 1.0)
-            total += item.load * harm - item.harm
+            total += item.predict_harm(workload, change) - item.harm
         return total
 
     def _list_strains(self, entry):
@@ -153,13 +119,10 @@
 
     def _build_strain(self, service, load, counts):
         band = interference.get_band(load)
-        effects = self.interference.get_effects(service, band)
-        total = self.interference.sum_effects(service, band, counts)
-        return Strain(
+        return strain.Strain(
             load=load,
-            effects=effects,
-            total=total,
-            harm=load * compute_harm(math.exp(total) - 1.0),
+            effects=self.interference.get_effects(service, band),
+            total=self.interference.sum_effects(service, band, counts),
         )
 
     def _list_loads(self, entry):
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -93,7 +93,8 @@
     def discard(self, job_id):
         """Take a job's charge back."""
         charge = self.charges.pop(job_id, None)
-        self.shares.pop(job_id, None)
+        if self.shares.pop(job_id, None) is not None:
+            self.strains = None
         if charge is not None:
             self._count(charge, -1)
         return charge
@@ -127,7 +128,8 @@
         self.strains = None
 
     def _count(self, charge, sign):
-        self.strains = None
+        for strain in self.strains or ():
+            strain.add(charge.workload, sign)
         need = charge.need
         count = self.counts.get(charge.workload, 0) + sign
         if count:
--- /dev/null
+++ b/bilberryhaven/systems/strain.py
@@ -0,0 +1,53 @@
+"""What a service on one instance suffers from the work beside it."""
+
+import math
+
+__all__ = ['Strain', 'compute_harm']
+
+LINEAR_EXCESS = 2.0
+
+
+def compute_harm(excess):
+    """Return the harm of a service that is slower by ``excess``.
+
+    It grows with the square, since the slowest decide the tail, and in a
+    straight line beyond ``LINEAR_EXCESS``.
+    """
+    if excess <= 0.0:
+        return 0.0
+    if excess <= LINEAR_EXCESS:
+        return excess * excess
+    return LINEAR_EXCESS * (2.0 * excess - LINEAR_EXCESS)
+
+
+class Strain:
+    """One service's load, and the effects of the tasks beside it.
+
+    Args:
+        load: The service's load there.
+        effects: Effect of one task in logarithms, by workload.
+        total: Sum of the effects of all tasks beside it.
+
+    Attributes:
+        harm: The harm that these do.
+    """
+
+    __slots__ = ('_effects', '_load', '_total', 'harm')
+
+    def __init__(self, *, load, effects, total):
+        self._load = load
+        self._effects = effects
+        self._total = total
+        self.harm = self.predict_harm('', 0.0)
+
+    def predict_harm(self, workload, count):
+        """Return the harm with ``count`` more tasks of ``workload``."""
+        total = self._total
+        if count:
+            total += count * self._effects[workload]
+        return self._load * compute_harm(math.exp(total) - 1.0)
+
+    def add(self, workload, count):
+        """Take in ``count`` more tasks of ``workload``."""
+        self._total += count * self._effects[workload]
+        self.harm = self.predict_harm(workload, 0.0)
