Measure the relay of heartbeats through an entry

Cause: the fleet bench has too few agents for batches to form. Change: bench/relay.py plays 60 to 360 agents with 20 jobs each against real entry and control processes.

--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,135 @@
+"""Heartbeats of many agents through one entry to the leader.
+
+Keys ``relay.<role>.{cpu_ms_per_heartbeat,cpu_percent_base,spread}`` from real
+entry and control processes, with the agents played by threads here, and
+``relay.p99_ms``, the round trip at the largest number of agents.
+"""
+
+import concurrent.futures
+import threading
+import time
+
+from bench import _slope
+from bench import _watch
+from bilberryhaven import clock
+from bilberryhaven.wire import client
+from bilberryhaven.wire import message
+from tests import processes
+
+__all__ = ['measure']
+
+SIZES = (60, 120, 240, 360)
+THREADS = 40
+SECONDS = 6
+JOBS = 20
+TIMEOUT = clock.seconds(5)
+
+
+class Agents:
+    """Plays many agents that renew once a second each.
+
+    Args:
+        address: The entry's HOST:PORT.
+        count: How many.
+    """
+
+    def __init__(self, *, address, count):
+        self._address = address
+        self._client = client.Client()
+        self._epochs = dict.fromkeys((f'i{n}' for n in range(count)), 0)
+        self._stopping = threading.Event()
+        self.taken = []
+
+    def run(self):
+        """Renew until told to stop; each thread has its share."""
+        names = list(self._epochs)
+        with concurrent.futures.ThreadPoolExecutor(THREADS) as pool:
+            shares = [names[i::THREADS] for i in range(THREADS)]
+            list(pool.map(self._run_share, shares))
+
+    def stop(self):
+        """End after the round in progress."""
+        self._stopping.set()
+
+    def _run_share(self, names):
+        due = time.monotonic()
+        while not self._stopping.is_set():
+            for name in names:
+                self._beat(name)
+            due += 1
+            self._stopping.wait(max(0, due - time.monotonic()))
+
+    def _beat(self, name):
+        start = time.monotonic()
+        reply = self._client.send(
+            self._address,
+            self._build_beat(name),
+            timeout=TIMEOUT,
+            step='heartbeat',
+        )
+        self.taken.append(time.monotonic() - start)
+        self._epochs[name] = reply.epoch
+
+    def _build_beat(self, name):
+        running = [
+            message.RunningJob(job_id=f'{name}-{job}', epoch=1)
+            for job in range(JOBS)
+        ]
+        return message.Heartbeat(
+            instance=name,
+            epoch=self._epochs[name],
+            announcement=message.Announcement(
+                name=name, zone='z', rack='r', address='127.0.0.1:1'
+            ),
+            load=message.Load(slots=8),
+            running=running,
+        )
+
+
+def _watch_size(fleet, count):
+    agents = Agents(address=fleet.addresses['entry-1'], count=count)
+    sender = threading.Thread(target=agents.run)
+    sender.start()
+    time.sleep(SECONDS / 2)
+    names = ('entry-1', 'control-1')
+    before = [_watch.read_process(fleet.processes[n].pid) for n in names]
+    start, sent = time.monotonic(), len(agents.taken)
+    time.sleep(SECONDS)
+    taken, sent = time.monotonic() - start, len(agents.taken) - sent
+    after = [_watch.read_process(fleet.processes[n].pid) for n in names]
+    agents.stop()
+    sender.join()
+    shares = [
+        1000 * (b.cpu_seconds - a.cpu_seconds) / taken
+        for a, b in zip(before, after, strict=True)
+    ]
+    return sent / taken, shares, sorted(agents.taken)
+
+
+def measure():
+    """Return the flat mapping of keys to figures."""
+    points = {'entry': [], 'leader': []}
+    for count in SIZES:
+        fleet = processes.Fleet(controls=1, entries=1, agents=0)
+        try:
+            fleet.wait(
+                lambda f=fleet: f.call_any('GET', '/v1/in-force'),
+                processes.START_SECONDS,
+                'a leader',
+            )
+            rate, shares, ordered = _watch_size(fleet, count)
+        finally:
+            fleet.close()
+        for role, share in zip(points, shares, strict=True):
+            points[role].append((rate, share))
+    figures = {}
+    for role, found in points.items():
+        slope = _slope.fit_slope(found)
+        key = f'relay.{role}'
+        figures[f'{key}.cpu_ms_per_heartbeat'] = round(slope.per_unit, 4)
+        figures[f'{key}.cpu_percent_base'] = round(slope.base / 10, 3)
+        figures[f'{key}.spread'] = round(slope.spread, 4)
+    figures['relay.p99_ms'] = round(
+        1000 * ordered[int(len(ordered) * 0.99)], 1
+    )
+    return figures
