--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -202,6 +202,18 @@
         states = [str(self.job(j).state) for j in ('short', 'o', 'n')]
         self.assertEqual(['running', 'running', 'evicting'], states)
 
+    def test_work_left_to_finish_still_obeys_selectors(self):
+        self.declare('once', repeatable=False)
+        self.open('a')
+        self.submit('once', 'o')
+        self.live(2)
+        self.drain('a')
+        self.tick()
+        self.assertEqual('running', self.job('o').state)
+        self.declare('once', repeatable=False, runs_on='pond=yes')
+        self.tick()
+        self.assertEqual('evicting', self.job('o').state)
+
 
 class TestUrgency(LoadTestCase):
     """Agents that get orders at a heartbeat and report events at once."""
@@ -315,6 +327,17 @@
         self.job('x').evictions = 5
         self.assertEqual(['x'], self.evict_for_urgent())
 
+    def test_watch_stays_for_an_hour_after_an_eviction(self):
+        self.declare('tide', kind=workload.Kind.WATCH)
+        self.submit('tide', 't0', 't1', 't2')
+        self.live(3)
+        for row in self.state.jobs:
+            row.evicted_at = self.now
+        self.assertEqual([], self.evict_for_urgent())
+        self.tick(step=3601 * SECOND)
+        self.tick()
+        self.assertEqual(1, self.state.jobs.count('state', 'evicting'))
+
 
 class TestPace(LoadTestCase):
     """How soon and how often harm leads to evictions."""
