--- a/bilberryhaven/systems/choice.py
+++ b/bilberryhaven/systems/choice.py
@@ -1,8 +1,10 @@
 """Chooses an instance for a job among a bounded number of candidates."""
 
+import dataclasses
+
 from bilberryhaven.systems import backlog as backlogs
 
-__all__ = ['choose_instance']
+__all__ = ['Choice', 'choose_instance']
 
 FEW = 32
 SAMPLE = 8
@@ -10,8 +12,21 @@
 FAILED_HERE = 100.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Choice:
+    """An instance for a job.
+
+    Attributes:
+        entry: The instance's ``Node``.
+        cost: What placing the job there costs.
+    """
+
+    entry: object
+    cost: float = 0.0
+
+
 def choose_instance(memory, world, row, target):
-    """Return the best (node, score) found for job ``row``, or (None, 0).
+    """Return the best ``Choice`` found for job ``row``, or None.
 
     Looks at all instances with room while there are few, else at a random
     sample, and at the next ones in turn if none of the sample fits. So the
@@ -21,7 +36,7 @@
     count = SAMPLE if len(pool.roomy) > FEW else FEW
     names = pool.roomy.sample(memory.random, count)
     best = _pick(memory, world, row, target, names)
-    if best[0] is None and len(pool.roomy) > FEW:
+    if best is None and len(pool.roomy) > FEW:
         best = _pick(memory, world, row, target, pool.walk(WALK))
     return best
 
@@ -30,7 +45,7 @@
     fleet = memory.fleet
     need = fleet.get_need(target)
     urgent = backlogs.is_urgent(target)
-    best, best_score = None, 0.0
+    best = None
     for name in names:
         entry = fleet.nodes[name]
         headroom = 0 if urgent else entry.headroom
@@ -38,9 +53,9 @@
             continue
         if not fleet.rules.shares(target.name, entry):
             continue
-        score = memory.policy.score(world, target, need, entry)
+        cost = memory.policy.score(world, target, need, entry)
         if name in row.failures:
-            score += FAILED_HERE
-        if best is None or score < best_score:
-            best, best_score = entry, score
-    return best, best_score
+            cost += FAILED_HERE
+        if best is None or cost < best.cost:
+            best = Choice(entry=entry, cost=cost)
+    return best
--- a/bilberryhaven/systems/eviction.py
+++ b/bilberryhaven/systems/eviction.py
@@ -78,10 +78,12 @@
         weights = world.objective
         share = entry.shares.get(row.id, 1.0)
         relief = -self.memory.compute_harm_change(entry, row.workload, -share)
-        other, _ = choice.choose_instance(self.memory, world, row, target)
         added = relief
-        if other is not None and other is not entry:
-            added = self.memory.compute_harm_change(other, row.workload, 1.0)
+        found = choice.choose_instance(self.memory, world, row, target)
+        if found is not None and found.entry is not entry:
+            added = self.memory.compute_harm_change(
+                found.entry, row.workload, 1.0
+            )
         left = victims.estimate_remaining(self.memory, world, row, target)
         horizon = min(left, MAX_HORIZON_S) / GAIN_UNIT_S
         gained = weights.tail_latency * (relief - added)
--- a/bilberryhaven/systems/failures.py
+++ b/bilberryhaven/systems/failures.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-__all__ = ['FailureCounts']
+__all__ = ['Excess', 'FailureCounts']
 
 DECAY = 0.98
 PRIOR_FAILURES = 0.8
@@ -29,6 +29,21 @@
         self.failures = self.failures * DECAY + (1.0 if failed else 0.0)
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Excess:
+    """How much more fails on an instance than elsewhere.
+
+    Attributes:
+        failures: Decayed count of failures there.
+        tries: Decayed count of jobs there.
+        excess: Failures beyond those that the same work has elsewhere.
+    """
+
+    failures: float
+    tries: float
+    excess: float
+
+
 class FailureCounts:
     """Decaying counts of tries and failures by instance and workload."""
 
@@ -54,14 +69,14 @@
             self._cells[instance].pop(workload, None)
 
     def compute_excess(self, instance):
-        """Return (failures, tries, failures beyond those expected)."""
+        """Return the ``Excess`` of an instance."""
         failures = tries = excess = 0.0
         for workload, cell in self._cells.get(instance, {}).items():
             rate = self._compute_rate(workload, instance)
             failures += cell.failures
             tries += cell.tries
             excess += cell.failures - rate * cell.tries
-        return failures, tries, excess
+        return Excess(failures=failures, tries=tries, excess=excess)
 
     def _compute_rate(self, workload, without):
         failures, tries = PRIOR_FAILURES, PRIOR_TRIES
@@ -73,12 +88,12 @@
 
     def is_bad_instance(self, instance):
         """Return whether the instance, not the work, is at fault."""
-        failures, tries, excess = self.compute_excess(instance)
-        if failures < MIN_FAILURES * DECAY**MIN_FAILURES:
+        found = self.compute_excess(instance)
+        if found.failures < MIN_FAILURES * DECAY**MIN_FAILURES:
             return False
-        if failures / tries < MIN_SHARE:
+        if found.failures / found.tries < MIN_SHARE:
             return False
-        return excess >= MIN_EXCESS or self._fails_many(instance)
+        return found.excess >= MIN_EXCESS or self._fails_many(instance)
 
     def _fails_many(self, instance):
         failing = [
--- a/bilberryhaven/systems/health.py
+++ b/bilberryhaven/systems/health.py
@@ -17,7 +17,6 @@
 FIRST_BACKOFF = datetime.timedelta(seconds=1)
 MAX_BACKOFF = datetime.timedelta(seconds=60)
 REFUSED_DELAY = datetime.timedelta(milliseconds=500)
-PROBE_INTERVAL = datetime.timedelta(seconds=30)
 
 logger = log.get_logger('health')
 
@@ -76,27 +75,29 @@
         return quarantined < limit and connected > 1
 
     def _quarantine(self, world, name):
-        failures, tries, excess = self.memory.failures.compute_excess(name)
+        found = self.memory.failures.compute_excess(name)
         reason = (
-            f'{failures:.0f} of the last {tries:.0f} jobs failed here, '
-            f'{excess:.1f} more than elsewhere'
+            f'{found.failures:.0f} of the last {found.tries:.0f} jobs failed '
+            f'here, {found.excess:.1f} more than elsewhere'
         )
-        self.memory.probes[name] = (world.now + PROBE_INTERVAL, PROBE_INTERVAL)
+        self.memory.probes.pop(name, None)
+        self.memory.get_probe(name, world.now)
         log.log_decision(
             logger,
             'quarantine',
             reason=reason,
             instance=name,
-            failures=round(failures, 2),
-            tries=round(tries, 2),
-            excess=round(excess, 2),
+            failures=round(found.failures, 2),
+            tries=round(found.tries, 2),
+            excess=round(found.excess, 2),
         )
         return session.QuarantineInstance(name=name, reason=reason)
 
     def _judge_probe(self, world, name, failed):
         if failed:
-            _, interval = self.memory.probes.get(name, (None, PROBE_INTERVAL))
-            self.memory.probes[name] = (world.now + interval * 2, interval * 2)
+            probe = self.memory.get_probe(name, world.now)
+            probe.interval *= 2
+            probe.due = world.now + probe.interval
             return []
         self.memory.probes.pop(name, None)
         self.memory.failures.forget_instance(name)
--- a/bilberryhaven/systems/interference.py
+++ b/bilberryhaven/systems/interference.py
@@ -7,11 +7,12 @@
 all services; as reports age they count less.
 """
 
+import dataclasses
 import math
 
 from bilberryhaven.systems import regression
 
-__all__ = ['BANDS', 'Interference', 'get_band']
+__all__ = ['BANDS', 'Interference', 'Slowdown', 'get_band']
 
 BANDS = 4
 NOISE_VARIANCE = 0.04
@@ -34,6 +35,16 @@
     return min(max(int(load * BANDS), 0), BANDS - 1)
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Slowdown:
+    """How much slower a service answers beside one task of a workload."""
+
+    service: str
+    beside: str
+    band: int
+    factor: float
+
+
 class _Effects(dict):
     """Effects of one service and band; unknown ones become their prior."""
 
@@ -160,9 +171,14 @@
                 del effects[workload]
 
     def list_slowdowns(self):
-        """Return (service, workload, band, factor) of each learned effect."""
+        """Return a ``Slowdown`` for each learned effect."""
         return [
-            (service, workload, band, math.exp(effect))
+            Slowdown(
+                service=service,
+                beside=workload,
+                band=band,
+                factor=math.exp(effect),
+            )
             for (service, band), model in self._models.items()
             for workload, effect in model.means.items()
             if workload not in (BASE, SLOPE)
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,5 +1,7 @@
 """What the systems of one leader share between ticks."""
 
+import dataclasses
+import datetime
 import itertools
 import random
 
@@ -17,9 +19,23 @@
 
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
+PROBE_INTERVAL = datetime.timedelta(seconds=30)
 KEPT_S = 3.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Probe:
+    """Trials of a quarantined instance.
+
+    Attributes:
+        due: When the next one may start.
+        interval: Time between them; doubles with each that fails.
+    """
+
+    due: datetime.datetime
+    interval: datetime.timedelta
+
+
 class Memory:
     """Derived indexes and estimates of one leader.
 
@@ -42,12 +58,12 @@
         service_loads: Newest load by (instance, service).
         mean_loads: Mean load by service.
         reported: Instances whose services were reported on in this tick.
-        probes: (next time, interval) by quarantined instance.
+        probes: ``Probe`` by quarantined instance.
         claims: ``Claim`` list of room kept, by workload.
         serials: Numbers of the claims.
         served: Number of places given to waiting workloads.
         waiting: Since when a workload's first job finds no place.
-        skips: (ticks left, width) of workloads that found no place.
+        skips: Pauses of workloads that found no place, by workload.
         pressed: First (job, workload) of work that can't wait, where it
             found no place in this tick.
         last_drain: When an instance was last seen draining, or None.
@@ -80,6 +96,14 @@
         self.skipped_reports = 0
         self.policy = policies.get_policy_by_name(policy)(memory=self)
 
+    def get_probe(self, name, now):
+        """Return the ``Probe`` of quarantined instance ``name``."""
+        known = self.probes.get(name)
+        if known is None:
+            known = Probe(due=now + PROBE_INTERVAL, interval=PROBE_INTERVAL)
+            self.probes[name] = known
+        return known
+
     def begin_tick(self, now):
         """Set the time in seconds; what is old is computed anew."""
         self._now = now
--- a/bilberryhaven/systems/placement.py
+++ b/bilberryhaven/systems/placement.py
@@ -1,6 +1,6 @@
 """Grants pending jobs to instances, in batches and in fair order."""
 
-import datetime
+import dataclasses
 
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import log
@@ -17,11 +17,23 @@
 MAX_HELD = 2000
 MAX_SKIP = 8
 SMALL_POOL = 64
-PROBE_INTERVAL = datetime.timedelta(seconds=30)
 
 logger = log.get_logger('placement')
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Skip:
+    """Pause of a workload that found no place.
+
+    Attributes:
+        left: Ticks in which it isn't tried.
+        width: Ticks of its next pause.
+    """
+
+    left: int = 0
+    width: int = 1
+
+
 @systems.register('placement')
 class PlacementSystem(systems.System):
     """Places each pending job where it fits and does least harm."""
@@ -69,10 +81,10 @@
         self.memory.served = order.served
 
     def _skips(self, target):
-        left, width = self.memory.skips.get(target.name, (0, 1))
-        if left <= 0 or backlogs.is_urgent(target):
+        skip = self.memory.skips.get(target.name)
+        if skip is None or not skip.left or backlogs.is_urgent(target):
             return False
-        self.memory.skips[target.name] = (left - 1, width)
+        skip.left -= 1
         return True
 
     def _exceeds_quota(self, world, target):
@@ -85,11 +97,11 @@
     def _place_next(self, world, target):
         job_id = self.memory.backlog.peek(target.name)[1]
         row = world.state.jobs.get(job_id)
-        entry, score = self._choose(world, row, target)
-        if entry is not None:
+        found = self._choose(world, row, target)
+        if found is not None:
             self.memory.skips.pop(target.name, None)
             self.memory.waiting.pop(target.name, None)
-            self._grant(world, row, target, entry, score)
+            self._grant(world, row, target, found)
             return True
         if not self.memory.feasibility.is_possible(target):
             self._hold(target)
@@ -100,19 +112,23 @@
     def _choose(self, world, row, target):
         claimed = claims.take_claim(self.memory, target)
         if claimed is not None:
-            return claimed, 0.0
+            return choice.Choice(entry=claimed)
         return choice.choose_instance(self.memory, world, row, target)
 
     def _wait(self, world, row, target):
         pool = self.memory.fleet.get_pool(target.runs_on)
         if len(pool.members) > SMALL_POOL:
-            width = self.memory.skips.get(target.name, (0, 1))[1]
-            self.memory.skips[target.name] = (width, min(width * 2, MAX_SKIP))
+            self._widen_skip(target.name)
         if self._cannot_wait(world, row, target):
             self.memory.pressed.append((row, target))
         else:
             claims.claim_if_starving(self.memory, world, target)
 
+    def _widen_skip(self, name):
+        skip = self.memory.skips.setdefault(name, Skip())
+        skip.left = skip.width
+        skip.width = min(skip.width * 2, MAX_SKIP)
+
     def _cannot_wait(self, world, row, target):
         if backlogs.is_urgent(target):
             return True
@@ -120,8 +136,9 @@
             return False
         return self.memory.backlog.compute_due(row) <= world.now
 
-    def _grant(self, world, row, target, entry, score):
-        reason = f'cost {score:.3f}, {entry.free_slots} slots free'
+    def _grant(self, world, row, target, found):
+        entry = found.entry
+        reason = f'cost {found.cost:.3f}, {entry.free_slots} slots free'
         self.memory.backlog.pop(target.name)
         self._issue(world, row, target, entry, reason)
         wait = world.now - row.submitted_at
@@ -132,7 +149,7 @@
             job=row.id,
             workload=target.name,
             instance=entry.name,
-            cost=round(score, 4),
+            cost=round(found.cost, 4),
             free_slots=entry.free_slots,
             waited_s=wait.total_seconds(),
         )
@@ -181,13 +198,12 @@
 
     def _list_probed(self, world):
         found = []
-        first = (world.now + PROBE_INTERVAL, PROBE_INTERVAL)
         for name in self.memory.fleet.quarantined:
             entry = self.memory.fleet.nodes[name]
-            due, _ = self.memory.probes.setdefault(name, first)
+            probe = self.memory.get_probe(name, world.now)
             row = entry.row
             busy = entry.charges or not row.takes_work()
-            if due <= world.now and not busy:
+            if probe.due <= world.now and not busy:
                 found.append(entry)
         return found
 
