--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -16,6 +16,7 @@
 from bilberryhaven import clock
 from bilberryhaven import commands
 from bilberryhaven.commands import change
+from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
 from bilberryhaven.consensus import replica
@@ -176,7 +177,7 @@
 
 def build_claim(request_id):
     """Return a small command."""
-    return job_commands.ClaimRequest(
+    return claim_commands.ClaimRequest(
         request_id=request_id, workload='w', holder='entry', at=NOW
     )
 
--- a/bilberryhaven/commands/change.py
+++ b/bilberryhaven/commands/change.py
@@ -109,7 +109,7 @@
 
 def _expire_changes(state):
     while len(state.changes) > KEPT_CHANGES:
-        state.changes.remove(next(iter(state.changes)).id)
+        state.changes.remove(state.changes.find_first().id)
 
 
 class ApplyWorkload(OperatorChange, kw_only=True, frozen=True):
--- /dev/null
+++ b/bilberryhaven/commands/claim.py
@@ -0,0 +1,59 @@
+"""Claims: the right to dispatch a request once."""
+
+import datetime
+
+from bilberryhaven import commands
+from bilberryhaven import errors
+from bilberryhaven.tables import claim
+
+__all__ = ['CLAIM_KEPT', 'ClaimRequest', 'MAX_CLAIMS']
+
+# A request id that was claimed is refused again for this long.
+CLAIM_KEPT = datetime.timedelta(hours=24)
+MAX_CLAIMS = 500_000
+
+
+class ClaimRequest(commands.Command, kw_only=True, frozen=True):
+    """Claim a request that must run at most once, before its dispatch."""
+
+    request_id: str
+    workload: str
+    holder: str
+    at: datetime.datetime
+
+    def apply(self, state):
+        """Grant the claim to the first who asks.
+
+        Raises:
+            RefusedError: Another dispatch has claimed the request.
+        """
+        first = state.claims.find(self.request_id)
+        if first is not None:
+            raise errors.RefusedError(
+                f'request was claimed by {first.holder} at '
+                f'{first.at.isoformat()}',
+                step='claim',
+                peer=first.holder,
+                outcome=errors.Outcome.UNKNOWN,
+                request_id=self.request_id,
+            )
+        _expire_claims(state, self.at)
+        if len(state.claims) >= MAX_CLAIMS:
+            raise errors.OverloadError(
+                f'{MAX_CLAIMS} claims are kept', step='claim'
+            )
+        row = claim.Claim(
+            request_id=self.request_id,
+            workload=self.workload,
+            holder=self.holder,
+            at=self.at,
+        )
+        state.claims.put(row)
+        return row
+
+
+def _expire_claims(state, at):
+    oldest = state.claims.find_first()
+    while oldest is not None and oldest.at <= at - CLAIM_KEPT:
+        state.claims.remove(oldest.request_id)
+        oldest = state.claims.find_first()
--- a/bilberryhaven/commands/job.py
+++ b/bilberryhaven/commands/job.py
@@ -8,15 +8,14 @@
 from bilberryhaven import commands
 from bilberryhaven.commands import checks
 from bilberryhaven import errors
-from bilberryhaven.tables import claim
 from bilberryhaven.tables import job
 
 __all__ = [
     'CancelJobs',
-    'ClaimRequest',
     'EventKind',
     'EvictJobs',
     'Eviction',
+    'ExpireJobs',
     'Grant',
     'GrantJobs',
     'HoldJobs',
@@ -26,8 +25,6 @@
     'SubmitJob',
 ]
 
-KEPT_CLAIMS = 200_000
-
 
 class SubmitJob(commands.Command, kw_only=True, frozen=True):
     """Accept a job; a resend with the same id finds the same job."""
@@ -338,37 +335,15 @@
         return released
 
 
-class ClaimRequest(commands.Command, kw_only=True, frozen=True):
-    """Claim a request that must run at most once, before its dispatch."""
+class ExpireJobs(commands.Command, kw_only=True, frozen=True):
+    """Forget jobs that ended long ago."""
 
-    request_id: str
-    workload: str
-    holder: str
-    at: datetime.datetime
+    job_ids: list[str]
 
     def apply(self, state):
-        """Grant the claim to the first who asks.
-
-        Raises:
-            RefusedError: Another dispatch has claimed the request.
-        """
-        first = state.claims.find(self.request_id)
-        if first is not None:
-            raise errors.RefusedError(
-                f'request was claimed by {first.holder} at '
-                f'{first.at.isoformat()}',
-                step='claim',
-                peer=first.holder,
-                outcome=errors.Outcome.UNKNOWN,
-                request_id=self.request_id,
-            )
-        row = claim.Claim(
-            request_id=self.request_id,
-            workload=self.workload,
-            holder=self.holder,
-            at=self.at,
-        )
-        state.claims.put(row)
-        while len(state.claims) > KEPT_CLAIMS:
-            state.claims.remove(next(iter(state.claims)).request_id)
-        return row
+        """Remove each that has ended; return how many."""
+        rows = [state.jobs.find(job_id) for job_id in self.job_ids]
+        ended = [row for row in rows if row and row.state in job.END_STATES]
+        for row in ended:
+            state.jobs.remove(row.id)
+        return len(ended)
--- a/bilberryhaven/control/leader.py
+++ b/bilberryhaven/control/leader.py
@@ -7,6 +7,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import commands
 from bilberryhaven.commands import change
+from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job
 from bilberryhaven.commands import session
 from bilberryhaven.control import context
@@ -114,7 +115,7 @@
         A claim that its holder asks for again, because the first answer was
         lost, is granted again; a holder's id is new at each of its starts.
         """
-        command = job.ClaimRequest(
+        command = claim_commands.ClaimRequest(
             request_id=request.request_id,
             workload=request.workload,
             holder=request.entry,
--- a/bilberryhaven/tables/table.py
+++ b/bilberryhaven/tables/table.py
@@ -42,6 +42,10 @@
         """Return the row at ``key``, or None."""
         return self._rows.get(key)
 
+    def find_first(self):
+        """Return the row that was inserted first, or None."""
+        return next(iter(self._rows.values()), None)
+
     def get(self, key):
         """Return the row at ``key``.
 
@@ -102,6 +106,11 @@
         keys = self._indexes[field].get(value, ())
         return [self._rows[key] for key in keys]
 
+    def iterate(self, field, value):
+        """Yield the rows of ``select`` without a copy."""
+        for key in self._indexes[field].get(value, ()):
+            yield self._rows[key]
+
     def count(self, field, value):
         """Return how many rows have ``value`` in the indexed ``field``."""
         return len(self._indexes[field].get(value, ()))
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -8,6 +8,7 @@
 
 from bilberryhaven import clock
 from bilberryhaven.commands import change
+from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
 from bilberryhaven import errors
@@ -159,7 +160,7 @@
 
     @stateful.rule(choice=PICK, request=PICK, holder=PICK)
     def claim(self, choice, request, holder):
-        command = job_commands.ClaimRequest(
+        command = claim_commands.ClaimRequest(
             request_id=f'r{request % 6}',
             workload='recipe',
             holder=f'entry{holder}-{self.count}',
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -6,6 +6,7 @@
 
 from bilberryhaven import commands
 from bilberryhaven.commands import change
+from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
 from bilberryhaven import errors
@@ -143,7 +144,7 @@
     def test_claim_goes_to_one_holder(self):
         def claim(holder):
             return self.do(
-                job_commands.ClaimRequest(
+                claim_commands.ClaimRequest(
                     request_id='r', workload='w', holder=holder, at=NOW
                 )
             )
@@ -151,6 +152,25 @@
         self.assertEqual('e1', claim('e1').holder)
         self.assertIsInstance(claim('e2'), errors.RefusedError)
 
+    def test_claim_is_kept_for_a_day(self):
+        def claim(request_id, hours):
+            return self.do(
+                claim_commands.ClaimRequest(
+                    request_id=request_id,
+                    workload='w',
+                    holder='e',
+                    at=NOW + datetime.timedelta(hours=hours),
+                )
+            )
+
+        claim('r', 0)
+        claim('s', 23)
+        self.assertIsInstance(claim('r', 23), errors.RefusedError)
+        claim('t', 24)
+        self.assertEqual(
+            ['s', 't'], [row.request_id for row in self.state.claims]
+        )
+
     def test_equal_states_dump_equal_bytes(self):
         self.declare()
         self.open()
--- a/tests/test_systems.py
+++ b/tests/test_systems.py
@@ -297,3 +297,17 @@
             found,
         )
         self.assertIn('needs 1 accelerators, 0 of 0', rows[-1].reason)
+
+
+class TestExpiry(SystemTestCase):
+    def test_ended_jobs_are_forgotten_after_a_day_and_others_kept(self):
+        self.declare('silt')
+        self.open('a')
+        self.submit('silt', 'old', 'runs')
+        self.tick()
+        self.report('finished', 'old')
+        self.tick(step=datetime.timedelta(hours=23))
+        self.assertIn('old', self.state.jobs)
+        self.tick(step=datetime.timedelta(hours=2))
+        self.assertNotIn('old', self.state.jobs)
+        self.assertIn('runs', self.state.jobs)
