--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -294,6 +294,8 @@
             agent.lost = agent.lost or agent.zone == zone
         for entry in self.entries:
             entry.lost = entry.lost or entry.zone == zone
+        for caller in self.callers.values():
+            caller['cut'] = caller['entry'].lost and 'took' not in caller
 
     def restore_zone(self, zone):
         """Bring a zone back, with empty slots."""
