--- a/bilberryhaven/standin/http.py
+++ b/bilberryhaven/standin/http.py
@@ -3,12 +3,12 @@
 import socket
 import threading
 
-from cheroot import server as http_server
 from cheroot import wsgi
 import msgspec
 
 from bilberryhaven import errors
 from bilberryhaven import util
+from bilberryhaven.wire import connection
 from bilberryhaven.wire import server
 
 __all__ = ['HttpServer', 'Reply']
@@ -60,7 +60,10 @@
         )
         self._server.gateway = _Gateway
         self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.ConnectionClass = _build_connection_class(ledger, lock)
+        self._guard = connection.ReadGuard()
+        self._server.ConnectionClass = _build_connection_class(
+            self._guard, ledger, lock
+        )
         self._server.error_log = _ignore
         self._thread = None
 
@@ -77,9 +80,11 @@
             target=self._server.serve, name='standin', daemon=True
         )
         self._thread.start()
+        self._guard.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
+        self._guard.stop()
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
@@ -105,21 +110,17 @@
     def _answer(self, environ):
         parts = environ['PATH_INFO'].strip('/').split('/')
         try:
-            body = _read_input(environ)
+            try:
+                body = server.read_body(environ)
+            finally:
+                self._guard.end()
             return self._handle(environ['REQUEST_METHOD'], parts, body)
         except errors.BilberryhavenError as error:
             return Reply(status=error.status, value=error.to_dict())
 
 
-def _read_input(environ):
-    length = environ.get('CONTENT_LENGTH') or '0'
-    if not length.isdigit():
-        raise errors.BadInputError('bad Content-Length', step='read body')
-    return environ['wsgi.input'].read(int(length))
-
-
-def _build_connection_class(ledger, lock):
-    class CountedConnection(http_server.HTTPConnection):
+def _build_connection_class(guard, ledger, lock):
+    class CountedConnection(connection.build_connection_class(guard)):
         def __init__(self, *args, **kwargs):
             super().__init__(*args, **kwargs)
             self._counted = True
