Split the colocation bench and the fleet's outcomes

Change: scenarios with the truth, faults and the world apart; outcomes of jobs in a log of their own.

--- a/bench/_attribution.py
+++ b/bench/_attribution.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from bench import _colocation
+from bench import _scenario
 from bilberryhaven.systems import interference
 from bilberryhaven.systems import learning
 
@@ -105,11 +105,11 @@
 def compute_effect_error(model):
     """Return the mean distance of learned effects from the true ones."""
     errors = []
-    for service in _colocation.BASE_MS:
-        for task in _colocation.TASKS:
+    for service in _scenario.BASE_MS:
+        for task in _scenario.TASKS:
             for band in (1, 2):
                 load = (band + 0.5) / interference.BANDS
-                truth = _colocation.compute_effect(service, task.name, load)
+                truth = _scenario.compute_effect(service, task.name, load)
                 found = model.get_effect(service, task.name, band)
                 errors.append(abs(found - truth))
     return sum(errors) / len(errors)
--- a/bench/_baselines.py
+++ b/bench/_baselines.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bench import _colocation
+from bench import _scenario
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import policies
 from bilberryhaven import systems
@@ -67,7 +67,7 @@
         for name, usage in world.usage:
             if usage.job_id:
                 continue
-            base = _colocation.BASE_MS[usage.workload]
+            base = _scenario.BASE_MS[usage.workload]
             base /= 1.0 - 0.5 * usage.load
             if usage.latency_ms < self.limit * base:
                 self._slow[name] = 0
@@ -111,4 +111,4 @@
     def _get_prior(self, service, workload, band):
         """Return the true effect in the middle of the band."""
         load = (band + 0.5) / interference.BANDS
-        return _colocation.compute_effect(service, workload, load)
+        return _scenario.compute_effect(service, workload, load)
--- a/bench/_colocation.py
+++ b/bench/_colocation.py
@@ -1,7 +1,7 @@
 """A small fleet of stand-ins on which batch tasks slow services.
 
-How much is in a table that the policies never see; they get usage reports
-that are 1 to 10 seconds late, and nothing from some instances.
+The policies get usage reports that are 1 to 10 seconds late, and nothing from
+some instances.
 """
 
 import dataclasses
@@ -10,6 +10,8 @@
 import math
 import random
 
+from bench import _faults
+from bench import _scenario
 from bilberryhaven import commands
 from bilberryhaven.commands import change
 from bilberryhaven.commands import job as job_commands
@@ -20,112 +22,20 @@
 from bilberryhaven.tables import workload
 from bilberryhaven.wire import message
 
-__all__ = ['BASE_MS', 'Colocation', 'Scenario', 'compute_effect']
+__all__ = ['Colocation']
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 SECOND = datetime.timedelta(seconds=1)
-BASE_MS = {'desk': 20.0, 'prices': 8.0, 'quotes': 40.0}
-SERVED = ('desk', 'desk', 'desk prices', 'prices', 'desk quotes', '')
-INSTANCES = 24
-PER_RACK = 3
 SLOTS = 8
 CPU = 16.0
 MEMORY_MB = 61440
 SILENT_EVERY = 8
 REPORT_S = 2
-WARM_UP_S = 60
 CHECKPOINT_S = 30
 REQUESTS_A_SECOND = 6
 LATENCY_SIGMA = 0.25
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Task:
-    """What a batch workload's tasks are like in truth."""
-
-    name: str
-    cpu: float
-    memory_mb: int
-    seconds: float
-    per_second: float
-    checkpoints: bool = True
-    noisy: bool = False
-
-
-TASKS = (
-    Task(
-        name='survey',
-        cpu=2.0,
-        memory_mb=4000,
-        seconds=90,
-        per_second=0.28,
-        noisy=True,
-    ),
-    Task(
-        name='render',
-        cpu=3.0,
-        memory_mb=6000,
-        seconds=60,
-        per_second=0.28,
-        noisy=True,
-    ),
-    Task(name='index', cpu=1.0, memory_mb=3000, seconds=120, per_second=0.22),
-    Task(
-        name='recipe',
-        cpu=1.0,
-        memory_mb=1000,
-        seconds=30,
-        per_second=0.5,
-        checkpoints=False,
-    ),
-    Task(name='archive', cpu=1.5, memory_mb=5000, seconds=60, per_second=0.3),
-)
-WATCHES = ('tide', 'stock')
-WATCHES_EACH = 5
-EFFECTS = {
-    ('desk', 'survey'): 0.30,
-    ('desk', 'render'): 0.03,
-    ('prices', 'survey'): 0.03,
-    ('prices', 'render'): 0.32,
-    ('quotes', 'survey'): 0.12,
-    ('quotes', 'render'): 0.20,
-    ('quotes', 'index'): 0.10,
-    ('desk', 'archive'): 0.06,
-}
-QUIET_EFFECT = 0.01
-
-
-def compute_effect(service, name, load):
-    """Return the true effect of a task, in logarithms of latency."""
-    full = EFFECTS.get((service, name), QUIET_EFFECT)
-    return full * (0.4 + 1.2 * load * load)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Scenario:
-    """What happens in a run.
-
-    Attributes:
-        name: The case's name.
-        seconds: How long it lasts.
-        arrivals: Factor of the usual rate at which jobs arrive.
-        waves: Whether noisy tasks arrive in waves.
-        shifted: Whether load moves between services half-way.
-        misdeclared: Whether declared sizes are off by x0.1 to x10.
-        rack_lost: Whether a rack is lost half-way.
-        rolling: Whether each instance is restarted in turn.
-    """
-
-    name: str
-    seconds: int = 360
-    arrivals: float = 1.0
-    waves: bool = False
-    shifted: bool = False
-    misdeclared: bool = False
-    rack_lost: bool = False
-    rolling: bool = False
-
-
 @dataclasses.dataclass(slots=True)
 class _Work:
     task: object
@@ -163,18 +73,17 @@
         self._throttles = {}
         self._count = 0
         self._watch_evictions = {}
-        self._down = {}
-        self._draining = {}
+        self._faults = _faults.Faults(fleet=self, scenario=scenario)
         self._set_up()
 
     def _do(self, command):
         return commands.apply(self.state, command)
 
     def _set_up(self):
-        for name in BASE_MS:
+        for name in _scenario.BASE_MS:
             self._declare(name, workload.Kind.SERVICE, runs_on=f'{name}=yes')
         factors = random.Random(99)
-        for task in TASKS:
+        for task in _scenario.TASKS:
             factor = 1.0
             if self._scenario.misdeclared:
                 factor = 10 ** factors.uniform(-1, 1)
@@ -188,12 +97,12 @@
                 resources=need,
                 run_seconds=task.seconds * factor,
             )
-        for name in WATCHES:
+        for name in _scenario.WATCHES:
             self._declare(name, workload.Kind.WATCH)
-        for number in range(INSTANCES):
-            self._open(number)
-        for name in WATCHES:
-            for _ in range(WATCHES_EACH):
+        for number in range(_scenario.INSTANCES):
+            self.open(number)
+        for name in _scenario.WATCHES:
+            for _ in range(_scenario.WATCHES_EACH):
                 self._submit(name)
 
     def _change_id(self):
@@ -212,13 +121,14 @@
             )
         )
 
-    def _open(self, number):
-        served = SERVED[number % len(SERVED)].split()
+    def open(self, number):
+        """Let instance ``number`` announce itself."""
+        served = _scenario.list_services(number)
         self._do(
             session.OpenSession(
                 name=f'i{number:02}',
                 zone=f'z{number % 3}',
-                rack=f'r{number // PER_RACK}',
+                rack=f'r{number // _scenario.PER_RACK}',
                 address='127.0.0.1:1',
                 labels={name: 'yes' for name in served},
                 capacity=instance.Capacity(
@@ -244,7 +154,7 @@
         for second in range(self._scenario.seconds):
             self.second = second
             self.now += SECOND
-            self._disturb()
+            self._faults.run()
             self._submit_arrivals()
             self._work()
             self._serve()
@@ -252,7 +162,7 @@
         return self
 
     def _submit_arrivals(self):
-        for task in TASKS:
+        for task in _scenario.TASKS:
             rate = task.per_second * self._scenario.arrivals
             if self._scenario.waves and task.noisy:
                 rate *= 2.2 if self.second % 120 < 45 else 0.3
@@ -280,7 +190,9 @@
                 for held in self.state.jobs.select('instance', row.name)
                 if held.state != 'granted'
             ]
-            for service in SERVED[number % len(SERVED)].split():
+            for service in _scenario.SERVED[
+                number % len(_scenario.SERVED)
+            ].split():
                 self._serve_requests(row.name, number, service, held)
             if number % SILENT_EVERY and self.second % REPORT_S == 0:
                 self._report_jobs(row.name, held)
@@ -289,18 +201,18 @@
         load = self._get_load(number, service)
         effect = sum(
             self._throttles.get(row.id, 1.0)
-            * compute_effect(service, row.workload, load)
+            * _scenario.compute_effect(service, row.workload, load)
             for row in held
         )
-        alone = BASE_MS[service] / (1.0 - 0.5 * load)
+        alone = _scenario.BASE_MS[service] / (1.0 - 0.5 * load)
         total = 0.0
         count = max(int(REQUESTS_A_SECOND * load), 1)
         for _ in range(count):
             own = math.exp(self._noise.gauss(0.0, LATENCY_SIGMA))
-            if self.second >= WARM_UP_S:
-                self.alone.append(alone * own / BASE_MS[service])
+            if self.second >= _scenario.WARM_UP_S:
+                self.alone.append(alone * own / _scenario.BASE_MS[service])
                 self.latencies.append(
-                    alone * own * math.exp(effect) / BASE_MS[service]
+                    alone * own * math.exp(effect) / _scenario.BASE_MS[service]
                 )
             total += alone * own * math.exp(effect)
         if number % SILENT_EVERY and self.second % REPORT_S == 0:
@@ -356,7 +268,9 @@
     def _start(self, row):
         work = self._works.get(row.id)
         if work is None:
-            task = next((t for t in TASKS if t.name == row.workload), None)
+            task = next(
+                (t for t in _scenario.TASKS if t.name == row.workload), None
+            )
             seconds = math.inf
             if task is not None:
                 spread = math.exp(self._random.gauss(0.0, 0.3))
@@ -441,27 +355,13 @@
             if 'draining' in reasons[job_id]:
                 continue
             row = self.state.jobs.get(job_id)
-            if row.workload in WATCHES:
+            if row.workload in _scenario.WATCHES:
                 if job_id in self._watch_evictions:
                     self.watch_repeats += 1
                 self._watch_evictions[job_id] = self.now
 
-    def _disturb(self):
-        if self._scenario.rack_lost:
-            self._lose_rack()
-        if self._scenario.rolling:
-            self._roll()
-        for number, since in list(self._down.items()):
-            if self.second >= since:
-                del self._down[number]
-                self._open(number)
-
-    def _lose_rack(self):
-        if self.second == self._scenario.seconds // 2:
-            for number in range(PER_RACK, 2 * PER_RACK):
-                self._close(number, 90)
-
-    def _close(self, number, seconds):
+    def close(self, number):
+        """Lose instance ``number`` and the work since its checkpoints."""
         row = self.state.instances.get(f'i{number:02}')
         for held in self.state.jobs.select('instance', row.name):
             self._lose(held)
@@ -470,23 +370,9 @@
                 name=row.name, epoch=row.epoch, at=self.now, reason='lost'
             )
         )
-        self._down[number] = self.second + seconds
-
-    def _roll(self):
-        step = 10
-        start = self.second - WARM_UP_S
-        if start >= 0 and start % step == 0 and start // step < INSTANCES:
-            self._drain(start // step, draining=True)
-            self._draining[start // step] = self.second
-        for number, since in list(self._draining.items()):
-            name = f'i{number:02}'
-            empty = not self.state.jobs.count('instance', name)
-            if empty or self.second - since > 60:
-                del self._draining[number]
-                self._close(number, 5)
-                self._drain(number, draining=False)
-
-    def _drain(self, number, *, draining):
+
+    def drain(self, number, *, draining):
+        """Start or end the drain of instance ``number``."""
         self._do(
             change.DrainInstance(
                 kind='instance',
@@ -495,3 +381,7 @@
                 **self._change_id(),
             )
         )
+
+    def is_empty(self, number):
+        """Return whether instance ``number`` holds no job."""
+        return not self.state.jobs.count('instance', f'i{number:02}')
--- /dev/null
+++ b/bench/_scenario.py
@@ -0,0 +1,121 @@
+"""Cases of the colocation bench and the truth that policies never see."""
+
+import dataclasses
+
+__all__ = [
+    'BASE_MS',
+    'INSTANCES',
+    'PER_RACK',
+    'Scenario',
+    'TASKS',
+    'Task',
+    'WARM_UP_S',
+    'WATCHES',
+    'WATCHES_EACH',
+    'compute_effect',
+    'find_task',
+    'list_services',
+]
+
+INSTANCES = 24
+PER_RACK = 3
+WARM_UP_S = 60
+BASE_MS = {'desk': 20.0, 'prices': 8.0, 'quotes': 40.0}
+SERVED = ('desk', 'desk', 'desk prices', 'prices', 'desk quotes', '')
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Task:
+    """What a batch workload's tasks are like in truth."""
+
+    name: str
+    cpu: float
+    memory_mb: int
+    seconds: float
+    per_second: float
+    checkpoints: bool = True
+    noisy: bool = False
+
+
+TASKS = (
+    Task(
+        name='survey',
+        cpu=2.0,
+        memory_mb=4000,
+        seconds=90,
+        per_second=0.28,
+        noisy=True,
+    ),
+    Task(
+        name='render',
+        cpu=3.0,
+        memory_mb=6000,
+        seconds=60,
+        per_second=0.28,
+        noisy=True,
+    ),
+    Task(name='index', cpu=1.0, memory_mb=3000, seconds=120, per_second=0.22),
+    Task(
+        name='recipe',
+        cpu=1.0,
+        memory_mb=1000,
+        seconds=30,
+        per_second=0.5,
+        checkpoints=False,
+    ),
+    Task(name='archive', cpu=1.5, memory_mb=5000, seconds=60, per_second=0.3),
+)
+WATCHES = ('tide', 'stock')
+WATCHES_EACH = 5
+EFFECTS = {
+    ('desk', 'survey'): 0.30,
+    ('desk', 'render'): 0.03,
+    ('prices', 'survey'): 0.03,
+    ('prices', 'render'): 0.32,
+    ('quotes', 'survey'): 0.12,
+    ('quotes', 'render'): 0.20,
+    ('quotes', 'index'): 0.10,
+    ('desk', 'archive'): 0.06,
+}
+QUIET_EFFECT = 0.01
+
+
+def compute_effect(service, name, load):
+    """Return the true effect of a task, in logarithms of latency."""
+    full = EFFECTS.get((service, name), QUIET_EFFECT)
+    return full * (0.4 + 1.2 * load * load)
+
+
+def find_task(name):
+    """Return the ``Task`` of workload ``name``, or None for a watch."""
+    return next((task for task in TASKS if task.name == name), None)
+
+
+def list_services(number):
+    """Return the services that instance ``number`` serves."""
+    return SERVED[number % len(SERVED)].split()
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Scenario:
+    """What happens in a run.
+
+    Attributes:
+        name: The case's name.
+        seconds: How long it lasts.
+        arrivals: Factor of the usual rate at which jobs arrive.
+        waves: Whether noisy tasks arrive in waves.
+        shifted: Whether load moves between services half-way.
+        misdeclared: Whether declared sizes are off by x0.1 to x10.
+        rack_lost: Whether a rack is lost half-way.
+        rolling: Whether each instance is restarted in turn.
+    """
+
+    name: str
+    seconds: int = 360
+    arrivals: float = 1.0
+    waves: bool = False
+    shifted: bool = False
+    misdeclared: bool = False
+    rack_lost: bool = False
+    rolling: bool = False
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,6 +14,7 @@
 from bench import _attribution
 from bench import _baselines
 from bench import _colocation
+from bench import _scenario
 from bench import _ticks
 from bilberryhaven import settings
 from bilberryhaven import systems
@@ -26,13 +27,13 @@
 WORKERS = 4
 LEARNER_CASES = (1, 2)
 CASES = (
-    _colocation.Scenario(name='steady'),
-    _colocation.Scenario(name='waves', waves=True),
-    _colocation.Scenario(name='shifted', shifted=True),
-    _colocation.Scenario(name='misdeclared', misdeclared=True),
-    _colocation.Scenario(name='rack_lost', rack_lost=True),
-    _colocation.Scenario(name='rolling', rolling=True),
-    _colocation.Scenario(name='crowded', arrivals=1.35),
+    _scenario.Scenario(name='steady'),
+    _scenario.Scenario(name='waves', waves=True),
+    _scenario.Scenario(name='shifted', shifted=True),
+    _scenario.Scenario(name='misdeclared', misdeclared=True),
+    _scenario.Scenario(name='rack_lost', rack_lost=True),
+    _scenario.Scenario(name='rolling', rolling=True),
+    _scenario.Scenario(name='crowded', arrivals=1.35),
 )
 OBJECTIVES = {
     'lianhe': settings.Objective(
--- a/bilberryhaven/systems/fleet.py
+++ b/bilberryhaven/systems/fleet.py
@@ -1,41 +1,15 @@
 """Index of what each instance holds, kept up to date from the journals."""
 
 import dataclasses
-import enum
 
 from bilberryhaven.systems import node as nodes
+from bilberryhaven.systems import outcomes
 from bilberryhaven.systems import pool as pools
 from bilberryhaven.systems import sharing
 from bilberryhaven.tables import job
 from bilberryhaven.tables import workload
 
-__all__ = ['Fleet', 'Outcome', 'OutcomeKind']
-
-
-class OutcomeKind(enum.StrEnum):
-    """How a job left its instance."""
-
-    FINISHED = 'finished'
-    FAILED = 'failed'
-    REFUSED = 'refused'
-    STOPPED = 'stopped'
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Outcome:
-    """One job that left its instance.
-
-    Attributes:
-        job_id: The job's id.
-        workload: Its workload's name.
-        instance: Where it was.
-        kind: How it left.
-    """
-
-    job_id: str
-    workload: str
-    instance: str
-    kind: OutcomeKind
+__all__ = ['Fleet']
 
 
 class Fleet:
@@ -57,7 +31,7 @@
         quarantined: Names of quarantined instances.
         renewed: Names of instances that opened a new session.
         moved: Names of instances whose jobs changed.
-        outcomes: Jobs that left their instances, newest last.
+        outcomes: ``OutcomeLog`` of jobs that left their instances.
     """
 
     def __init__(self, *, sizes=None):
@@ -78,9 +52,8 @@
         self.quarantined = {}
         self.renewed = {}
         self.moved = {}
-        self.outcomes = []
+        self.outcomes = outcomes.OutcomeLog()
         self._places = {}
-        self._failures = {}
         self._services = {}
         self._pools = {}
 
@@ -120,8 +93,7 @@
         for row in self._state.instances:
             self._take_instance(row.name)
         for row in self._state.jobs:
-            if row.failures:
-                self._failures[row.id] = len(row.failures)
+            self.outcomes.forget_failures(row)
         for state in job.JobState:
             if state in job.ACTIVE_STATES:
                 for row in self._state.jobs.select('state', state):
@@ -288,13 +260,13 @@
     def _take_job(self, job_id):
         row = self._state.jobs.find(job_id)
         if row is None or not row.failures:
-            self._failures.pop(job_id, None)
+            self.outcomes.clear_failures(job_id)
         place = row.instance if row and row.state in job.ACTIVE_STATES else ''
         old = self._places.get(job_id, '')
         if old and old != place:
             self._discharge(job_id, old)
             if row is not None:
-                self._note_outcome(row, old)
+                self.outcomes.note(row, old)
         if place and old != place and place in self.nodes:
             target = self._state.workloads.find(row.workload)
             charge = self.build_charge(row, target)
@@ -325,28 +297,3 @@
         zone = entry.row.zone
         for key in ((name, zone), (name, zone, entry.row.rack)):
             self.spread[key] = self.spread.get(key, 0) + sign
-
-    def _note_outcome(self, row, place):
-        count = len(row.failures)
-        if count > self._failures.get(row.id, 0):
-            self._failures[row.id] = count
-            kind = OutcomeKind.FAILED
-        elif row.state == job.JobState.FINISHED:
-            kind = OutcomeKind.FINISHED
-        elif row.reason.startswith('refused'):
-            kind = OutcomeKind.REFUSED
-        else:
-            kind = OutcomeKind.STOPPED
-        if row.state in job.END_STATES or not count:
-            self._failures.pop(row.id, None)
-        self.outcomes.append(
-            Outcome(
-                job_id=row.id, workload=row.workload, instance=place, kind=kind
-            )
-        )
-
-    def take_outcomes(self):
-        """Return the outcomes since the last call and forget them."""
-        found = self.outcomes
-        self.outcomes = []
-        return found
--- a/bilberryhaven/systems/health.py
+++ b/bilberryhaven/systems/health.py
@@ -6,7 +6,7 @@
 from bilberryhaven.commands import session
 from bilberryhaven import log
 from bilberryhaven import systems
-from bilberryhaven.systems import fleet as fleets
+from bilberryhaven.systems import outcomes
 from bilberryhaven.tables import job
 
 __all__ = ['HealthSystem']
@@ -37,13 +37,13 @@
         self._decided.clear()
         found = []
         holds = {}
-        for outcome in self.memory.fleet.take_outcomes():
-            if outcome.kind == fleets.OutcomeKind.REFUSED:
+        for outcome in self.memory.fleet.outcomes.take():
+            if outcome.kind == outcomes.OutcomeKind.REFUSED:
                 until = world.now + REFUSED_DELAY
                 self.memory.backlog.delay(outcome.job_id, until)
                 continue
             found += self._judge_instance(world, outcome)
-            if outcome.kind == fleets.OutcomeKind.FAILED:
+            if outcome.kind == outcomes.OutcomeKind.FAILED:
                 self._judge_job(world, outcome, holds)
         if holds:
             found.append(
@@ -53,7 +53,7 @@
 
     def _judge_instance(self, world, outcome):
         name = outcome.instance
-        failed = outcome.kind == fleets.OutcomeKind.FAILED
+        failed = outcome.kind == outcomes.OutcomeKind.FAILED
         counts = self.memory.failures
         counts.add(name, outcome.workload, failed=failed)
         entry = self.memory.fleet.nodes.get(name)
--- a/bilberryhaven/systems/learning.py
+++ b/bilberryhaven/systems/learning.py
@@ -6,7 +6,7 @@
 """
 
 from bilberryhaven import systems
-from bilberryhaven.systems import fleet as fleets
+from bilberryhaven.systems import outcomes
 
 __all__ = ['LearningSystem']
 
@@ -41,7 +41,7 @@
                 self._learn_size(world, usage)
             else:
                 self._learn_service(instance, usage, now)
-        for outcome in memory.fleet.outcomes:
+        for outcome in memory.fleet.outcomes.peek():
             self._learn_run(world, outcome)
         self._recharge()
         return []
@@ -107,7 +107,7 @@
         memory.mean_loads[usage.workload] = mean
 
     def _learn_run(self, world, outcome):
-        if outcome.kind != fleets.OutcomeKind.FINISHED:
+        if outcome.kind != outcomes.OutcomeKind.FINISHED:
             return
         row = world.state.jobs.find(outcome.job_id)
         target = world.state.workloads.find(outcome.workload)
