Send long lists in pages

Cause: a list of 6,800 instances held the tables still for 0.2 s. Change: workloads and instances come in pages by name; get reads them all.

--- a/bilberryhaven/cmdline/_client.py
+++ b/bilberryhaven/cmdline/_client.py
@@ -97,6 +97,16 @@
             base = f'{base}/{urllib.parse.quote(name, safe="")}'
         return self.call('GET', base, query=query)
 
+    def read_all(self, base, field, query=None):
+        """Return the answer to a read of a list, all pages in one."""
+        answer = self.call('GET', base, query=query)
+        while answer.get('next_after'):
+            after = {**(query or {}), 'after': answer['next_after']}
+            page = self.call('GET', base, query=after)
+            answer[field] += page[field]
+            answer['next_after'] = page['next_after']
+        return answer
+
     def change(self, method, path, body, *, change_id=None):
         """Return the answer to an operator's write."""
         body = {
--- a/bilberryhaven/cmdline/get.py
+++ b/bilberryhaven/cmdline/get.py
@@ -147,7 +147,11 @@
         name = None if whole else opts.name
         query = {option: getattr(opts, option) for option in JOB_FILTERS}
         query['limit'] = opts.limit
-        answer = cmdline.connect(opts).read(base, name, query)
+        client = cmdline.connect(opts)
+        if name:
+            answer = client.read(base, name)
+        else:
+            answer = client.read_all(base, opts.kind, query)
         if opts.output == 'json':
             _output.print_json(answer)
         elif name:
--- a/bilberryhaven/control/api/instances.py
+++ b/bilberryhaven/control/api/instances.py
@@ -4,6 +4,7 @@
 from bilberryhaven.control import api
 from bilberryhaven.control.api import changes
 from bilberryhaven.control.api import models
+from bilberryhaven.control.api import pages
 from bilberryhaven.control.api import views
 from bilberryhaven import errors
 
@@ -14,12 +15,14 @@
 
 @api.route('GET', '/v1/instances')
 def list_instances(request):
-    """Return all instances with their newest loads."""
+    """Return a page of instances with their newest loads."""
     ctx = request.ctx
-    with ctx.read():
-        rows = list(ctx.state.instances)
-        shown = [views.show_instance(r, ctx.get_load(r.name)) for r in rows]
-    return {'instances': shown}
+    return pages.show_page(
+        request,
+        'instances',
+        ctx.state.instances,
+        lambda row: views.show_instance(row, ctx.get_load(row.name)),
+    )
 
 
 @api.route('GET', '/v1/instances/{name}')
--- a/bilberryhaven/control/api/workloads.py
+++ b/bilberryhaven/control/api/workloads.py
@@ -4,6 +4,7 @@
 from bilberryhaven.control import api
 from bilberryhaven.control.api import changes
 from bilberryhaven.control.api import models
+from bilberryhaven.control.api import pages
 from bilberryhaven.control.api import views
 from bilberryhaven.tables import workload
 
@@ -12,10 +13,10 @@
 
 @api.route('GET', '/v1/workloads')
 def list_workloads(request):
-    """Return all workloads."""
-    with request.ctx.read():
-        rows = request.ctx.state.workloads
-        return {'workloads': [views.show_row(row) for row in rows]}
+    """Return a page of workloads."""
+    return pages.show_page(
+        request, 'workloads', request.ctx.state.workloads, views.show_row
+    )
 
 
 @api.route('GET', '/v1/workloads/{name}')
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -144,6 +144,20 @@
             json.loads(self.run_line('get', kind, '--output', 'json'))
         self.run_line('get', 'zones', 'none', status=1)
 
+    def test_long_lists_come_in_pages(self):
+        for number in range(5):
+            self.open(f'i{number}')
+        page = self.call('GET', '/v1/instances', query='limit=2')
+        self.assertEqual(
+            (2, 'i1'), (len(page['instances']), page['next_after'])
+        )
+        args = ('get', 'instances', '--limit', '2', '--output', 'json')
+        got = json.loads(self.run_line(*args))['instances']
+        self.assertEqual(
+            [f'i{number}' for number in range(5)],
+            [row['name'] for row in got],
+        )
+
     def test_many_nodes_are_shown_in_groups(self):
         self.declare()
         for number in range(100):
