Don't let a voter with an empty disk elect a leader

Cause: a voter that comes back under its name with an empty folder forgot its votes and entries; with one more voter down it could elect a leader without changes that had been accepted. Change: a replica remembers on disk whether it has held all that was committed. Until then its vote counts only if all voters agree, which is also how the first leader is elected.

--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -44,6 +44,7 @@
         role: Its role.
         term: Its newest term.
         vote: Whom it voted for in that term, or empty.
+        joined: Whether it has held all that was committed.
         leader: That term's leader, or empty.
         commit: Newest committed entry.
         peers: ``Progress`` by name, of a leader.
@@ -65,6 +66,7 @@
         self.random = random
         self.term = hard_state.term
         self.vote = hard_state.vote
+        self.joined = hard_state.joined
         self.log = log
         self.history = history
         self.snapshots = list(snapshots)
@@ -79,8 +81,8 @@
         self.heard_at = None
         self.election_at = None
         self.heartbeat_at = None
-        self.pre_votes = set()
-        self.votes = set()
+        self.pre_votes = {}
+        self.votes = {}
         self._ticked_at = None
         self._effects = core_effects.Effects()
 
@@ -243,7 +245,18 @@
         """Set term and vote and queue their write."""
         self.term = term
         self.vote = vote
-        self._effects.hard_state = core_effects.HardState(term=term, vote=vote)
+        self._queue_hard_state()
+
+    def mark_joined(self):
+        """Note that all that is committed is held here."""
+        if not self.joined:
+            self.joined = True
+            self._queue_hard_state()
+
+    def _queue_hard_state(self):
+        self._effects.hard_state = core_effects.HardState(
+            term=self.term, vote=self.vote, joined=self.joined
+        )
 
     def reset_election_timer(self, now):
         """Wait a random election timeout before the next campaign."""
--- a/bilberryhaven/consensus/effects.py
+++ b/bilberryhaven/consensus/effects.py
@@ -17,10 +17,18 @@
 
 @dataclasses.dataclass(kw_only=True, frozen=True, slots=True)
 class HardState:
-    """What a replica must remember besides the log."""
+    """What a replica must remember besides the log.
+
+    Attributes:
+        term: Its newest term.
+        vote: Whom it voted for in that term, or empty.
+        joined: Whether it has held all that was committed since its folder
+            was new; until then its vote alone proves nothing.
+    """
 
     term: int = 0
     vote: str = ''
+    joined: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bilberryhaven/consensus/election.py
+++ b/bilberryhaven/consensus/election.py
@@ -21,10 +21,10 @@
     """
     core.role = status.Role.CANDIDATE
     core.leader = ''
-    core.votes = set()
-    core.pre_votes = {core.name}
+    core.votes = {}
+    core.pre_votes = {core.name: core.joined}
     core.reset_election_timer(now)
-    if core.members.is_quorum(core.pre_votes):
+    if is_elected(core, core.pre_votes):
         start_campaign(core, now)
         return
     request = message.PreVoteRequest(
@@ -40,8 +40,8 @@
     """Raise the term and ask for votes."""
     core.role = status.Role.CANDIDATE
     core.leader = ''
-    core.votes = set()
-    core.pre_votes = set()
+    core.votes = {}
+    core.pre_votes = {}
     core.set_hard_state(core.term + 1, core.name)
     core.reset_election_timer(now)
     request = message.VoteRequest(
@@ -52,8 +52,7 @@
         transfer=transfer,
     )
     _send_to_voters(core, request)
-    own = message.VoteReply(sender=core.name, term=core.term, granted=True)
-    core.send(core.name, own)
+    _send_vote_reply(core, core.name, granted=True)
 
 
 def handle_pre_vote_request(core, msg, now):
@@ -68,6 +67,7 @@
         term=core.term,
         campaign_term=msg.term + 1,
         granted=granted,
+        joined=core.joined,
     )
     core.send(msg.sender, reply)
 
@@ -81,8 +81,8 @@
         return
     if not msg.granted or msg.campaign_term != core.term + 1:
         return
-    core.pre_votes.add(msg.sender)
-    if core.members.is_quorum(core.pre_votes):
+    core.pre_votes[msg.sender] = msg.joined
+    if is_elected(core, core.pre_votes):
         start_campaign(core, now)
 
 
@@ -93,7 +93,7 @@
     leader's lease rests on, unless that leader asked for the campaign.
     """
     if msg.term < core.term:
-        _send_vote_reply(core, msg, granted=False)
+        _send_vote_reply(core, msg.sender, granted=False)
         return
     if not msg.transfer and core.is_leader_heard(now):
         return
@@ -103,7 +103,7 @@
     if granted:
         core.set_hard_state(core.term, msg.sender)
         core.reset_election_timer(now)
-    _send_vote_reply(core, msg, granted=granted)
+    _send_vote_reply(core, msg.sender, granted=granted)
 
 
 def handle_vote_reply(core, msg, now):
@@ -114,11 +114,28 @@
     if core.role != status.Role.CANDIDATE or msg.term != core.term:
         return
     if msg.granted and not core.pre_votes:
-        core.votes.add(msg.sender)
-        if core.members.is_quorum(core.votes):
+        core.votes[msg.sender] = msg.joined
+        if is_elected(core, core.votes):
             core.become_leader(now)
 
 
+def is_elected(core, votes):
+    """Return whether ``votes`` suffice.
+
+    A voter with a new folder may have lost an older one, and with it entries
+    that it had acknowledged. Its vote counts only if all voters agree, which
+    is how the first leader is elected.
+
+    Args:
+        core: The candidate's core.
+        votes: Whether each that granted its vote has joined, by name.
+    """
+    joined = [name for name, flag in votes.items() if flag]
+    return core.members.is_quorum(joined) or (
+        core.members.voters.keys() <= votes.keys()
+    )
+
+
 def handle_transfer_request(core, msg, now):
     """Campaign at once, since the leader hands leadership over."""
     if msg.term != core.term or msg.sender != core.leader:
@@ -132,11 +149,14 @@
     return (msg.last_term, msg.last_index) >= own
 
 
-def _send_vote_reply(core, msg, *, granted):
+def _send_vote_reply(core, to, *, granted):
     reply = message.VoteReply(
-        sender=core.name, term=core.term, granted=granted
+        sender=core.name,
+        term=core.term,
+        granted=granted,
+        joined=core.joined,
     )
-    core.send(msg.sender, reply)
+    core.send(to, reply)
 
 
 def _send_to_voters(core, msg):
--- a/bilberryhaven/consensus/message.py
+++ b/bilberryhaven/consensus/message.py
@@ -84,6 +84,7 @@
 
     campaign_term: int
     granted: bool
+    joined: bool
 
 
 class VoteRequest(Message, frozen=True, kw_only=True, tag=3):
@@ -98,6 +99,7 @@
     """Whether the vote in ``term`` was granted."""
 
     granted: bool
+    joined: bool
 
 
 class AppendRequest(Message, frozen=True, kw_only=True, tag=5):
--- a/bilberryhaven/consensus/replication.py
+++ b/bilberryhaven/consensus/replication.py
@@ -127,6 +127,8 @@
         core.append(entries[held:])
     matched = max(msg.prev_index + len(msg.entries), core.log.base_index)
     core.commit = max(core.commit, min(msg.commit, matched))
+    if matched >= msg.commit and core.log.find_term(msg.commit) == msg.term:
+        core.mark_joined()
     _reply(core, msg, ok=True, index=matched)
 
 
@@ -184,4 +186,5 @@
     if index <= core.commit or core.log.find_term(index) != core.term:
         return
     core.commit = index
+    core.mark_joined()
     membership.finish_change(core, now)
--- a/bilberryhaven/consensus/restore.py
+++ b/bilberryhaven/consensus/restore.py
@@ -54,7 +54,7 @@
     found.log.append([entry])
     found.history.push(newest + 1, alone)
     store.write(
-        hard_state=effects.HardState(term=term, vote=name),
+        hard_state=effects.HardState(term=term, vote=name, joined=True),
         first=newest + 1,
         entries=[entry],
         log=found.log,
--- a/bilberryhaven/consensus/segment.py
+++ b/bilberryhaven/consensus/segment.py
@@ -29,6 +29,7 @@
     index_term: int
     members: replica_members.Members
     reset: bool = False
+    joined: bool = False
 
 
 class _Batch(msgspec.Struct, array_like=True, kw_only=True, tag=2):
@@ -38,6 +39,7 @@
     vote: str
     first: int = 0
     entries: list[message.Entry] = []
+    joined: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -148,7 +150,7 @@
             log.truncate(record.first)
             log.append(record.entries)
         recovered.hard_state = effects.HardState(
-            term=record.term, vote=record.vote
+            term=record.term, vote=record.vote, joined=record.joined
         )
         return recovered
 
@@ -168,7 +170,9 @@
         if recovered is not None and not record.reset:
             return recovered
         return RecoveredLog(
-            hard_state=effects.HardState(term=record.term, vote=record.vote),
+            hard_state=effects.HardState(
+                term=record.term, vote=record.vote, joined=record.joined
+            ),
             log=entry_log.EntryLog(
                 base_index=record.index, base_term=record.index_term
             ),
@@ -194,6 +198,7 @@
             index_term=index_term,
             members=members,
             reset=reset,
+            joined=self._hard_state.joined,
         )
         data = frame.build_frame(_encoder.encode(record))
         self._folder.replace(segment.name, data)
@@ -226,6 +231,7 @@
             vote=self._hard_state.vote,
             first=first,
             entries=list(entries),
+            joined=self._hard_state.joined,
         )
         data = frame.build_frame(_encoder.encode(record))
         self._appender.write(data)
--- a/tests/fuzz/cluster.py
+++ b/tests/fuzz/cluster.py
@@ -120,6 +120,12 @@
         node.paused = False
         node.folder.crash(self.random)
 
+    def wipe(self, name):
+        """Lose a disk, and start with an empty one under the same name."""
+        self.crash(name)
+        self.nodes[name].folder = memory.MemoryFolder()
+        self.start(name)
+
     def _run(self, node, function, *args):
         try:
             function(*args)
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -234,6 +234,18 @@
         if node is not None:
             node.folder.fuse = operations + 1
 
+    @stateful.rule(choice=PICK)
+    def lose_disk(self, choice):
+        """Lose one disk, unless another that was lost isn't replaced yet."""
+        leader = self.pick_leader(choice)
+        if leader is None:
+            return
+        voters = leader.driver.core.members.voters
+        nodes = [self.cluster.nodes[name] for name in voters]
+        lost = [n for n in nodes if not n.up or not n.driver.core.joined]
+        if not lost and len(nodes) > 2:
+            self.cluster.wipe(nodes[choice % len(nodes)].name)
+
     @stateful.rule(choice=PICK)
     def restart(self, choice):
         node = self.pick(choice, lambda node: not node.up)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -80,6 +80,7 @@
         step = clock.seconds(STEP)
         self.build(options=LITTLE_JITTER, step=step, **arguments)
         self.lead('a')
+        self.cluster.run(0.5)
 
     def test_lease_ends_before_others_elect_despite_drift(self):
         self.build_fine(rates=(0.95, 1.05, 1.05))
@@ -202,6 +203,32 @@
         self.cluster.settle(self.leader)
 
 
+class TestLostDisk(ClusterTestCase):
+    def test_voter_with_an_empty_disk_elects_nobody_who_lacks_entries(self):
+        self.build()
+        self.lead('a')
+        self.change()
+        self.cluster.blocked.add(('a', 'b'))
+        self.assertEqual(2, self.change().revision)
+        self.cluster.wipe('c')
+        self.cluster.crash('a')
+        self.cluster.run(10)
+        for name in 'bc':
+            self.assertFalse(self.cluster.nodes[name].leads)
+        self.cluster.heal()
+        leader = self.cluster.find_leader()
+        self.assertEqual(2, leader.machine.state.revision)
+
+    def test_first_leader_may_stop_before_others_have_entries(self):
+        self.build()
+        self.cluster.crash(self.leader.name)
+        names = [n for n in 'abc' if n != self.leader.name]
+        self.cluster.wipe(names[0])
+        self.cluster.wipe(names[1])
+        self.cluster.heal()
+        self.assertEqual(self.leader, self.cluster.find_leader())
+
+
 class TestMembers(ClusterTestCase):
     def change_members(self, **arguments):
         leader = self.cluster.find_leader()
