Send a voter with an emptied disk its log again

Cause: fuzzing with lost disks found a voter that never caught up: the leader remembered what it had acknowledged and probed no further back. Change: an answer tells whether its sender has joined; if not, the leader takes its position as it is.

--- a/bilberryhaven/consensus/message.py
+++ b/bilberryhaven/consensus/message.py
@@ -127,11 +127,13 @@
         ok: Whether the log matched.
         index: Newest matching entry, or where to try next if not ``ok``.
         round: The request's round.
+        joined: Whether the sender has held all that was committed.
     """
 
     ok: bool
     index: int
     round: int
+    joined: bool = False
 
 
 class SnapshotRequest(Message, frozen=True, kw_only=True, tag=7):
--- a/bilberryhaven/consensus/progress.py
+++ b/bilberryhaven/consensus/progress.py
@@ -70,6 +70,10 @@
         self.in_flight = max(0, self.in_flight - 1)
         self.probing = False
 
+    def forget(self, index):
+        """Record that nothing after ``index`` is stored there any more."""
+        self.match = min(self.match, index)
+
     def reject(self, hint, now):
         """Continue the search after ``hint``."""
         self.next = max(self.match, min(hint, self.next - 1)) + 1
--- a/bilberryhaven/consensus/replication.py
+++ b/bilberryhaven/consensus/replication.py
@@ -141,7 +141,12 @@
 
 def _reply(core, msg, *, ok, index):
     reply = message.AppendReply(
-        sender=core.name, term=core.term, ok=ok, index=index, round=msg.round
+        sender=core.name,
+        term=core.term,
+        ok=ok,
+        index=index,
+        round=msg.round,
+        joined=core.joined,
     )
     core.send(msg.sender, reply)
 
@@ -170,6 +175,8 @@
         transfer.finish_transfer(peer)
         advance_commit(core, now)
     elif peer.transfer is None:
+        if not msg.joined:
+            peer.forget(msg.index)
         peer.reject(msg.index, now)
     if core.is_leader:
         send_appends(core, msg.sender, now)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -219,6 +219,14 @@
         leader = self.cluster.find_leader()
         self.assertEqual(2, leader.machine.state.revision)
 
+    def test_voter_with_an_empty_disk_gets_all_entries_again(self):
+        self.build()
+        self.change()
+        name = next(n for n in 'abc' if n != self.leader.name)
+        self.cluster.wipe(name)
+        self.cluster.settle(self.leader)
+        self.assertTrue(self.cluster.nodes[name].driver.core.joined)
+
     def test_first_leader_may_stop_before_others_have_entries(self):
         self.build()
         self.cluster.crash(self.leader.name)
