--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,8 +1,6 @@
 """What the systems of one leader share between ticks."""
 
-import dataclasses
 import itertools
-import math
 import random
 
 from bilberryhaven import policies
@@ -13,43 +11,13 @@
 from bilberryhaven.systems import history
 from bilberryhaven.systems import interference
 from bilberryhaven.systems import sizes
+from bilberryhaven.systems import strain
 
 __all__ = ['Memory']
 
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
-LINEAR_EXCESS = 2.0
-KEPT_TICKS = 10
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Strain:
-    """What one service on an instance suffers.
-
-    Attributes:
-        load: The service's load there.
-        effects: Effect of one task in logarithms, by workload.
-        total: Sum of the effects of all tasks beside it.
-        harm: The harm that this does.
-    """
-
-    load: float
-    effects: dict
-    total: float
-    harm: float
-
-
-def compute_harm(excess):
-    """Return the harm of a service that is slower by ``excess``.
-
-    It grows with the square, since the slowest decide the tail, and in a
-    straight line beyond ``LINEAR_EXCESS``.
-    """
-    if excess <= 0.0:
-        return 0.0
-    if excess <= LINEAR_EXCESS:
-        return excess * excess
-    return LINEAR_EXCESS * (2.0 * excess - LINEAR_EXCESS)
+KEPT_S = 3.0
 
 
 class Memory:
@@ -77,6 +45,7 @@
         probes: (next time, interval) by quarantined instance.
         claims: ``Claim`` list of room kept, by workload.
         serials: Numbers of the claims.
+        served: Number of places given to waiting workloads.
         waiting: Since when a workload's first job finds no place.
         skips: (ticks left, width) of workloads that found no place.
         pressed: First (job, workload) of work that can't wait, where it
@@ -87,7 +56,7 @@
     """
 
     def __init__(self, *, policy=DEFAULT_POLICY, seed=1, learned=None):
-        self._tick = 0
+        self._now = 0.0
         self.random = random.Random(seed)
         self.sizes = sizes.Sizes()
         self.fleet = fleet.Fleet(sizes=self.sizes)
@@ -102,6 +71,7 @@
         self.probes = {}
         self.claims = {}
         self.serials = itertools.count(1)
+        self.served = 0
         self.waiting = {}
         self.skips = {}
         self.pressed = []
@@ -110,9 +80,9 @@
         self.skipped_reports = 0
         self.policy = policies.get_policy_by_name(policy)(memory=self)
 
-    def begin_tick(self):
-        """Count a tick; what was computed long ago is computed anew."""
-        self._tick += 1
+    def begin_tick(self, now):
+        """Set the time in seconds; what is old is computed anew."""
+        self._now = now
 
     def refresh(self, world):
         """Bring the indexes up to date with the tables."""
@@ -134,33 +104,25 @@
         """
         total = 0.0
         for item in self._list_strains(entry):
-            after = item.total + change * item.effects[workload]
-            harm = compute_harm(math.exp(after) - 1.0)
-            total += item.load * harm - item.harm
+            total += item.predict_harm(workload, change) - item.harm
         return total
 
     def _list_strains(self, entry):
-        if (
-            entry.strains is None
-            or entry.strained_at < self._tick - KEPT_TICKS
-        ):
+        if entry.strains is None or entry.strained_at < self._now - KEPT_S:
             counts = entry.weigh_counts() if entry.shares else entry.counts
             entry.strains = [
                 self._build_strain(service, load, counts)
                 for service, load in self._list_loads(entry)
             ]
-            entry.strained_at = self._tick
+            entry.strained_at = self._now
         return entry.strains
 
     def _build_strain(self, service, load, counts):
         band = interference.get_band(load)
-        effects = self.interference.get_effects(service, band)
-        total = self.interference.sum_effects(service, band, counts)
-        return Strain(
+        return strain.Strain(
             load=load,
-            effects=effects,
-            total=total,
-            harm=load * compute_harm(math.exp(total) - 1.0),
+            effects=self.interference.get_effects(service, band),
+            total=self.interference.sum_effects(service, band, counts),
         )
 
     def _list_loads(self, entry):
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -48,7 +48,7 @@
         indexed: (open, roomy) as the pools have it.
         shares: Share of full speed of each throttled job, by job id.
         strains: What its services suffer, or None where not computed.
-        strained_at: Number of the tick in which that was computed.
+        strained_at: When that was computed, in seconds.
     """
 
     row: object
@@ -68,7 +68,7 @@
     indexed: tuple = (False, False)
     shares: dict = dataclasses.field(default_factory=dict)
     strains: list | None = None
-    strained_at: int = 0
+    strained_at: float = 0.0
 
     @property
     def open(self):
@@ -93,7 +93,8 @@
     def discard(self, job_id):
         """Take a job's charge back."""
         charge = self.charges.pop(job_id, None)
-        self.shares.pop(job_id, None)
+        if self.shares.pop(job_id, None) is not None:
+            self.strains = None
         if charge is not None:
             self._count(charge, -1)
         return charge
@@ -127,7 +128,8 @@
         self.strains = None
 
     def _count(self, charge, sign):
-        self.strains = None
+        for strain in self.strains or ():
+            strain.add(charge.workload, sign)
         need = charge.need
         count = self.counts.get(charge.workload, 0) + sign
         if count:
