Bound what an entry holds at a time and keep more time to revoke

Cause: calls and heartbeats that wait for an absent leader could take all 64 threads, and requests would wait behind them uncounted; a socket test gave unknown in place of not_run once on a busy machine, as 20 ms were left for the revocation. Change: at most 96 requests, 16 relayed calls and 32 heartbeats at a time on 160 threads, the rest refused at once with overload; a tenth of a request's time is kept for the revocation up to 500 ms (was 100). Conclusion: bounded; a busier entry needs more entries beside it.

--- a/bilberryhaven/entry/api.py
+++ b/bilberryhaven/entry/api.py
@@ -57,9 +57,11 @@
         service: An ``EntryService``.
         leader: A ``LeaderClient``.
         metrics: The entry's ``Metrics``.
+        calls: ``Gate`` of the relayed calls.
     """
 
-    def __init__(self, *, service, leader, metrics):
+    def __init__(self, *, service, leader, metrics, calls):
+        self._calls = calls
         self._service = service
         self._leader = leader
         self._metrics = metrics
@@ -128,12 +130,13 @@
             body=body,
             by=server.read_author(environ),
         )
-        reply = self._leader.send(
-            call,
-            timeout=CALL_TIMEOUT,
-            step='relay call',
-            repeatable=_is_repeatable(method, body),
-        )
+        with self._calls.enter():
+            reply = self._leader.send(
+                call,
+                timeout=CALL_TIMEOUT,
+                step='relay call',
+                repeatable=_is_repeatable(method, body),
+            )
         return server.Response(status=reply.status, body=reply.body)
 
     def _serve_ready(self):
--- a/bilberryhaven/entry/pending.py
+++ b/bilberryhaven/entry/pending.py
@@ -18,7 +18,7 @@
 ]
 
 RESERVE_SHARE = 0.1
-MAX_RESERVE = datetime.timedelta(milliseconds=100)
+MAX_RESERVE = datetime.timedelta(milliseconds=500)
 
 
 @dataclasses.dataclass(kw_only=True, frozen=True)
@@ -38,7 +38,7 @@
     """
 
     pending: int = 512
-    callers: int = 16
+    callers: int = 4
     attempts: int = 4
     retry_share: float = 0.08
     retry_burst: int = 10
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -6,8 +6,10 @@
 import threading
 
 from bilberryhaven.entry import api
+from bilberryhaven.entry import gate
 from bilberryhaven.entry import leader
 from bilberryhaven.entry import metrics
+from bilberryhaven.entry import pending
 from bilberryhaven.entry import relay
 from bilberryhaven.entry import request
 from bilberryhaven.entry import service
@@ -23,7 +25,11 @@
 
 __all__ = ['EntryRole', 'run']
 
-THREADS = 64
+# Some threads stay free to refuse what is over the limits.
+THREADS = 160
+MAX_REQUESTS = 96
+MAX_HEARTBEATS = 32
+MAX_CALLS = 16
 POLICY = 'two_choice'
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
 DRAIN_TIMEOUT = datetime.timedelta(seconds=125)
@@ -56,7 +62,9 @@
             policy=policies.get_policy_by_name(POLICY)(random=source),
             clock=clock,
             random=source,
+            limits=pending.Limits(pending=MAX_REQUESTS),
         )
+        self._heartbeats = gate.Gate(limit=MAX_HEARTBEATS, step='relay')
         self._metrics = metrics.Metrics()
         self._server = server.Server(
             address=settings.listen,
@@ -90,7 +98,10 @@
             metrics=self._metrics,
         )
         self._api = api.Api(
-            service=self._service, leader=self._leader, metrics=self._metrics
+            service=self._service,
+            leader=self._leader,
+            metrics=self._metrics,
+            calls=gate.Gate(limit=MAX_CALLS, step='relay call'),
         )
         self._server.start()
         self._start_tickers()
@@ -167,8 +178,9 @@
         offer = relay.Offer(
             heartbeat=heartbeat, future=concurrent.futures.Future()
         )
-        self._relay.tell(offer)
-        return offer.future.result(RELAY_TIMEOUT.total_seconds())
+        with self._heartbeats.enter():
+            self._relay.tell(offer)
+            return offer.future.result(RELAY_TIMEOUT.total_seconds())
 
 
 def run(settings, clock):
