--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -21,6 +21,7 @@
     'build_error_reply',
     'build_error_response',
     'read_author',
+    'read_body',
 ]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -157,7 +158,7 @@
 
     def _answer(self, environ):
         try:
-            body = _read_body(environ)
+            body = read_body(environ)
         except errors.BilberryhavenError as error:
             return build_error_response(error)
         finally:
@@ -188,8 +189,12 @@
         )
 
 
-def _read_body(environ):
-    """Return the whole body; chunked ones have no length."""
+def read_body(environ):
+    """Return the whole body of a WSGI request; chunked ones have no length.
+
+    Raises:
+        BadInputError: It isn't as long as it was declared.
+    """
     source = environ['wsgi.input']
     if environ.get('HTTP_TRANSFER_ENCODING'):
         try:
