Keep the labels that each target always has

Cause: a label such as zone or kind could be set by hand and then hid the true one from selectors; patterns of names stood twice. Change: the API, apply and check refuse those keys; the patterns stand once.

--- a/bilberryhaven/cmdline/apply.py
+++ b/bilberryhaven/cmdline/apply.py
@@ -105,6 +105,7 @@
     try:
         models.check_name(name)
         if family == 'workloads' and body is not None:
+            models.check_labels('workload', body.labels)
             models.check_selector('runs_on', body.runs_on)
             models.check_selector('shares_with', body.shares_with)
     except errors.BadInputError as error:
--- a/bilberryhaven/control/api/instances.py
+++ b/bilberryhaven/control/api/instances.py
@@ -6,12 +6,9 @@
 from bilberryhaven.control.api import models
 from bilberryhaven.control.api import pages
 from bilberryhaven.control.api import views
-from bilberryhaven import errors
 
 __all__ = []
 
-FIXED_LABELS = frozenset({'instance', 'zone', 'rack'})
-
 
 @api.route('GET', '/v1/instances')
 def list_instances(request):
@@ -42,13 +39,7 @@
 def patch_labels(request):
     """Set labels of an instance."""
     body = request.decode(models.LabelsBody)
-    fixed = sorted(FIXED_LABELS & set(body.labels))
-    if fixed:
-        raise errors.BadInputError(
-            f'$.labels.{fixed[0]}: the agent announces this label, so it '
-            "can't be set",
-            step='read body',
-        )
+    models.check_labels('instance', body.labels)
     return changes.propose_change(
         request,
         body,
--- a/bilberryhaven/control/api/models.py
+++ b/bilberryhaven/control/api/models.py
@@ -9,6 +9,7 @@
 from bilberryhaven.control import api
 from bilberryhaven import errors
 from bilberryhaven import selector
+from bilberryhaven import settings
 from bilberryhaven.tables import workload
 
 __all__ = [
@@ -21,25 +22,29 @@
     'SelectorsBody',
     'TeamBody',
     'WorkloadBody',
+    'check_labels',
     'check_name',
     'check_selector',
 ]
 
-NAME_PATTERN = r'^[A-Za-z0-9]([A-Za-z0-9._-]{0,98}[A-Za-z0-9])?$'
-KEY_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9_./-]{0,99}$'
 MAX_LABELS = 64
+FIXED_LABELS = {
+    'instance': settings.INSTANCE_LABELS,
+    'workload': frozenset({'workload', 'kind', 'team'}),
+}
 MAX_SELECTOR = 2000
 MAX_ID = 200
 MAX_JOBS_A_CALL = 10_000
 MAX_DEADLINE_MS = 366 * 86_400_000
 
-Name = typing.Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
-Key = typing.Annotated[str, msgspec.Meta(pattern=KEY_PATTERN)]
+Name = settings.Name
 Id = typing.Annotated[str, msgspec.Meta(pattern=api.ID_PATTERN)]
 Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_SELECTOR)]
-Labels = typing.Annotated[dict[Key, Key], msgspec.Meta(max_length=MAX_LABELS)]
+Labels = typing.Annotated[
+    dict[settings.Label, settings.Label], msgspec.Meta(max_length=MAX_LABELS)
+]
 LabelChanges = typing.Annotated[
-    dict[Key, Key | None],
+    dict[settings.Label, settings.Label | None],
     msgspec.Meta(min_length=1, max_length=MAX_LABELS),
 ]
 
@@ -139,13 +144,27 @@
     address: str
 
 
+def check_labels(kind, labels):
+    """Check that no label hides one that targets of ``kind`` always have.
+
+    Raises:
+        BadInputError: One does; the message names it.
+    """
+    for key in sorted(FIXED_LABELS[kind] & set(labels)):
+        raise errors.BadInputError(
+            f'$.labels.{key}: each {kind} always has this label, so it '
+            "can't be set",
+            step='check labels',
+        )
+
+
 def check_name(name):
     """Return ``name`` if it is allowed.
 
     Raises:
         BadInputError: It isn't.
     """
-    if not re.search(NAME_PATTERN, name):
+    if not re.search(settings.NAME_PATTERN, name):
         raise errors.BadInputError(
             f'{name!r} is no name; use letters, digits, ".", "_" and "-", '
             '100 at most',
--- a/bilberryhaven/control/api/workloads.py
+++ b/bilberryhaven/control/api/workloads.py
@@ -32,6 +32,7 @@
     """Create a workload or replace its declaration."""
     body = request.decode(models.WorkloadBody)
     name = models.check_name(request.params['name'])
+    models.check_labels('workload', body.labels)
     models.check_selector('runs_on', body.runs_on)
     models.check_selector('shares_with', body.shares_with)
     need = body.resources
@@ -60,6 +61,7 @@
 def patch_labels(request):
     """Set labels of a workload."""
     body = request.decode(models.LabelsBody)
+    models.check_labels('workload', body.labels)
     return changes.propose_change(
         request,
         body,
--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -12,6 +12,10 @@
 
 __all__ = [
     'Capacity',
+    'INSTANCE_LABELS',
+    'Label',
+    'NAME_PATTERN',
+    'Name',
     'Objective',
     'Settings',
     'StandaloneOptions',
@@ -28,13 +32,12 @@
 MAX_ACCELERATORS = 10_000
 MAX_STANDALONE = 1_000
 
-Name = typing.Annotated[
-    str,
-    msgspec.Meta(pattern=r'^[A-Za-z0-9]([A-Za-z0-9._-]{0,98}[A-Za-z0-9])?$'),
-]
-Label = typing.Annotated[
-    str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9_./-]{0,99}$')
-]
+NAME_PATTERN = r'^[A-Za-z0-9]([A-Za-z0-9._-]{0,98}[A-Za-z0-9])?$'
+LABEL_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9_./-]{0,99}$'
+INSTANCE_LABELS = frozenset({'instance', 'zone', 'rack'})
+
+Name = typing.Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+Label = typing.Annotated[str, msgspec.Meta(pattern=LABEL_PATTERN)]
 Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 Level = typing.Literal['debug', 'info', 'notice', 'warning', 'error']
 
@@ -234,6 +237,8 @@
             add(f'zones[{index}].name', f'{name!r} is there twice')
     if names and loaded.zone and loaded.zone not in names:
         add('zone', f'{loaded.zone!r} is none of zones: {", ".join(names)}')
+    for key in sorted(INSTANCE_LABELS & set(loaded.labels)):
+        add(f'labels.{key}', 'this label is always there and says what it is')
     slots = loaded.capacity.slots
     if loaded.service_reserve > slots:
         add(
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -98,7 +98,7 @@
 
 class TestChanges(ApiTestCase):
     def test_declared_workload_reads_back(self):
-        answer = self.declare(runs_on='zone=a', labels={'team': 'x'})
+        answer = self.declare(runs_on='zone=a', labels={'tier': 'x'})
         self.assertEqual((1, 1), (answer['revision'], answer['version']))
         got = self.call('GET', '/v1/workloads/survey')
         self.assertEqual(('zone=a', 'batch'), (got['runs_on'], got['kind']))
@@ -156,10 +156,15 @@
             self.assertIn(path, error['message'])
         self.assertEqual(0, self.ctx.state.revision)
 
-    def test_announced_labels_stay(self):
+    def test_fixed_labels_stay(self):
         self.open()
         path = '/v1/instances/i1/labels'
         self.call('PATCH', path, {'labels': {'zone': 'b'}}, status=400)
+        self.declare()
+        path = '/v1/workloads/survey/labels'
+        self.call('PATCH', path, {'labels': {'kind': 'x'}}, status=400)
+        body = {'kind': 'batch', 'labels': {'team': 'x'}}
+        self.call('PUT', '/v1/workloads/other', body, status=400)
 
     def test_drain_marks_the_instance(self):
         self.open()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -29,6 +29,7 @@
     ('{zone: b, zones: [{name: a}]}', "zone: 'b' is none of zones: a"),
     ('{name: a, name: b}', "key 'name' is given twice"),
     ('service_reserve: 9', 'capacity.slots is 8'),
+    ('labels: {zone: a}', 'labels.zone: this label is always there'),
     ('log_level: loud', 'allowed are debug, info'),
     ('data: 7', 'data: 7 is refused: expected str'),
     ('[1]', 'expected a mapping'),
