Keep an entry going after an unreadable selector or a failed tick

Cause: reading the shell for what would end it: one selector that can't be parsed raised out of the view, so that the lease was never renewed again; an exception in a regular call ended its thread. Change: such a selector matches nothing and is logged; the ticker logs and goes on. Tests: tests.test_entry_core 22 passed; the new one fails without the change. Conclusion: one workload's fault stays with it.

--- a/bilberryhaven/entry/ticker.py
+++ b/bilberryhaven/entry/ticker.py
@@ -2,8 +2,12 @@
 
 import threading
 
+from bilberryhaven import log
+
 __all__ = ['Ticker']
 
+_logger = log.get_logger('ticker')
+
 
 class Ticker:
     """A thread that calls ``func`` every ``interval`` until it is stopped.
@@ -31,5 +35,13 @@
 
     def _run(self):
         while not self._stopped.is_set():
-            self._func()
+            self._call()
             self._stopped.wait(self._interval)
+
+    def _call(self):
+        """Call once; a failure must not end the calls to come."""
+        try:
+            self._func()
+        except Exception:  # noqa: BLE001
+            if not self._stopped.is_set():
+                _logger.exception('a regular call failed')
--- a/bilberryhaven/entry/view.py
+++ b/bilberryhaven/entry/view.py
@@ -11,6 +11,8 @@
 from bilberryhaven.entry import fading
 from bilberryhaven.entry import health
 from bilberryhaven.entry import pool
+from bilberryhaven import errors
+from bilberryhaven import log
 from bilberryhaven import selector
 
 __all__ = ['Target', 'View']
@@ -23,6 +25,8 @@
 SLOW_HALF_LIFE = datetime.timedelta(seconds=5)
 FAIL_HALF_LIFE = datetime.timedelta(seconds=2)
 
+_logger = log.get_logger('view')
+
 
 def _build_slowness():
     return fading.Fading(rest=1.0, half_life=SLOW_HALF_LIFE, weight=SMOOTHING)
@@ -199,13 +203,21 @@
     def _index(self, found, key, target):
         leaving = target.draining or target.leaving_until
         serving = target.connected and not leaving
-        if not serving or not self._match(key, target):
+        if not serving or not self._match_safely(key, target):
             found.remove(target)
         elif target.quarantined or target.health.quarantined:
             found.set_aside(target)
         else:
             found.add(target)
 
+    def _match_safely(self, key, target):
+        """Match; a selector that can't be read matches nothing."""
+        try:
+            return self._match(key, target)
+        except errors.SelectorError as error:
+            _logger.error('an instance is left out: {}', error)
+            return False
+
     def _match(self, key, target):
         runs_on, shares_with, labels = key
         if self.targets.get(target.name) is not target:
--- a/tests/test_entry_core.py
+++ b/tests/test_entry_core.py
@@ -255,6 +255,13 @@
         again = self.core.handle_synced(resync.request_id)[-1]
         self.assertEqual('a', again.target.name)
 
+    def test_selector_that_is_unreadable_harms_no_other_workload(self):
+        bad = message.WorkloadView(name='bad', kind='service', runs_on='(((')
+        self.sync(instance('a'), workloads=[bad])
+        self.assertIsInstance(self.submit('bad'), effect.Resync)
+        self.sync(instance('b'))
+        self.assertEqual({'a', 'b'}, self.route())
+
     def test_missing_instance_is_forgotten_after_a_full_sync(self):
         self.sync(instance('a'), instance('b'))
         self.route()
