--- a/bilberryhaven/systems/eviction.py
+++ b/bilberryhaven/systems/eviction.py
@@ -1,6 +1,7 @@
 """Evicts a batch task where throttling isn't enough and moving it pays."""
 
 import datetime
+import itertools
 
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import log
@@ -18,6 +19,7 @@
 GAIN_UNIT_S = 30.0
 MIN_GAIN = 1.5
 MAX_EVICTIONS = 4
+MAX_NODES = 80
 
 logger = log.get_logger('eviction')
 
@@ -37,7 +39,7 @@
         """Return the evictions of this tick."""
         self.memory.refresh(world)
         evictions = []
-        for name in self.memory.reported:
+        for name in itertools.islice(self.memory.reported, MAX_NODES):
             if len(evictions) >= MAX_EVICTIONS:
                 break
             entry = self.memory.fleet.nodes.get(name)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -43,7 +43,7 @@
         found = [self.count_running(t) for t in ('big', 'small', 'capped')]
         self.assertEqual(24, sum(found))
         self.assertEqual(2, found[2])
-        self.assertGreater(found[0], found[1])
+        self.assertGreaterEqual(found[0], 1.5 * found[1])
 
     def test_old_job_is_served_before_a_newer_backlog(self):
         self.declare('old', team='a')
