Explain from the leader's own count of each instance

Cause: explain took 1.0 to 1.7 s of processor time under the machine lock at 6,800 instances and 110,000 jobs, as it counted all jobs at each call. Change: it uses the placement's nodes of the last tick where they are kept.

--- a/bilberryhaven/control/api/explain.py
+++ b/bilberryhaven/control/api/explain.py
@@ -53,7 +53,10 @@
     rows = []
     if row.state in WAITING and row.workload in ctx.state.workloads:
         found = explanation.explain_job(
-            ctx.state, row.id, service_reserve=ctx.settings.service_reserve
+            ctx.state,
+            row.id,
+            service_reserve=ctx.settings.service_reserve,
+            nodes_by_name=ctx.get_nodes_by_name(),
         )
         rows = _show_verdicts(found, row.failures)
     return _build(
@@ -145,7 +148,10 @@
 
 def _explain_workload(ctx, row):
     found = explanation.explain_workload(
-        ctx.state, row.name, service_reserve=ctx.settings.service_reserve
+        ctx.state,
+        row.name,
+        service_reserve=ctx.settings.service_reserve,
+        nodes_by_name=ctx.get_nodes_by_name(),
     )
     rows = _show_verdicts(found, ())
     if row.kind == workload.Kind.SERVICE:
--- a/bilberryhaven/control/context.py
+++ b/bilberryhaven/control/context.py
@@ -79,3 +79,10 @@
     @abc.abstractmethod
     def get_load(self, instance):
         """Return the newest ``Load`` message of ``instance``, or None."""
+
+    def get_nodes_by_name(self):
+        """Return the placement's ``Node`` rows, or None where none are kept.
+
+        They are as old as the last tick.
+        """
+        return None
--- a/bilberryhaven/control/leader.py
+++ b/bilberryhaven/control/leader.py
@@ -140,6 +140,10 @@
         """Add one control instance as learner or remove one."""
         return self.replica.change_members(add=add, remove=remove)
 
+    def get_nodes_by_name(self):
+        """Return the placement's ``Node`` rows of the last tick."""
+        return self._systems[0].memory.fleet.nodes
+
     def get_load(self, instance):
         """Return the newest ``Load`` of ``instance``, or None."""
         load, _ = self._loads.get(instance, (None, None))
--- a/bilberryhaven/systems/explanation.py
+++ b/bilberryhaven/systems/explanation.py
@@ -39,29 +39,35 @@
     reason: str = ''
 
 
-def explain_job(state, job_id, *, service_reserve=2):
+def explain_job(state, job_id, *, service_reserve=2, nodes_by_name=None):
     """Return one ``Row`` an instance for the job, best verdicts first.
 
     Args:
         state: The replicated tables.
         job_id: The job's id.
         service_reserve: Slots that batch work leaves free beside services.
+        nodes_by_name: The leader's ``Node`` rows, which spare the count of
+            each instance's jobs; None to count them from the tables.
 
     Raises:
         NotFoundError: No job has the id.
     """
     row = state.jobs.get(job_id)
-    return _explain(state, row.workload, row, service_reserve)
+    known = nodes_by_name or {}
+    return _explain(state, row.workload, row, service_reserve, known)
 
 
-def explain_workload(state, name, *, service_reserve=2):
+def explain_workload(state, name, *, service_reserve=2, nodes_by_name=None):
     """Return one ``Row`` an instance for a new job of workload ``name``."""
-    return _explain(state, name, None, service_reserve)
+    known = nodes_by_name or {}
+    return _explain(state, name, None, service_reserve, known)
 
 
-def _explain(state, name, row, service_reserve):
+def _explain(state, name, row, service_reserve, known):
     target = state.workloads.get(name)
-    judge = _Judge(state=state, target=target, reserve=service_reserve)
+    judge = _Judge(
+        state=state, target=target, reserve=service_reserve, known=known
+    )
     rows = [judge.judge(place, row) for place in state.instances]
     order = list(Verdict)
     rows.sort(key=lambda found: (order.index(found.verdict), found.instance))
@@ -71,7 +77,8 @@
 class _Judge:
     """Compares one workload with instances, straight from the tables."""
 
-    def __init__(self, *, state, target, reserve):
+    def __init__(self, *, state, target, reserve, known):
+        self._known = known
         self._state = state
         self._target = target
         self._reserve = reserve
@@ -100,7 +107,8 @@
             return Verdict.DRAINING, 'it is leaving and takes nothing new'
         if place.quarantined:
             return Verdict.QUARANTINED, place.quarantined
-        return self._find_room(self._build_node(place))
+        entry = self._known.get(place.name) or self._build_node(place)
+        return self._find_room(entry)
 
     def _find_room(self, entry):
         target = self._target
