Forget instances that never come back

Change: a row without a session is removed after 7 days; epochs of a name that comes back begin beyond all forgotten ones, so that an agent frozen meanwhile stays fenced.

--- a/bilberryhaven/commands/session.py
+++ b/bilberryhaven/commands/session.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     'CloseSession',
+    'ForgetInstances',
     'LeaveSession',
     'OpenSession',
     'QuarantineInstance',
@@ -45,7 +46,7 @@
             address=self.address,
             announced=dict(self.labels),
             capacity=self.capacity,
-            epoch=1,
+            epoch=state.session_floor + 1,
             connected=True,
         )
         if old is not None:
@@ -92,7 +93,7 @@
                 step='close session',
                 peer=self.name,
             )
-        state.instances.update(self.name, connected=False)
+        state.instances.update(self.name, connected=False, closed_at=self.at)
         for held in state.jobs.select('instance', self.name):
             if held.state in job.ACTIVE_STATES:
                 self._release(state, held)
@@ -126,3 +127,18 @@
         state.instances.get(self.name)
         state.instances.update(self.name, quarantined=self.reason)
         return self.reason
+
+
+class ForgetInstances(commands.Command, kw_only=True, frozen=True):
+    """Remove instances that were replaced or never came back."""
+
+    names: list[str]
+
+    def apply(self, state):
+        """Remove each without an open session; return how many."""
+        rows = [state.instances.find(name) for name in self.names]
+        gone = [row for row in rows if row and not row.connected]
+        for row in gone:
+            state.session_floor = max(state.session_floor, row.epoch)
+            state.instances.remove(row.name)
+        return len(gone)
--- a/bilberryhaven/systems/expiry.py
+++ b/bilberryhaven/systems/expiry.py
@@ -1,9 +1,10 @@
-"""Forgets jobs that ended long ago, so that the tables stay bounded."""
+"""Forgets what ended long ago, so that the tables stay bounded."""
 
 import datetime
 import itertools
 
 from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
 from bilberryhaven import systems
 from bilberryhaven.tables import job
 
@@ -12,6 +13,8 @@
 # A resend of a job's id finds the same job for this long after its end.
 KEPT_FOR = datetime.timedelta(hours=24)
 MAX_ENDED = 200_000
+# An instance without a session, and the labels set on it, for this long.
+INSTANCE_KEPT_FOR = datetime.timedelta(days=7)
 INTERVAL = datetime.timedelta(seconds=10)
 MAX_EXPIRED = 2_000
 
@@ -34,7 +37,17 @@
         found = []
         for state in sorted(job.END_STATES):
             found += self._list_expired(world, state)
-        return [job_commands.ExpireJobs(job_ids=found)] if found else []
+        batch = [job_commands.ExpireJobs(job_ids=found)] if found else []
+        gone = self._list_gone(world)
+        if gone:
+            batch.append(session.ForgetInstances(names=gone))
+        return batch
+
+    def _list_gone(self, world):
+        limit = world.now - INSTANCE_KEPT_FOR
+        rows = world.state.instances.iterate('connected', False)
+        oldest = itertools.islice(rows, MAX_EXPIRED)
+        return [row.name for row in oldest if row.closed_at <= limit]
 
     def _list_expired(self, world, state):
         jobs = world.state.jobs
--- a/bilberryhaven/tables/__init__.py
+++ b/bilberryhaven/tables/__init__.py
@@ -30,11 +30,14 @@
     Attributes:
         revision: Number of the newest accepted label, selector or workload
             change.
+        session_floor: Newest session epoch of an instance that was
+            forgotten; a new instance's epochs begin beyond it.
     """
 
     def __init__(self):
         _load_modules()
         self.revision = 0
+        self.session_floor = 0
         self._names = []
         for name, cls in _registry.items():
             setattr(self, name, cls())
@@ -43,12 +46,15 @@
     def dump(self):
         """Return the whole state as bytes; equal states give equal bytes."""
         parts = {name: getattr(self, name).dump() for name in self._names}
-        return msgspec.msgpack.encode([self.revision, parts])
+        head = [self.revision, self.session_floor]
+        return msgspec.msgpack.encode([*head, parts])
 
     def load(self, data):
         """Replace the whole state by that of ``dump``'s bytes."""
-        kind = tuple[int, dict[str, bytes]]
-        self.revision, parts = msgspec.msgpack.decode(data, type=kind)
+        kind = tuple[int, int, dict[str, bytes]]
+        self.revision, self.session_floor, parts = msgspec.msgpack.decode(
+            data, type=kind
+        )
         for name in self._names:
             if name in parts:
                 getattr(self, name).load(parts[name])
--- a/bilberryhaven/tables/instance.py
+++ b/bilberryhaven/tables/instance.py
@@ -1,6 +1,7 @@
 """Instances: what each holds, where it is and which session it has."""
 
 import dataclasses
+import datetime
 
 from bilberryhaven import tables
 from bilberryhaven.tables import table
@@ -41,6 +42,7 @@
         capacity: What it holds.
         epoch: Number of its newest session; 0 before the first.
         connected: Whether that session is open.
+        closed_at: When its newest closed session ended, UTC, or None.
         draining: Whether an operator stops it: it takes nothing new.
         leaving: Whether its agent is stopping; ends with the session.
         quarantined: Reason for which it gets only probes, or empty.
@@ -56,6 +58,7 @@
     capacity: Capacity = dataclasses.field(default_factory=Capacity)
     epoch: int = 0
     connected: bool = False
+    closed_at: datetime.datetime | None = None
     draining: bool = False
     leaving: bool = False
     quarantined: str = ''
--- a/tests/test_systems.py
+++ b/tests/test_systems.py
@@ -311,3 +311,17 @@
         self.tick(step=datetime.timedelta(hours=2))
         self.assertNotIn('old', self.state.jobs)
         self.assertIn('runs', self.state.jobs)
+
+    def test_instance_that_never_comes_back_is_forgotten(self):
+        for name in ('gone', 'back'):
+            self.open(name)
+            self.do(session.CloseSession(name=name, epoch=1, at=self.now))
+        self.open('back')
+        self.tick(step=datetime.timedelta(days=8))
+        self.assertEqual(['back'], [i.name for i in self.state.instances])
+        self.declare('silt')
+        self.submit('silt', 'j')
+        self.tick(2)
+        self.assertEqual('back', self.job('j').instance)
+        # An agent frozen for all that time must not hold the new session.
+        self.assertEqual(2, self.open('gone'))
