--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -13,6 +13,38 @@
 WAIT_SECONDS = 20
 
 
+def build_reply(request_id, body=b'', code='', outcome='', **load):
+    """Return a whole ``AdmitReply``."""
+    return message.AdmitReply(
+        request_id=request_id,
+        code=code,
+        outcome=outcome,
+        body=body,
+        length=len(body),
+        digest=util.compute_digest(body),
+        load=message.Load(slots=8, **load),
+    )
+
+
+def build_sync(instances, workloads=(), full=True):
+    """Return a ``SyncReply`` with a repeatable and another service."""
+    return message.SyncReply(
+        revision=1,
+        lease_ms=4000,
+        feed='f',
+        cursor=1,
+        full=full,
+        instances=instances,
+        workloads=[
+            message.WorkloadView(name='price', kind='service'),
+            message.WorkloadView(
+                name='recipe', kind='service', repeatable=False
+            ),
+            *workloads,
+        ],
+    )
+
+
 class FakeAgent:
     """Answers each request with its body, unless told otherwise."""
 
@@ -35,13 +67,9 @@
         self.server.start()
 
     def echo(self, msg):
-        return message.AdmitReply(
-            request_id=msg.request_id,
-            body=msg.body,
-            length=len(msg.body),
-            digest=util.compute_digest(msg.body),
-            load=self.load,
-        )
+        reply = build_reply(msg.request_id, msg.body)
+        reply.load = self.load
+        return reply
 
     def wait(self, msg):
         self.release.wait(WAIT_SECONDS)
@@ -53,12 +81,7 @@
         return reply
 
     def refuse(self, msg):
-        return message.AdmitReply(
-            request_id=msg.request_id,
-            code='overload',
-            outcome='not_run',
-            load=self.load,
-        )
+        return build_reply(msg.request_id, code='overload', outcome='not_run')
 
     def view(self):
         return message.InstanceView(
@@ -84,14 +107,6 @@
 
     def __init__(self, *, agents=()):
         self.agents = list(agents)
-        self.workloads = [
-            message.WorkloadView(name='price', kind='service'),
-            message.WorkloadView(
-                name='recipe', kind='service', repeatable=False
-            ),
-        ]
-        self.lease_ms = 4000
-        self.revision = 1
         self.batches = []
         self.calls = []
         self.claims = {}
@@ -118,15 +133,7 @@
     def _sync(self, msg):
         self._check()
         self.syncs += 1
-        return message.SyncReply(
-            revision=self.revision,
-            lease_ms=self.lease_ms,
-            feed='f',
-            cursor=1,
-            full=True,
-            workloads=self.workloads,
-            instances=[agent.view() for agent in self.agents],
-        )
+        return build_sync([agent.view() for agent in self.agents])
 
     def _claim(self, msg):
         self._check()
--- a/tests/fuzz/request.py
+++ b/tests/fuzz/request.py
@@ -20,8 +20,8 @@
 from bilberryhaven.entry import view
 from bilberryhaven import errors
 from bilberryhaven.policies import route_two_choice
-from bilberryhaven import util
 from bilberryhaven.wire import message
+from tests import entry_fakes
 
 MS = datetime.timedelta(milliseconds=1)
 INSTANCES = ('a', 'b', 'c')
@@ -84,18 +84,6 @@
     return f'answer to {item.id} '.encode() + item.body
 
 
-def build_reply(msg, code='', outcome='', body=b''):
-    return message.AdmitReply(
-        request_id=msg.request_id,
-        code=code,
-        outcome=outcome,
-        body=body,
-        length=len(body),
-        digest=util.compute_digest(body),
-        load=message.Load(slots=8),
-    )
-
-
 class RequestMachine(stateful.RuleBasedStateMachine):
     """Callers, network, leader and agents around one request core."""
 
@@ -139,23 +127,11 @@
 
     def sync(self):
         now = self.clock.monotonic()
-        reply = message.SyncReply(
-            revision=1,
-            lease_ms=4000,
-            feed='f',
-            cursor=1,
-            full=True,
-            workloads=[
-                message.WorkloadView(name='price', kind='service'),
-                message.WorkloadView(
-                    name='recipe', kind='service', repeatable=False
-                ),
-            ],
-            instances=[
-                message.InstanceView(name=name, address=f'{name}:1')
-                for name in INSTANCES
-            ],
-        )
+        rows = [
+            message.InstanceView(name=name, address=f'{name}:1')
+            for name in INSTANCES
+        ]
+        reply = entry_fakes.build_sync(rows)
         self.view.apply(reply, sent_at=now, now=now)
 
     # Effects
@@ -195,18 +171,14 @@
         self.waiting.append(item)
 
     def check_budget(self):
-        core = self.core
-        assert self.retries <= core.budgets.retries
-        assert self.extra <= core.budgets.retries + core.budgets.failovers
-        for used, share, burst in (
-            (core.budgets.retries, LIMITS.retry_share, LIMITS.retry_burst),
-            (
-                core.budgets.failovers,
-                LIMITS.failover_share,
-                LIMITS.failover_burst,
-            ),
-        ):
-            assert used <= burst + share * self.accepted + 1e-6, used
+        spent = self.core.budgets
+        assert self.retries <= spent.retries
+        assert self.extra <= spent.retries + spent.failovers
+        count = self.accepted + 1e-6
+        bound = LIMITS.retry_burst + LIMITS.retry_share * count
+        assert spent.retries <= bound
+        bound = LIMITS.failover_burst + LIMITS.failover_share * count
+        assert spent.failovers <= bound
 
     def check_answer(self, item):
         caller, answer = item.caller, item.answer
@@ -359,7 +331,9 @@
         elif msg.request_id in agent.runs:
             return
         if refusal:
-            reply = build_reply(msg, refusal, 'not_run')
+            reply = entry_fakes.build_reply(
+                msg.request_id, code=refusal, outcome='not_run'
+            )
             self.replies.append((item, reply))
             if again:
                 agent.buried.add(msg.request_id)
@@ -378,9 +352,10 @@
 
     def end(self, run, code):
         run.done = True
-        msg = run.dispatch.message
         body = b'' if code else answer_to(run.submission.request)
-        reply = build_reply(msg, code, 'ran' if code else '', body)
+        reply = entry_fakes.build_reply(
+            run.dispatch.request_id, body, code, 'ran' if code else ''
+        )
         self.replies.append((run.dispatch, reply))
 
     def reply(self, draw):
--- a/tests/test_entry_core.py
+++ b/tests/test_entry_core.py
@@ -14,8 +14,8 @@
 from bilberryhaven.entry import view
 from bilberryhaven import errors
 from bilberryhaven.policies import route_two_choice
-from bilberryhaven import util
 from bilberryhaven.wire import message
+from tests import entry_fakes
 
 LIMITS = pending.Limits(retry_burst=50, failover_burst=50)
 
@@ -50,21 +50,7 @@
 
     def sync(self, *instances, workloads=(), full=False):
         now = self.clock.monotonic()
-        reply = message.SyncReply(
-            revision=1,
-            lease_ms=4000,
-            feed='f',
-            cursor=1,
-            full=full,
-            instances=list(instances),
-            workloads=[
-                message.WorkloadView(name='price', kind='service'),
-                message.WorkloadView(
-                    name='recipe', kind='service', repeatable=False
-                ),
-                *workloads,
-            ],
-        )
+        reply = entry_fakes.build_sync(list(instances), workloads, full)
         self.view.apply(reply, sent_at=now, now=now)
 
     def submit(self, workload='price', key='', **fields):
@@ -80,18 +66,10 @@
 
     def reply(self, dispatch, code='', outcome='', **load):
         body = b'' if code else b'x'
-        effects = self.core.handle_reply(
-            dispatch,
-            message.AdmitReply(
-                request_id=dispatch.request_id,
-                code=code,
-                outcome=outcome,
-                body=body,
-                length=len(body),
-                digest=util.compute_digest(body),
-                load=message.Load(slots=8, **load),
-            ),
+        reply = entry_fakes.build_reply(
+            dispatch.request_id, body, code, outcome, **load
         )
+        effects = self.core.handle_reply(dispatch, reply)
         return effects[-1]
 
     def lose(self, dispatch):
