--- a/tests/test_entry_core.py
+++ b/tests/test_entry_core.py
@@ -143,6 +143,15 @@
                 item = self.reply(item, 'overload', 'not_run')
         self.assertIn(sent, range(110, 113))
 
+    def test_another_look_is_within_the_budget(self):
+        self.sync(instance('a'))
+        item = self.submit()
+        self.core.budgets = budget.RetryBudgets(
+            limits=pending.Limits(failover_burst=0)
+        )
+        answer = self.reply(item, 'draining', 'not_run').answer
+        self.assertEqual('draining', answer.error.code)
+
     def test_newer_revision_renews_the_view_before_the_retry(self):
         self.sync(instance('a'))
         item = self.reply(self.submit(), 'refused', 'not_run')
@@ -315,6 +324,18 @@
         self.run_requests(1, lambda name: False)
         self.assertIsInstance(self.submit(), effect.Dispatch)
 
+    def test_held_workload_counts_against_no_instance(self):
+        self.sync(*(instance(f'i{number}') for number in range(5)))
+        for _ in range(60):
+            self.run_requests(1, lambda name: True)
+            self.clock.advance(clock.seconds(1))
+        aside = [
+            item.name
+            for item in self.view.targets.values()
+            if item.health.quarantined
+        ]
+        self.assertEqual([], aside)
+
     def test_set_aside_share_is_capped(self):
         self.sync(*(instance(f'i{number}') for number in range(4)))
         monitor = health.Monitor(view=self.view)
