--- a/bilberryhaven/consensus/replication.py
+++ b/bilberryhaven/consensus/replication.py
@@ -127,6 +127,8 @@
         core.append(entries[held:])
     matched = max(msg.prev_index + len(msg.entries), core.log.base_index)
     core.commit = max(core.commit, min(msg.commit, matched))
+    if matched >= msg.commit and core.log.find_term(msg.commit) == msg.term:
+        core.mark_joined()
     _reply(core, msg, ok=True, index=matched)
 
 
@@ -139,7 +141,12 @@
 
 def _reply(core, msg, *, ok, index):
     reply = message.AppendReply(
-        sender=core.name, term=core.term, ok=ok, index=index, round=msg.round
+        sender=core.name,
+        term=core.term,
+        ok=ok,
+        index=index,
+        round=msg.round,
+        joined=core.joined,
     )
     core.send(msg.sender, reply)
 
@@ -168,6 +175,8 @@
         transfer.finish_transfer(peer)
         advance_commit(core, now)
     elif peer.transfer is None:
+        if not msg.joined:
+            peer.forget(msg.index)
         peer.reject(msg.index, now)
     if core.is_leader:
         send_appends(core, msg.sender, now)
@@ -184,4 +193,5 @@
     if index <= core.commit or core.log.find_term(index) != core.term:
         return
     core.commit = index
+    core.mark_joined()
     membership.finish_change(core, now)
--- a/bilberryhaven/control/api/instances.py
+++ b/bilberryhaven/control/api/instances.py
@@ -4,22 +4,22 @@
 from bilberryhaven.control import api
 from bilberryhaven.control.api import changes
 from bilberryhaven.control.api import models
+from bilberryhaven.control.api import pages
 from bilberryhaven.control.api import views
-from bilberryhaven import errors
 
 __all__ = []
 
-FIXED_LABELS = frozenset({'instance', 'zone', 'rack'})
-
 
 @api.route('GET', '/v1/instances')
 def list_instances(request):
-    """Return all instances with their newest loads."""
+    """Return a page of instances with their newest loads."""
     ctx = request.ctx
-    with ctx.read():
-        rows = list(ctx.state.instances)
-        shown = [views.show_instance(r, ctx.get_load(r.name)) for r in rows]
-    return {'instances': shown}
+    return pages.show_page(
+        request,
+        'instances',
+        ctx.state.instances,
+        lambda row: views.show_instance(row, ctx.get_load(row.name)),
+    )
 
 
 @api.route('GET', '/v1/instances/{name}')
@@ -39,13 +39,7 @@
 def patch_labels(request):
     """Set labels of an instance."""
     body = request.decode(models.LabelsBody)
-    fixed = sorted(FIXED_LABELS & set(body.labels))
-    if fixed:
-        raise errors.BadInputError(
-            f'$.labels.{fixed[0]}: the agent announces this label, so it '
-            "can't be set",
-            step='read body',
-        )
+    models.check_labels('instance', body.labels)
     return changes.propose_change(
         request,
         body,
