--- a/tests/test_entry_core.py
+++ b/tests/test_entry_core.py
@@ -1,5 +1,6 @@
 """Tests of single decisions of the entry's cores."""
 
+import dataclasses
 import random
 
 import testtools
@@ -62,6 +63,7 @@
             keyed=bool(key),
             **fields,
         )
+        self.last = item
         return self.core.submit(self.count, item)[-1]
 
     def reply(self, dispatch, code='', outcome='', **load):
@@ -143,6 +145,22 @@
                 item = self.reply(item, 'overload', 'not_run')
         self.assertIn(sent, range(110, 113))
 
+    def test_callers_of_one_request_are_limited(self):
+        self.sync(instance('a'))
+        item = self.submit(key='k')
+        joined = [
+            self.core.submit(number, dataclasses.replace(self.last))
+            for number in range(100, 105)
+        ]
+        limit = LIMITS.callers - 1
+        self.assertEqual([[]] * limit, joined[:limit])
+        for effects in joined[limit:]:
+            self.assertEqual('overload', effects[0].answer.error.code)
+        effects = self.core.handle_reply(
+            item, entry_fakes.build_reply('k', b'x')
+        )
+        self.assertEqual(LIMITS.callers, len(effects))
+
     def test_another_look_is_within_the_budget(self):
         self.sync(instance('a'))
         item = self.submit()
