--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -12,6 +12,7 @@
 import sys
 
 from bilberryhaven import errors
+from bilberryhaven import lean
 from bilberryhaven import registry
 
 __all__ = ['Command', 'build_parser', 'main', 'register', 'run']
@@ -127,4 +128,5 @@
 
 def run():
     """Run the process's command line and exit."""
+    lean.omit_tls()
     sys.exit(main(sys.argv[1:]))
--- a/bilberryhaven/standin/server.py
+++ b/bilberryhaven/standin/server.py
@@ -108,6 +108,12 @@
         with self._lock:
             return [task.describe() for task in self._tasks.list_tasks()]
 
+    def cancel_task(self, task_id):
+        """Stop a task as if it had ended by itself."""
+        with self._lock:
+            task = self._tasks.find(task_id)
+            self._tasks.stop(task_id, task.start.epoch)
+
     def get_status(self):
         """Return the ``Status``."""
         with self._lock:
