--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -5,21 +5,34 @@
 """
 
 import argparse
+import functools
 import importlib
 import json
 import os
 import pkgutil
 import sys
+import urllib.parse
 
+from bilberryhaven import clock
 from bilberryhaven import errors
 from bilberryhaven import lean
 from bilberryhaven import registry
 
-__all__ = ['Command', 'build_parser', 'main', 'register', 'run']
+__all__ = [
+    'Command',
+    'build_parser',
+    'connect',
+    'main',
+    'quote',
+    'register',
+    'run',
+]
 
 EXIT_DONE = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
+WIDTH = 79
+ROLES_MODULE = 'roles'
 DEFAULT_SERVER = '127.0.0.1:7070'
 EPILOG = 'Exit status: 0 done, 1 refused (a code is on stderr), 2 usage.'
 
@@ -46,13 +59,45 @@
         raise NotImplementedError
 
 
-def _list_commands():
+def connect(opts):
+    """Return the client of the server that ``opts`` names."""
+    from bilberryhaven.cmdline import _client
+
+    return _client.ApiClient(
+        servers=opts.server.split(','), clock=clock.SystemClock()
+    )
+
+
+def quote(name):
+    """Return ``name`` as one segment of a path."""
+    return urllib.parse.quote(name, safe='')
+
+
+def _list_commands(args):
+    """Return the subcommands, only those of roles if ``args`` name one.
+
+    A role's process keeps what it has imported for as long as it runs.
+    """
+    importlib.import_module(f'{__name__}.{ROLES_MODULE}')
+    if _find_command(args) in _registry.names():
+        return _registry.items()
     for module in pkgutil.iter_modules(__path__):
         if not module.name.startswith('_'):
             importlib.import_module(f'{__name__}.{module.name}')
     return _registry.items()
 
 
+def _find_command(args):
+    """Return the first word that is no option nor an option's value."""
+    words = iter(args)
+    for word in words:
+        if not word.startswith('-'):
+            return word
+        if '=' not in word:
+            next(words, None)
+    return None
+
+
 def _add_settings(parser, **options):
     parser.add_argument(
         '--settings', metavar='FILE', help='settings in YAML', **options
@@ -83,9 +128,11 @@
     _add_output(parser, default=argparse.SUPPRESS)
 
 
-def build_parser():
-    """Return the parser of all subcommands."""
+def build_parser(args=()):
+    """Return the parser of all subcommands that ``args`` may name."""
+    formatter = functools.partial(argparse.HelpFormatter, width=WIDTH)
     parser = argparse.ArgumentParser(
+        formatter_class=formatter,
         prog='bilberryhaven',
         description='Scheduler for latency-critical and batch work.',
         epilog=EPILOG,
@@ -97,11 +144,16 @@
     )
     _add_output(parser, default='table')
     subs = parser.add_subparsers(
-        dest='command', required=True, metavar='COMMAND'
+        dest='command', required=True, metavar='COMMAND', prog=parser.prog
     )
-    for name, cls in _list_commands():
+    for name, cls in _list_commands(args):
         command = cls()
-        sub = subs.add_parser(name, help=cls.help, description=cls.help)
+        sub = subs.add_parser(
+            name,
+            help=cls.help,
+            description=cls.help,
+            formatter_class=formatter,
+        )
         command.add_arguments(sub)
         if cls.remote:
             _add_remote(sub)
@@ -113,19 +165,29 @@
 
 def main(args):
     """Run the command line ``args`` and return the exit status."""
-    opts = build_parser().parse_args(args)
+    opts = build_parser(args).parse_args(args)
     try:
         return opts.run(opts) or EXIT_DONE
     except errors.BilberryhavenError as error:
-        if opts.output == 'json':
-            print(json.dumps(error.to_dict()), file=sys.stderr)
-        else:
-            print(error, file=sys.stderr)
+        _print_error(opts, error)
         return EXIT_REFUSED
     except KeyboardInterrupt:
         return EXIT_REFUSED
 
 
+def _print_error(opts, error):
+    if opts.output == 'json':
+        print(json.dumps(error.to_dict()), file=sys.stderr)
+        return
+    print(error, file=sys.stderr)
+    if error.request_id and error.outcome == errors.Outcome.UNKNOWN:
+        print(
+            'It may have run. A resend with the same id finds out and runs '
+            f'nothing twice: {error.request_id}',
+            file=sys.stderr,
+        )
+
+
 def run():
     """Run the process's command line and exit."""
     lean.omit_tls()
--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -44,6 +44,7 @@
         role: Its role.
         term: Its newest term.
         vote: Whom it voted for in that term, or empty.
+        joined: Whether it has held all that was committed.
         leader: That term's leader, or empty.
         commit: Newest committed entry.
         peers: ``Progress`` by name, of a leader.
@@ -65,6 +66,7 @@
         self.random = random
         self.term = hard_state.term
         self.vote = hard_state.vote
+        self.joined = hard_state.joined
         self.log = log
         self.history = history
         self.snapshots = list(snapshots)
@@ -79,8 +81,9 @@
         self.heard_at = None
         self.election_at = None
         self.heartbeat_at = None
-        self.pre_votes = set()
-        self.votes = set()
+        self.pre_votes = {}
+        self.votes = {}
+        self._ticked_at = None
         self._effects = core_effects.Effects()
 
     @property
@@ -106,6 +109,7 @@
         """
         if self.term:
             self.heard_at = now
+        self._ticked_at = now
         self.reset_election_timer(now)
         if self.members.is_quorum([self.name]):
             self.election_at = now
@@ -116,6 +120,7 @@
 
     def tick(self, now):
         """Do what is due at ``now``."""
+        self._ticked_at = now
         if self.is_leader:
             self._tick_leader(now)
         elif now >= self.election_at and self.name in self.members.voters:
@@ -177,10 +182,20 @@
         if self.snapshot is not None and meta.index <= self.snapshot.index:
             return
         self.snapshots = [*self.snapshots, meta][-KEPT_SNAPSHOTS:]
-        index = min(meta.index - self.options.kept_entries, self.commit)
-        self.log.compact(index)
+        self.log.compact(self._find_compact_index(meta))
         self.history.compact(self.log.base_index)
 
+    def _find_compact_index(self, meta):
+        index = meta.index - self.options.kept_entries
+        floor = meta.index - self.options.max_kept_entries
+        for peer in self.peers.values():
+            if peer.answered_at is None:
+                continue
+            silence = self._ticked_at - peer.answered_at
+            if silence < self.options.election_timeout:
+                index = min(index, max(peer.find_needed(), floor))
+        return index
+
     def take_effects(self):
         """Return what is to be done since the last call."""
         taken = self._effects
@@ -230,7 +245,18 @@
         """Set term and vote and queue their write."""
         self.term = term
         self.vote = vote
-        self._effects.hard_state = core_effects.HardState(term=term, vote=vote)
+        self._queue_hard_state()
+
+    def mark_joined(self):
+        """Note that all that is committed is held here."""
+        if not self.joined:
+            self.joined = True
+            self._queue_hard_state()
+
+    def _queue_hard_state(self):
+        self._effects.hard_state = core_effects.HardState(
+            term=self.term, vote=self.vote, joined=self.joined
+        )
 
     def reset_election_timer(self, now):
         """Wait a random election timeout before the next campaign."""
@@ -279,6 +305,7 @@
                 del self.peers[name]
         for name in self.members.list_names():
             if name not in self.peers:
-                self.peers[name] = progress.Progress(
-                    next=self.log.last_index + 1, progress_at=now
-                )
+                last = self.log.last_index
+                peer = progress.Progress(next=last + 1, progress_at=now)
+                peer.start_round(last, now)
+                self.peers[name] = peer
--- a/bilberryhaven/consensus/message.py
+++ b/bilberryhaven/consensus/message.py
@@ -84,6 +84,7 @@
 
     campaign_term: int
     granted: bool
+    joined: bool
 
 
 class VoteRequest(Message, frozen=True, kw_only=True, tag=3):
@@ -98,6 +99,7 @@
     """Whether the vote in ``term`` was granted."""
 
     granted: bool
+    joined: bool
 
 
 class AppendRequest(Message, frozen=True, kw_only=True, tag=5):
@@ -125,11 +127,13 @@
         ok: Whether the log matched.
         index: Newest matching entry, or where to try next if not ``ok``.
         round: The request's round.
+        joined: Whether the sender has held all that was committed.
     """
 
     ok: bool
     index: int
     round: int
+    joined: bool = False
 
 
 class SnapshotRequest(Message, frozen=True, kw_only=True, tag=7):
--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -14,12 +14,15 @@
 from bilberryhaven.consensus import status
 from bilberryhaven.consensus import storage
 from bilberryhaven import errors
+from bilberryhaven import log
 
 __all__ = ['Replica']
 
 STOP_TIMEOUT_SECONDS = 10
 HANDLE_TIMEOUT_SECONDS = 5
 
+_logger = log.get_logger('consensus')
+
 
 class Replica:
     """Thread-safe facade of one replica.
@@ -68,9 +71,9 @@
         self._leading_term = 0
         self._view = actor.View(status=status.ReplicaStatus(name=name))
         self._actor = None
-        self._not_leading = threading.Event()
-        self._not_leading.set()
+        self._follows = threading.Event()
         self._stopping = threading.Event()
+        self._changed = threading.Condition()
 
     def start(self):
         """Recover the state from the folder and join the quorum.
@@ -86,11 +89,12 @@
             clock=self._clock,
             transport=self._transport,
             publish=self._publish,
+            hold=self._options.transfer_timeout * 2,
             options=self._build_driver_options(),
         )
         try:
             self._actor.proxy().begin(self._voters).get()
-        except errors.StorageError:
+        except Exception:
             self._actor.stop()
             self._actor = None
             raise
@@ -119,7 +123,10 @@
                 pass
         self._tell(actor.Close())
         self._stopping.set()
-        self._actor.stop(timeout=STOP_TIMEOUT_SECONDS)
+        try:
+            self._actor.stop(timeout=STOP_TIMEOUT_SECONDS)
+        except pykka.Timeout:
+            _logger.error('replica {} did not stop in time', self.name)
         if self._transport is not None:
             self._transport.close()
 
@@ -149,16 +156,25 @@
     def check_read(self):
         """Return if the machine may be read as current.
 
-        Take ``machine_lock`` first, check, then read.
+        Waits for a newly elected leader's first commit. Call it, then take
+        ``machine_lock`` and read.
 
         Raises:
             NotLeaderError: This replica is not the leader, or its lease has
                 run out; ``peer`` is the leader's address if known.
         """
+        if self._is_elect():
+            limit = self._options.lease.total_seconds()
+            with self._changed:
+                self._changed.wait_for(lambda: not self._is_elect(), limit)
         view = self._view
         if not view.serving or self._clock.monotonic() >= view.lease_end:
             raise self._build_not_leader()
 
+    def _is_elect(self):
+        view = self._view
+        return view.status.role == status.Role.LEADER and not view.serving
+
     def handle(self, batch, sender):
         """Process messages from ``sender`` and return those in reply.
 
@@ -206,7 +222,8 @@
     def transfer_leadership(self, to=None):
         """Hand leadership to ``to``, or to the most advanced voter.
 
-        Returns once this replica leads no more.
+        Returns once this replica follows the next leader. Proposals made
+        meanwhile wait, and are then refused with that leader as ``peer``.
 
         Raises:
             RefusedError: There is no such voter.
@@ -218,7 +235,7 @@
             raise self._build_not_leader()
         limit = self._options.transfer_timeout * 2
         _wait(future, limit, step='transfer')
-        if not self._not_leading.wait(limit.total_seconds()):
+        if not self._follows.wait(limit.total_seconds()):
             raise errors.DeadlineError(
                 'leadership was not handed over in time', step='transfer'
             )
@@ -242,7 +259,13 @@
                 return
 
     def _publish(self, view):
-        self._view = view
+        with self._changed:
+            self._view = view
+            self._changed.notify_all()
+        if view.status.leader not in ('', self.name):
+            self._follows.set()
+        else:
+            self._follows.clear()
         term = view.status.term if view.serving else 0
         if term == self._leading_term:
             return
@@ -250,10 +273,7 @@
         if previous:
             self._notify(False, previous)
         if term:
-            self._not_leading.clear()
             self._notify(True, term)
-        else:
-            self._not_leading.set()
 
     def _notify(self, leading, term):
         if self._on_leadership is not None:
@@ -268,12 +288,13 @@
 
 
 def _settle(future, result):
-    if future.done():
-        return
-    if isinstance(result, Exception):
-        future.set_exception(result)
-    else:
-        future.set_result(result)
+    try:
+        if isinstance(result, Exception):
+            future.set_exception(result)
+        else:
+            future.set_result(result)
+    except concurrent.futures.InvalidStateError:
+        pass
 
 
 def _wait(future, timeout, *, step):
--- a/bilberryhaven/consensus/segment.py
+++ b/bilberryhaven/consensus/segment.py
@@ -10,11 +10,14 @@
 from bilberryhaven.consensus import members as replica_members
 from bilberryhaven.consensus import message
 from bilberryhaven import errors
+from bilberryhaven import log as logs
 
 __all__ = ['RecoveredLog', 'SegmentStore']
 
 PREFIX = 'log-'
 
+_logger = logs.get_logger('consensus')
+
 
 class _Begin(msgspec.Struct, array_like=True, kw_only=True, tag=1):
     """First frame of a segment: the state before its first entry."""
@@ -26,6 +29,7 @@
     index_term: int
     members: replica_members.Members
     reset: bool = False
+    joined: bool = False
 
 
 class _Batch(msgspec.Struct, array_like=True, kw_only=True, tag=2):
@@ -35,6 +39,7 @@
     vote: str
     first: int = 0
     entries: list[message.Entry] = []
+    joined: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -111,6 +116,13 @@
             end = offset + frame.HEADER_BYTES + len(payload)
         if end == 0:
             raise _build_damage(path, 0, 'the segment is empty')
+        if end < len(data):
+            _logger.warning(
+                '{}: cut off {} bytes that a crash tore, at offset {}',
+                path,
+                len(data) - end,
+                end,
+            )
         if last:
             self._reopen(name, data[:end])
         return recovered
@@ -138,7 +150,7 @@
             log.truncate(record.first)
             log.append(record.entries)
         recovered.hard_state = effects.HardState(
-            term=record.term, vote=record.vote
+            term=record.term, vote=record.vote, joined=record.joined
         )
         return recovered
 
@@ -158,7 +170,9 @@
         if recovered is not None and not record.reset:
             return recovered
         return RecoveredLog(
-            hard_state=effects.HardState(term=record.term, vote=record.vote),
+            hard_state=effects.HardState(
+                term=record.term, vote=record.vote, joined=record.joined
+            ),
             log=entry_log.EntryLog(
                 base_index=record.index, base_term=record.index_term
             ),
@@ -184,6 +198,7 @@
             index_term=index_term,
             members=members,
             reset=reset,
+            joined=self._hard_state.joined,
         )
         data = frame.build_frame(_encoder.encode(record))
         self._folder.replace(segment.name, data)
@@ -216,6 +231,7 @@
             vote=self._hard_state.vote,
             first=first,
             entries=list(entries),
+            joined=self._hard_state.joined,
         )
         data = frame.build_frame(_encoder.encode(record))
         self._appender.write(data)
--- a/bilberryhaven/entry/view.py
+++ b/bilberryhaven/entry/view.py
@@ -8,6 +8,7 @@
 import dataclasses
 import datetime
 
+from bilberryhaven.entry import fading
 from bilberryhaven.entry import health
 from bilberryhaven.entry import pool
 from bilberryhaven import selector
@@ -17,6 +18,18 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ORIGIN = datetime.timedelta()
 ROUND_TRIP = 2
+LEAVING_KEPT = datetime.timedelta(seconds=4)
+SMOOTHING = 0.1
+SLOW_HALF_LIFE = datetime.timedelta(seconds=5)
+FAIL_HALF_LIFE = datetime.timedelta(seconds=2)
+
+
+def _build_slowness():
+    return fading.Fading(rest=1.0, half_life=SLOW_HALF_LIFE, weight=SMOOTHING)
+
+
+def _build_failing():
+    return fading.Fading(rest=0.0, half_life=FAIL_HALF_LIFE)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -30,7 +43,9 @@
         labels: Labels in effect.
         slots: Requests and tasks it runs at a time.
         beside: Names of workloads whose tasks run on it.
-        draining: Whether it takes nothing new.
+        draining: Whether the leader says that it takes nothing new.
+        leaving_until: Until when its agent's word for that is taken; the
+            leader learns it later.
         connected: Whether its session is open.
         quarantined: Reason given by the leader, or empty.
         distance_ms: Round trip to its availability zone.
@@ -41,7 +56,9 @@
         counted: Requests of this entry among ``used``.
         slowness: Its answer times relative to the workload's mean.
         health: Record of its recent failures.
-        failure_share: Share of failed requests, as last reported.
+        reported_share: Share of failed requests, as last reported.
+        reported_failing: That share, fading since it last grew.
+        incarnation: Differs after each start of its agent; 0 if unknown.
     """
 
     name: str
@@ -51,6 +68,7 @@
     slots: int = 8
     beside: tuple = ()
     draining: bool = False
+    leaving_until: datetime.timedelta = ORIGIN
     connected: bool = True
     quarantined: str = ''
     distance_ms: float = 0.0
@@ -59,8 +77,14 @@
     reported_at: datetime.timedelta = ORIGIN
     in_flight: int = 0
     counted: int = 0
-    slowness: float = 1.0
-    failure_share: float = 0.0
+    slowness: fading.Fading = dataclasses.field(
+        default_factory=_build_slowness
+    )
+    reported_share: float = 0.0
+    reported_failing: fading.Fading = dataclasses.field(
+        default_factory=_build_failing
+    )
+    incarnation: int = 0
     health: object = dataclasses.field(default_factory=health.Health)
 
     def settle(self):
@@ -70,6 +94,11 @@
             self.counted -= 1
             self.used -= 1
 
+    def estimate_failing(self, now):
+        """Return its share of failures, as seen here or reported."""
+        own = self.health.share.get(now)
+        return max(own, self.reported_failing.get(now))
+
     def estimate_used(self):
         """Return its load: others' as reported, this entry's as known."""
         return max(self.used - self.counted, 0) + self.in_flight
@@ -95,6 +124,7 @@
         self.slowdowns = {}
         self._delays = dict(delays or {})
         self._pools = {}
+        self._leaving = {}
 
     def apply(self, reply, *, sent_at, now):
         """Take in a ``SyncReply``.
@@ -107,6 +137,7 @@
         """
         if reply.full:
             self._forget_missing(reply)
+        self._forget_leaving(now)
         for workload in reply.workloads:
             self._put_workload(workload)
         for instance in reply.instances:
@@ -132,10 +163,14 @@
         target.used = load.slots_used + load.queued
         target.counted = min(target.in_flight, target.used)
         target.service_ms = load.service_ms or target.service_ms
-        target.failure_share = load.failure_share
+        if load.failure_share > target.reported_share:
+            target.reported_failing.add(load.failure_share, at)
+        target.reported_share = load.failure_share
+        target.incarnation = load.incarnation or target.incarnation
         target.slots = load.slots or target.slots
-        if load.draining and not target.draining:
-            target.draining = True
+        if load.draining and not target.leaving_until:
+            target.leaving_until = at + LEAVING_KEPT
+            self._leaving[target.name] = target
             self.reindex(target)
 
     def get_pool(self, workload):
@@ -162,7 +197,8 @@
         return workload.runs_on, workload.shares_with, labels
 
     def _index(self, found, key, target):
-        serving = target.connected and not target.draining
+        leaving = target.draining or target.leaving_until
+        serving = target.connected and not leaving
         if not serving or not self._match(key, target):
             found.remove(target)
         elif target.quarantined or target.health.quarantined:
@@ -195,6 +231,14 @@
             self._drop_target(self.targets.pop(name))
         self._pools.clear()
 
+    def _forget_leaving(self, now):
+        """Trust the leader again on agents that said they were leaving."""
+        for target in list(self._leaving.values()):
+            if now >= target.leaving_until:
+                target.leaving_until = ORIGIN
+                del self._leaving[target.name]
+                self.reindex(target)
+
     def _drop_target(self, target):
         for found in self._pools.values():
             found.remove(target)
@@ -207,20 +251,19 @@
 
     def _put_instance(self, instance, now):
         target = self.targets.get(instance.name)
+        before = target and _list_traits(target)
         if target is None:
             target = self.targets[instance.name] = Target(name=instance.name)
-        before = _list_traits(target)
         target.zone = instance.zone
         target.address = instance.address
         target.labels = _get_labels(instance)
         target.slots = instance.capacity.slots
         target.beside = tuple(instance.beside)
-        at = now - instance.load_age_ms * MILLISECOND
-        if instance.draining or at >= target.reported_at:
-            target.draining = instance.draining
+        target.draining = instance.draining
         target.connected = instance.connected
         target.quarantined = instance.quarantined
         target.distance_ms = self._get_distance(instance.zone)
+        at = now - instance.load_age_ms * MILLISECOND
         if instance.load.slots and instance.connected:
             self.apply_load(target, instance.load, at=at)
         if before != _list_traits(target):
--- a/bilberryhaven/standin/http.py
+++ b/bilberryhaven/standin/http.py
@@ -60,7 +60,10 @@
         )
         self._server.gateway = _Gateway
         self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.ConnectionClass = _build_connection_class(ledger, lock)
+        self._guard = connection.ReadGuard()
+        self._server.ConnectionClass = _build_connection_class(
+            self._guard, ledger, lock
+        )
         self._server.error_log = _ignore
         self._thread = None
 
@@ -77,9 +80,11 @@
             target=self._server.serve, name='standin', daemon=True
         )
         self._thread.start()
+        self._guard.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
+        self._guard.stop()
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
@@ -105,14 +110,17 @@
     def _answer(self, environ):
         parts = environ['PATH_INFO'].strip('/').split('/')
         try:
-            body = server.read_body(environ)
+            try:
+                body = server.read_body(environ)
+            finally:
+                self._guard.end()
             return self._handle(environ['REQUEST_METHOD'], parts, body)
         except errors.BilberryhavenError as error:
             return Reply(status=error.status, value=error.to_dict())
 
 
-def _build_connection_class(ledger, lock):
-    class CountedConnection(connection.JsonErrorConnection):
+def _build_connection_class(guard, ledger, lock):
+    class CountedConnection(connection.build_connection_class(guard)):
         def __init__(self, *args, **kwargs):
             super().__init__(*args, **kwargs)
             self._counted = True
--- a/bilberryhaven/systems/memory.py
+++ b/bilberryhaven/systems/memory.py
@@ -1,6 +1,8 @@
 """What the systems of one leader share between ticks."""
 
-import math
+import dataclasses
+import datetime
+import itertools
 import random
 
 from bilberryhaven import policies
@@ -11,25 +13,27 @@
 from bilberryhaven.systems import history
 from bilberryhaven.systems import interference
 from bilberryhaven.systems import sizes
+from bilberryhaven.systems import strain
 
 __all__ = ['Memory']
 
 DEFAULT_POLICY = 'place_interference'
 DEFAULT_LOAD = 0.5
-LINEAR_EXCESS = 2.0
+PROBE_INTERVAL = datetime.timedelta(seconds=30)
+KEPT_S = 3.0
 
 
-def compute_harm(excess):
-    """Return the harm of a service that is slower by ``excess``.
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Probe:
+    """Trials of a quarantined instance.
 
-    It grows with the square, since the slowest decide the tail, and in a
-    straight line beyond ``LINEAR_EXCESS``.
+    Attributes:
+        due: When the next one may start.
+        interval: Time between them; doubles with each that fails.
     """
-    if excess <= 0.0:
-        return 0.0
-    if excess <= LINEAR_EXCESS:
-        return excess * excess
-    return LINEAR_EXCESS * (2.0 * excess - LINEAR_EXCESS)
+
+    due: datetime.datetime
+    interval: datetime.timedelta
 
 
 class Memory:
@@ -54,17 +58,21 @@
         service_loads: Newest load by (instance, service).
         mean_loads: Mean load by service.
         reported: Instances whose services were reported on in this tick.
-        probes: (next time, interval) by quarantined instance.
-        claims: Instance on which room is kept, by job id.
+        probes: ``Probe`` by quarantined instance.
+        claims: ``Claim`` list of room kept, by workload.
+        serials: Numbers of the claims.
+        served: Number of places given to waiting workloads.
         waiting: Since when a workload's first job finds no place.
-        skips: (ticks left, width) of workloads that found no place.
-        pressed: Urgent jobs that found no place in this tick.
+        skips: Pauses of workloads that found no place, by workload.
+        pressed: First (job, workload) of work that can't wait, where it
+            found no place in this tick.
         last_drain: When an instance was last seen draining, or None.
         late_reports: Reports too old to be attributed.
         skipped_reports: Reports beyond a tick's budget.
     """
 
     def __init__(self, *, policy=DEFAULT_POLICY, seed=1, learned=None):
+        self._now = 0.0
         self.random = random.Random(seed)
         self.sizes = sizes.Sizes()
         self.fleet = fleet.Fleet(sizes=self.sizes)
@@ -78,6 +86,8 @@
         self.reported = {}
         self.probes = {}
         self.claims = {}
+        self.serials = itertools.count(1)
+        self.served = 0
         self.waiting = {}
         self.skips = {}
         self.pressed = []
@@ -86,6 +96,18 @@
         self.skipped_reports = 0
         self.policy = policies.get_policy_by_name(policy)(memory=self)
 
+    def get_probe(self, name, now):
+        """Return the ``Probe`` of quarantined instance ``name``."""
+        known = self.probes.get(name)
+        if known is None:
+            known = Probe(due=now + PROBE_INTERVAL, interval=PROBE_INTERVAL)
+            self.probes[name] = known
+        return known
+
+    def begin_tick(self, now):
+        """Set the time in seconds; what is old is computed anew."""
+        self._now = now
+
     def refresh(self, world):
         """Bring the indexes up to date with the tables."""
         self.fleet.refresh(world.state, reserve=world.service_reserve)
@@ -93,12 +115,7 @@
 
     def compute_harm(self, entry):
         """Return the harm done to all services on ``entry``."""
-        counts = entry.weigh_counts() if entry.shares else entry.counts
-        total = 0.0
-        for service, load, band in self.list_loads(entry):
-            factor = self.interference.predict(service, band, counts)
-            total += load * compute_harm(factor - 1.0)
-        return total
+        return sum([item.harm for item in self._list_strains(entry)])
 
     def compute_harm_change(self, entry, workload, change):
         """Return how the harm on ``entry`` changes with the work beside.
@@ -109,25 +126,32 @@
                 less.
             change: Number of tasks, also in part or negative.
         """
-        counts = entry.weigh_counts() if entry.shares else entry.counts
-        model = self.interference
         total = 0.0
-        for service, load, band in self.list_loads(entry):
-            before = model.sum_effects(service, band, counts)
-            effect = model.get_effect(service, workload, band)
-            after = before + change * effect
-            total += load * (
-                compute_harm(math.exp(after) - 1.0)
-                - compute_harm(math.exp(before) - 1.0)
-            )
+        for item in self._list_strains(entry):
+            total += item.predict_harm(workload, change) - item.harm
         return total
 
-    def list_loads(self, entry):
-        """Return (service, load, band) of each service on ``entry``."""
-        found = []
+    def _list_strains(self, entry):
+        if entry.strains is None or entry.strained_at < self._now - KEPT_S:
+            counts = entry.weigh_counts() if entry.shares else entry.counts
+            entry.strains = [
+                self._build_strain(service, load, counts)
+                for service, load in self._list_loads(entry)
+            ]
+            entry.strained_at = self._now
+        return entry.strains
+
+    def _build_strain(self, service, load, counts):
+        band = interference.get_band(load)
+        return strain.Strain(
+            load=load,
+            effects=self.interference.get_effects(service, band),
+            total=self.interference.sum_effects(service, band, counts),
+        )
+
+    def _list_loads(self, entry):
         for service in entry.services:
             load = self.service_loads.get((entry.name, service))
             if load is None:
                 load = self.mean_loads.get(service, DEFAULT_LOAD)
-            found.append((service, load, interference.get_band(load)))
-        return found
+            yield service, load
--- a/bilberryhaven/systems/node.py
+++ b/bilberryhaven/systems/node.py
@@ -38,7 +38,7 @@
         reserve: Slots that batch work leaves free for them.
         headroom: Further slots left free for urgent jobs.
         charges: Charge of each job that it holds, by job id.
-        claims: Charge of each job that room is kept for, by job id.
+        claims: Charge of each job that room is kept for, by claim id.
         counts: Number of jobs held or expected, by workload.
         slots: Slots charged.
         cpu: Processor cores charged.
@@ -47,6 +47,8 @@
         pools: Pools whose selector it matches.
         indexed: (open, roomy) as the pools have it.
         shares: Share of full speed of each throttled job, by job id.
+        strains: What its services suffer, or None where not computed.
+        strained_at: When that was computed, in seconds.
     """
 
     row: object
@@ -65,6 +67,8 @@
     pools: list = dataclasses.field(default_factory=list)
     indexed: tuple = (False, False)
     shares: dict = dataclasses.field(default_factory=dict)
+    strains: list | None = None
+    strained_at: float = 0.0
 
     @property
     def open(self):
@@ -89,7 +93,8 @@
     def discard(self, job_id):
         """Take a job's charge back."""
         charge = self.charges.pop(job_id, None)
-        self.shares.pop(job_id, None)
+        if self.shares.pop(job_id, None) is not None:
+            self.strains = None
         if charge is not None:
             self._count(charge, -1)
         return charge
@@ -100,9 +105,9 @@
             self.claims[charge.job_id] = charge
             self._count(charge, 1)
 
-    def unclaim(self, job_id):
-        """Give up the room kept for a job."""
-        charge = self.claims.pop(job_id, None)
+    def unclaim(self, claim_id):
+        """Give up the room kept under ``claim_id``."""
+        charge = self.claims.pop(claim_id, None)
         if charge is not None:
             self._count(charge, -1)
 
@@ -115,7 +120,16 @@
             counts[self.charges[job_id].workload] -= 1.0 - share
         return counts
 
+    def set_share(self, job_id, share):
+        """Note that a job is throttled to ``share``, 1 for not at all."""
+        self.shares.pop(job_id, None)
+        if share < 1.0:
+            self.shares[job_id] = share
+        self.strains = None
+
     def _count(self, charge, sign):
+        for strain in self.strains or ():
+            strain.add(charge.workload, sign)
         need = charge.need
         count = self.counts.get(charge.workload, 0) + sign
         if count:
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -3,6 +3,7 @@
 import json
 import threading
 
+from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
 from bilberryhaven import errors
@@ -18,12 +19,16 @@
     'Response',
     'Server',
     'build_error_reply',
+    'build_error_response',
+    'read_author',
     'read_body',
 ]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
 STOP_TIMEOUT_SECONDS = 30
 REQUEST_QUEUE = 512
+AUTHOR_HEADER = 'HTTP_X_BILBERRYHAVEN_BY'
 REASONS = {
     200: 'OK',
     201: 'Created',
@@ -75,6 +80,23 @@
     return message.ErrorReply(**error.to_dict())
 
 
+def build_error_response(error):
+    """Return the ``Response`` that tells an HTTP client of ``error``."""
+    headers = {}
+    if error.retry_after is not None:
+        headers['Retry-After'] = str(max(1, round(error.retry_after)))
+    return Response(
+        status=error.status,
+        body=json.dumps(error.to_dict()).encode(),
+        headers=headers,
+    )
+
+
+def read_author(environ):
+    """Return who sent an API request, as its header says."""
+    return environ.get(AUTHOR_HEADER) or environ.get('REMOTE_ADDR', '')
+
+
 class Server:
     """Serves one process's port.
 
@@ -97,7 +119,11 @@
             shutdown_timeout=STOP_TIMEOUT_SECONDS,
         )
         self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.ConnectionClass = connection.JsonErrorConnection
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._guard = connection.ReadGuard()
+        self._server.ConnectionClass = connection.build_connection_class(
+            self._guard
+        )
         self._server.error_log = _log_server_error
         self._thread = None
 
@@ -114,10 +140,12 @@
             target=self._server.serve, name='server', daemon=True
         )
         self._thread.start()
+        self._guard.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
         self._server.stop()
+        self._guard.stop()
         if self._thread is not None:
             self._thread.join(STOP_TIMEOUT_SECONDS)
 
@@ -131,10 +159,10 @@
     def _answer(self, environ):
         try:
             body = read_body(environ)
-        except errors.BadInputError as error:
-            return Response(
-                status=error.status, body=json.dumps(error.to_dict()).encode()
-            )
+        except errors.BilberryhavenError as error:
+            return build_error_response(error)
+        finally:
+            self._guard.end()
         if environ['PATH_INFO'] == client.PATH:
             return self._answer_message(body)
         if self._fallback is not None:
@@ -162,17 +190,26 @@
 
 
 def read_body(environ):
-    """Return the body of a WSGI request.
+    """Return the whole body of a WSGI request; chunked ones have no length.
 
     Raises:
-        BadInputError: Its declared length is no number.
+        BadInputError: It isn't as long as it was declared.
     """
-    length = environ.get('CONTENT_LENGTH') or '0'
-    if not length.isdigit():
+    source = environ['wsgi.input']
+    if environ.get('HTTP_TRANSFER_ENCODING'):
+        try:
+            return source.read()
+        except (cheroot_errors.MaxSizeExceeded, ValueError) as error:
+            raise errors.BadInputError(
+                f'unreadable chunks: {error!r}', step='read request'
+            ) from error
+    length = int(environ.get('CONTENT_LENGTH') or 0)
+    body = source.read(length) if length > 0 else b''
+    if len(body) != length:
         raise errors.BadInputError(
-            f'Content-Length is {length!r}', step='read body'
+            f'{len(body)} of {length} bytes arrived', step='read request'
         )
-    return environ['wsgi.input'].read(int(length)) if int(length) else b''
+    return body
 
 
 def _log_server_error(msg='', level=20, traceback=False):
--- a/tests/fuzz/cluster.py
+++ b/tests/fuzz/cluster.py
@@ -16,10 +16,11 @@
 from bilberryhaven import tables
 
 STEP = clock.seconds(0.025)
-DELAY = clock.seconds(0.01)
+DELAY_STEPS = 0.4
 OPTIONS = options.Options(
     snapshot_entries=40,
     kept_entries=10,
+    max_kept_entries=200,
     segment_bytes=4096,
     append_bytes=1024,
     chunk_bytes=4096,
@@ -68,13 +69,18 @@
 
 
 class Cluster:
-    def __init__(self, *, names='abc', seed=0, rates=(1.0,)):
+    def __init__(
+        self, *, names='abc', seed=0, rates=(1.0,), options=OPTIONS, step=STEP
+    ):
+        self.options = options
+        self.step = step
         self.random = random.Random(seed)
         self.now = clock.seconds(100)
         self.loss = 0.0
         self.repeat = 0.0
         self.jitter = datetime.timedelta()
         self.blocked = set()
+        self.delays = {}
         self.applied = {}
         self.voters = {name: f'{name}:1' for name in names}
         self.nodes = {}
@@ -98,9 +104,9 @@
         node.machine = TableMachine(applied=self.applied)
         started = driver.Driver(
             name=name,
-            storage=storage.Storage(folder=node.folder, options=OPTIONS),
+            storage=storage.Storage(folder=node.folder, options=self.options),
             machine=node.machine,
-            options=OPTIONS,
+            options=self.options,
             random=self.random,
             send=lambda to, data: self._send(name, to, data),
         )
@@ -114,6 +120,12 @@
         node.paused = False
         node.folder.crash(self.random)
 
+    def wipe(self, name):
+        """Lose a disk, and start with an empty one under the same name."""
+        self.crash(name)
+        self.nodes[name].folder = memory.MemoryFolder()
+        self.start(name)
+
     def _run(self, node, function, *args):
         try:
             function(*args)
@@ -125,7 +137,11 @@
             return
         copies = 2 if self.random.random() < self.repeat else 1
         for _ in range(copies):
-            delay = DELAY + self.jitter * self.random.random()
+            delay = (
+                self.step * DELAY_STEPS + self.jitter * self.random.random()
+            )
+            for name in (sender, to):
+                delay += self.delays.get(name, datetime.timedelta())
             self._count += 1
             item = (self.now + delay, self._count, sender, to, data)
             heapq.heappush(self._queue, item)
@@ -141,7 +157,7 @@
             if (sender, to) in self.blocked or node is None or not node.up:
                 continue
             if node.paused:
-                item = (self.now + DELAY, self._count, sender, to, data)
+                item = (self.now + self.step, self._count, sender, to, data)
                 self._count += 1
                 heapq.heappush(self._queue, item)
                 continue
@@ -152,7 +168,7 @@
     def run(self, seconds, check=None):
         end = self.now + clock.seconds(seconds)
         while self.now < end:
-            self.now += STEP
+            self.now += self.step
             self._deliver()
             for node in list(self.nodes.values()):
                 if node.up and not node.paused:
@@ -209,7 +225,7 @@
         """Run until a node can serve reads and return it."""
         for _ in range(int(seconds / 0.1)):
             for node in self.nodes.values():
-                if self.can_read(node):
+                if self.can_read(node) and not node.driver.core.handover:
                     return node
             self.run(0.1)
         raise AssertionError('no leader was elected')
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -8,18 +8,23 @@
 
 from bilberryhaven import clock
 from bilberryhaven.commands import change
+from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job as job_commands
+from bilberryhaven.commands import session
 from bilberryhaven import errors
+from bilberryhaven.tables import instance
 from bilberryhaven.tables import workload
 from tests.fuzz import cluster
 
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 TARGETS = ('pump', 'silt')
 RATES = (1.0, 0.97, 1.03, 1.02, 0.98)
-EXAMPLES = 200
+EXAMPLES = 300
 STEPS = 50
 FUZZ_EXAMPLES = 2000
 MAX_NODES = 5
+JOBS = ('j1', 'j2')
+ACTIONS = ('start', 'start', ('stopped', 0), ('stopped', 1), ('finished', 0))
 PICK = strategies.integers(min_value=0, max_value=60)
 
 
@@ -44,6 +49,27 @@
         self.sent = []
         self.newest = 0
         self.count = 0
+        self.ended = set()
+        self.begin_jobs()
+
+    def begin_jobs(self):
+        survey = workload.Workload(name='survey', kind=workload.Kind.BATCH)
+        command = self.build_change('survey', 0, survey)
+        self.cluster.commit(command)
+        opened = session.OpenSession(
+            name='i',
+            zone='z',
+            rack='r',
+            address='i:1',
+            labels={},
+            capacity=instance.Capacity(),
+            at=NOW,
+        )
+        self.cluster.commit(opened)
+
+    @stateful.invariant()
+    def pass_time(self):
+        self.cluster.run(0.1, self.check)
 
     def pick(self, choice, test=lambda node: True):
         nodes = [n for n in self.cluster.nodes.values() if test(n)]
@@ -68,11 +94,11 @@
             assert row.revision == revision, f'{change_id} was reverted'
 
     def propose(self, command, node, record):
-        if node is not None:
+        if node is not None and node.up:
             self.cluster.propose(node, command, record)
             self.check()
 
-    def send(self, command, choice):
+    def send(self, command, node):
         def record(result):
             if isinstance(result, errors.BilberryhavenError):
                 return
@@ -84,11 +110,12 @@
             assert winner == result.id, 'a version has two winners'
             self.newest = max(self.newest, result.revision)
 
-        self.propose(command, self.pick_leader(choice), record)
+        self.propose(command, node, record)
 
-    def build_change(self, name, expect):
+    def build_change(self, name, expect, spec=None):
         self.count += 1
-        spec = workload.Workload(name=name, labels={'n': str(self.count)})
+        labels = {'n': str(self.count)}
+        spec = spec or workload.Workload(name=name, labels=labels)
         command = change.ApplyWorkload(
             change_id=f'c{self.count}',
             by='op',
@@ -112,7 +139,8 @@
         versions = [v for t, v in self.winners if t.endswith(name)]
         expect = max(versions, default=0)
         for rival in range(rivals):
-            self.send(self.build_change(name, expect), choice + rival)
+            command = self.build_change(name, expect)
+            self.send(command, self.pick_leader(choice + rival))
 
     @stateful.rule(choice=PICK, count=strategies.sampled_from([5, 60, 200]))
     def change_many(self, choice, count):
@@ -120,19 +148,19 @@
         if node is None:
             return
         for _ in range(count):
-            self.send(
-                self.build_change(TARGETS[0], change.ANY_VERSION), choice
-            )
+            command = self.build_change(TARGETS[0], change.ANY_VERSION)
+            self.send(command, node)
         self.run(0.3)
 
     @stateful.rule(choice=PICK, which=PICK)
     def resend(self, choice, which):
         if self.sent:
-            self.send(self.sent[-1 - which % len(self.sent)], choice)
+            command = self.sent[-1 - which % len(self.sent)]
+            self.send(command, self.pick_leader(choice))
 
     @stateful.rule(choice=PICK, request=PICK, holder=PICK)
     def claim(self, choice, request, holder):
-        command = job_commands.ClaimRequest(
+        command = claim_commands.ClaimRequest(
             request_id=f'r{request % 6}',
             workload='recipe',
             holder=f'entry{holder}-{self.count}',
@@ -148,6 +176,47 @@
 
         self.propose(command, self.pick_leader(choice), record)
 
+    @stateful.rule(
+        choice=PICK,
+        job=strategies.sampled_from(JOBS),
+        actions=strategies.lists(strategies.sampled_from(ACTIONS)),
+    )
+    def handle_job(self, choice, job, actions):
+        """Grants and reports of one job; some reports are out of date."""
+        for action in actions:
+            node = self.pick_leader(choice)
+            if node is None:
+                return
+            if action == 'start':
+                self.start_job(node, job)
+            else:
+                self.end_grant(node, job, *action)
+            self.run(0.2)
+
+    def start_job(self, node, job):
+        submission = job_commands.SubmitJob(
+            job_id=job, workload='survey', payload=b'', at=NOW
+        )
+        self.propose(submission, node, ignore)
+        grant = job_commands.Grant(job_id=job, instance='i', session=1)
+        command = job_commands.GrantJobs(grants=[grant], at=NOW)
+        self.propose(command, node, ignore)
+
+    def end_grant(self, node, job, kind, age):
+        row = node.machine.state.jobs.find(job)
+        if row is None or row.epoch <= age:
+            return
+        epoch = row.epoch - age
+        event = job_commands.JobEvent(job_id=job, epoch=epoch, kind=kind)
+        command = job_commands.RecordEvents(events=[event], at=NOW)
+
+        def record(result):
+            if result == 1:
+                assert (job, epoch) not in self.ended, 'a grant ended twice'
+                self.ended.add((job, epoch))
+
+        self.propose(command, node, record)
+
     @stateful.rule(
         seconds=strategies.sampled_from([0.05, 0.2, 0.5, 1.0, 2.0, 4.0])
     )
@@ -166,6 +235,18 @@
         if node is not None:
             node.folder.fuse = operations + 1
 
+    @stateful.rule(choice=PICK)
+    def lose_disk(self, choice):
+        """Lose one disk, unless another that was lost isn't replaced yet."""
+        leader = self.pick_leader(choice)
+        if leader is None:
+            return
+        voters = leader.driver.core.members.voters
+        nodes = [self.cluster.nodes[name] for name in voters]
+        lost = [n for n in nodes if not n.up or not n.driver.core.joined]
+        if not lost and len(nodes) > 2:
+            self.cluster.wipe(nodes[choice % len(nodes)].name)
+
     @stateful.rule(choice=PICK)
     def restart(self, choice):
         node = self.pick(choice, lambda node: not node.up)
@@ -190,6 +271,23 @@
         node = self.pick_leader(choice) or self.pick(choice)
         self.cluster.partition([node.name])
 
+    @stateful.rule(choice=PICK, inward=strategies.booleans())
+    def depose(self, choice, inward):
+        """Cut the leader off; operators go on at the next one."""
+        old = self.pick_leader(choice)
+        if old is None:
+            return
+        for name in self.cluster.nodes:
+            self.cluster.blocked.add((old.name, name))
+            if inward:
+                self.cluster.blocked.add((name, old.name))
+        for _ in range(30):
+            self.run(0.1)
+            new = self.pick(choice, lambda n: n.leads and n is not old)
+            if new is not None:
+                command = self.build_change(TARGETS[1], change.ANY_VERSION)
+                self.send(command, new)
+
     @stateful.rule()
     def heal_links(self):
         self.cluster.blocked = set()
@@ -247,19 +345,21 @@
         if not hasattr(self, 'cluster'):
             return
         self.cluster.heal()
-        leader = self.cluster.find_leader(seconds=30)
+        self.cluster.find_leader(seconds=30)
         self.check()
-        results = []
         command = self.build_change(TARGETS[0], change.ANY_VERSION)
-        self.cluster.propose(leader, command, results.append)
-        self.cluster.run(3, self.check)
-        assert results and not isinstance(results[0], Exception), results
+        results = [self.cluster.commit(command) for _ in range(3)]
+        assert not isinstance(results[-1], Exception), results
         leader = self.cluster.find_leader()
         self.cluster.settle(leader)
         for name in leader.driver.core.members.voters:
             self.check_state(self.cluster.nodes[name].machine.state)
 
 
+def ignore(result):
+    """Take an answer that the oracle doesn't use."""
+
+
 def build_settings(**fields):
     return hypothesis.settings(
         stateful_step_count=STEPS,
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -98,7 +98,7 @@
 
 class TestChanges(ApiTestCase):
     def test_declared_workload_reads_back(self):
-        answer = self.declare(runs_on='zone=a', labels={'team': 'x'})
+        answer = self.declare(runs_on='zone=a', labels={'tier': 'x'})
         self.assertEqual((1, 1), (answer['revision'], answer['version']))
         got = self.call('GET', '/v1/workloads/survey')
         self.assertEqual(('zone=a', 'batch'), (got['runs_on'], got['kind']))
@@ -121,10 +121,28 @@
         self.assertEqual(first, self.call('PUT', path, body))
         self.assertEqual(1, self.ctx.state.revision)
 
+    def test_change_id_used_for_another_change_is_refused(self):
+        body = {'kind': 'batch', 'change_id': 'x'}
+        self.call('PUT', '/v1/workloads/survey', body)
+        self.call('PUT', '/v1/workloads/other', body, status=409)
+
+    def test_key_of_the_relay_stands_for_the_change_id(self):
+        path = '/v1/workloads/survey'
+        body = {'kind': 'batch', 'expect': 0}
+        first = self.call('PUT', path, body, 'idempotency_key=k')
+        self.assertEqual('k', first['change_id'])
+        self.assertEqual(
+            first, self.call('PUT', path, body, 'idempotency_key=k')
+        )
+        self.call('PUT', path, body, 'idempotency_key=a/b', status=400)
+
     def test_history_says_who(self):
         self.declare(by='amal')
         got = self.call('GET', '/v1/history/survey')['changes']
-        self.assertEqual(['amal'], [row['by'] for row in got])
+        self.assertEqual(['amal via op'], [row['by'] for row in got])
+        path = '/v1/history/workload/survey'
+        self.assertEqual(got, self.call('GET', path)['changes'])
+        self.call('GET', '/v1/history/none', status=404)
 
     def test_bad_bodies_name_the_field(self):
         cases = [
@@ -138,10 +156,15 @@
             self.assertIn(path, error['message'])
         self.assertEqual(0, self.ctx.state.revision)
 
-    def test_announced_labels_stay(self):
+    def test_fixed_labels_stay(self):
         self.open()
         path = '/v1/instances/i1/labels'
         self.call('PATCH', path, {'labels': {'zone': 'b'}}, status=400)
+        self.declare()
+        path = '/v1/workloads/survey/labels'
+        self.call('PATCH', path, {'labels': {'kind': 'x'}}, status=400)
+        body = {'kind': 'batch', 'labels': {'team': 'x'}}
+        self.call('PUT', '/v1/workloads/other', body, status=400)
 
     def test_drain_marks_the_instance(self):
         self.open()
@@ -185,6 +208,12 @@
         body['payload'] = {'pond': 4}
         self.call('POST', '/v1/jobs', body, status=409)
 
+    def test_large_payload_is_refused(self):
+        self.declare()
+        body = {'workload': 'survey', 'payload': 'x' * 300_000}
+        error = self.call('POST', '/v1/jobs', body, status=400)
+        self.assertIn('payload: 300000 bytes', error['message'])
+
     def test_burst_of_cancellations(self):
         self.declare()
         ids = [f'j{number}' for number in range(50)]
@@ -209,6 +238,24 @@
         )
         self.assertIn('memory_mb', rows[1]['reason'])
 
+    def test_instance_says_what_it_serves_and_why_it_is_closed(self):
+        self.declare('check', kind='service', runs_on='zone=a')
+        self.declare('other', kind='service', runs_on='zone=b')
+        self.open()
+        self.ctx.propose(
+            session.QuarantineInstance(name='i1', reason='fails all')
+        )
+        got = self.call('GET', '/v1/explain/i1')
+        self.assertIn('quarantined: fails all', got['summary'])
+        self.assertIn('Services that may run here: check.', got['notes'])
+
+    def test_workload_out_of_quota_says_so(self):
+        self.call('PUT', '/v1/teams/ponds', {'quota': 1})
+        self.declare(team='ponds', resources={'slots': 2})
+        self.open()
+        notes = self.call('GET', '/v1/explain/survey')['notes']
+        self.assertIn('holds 0 of its quota of 1 slots', notes[0])
+
     def test_running_job_says_why_it_is_there(self):
         self.declare(runs_on='zone=a')
         self.open()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -69,6 +69,37 @@
         self.tick()
         self.assertEqual('i', self.job('due').instance)
 
+    def test_backlog_of_a_light_team_moves_on_beside_a_heavy_one(self):
+        self.apply_team('heavy', weight=1000.0)
+        self.apply_team('light', weight=0.001)
+        for team in ('heavy', 'light'):
+            self.declare(team, team=team)
+        self.declare('long', team='light')
+        self.open('i', slots=4)
+        self.submit('long', 'l')
+        self.tick()
+        self.submit('light', *[f'l{i}' for i in range(5)])
+        self.now += SECOND
+        self.submit('heavy', *[f'h{i}' for i in range(60)])
+        for _ in range(8):
+            self.tick(step=SECOND)
+            for row in self.state.jobs.select('instance', 'i'):
+                if row.id != 'l':
+                    self.report('finished', row.id)
+        done = [row for row in self.state.jobs if row.state == 'finished']
+        names = [row.workload for row in done]
+        self.assertEqual(5, names.count('light'))
+
+    def test_urgent_job_goes_before_older_ones(self):
+        self.declare('batch')
+        self.declare('liner', labels={'urgent': 'yes'}, team='z')
+        self.open('i', slots=1)
+        self.submit('batch', 'b0', 'b1')
+        self.now += SECOND
+        self.submit('liner', 'u')
+        self.tick()
+        self.assertEqual('i', self.job('u').instance)
+
     def test_wide_job_gets_room_among_a_stream_of_narrow_ones(self):
         self.declare('narrow', team='a')
         self.declare('wide', resources=workload.Resources(slots=4))
@@ -112,6 +143,20 @@
         states = {row.state for row in self.state.jobs}
         self.assertEqual({'finished'}, states)
 
+    def test_at_most_a_tenth_of_the_instances_is_quarantined(self):
+        self.declare('silt')
+        self.declare('farm')
+        for name in 'abcdefgh':
+            self.open(name)
+        names = [f'j{i}' for i in range(120)]
+        self.submit('silt', *names[:60])
+        self.submit('farm', *names[60:])
+        for _ in range(40):
+            self.tick(step=SECOND)
+            self.fail_on(lambda row: row.instance in 'abc')
+        rows = [row.name for row in self.state.instances if row.quarantined]
+        self.assertEqual(1, len(rows))
+
     def test_probe_that_succeeds_lifts_the_quarantine(self):
         self.declare('silt')
         self.open('a')
@@ -158,6 +203,17 @@
         self.tick(6)
         self.assertEqual({'a', 'b'}, {first, self.job('j').instance})
 
+    def test_refused_job_waits_before_it_is_granted_again(self):
+        self.declare('silt')
+        self.open('a')
+        self.submit('silt', 'j')
+        self.tick()
+        self.report('refused', 'j')
+        self.tick(4)
+        self.assertEqual('pending', self.job('j').state)
+        self.tick(3)
+        self.assertEqual('granted', self.job('j').state)
+
 
 class TestGrantChecks(test_systems.SystemTestCase):
     def grant(self, job_id, revision):
@@ -186,6 +242,15 @@
 
 
 class TestIndexes(test_systems.SystemTestCase):
+    def test_finds_the_one_instance_in_many_that_fits(self):
+        need = workload.Resources(accelerators=1)
+        self.declare('silt', resources=need)
+        for number in range(64):
+            self.open(f'i{number}', accelerators=number == 40)
+        self.submit('silt', 'j')
+        self.tick()
+        self.assertEqual('i40', self.job('j').instance)
+
     def test_indexes_equal_those_rebuilt_by_a_new_leader(self):
         self.declare('desk', kind=workload.Kind.SERVICE, runs_on='desk=yes')
         self.declare('silt')
@@ -207,3 +272,14 @@
             self.assertEqual(entry.services, other.services)
             self.assertEqual(entry.slots, other.slots)
         self.assertEqual(rebuilt.used, kept.used)
+
+    def test_journal_tells_of_changes_and_of_a_loaded_snapshot(self):
+        self.open('a')
+        journal = self.state.instances.watch()
+        self.assertEqual(None, journal.take())
+        self.open('b')
+        self.drain('a')
+        self.assertEqual(['b', 'a'], journal.take())
+        self.assertEqual([], journal.take())
+        self.state.load(self.state.dump())
+        self.assertEqual(None, journal.take())
--- a/tests/test_systems.py
+++ b/tests/test_systems.py
@@ -66,7 +66,7 @@
             )
         )
 
-    def drain(self, name):
+    def drain(self, name, draining=True):
         self.changes += 1
         self.do(
             change.DrainInstance(
@@ -75,6 +75,7 @@
                 at=self.now,
                 kind='instance',
                 name=name,
+                draining=draining,
             )
         )
 
@@ -239,6 +240,35 @@
         states = self.job('j').state, self.job('k').state
         self.assertEqual(('evicting', 'granted'), states)
 
+    def test_changed_sharing_moves_one_of_two_neighbours(self):
+        self.declare('farm')
+        self.declare('rude')
+        self.declare('desk', kind=workload.Kind.SERVICE, runs_on='desk=yes')
+        self.open('a')
+        self.open('b', labels={'desk': 'yes'})
+        self.submit('farm', 'k')
+        self.tick()
+        place = self.job('k').instance
+        other = 'b' if place == 'a' else 'a'
+        self.drain(other)
+        self.submit('rude', 'r')
+        self.tick()
+        self.assertEqual(place, self.job('r').instance)
+        self.declare('farm', shares_with='workload!=rude')
+        self.tick()
+        states = [str(self.job(key).state) for key in 'kr']
+        self.assertEqual(['granted', 'evicting'], states)
+
+    def test_service_that_comes_to_an_instance_moves_what_rejects_it(self):
+        self.declare('desk', kind=workload.Kind.SERVICE, runs_on='desk=yes')
+        self.declare('shy', shares_with='kind!=service')
+        self.open('a')
+        self.submit('shy', 's')
+        self.tick()
+        self.relabel('instance', 'a', desk='yes')
+        self.tick()
+        self.assertEqual('evicting', self.job('s').state)
+
 
 class TestExplanation(SystemTestCase):
     def test_each_instance_has_its_verdict(self):
@@ -267,3 +297,17 @@
             found,
         )
         self.assertIn('needs 1 accelerators, 0 of 0', rows[-1].reason)
+
+
+class TestExpiry(SystemTestCase):
+    def test_ended_jobs_are_forgotten_after_a_day_and_others_kept(self):
+        self.declare('silt')
+        self.open('a')
+        self.submit('silt', 'old', 'runs')
+        self.tick()
+        self.report('finished', 'old')
+        self.tick(step=datetime.timedelta(hours=23))
+        self.assertIn('old', self.state.jobs)
+        self.tick(step=datetime.timedelta(hours=2))
+        self.assertNotIn('old', self.state.jobs)
+        self.assertIn('runs', self.state.jobs)
