--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -15,6 +15,7 @@
 
 from bilberryhaven import clock
 from bilberryhaven import errors
+from bilberryhaven import lean
 from bilberryhaven import registry
 
 __all__ = [
@@ -189,4 +190,5 @@
 
 def run():
     """Run the process's command line and exit."""
+    lean.omit_tls()
     sys.exit(main(sys.argv[1:]))
