--- a/bilberryhaven/control/api/workloads.py
+++ b/bilberryhaven/control/api/workloads.py
@@ -4,6 +4,7 @@
 from bilberryhaven.control import api
 from bilberryhaven.control.api import changes
 from bilberryhaven.control.api import models
+from bilberryhaven.control.api import pages
 from bilberryhaven.control.api import views
 from bilberryhaven.tables import workload
 
@@ -12,10 +13,10 @@
 
 @api.route('GET', '/v1/workloads')
 def list_workloads(request):
-    """Return all workloads."""
-    with request.ctx.read():
-        rows = request.ctx.state.workloads
-        return {'workloads': [views.show_row(row) for row in rows]}
+    """Return a page of workloads."""
+    return pages.show_page(
+        request, 'workloads', request.ctx.state.workloads, views.show_row
+    )
 
 
 @api.route('GET', '/v1/workloads/{name}')
@@ -31,6 +32,7 @@
     """Create a workload or replace its declaration."""
     body = request.decode(models.WorkloadBody)
     name = models.check_name(request.params['name'])
+    models.check_labels('workload', body.labels)
     models.check_selector('runs_on', body.runs_on)
     models.check_selector('shares_with', body.shares_with)
     need = body.resources
@@ -59,6 +61,7 @@
 def patch_labels(request):
     """Set labels of a workload."""
     body = request.decode(models.LabelsBody)
+    models.check_labels('workload', body.labels)
     return changes.propose_change(
         request,
         body,
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -8,6 +8,7 @@
 
 from bilberryhaven import clock
 from bilberryhaven.commands import change
+from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
 from bilberryhaven import errors
@@ -159,7 +160,7 @@
 
     @stateful.rule(choice=PICK, request=PICK, holder=PICK)
     def claim(self, choice, request, holder):
-        command = job_commands.ClaimRequest(
+        command = claim_commands.ClaimRequest(
             request_id=f'r{request % 6}',
             workload='recipe',
             holder=f'entry{holder}-{self.count}',
@@ -234,6 +235,18 @@
         if node is not None:
             node.folder.fuse = operations + 1
 
+    @stateful.rule(choice=PICK)
+    def lose_disk(self, choice):
+        """Lose one disk, unless another that was lost isn't replaced yet."""
+        leader = self.pick_leader(choice)
+        if leader is None:
+            return
+        voters = leader.driver.core.members.voters
+        nodes = [self.cluster.nodes[name] for name in voters]
+        lost = [n for n in nodes if not n.up or not n.driver.core.joined]
+        if not lost and len(nodes) > 2:
+            self.cluster.wipe(nodes[choice % len(nodes)].name)
+
     @stateful.rule(choice=PICK)
     def restart(self, choice):
         node = self.pick(choice, lambda node: not node.up)
