Look again at held jobs, one workload a tick

Cause: a hold whose commit was answered late could land after the change that should have released the job, which then stayed held until the next change. Change: every 10 s held workloads are checked anew, one a tick.

--- a/bilberryhaven/systems/holding.py
+++ b/bilberryhaven/systems/holding.py
@@ -1,5 +1,7 @@
 """Releases held jobs once what kept them has changed."""
 
+import datetime
+
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven import log
 from bilberryhaven import systems
@@ -8,6 +10,8 @@
 
 __all__ = ['HoldingSystem']
 
+RECHECK_INTERVAL = datetime.timedelta(seconds=10)
+
 logger = log.get_logger('holding')
 
 
@@ -17,6 +21,11 @@
 
     order = 300
 
+    def __init__(self, *, memory=None):
+        super().__init__(memory=memory)
+        self._queue = []
+        self._next = None
+
     def run(self, world):
         """Return the releases of this tick."""
         self.memory.refresh(world)
@@ -26,7 +35,7 @@
         self.memory.fleet.changed.clear()
         self.memory.fleet.edited.clear()
         if not changed and not edited:
-            return []
+            return self._recheck(world)
         for name in edited:
             self.memory.failures.forget_workload(name)
             self.memory.backlog.requeue(name)
@@ -47,12 +56,38 @@
                 )
             if verdicts[name]:
                 released.append(row.id)
+        return self._release(released)
+
+    def _release(self, released):
         if not released:
             return []
         reason = 'what kept it has changed'
         log.log_decision(logger, 'release', reason=reason, jobs=len(released))
         return [job_commands.ReleaseJobs(job_ids=released, reason=reason)]
 
+    def _recheck(self, world):
+        """Look at one held workload again.
+
+        A hold that was committed late may rest on what has changed since.
+        """
+        held = job.JobState.HELD
+        if not self._queue and (self._next is None or world.now >= self._next):
+            self._next = world.now + RECHECK_INTERVAL
+            rows = world.state.jobs.select('state', held)
+            self._queue = sorted({row.workload for row in rows})
+        if not self._queue:
+            return []
+        name = self._queue.pop()
+        target = world.state.workloads.find(name)
+        if target is None or not self.memory.feasibility.is_possible(target):
+            return []
+        released = [
+            row.id
+            for row in world.state.jobs.select('workload', name)
+            if row.state == held and row.hold == job.Hold.IMPOSSIBLE
+        ]
+        return self._release(released)
+
     def _is_possible(self, world, name, changed, edited):
         target = world.state.workloads.find(name)
         if target is None:
--- a/tests/fuzz/placement.py
+++ b/tests/fuzz/placement.py
@@ -270,6 +270,13 @@
             if row.state == job.JobState.GRANTED:
                 self.report(row, 'refused')
 
+    @stateful.precondition(lambda self: len(self.state.jobs))
+    @stateful.rule(data=strategies.data())
+    def hold_late(self, data):
+        """A hold is committed after what it rests on has changed."""
+        job_id = data.draw(choose([row.id for row in self.state.jobs]))
+        self.do(job_commands.HoldJobs(reasons={job_id: 'late'}))
+
     @stateful.rule()
     def fail_over(self):
         self.systems = systems.build_systems()
--- a/tests/test_systems.py
+++ b/tests/test_systems.py
@@ -198,6 +198,17 @@
         self.tick(2)
         self.assertEqual('a', self.job('j').instance)
 
+    def test_hold_that_was_committed_late_is_released(self):
+        self.declare('silt')
+        self.open('a', slots=1)
+        self.submit('silt', 'j', 'k')
+        self.tick()
+        reasons = {'k': 'no instance matches'}
+        self.do(job_commands.HoldJobs(reasons=reasons))
+        self.report('finished', 'j')
+        self.tick(12, step=10 * TICK)
+        self.assertEqual('granted', self.job('k').state)
+
     def test_takes_nothing_onto_instances_that_are_not_open(self):
         self.declare('silt')
         for name in 'abcd':
