Send learned slowdowns, granted slots and merged labels; key relayed writes

Cause: nobody filled SyncReply.slowdowns; a start order named the declared slots, not the granted ones; entries matched a workload's own labels without its name, kind and team; a write without an id was not sent again after a lost answer. Change: the leader sends slowdowns with a full sync and every 10 s; orders and views come from the job and the merged labels; the entry adds an idempotency key to writes that have none.

--- a/bilberryhaven/control/feed.py
+++ b/bilberryhaven/control/feed.py
@@ -23,7 +23,7 @@
     return message.WorkloadView(
         name=row.name,
         kind=str(row.kind),
-        labels=pack_labels(row.labels),
+        labels=pack_labels(row.merge_labels()),
         runs_on=row.runs_on,
         shares_with=row.shares_with,
         repeatable=row.repeatable,
--- a/bilberryhaven/control/heartbeat.py
+++ b/bilberryhaven/control/heartbeat.py
@@ -141,7 +141,7 @@
         with self._leader.replica.machine_lock:
             held = self._leader.state.jobs.select('instance', beat.instance)
             held = [row for row in held if row.state in job.ACTIVE_STATES]
-            starts = [self._build_start(row) for row in held if _starts(row)]
+            starts = [_build_start(row) for row in held if _starts(row)]
             stops = _list_stops(beat, held)
             throttles = self._list_throttles(held)
             revision = self._leader.state.revision
@@ -162,17 +162,6 @@
             throttles=throttles,
         )
 
-    def _build_start(self, row):
-        workload = self._leader.state.workloads.find(row.workload)
-        return message.StartOrder(
-            job_id=row.id,
-            epoch=row.epoch,
-            workload=row.workload,
-            payload=row.payload,
-            checkpoint=row.checkpoint,
-            slots=workload.resources.slots if workload else 1,
-        )
-
     def _list_throttles(self, held):
         shares = self._leader.throttles
         return [
@@ -184,6 +173,17 @@
         ]
 
 
+def _build_start(row):
+    return message.StartOrder(
+        job_id=row.id,
+        epoch=row.epoch,
+        workload=row.workload,
+        payload=row.payload,
+        checkpoint=row.checkpoint,
+        slots=row.slots,
+    )
+
+
 def _starts(row):
     return row.state == job.JobState.GRANTED
 
--- a/bilberryhaven/control/leader.py
+++ b/bilberryhaven/control/leader.py
@@ -144,6 +144,19 @@
         """Return the placement's ``Node`` rows of the last tick."""
         return self._systems[0].memory.fleet.nodes
 
+    def list_slowdowns(self):
+        """Return what the placement learned, as ``Slowdown`` messages."""
+        learned = self._systems[0].memory.interference.list_slowdowns()
+        return [
+            message.Slowdown(
+                service=row.service,
+                beside=row.beside,
+                band=row.band,
+                factor=row.factor,
+            )
+            for row in learned
+        ]
+
     def get_load(self, instance):
         """Return the newest ``Load`` of ``instance``, or None."""
         load, _ = self._loads.get(instance, (None, None))
--- a/bilberryhaven/control/sync.py
+++ b/bilberryhaven/control/sync.py
@@ -9,6 +9,7 @@
 __all__ = ['SyncHandler']
 
 MILLISECOND = clocks.seconds(0.001)
+SLOWDOWN_INTERVAL = clocks.seconds(10)
 
 
 class SyncHandler:
@@ -20,6 +21,7 @@
 
     def __init__(self, *, leader):
         self._leader = leader
+        self._slowdowns_due = {}
 
     def handle(self, request):
         """Return the ``SyncReply`` to a ``SyncRequest``."""
@@ -49,8 +51,17 @@
                 full=full,
                 workloads=[feed.build_workload_view(w) for w in workloads],
                 instances=[self._build_instance(i) for i in instances],
+                slowdowns=self._list_slowdowns(request.entry, full),
             )
 
+    def _list_slowdowns(self, entry, full):
+        now = self._leader.clock.monotonic()
+        due = self._slowdowns_due.get(entry)
+        if not full and due is not None and now < due:
+            return []
+        self._slowdowns_due[entry] = now + SLOWDOWN_INTERVAL
+        return self._leader.list_slowdowns()
+
     def _find(self, table, names):
         rows = getattr(self._leader.state, table)
         found = (rows.find(name) for name in names)
--- a/bilberryhaven/entry/api.py
+++ b/bilberryhaven/entry/api.py
@@ -1,6 +1,7 @@
 """HTTP of an entry: callers' requests, relayed API calls, health."""
 
 import datetime
+import urllib.parse
 
 import msgspec
 
@@ -18,6 +19,8 @@
 DEFAULT_TIMEOUT_MS = 10_000
 MAX_KEY_LENGTH = 200
 CALL_TIMEOUT = datetime.timedelta(seconds=10)
+KEY_HEADER = 'HTTP_IDEMPOTENCY_KEY'
+KEYED_PATHS = ('/v1/workloads', '/v1/instances', '/v1/teams', '/v1/jobs')
 REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'DELETE'})
 
 _logger = log.get_logger('api')
@@ -102,7 +105,7 @@
     def _serve_request(self, method, environ, body):
         if method != 'POST':
             return _refuse_method(method)
-        request = parse_request(environ.get('HTTP_IDEMPOTENCY_KEY'), body)
+        request = parse_request(environ.get(KEY_HEADER), body)
         answer = self._service.answer(request)
         if answer.error is not None:
             return server.build_error_response(answer.error)
@@ -123,10 +126,15 @@
         )
 
     def _relay(self, method, path, environ, body):
+        query = environ.get('QUERY_STRING', '')
+        repeatable = _is_repeatable(method, body)
+        if not repeatable and path.startswith(KEYED_PATHS):
+            query = _add_key(query, environ)
+            repeatable = True
         call = message.CallRequest(
             method=method,
             path=path,
-            query=environ.get('QUERY_STRING', ''),
+            query=query,
             body=body,
             by=server.read_author(environ),
         )
@@ -135,7 +143,7 @@
                 call,
                 timeout=CALL_TIMEOUT,
                 step='relay call',
-                repeatable=_is_repeatable(method, body),
+                repeatable=repeatable,
             )
         return server.Response(status=reply.status, body=reply.body)
 
@@ -200,6 +208,16 @@
     return bool(keys.change_id or keys.id)
 
 
+def _add_key(query, environ):
+    """Return the query with the caller's idempotency key, or a new one.
+
+    With it the leader recognises a call that is sent again.
+    """
+    key = environ.get(KEY_HEADER) or util.create_id('call')
+    field = urllib.parse.urlencode({'idempotency_key': key})
+    return f'{query}&{field}' if query else field
+
+
 def _is_key(key):
     printable = key.isascii() and key.isprintable()
     return printable and 0 < len(key) <= MAX_KEY_LENGTH
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -231,6 +231,18 @@
         again = self.sync_entry(first.feed, first.cursor)
         self.assertEqual((True, False), (first.full, again.full))
 
+    def test_slowdowns_are_sent_at_first_and_then_now_and_again(self):
+        found = [message.Slowdown(service='s', beside='w', band=1, factor=2)]
+        self.leader.list_slowdowns = lambda: found
+        first = self.sync_entry()
+        again = self.sync_entry(first.feed, first.cursor)
+        self.clock.advance(clock.seconds(10))
+        later = self.sync_entry(first.feed, first.cursor)
+        self.assertEqual(
+            [found, [], found],
+            [reply.slowdowns for reply in (first, again, later)],
+        )
+
     def test_new_leader_sends_everything(self):
         first = self.sync_entry()
         self.replica.term = 2
--- a/tests/test_entry_shell.py
+++ b/tests/test_entry_shell.py
@@ -119,6 +119,19 @@
         call = self.leader.calls[0]
         self.assertEqual(('/v1/workloads', 'x=1'), (call.path, call.query))
 
+    def test_writes_without_an_id_get_a_key(self):
+        path = '/v1/workloads/price'
+        self.fetch('PUT', path, body=b'{}')
+        self.fetch('PUT', path, body=b'{"change_id": "c"}')
+        self.fetch(
+            'PUT', path, body=b'{}', headers={'Idempotency-Key': 'mine'}
+        )
+        queries = [call.query for call in self.leader.calls]
+        self.assertThat(
+            queries[0], matchers.StartsWith('idempotency_key=call-')
+        )
+        self.assertEqual(['', 'idempotency_key=mine'], queries[1:])
+
     def start_slow(self, count):
         for agent in self.agents:
             agent.respond = agent.wait
