Refuse a removal that would leave no answering quorum

Cause: fuzzing removed a member while another had lost its disk; the voters left could elect nobody. An operator can do the same by mistake.

--- a/bilberryhaven/consensus/membership.py
+++ b/bilberryhaven/consensus/membership.py
@@ -45,7 +45,7 @@
         _refuse(f'{waiting} has not caught up yet; wait, or remove it')
     if add is not None:
         return _append(core, _build_addition(core, *add), now)
-    return _append(core, _build_removal(core, remove), now)
+    return _append(core, _build_removal(core, remove, now), now)
 
 
 def _build_addition(core, name, address):
@@ -54,15 +54,40 @@
     return core.members.add_learner(name, address)
 
 
-def _build_removal(core, name):
+def _build_removal(core, name, now):
     if name not in core.members:
         _refuse(f'{name} is no member')
     changed = core.members.remove(name)
     if not changed.voters:
         _refuse(f'{name} is the last voter')
+    if name in core.members.voters:
+        _check_quorum_left(core, changed, now)
     return changed
 
 
+def _check_quorum_left(core, changed, now):
+    """Refuse a removal after which no quorum would answer.
+
+    A voter that is cut off, or has lost its disk and not yet joined again,
+    can't elect anybody once the removed one no longer counts.
+    """
+    sound = [name for name in changed.voters if _is_sound(core, name, now)]
+    if not changed.is_quorum(sound):
+        _refuse(
+            f'of the voters left only {", ".join(sound) or "none"} would '
+            'answer; bring the others back first'
+        )
+
+
+def _is_sound(core, name, now):
+    if name == core.name:
+        return True
+    peer = core.peers[name]
+    if peer.answered_at is None or not peer.joined:
+        return False
+    return now - peer.answered_at < core.options.election_timeout
+
+
 def _refuse(reason):
     raise errors.RefusedError(reason, step='change members')
 
