Let a replica campaign until its removal is committed

Cause: fuzzing found no leader after all faults had ended: a leader that had appended its own removal was cut off, another voter lost its disk, and the third alone could not be elected, while the first, holding the newest log, thought itself removed. Change: a replica may campaign while its removal is uncommitted.

--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -123,9 +123,18 @@
         self._ticked_at = now
         if self.is_leader:
             self._tick_leader(now)
-        elif now >= self.election_at and self.name in self.members.voters:
+        elif now >= self.election_at and self._may_campaign():
             election.start_pre_vote(self, now)
 
+    def _may_campaign(self):
+        # A removal that isn't committed may be known to nobody else, who
+        # then need this replica's log.
+        if self.name in self.members.voters:
+            return True
+        changed_at = self.history.index
+        previous = self.history.find_at(changed_at - 1)
+        return changed_at > self.commit and self.name in previous.voters
+
     def _tick_leader(self, now):
         contact = self.lease.find_contact(self.members, now)
         if now >= contact + self.options.lease:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -297,6 +297,17 @@
         self.assertIsNot(self.leader, self.cluster.find_leader())
         self.assertEqual(2, len(self.list_voters()))
 
+    def test_removed_leader_campaigns_until_the_removal_is_committed(self):
+        self.build()
+        self.lead('c')
+        self.cluster.run(1)
+        self.cluster.partition('c')
+        self.change_members(remove='c')
+        self.cluster.wipe('b')
+        self.cluster.run(2)
+        self.cluster.heal()
+        self.assertEqual('ab', self.list_voters())
+
     def test_second_loss_in_five(self):
         self.build(names='abcde')
         self.cluster.crash('a')
