Pause calls to a hanging backend server; stop on faults of admission

Cause: each control call that timed out left a connection at a hanging server, one a second, past its 64 within a minute; an unexpected fault stopped an actor silently and left an agent that looked healthy. Change: after three timeouts calls pause, doubling to 30 s; the reporter logs a fault and goes on; a fault in admission fails /healthz and ends the process.

--- a/bilberryhaven/agent/actors.py
+++ b/bilberryhaven/agent/actors.py
@@ -26,17 +26,24 @@
         core: The ``AdmissionCore``.
         clock: Times the decisions.
         on_job: Called with each effect on a job.
+        on_fault: Called once the actor has stopped because of a fault.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, *, core, clock, on_job):
+    def __init__(self, *, core, clock, on_job, on_fault):
         super().__init__()
         self._core = core
         self._clock = clock
         self._on_job = on_job
+        self._on_fault = on_fault
         self._waiters = {}
 
+    def on_failure(self, kind, error, trace):
+        """Report a fault in the core: nothing can be admitted any more."""
+        _logger.critical('admission failed: {!r}', error)
+        self._on_fault()
+
     def admit(self, request, waiter):
         """Decide on a dispatch; ``waiter`` gets its effects."""
         self._waiters[request.ticket] = waiter
--- a/bilberryhaven/agent/backend.py
+++ b/bilberryhaven/agent/backend.py
@@ -14,6 +14,9 @@
 __all__ = ['BackendClient']
 
 CONTROL_TIMEOUT = clocks.seconds(1)
+PATIENT_CALLS = 3
+MAX_DOUBLINGS = 5
+MAX_PAUSE = clocks.seconds(30)
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MIN_TIMEOUT = clocks.seconds(0.001)
 READ_BYTES = 64 * 1024
@@ -45,6 +48,8 @@
         self._clock = clock
         self._requests = _build_pool(address, slots)
         self._control = _build_pool(address, control_connections)
+        self._timeouts = 0
+        self._call_after = datetime.timedelta()
 
     def attach(self):
         """Take over the backend server and return its ``Status``."""
@@ -142,9 +147,40 @@
         return self._call('POST', path, body, protocol.TaskStatus)
 
     def _call(self, method, path, body, cls):
-        return self._exchange(
-            self._control, method, path, body, cls, CONTROL_TIMEOUT
-        )
+        self._check_pause(f'{method} {path}')
+        try:
+            reply = self._exchange(
+                self._control, method, path, body, cls, CONTROL_TIMEOUT
+            )
+        except errors.PeerError as error:
+            self._count_timeout(error)
+            raise
+        self._timeouts = 0
+        return reply
+
+    def _check_pause(self, step):
+        """Refuse a call so soon after timeouts.
+
+        A server that hangs keeps each connection that timed out.
+        """
+        if self._clock.monotonic() < self._call_after:
+            raise errors.PeerError(
+                f'not called: {self._timeouts} calls timed out',
+                step=step,
+                peer=self._address,
+                outcome=errors.Outcome.NOT_RUN,
+            )
+
+    def _count_timeout(self, error):
+        if not isinstance(error.__cause__, urllib3.exceptions.TimeoutError):
+            self._timeouts = 0
+            return
+        self._timeouts += 1
+        if self._timeouts >= PATIENT_CALLS:
+            doublings = min(self._timeouts - PATIENT_CALLS, MAX_DOUBLINGS)
+            pause = clocks.seconds(2**doublings)
+            now = self._clock.monotonic()
+            self._call_after = now + min(pause, MAX_PAUSE)
 
     def _exchange(self, pool, method, path, body, cls, timeout):
         step = f'{method} {path}'
--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -96,7 +96,13 @@
         self._runner.stop(block=False)
 
     def on_receive(self, msg):
-        """Handle one typed message."""
+        """Handle one typed message; a fault is logged, and beats go on."""
+        try:
+            self._handle(msg)
+        except Exception:  # noqa: BLE001
+            _logger.exception('{} was not handled', type(msg).__name__)
+
+    def _handle(self, msg):
         if isinstance(msg, Beat):
             self._beat_due = False
             self._beat()
--- a/bilberryhaven/agent/service.py
+++ b/bilberryhaven/agent/service.py
@@ -42,7 +42,8 @@
         control: Addresses of control instances.
         clock: Times everything.
         drain_notice: How long a leaving agent still answers refusals.
-        on_replaced: Called once another agent has taken over.
+        on_replaced: Called once another agent has taken over, or this one
+            can't go on because of a fault.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         )
         self._client = client.Client()
         self._requests = None
+        self._admission_ref = None
         self._stopped = threading.Event()
 
     @property
@@ -164,7 +166,10 @@
             incarnation=self._incarnation,
         )
         self._admission_ref = actors.AdmissionActor.start(
-            core=core, clock=self._clock, on_job=self._tell_reporter
+            core=core,
+            clock=self._clock,
+            on_job=self._tell_reporter,
+            on_fault=self._give_way,
         )
         self._admission = self._admission_ref.proxy()
         self._reporter = reporter.ReporterActor.start(
@@ -212,10 +217,15 @@
         self._client.close()
         self._stopped.set()
 
+    def _report_health(self):
+        if self._requests is None or self._admission_ref.is_alive():
+            return server.Response(body=b'{"ok": true}')
+        return server.Response(status=503, body=b'{"ok": false}')
+
     def _serve_health(self, environ, body):
         path = environ['PATH_INFO']
         if path == '/healthz':
-            return server.Response(body=b'{"ok": true}')
+            return self._report_health()
         if path == '/readyz':
             ready = self.is_ready()
             return server.Response(
--- a/tests/test_agent_service.py
+++ b/tests/test_agent_service.py
@@ -24,6 +24,20 @@
         self.assertEqual(0, self.backend.runs['r1'])
 
 
+class TestFaults(agent_fakes.AgentTestCase):
+    def test_fault_in_admission_is_not_hidden(self):
+        self.agent._admission.complete.defer('never admitted', b'')
+        self.wait_for(self.agent.is_replaced)
+        health = self.agent._report_health()
+        self.assertEqual(503, health.status)
+        self.assertEqual('unknown', self.admit_outcome())
+        self.agent.kill()
+
+    def admit_outcome(self):
+        error = self.assertRaises(errors.InternalError, self.admit, 'r1')
+        return error.outcome
+
+
 class TestJobs(agent_fakes.AgentTestCase):
     def test_job_runs_to_its_end_once(self):
         self.control.order_start('j1', 1, b'{"seconds": 0.1, "result": 7}')
