Judge the voters left by what they stored of this leader's log

Cause: the guard on removals refused a healthy one, as a follower that has not yet seen the commit index doesn't count as joined. Change: a voter counts if it answered lately and stores the leader's first entry; a test of the refusal.

--- a/bilberryhaven/consensus/membership.py
+++ b/bilberryhaven/consensus/membership.py
@@ -68,8 +68,8 @@
 def _check_quorum_left(core, changed, now):
     """Refuse a removal after which no quorum would answer.
 
-    A voter that is cut off, or has lost its disk and not yet joined again,
-    can't elect anybody once the removed one no longer counts.
+    A voter that is cut off, or has lost its disk and not yet stored again
+    what this leader wrote, can't help once the removed one no longer counts.
     """
     sound = [name for name in changed.voters if _is_sound(core, name, now)]
     if not changed.is_quorum(sound):
@@ -83,7 +83,7 @@
     if name == core.name:
         return True
     peer = core.peers[name]
-    if peer.answered_at is None or not peer.joined:
+    if peer.answered_at is None or peer.match < core.noop_index:
         return False
     return now - peer.answered_at < core.options.election_timeout
 
--- a/bilberryhaven/consensus/progress.py
+++ b/bilberryhaven/consensus/progress.py
@@ -30,7 +30,6 @@
         probing: Whether the position of its log is still searched.
         progress_at: When it last made progress or was reset.
         answered_at: When it last answered, or None.
-        joined: Whether it said then that it has held all that was committed.
         transfer: The snapshot being sent, or None.
         round_index: Newest entry when the current catch-up round began.
         round_at: When that was.
@@ -42,7 +41,6 @@
     probing: bool = True
     progress_at: datetime.timedelta = datetime.timedelta()
     answered_at: datetime.timedelta | None = None
-    joined: bool = False
     transfer: Transfer | None = None
     round_index: int = 0
     round_at: datetime.timedelta = datetime.timedelta()
--- a/bilberryhaven/consensus/replication.py
+++ b/bilberryhaven/consensus/replication.py
@@ -170,7 +170,6 @@
     peer = note_answer(core, msg, now)
     if peer is None:
         return
-    peer.joined = msg.joined
     if msg.ok:
         peer.accept(msg.index, now)
         transfer.finish_transfer(peer)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -297,6 +297,17 @@
         self.assertIsNot(self.leader, self.cluster.find_leader())
         self.assertEqual(2, len(self.list_voters()))
 
+    def test_removal_that_leaves_no_quorum_is_refused(self):
+        self.build()
+        self.lead('c')
+        self.cluster.run(1)
+        self.cluster.crash('a')
+        self.cluster.run(1)
+        (error,) = self.change_members(remove='b')
+        self.assertIsInstance(error, errors.RefusedError)
+        self.assertIn('only c', error.message)
+        self.change_members(remove='a')
+
     def test_removed_leader_campaigns_until_the_removal_is_committed(self):
         self.build()
         self.lead('c')
