--- a/bench/agent.py
+++ b/bench/agent.py
@@ -19,7 +19,6 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.standin import server as standin
 from bilberryhaven.wire import client
-from bilberryhaven.wire import connection
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
 
@@ -48,8 +47,9 @@
             threads=4,
         )
         links = self.links
+        base = self._server._server.ConnectionClass
 
-        class CountedConnection(connection.JsonErrorConnection):
+        class CountedConnection(base):
             def __init__(self, *args, **kwargs):
                 super().__init__(*args, **kwargs)
                 links.append(self)
