Share one ticker, one metrics class and one HTTP listener

Cause: entry and control each had a ticker and metrics; the stand-in repeated the server's listener. Change: wire/listener.py serves both HTTP surfaces; the entry uses the actor ticker and the common metrics.

--- a/bench/agent.py
+++ b/bench/agent.py
@@ -45,16 +45,18 @@
             address='127.0.0.1:0',
             handlers={message.Heartbeat: self._answer},
             threads=4,
+            extend=self._count_links,
         )
+
+    def _count_links(self, kind):
         links = self.links
-        base = self._server._server.ConnectionClass
 
-        class CountedConnection(base):
+        class CountedConnection(kind):
             def __init__(self, *args, **kwargs):
                 super().__init__(*args, **kwargs)
                 links.append(self)
 
-        self._server._server.ConnectionClass = CountedConnection
+        return CountedConnection
 
     @property
     def address(self):
--- a/bilberryhaven/entry/api.py
+++ b/bilberryhaven/entry/api.py
@@ -156,7 +156,8 @@
         return server.build_error_response(error)
 
     def _serve_metrics(self):
-        text, headers = self._metrics.render(pending=self._service.pending)
+        self._metrics.set_pending(self._service.pending)
+        text, headers = self._metrics.render()
         return server.Response(
             body=text, content_type=headers.get('Content-Type', 'text/plain')
         )
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -14,10 +14,10 @@
 from bilberryhaven.entry import request
 from bilberryhaven.entry import service
 from bilberryhaven.entry import sync
-from bilberryhaven.entry import ticker
 from bilberryhaven.entry import view
 from bilberryhaven import policies
 from bilberryhaven.roles import process
+from bilberryhaven import ticker
 from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import message
@@ -65,7 +65,7 @@
             limits=pending.Limits(pending=MAX_REQUESTS),
         )
         self._heartbeats = gate.Gate(limit=MAX_HEARTBEATS, step='relay')
-        self._metrics = metrics.Metrics()
+        self._metrics = metrics.EntryMetrics()
         self._server = server.Server(
             address=settings.listen,
             handlers={message.Heartbeat: self._relay_heartbeat},
@@ -75,7 +75,7 @@
         self._name = name
         self._api = None
         self._service = None
-        self._tickers = []
+        self._stop_tickers = []
         self._actors = []
 
     @property
@@ -121,8 +121,8 @@
         closer.join(KILL_SECONDS)
 
     def _close(self):
-        for item in self._tickers:
-            item.stop()
+        for stop in self._stop_tickers:
+            stop()
         self._leader.close()
         for actor in self._actors:
             actor.stop(block=False)
@@ -150,12 +150,15 @@
         self._actors = [self._syncer, self._relay]
 
     def _start_tickers(self):
-        self._tickers = [
-            ticker.Ticker(interval=SYNC_INTERVAL, func=self._tick),
-            ticker.Ticker(interval=relay.WINDOW, func=self._flush),
+        self._stop_tickers = [
+            ticker.Ticker.launch(
+                name=name, func=func, interval=interval, clock=self._clock
+            )
+            for name, func, interval in (
+                ('sync', self._tick, SYNC_INTERVAL),
+                ('relay', self._flush, relay.WINDOW),
+            )
         ]
-        for item in self._tickers:
-            item.start()
 
     def _tick(self):
         self._renew()
--- a/bilberryhaven/standin/http.py
+++ b/bilberryhaven/standin/http.py
@@ -1,20 +1,17 @@
 """HTTP surface of a stand-in backend server, with broken answers on demand."""
 
 import socket
-import threading
 
 from cheroot import wsgi
 import msgspec
 
 from bilberryhaven import errors
-from bilberryhaven import util
-from bilberryhaven.wire import connection
+from bilberryhaven.wire import listener
 from bilberryhaven.wire import server
 
 __all__ = ['HttpServer', 'Reply']
 
 CONNECTION_KEY = 'standin.request'
-MAX_BODY_BYTES = 8 * 1024 * 1024
 THREADS = 24
 
 
@@ -52,42 +49,27 @@
 
     def __init__(self, *, address, handle, ledger, lock):
         self._handle = handle
-        self._server = wsgi.Server(
-            util.parse_address(address),
-            self._serve,
-            numthreads=THREADS,
-            request_queue_size=128,
+        self._listener = listener.Listener(
+            address=address,
+            application=self._serve,
+            threads=THREADS,
+            error_log=_ignore,
+            extend=lambda kind: _count_connections(kind, ledger, lock),
+            gateway=_Gateway,
         )
-        self._server.gateway = _Gateway
-        self._server.max_request_body_size = MAX_BODY_BYTES
-        self._guard = connection.ReadGuard()
-        self._server.ConnectionClass = _build_connection_class(
-            self._guard, ledger, lock
-        )
-        self._server.error_log = _ignore
-        self._thread = None
 
     @property
     def address(self):
         """The HOST:PORT that it listens on, once started."""
-        host, port = self._server.bind_addr[:2]
-        return f'{host}:{port}'
+        return self._listener.address
 
     def start(self):
         """Listen, and serve in a thread of its own."""
-        self._server.prepare()
-        self._thread = threading.Thread(
-            target=self._server.serve, name='standin', daemon=True
-        )
-        self._thread.start()
-        self._guard.start()
+        self._listener.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
-        self._guard.stop()
-        self._server.stop()
-        if self._thread is not None:
-            self._thread.join()
+        self._listener.stop()
 
     def _serve(self, environ, start_response):
         reply = self._answer(environ)
@@ -113,14 +95,14 @@
             try:
                 body = server.read_body(environ)
             finally:
-                self._guard.end()
+                self._listener.guard.end()
             return self._handle(environ['REQUEST_METHOD'], parts, body)
         except errors.BilberryhavenError as error:
             return Reply(status=error.status, value=error.to_dict())
 
 
-def _build_connection_class(guard, ledger, lock):
-    class CountedConnection(connection.build_connection_class(guard)):
+def _count_connections(kind, ledger, lock):
+    class CountedConnection(kind):
         def __init__(self, *args, **kwargs):
             super().__init__(*args, **kwargs)
             self._counted = True
--- a/bilberryhaven/ticker.py
+++ b/bilberryhaven/ticker.py
@@ -1,5 +1,6 @@
 """Actor that calls a function at a fixed interval."""
 
+import contextlib
 import threading
 
 import pykka
@@ -45,7 +46,7 @@
 
         def stop():
             stopping.set()
-            ref.stop()
+            ref.stop(block=False)
 
         return stop
 
@@ -59,8 +60,10 @@
         try:
             self._func()
         except Exception:  # noqa: BLE001
-            _logger.exception('{} failed', self._name)
+            if not self._stopping.is_set():
+                _logger.exception('{} failed', self._name)
         taken = self._clock.monotonic() - start
         rest = (self._interval - taken).total_seconds()
         if not self._stopping.wait(max(rest, 0.0)):
-            self.actor_ref.tell(None)
+            with contextlib.suppress(pykka.ActorDeadError):
+                self.actor_ref.tell(None)
--- /dev/null
+++ b/bilberryhaven/wire/listener.py
@@ -0,0 +1,82 @@
+"""Listening side of an HTTP server: bounds, start and graceful stop."""
+
+import threading
+
+from cheroot import wsgi
+
+from bilberryhaven import util
+from bilberryhaven.wire import connection
+
+__all__ = ['Listener']
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+REQUEST_QUEUE = 512
+STOP_TIMEOUT_SECONDS = 30
+
+
+class Listener:
+    """Serves a WSGI application on one port, in threads of its own.
+
+    Args:
+        address: HOST:PORT to listen on; port 0 picks a free one.
+        application: The WSGI application.
+        threads: Requests served at a time.
+        error_log: Called with the HTTP library's own log lines.
+        extend: Function from the connection class to the one to use, or
+            None.
+        gateway: WSGI gateway class, or None for the library's.
+
+    Attributes:
+        guard: Cuts off requests that arrive too slowly; the application
+            calls its ``end`` once it has read the body.
+    """
+
+    def __init__(
+        self,
+        *,
+        address,
+        application,
+        threads,
+        error_log,
+        extend=None,
+        gateway=None,
+    ):
+        self.guard = connection.ReadGuard()
+        self._server = wsgi.Server(
+            util.parse_address(address),
+            application,
+            numthreads=threads,
+            request_queue_size=REQUEST_QUEUE,
+            shutdown_timeout=STOP_TIMEOUT_SECONDS,
+        )
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.error_log = error_log
+        kind = connection.build_connection_class(self.guard)
+        self._server.ConnectionClass = extend(kind) if extend else kind
+        if gateway is not None:
+            self._server.gateway = gateway
+        self._thread = None
+
+    @property
+    def address(self):
+        """The HOST:PORT that it listens on, once started."""
+        host, port = self._server.bind_addr[:2]
+        return f'{host}:{port}'
+
+    def start(self):
+        """Listen, and serve in a thread of its own."""
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve, name='server', daemon=True
+        )
+        self._thread.start()
+        self.guard.start()
+
+    def stop(self):
+        """Stop listening and wait for the requests in progress."""
+        self._server.stop()
+        self.guard.stop()
+        if self._thread is not None:
+            self._thread.join(STOP_TIMEOUT_SECONDS)
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -1,21 +1,17 @@
 """HTTP server of a process: own messages, API, health and metrics."""
 
 import json
-import threading
 
 from cheroot import errors as cheroot_errors
-from cheroot import wsgi
 
 from bilberryhaven import errors
 from bilberryhaven import log
-from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import codec
-from bilberryhaven.wire import connection
+from bilberryhaven.wire import listener
 from bilberryhaven.wire import message
 
 __all__ = [
-    'MAX_BODY_BYTES',
     'Response',
     'Server',
     'build_error_reply',
@@ -24,10 +20,6 @@
     'read_body',
 ]
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_HEADER_BYTES = 64 * 1024
-STOP_TIMEOUT_SECONDS = 30
-REQUEST_QUEUE = 512
 AUTHOR_HEADER = 'HTTP_X_BILBERRYHAVEN_BY'
 REASONS = {
     200: 'OK',
@@ -106,48 +98,35 @@
         fallback: Function from a WSGI environ and body to a ``Response``,
             for all other paths.
         threads: Requests served at a time.
+        extend: Function from the connection class to the one to use, or
+            None.
     """
 
-    def __init__(self, *, address, handlers, fallback=None, threads=16):
+    def __init__(
+        self, *, address, handlers, fallback=None, threads=16, extend=None
+    ):
         self._handlers = dict(handlers)
         self._fallback = fallback
-        self._server = wsgi.Server(
-            util.parse_address(address),
-            self._serve,
-            numthreads=threads,
-            request_queue_size=REQUEST_QUEUE,
-            shutdown_timeout=STOP_TIMEOUT_SECONDS,
+        self._listener = listener.Listener(
+            address=address,
+            application=self._serve,
+            threads=threads,
+            error_log=_log_server_error,
+            extend=extend,
         )
-        self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._guard = connection.ReadGuard()
-        self._server.ConnectionClass = connection.build_connection_class(
-            self._guard
-        )
-        self._server.error_log = _log_server_error
-        self._thread = None
 
     @property
     def address(self):
         """The HOST:PORT that it listens on, once started."""
-        host, port = self._server.bind_addr[:2]
-        return f'{host}:{port}'
+        return self._listener.address
 
     def start(self):
         """Listen, and serve in a thread of its own."""
-        self._server.prepare()
-        self._thread = threading.Thread(
-            target=self._server.serve, name='server', daemon=True
-        )
-        self._thread.start()
-        self._guard.start()
+        self._listener.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
-        self._server.stop()
-        self._guard.stop()
-        if self._thread is not None:
-            self._thread.join(STOP_TIMEOUT_SECONDS)
+        self._listener.stop()
 
     def _serve(self, environ, start_response):
         response = self._answer(environ)
@@ -162,7 +141,7 @@
         except errors.BilberryhavenError as error:
             return build_error_response(error)
         finally:
-            self._guard.end()
+            self._listener.guard.end()
         if environ['PATH_INFO'] == client.PATH:
             return self._answer_message(body)
         if self._fallback is not None:
--- a/tests/test_entry_input.py
+++ b/tests/test_entry_input.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 import testtools
 
-from bilberryhaven.wire import server
+from bilberryhaven.wire import listener
 from tests import entry_fakes
 
 SETTINGS = hypothesis.settings(
@@ -119,7 +119,7 @@
 
     def test_lengths_that_lie_are_refused(self):
         body = b'{"workload": "price"}'
-        for length in ('-1', 'x', '99', str(server.MAX_BODY_BYTES + 1)):
+        for length in ('-1', 'x', '99', str(listener.MAX_BODY_BYTES + 1)):
             head = (
                 'POST /v1/requests HTTP/1.1\r\nHost: x\r\n'
                 f'Content-Length: {length}\r\n\r\n'
@@ -155,7 +155,7 @@
                 continue
 
     def test_oversize_headers_are_refused(self):
-        filler = 'X-Filler: ' + 'a' * server.MAX_HEADER_BYTES + '\r\n'
+        filler = 'X-Filler: ' + 'a' * listener.MAX_HEADER_BYTES + '\r\n'
         data = self.send(b'{}', filler)
         if data:
             self.check_coded_error(data)
