--- a/bilberryhaven/entry/pending.py
+++ b/bilberryhaven/entry/pending.py
@@ -14,6 +14,7 @@
     'Step',
     'compute_fingerprint',
     'compute_reserve',
+    'has_time',
     'is_final',
 ]
 
@@ -119,3 +120,8 @@
     if error.outcome == errors.Outcome.NOT_RUN:
         return False
     return not pending.may_repeat
+
+
+def has_time(pending, now):
+    """Return whether another attempt can end before the deadline."""
+    return now < pending.deadline - compute_reserve(pending.request)
--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -13,6 +13,7 @@
 from bilberryhaven.entry import intake
 from bilberryhaven.entry import pending as pendings
 from bilberryhaven.entry import reply as replies
+from bilberryhaven.entry import revoking
 from bilberryhaven.entry import routing
 from bilberryhaven import errors
 
@@ -21,7 +22,6 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 HOP_MARGIN = 2 * MILLISECOND
 MAX_RESYNC = 500 * MILLISECOND
-REVOKE_TIMEOUT = 500 * MILLISECOND
 
 
 class RequestCore:
@@ -175,7 +175,8 @@
             return []
         pending.cancelled = True
         if pending.step is pendings.Step.DISPATCH:
-            return [self._revoke(pending, self._clock.monotonic(), False)]
+            now = self._clock.monotonic()
+            return [revoking.build_revoke(pending, now, awaited=False)]
         return []
 
     def knows(self, request_id):
@@ -289,7 +290,7 @@
         last = pending.last_error or error
         ran = {pending.earlier, last.outcome} != {errors.Outcome.NOT_RUN}
         final = ran or last.code not in replies.PASSING
-        if pending.resynced or final or not self._has_time(pending, now):
+        if pending.resynced or final or not pendings.has_time(pending, now):
             return self._finish_error(pending, last)
         if pending.attempts and not self.budgets.take(unreached=True):
             return self._finish_error(pending, last)
@@ -332,28 +333,13 @@
     def _handle_lost(self, pending, error, now):
         """Go on after an attempt of which the outcome is unknown."""
         pending.last_error = error
-        if pending.may_repeat and self._has_time(pending, now):
-            revoke = self._revoke(pending, now, False)
+        if pending.may_repeat and pendings.has_time(pending, now):
+            revoke = revoking.build_revoke(pending, now, awaited=False)
             return [revoke, *self._retry(pending, error, now)]
         if now >= pending.deadline:
             return self._finish_error(pending, error)
         pending.step = pendings.Step.REVOKE
-        return [self._revoke(pending, now, True)]
-
-    def _has_time(self, pending, now):
-        return now < pending.deadline - pendings.compute_reserve(
-            pending.request
-        )
-
-    def _revoke(self, pending, now, awaited):
-        remaining = max(pending.deadline - now, MILLISECOND)
-        return effect.Revoke(
-            request_id=pending.request.id,
-            address=pending.dispatch.address,
-            timeout=min(remaining, REVOKE_TIMEOUT),
-            dispatch=pending.dispatch,
-            awaited=awaited,
-        )
+        return [revoking.build_revoke(pending, now, awaited=True)]
 
     def _retry(self, pending, error, now, unreached=False):
         pending.last_error = error
@@ -370,7 +356,7 @@
         return self._dispatch(pending, now)
 
     def _may_retry(self, pending, now, unreached):
-        if pending.cancelled or not self._has_time(pending, now):
+        if pending.cancelled or not pendings.has_time(pending, now):
             return False
         if pending.attempts >= self.limits.attempts:
             return False
