Let a resent opening get its session; test stops of leader and entry

Cause: an agent whose opening's answer was lost was refused until the lease of the session that it had opened itself ran out (4.6 s in a log). Change: an opening carries an idempotency key; the same key gets the same session, a used one of a closed session is fenced. End-to-end tests stop the leader and an entry under load.

--- a/bilberryhaven/agent/session.py
+++ b/bilberryhaven/agent/session.py
@@ -1,8 +1,10 @@
 """An agent's session with control: lease, fences and reported events."""
 
+import dataclasses
 import datetime
 
 from bilberryhaven import log
+from bilberryhaven import util
 from bilberryhaven.wire import message
 
 __all__ = ['Session']
@@ -22,6 +24,7 @@
 
     def __init__(self, *, announcement, first_event):
         self._announcement = announcement
+        self._opening = util.create_id('opening')
         self._events = []
         self._first_event = first_event
         self.epoch = 0
@@ -46,7 +49,11 @@
         """Return the next ``Heartbeat``."""
         announcement = message.Announcement()
         if not self.epoch:
-            announcement = self._announcement
+            # A resend with the same key gets the session that the first
+            # one opened, if only its answer was lost.
+            announcement = dataclasses.replace(
+                self._announcement, opening=self._opening
+            )
         return message.Heartbeat(
             instance=self._announcement.name,
             epoch=self.epoch,
@@ -88,6 +95,7 @@
         """Forget the session and what it would have reported."""
         self._first_event += len(self._events)
         self._events.clear()
+        self._opening = util.create_id('opening')
         self.epoch = 0
         self.lease = datetime.timedelta()
         self.lease_until = datetime.timedelta()
--- a/bilberryhaven/commands/session.py
+++ b/bilberryhaven/commands/session.py
@@ -19,7 +19,8 @@
 class OpenSession(commands.Command, kw_only=True, frozen=True):
     """Register an instance's agent and give it a new session epoch.
 
-    Proposed only for an instance whose former session is closed.
+    Refused while the former session is open. A resend, known by its
+    idempotency key ``opening``, gets the session that the first one opened.
     """
 
     name: str
@@ -29,10 +30,13 @@
     labels: dict[str, str]
     capacity: instance.Capacity
     at: datetime.datetime
+    opening: str = ''
 
     def apply(self, state):
         """Store the announcement and return the session's epoch."""
         old = state.instances.find(self.name)
+        if old is not None and self.opening and old.opening == self.opening:
+            return self._find_opened(old)
         if old is not None and old.connected:
             raise errors.RefusedError(
                 f'session {old.epoch} of {self.name} is still open',
@@ -47,6 +51,7 @@
             announced=dict(self.labels),
             capacity=self.capacity,
             epoch=state.session_floor + 1,
+            opening=self.opening,
             connected=True,
         )
         if old is not None:
@@ -57,6 +62,15 @@
         state.instances.put(row)
         return row.epoch
 
+    def _find_opened(self, row):
+        if not row.connected:
+            raise errors.FencedError(
+                f'session {row.epoch} of {self.name} is closed already',
+                step='open session',
+                peer=self.name,
+            )
+        return row.epoch
+
 
 class LeaveSession(commands.Command, kw_only=True, frozen=True):
     """Grant nothing new to a session whose agent is stopping."""
--- a/bilberryhaven/control/heartbeat.py
+++ b/bilberryhaven/control/heartbeat.py
@@ -96,10 +96,11 @@
                 accelerators=told.capacity.accelerators,
             ),
             at=self._leader.clock.wall(),
+            opening=told.opening,
         )
         try:
             beat.epoch = self._leader.propose(command)
-        except errors.RefusedError as error:
+        except (errors.RefusedError, errors.FencedError) as error:
             return _refuse(beat, error.code, error.message)
         if not self._renew(beat, told.zone):
             return _refuse(beat, 'refused', 'the former session is closing')
--- a/bilberryhaven/tables/instance.py
+++ b/bilberryhaven/tables/instance.py
@@ -41,6 +41,7 @@
         labels: Labels set by operators; they go before announced ones.
         capacity: What it holds.
         epoch: Number of its newest session; 0 before the first.
+        opening: Idempotency key with which its agent opened that session.
         connected: Whether that session is open.
         closed_at: When its newest closed session ended, UTC, or None.
         draining: Whether an operator stops it: it takes nothing new.
@@ -57,6 +58,7 @@
     labels: dict[str, str] = dataclasses.field(default_factory=dict)
     capacity: Capacity = dataclasses.field(default_factory=Capacity)
     epoch: int = 0
+    opening: str = ''
     connected: bool = False
     closed_at: datetime.datetime | None = None
     draining: bool = False
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -135,6 +135,7 @@
     address: str = ''
     labels: list[Pair] = _make_list()
     capacity: Capacity = dataclasses.field(default_factory=Capacity)
+    opening: str = ''
 
 
 @_declare
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -76,6 +76,7 @@
   address @3 :Text;
   labels @4 :List(Pair);
   capacity @5 :Capacity;
+  opening @6 :Text;
 }
 
 struct JobEvent {
--- a/tests/fuzz/session.py
+++ b/tests/fuzz/session.py
@@ -59,6 +59,7 @@
         self.lease_until = self.clock.monotonic()
         self.epoch = 0
         self.boot = 0
+        self.opening = 0
         self.up = True
         self.events = []
         self.first_event = 0
@@ -78,6 +79,7 @@
     def restart(self):
         """Lose the agent's memory; the server goes on by its lease."""
         self.boot += 1
+        self.opening += 1
         self.events = list(self.ended.values())
         self.first_event = 0
         self.seen = {*self.running.items(), *self.ended}
@@ -96,6 +98,7 @@
                 rack='r',
                 address='127.0.0.1:1',
                 capacity=message.Capacity(cpu=16, memory_mb=4096),
+                opening=f'{self.name}-{self.opening}',
             ),
             first_event=self.first_event,
             events=list(self.events),
@@ -118,6 +121,7 @@
         if reply.code == 'fenced':
             if packet.beat.epoch == self.epoch:
                 self.epoch = 0
+                self.opening += 1
                 self.running.clear()
                 self.ended.clear()
                 self.events = []
@@ -127,6 +131,7 @@
             return
         if reply.epoch > self.epoch:
             self.epoch = reply.epoch
+            self.opening += 1
             self.running.clear()
             self.seen.clear()
             self.ended.clear()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -71,9 +71,13 @@
         self.beats = heartbeat.HeartbeatHandler(leader=self.leader)
         self.sync = sync.SyncHandler(leader=self.leader)
 
-    def beat(self, name='i', epoch=0, **fields):
+    def beat(self, name='i', epoch=0, opening='', **fields):
         told = message.Announcement(
-            name=name, zone='z', rack='r', address='127.0.0.1:1'
+            name=name,
+            zone='z',
+            rack='r',
+            address='127.0.0.1:1',
+            opening=opening,
         )
         return self.beats.handle(
             message.Heartbeat(
@@ -128,6 +132,14 @@
         self.assertEqual(2, self.beat().epoch)
         self.assertEqual('fenced', self.beat(epoch=1).code)
 
+    def test_resent_opening_gets_the_same_session(self):
+        self.assertEqual(1, self.beat(opening='a').epoch)
+        self.assertEqual(1, self.beat(opening='a').epoch)
+        self.assertEqual('refused', self.beat(opening='b').code)
+        self.advance(5)
+        self.assertEqual('fenced', self.beat(opening='a').code)
+        self.assertEqual(2, self.beat(opening='b').epoch)
+
     def test_session_reopened_while_closing_keeps_its_lease(self):
         self.beat()
         self.clock.advance(clock.seconds(5))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,6 +4,7 @@
 import threading
 
 import testtools
+import urllib3
 
 from bilberryhaven import errors
 from tests import processes
@@ -228,3 +229,72 @@
         with concurrent.futures.ThreadPoolExecutor(2) as pool:
             answers = set(pool.map(change, ['entry-1', 'entry-2']))
         self.assertEqual({2, 'conflict'}, answers)
+
+
+class TestStops(ProcessTestCase):
+    def run_beside(self, work, count, name):
+        """Stop a process while ``work(number)`` is repeated by threads."""
+        stopping = threading.Event()
+
+        def repeat(first):
+            number = first
+            while not stopping.is_set():
+                work(number)
+                number += count
+
+        with concurrent.futures.ThreadPoolExecutor(count) as pool:
+            jobs = [pool.submit(repeat, first) for first in range(count)]
+            status = self.fleet.terminate(name)
+            stopping.set()
+        for job in jobs:
+            job.result()
+        return status
+
+    def test_stopped_leader_hands_over_without_an_error(self):
+        accepted = []
+
+        def change(number):
+            body = {'labels': {'n': str(number)}, 'change_id': f'c{number}'}
+            path = '/v1/workloads/price-check/labels'
+            answer = self.fleet.call('entry-1', 'PATCH', path, body)
+            accepted.append((f'c{number}', answer['revision']))
+            self.ask('entry-2', number)
+
+        leader = self.fleet.find_leader()
+        self.assertEqual(0, self.run_beside(change, 2, leader))
+        self.fleet.wait(self.fleet.find_leader, IN_FORCE_SECONDS, 'a leader')
+        for change_id, revision in accepted:
+            body = {'labels': {'n': 'resent'}, 'change_id': change_id}
+            path = '/v1/workloads/price-check/labels'
+            again = self.fleet.call('entry-2', 'PATCH', path, body)
+            self.assertEqual(revision, again['revision'])
+
+    def test_stopped_entry_cuts_off_no_request(self):
+        cut_off = []
+        answered = []
+
+        def ask(number):
+            body = {'workload': 'price-check', 'body': number}
+            try:
+                answer = self.fleet.call(
+                    'entry-1',
+                    'POST',
+                    '/v1/requests',
+                    body,
+                    headers={'Connection': 'close'},
+                )
+                answered.append(answer)
+            except errors.BilberryhavenError as error:
+                if error.outcome != errors.Outcome.NOT_RUN:
+                    cut_off.append(str(error))
+            except urllib3.exceptions.NewConnectionError:
+                return
+            except urllib3.exceptions.HTTPError as error:
+                cut_off.append(repr(error))
+
+        self.fleet.wait(
+            lambda: self.ask('entry-1', 1), IN_FORCE_SECONDS, 'an answer'
+        )
+        self.assertEqual(0, self.run_beside(ask, 8, 'entry-1'))
+        self.assertEqual([], cut_off)
+        self.assertNotEqual([], answered)
