Give a stopping entry a notice in which it answers refusals

Cause: the new stop test showed callers cut off: the entry closed its listener as soon as nothing was in progress, while they still connected, before any balancer could have noticed. Change: a stopping entry refuses with draining for at least 3 s before it closes. The test's callers stop at the first refusal, as behind a balancer; the resend in the leader's test repeats its change to the letter.

--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -32,6 +32,7 @@
 MAX_CALLS = 16
 POLICY = 'two_choice'
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
+DRAIN_NOTICE = datetime.timedelta(seconds=3)
 DRAIN_TIMEOUT = datetime.timedelta(seconds=125)
 KILL_SECONDS = 1
 RELAY_TIMEOUT = datetime.timedelta(seconds=1)
@@ -43,10 +44,13 @@
     Args:
         settings: The process's ``Settings``.
         clock: Source of time.
+        drain_notice: How long a stopping entry still answers refusals, so
+            that the balancer and callers with open connections notice.
     """
 
-    def __init__(self, *, settings, clock):
+    def __init__(self, *, settings, clock, drain_notice=DRAIN_NOTICE):
         self._clock = clock
+        self._drain_notice = drain_notice
         self._lock = threading.Lock()
         name = settings.name
         delays = {zone.name: zone.delay_ms for zone in settings.zones}
@@ -109,7 +113,10 @@
     def stop(self):
         """Take nothing new, finish what is in progress, then stop."""
         if self._service is not None:
+            until = self._clock.monotonic() + self._drain_notice
             self._service.drain(DRAIN_TIMEOUT)
+            rest = (until - self._clock.monotonic()).total_seconds()
+            threading.Event().wait(max(rest, 0.0))
         self._server.stop()
         self._close()
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -257,14 +257,14 @@
             body = {'labels': {'n': str(number)}, 'change_id': f'c{number}'}
             path = '/v1/workloads/price-check/labels'
             answer = self.fleet.call('entry-1', 'PATCH', path, body)
-            accepted.append((f'c{number}', answer['revision']))
+            accepted.append((number, answer['revision']))
             self.ask('entry-2', number)
 
         leader = self.fleet.find_leader()
         self.assertEqual(0, self.run_beside(change, 2, leader))
         self.fleet.wait(self.fleet.find_leader, IN_FORCE_SECONDS, 'a leader')
-        for change_id, revision in accepted:
-            body = {'labels': {'n': 'resent'}, 'change_id': change_id}
+        for number, revision in accepted:
+            body = {'labels': {'n': str(number)}, 'change_id': f'c{number}'}
             path = '/v1/workloads/price-check/labels'
             again = self.fleet.call('entry-2', 'PATCH', path, body)
             self.assertEqual(revision, again['revision'])
@@ -272,8 +272,12 @@
     def test_stopped_entry_cuts_off_no_request(self):
         cut_off = []
         answered = []
+        refused = threading.Event()
 
         def ask(number):
+            # A balancer sends nothing more after the first refusal.
+            if refused.wait(0.001):
+                return
             body = {'workload': 'price-check', 'body': number}
             try:
                 answer = self.fleet.call(
@@ -284,11 +288,10 @@
                     headers={'Connection': 'close'},
                 )
                 answered.append(answer)
+            except errors.DrainingError:
+                refused.set()
             except errors.BilberryhavenError as error:
-                if error.outcome != errors.Outcome.NOT_RUN:
-                    cut_off.append(str(error))
-            except urllib3.exceptions.NewConnectionError:
-                return
+                cut_off.append(str(error))
             except urllib3.exceptions.HTTPError as error:
                 cut_off.append(repr(error))
 
@@ -297,4 +300,5 @@
         )
         self.assertEqual(0, self.run_beside(ask, 8, 'entry-1'))
         self.assertEqual([], cut_off)
+        self.assertTrue(refused.is_set())
         self.assertNotEqual([], answered)
