Follow the new leader when leadership is lost inside a call

Cause: the stop test of the leader showed a caller not_leader: the API had turned the error into an answer, so that neither the entry nor the control instance sent the call on. Change: the API raises it; both already follow its peer.

--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -158,6 +158,9 @@
 
     Returns:
         The (status, JSON bytes) pair.
+
+    Raises:
+        NotLeaderError: Nothing was done; the caller asks the new leader.
     """
     fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
     request = Request(
@@ -171,6 +174,8 @@
     )
     try:
         answer = _find_handler(request)(request)
+    except errors.NotLeaderError:
+        raise
     except errors.BilberryhavenError as error:
         return error.status, _encode_error(error, request)
     except Exception as error:  # noqa: BLE001
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -14,6 +14,7 @@
 from bilberryhaven.commands import session
 from bilberryhaven.control import api
 from bilberryhaven.control import context
+from bilberryhaven import errors
 from bilberryhaven import settings
 from bilberryhaven import tables
 from bilberryhaven.tables import instance
@@ -273,6 +274,14 @@
 
 
 class TestRouting(ApiTestCase):
+    def test_lost_leadership_is_left_to_the_caller(self):
+        def propose(command):
+            raise errors.NotLeaderError('gone', step='propose', peer='b')
+
+        self.ctx.propose = propose
+        error = self.assertRaises(errors.NotLeaderError, self.declare)
+        self.assertEqual('b', error.peer)
+
     def test_unknown_paths_and_methods_are_coded(self):
         error = self.call('GET', '/v1/nowhere', status=404)
         self.assertEqual('not_found', error['code'])
