Bound what a node that hears nothing can act on

Cause: a node whose messages arrive but which loses the replies (a one-way cut, or a leader too slow for it) kept its old revision listed for ever, so that no change came into force. Change: the leader keeps, for each node, the leases that it granted with each revision; a node acts on none older than the least that may still run.

--- a/bench/projection.py
+++ b/bench/projection.py
@@ -16,6 +16,7 @@
 STARTS_A_SECOND = 1_800
 CHANGES_A_DAY = 3_500
 REGIONS = 7
+TICKS_A_SECOND = 10
 ENTRIES_A_REGION = 4
 JOBS_AN_INSTANCE = TASKS / WORKERS
 LARGEST_SHARE = 0.25
@@ -101,7 +102,6 @@
     """The leader, at the whole fleet, a quarter and a seventh of it."""
     shares = (1.0, LARGEST_SHARE, 1 / REGIONS)
     heartbeat = 'relay.leader.cpu_ms_per_heartbeat'
-    tick_us = figures.get('placement.tick_us_per_instance')
     lines = [
         '| leader of a cell with | all | a quarter | a seventh | unit |',
         '|---|---|---|---|---|',
@@ -112,7 +112,7 @@
             '% of a core',
         ),
         _row(
-            'starts at the peak',
+            'committing and applying the starts at the peak',
             [
                 figures.scale(
                     'leader_cpu_per_whole_job_us', STARTS_A_SECOND * s / 1e4
@@ -122,9 +122,23 @@
             '% of a core',
         ),
         _row(
-            'ticks, ten a second',
+            'deciding those starts',
             [
-                None if tick_us is None else tick_us * WORKERS * s / 1e3
+                figures.scale(
+                    'placement.decision_us_per_start',
+                    STARTS_A_SECOND * s / 1e4,
+                )
+                for s in shares
+            ],
+            '% of a core',
+        ),
+        _row(
+            'ticks, ten a second, by the slope',
+            [
+                figures.scale(
+                    'placement.tick_us_per_instance',
+                    WORKERS * s * TICKS_A_SECOND / 1e4,
+                )
                 for s in shares
             ],
             '% of a core',
--- a/bilberryhaven/control/context.py
+++ b/bilberryhaven/control/context.py
@@ -15,7 +15,7 @@
         name: The process's name.
         role: ``agent`` or ``entry``.
         zone: Its availability zone.
-        revision: Newest revision that it has acknowledged.
+        revision: Oldest revision that it can still act on.
         epoch: Epoch of an agent's session; 0 for an entry.
         lease_end: Monotonic time at which its lease, with the margin, has
             surely run out.
--- a/bilberryhaven/control/heartbeat.py
+++ b/bilberryhaven/control/heartbeat.py
@@ -75,6 +75,7 @@
             role='agent',
             zone=zone,
             revision=beat.revision,
+            granted=self._leader.state.revision,
             epoch=beat.epoch,
         )
 
--- a/bilberryhaven/control/nodes.py
+++ b/bilberryhaven/control/nodes.py
@@ -6,7 +6,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.control import context
 
-__all__ = ['LEASE', 'MARGIN', 'UNKNOWN_ENTRIES', 'NodeTable']
+__all__ = ['LEASE', 'MARGIN', 'UNKNOWN_ENTRIES', 'Holder', 'NodeTable']
 
 LEASE = clocks.seconds(4)
 # Covers clock-rate drift over a lease and the time a backend server needs to
@@ -15,6 +15,56 @@
 UNKNOWN_ENTRIES = '(entries of the former leader)'
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Holder:
+    """A node with the leases that it may hold.
+
+    Each reply that grants a lease carries a revision, and a node takes both
+    over or neither. It may have lost any reply, so it acts on no revision
+    older than the least of those whose leases still run, and on none older
+    than it has acknowledged.
+
+    Attributes:
+        name: The process's name.
+        role: ``agent`` or ``entry``.
+        zone: Its availability zone.
+        epoch: Epoch of an agent's session; 0 for an entry.
+        acknowledged: Newest revision that it has acknowledged.
+        leases: End of the last lease granted with each revision.
+    """
+
+    name: str
+    role: str
+    zone: str = ''
+    epoch: int = 0
+    acknowledged: int = 0
+    leases: dict = dataclasses.field(default_factory=dict)
+
+    @property
+    def lease_end(self):
+        """When the last of its leases ends."""
+        return max(self.leases.values())
+
+    def grant(self, revision, end, now):
+        """Add a lease; forget those that ended."""
+        running = {r: e for r, e in self.leases.items() if e > now}
+        running[revision] = end
+        self.leases = running
+
+    def describe(self, now):
+        """Return its ``Node`` row."""
+        running = [r for r, end in self.leases.items() if end > now]
+        oldest = min(running, default=max(self.leases))
+        return context.Node(
+            name=self.name,
+            role=self.role,
+            zone=self.zone,
+            revision=max(self.acknowledged, oldest),
+            epoch=self.epoch,
+            lease_end=self.lease_end,
+        )
+
+
 class NodeTable:
     """Who holds a lease, until when, and at which revision.
 
@@ -47,19 +97,19 @@
             self._nodes.clear()
             for row in agents:
                 self._put(
-                    context.Node(
+                    Holder(
                         name=row.name,
                         role='agent',
                         zone=row.zone,
                         epoch=row.epoch,
-                        lease_end=end,
+                        leases={0: end},
                     )
                 )
             self._put(
-                context.Node(name=UNKNOWN_ENTRIES, role='entry', lease_end=end)
+                Holder(name=UNKNOWN_ENTRIES, role='entry', leases={0: end})
             )
 
-    def renew(self, name, *, role, zone, revision, epoch=0):
+    def renew(self, name, *, role, zone, revision, granted, epoch=0):
         """Renew a lease from now; return whether it could be.
 
         A lease whose session is being closed is not renewed.
@@ -69,22 +119,19 @@
             role: ``agent`` or ``entry``.
             zone: Its availability zone.
             revision: Newest revision that it has acknowledged.
+            granted: Revision that goes with the lease, or an older one.
             epoch: Epoch of an agent's session.
         """
-        end = self._clock.monotonic() + LEASE + MARGIN
+        now = self._clock.monotonic()
         with self._lock:
             if (name, epoch) in self._closing:
                 return False
-            self._put(
-                context.Node(
-                    name=name,
-                    role=role,
-                    zone=zone,
-                    revision=revision,
-                    epoch=epoch,
-                    lease_end=end,
-                )
-            )
+            holder = self._nodes.get(name)
+            if holder is None or holder.epoch != epoch:
+                holder = Holder(name=name, role=role, zone=zone, epoch=epoch)
+                self._put(holder)
+            holder.acknowledged = max(holder.acknowledged, revision)
+            holder.grant(granted, now + LEASE + MARGIN, now)
             return True
 
     def begin_close(self, name, epoch):
@@ -121,7 +168,7 @@
             for name, node in list(self._nodes.items()):
                 if node.role == 'entry' and node.lease_end <= now:
                     del self._nodes[name]
-            return [dataclasses.replace(node) for node in self._nodes.values()]
+            return [node.describe(now) for node in self._nodes.values()]
 
     def list_lapsed(self):
         """Return (name, epoch) of agents whose lease has surely run out."""
--- a/bilberryhaven/control/sync.py
+++ b/bilberryhaven/control/sync.py
@@ -32,6 +32,7 @@
             role='entry',
             zone=request.zone,
             revision=request.revision,
+            granted=leader.state.revision,
         )
         with leader.replica.machine_lock:
             cursor, full, names = leader.feed.read(
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -217,6 +217,36 @@
         self.assertEqual(job.JobState.PENDING, self.state.jobs.get('j').state)
 
 
+class TestInForce(ControlTestCase):
+    def get_revision(self):
+        rows = [n for n in self.leader.list_nodes() if n.role == 'agent']
+        return rows[0].revision
+
+    def test_agent_whose_replies_are_lost_holds_nothing_old_for_long(self):
+        self.beat()
+        self.submit()
+        revision = self.state.revision
+        for _ in range(4):
+            self.advance(1)
+            self.beat(epoch=1, revision=0)
+            self.assertEqual(0, self.get_revision())
+        self.advance(0.6)
+        self.assertEqual(revision, self.get_revision())
+
+    def test_acknowledged_change_is_held_at_once(self):
+        self.beat()
+        self.submit()
+        self.beat(epoch=1, revision=self.state.revision)
+        self.assertEqual(self.state.revision, self.get_revision())
+
+    def test_older_beat_that_comes_late_takes_nothing_back(self):
+        self.beat()
+        self.submit()
+        self.beat(epoch=1, revision=self.state.revision)
+        self.beat(epoch=1, revision=0)
+        self.assertEqual(self.state.revision, self.get_revision())
+
+
 class TestSync(ControlTestCase):
     def sync_entry(self, feed='', cursor=0, revision=0):
         return self.sync.handle(
