--- a/bilberryhaven/commands/change.py
+++ b/bilberryhaven/commands/change.py
@@ -118,13 +118,22 @@
     spec: workload.Workload
 
     def describe(self):
-        """Return the declaration's main fields."""
+        """Return the declaration."""
         spec = self.spec
+        need = spec.resources
         return {
             'kind': str(spec.kind),
+            'team': spec.team,
             'runs_on': spec.runs_on,
             'shares_with': spec.shares_with,
             'labels': _format_labels(spec.labels),
+            'resources': (
+                f'slots={need.slots},cpu={need.cpu},'
+                f'memory_mb={need.memory_mb},'
+                f'accelerators={need.accelerators}'
+            ),
+            'run_seconds': str(spec.run_seconds),
+            'repeatable': str(spec.repeatable).lower(),
         }
 
     def edit(self, state):
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -145,6 +145,15 @@
         self.assertEqual(got, self.call('GET', path)['changes'])
         self.call('GET', '/v1/history/none', status=404)
 
+    def test_history_shows_the_whole_declaration(self):
+        self.declare(team='ponds', repeatable=False)
+        (row,) = self.call('GET', '/v1/history/survey')['changes']
+        shown = row['fields']
+        self.assertEqual(
+            ('ponds', 'false'), (shown['team'], shown['repeatable'])
+        )
+        self.assertIn('slots=1,', shown['resources'])
+
     def test_bad_bodies_name_the_field(self):
         cases = [
             ({'kind': 'batch', 'resources': {'slots': 0}}, 'resources.slots'),
