Add workflows of steps and the adapter to the users' infrastructure

Cause: the users' platform speaks of jobs made of steps whose tasks run on workers; the product knew single jobs only, and no worker's protocol. Change: tables, commands, placement, sessions, agent rules and the adapter, thin; a deploy file with three roles.

--- a/bilberryhaven/clock.py
+++ b/bilberryhaven/clock.py
@@ -28,8 +28,10 @@
     """The machine's clocks."""
 
     def monotonic(self):
-        """Return the machine's monotonic time."""
-        return datetime.timedelta(seconds=time.monotonic())
+        """Return the machine's monotonic time, suspended time included."""
+        # A lease also runs out while the machine is suspended.
+        elapsed = time.clock_gettime(time.CLOCK_BOOTTIME)
+        return datetime.timedelta(seconds=elapsed)
 
     def wall(self):
         """Return the machine's wall time in UTC."""
--- /dev/null
+++ b/bilberryhaven/commands/workflow.py
@@ -0,0 +1,308 @@
+"""Commands on workflows: submission, runs, their ends, cancellation."""
+
+import msgspec
+
+from bilberryhaven import commands
+from bilberryhaven.tables import workflow
+
+__all__ = [
+    'CancelWorkflow',
+    'EndHow',
+    'ExpireWorkflows',
+    'FailWorkflow',
+    'RecordEnds',
+    'RunEnd',
+    'RunRef',
+    'RunStart',
+    'StartRuns',
+    'StopRuns',
+    'SubmitWorkflow',
+]
+
+DONE = 'done'
+FAILED = 'failed'
+MAX_FAILED_ON = 8
+
+
+class EndHow:
+    """How a run ended, as a backend server tells it."""
+
+    DONE = DONE
+    FAILED = FAILED
+    STOPPED = 'stopped'
+    LAPSED = 'lapsed'
+    REJECTED = 'rejected'
+
+
+class RunRef(msgspec.Struct, frozen=True, array_like=True):
+    """One run of a task.
+
+    Attributes:
+        workflow: Id of the workflow.
+        task: Key of the task within it.
+        number: Number of the run.
+    """
+
+    workflow: str
+    task: str
+    number: int
+
+
+class RunStart(msgspec.Struct, frozen=True, array_like=True):
+    """A run to be started on a backend server."""
+
+    workflow: str
+    task: str
+    number: int
+    backend: str
+
+
+class RunEnd(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a run, as its backend server lists it.
+
+    Attributes:
+        number: Number of the end; 0 for a start that was rejected.
+        run: The run.
+        how: One of ``EndHow``; others count as stopped.
+        checkpoint: Checkpoint to resume from, or empty.
+    """
+
+    number: int
+    run: RunRef
+    how: str
+    checkpoint: str = ''
+
+
+class SubmitWorkflow(commands.Command):
+    """Accepts a workflow; a second submission of its id changes nothing."""
+
+    workflow: workflow.Workflow
+
+    def apply(self, state):
+        """Store the workflow; return the stored one."""
+        found = state.workflows.find(self.workflow.id)
+        if found is None:
+            state.workflows.put(self.workflow)
+            found = self.workflow
+        return found
+
+
+class CancelWorkflow(commands.Command):
+    """Cancels a workflow and orders its runs to stop."""
+
+    id: str
+    at: float
+
+    def apply(self, state):
+        """Cancel it unless it has ended; return its state."""
+        row = state.workflows.get(self.id)
+        if row.state == workflow.WorkflowState.ACTIVE:
+            _end(
+                state,
+                row,
+                workflow.WorkflowState.CANCELLED,
+                self.at,
+                'cancelled by its caller',
+            )
+        return row.state
+
+
+class FailWorkflow(commands.Command):
+    """Ends a workflow that can't be done."""
+
+    id: str
+    at: float
+    reason: str
+
+    def apply(self, state):
+        """Fail it unless it has ended."""
+        row = state.workflows.get(self.id)
+        if row.state == workflow.WorkflowState.ACTIVE:
+            _end(
+                state,
+                row,
+                workflow.WorkflowState.FAILED,
+                self.at,
+                self.reason,
+            )
+
+
+class StartRuns(commands.Command):
+    """Orders runs; each must be committed before its order is sent."""
+
+    starts: list[RunStart]
+    at: float
+
+    def apply(self, state):
+        """Note the runs that are still allowed; return how many are."""
+        allowed = 0
+        for start in self.starts:
+            if self._may_start(state, start):
+                self._note(state, start)
+                allowed += 1
+        return allowed
+
+    def _may_start(self, state, start):
+        row = state.workflows.find(start.workflow)
+        if row is None or row.state != workflow.WorkflowState.ACTIVE:
+            return False
+        if start.backend not in state.backends:
+            return False
+        _, step, _ = workflow.split_task_key(start.task)
+        task = row.find_task(start.task)
+        if task.done or start.number <= task.last_run:
+            return False
+        tried = task.failures >= row.max_attempts
+        if tried and not row.steps[step].long_running:
+            return False
+        return not task.runs or row.steps[step].speculative
+
+    def _note(self, state, start):
+        row = state.workflows.get(start.workflow)
+        task = row.tasks.setdefault(start.task, workflow.Task())
+        task.last_run = start.number
+        task.runs.append(
+            workflow.Run(
+                number=start.number,
+                backend=start.backend,
+                ordered_at=self.at,
+            )
+        )
+        state.workflows.update(row.id, started=True)
+
+
+class StopRuns(commands.Command):
+    """Orders runs to stop; their tasks run again elsewhere."""
+
+    runs: list[RunRef]
+
+    def apply(self, state):
+        """Mark the runs."""
+        for ref in self.runs:
+            row = state.workflows.find(ref.workflow)
+            if row is None:
+                continue
+            for run in row.find_task(ref.task).runs:
+                if run.number == ref.number:
+                    run.stopping = True
+            state.workflows.update(row.id)
+
+
+class RecordEnds(commands.Command):
+    """Takes over the ends of runs that a backend server lists.
+
+    The backend server may forget an end only after this was committed.
+
+    Attributes:
+        backend: Key of the backend server.
+        ends: Ends in order of their numbers.
+        upto: Number of the newest end that is taken over.
+        at: Unix time in seconds.
+    """
+
+    backend: str
+    ends: list[RunEnd]
+    upto: int
+    at: float
+
+    def apply(self, state):
+        """Record the ends; return the number up to which all are."""
+        server = state.backends.get(self.backend)
+        for end in self.ends:
+            if end.number == 0 or end.number > server.acked:
+                _record_end(state, self.backend, end, self.at)
+        if self.upto > server.acked:
+            state.backends.update(self.backend, acked=self.upto)
+        return server.acked
+
+
+class ExpireWorkflows(commands.Command):
+    """Forgets workflows that ended long ago."""
+
+    ids: list[str]
+
+    def apply(self, state):
+        """Remove those that have ended and of which nothing runs."""
+        for workflow_id in self.ids:
+            row = state.workflows.find(workflow_id)
+            if row is None or row.state == workflow.WorkflowState.ACTIVE:
+                continue
+            if not row.list_runs():
+                state.workflows.remove(workflow_id)
+
+
+def free_runs(state, backend, at):
+    """End all runs of a backend server that is known to run nothing."""
+    for row in list(state.workflows):
+        for key, run in row.list_runs():
+            if run.backend == backend:
+                ref = RunRef(row.id, key, run.number)
+                end = RunEnd(0, ref, EndHow.LAPSED)
+                _record_end(state, backend, end, at)
+
+
+def _record_end(state, backend, end, at):
+    row = state.workflows.find(end.run.workflow)
+    task = row.tasks.get(end.run.task) if row else None
+    if task is None:
+        return
+    known = [
+        run
+        for run in task.runs
+        if run.number == end.run.number and run.backend == backend
+    ]
+    if not known:
+        return
+    task.runs.remove(known[0])
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    _, index, _ = workflow.split_task_key(end.run.task)
+    step = row.steps[index]
+    if row.state == workflow.WorkflowState.ACTIVE:
+        _judge_end(state, row, step, task, end, backend, at)
+    state.workflows.update(row.id)
+
+
+def _judge_end(state, row, step, task, end, backend, at):
+    if end.how == DONE and not step.long_running:
+        task.done = True
+        _finish_step(row, step, end)
+        for run in task.runs:
+            run.stopping = True
+        if row.is_done():
+            _end(
+                state,
+                row,
+                workflow.WorkflowState.COMPLETED,
+                at,
+                'all tasks are done',
+            )
+    elif end.how == FAILED:
+        task.failures += 1
+        task.failed_on = [*task.failed_on, backend][-MAX_FAILED_ON:]
+        out = task.failures >= row.max_attempts and not task.done
+        if out and not step.long_running:
+            _end(
+                state,
+                row,
+                workflow.WorkflowState.FAILED,
+                at,
+                f'task {end.run.task} failed {task.failures} times',
+            )
+
+
+def _finish_step(row, step, end):
+    if not step.gang:
+        return
+    # The end of one member of a gang stands for all of them.
+    occurrence, index, _ = workflow.split_task_key(end.run.task)
+    for member in range(step.tasks):
+        key = workflow.build_task_key(occurrence, index, member)
+        row.tasks.setdefault(key, workflow.Task()).done = True
+
+
+def _end(state, row, outcome, at, reason):
+    for task in row.tasks.values():
+        for run in task.runs:
+            run.stopping = True
+    state.workflows.update(row.id, state=outcome, ended_at=at, reason=reason)
--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -300,8 +300,14 @@
         self.lease = lease.Lease(name=self.name, now=now)
         self.peers = {}
         self.update_peers(now)
-        noop = message.Entry(self.term, message.EntryKind.NOOP)
-        self.noop_index = replication.append_own(self, [noop], now)
+        entries = [message.Entry(self.term, message.EntryKind.NOOP)]
+        if not self.history.index:
+            # A voter whose folder is emptied learns the members from the log.
+            founding = self.members.encode()
+            entries.append(
+                message.Entry(self.term, message.EntryKind.MEMBERS, founding)
+            )
+        self.noop_index = replication.append_own(self, entries, now)
         replication.send_heartbeats(self, now)
 
     def update_peers(self, now):
--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -10,6 +10,7 @@
     'DeadlineError',
     'DrainingError',
     'FencedError',
+    'GoneError',
     'InternalError',
     'LeaseLapsedError',
     'MethodError',
@@ -127,6 +128,13 @@
     status = 404
 
 
+class GoneError(BilberryhavenError):
+    """There is no workflow with this id, or none any more."""
+
+    code = 'gone'
+    status = 410
+
+
 class MethodError(BilberryhavenError):
     """The path exists but doesn't take this method."""
 
--- /dev/null
+++ b/bilberryhaven/platform/roles.py
@@ -0,0 +1,202 @@
+"""Roles as the infrastructure runs them: wiring only."""
+
+import threading
+
+import msgspec
+
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven import registry
+from bilberryhaven import ticker
+from bilberryhaven.platform import faces
+from bilberryhaven.platform import settings as platform_settings
+from bilberryhaven.platform import workers
+from bilberryhaven.roles import process
+from bilberryhaven.wire import client
+from bilberryhaven.wire import leader
+from bilberryhaven.wire import server
+from bilberryhaven.workflow import agent
+from bilberryhaven.workflow import gateway
+
+__all__ = ['get_role_by_name', 'run']
+
+SEED_INTERVAL = clocks.seconds(1)
+ATTEMPT_TIMEOUT = clocks.seconds(1)
+CALLER_THREADS = 48
+OPERATOR_THREADS = 12
+WORKER_THREADS = 4
+READY_THREADS = 2
+# How long a stopping entry answers, refusing readiness: the balancer leaves
+# it out after two misses, a second apart.
+NOTICE = clocks.seconds(3)
+
+_registry = registry.Registry(family='role')
+get_role_by_name = _registry.get
+_logger = log.get_logger('platform')
+
+
+class Role:
+    """Base of the roles: a way to the leader, and the faces served.
+
+    Args:
+        deployment: The ``Deployment``.
+        clock: The ``Clock``.
+    """
+
+    def __init__(self, *, deployment, clock):
+        self._deployment = deployment
+        self._clock = clock
+        self._client = client.Client()
+        self._leader = leader.LeaderClient(
+            addresses=deployment.settings.control,
+            client=self._client,
+            clock=clock,
+            attempt_timeout=ATTEMPT_TIMEOUT,
+        )
+        self._gateway = gateway.Gateway(leader=self._leader)
+        self._servers = []
+        self._stop_ticker = None
+
+    @property
+    def address(self):
+        """The first address that it listens on."""
+        return self._servers[0].address if self._servers else ''
+
+    def _serve(self, address, handle, threads):
+        made = server.Server(
+            address=address, handlers={}, fallback=handle, threads=threads
+        )
+        self._servers.append(made)
+
+    def start(self):
+        """Listen, and follow changes of the seeds."""
+        for item in self._servers:
+            item.start()
+        self._stop_ticker = ticker.Ticker.launch(
+            name='seeds',
+            func=self._read_seeds,
+            interval=SEED_INTERVAL,
+            clock=self._clock,
+        )
+
+    def stop(self):
+        """Stop listening and wait for the requests in progress."""
+        if self._stop_ticker is not None:
+            self._stop_ticker()
+        for item in self._servers:
+            item.stop()
+        self._leader.close()
+        self._client.close()
+
+    def _read_seeds(self):
+        try:
+            read = platform_settings.load_deployment()
+        except errors.SettingsError as error:
+            _logger.warning('settings not read again: {}', error)
+            return
+        self._learn(read.settings.control)
+
+    def _learn(self, addresses):
+        seeds = self._deployment.settings.control
+        self._leader.learn([*dict.fromkeys([*addresses, *seeds])])
+
+
+@_registry.register('entry')
+class EntryRole(Role):
+    """Takes callers' jobs."""
+
+    def __init__(self, **kwargs):
+        super().__init__(**kwargs)
+        self._draining = threading.Event()
+        self._serve(
+            self._deployment.callers,
+            faces.build_caller_face(self._gateway, self._draining.is_set),
+            CALLER_THREADS,
+        )
+        self._serve(self._deployment.ready, self._report_ready, READY_THREADS)
+
+    def stop(self):
+        """Refuse readiness, go on answering for a notice, then stop."""
+        self._draining.set()
+        threading.Event().wait(NOTICE.total_seconds())
+        super().stop()
+
+    def _report_ready(self, environ, body):
+        ready = not self._draining.is_set()
+        return server.Response(status=200 if ready else 503, body=b'{}')
+
+
+@_registry.register('agent')
+class AgentRole(Role):
+    """Runs beside a worker."""
+
+    def __init__(self, **kwargs):
+        super().__init__(**kwargs)
+        self._agent = agent.WorkflowAgent(
+            name=self._deployment.settings.name,
+            gateway=self._gateway,
+            client=workers.WorkerClient(),
+            clock=self._clock,
+            options=self._deployment.options,
+            on_control=self._learn,
+        )
+        self._serve(
+            self._deployment.orders,
+            faces.build_worker_face(self._agent),
+            WORKER_THREADS,
+        )
+
+    def start(self):
+        """Listen to the worker and follow the leader."""
+        super().start()
+        self._agent.start()
+
+    def stop(self):
+        """Stop; the worker's runs go on until their lease ends."""
+        self._agent.stop()
+        super().stop()
+
+
+@_registry.register('control')
+class ControlRole(Role):
+    """Serves operators; holds a replica of the log where there is a disk."""
+
+    def __init__(self, **kwargs):
+        super().__init__(**kwargs)
+        self._control = self._build_control()
+        self._serve(
+            self._deployment.orders,
+            faces.build_operator_face(self._gateway),
+            OPERATOR_THREADS,
+        )
+
+    def _build_control(self):
+        # The replica's imports are the largest; other roles do without.
+        from bilberryhaven.roles import control
+
+        return control.ControlRole(
+            settings=msgspec.structs.replace(
+                self._deployment.settings,
+                name=platform_settings.name_replica(self._deployment),
+            ),
+            clock=self._clock,
+            options=self._deployment.options,
+        )
+
+    def start(self):
+        """Join the quorum and listen."""
+        self._control.start()
+        super().start()
+
+    def stop(self):
+        """Hand leadership over and stop."""
+        self._control.stop()
+        super().stop()
+
+
+def run(name, clock):
+    """Run a role until it is told to stop; return the exit status."""
+    deployment = platform_settings.load_deployment()
+    role = get_role_by_name(name)(deployment=deployment, clock=clock)
+    return process.run_until_signal(role, deployment.settings)
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -18,12 +18,16 @@
 from bilberryhaven.wire import client
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
+from bilberryhaven.workflow import dispatcher
+from bilberryhaven.workflow import options as workflow_options
 
 __all__ = ['ControlRole', 'run']
 
 TICK = clocks.seconds(0.1)
 RELAY_TIMEOUT = clocks.seconds(5)
-THREADS = 32
+# Each agent holds a poll and may report beside it; entries and the other
+# control instances come on top, for a few dozen instances a leader.
+THREADS = 96
 API_PREFIX = '/v1/'
 
 
@@ -33,9 +37,10 @@
     Args:
         settings: The process's ``Settings``.
         clock: The ``Clock``.
+        options: The ``Options`` of workflows, or None for the defaults.
     """
 
-    def __init__(self, *, settings, clock):
+    def __init__(self, *, settings, clock, options=None):
         self._settings = settings
         self._client = client.Client()
         self.metrics = metrics.Metrics()
@@ -61,6 +66,12 @@
             replica=self.replica,
             machine=self._machine,
         )
+        self.workflows = dispatcher.Dispatcher(
+            replica=self.replica,
+            machine=self._machine,
+            clock=clock,
+            options=options or workflow_options.Options(),
+        )
         self._beats = heartbeat.HeartbeatHandler(leader=self.leader)
         self._sync = sync.SyncHandler(leader=self.leader)
         self._clock = clock
@@ -75,6 +86,7 @@
         """Load the data folder, listen and take part in the quorum."""
         self.replica.start()
         self.server.start()
+        self.workflows.start()
         self._stop_ticker = ticker.Ticker.launch(
             name='systems',
             func=self.leader.tick,
@@ -86,6 +98,7 @@
         """Hand leadership over, finish requests, sync and stop."""
         if self._stop_ticker is not None:
             self._stop_ticker()
+        self.workflows.stop()
         self.replica.stop()
         self.server.stop()
         self._client.close()
@@ -100,6 +113,7 @@
             message.SyncRequest: lambda m: self._sync.handle(m),
             message.ClaimRequest: self._claim,
             message.CallRequest: self._call,
+            message.WorkRequest: lambda m: self.workflows.handle(m),
             message.ConsensusBatch: self._step,
         }
 
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -7,7 +7,7 @@
 
 from bilberryhaven.entry import api
 from bilberryhaven.entry import gate
-from bilberryhaven.entry import leader
+from bilberryhaven.wire import leader
 from bilberryhaven.entry import metrics
 from bilberryhaven.entry import pending
 from bilberryhaven.entry import relay
--- a/bilberryhaven/entry/leader.py
+++ b/bilberryhaven/wire/leader.py
@@ -9,6 +9,8 @@
 
 ATTEMPT_TIMEOUT = datetime.timedelta(seconds=2)
 PAUSE = datetime.timedelta(milliseconds=50)
+# Two instances that name each other must not keep the caller busy.
+FOLLOW_PAUSE = datetime.timedelta(milliseconds=2)
 MAX_PAUSE = datetime.timedelta(milliseconds=500)
 
 
@@ -19,10 +21,14 @@
         addresses: HOST:PORT of the control instances.
         client: A ``wire`` client.
         clock: Source of time.
+        attempt_timeout: Longest wait for one control instance.
     """
 
-    def __init__(self, *, addresses, client, clock):
+    def __init__(
+        self, *, addresses, client, clock, attempt_timeout=ATTEMPT_TIMEOUT
+    ):
         self._addresses = list(addresses)
+        self._attempt_timeout = attempt_timeout
         self._client = client
         self._clock = clock
         self._leader = ''
@@ -48,6 +54,7 @@
         deadline = self._clock.monotonic() + timeout
         pause = PAUSE
         last = None
+        outcome = errors.Outcome.NOT_RUN
         while not self._closed.is_set():
             remaining = deadline - self._clock.monotonic()
             if remaining <= datetime.timedelta():
@@ -57,21 +64,30 @@
                 return self._client.send(
                     address,
                     msg,
-                    timeout=min(remaining, ATTEMPT_TIMEOUT),
+                    timeout=min(remaining, self._attempt_timeout),
                     step=step,
                 )
             except errors.NotLeaderError as error:
                 last = error
                 self._check_repeatable(error, repeatable)
                 if self._follow(address, error.peer):
+                    self._closed.wait(FOLLOW_PAUSE.total_seconds())
                     continue
-            except errors.PeerError as error:
+            except (errors.PeerError, errors.DeadlineError) as error:
                 last = error
                 self._forget(address)
                 self._check_repeatable(error, repeatable)
+            if last.outcome != errors.Outcome.NOT_RUN:
+                outcome = errors.Outcome.UNKNOWN
             self._closed.wait(min(pause, remaining).total_seconds())
             pause = min(2 * pause, MAX_PAUSE)
-        raise _build_unavailable(last, step)
+        raise _build_unavailable(last, outcome, step)
+
+    def learn(self, addresses):
+        """Use these addresses of control instances from now on."""
+        with self._lock:
+            if addresses:
+                self._addresses = list(addresses)
 
     def close(self):
         """End all attempts."""
@@ -108,12 +124,10 @@
                 self._leader = ''
 
 
-def _build_unavailable(last, step):
+def _build_unavailable(last, outcome, step):
     text = 'no leader was reached'
-    outcome = errors.Outcome.NOT_RUN
     if last is not None:
         text = f'{text}; last: {last.message}'
-        outcome = last.outcome
     return errors.UnavailableError(
         text,
         step=step,
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -351,6 +351,20 @@
     body: bytes = b''
 
 
+@_declare_message
+class WorkRequest:
+    """A request about workflows, encoded by ``workflow.message``."""
+
+    body: bytes
+
+
+@_declare_message
+class WorkReply:
+    """The reply to a ``WorkRequest``, encoded likewise."""
+
+    body: bytes
+
+
 @_declare_message
 class ConsensusBatch:
     """Messages of the consensus core, each encoded by its own codec."""
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -241,6 +241,15 @@
   body @1 :Data;
 }
 
+# body is a message of bilberryhaven.workflow.message.
+struct WorkRequest {
+  body @0 :Data;
+}
+
+struct WorkReply {
+  body @0 :Data;
+}
+
 struct ErrorReply {
   code @0 :Text;
   message @1 :Text;
@@ -275,5 +284,7 @@
     callRequest @14 :CallRequest;
     callReply @15 :CallReply;
     consensusBatch @16 :ConsensusBatch;
+    workRequest @17 :WorkRequest;
+    workReply @18 :WorkReply;
   }
 }
--- /dev/null
+++ b/bilberryhaven/workflow/__init__.py
@@ -0,0 +1,1 @@
+"""Workflows: how jobs of steps are accepted, placed, run and ended."""
--- /dev/null
+++ b/bilberryhaven/workflow/callers.py
@@ -0,0 +1,193 @@
+"""Answers callers' and operators' requests about workflows, at the leader."""
+
+import re
+
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.commands import catalog as catalog_commands
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.tables import catalog
+from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import checks
+from bilberryhaven.workflow import message
+
+__all__ = ['CallerDesk']
+
+ID_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9_-]{0,99}')
+QUEUED = 'queued'
+RUNNING = 'running'
+
+_logger = log.get_logger('workflow')
+
+
+class CallerDesk:
+    """Answers requests of callers and operators.
+
+    Args:
+        leader: The ``Dispatcher``.
+        clock: The ``Clock``.
+    """
+
+    def __init__(self, *, leader, clock):
+        self._leader = leader
+        self._clock = clock
+
+    def submit(self, request):
+        """Accept a workflow; a second submission changes nothing."""
+        checks.check_steps(request.steps, request.schedule)
+        with self._leader.read() as state:
+            queue, workflow_id = _resolve(state, request)
+            known = state.workflows.find(workflow_id)
+        if known is None:
+            known = self._accept(request, queue, workflow_id)
+        return message.StateReply(state=describe_state(known))
+
+    def _accept(self, request, queue, workflow_id):
+        row = workflow.Workflow(
+            id=workflow_id,
+            queue=queue.name,
+            pool=queue.pool,
+            spec=request.spec,
+            steps=request.steps,
+            schedule=request.schedule,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            slack_factor=queue.slack_factor,
+            latency_ms=queue.latency_ms,
+            submitted_at=self._clock.wall().timestamp(),
+        )
+        command = workflow_commands.SubmitWorkflow(workflow=row)
+        stored = self._leader.propose(command)
+        self._leader.wake()
+        log.log_decision(
+            _logger,
+            'accept workflow',
+            reason='its queue takes it',
+            workflow=workflow_id,
+            queue=queue.name,
+            tasks=sum(step.tasks for step in row.steps),
+        )
+        return stored
+
+    def inquire(self, request):
+        """Return a workflow's state, or how many wait in a queue."""
+        with self._leader.read() as state:
+            queue, workflow_id = _resolve(state, request, allow_queue=True)
+            if workflow_id:
+                row = _find(state, queue, workflow_id)
+                return message.StateReply(state=describe_state(row))
+            waiting = sum(
+                1
+                for row in state.workflows.iterate('queue', queue.name)
+                if row.state == workflow.WorkflowState.ACTIVE
+                and not row.started
+            )
+            return message.CountReply(waiting=waiting)
+
+    def cancel(self, request):
+        """Cancel a workflow."""
+        with self._leader.read() as state:
+            queue, workflow_id = _resolve(state, request)
+            row = _find(state, queue, workflow_id)
+            ended = row.state != workflow.WorkflowState.ACTIVE
+        if not ended:
+            command = workflow_commands.CancelWorkflow(
+                id=workflow_id, at=self._clock.wall().timestamp()
+            )
+            self._leader.propose(command)
+            self._leader.wake()
+            log.log_decision(
+                _logger,
+                'cancel workflow',
+                reason='its caller asked for it',
+                workflow=workflow_id,
+                queue=queue.name,
+            )
+        return message.StateReply(state=describe_state(row))
+
+    def replace_catalog(self, request):
+        """Put a newer catalog in force."""
+        checks.check_catalog(request.queues, request.pools)
+        row = catalog.Catalog(
+            version=request.version,
+            queues=request.queues,
+            pools=request.pools,
+            document=request.document,
+        )
+        self._leader.ensure_ready()
+        version = self._leader.propose(
+            catalog_commands.ReplaceCatalog(catalog=row)
+        )
+        self._leader.wake()
+        log.log_decision(
+            _logger,
+            'replace catalog',
+            reason='newer' if version == request.version else 'overtaken',
+            version=request.version,
+            in_force=version,
+            queues=len(request.queues),
+        )
+        return message.CatalogReply(version=version)
+
+    def read_catalog(self, request):
+        """Return the catalog in force."""
+        with self._leader.read() as state:
+            row = state.catalogs.find_current()
+            if row is None:
+                return message.CatalogReply(version=0)
+            return message.CatalogReply(
+                version=row.version, document=row.document
+            )
+
+
+def describe_state(row):
+    """Return the word for where a workflow stands."""
+    if row.state == workflow.WorkflowState.ACTIVE:
+        return RUNNING if row.started else QUEUED
+    return str(row.state)
+
+
+def _resolve(state, request, *, allow_queue=False):
+    """Return the (queue, workflow id) pair that a request addresses.
+
+    Raises:
+        UnavailableError: There is no catalog yet.
+        NotFoundError: No queue has this host and path.
+        BadInputError: What follows the queue's prefix is no id.
+    """
+    current = state.catalogs.find_current()
+    if current is None:
+        raise errors.UnavailableError(
+            'there is no catalog of queues yet',
+            step='find queue',
+            retry_after=1,
+        )
+    fits = [
+        queue
+        for queue in current.queues
+        if queue.host == request.host and request.path.startswith(queue.prefix)
+    ]
+    if not fits:
+        raise errors.NotFoundError(
+            f'no queue at {request.host}{request.path}', step='find queue'
+        )
+    queue = max(fits, key=lambda item: len(item.prefix))
+    workflow_id = request.path[len(queue.prefix) :]
+    if not workflow_id and allow_queue:
+        return queue, ''
+    if not ID_PATTERN.fullmatch(workflow_id):
+        raise errors.BadInputError(
+            f'{workflow_id!r} is no id of a workflow', step='find queue'
+        )
+    return queue, workflow_id
+
+
+def _find(state, queue, workflow_id):
+    row = state.workflows.find(workflow_id)
+    if row is None or row.queue != queue.name:
+        raise errors.GoneError(
+            f'queue {queue.name} has no workflow {workflow_id}',
+            step='look-up',
+            request_id=workflow_id,
+        )
+    return row
--- /dev/null
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -0,0 +1,438 @@
+"""The leader's work on workflows: requests, sessions and scheduling."""
+
+import contextlib
+import threading
+
+from bilberryhaven import commands
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.commands import backend as backend_commands
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.tables import backend
+from bilberryhaven.tables import workflow
+from bilberryhaven import clock as clocks
+from bilberryhaven.wire import message as wire_message
+from bilberryhaven.workflow import board
+from bilberryhaven.workflow import callers
+from bilberryhaven.workflow import health
+from bilberryhaven.workflow import message
+from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import session
+
+__all__ = ['Dispatcher']
+
+COMMIT_TIMEOUT = clocks.seconds(2)
+# Due times, lapsed leases and quarantines are looked at this often when
+# nothing else happens.
+IDLE_SECONDS = 0.1
+EXPIRY_INTERVAL = clocks.seconds(10)
+
+_logger = log.get_logger('workflow')
+
+
+class Dispatcher:
+    """One control instance's part in running workflows.
+
+    Every request raises ``NotLeaderError`` on an instance that isn't the
+    leader.
+
+    Args:
+        replica: The ``Replica`` of the log.
+        machine: The ``TableMachine`` that it applies to.
+        clock: The ``Clock``.
+        options: The ``Options`` of workflows.
+        membership: Handles ``Join`` requests, or None.
+    """
+
+    def __init__(self, *, replica, machine, clock, options, membership=None):
+        self._replica = replica
+        self._state = machine.state
+        self._clock = clock
+        self._options = options
+        self._sessions = session.SessionTable()
+        self._health = health.HealthTable()
+        self._board = board.Board(machine.state)
+        self._desk = callers.CallerDesk(leader=self, clock=clock)
+        self._membership = membership
+        self._ready_term = 0
+        self._ready_at = clock.monotonic()
+        self._ready_lock = threading.Lock()
+        self._expired_at = clock.monotonic()
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._handlers = {
+            message.Poll: self._poll,
+            message.Report: self._report,
+            message.Submit: self._desk.submit,
+            message.Inquire: self._desk.inquire,
+            message.Cancel: self._desk.cancel,
+            message.Replace: self._desk.replace_catalog,
+            message.ReadCatalog: self._desk.read_catalog,
+            message.Join: self._join,
+        }
+
+    def start(self):
+        """Start to schedule while this instance leads."""
+        threading.Thread(
+            target=self._run, name='workflows', daemon=True
+        ).start()
+
+    def stop(self):
+        """Schedule no longer and end held polls."""
+        self._stopping.set()
+        self._wake.set()
+        self._sessions.clear()
+
+    def handle(self, request):
+        """Return the ``WorkReply`` to a ``WorkRequest``."""
+        msg = message.decode_request(request.body)
+        reply = self._handlers[type(msg)](msg)
+        return wire_message.WorkReply(body=message.encode(reply))
+
+    def wake(self):
+        """Let the scheduler look at once."""
+        self._wake.set()
+
+    def ensure_ready(self):
+        """Check leadership; begin anew in a new term.
+
+        Raises:
+            NotLeaderError: This instance is not, or no longer, the leader.
+        """
+        self._replica.check_read()
+        term = self._replica.status().term
+        if term == self._ready_term:
+            return
+        with self._ready_lock:
+            if term != self._ready_term:
+                self._sessions.clear()
+                self._health.clear()
+                self._ready_at = self._clock.monotonic()
+                self._ready_term = term
+                _logger.info('schedules workflows', extra={'term': term})
+
+    @contextlib.contextmanager
+    def read(self):
+        """Hold the tables still for a linearizable read."""
+        self.ensure_ready()
+        with self._replica.machine_lock:
+            yield self._state
+
+    def propose(self, command):
+        """Commit ``command`` and return its result."""
+        return self._replica.propose(
+            commands.encode(command), timeout=COMMIT_TIMEOUT
+        )
+
+    def _join(self, request):
+        self.ensure_ready()
+        member = self._membership.admit(request)
+        return message.JoinReply(member=member)
+
+    def _poll(self, request):
+        self.ensure_ready()
+        server = request.server
+        key = backend.build_backend_key(server.id, server.born_ms)
+        held = self._find_session(key, request)
+        self._renew(held, server)
+        hold = self._options.poll_hold.total_seconds()
+        last, orders = held.wait(request.feed, request.seen, hold)
+        self.ensure_ready()
+        _check_open(held)
+        row = self._state.backends.find(key)
+        return message.PollReply(
+            key=key,
+            epoch=held.epoch,
+            lease_ms=int(self._options.lease / clocks.seconds(0.001)),
+            feed=held.feed,
+            last=last,
+            orders=orders,
+            acked=row.acked if row else 0,
+            control=self._list_control(),
+        )
+
+    def _renew(self, held, server):
+        with self._replica.machine_lock:
+            _check_open(held)
+            now = self._clock.monotonic()
+            held.lease_end = now + self._options.closing_delay
+            held.draining = server.draining
+
+    def _list_control(self):
+        return [row.address for row in self._replica.status().members]
+
+    def _find_session(self, key, request):
+        with self._replica.machine_lock:
+            row = self._state.backends.find(key)
+            held = self._sessions.find(key)
+        if row is not None and request.epoch > 0:
+            if row.epoch != request.epoch:
+                raise errors.FencedError(
+                    f'epoch {request.epoch} of {key} was replaced by '
+                    f'{row.epoch}',
+                    step='poll',
+                    peer=request.agent,
+                )
+            if held is not None and held.epoch == row.epoch:
+                return held
+        else:
+            row = self._open_backend(key, request)
+        return self._open_session(row)
+
+    def _open_backend(self, key, request):
+        self._close_former_lives(key, request)
+        server = request.server
+        row = backend.Backend(
+            key=key,
+            id=server.id,
+            instance=request.agent,
+            pool=server.pool,
+            zone=server.zone,
+            labels=server.labels,
+            rack=server.rack,
+            cpu=server.cpu,
+            memory_mb=server.memory_mb,
+            gpu=server.gpu,
+        )
+        command = backend_commands.OpenBackend(
+            backend=row, at=self._clock.wall().timestamp()
+        )
+        row = self.propose(command)
+        log.log_decision(
+            _logger,
+            'open backend server',
+            reason='its agent announced it',
+            backend=key,
+            instance=request.agent,
+            epoch=row.epoch,
+        )
+        return row
+
+    def _close_former_lives(self, key, request):
+        with self._replica.machine_lock:
+            former = [
+                row.key
+                for row in self._state.backends.select(
+                    'instance', request.agent
+                )
+                if row.key != key
+            ]
+        for other in former:
+            self._close_backend(other, 'a later life has begun there')
+
+    def _open_session(self, row):
+        held = session.Session(
+            key=row.key,
+            epoch=row.epoch,
+            lease_end=self._clock.monotonic() + self._options.closing_delay,
+        )
+        with self._replica.machine_lock:
+            self._sessions.put(held)
+            self._board.refresh(self._clock.wall().timestamp())
+            held.follow_runs(self._board.runs.get(row.key, {}))
+        self.wake()
+        return held
+
+    def _report(self, request):
+        self.ensure_ready()
+        held = self._sessions.find(request.key)
+        if held is None or held.epoch != request.epoch:
+            raise errors.FencedError(
+                f'no session {request.epoch} of {request.key}',
+                step='report',
+                peer=request.agent,
+            )
+        acked = self._record_ends(request)
+        now = self._clock.monotonic()
+        held.share = request.share
+        if request.trouble and self._health.set_aside(request.key, now):
+            log.log_decision(
+                _logger,
+                'set backend server aside',
+                reason=request.trouble,
+                backend=request.key,
+            )
+        if request.listed:
+            held.record_presence(request.running, now)
+            self._stop_unknown(held, request)
+        if request.lapsed:
+            self._close_backend(request.key, 'its agent says it has lapsed')
+        return message.ReportReply(acked=acked)
+
+    def _record_ends(self, request):
+        if not request.ends and not request.upto:
+            return 0
+        command = workflow_commands.RecordEnds(
+            backend=request.key,
+            ends=request.ends,
+            upto=request.upto,
+            at=self._clock.wall().timestamp(),
+        )
+        acked = self.propose(command)
+        for end in request.ends:
+            self._judge_end(request.key, end)
+        self.wake()
+        return acked
+
+    def _judge_end(self, key, end):
+        log.log_decision(
+            _logger,
+            'record end',
+            reason=end.how,
+            workflow=end.run.workflow,
+            task=end.run.task,
+            run=end.run.number,
+            backend=key,
+        )
+        if end.how not in (workflow_commands.DONE, workflow_commands.FAILED):
+            return
+        news = self._health.record(
+            key,
+            end.run.workflow,
+            failed=end.how == workflow_commands.FAILED,
+            now=self._clock.monotonic(),
+        )
+        if news:
+            log.log_decision(
+                _logger,
+                'set backend server aside',
+                reason='runs of different workflows failed in a row',
+                backend=key,
+            )
+
+    def _stop_unknown(self, held, request):
+        """Stop what runs there though the log knows nothing of it."""
+        with self._replica.machine_lock:
+            self._board.refresh(self._clock.wall().timestamp())
+            known = self._board.runs.get(request.key, {})
+            strange = [
+                row.run for row in request.running if row.run not in known
+            ]
+            held.follow_runs(known)
+        for ref in strange:
+            held.order_stop(ref)
+
+    def _run(self):
+        while not self._stopping.is_set():
+            self._wake.wait(IDLE_SECONDS)
+            self._wake.clear()
+            try:
+                self.ensure_ready()
+                self._schedule()
+            except errors.BilberryhavenError as error:
+                if not isinstance(error, errors.NotLeaderError):
+                    _logger.warning('scheduling was put off: {}', error)
+            except Exception:  # noqa: BLE001
+                _logger.exception('scheduling failed')
+
+    def _schedule(self):
+        self._close_lapsed()
+        self._expire()
+        while not self._stopping.is_set():
+            starts = self._plan()
+            if not starts:
+                return
+            command = workflow_commands.StartRuns(
+                starts=starts, at=self._clock.wall().timestamp()
+            )
+            self.propose(command)
+            for start in starts:
+                log.log_decision(
+                    _logger,
+                    'start run',
+                    reason='room there',
+                    workflow=start.workflow,
+                    task=start.task,
+                    run=start.number,
+                    backend=start.backend,
+                )
+
+    def _plan(self):
+        now = self._clock.wall().timestamp()
+        with self._replica.machine_lock:
+            changed = self._board.refresh(now)
+            for key in changed:
+                held = self._sessions.find(key)
+                if held is not None:
+                    held.follow_runs(self._board.runs.get(key, {}))
+            servers = [self._build_server(row) for row in self._state.backends]
+            return planner.plan_starts(self._board.list_groups(), servers)
+
+    def _build_server(self, row):
+        now = self._clock.monotonic()
+        held = self._sessions.find(row.key)
+        server = planner.Server(
+            key=row.key,
+            pool=row.pool,
+            rack=row.rack,
+            labels=frozenset(row.labels),
+            cpu=row.cpu,
+            memory_mb=row.memory_mb,
+            gpu=row.gpu,
+            open=(
+                held is not None
+                and not held.draining
+                and self._is_fresh(held, now)
+                and self._health.is_open(row.key, now)
+            ),
+            doubtful=self._health.is_doubtful(row.key),
+            proven=self._health.is_proven(row.key),
+            share=held.share if held else 0,
+        )
+        for view in self._board.runs.get(row.key, {}).values():
+            server.claim(view.step, view.group)
+        return server
+
+    def _is_fresh(self, held, now):
+        # An agent that missed two polls is not given new work.
+        silence = now - (held.lease_end - self._options.closing_delay)
+        return silence < 3 * self._options.poll_hold
+
+    def _close_lapsed(self):
+        now = self._clock.monotonic()
+        first = self._ready_at + self._options.closing_delay
+        with self._replica.machine_lock:
+            lapsed = []
+            for row in self._state.backends:
+                held = self._sessions.find(row.key)
+                end = held.lease_end if held else first
+                if now >= end:
+                    lapsed.append(row.key)
+                    self._sessions.remove(row.key)
+        for key in lapsed:
+            self._close_backend(key, 'its agent let the lease run out')
+
+    def _close_backend(self, key, reason):
+        self._sessions.remove(key)
+        self._health.remove(key)
+        command = backend_commands.CloseBackend(
+            key=key, at=self._clock.wall().timestamp(), reason=reason
+        )
+        self.propose(command)
+        log.log_decision(
+            _logger, 'close backend server', reason=reason, backend=key
+        )
+        self.wake()
+
+    def _expire(self):
+        now = self._clock.monotonic()
+        if now - self._expired_at < EXPIRY_INTERVAL:
+            return
+        self._expired_at = now
+        limit = self._clock.wall() - self._options.keep_ended
+        with self._replica.machine_lock:
+            ended = [
+                row.id
+                for row in self._state.workflows
+                if row.state != workflow.WorkflowState.ACTIVE
+                and row.ended_at < limit.timestamp()
+            ]
+        if ended:
+            self.propose(workflow_commands.ExpireWorkflows(ids=ended))
+
+
+def _check_open(held):
+    if held.closed:
+        raise errors.UnavailableError(
+            'the session was closed meanwhile', step='poll', peer=held.key
+        )
