--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -7,12 +7,12 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
-from bilberryhaven import registry
-from bilberryhaven import ticker
 from bilberryhaven.platform import faces
 from bilberryhaven.platform import settings as platform_settings
 from bilberryhaven.platform import workers
+from bilberryhaven import registry
 from bilberryhaven.roles import process
+from bilberryhaven import ticker
 from bilberryhaven.wire import client
 from bilberryhaven.wire import leader
 from bilberryhaven.wire import server
--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -3,9 +3,9 @@
 import msgspec
 import urllib3
 
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven import util
-from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import server_client
 
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -7,7 +7,6 @@
 
 from bilberryhaven.entry import api
 from bilberryhaven.entry import gate
-from bilberryhaven.wire import leader
 from bilberryhaven.entry import metrics
 from bilberryhaven.entry import pending
 from bilberryhaven.entry import relay
@@ -20,6 +19,7 @@
 from bilberryhaven import ticker
 from bilberryhaven import util
 from bilberryhaven.wire import client
+from bilberryhaven.wire import leader
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
 
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -2,10 +2,10 @@
 
 import re
 
-from bilberryhaven import errors
-from bilberryhaven import log
 from bilberryhaven.commands import catalog as catalog_commands
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
+from bilberryhaven import log
 from bilberryhaven.tables import catalog
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import checks
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -3,14 +3,14 @@
 import contextlib
 import threading
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import commands
-from bilberryhaven import errors
-from bilberryhaven import log
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
+from bilberryhaven import log
 from bilberryhaven.tables import backend
 from bilberryhaven.tables import workflow
-from bilberryhaven import clock as clocks
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import board
 from bilberryhaven.workflow import callers
