Wait for the server's lists before orders; take SIGHUP

Change: orders wait for the first list under the agent's own token; what was not sent is settled by a stop; SIGHUP reads the settings again.

--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -75,7 +75,7 @@
             item.start()
         self._stop_ticker = ticker.Ticker.launch(
             name='seeds',
-            func=self._read_seeds,
+            func=self.reload,
             interval=SEED_INTERVAL,
             clock=self._clock,
         )
@@ -89,7 +89,8 @@
         self._leader.close()
         self._client.close()
 
-    def _read_seeds(self):
+    def reload(self):
+        """Read the settings again; the seeds may have changed."""
         try:
             read = platform_settings.load_deployment()
         except errors.SettingsError as error:
--- a/bilberryhaven/roles/process.py
+++ b/bilberryhaven/roles/process.py
@@ -1,6 +1,7 @@
 """What all roles need as processes: signals."""
 
 import signal
+import sys
 import threading
 
 from bilberryhaven import log
@@ -13,13 +14,16 @@
 def run_until_signal(role, settings):
     """Start ``role``, wait for SIGTERM or SIGINT, and stop it gracefully.
 
+    SIGHUP calls the role's ``reload``, if it has one.
+
     Returns:
         The exit status.
     """
-    log.start_logging(level=settings.log_level)
+    log.start_logging(level=settings.log_level, stream=sys.stdout)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
+    signal.signal(signal.SIGHUP, lambda *_: _reload(role, settings))
     role.start()
     _logger.info(
         '{} listens',
@@ -31,3 +35,10 @@
     role.stop()
     _logger.info('{} has stopped', settings.name)
     return 0
+
+
+def _reload(role, settings):
+    _logger.info('{} reads its settings again', settings.name)
+    reload = getattr(role, 'reload', None)
+    if reload is not None:
+        threading.Thread(target=reload, name='reload', daemon=True).start()
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -198,16 +198,19 @@
 
     def _try_start(self, target, epoch, order):
         """Return the (phase, trouble) pair; phase None if not known."""
-        sent = False
-        trouble = 'its lease has run out'
+        if not self._wait_for_listing(epoch):
+            return None, 'the server was not listed'
+        trouble = ''
         for _ in range(START_ATTEMPTS):
             with self._lock:
                 now = self._clock.monotonic()
                 deadline = self._rules.find_deadline(now)
                 allowed = self._rules.may_start(order.run)
+                listed = self._rules.is_listed(order.run)
+            if listed:
+                return RunPhase.STARTED, ''
             if deadline is None or not allowed:
                 break
-            sent = True
             try:
                 verdict = self._client.start_run(
                     target, order, deadline_ms=deadline, epoch=epoch
@@ -222,10 +225,23 @@
             if verdict != Verdict.LATE:
                 return RunPhase.DOUBTFUL, f'start answered {verdict.value}'
             trouble = 'start answered late'
-        if not sent:
-            return RunPhase.ABSENT, ''
         return None, trouble
 
+    def _wait_for_listing(self, epoch):
+        """Wait until the server was listed with this epoch.
+
+        An agent that has just started can't know what its predecessor has
+        started before that.
+        """
+        while not self._stopping.is_set():
+            with self._lock:
+                if self._rules.epoch != epoch:
+                    return False
+                if self._rules.listed_epoch == epoch:
+                    return True
+            self._stopping.wait(IDLE_PAUSE)
+        return False
+
     def _stop_run(self, target, epoch, order):
         while not self._stopping.is_set():
             with self._lock:
@@ -268,7 +284,8 @@
             return
         except errors.BilberryhavenError as error:
             self._note_server(error)
-            self._report_lapse(target)
+            gone = isinstance(error, errors.GoneError)
+            self._report_lapse(target, gone)
             self._stopping.wait(FAULT_PAUSE)
             return
         self._note_server(None)
@@ -294,7 +311,7 @@
         with self._lock:
             if self._rules.target.state.born_ms != target.state.born_ms:
                 return
-            report = self._rules.note_listing(listing, sent_at, now)
+            report = self._rules.note_listing(listing, epoch, sent_at, now)
             paces = self._rules.list_paces()
         for run, percent in paces:
             self._set_pace(target, epoch, run, percent)
@@ -334,13 +351,18 @@
             if self._rules.epoch == report.epoch:
                 self._rules.note_reported(report, reply.acked)
 
-    def _report_lapse(self, target):
-        """Tell the leader once a silent server can't run anything more."""
+    def _report_lapse(self, target, gone):
+        """Tell the leader once the server can't run anything more.
+
+        Args:
+            target: The ``Announcement`` of the life that is meant.
+            gone: Whether that life has surely ended.
+        """
         now = self._clock.monotonic()
         with self._lock:
             rules = self._rules
             epoch, key = rules.epoch, rules.key
-            lapsed = rules.has_lapsed(now, self._options.lease_margin)
+            lapsed = gone or rules.has_lapsed(now, self._options.lease_margin)
         if not epoch or not lapsed:
             return
         report = message.Report(
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -64,6 +64,7 @@
         epoch: Fencing token, 0 before the leader gave one.
         key: Key of the life that the token is for.
         acked: Number of the newest end that the leader has taken over.
+        listed_epoch: Fencing token with which the runs were listed last.
     """
 
     def __init__(self, *, agent):
@@ -75,6 +76,7 @@
         self.epoch = 0
         self.key = ''
         self.acked = 0
+        self.listed_epoch = 0
         self.runs = {}
         self._feed = ''
         self._seen = 0
@@ -199,11 +201,16 @@
             return False
         return now >= self._granted_until + margin
 
-    def note_listing(self, listing, sent_at, now):
+    def is_listed(self, run):
+        """Return whether the backend server listed ``run`` last."""
+        return run in self._listed
+
+    def note_listing(self, listing, epoch, sent_at, now):
         """Take over what the backend server lists; return a ``Report``.
 
         Args:
             listing: The ``Listing``.
+            epoch: Fencing token that it was asked for with.
             sent_at: When it was asked for, monotonic.
             now: When it arrived, monotonic.
         """
@@ -213,6 +220,7 @@
         ends = [end for end in listing.ends if end.number > self.acked]
         ends = _void_lapsed(ends, all_lapsed=void)
         self._listed = {row.run for row in listing.running}
+        self.listed_epoch = epoch
         self._settle_doubtful({end.run for end in ends}, sent_at)
         return message.Report(
             agent=self._agent,
