Keep serving and best-effort tasks on servers of their own

Cause: best-effort tasks raised the tails beside them, were paced down to nothing again and again, and surveys ran for half a minute; pacing reacted to figures from before its last change. Change: serving tasks pack on few servers, best-effort ones avoid those, other tasks fill up the former; pacing waits for a change to show; a workflow with nothing running doesn't wait for leftover time while the pool is half empty.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -311,8 +311,20 @@
         with self._lock:
             if self._rules.target.state.born_ms != target.state.born_ms:
                 return
+            before = self._rules.share
             report = self._rules.note_listing(listing, epoch, sent_at, now)
             paces = self._rules.list_paces()
+            tails = self._rules.list_tails(listing.running)
+        if report.share != before:
+            log.log_decision(
+                _logger,
+                'pace best-effort tasks',
+                reason='tail latencies against their targets',
+                share=report.share,
+                before=before,
+                tails=tails,
+                runs=len(listing.running),
+            )
         for run, percent in paces:
             self._set_pace(target, epoch, run, percent)
         if epoch and report.epoch == epoch and self._is_due(report, now):
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -356,7 +356,7 @@
                 if held is not None:
                     held.follow_runs(self._board.runs.get(key, {}))
             servers = [self._build_server(row) for row in self._state.backends]
-            return planner.plan_starts(self._board.list_groups(), servers)
+            return planner.plan_starts(self._board.list_groups(), servers, now)
 
     def _build_server(self, row):
         now = self._clock.monotonic()
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -7,13 +7,15 @@
 # tail stays below the target itself.
 SLOW_AT = 0.85
 # Share of the target below which they may work more again.
-RELAX_AT = 0.65
-# Additive increase and multiplicative decrease; a listing comes about twice
-# a second, and the whole way down must fit into the bound on interference.
-INCREASE = 10
-DECREASE = 0.5
+RELAX_AT = 0.7
+# Additive increase, multiplicative decrease.
+INCREASE = 8
+DECREASE = 0.6
 # Below this percentage a task is stopped altogether.
-LEAST = 12
+LEAST = 8
+# A tail is measured over half a second, so a change shows in whole only a
+# listing later; over the target itself it isn't waited for.
+SETTLE_LISTINGS = 2
 
 
 class Pacer:
@@ -25,6 +27,7 @@
 
     def __init__(self):
         self.share = FULL
+        self._settling = 0
 
     def update(self, tails):
         """Take the newest tail latencies and return the new percentage.
@@ -34,7 +37,9 @@
                 users.
         """
         worst = max((tail / target for tail, target in tails), default=0.0)
-        if worst >= SLOW_AT:
+        self._settling = max(0, self._settling - 1)
+        if worst >= 1.0 or (worst >= SLOW_AT and not self._settling):
+            self._settling = SETTLE_LISTINGS
             self.share = int(self.share * DECREASE)
             if self.share < LEAST:
                 self.share = 0
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -13,6 +13,10 @@
 # A server whose best-effort tasks are paced below this percentage gets no
 # more of them.
 MIN_SHARE_PERCENT = 100
+# A workflow with nothing running waits no longer than this for processor
+# time that is left over, as long as the pool is not half full.
+MAX_LEFTOVER_WAIT_S = 1.5
+HALF_FULL = 0.5
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -36,6 +40,7 @@
         used_memory_mb: Memory that its tasks have claimed.
         used_gpu: Accelerators that its tasks have claimed.
         leftover_used: Thousandths of a core that best-effort tasks want.
+        serving_cpu: Thousandths of a core of the tasks that serve users.
         held: Tasks that it holds, by group.
     """
 
@@ -55,6 +60,7 @@
     used_memory_mb: int = 0
     used_gpu: int = 0
     leftover_used: int = 0
+    serving_cpu: int = 0
     held: dict = dataclasses.field(
         default_factory=lambda: collections.defaultdict(int)
     )
@@ -66,23 +72,29 @@
 
     def claim(self, step, group):
         """Count one task of ``step`` as present."""
-        self.used_memory_mb += step.memory_mb
-        self.used_gpu += step.gpu
-        if step.best_effort:
-            self.leftover_used += step.cpu
-        else:
-            self.used_cpu += step.cpu
-        self.held[group] += 1
+        self._count(step, group, 1)
 
     def release(self, step, group):
         """Undo ``claim``."""
-        self.used_memory_mb -= step.memory_mb
-        self.used_gpu -= step.gpu
+        self._count(step, group, -1)
+
+    def _count(self, step, group, sign):
+        self.used_memory_mb += sign * step.memory_mb
+        self.used_gpu += sign * step.gpu
         if step.best_effort:
-            self.leftover_used -= step.cpu
+            self.leftover_used += sign * step.cpu
         else:
-            self.used_cpu -= step.cpu
-        self.held[group] -= 1
+            self.used_cpu += sign * step.cpu
+        if step.target_ms:
+            self.serving_cpu += sign * step.cpu
+        self.held[group] += sign
+
+    def is_half_full(self):
+        """Return whether half of its capacity is claimed."""
+        return (
+            self.used_cpu >= HALF_FULL * self.cpu
+            or self.used_memory_mb >= HALF_FULL * self.memory_mb
+        )
 
     def has_room(self, step):
         """Return whether one more task of ``step`` fits in its capacity."""
@@ -93,12 +105,13 @@
         return step.best_effort or self.used_cpu + step.cpu <= self.cpu
 
 
-def plan_starts(groups, servers):
+def plan_starts(groups, servers, now):
     """Decide which tasks to start and where.
 
     Args:
         groups: The ``Group`` rows that may start.
         servers: The ``Server`` rows; what is placed is claimed there.
+        now: Unix time in seconds.
 
     Returns:
         The ``RunStart`` rows, most urgent first.
@@ -109,7 +122,7 @@
         if server.open:
             by_pool[server.pool].append(server)
     for group in sorted(groups, key=rank_group):
-        starts.extend(_place_group(group, by_pool[group.row.pool]))
+        starts.extend(_place_group(group, by_pool[group.row.pool], now))
     return starts
 
 
@@ -118,7 +131,7 @@
     return (group.row.priority, group.due_at, group.row.id, group.index)
 
 
-def _place_group(group, servers):
+def _place_group(group, servers, now):
     step = group.step
     servers = [item for item in servers if _is_eligible(item, step)]
     if not servers:
@@ -127,10 +140,12 @@
         servers = _choose_rack(group, servers)
     number = 1 + max(group.row.find_task(key).last_run for key in group.keys)
     name = (group.row.id, group.occurrence, group.index)
+    starved = _is_starved(group, servers, now)
     placed = []
     for key in group.keys:
         task = group.row.find_task(key)
-        server = _choose_server(step, name, task, servers)
+        server = _choose_server(step, name, task, servers, starved)
+        starved = False
         if server is None:
             if step.gang:
                 for _, claimed in placed:
@@ -152,6 +167,16 @@
     ]
 
 
+def _is_starved(group, servers, now):
+    """Return whether a best-effort workflow waits though there is room."""
+    if not group.step.best_effort or group.row.list_runs():
+        return False
+    if now - group.due_at < MAX_LEFTOVER_WAIT_S:
+        return False
+    full = sum(server.is_half_full() for server in servers)
+    return 2 * full < len(servers)
+
+
 def _is_eligible(server, step):
     return not step.required_label or step.required_label in server.labels
 
@@ -187,7 +212,7 @@
     return min(counts, default=step.tasks)
 
 
-def _choose_server(step, name, task, servers):
+def _choose_server(step, name, task, servers, starved):
     best = None
     best_cost = None
     for server in servers:
@@ -195,7 +220,8 @@
             continue
         if 0 < step.max_per_backend <= server.held[name]:
             continue
-        if step.best_effort and not _has_leftover(server, step):
+        wants_leftover = step.best_effort and not starved
+        if wants_leftover and not _has_leftover(server, step):
             continue
         cost = _estimate_cost(server, step, task)
         if best is None or cost < best_cost:
@@ -212,12 +238,26 @@
 
 
 def _estimate_cost(server, step, task):
-    fragile = task.failures > 0
-    load = server.used_cpu + server.leftover_used
     return (
         server.key in task.failed_on,
-        fragile and not server.proven,
+        task.failures > 0 and not server.proven,
         server.doubtful,
         bool(step.data_rack) and server.rack != step.data_rack,
-        load / max(server.cpu, 1) / server.speed,
+        *_rank_company(server, step),
+        -server.leftover / max(server.cpu, 1),
     )
+
+
+def _rank_company(server, step):
+    """Return the sort key of a server by what runs there.
+
+    Best-effort tasks disturb those that serve users, so each kind is kept
+    to servers of its own as long as there is room; other tasks fill up the
+    servers that best-effort tasks avoid.
+    """
+    if step.best_effort:
+        return (server.serving_cpu > 0, server.serving_cpu)
+    disturbed = server.leftover_used / max(server.cpu, 1)
+    if step.target_ms:
+        return (round(disturbed, 1), -server.serving_cpu)
+    return (not server.serving_cpu, round(disturbed, 1))
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -230,7 +230,7 @@
             upto=max((end.number for end in ends), default=0),
             running=listing.running,
             listed=True,
-            share=self._update_share(listing.running),
+            share=self._pacer.update(self.list_tails(listing.running)),
             trouble=self._trouble,
         )
 
@@ -248,14 +248,20 @@
             if known.phase == RunPhase.ABSENT
         ]
 
-    def _update_share(self, running):
+    @property
+    def share(self):
+        """Percentage at which best-effort tasks may work."""
+        return self._pacer.share
+
+    def list_tails(self, running):
+        """Return (tail latency, target) pairs in ms of the given runs."""
         tails = []
         for row in running:
             known = self.runs.get(row.run)
             target = known.order.target_ms if known and known.order else 0
             if target:
                 tails.append((row.gauge, target))
-        return self._pacer.update(tails)
+        return tails
 
     def list_paces(self):
         """Return the (run, percentage) pairs whose pace is to be set."""
