Learn which best-effort images raise which tails; pace run by run

Cause: all best-effort runs of a server were paced alike, and which pairs of images disturb each other was not known, so tails rose up to nine times their target when a disturbing image landed, and surveys starved elsewhere. Change: effects learned from differences of listings; careful starts beside serving tasks; over the target what was raised last, or is known to press, stops at once; placement prefers servers and pairs without effect.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -11,6 +11,7 @@
 from bilberryhaven import log
 from bilberryhaven import ticker
 from bilberryhaven.workflow import message
+from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import server_client
 from bilberryhaven.workflow import supervision
 
@@ -221,12 +222,19 @@
             except errors.BilberryhavenError as error:
                 return RunPhase.DOUBTFUL, error.message
             if verdict == Verdict.STARTED:
+                self._start_pacing(target, epoch, order)
                 return RunPhase.STARTED, ''
             if verdict != Verdict.LATE:
                 return RunPhase.DOUBTFUL, f'start answered {verdict.value}'
             trouble = 'start answered late'
         return None, trouble
 
+    def _start_pacing(self, target, epoch, order):
+        with self._lock:
+            percent = self._rules.get_percent(order.run)
+        if order.best_effort and percent < pacing.FULL:
+            self._set_pace(target, epoch, order.run, percent)
+
     def _wait_for_listing(self, epoch):
         """Wait until the server was listed with this epoch.
 
@@ -311,17 +319,16 @@
         with self._lock:
             if self._rules.target.state.born_ms != target.state.born_ms:
                 return
-            before = self._rules.share
             report = self._rules.note_listing(listing, epoch, sent_at, now)
             paces = self._rules.list_paces()
             tails = self._rules.list_tails(listing.running)
-        if report.share != before:
+            changed = self._rules.paces_changed
+        if changed:
             log.log_decision(
                 _logger,
                 'pace best-effort tasks',
                 reason='tail latencies against their targets',
                 share=report.share,
-                before=before,
                 tails=tails,
                 runs=len(listing.running),
             )
@@ -361,7 +368,7 @@
         self._listed_runs = {row.run for row in report.running}
         with self._lock:
             if self._rules.epoch == report.epoch:
-                self._rules.note_reported(report, reply.acked)
+                self._rules.note_reported(report, reply)
 
     def _report_lapse(self, target, gone):
         """Tell the leader once the server can't run anything more.
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -16,6 +16,8 @@
 from bilberryhaven.workflow import callers
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import message
+from bilberryhaven.workflow import neighbours
+from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import session
 
@@ -25,6 +27,9 @@
 # Due times, lapsed leases and quarantines are looked at this often when
 # nothing else happens.
 IDLE_SECONDS = 0.1
+# A run's processor use is a mean over half a second; a younger one's isn't
+# whole yet.
+SETTLED_S = 0.7
 EXPIRY_INTERVAL = clocks.seconds(10)
 
 _logger = log.get_logger('workflow')
@@ -51,6 +56,7 @@
         self._options = options
         self._sessions = session.SessionTable()
         self._health = health.HealthTable()
+        self._neighbours = neighbours.Neighbours()
         self._board = board.Board(machine.state)
         self._desk = callers.CallerDesk(leader=self, clock=clock)
         self._membership = membership
@@ -229,7 +235,7 @@
         with self._replica.machine_lock:
             self._sessions.put(held)
             self._board.refresh(self._clock.wall().timestamp())
-            held.follow_runs(self._board.runs.get(row.key, {}))
+            self._order_runs(held)
         self.wake()
         return held
 
@@ -252,12 +258,14 @@
                 reason=request.trouble,
                 backend=request.key,
             )
+        pressing = []
         if request.listed:
             held.record_presence(request.running, now)
             self._stop_unknown(held, request)
+            pressing = self._learn(held, now)
         if request.lapsed:
             self._close_backend(request.key, 'its agent says it has lapsed')
-        return message.ReportReply(acked=acked)
+        return message.ReportReply(acked=acked, pressing=pressing)
 
     def _record_ends(self, request):
         if not request.ends and not request.upto:
@@ -300,6 +308,17 @@
                 backend=key,
             )
 
+    def _learn(self, held, now):
+        with self._replica.machine_lock:
+            row = self._state.backends.find(held.key)
+            if row is None:
+                return []
+            views = self._board.runs.get(held.key, {})
+            self._neighbours.observe(row, views, held.present, now)
+            pairs = self._neighbours.list_pressing(row, views, held.present)
+        held.pressing = [ref for _, ref in pairs]
+        return held.pressing
+
     def _stop_unknown(self, held, request):
         """Stop what runs there though the log knows nothing of it."""
         with self._replica.machine_lock:
@@ -308,7 +327,7 @@
             strange = [
                 row.run for row in request.running if row.run not in known
             ]
-            held.follow_runs(known)
+            self._order_runs(held)
         for ref in strange:
             held.order_stop(ref)
 
@@ -347,6 +366,18 @@
                     backend=start.backend,
                 )
 
+    def _order_runs(self, held):
+        views = self._board.runs.get(held.key, {})
+        row = self._state.backends.find(held.key)
+
+        def find_percent(view):
+            if self._neighbours.is_harmless(row, views, view.step):
+                return pacing.FULL
+            return pacing.CAREFUL
+
+        if row is not None:
+            held.follow_runs(views, find_percent)
+
     def _plan(self):
         now = self._clock.wall().timestamp()
         with self._replica.machine_lock:
@@ -354,7 +385,7 @@
             for key in changed:
                 held = self._sessions.find(key)
                 if held is not None:
-                    held.follow_runs(self._board.runs.get(key, {}))
+                    self._order_runs(held)
             servers = [self._build_server(row) for row in self._state.backends]
             return planner.plan_starts(self._board.list_groups(), servers, now)
 
@@ -379,10 +410,33 @@
             proven=self._health.is_proven(row.key),
             share=held.share if held else 0,
         )
-        for view in self._board.runs.get(row.key, {}).values():
+        views = self._board.runs.get(row.key, {})
+        for view in views.values():
             server.claim(view.step, view.group)
+        if held is not None:
+            self._describe_present(server, held, views, now)
         return server
 
+    def _describe_present(self, server, held, views, now):
+        """Add what the runs on the server were measured at."""
+        wanted = used = 0.0
+        for ref, seen in held.present.items():
+            view = views.get(ref)
+            if view is None:
+                continue
+            if view.step.target_ms:
+                share = seen.running.gauge / view.step.target_ms
+                server.tails.append((view.step.image, share))
+                continue
+            age = (now - seen.first_at).total_seconds()
+            if not view.step.best_effort or age < SETTLED_S:
+                continue
+            if ref not in held.pressing:
+                wanted += view.step.cpu
+                used += seen.running.gauge
+        if wanted:
+            server.satisfaction = used / wanted
+
     def _is_fresh(self, held, now):
         # An agent that missed two polls is not given new work.
         silence = now - (held.lease_end - self._options.closing_delay)
@@ -419,6 +473,7 @@
         if now - self._expired_at < EXPIRY_INTERVAL:
             return
         self._expired_at = now
+        self._log_effects()
         limit = self._clock.wall() - self._options.keep_ended
         with self._replica.machine_lock:
             ended = [
@@ -430,6 +485,19 @@
         if ended:
             self.propose(workflow_commands.ExpireWorkflows(ids=ended))
 
+    def _log_effects(self):
+        effects = self._neighbours.list_effects()
+        if effects:
+            _logger.info(
+                'effects of best-effort images on tails',
+                extra={
+                    'factors_by_tenth_of_a_server': [
+                        (serving, image, round(factor, 2))
+                        for serving, image, factor in effects
+                    ]
+                },
+            )
+
 
 def _check_open(held):
     if held.closed:
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -95,6 +95,7 @@
         checkpoint: Checkpoint to resume from, or empty.
         target_ms: Bound on its tail latency, 0 for none.
         best_effort: Whether it uses what others leave.
+        percent: Percentage at which a best-effort run works at first.
     """
 
     kind: str
@@ -103,6 +104,7 @@
     checkpoint: str = ''
     target_ms: int = 0
     best_effort: bool = False
+    percent: int = 100
 
 
 class Running(msgspec.Struct, array_like=True):
@@ -193,9 +195,15 @@
 
 
 class ReportReply(Reply, kw_only=True):
-    """The number of the newest end that was taken over."""
+    """What the leader makes of a report.
+
+    Attributes:
+        acked: Number of the newest end that was taken over.
+        pressing: Best-effort runs that raise tails near their targets.
+    """
 
     acked: int = 0
+    pressing: list[workflow_commands.RunRef] = []
 
 
 class Submit(Request, kw_only=True):
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -1,48 +1,119 @@
 """Pacing of best-effort tasks beside tasks that serve users."""
 
-__all__ = ['Pacer']
+import dataclasses
+import datetime
+
+__all__ = ['FULL', 'Pacer']
 
 FULL = 100
+# Percentage at which a task starts that may disturb those beside it.
+CAREFUL = 20
 # Share of the target at which best-effort tasks are slowed down, so that the
 # tail stays below the target itself.
-SLOW_AT = 0.85
+SLOW_AT = 0.8
 # Share of the target below which they may work more again.
-RELAX_AT = 0.7
+RELAX_AT = 0.6
 # Additive increase, multiplicative decrease.
-INCREASE = 8
-DECREASE = 0.6
+INCREASE = 20
+DECREASE = 0.4
 # Below this percentage a task is stopped altogether.
 LEAST = 8
-# A tail is measured over half a second, so a change shows in whole only a
-# listing later; over the target itself it isn't waited for.
-SETTLE_LISTINGS = 2
+# A tail is measured over half a second, so a change shows in whole only then.
+SETTLE = datetime.timedelta(seconds=0.55)
+# A run that was let work more within this time is blamed for a higher tail.
+BLAME = datetime.timedelta(seconds=1.3)
 
 
-class Pacer:
-    """Percentage at which a backend server's best-effort tasks may work.
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Pace:
+    """Percentage at which one run may work.
 
     Attributes:
-        share: The percentage.
+        percent: The percentage.
+        raised_at: When it was raised last, monotonic.
     """
 
+    percent: int
+    raised_at: datetime.timedelta
+
+
+class Pacer:
+    """Percentages at which a backend server's best-effort runs may work."""
+
     def __init__(self):
-        self.share = FULL
-        self._settling = 0
+        self._paces = {}
+        self._changed_at = None
+        self.worst = 0.0
+
+    def add(self, run, percent, now):
+        """Begin to pace a run."""
+        self._paces[run] = Pace(percent=percent, raised_at=now)
 
-    def update(self, tails):
-        """Take the newest tail latencies and return the new percentage.
+    def remove(self, run):
+        """Forget a run."""
+        self._paces.pop(run, None)
+
+    def get_percent(self, run):
+        """Return at which percentage a run may work."""
+        pace = self._paces.get(run)
+        return pace.percent if pace else FULL
+
+    @property
+    def share(self):
+        """Mean percentage over all runs."""
+        if not self._paces:
+            return FULL
+        total = sum(pace.percent for pace in self._paces.values())
+        return total // len(self._paces)
+
+    def update(self, tails, pressing, now):
+        """Take the newest tail latencies.
 
         Args:
             tails: (tail latency, target) pairs in ms of the tasks that serve
                 users.
+            pressing: Runs that are known to raise the tails.
+            now: Monotonic time.
+
+        Returns:
+            Whether any percentage has changed.
         """
-        worst = max((tail / target for tail, target in tails), default=0.0)
-        self._settling = max(0, self._settling - 1)
-        if worst >= 1.0 or (worst >= SLOW_AT and not self._settling):
-            self._settling = SETTLE_LISTINGS
-            self.share = int(self.share * DECREASE)
-            if self.share < LEAST:
-                self.share = 0
-        elif worst < RELAX_AT:
-            self.share = min(FULL, self.share + INCREASE)
-        return self.share
+        self.worst = max((tail / target for tail, target in tails), default=0)
+        recent = self._changed_at and now - self._changed_at < SETTLE
+        if not self._paces or recent:
+            return False
+        before = {run: pace.percent for run, pace in self._paces.items()}
+        if self.worst >= SLOW_AT:
+            for pace in self._find_blamed(pressing, now):
+                pace.percent = self._lower(pace.percent)
+        elif self.worst < RELAX_AT:
+            self._relax(now)
+        after = {run: pace.percent for run, pace in self._paces.items()}
+        if before == after:
+            return False
+        self._changed_at = now
+        return True
+
+    def _find_blamed(self, pressing, now):
+        """Return the paces to lower: the newest raised, else the pressing."""
+        working = {
+            run: pace for run, pace in self._paces.items() if pace.percent
+        }
+        raised = [
+            pace for pace in working.values() if now - pace.raised_at < BLAME
+        ]
+        known = [pace for run, pace in working.items() if run in pressing]
+        if self.worst >= 1.0:
+            return raised + known or list(working.values())
+        return raised or known or list(working.values())
+
+    def _relax(self, now):
+        for pace in self._paces.values():
+            if pace.percent < FULL:
+                pace.percent = min(FULL, pace.percent + INCREASE)
+                pace.raised_at = now
+
+    def _lower(self, percent):
+        lower = int(percent * DECREASE)
+        # Over the target there is no time to approach the right pace.
+        return 0 if self.worst >= 1.0 or lower < LEAST else lower
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -2,23 +2,49 @@
 
 import collections
 import dataclasses
+import math
 
 from bilberryhaven.commands import workflow as workflow_commands
 
-__all__ = ['Server', 'plan_starts']
+__all__ = ['Effects', 'Server', 'plan_starts']
 
 # A best-effort task is started only where this share of what it asks for is
 # left over; with less it would slow down those that run there already.
 MIN_LEFTOVER_SHARE = 0.7
+# Share of their claim that tasks which serve users work at; the rest is left
+# over for others.
+SERVING_LOAD = 0.55
+# Best-effort tasks that get less than this share of what they ask for show
+# that nothing is left over, whatever the claims say.
+MIN_SATISFACTION = 0.8
 # A server whose best-effort tasks are paced below this percentage gets no
-# more of them.
-MIN_SHARE_PERCENT = 100
+# more that may raise a tail.
+MIN_SHARE_PERCENT = 80
+# A best-effort task that raises a tail by less than this (a logarithm) isn't
+# kept away from it.
+NO_EFFECT = 0.05
+# Share of a tail latency's target that a placement may bring it to.
+MAX_TAIL_SHARE = 0.7
+# Effects on tails are counted for each tenth of a server.
+TENTHS = 10
 # A workflow with nothing running waits no longer than this for processor
 # time that is left over, as long as the pool is not half full.
 MAX_LEFTOVER_WAIT_S = 1.5
 HALF_FULL = 0.5
 
 
+class Effects:
+    """Effects of best-effort images on tails; this base knows of none."""
+
+    def get_effect(self, serving, image):
+        """Return the effect of a tenth of a server, as a logarithm."""
+        return 0.0
+
+    def is_known(self, serving, image):
+        """Return whether the effect was observed often enough."""
+        return True
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Server:
     """A backend server as a place for tasks.
@@ -34,13 +60,18 @@
         open: Whether it may be given new tasks.
         doubtful: Whether it has failed of late.
         proven: Whether a task has ended well there since its last failure.
-        share: Percentage at which its best-effort tasks may work.
+        share: Mean percentage at which its best-effort tasks may work.
         speed: Speed of its work relative to others; 1 is normal.
         used_cpu: Thousandths of a core that its tasks have claimed.
         used_memory_mb: Memory that its tasks have claimed.
         used_gpu: Accelerators that its tasks have claimed.
         leftover_used: Thousandths of a core that best-effort tasks want.
-        serving_cpu: Thousandths of a core of the tasks that serve users.
+        serving: Thousandths of a core of the tasks that serve users, by
+            their image.
+        satisfaction: Share of what they ask for that its best-effort tasks
+            get.
+        tails: (image, share of the target that its tail has reached) pairs
+            of the tasks that serve users.
         held: Tasks that it holds, by group.
     """
 
@@ -60,16 +91,67 @@
     used_memory_mb: int = 0
     used_gpu: int = 0
     leftover_used: int = 0
-    serving_cpu: int = 0
+    serving: dict = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(int)
+    )
+    satisfaction: float = 1.0
+    tails: list = dataclasses.field(default_factory=list)
     held: dict = dataclasses.field(
         default_factory=lambda: collections.defaultdict(int)
     )
 
     @property
-    def leftover(self):
-        """Thousandths of a core that nobody wants."""
+    def serving_cpu(self):
+        """Thousandths of a core of all tasks that serve users."""
+        return sum(self.serving.values())
+
+    @property
+    def unclaimed(self):
+        """Thousandths of a core that nobody asks for."""
         return self.cpu - self.used_cpu - self.leftover_used
 
+    @property
+    def leftover(self):
+        """Thousandths of a core that nobody works on."""
+        idle = (1 - SERVING_LOAD) * self.serving_cpu
+        return self.unclaimed + idle
+
+    def is_harmless(self, step, effects):
+        """Return whether a best-effort task surely raises no tail here."""
+        weight = step.cpu / max(self.cpu, 1) * TENTHS
+        return all(
+            effects.is_known(image, step.image)
+            and weight * effects.get_effect(image, step.image) <= NO_EFFECT
+            for image in self.serving
+        )
+
+    def predict_tail(self, step, effects):
+        """Return the worst tail with one more best-effort task of ``step``.
+
+        Args:
+            step: The ``Step``.
+            effects: The ``Effects``.
+
+        Returns:
+            The tail as a share of its target; 0 where it raises none.
+        """
+        weight = step.cpu / max(self.cpu, 1) * TENTHS
+        worst = 0.0
+        for image, tail in self.tails:
+            effect = weight * effects.get_effect(image, step.image)
+            if effect > NO_EFFECT:
+                worst = max(worst, tail * math.exp(effect))
+        return worst
+
+    def add_effect(self, step, effects):
+        """Raise the tails by one best-effort task until they are measured."""
+        weight = step.cpu / max(self.cpu, 1) * TENTHS
+        raised = []
+        for image, tail in self.tails:
+            effect = weight * effects.get_effect(image, step.image)
+            raised.append((image, tail * math.exp(effect)))
+        self.tails = raised
+
     def claim(self, step, group):
         """Count one task of ``step`` as present."""
         self._count(step, group, 1)
@@ -86,7 +168,9 @@
         else:
             self.used_cpu += sign * step.cpu
         if step.target_ms:
-            self.serving_cpu += sign * step.cpu
+            self.serving[step.image] += sign * step.cpu
+            if not self.serving[step.image]:
+                del self.serving[step.image]
         self.held[group] += sign
 
     def is_half_full(self):
@@ -105,24 +189,28 @@
         return step.best_effort or self.used_cpu + step.cpu <= self.cpu
 
 
-def plan_starts(groups, servers, now):
+def plan_starts(groups, servers, now, effects=None):
     """Decide which tasks to start and where.
 
     Args:
         groups: The ``Group`` rows that may start.
         servers: The ``Server`` rows; what is placed is claimed there.
         now: Unix time in seconds.
+        effects: ``Effects`` of best-effort images on tails; without them
+            there are none.
 
     Returns:
         The ``RunStart`` rows, most urgent first.
     """
+    effects = effects or Effects()
     starts = []
     by_pool = collections.defaultdict(list)
     for server in servers:
         if server.open:
             by_pool[server.pool].append(server)
     for group in sorted(groups, key=rank_group):
-        starts.extend(_place_group(group, by_pool[group.row.pool], now))
+        servers = by_pool[group.row.pool]
+        starts.extend(_place_group(group, servers, now, effects))
     return starts
 
 
@@ -131,7 +219,7 @@
     return (group.row.priority, group.due_at, group.row.id, group.index)
 
 
-def _place_group(group, servers, now):
+def _place_group(group, servers, now, effects):
     step = group.step
     servers = [item for item in servers if _is_eligible(item, step)]
     if not servers:
@@ -144,7 +232,9 @@
     placed = []
     for key in group.keys:
         task = group.row.find_task(key)
-        server = _choose_server(step, name, task, servers, starved)
+        server = _choose_server(
+            step, name, task, servers, None if starved else effects
+        )
         starved = False
         if server is None:
             if step.gang:
@@ -155,6 +245,8 @@
                 break
             continue
         server.claim(step, name)
+        if step.best_effort:
+            server.add_effect(step, effects)
         placed.append((key, server))
     return [
         workflow_commands.RunStart(
@@ -212,7 +304,7 @@
     return min(counts, default=step.tasks)
 
 
-def _choose_server(step, name, task, servers, starved):
+def _choose_server(step, name, task, servers, effects):
     best = None
     best_cost = None
     for server in servers:
@@ -220,44 +312,56 @@
             continue
         if 0 < step.max_per_backend <= server.held[name]:
             continue
-        wants_leftover = step.best_effort and not starved
-        if wants_leftover and not _has_leftover(server, step):
+        careful = step.best_effort and effects is not None
+        if careful and not _may_fill(server, step, effects):
             continue
-        cost = _estimate_cost(server, step, task)
+        cost = _estimate_cost(server, step, task, effects)
         if best is None or cost < best_cost:
             best, best_cost = server, cost
     return best
 
 
-def _has_leftover(server, step):
-    if server.share < MIN_SHARE_PERCENT:
+def _may_fill(server, step, effects):
+    """Return whether a best-effort task would work well on the server."""
+    if server.satisfaction < MIN_SATISFACTION:
         return False
-    if not server.leftover_used and not server.used_cpu:
-        return True
-    return server.leftover >= step.cpu * MIN_LEFTOVER_SHARE
+    needed = step.cpu * MIN_LEFTOVER_SHARE
+    if not server.serving:
+        return not server.leftover_used or server.unclaimed >= needed
+    if server.is_harmless(step, effects):
+        return server.leftover >= needed
+    if server.share < MIN_SHARE_PERCENT or server.unclaimed < needed:
+        return False
+    return server.predict_tail(step, effects) <= MAX_TAIL_SHARE
 
 
-def _estimate_cost(server, step, task):
+def _estimate_cost(server, step, task, effects):
     return (
         server.key in task.failed_on,
         task.failures > 0 and not server.proven,
         server.doubtful,
         bool(step.data_rack) and server.rack != step.data_rack,
-        *_rank_company(server, step),
+        *_rank_company(server, step, effects),
         -server.leftover / max(server.cpu, 1),
     )
 
 
-def _rank_company(server, step):
+def _rank_company(server, step, effects):
     """Return the sort key of a server by what runs there.
 
-    Best-effort tasks disturb those that serve users, so each kind is kept
-    to servers of its own as long as there is room; other tasks fill up the
-    servers that best-effort tasks avoid.
+    How much a best-effort task disturbs one that serves users depends on
+    the pair of their images. So tasks that serve users are packed on few
+    servers, a best-effort task goes where there are none or where it is
+    known to raise no tail, and other tasks fill up the servers that
+    best-effort tasks avoid.
     """
     if step.best_effort:
-        return (server.serving_cpu > 0, server.serving_cpu)
-    disturbed = server.leftover_used / max(server.cpu, 1)
+        if not server.serving or effects is None:
+            return (bool(server.serving), 0.0)
+        if server.is_harmless(step, effects):
+            return (1, 0.0)
+        return (2, round(server.predict_tail(step, effects), 1))
+    disturbed = round(server.leftover_used / max(server.cpu, 1), 1)
     if step.target_ms:
-        return (round(disturbed, 1), -server.serving_cpu)
-    return (not server.serving_cpu, round(disturbed, 1))
+        return (disturbed, -server.serving_cpu)
+    return (not server.serving, disturbed)
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -39,6 +39,7 @@
         leaves_at: When it leaves at the earliest, monotonic, or None.
         share: Percentage at which best-effort tasks may work there.
         present: ``Presence`` by run.
+        pressing: Best-effort runs that raise tails near their targets.
     """
 
     def __init__(self, *, key, epoch, lease_end):
@@ -50,17 +51,20 @@
         self.leaves_at = None
         self.share = 100
         self.present = {}
+        self.pressing = []
         self.closed = False
         self._last = 0
         self._orders = []
         self._told = {}
         self._changed = threading.Condition()
 
-    def follow_runs(self, views):
+    def follow_runs(self, views, find_percent):
         """Order what the runs of the backend server need.
 
         Args:
             views: ``RunView`` by run, all that count there.
+            find_percent: Function of a ``RunView`` that returns the
+                percentage at which a best-effort run works at first.
         """
         with self._changed:
             for ref in [ref for ref in self._told if ref not in views]:
@@ -70,7 +74,7 @@
                 if view.stopping:
                     self._order_stop(ref)
                 elif told is None:
-                    self._append(_build_start(view))
+                    self._append(_build_start(view, find_percent))
 
     def order_stop(self, ref):
         """Order the stop of a run that must not be there."""
@@ -160,7 +164,7 @@
             self.remove(key)
 
 
-def _build_start(view):
+def _build_start(view, find_percent):
     step = view.step
     return message.Order(
         message.OrderKind.START,
@@ -169,4 +173,5 @@
         checkpoint=view.checkpoint,
         target_ms=step.target_ms,
         best_effort=step.best_effort,
+        percent=find_percent(view) if step.best_effort else 100,
     )
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -41,14 +41,14 @@
         phase: Its ``RunPhase``.
         since: When the phase began, monotonic.
         stopping: Whether its stop was ordered.
-        percent: Percentage that its pace was set to.
+        percent: Percentage that its pace was set to, None if not known.
     """
 
     order: message.Order | None
     phase: RunPhase
     since: datetime.timedelta
     stopping: bool = False
-    percent: int = pacing.FULL
+    percent: int | None = pacing.FULL
 
 
 class Supervision:
@@ -65,6 +65,7 @@
         key: Key of the life that the token is for.
         acked: Number of the newest end that the leader has taken over.
         listed_epoch: Fencing token with which the runs were listed last.
+        paces_changed: Whether the last listing changed the paces.
     """
 
     def __init__(self, *, agent):
@@ -77,6 +78,7 @@
         self.key = ''
         self.acked = 0
         self.listed_epoch = 0
+        self.paces_changed = False
         self.runs = {}
         self._feed = ''
         self._seen = 0
@@ -87,6 +89,7 @@
         self._granted_until = None
         self._trouble = ''
         self._listed = set()
+        self._pressing = set()
         self._pacer = pacing.Pacer()
 
     def note_announcement(self, told):
@@ -151,9 +154,13 @@
             phase = RunPhase.STARTING
             if order.run in self._listed:
                 phase = RunPhase.STARTED
+            # A run that an earlier agent started may have any pace.
+            percent = None if phase == RunPhase.STARTED else pacing.FULL
             self.runs[order.run] = OrderedRun(
-                order=order, phase=phase, since=now
+                order=order, phase=phase, since=now, percent=percent
             )
+            if order.best_effort:
+                self._pacer.add(order.run, order.percent, now)
             return phase == RunPhase.STARTING
         if known is None:
             known = OrderedRun(order=None, phase=RunPhase.STARTED, since=now)
@@ -230,7 +237,7 @@
             upto=max((end.number for end in ends), default=0),
             running=listing.running,
             listed=True,
-            share=self._pacer.update(self.list_tails(listing.running)),
+            share=self._update_paces(listing.running, now),
             trouble=self._trouble,
         )
 
@@ -248,9 +255,9 @@
             if known.phase == RunPhase.ABSENT
         ]
 
-    @property
-    def share(self):
-        """Percentage at which best-effort tasks may work."""
+    def _update_paces(self, running, now):
+        tails = self.list_tails(running)
+        self.paces_changed = self._pacer.update(tails, self._pressing, now)
         return self._pacer.share
 
     def list_tails(self, running):
@@ -265,28 +272,33 @@
 
     def list_paces(self):
         """Return the (run, percentage) pairs whose pace is to be set."""
-        share = self._pacer.share
         return [
-            (ref, share)
+            (ref, self._pacer.get_percent(ref))
             for ref, known in self.runs.items()
             if known.order is not None
             and known.order.best_effort
             and known.phase == RunPhase.STARTED
-            and known.percent != share
+            and known.percent != self._pacer.get_percent(ref)
         ]
 
+    def get_percent(self, run):
+        """Return at which percentage a best-effort run may work."""
+        return self._pacer.get_percent(run)
+
     def note_pace(self, run, percent):
         """Note that a run's pace was set."""
         known = self.runs.get(run)
         if known is not None:
             known.percent = percent
 
-    def note_reported(self, report, acked):
+    def note_reported(self, report, reply):
         """Forget what the leader has taken over."""
-        self.acked = max(self.acked, acked)
+        self.acked = max(self.acked, reply.acked)
+        self._pressing = set(reply.pressing)
         for end in report.ends:
             if end.number <= self.acked:
                 self.runs.pop(end.run, None)
+                self._pacer.remove(end.run)
         if report.trouble == self._trouble:
             self._trouble = ''
 
