Raise disturbing runs one at a time; relocate paused ones

Cause: all paused runs were raised together once a tail had sunk, and raised it over its target again; paused runs waited where they could not work; many runs of unknown effect landed on one server at once. Change: backoff a run, one raise at a time; runs that save progress move after a long pause; one unknown pair a server at a time.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -251,6 +251,7 @@
         acked = self._record_ends(request)
         now = self._clock.monotonic()
         held.share = request.share
+        held.paused = request.paused
         if request.trouble and self._health.set_aside(request.key, now):
             log.log_decision(
                 _logger,
@@ -347,6 +348,7 @@
     def _schedule(self):
         self._close_lapsed()
         self._expire()
+        self._relocate()
         while not self._stopping.is_set():
             starts = self._plan()
             if not starts:
@@ -366,6 +368,41 @@
                     backend=start.backend,
                 )
 
+    def _relocate(self):
+        """Stop best-effort runs that would do better elsewhere."""
+        moves = []
+        with self._replica.machine_lock:
+            self._board.refresh(self._clock.wall().timestamp())
+            paused = [held for held in self._sessions if held.paused]
+            if not paused:
+                return
+            servers = {
+                row.key: self._build_server(row)
+                for row in self._state.backends
+            }
+            for held in paused:
+                if held.key in servers:
+                    moves += planner.list_relocations(
+                        self._board.runs.get(held.key, {}),
+                        held.paused,
+                        servers[held.key],
+                        list(servers.values()),
+                        self._neighbours,
+                    )
+                held.paused = []
+        if not moves:
+            return
+        self.propose(workflow_commands.StopRuns(runs=moves))
+        for ref in moves:
+            log.log_decision(
+                _logger,
+                'relocate run',
+                reason='paused for long where it is, room elsewhere',
+                workflow=ref.workflow,
+                task=ref.task,
+                run=ref.number,
+            )
+
     def _order_runs(self, held):
         views = self._board.runs.get(held.key, {})
         row = self._state.backends.find(held.key)
@@ -411,8 +448,10 @@
             share=held.share if held else 0,
         )
         views = self._board.runs.get(row.key, {})
-        for view in views.values():
+        for ref, view in views.items():
             server.claim(view.step, view.group)
+            if held is not None and ref not in held.present:
+                server.trying |= view.step.best_effort
         if held is not None:
             self._describe_present(server, held, views, now)
         return server
@@ -430,6 +469,7 @@
                 continue
             age = (now - seen.first_at).total_seconds()
             if not view.step.best_effort or age < SETTLED_S:
+                server.trying |= view.step.best_effort
                 continue
             if ref not in held.pressing:
                 wanted += view.step.cpu
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -178,6 +178,7 @@
         running: The runs that are present.
         listed: Whether ``running`` was read just now.
         share: Percentage at which best-effort tasks may work there.
+        paused: Best-effort runs that have been paused for long.
         lapsed: Whether the server is known to run nothing any more.
         trouble: Why starts fail there, or empty.
     """
@@ -190,6 +191,7 @@
     running: list[Running] = []
     listed: bool = False
     share: int = 100
+    paused: list[workflow_commands.RunRef] = []
     lapsed: bool = False
     trouble: str = ''
 
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -20,6 +20,14 @@
 LEAST = 8
 # A tail is measured over half a second, so a change shows in whole only then.
 SETTLE = datetime.timedelta(seconds=0.55)
+# How long a run that was slowed down waits before it is let work more; twice
+# as long after each further time.
+FIRST_BACKOFF = datetime.timedelta(seconds=1)
+MAX_BACKOFF = datetime.timedelta(seconds=8)
+# Step by which such a run is let work more again, one run at a time.
+RETRY_INCREASE = 10
+# A run that has been paused for this long would do better elsewhere.
+PAUSED_LONG = datetime.timedelta(seconds=1.5)
 # A run that was let work more within this time is blamed for a higher tail.
 BLAME = datetime.timedelta(seconds=1.3)
 
@@ -31,10 +39,15 @@
     Attributes:
         percent: The percentage.
         raised_at: When it was raised last, monotonic.
+        backoff: How long it waits after it was slowed down; 0 if it never
+            was.
+        lowered_at: When it was slowed down last, monotonic.
     """
 
     percent: int
     raised_at: datetime.timedelta
+    backoff: datetime.timedelta = datetime.timedelta()
+    lowered_at: datetime.timedelta = datetime.timedelta()
 
 
 class Pacer:
@@ -85,7 +98,7 @@
         before = {run: pace.percent for run, pace in self._paces.items()}
         if self.worst >= SLOW_AT:
             for pace in self._find_blamed(pressing, now):
-                pace.percent = self._lower(pace.percent)
+                self._lower(pace, now)
         elif self.worst < RELAX_AT:
             self._relax(now)
         after = {run: pace.percent for run, pace in self._paces.items()}
@@ -108,12 +121,40 @@
         return raised or known or list(working.values())
 
     def _relax(self, now):
+        """Raise what never disturbed, and one run of those that did."""
+        waiting = []
         for pace in self._paces.values():
-            if pace.percent < FULL:
-                pace.percent = min(FULL, pace.percent + INCREASE)
-                pace.raised_at = now
+            if pace.percent >= FULL:
+                continue
+            if pace.backoff:
+                waiting.append(pace)
+            else:
+                _raise(pace, INCREASE, now)
+        ready = [
+            pace for pace in waiting if now >= pace.lowered_at + pace.backoff
+        ]
+        if ready:
+            first = max(ready, key=lambda pace: pace.percent)
+            _raise(first, RETRY_INCREASE, now)
 
-    def _lower(self, percent):
-        lower = int(percent * DECREASE)
+    def _lower(self, pace, now):
+        lower = int(pace.percent * DECREASE)
         # Over the target there is no time to approach the right pace.
-        return 0 if self.worst >= 1.0 or lower < LEAST else lower
+        if self.worst >= 1.0 or lower < LEAST:
+            lower = 0
+        pace.percent = lower
+        pace.lowered_at = now
+        pace.backoff = min(max(2 * pace.backoff, FIRST_BACKOFF), MAX_BACKOFF)
+
+    def list_paused(self, now):
+        """Return the runs that have been paused for long."""
+        return [
+            run
+            for run, pace in self._paces.items()
+            if not pace.percent and now - pace.lowered_at >= PAUSED_LONG
+        ]
+
+
+def _raise(pace, step, now):
+    pace.percent = min(FULL, pace.percent + step)
+    pace.raised_at = now
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -6,7 +6,7 @@
 
 from bilberryhaven.commands import workflow as workflow_commands
 
-__all__ = ['Effects', 'Server', 'plan_starts']
+__all__ = ['Effects', 'Server', 'list_relocations', 'plan_starts']
 
 # A best-effort task is started only where this share of what it asks for is
 # left over; with less it would slow down those that run there already.
@@ -60,6 +60,8 @@
         open: Whether it may be given new tasks.
         doubtful: Whether it has failed of late.
         proven: Whether a task has ended well there since its last failure.
+        trying: Whether a best-effort task has just been started there of
+            which it isn't known whether it raises a tail.
         share: Mean percentage at which its best-effort tasks may work.
         speed: Speed of its work relative to others; 1 is normal.
         used_cpu: Thousandths of a core that its tasks have claimed.
@@ -85,6 +87,7 @@
     open: bool = True
     doubtful: bool = False
     proven: bool = True
+    trying: bool = False
     share: int = 100
     speed: float = 1.0
     used_cpu: int = 0
@@ -245,7 +248,8 @@
                 break
             continue
         server.claim(step, name)
-        if step.best_effort:
+        if step.best_effort and server.serving:
+            server.trying |= not server.is_harmless(step, effects)
             server.add_effect(step, effects)
         placed.append((key, server))
     return [
@@ -330,7 +334,9 @@
         return not server.leftover_used or server.unclaimed >= needed
     if server.is_harmless(step, effects):
         return server.leftover >= needed
-    if server.share < MIN_SHARE_PERCENT or server.unclaimed < needed:
+    if server.trying or server.share < MIN_SHARE_PERCENT:
+        return False
+    if server.unclaimed < needed:
         return False
     return server.predict_tail(step, effects) <= MAX_TAIL_SHARE
 
@@ -365,3 +371,34 @@
     if step.target_ms:
         return (disturbed, -server.serving_cpu)
     return (not server.serving, disturbed)
+
+
+def list_relocations(views, paused, server, others, effects):
+    """Return the paused runs that can do better on another server.
+
+    Args:
+        views: ``RunView`` by run, all that count on the server.
+        paused: Runs that have been paused there for long.
+        server: The ``Server`` that they are on.
+        others: The other ``Server`` rows.
+        effects: The ``Effects``.
+    """
+    moves = []
+    for ref in paused:
+        view = views.get(ref)
+        if view is None or view.stopping or not view.step.saves_progress:
+            continue
+        fits = [
+            other
+            for other in others
+            if other.key != server.key
+            and other.open
+            and other.pool == server.pool
+            and _is_eligible(other, view.step)
+            and other.has_room(view.step)
+            and _may_fill(other, view.step, effects)
+        ]
+        if fits:
+            fits[0].claim(view.step, view.group)
+            moves.append(ref)
+    return moves
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -39,6 +39,7 @@
         leaves_at: When it leaves at the earliest, monotonic, or None.
         share: Percentage at which best-effort tasks may work there.
         present: ``Presence`` by run.
+        paused: Best-effort runs that have been paused for long.
         pressing: Best-effort runs that raise tails near their targets.
     """
 
@@ -51,6 +52,7 @@
         self.leaves_at = None
         self.share = 100
         self.present = {}
+        self.paused = []
         self.pressing = []
         self.closed = False
         self._last = 0
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -238,6 +238,7 @@
             running=listing.running,
             listed=True,
             share=self._update_paces(listing.running, now),
+            paused=self._pacer.list_paused(now),
             trouble=self._trouble,
         )
 
