--- a/bilberryhaven/workflow/board.py
+++ b/bilberryhaven/workflow/board.py
@@ -70,6 +70,7 @@
     def __init__(self, state):
         self._state = state
         self._journal = state.workflows.watch()
+        self._changed = set()
         self._clear()
 
     def _clear(self):
@@ -83,47 +84,47 @@
 
         Args:
             now: Unix time in seconds.
-
-        Returns:
-            Keys of the backend servers whose runs changed.
         """
         keys = self._journal.take()
         if keys is None:
             self._clear()
             keys = [row.id for row in self._state.workflows]
         due = [key for key, at in self._next_due.items() if at <= now]
-        changed = set()
         for key in {*keys, *due}:
-            self._refresh_one(key, now, changed)
+            self._refresh_one(key, now)
+
+    def take_changed(self):
+        """Return the servers whose runs changed since the last call."""
+        changed, self._changed = self._changed, set()
         return changed
 
     def list_groups(self):
         """Return all groups of tasks that may start."""
         return [group for rows in self.groups.values() for group in rows]
 
-    def _refresh_one(self, key, now, changed):
+    def _refresh_one(self, key, now):
         for backend, ref in self._runs_of.pop(key, ()):
             self.runs[backend].pop(ref, None)
-            changed.add(backend)
+            self._changed.add(backend)
         self.groups.pop(key, None)
         self._next_due.pop(key, None)
         row = self._state.workflows.find(key)
         if row is None:
             return
-        self._index_runs(row, changed)
+        self._index_runs(row)
         if row.state == workflow.WorkflowState.ACTIVE:
             groups = self._build_groups(row, now)
             if groups:
                 self.groups[key] = groups
 
-    def _index_runs(self, row, changed):
+    def _index_runs(self, row):
         held = []
         for key, task in row.tasks.items():
             for run in task.runs:
                 view = _build_run_view(row, key, task, run)
                 self.runs.setdefault(run.backend, {})[view.ref] = view
                 held.append((run.backend, view.ref))
-                changed.add(run.backend)
+                self._changed.add(run.backend)
         if held:
             self._runs_of[row.id] = held
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -418,8 +418,8 @@
     def _plan(self):
         now = self._clock.wall().timestamp()
         with self._replica.machine_lock:
-            changed = self._board.refresh(now)
-            for key in changed:
+            self._board.refresh(now)
+            for key in self._board.take_changed():
                 held = self._sessions.find(key)
                 if held is not None:
                     self._order_runs(held)
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -10,9 +10,9 @@
 CAREFUL = 20
 # Share of the target at which best-effort tasks are slowed down, so that the
 # tail stays below the target itself.
-SLOW_AT = 0.8
+SLOW_AT = 0.85
 # Share of the target below which they may work more again.
-RELAX_AT = 0.6
+RELAX_AT = 0.7
 # Additive increase, multiplicative decrease.
 INCREASE = 20
 DECREASE = 0.4
@@ -23,11 +23,11 @@
 # How long a run that was slowed down waits before it is let work more; twice
 # as long after each further time.
 FIRST_BACKOFF = datetime.timedelta(seconds=1)
-MAX_BACKOFF = datetime.timedelta(seconds=8)
+MAX_BACKOFF = datetime.timedelta(seconds=4)
 # Step by which such a run is let work more again, one run at a time.
-RETRY_INCREASE = 10
+RETRY_INCREASE = 25
 # A run that has been paused for this long would do better elsewhere.
-PAUSED_LONG = datetime.timedelta(seconds=1.5)
+PAUSED_LONG = datetime.timedelta(seconds=1)
 # A run that was let work more within this time is blamed for a higher tail.
 BLAME = datetime.timedelta(seconds=1.3)
 
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -19,7 +19,7 @@
 MIN_SATISFACTION = 0.8
 # A server whose best-effort tasks are paced below this percentage gets no
 # more that may raise a tail.
-MIN_SHARE_PERCENT = 80
+MIN_SHARE_PERCENT = 60
 # A best-effort task that raises a tail by less than this (a logarithm) isn't
 # kept away from it.
 NO_EFFECT = 0.05
@@ -176,13 +176,6 @@
                 del self.serving[step.image]
         self.held[group] += sign
 
-    def is_half_full(self):
-        """Return whether half of its capacity is claimed."""
-        return (
-            self.used_cpu >= HALF_FULL * self.cpu
-            or self.used_memory_mb >= HALF_FULL * self.memory_mb
-        )
-
     def has_room(self, step):
         """Return whether one more task of ``step`` fits in its capacity."""
         if self.used_memory_mb + step.memory_mb > self.memory_mb:
@@ -219,7 +212,8 @@
 
 def rank_group(group):
     """Return the sort key of a group; the lowest is placed first."""
-    return (group.row.priority, group.due_at, group.row.id, group.index)
+    row = group.row
+    return (row.priority, group.due_at, row.id, group.index)
 
 
 def _place_group(group, servers, now, effects):
@@ -269,8 +263,13 @@
         return False
     if now - group.due_at < MAX_LEFTOVER_WAIT_S:
         return False
-    full = sum(server.is_half_full() for server in servers)
-    return 2 * full < len(servers)
+    cpu = sum(server.cpu for server in servers)
+    memory_mb = sum(server.memory_mb for server in servers)
+    used_cpu = sum(server.used_cpu for server in servers)
+    used_memory_mb = sum(server.used_memory_mb for server in servers)
+    return (
+        used_cpu < HALF_FULL * cpu and used_memory_mb < HALF_FULL * memory_mb
+    )
 
 
 def _is_eligible(server, step):
@@ -332,12 +331,12 @@
     needed = step.cpu * MIN_LEFTOVER_SHARE
     if not server.serving:
         return not server.leftover_used or server.unclaimed >= needed
+    if server.leftover < needed:
+        return False
     if server.is_harmless(step, effects):
-        return server.leftover >= needed
+        return True
     if server.trying or server.share < MIN_SHARE_PERCENT:
         return False
-    if server.unclaimed < needed:
-        return False
     return server.predict_tail(step, effects) <= MAX_TAIL_SHARE
 
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,211 @@
+"""The adapter: what is read from the infrastructure, and what is written."""
+
+import pathlib
+import tempfile
+
+import msgspec
+import testtools
+
+from bilberryhaven import errors
+from bilberryhaven.platform import catalogs
+from bilberryhaven.platform import faces
+from bilberryhaven.platform import jobs
+from bilberryhaven.platform import settings
+from bilberryhaven.platform import workers
+from bilberryhaven.workflow import message
+
+LINES = """\
+node_name=frontend-pingtung-1
+ip=10.1.0.13
+zone=pingtung
+listen.frontend=10.1.0.13:8161
+listen.ready=10.1.0.13:8167
+listen.control=10.1.0.13:8166
+internal_port_range=7720,7735
+seeds=10.1.0.13:8166,10.2.0.30:8166,10.3.0.36:8166
+bootstrap=true
+data_dir=/data/my-frontend
+fault_tolerance.machines=2
+bounds.max_lease_ms=4000
+bounds.status_s=120
+surprise=1
+"""
+JOB = (
+    b'{"spec":"(text)","steps":[{"task_count":4,"cpu":500,"mem_mb":256},'
+    b'{"task_count":20,"cpu":2000,"after":[0],"saves_progress":true,'
+    b'"anti_affinity":3,"requirements":"a","fill_count":1}]}'
+)
+CONFIGURATION = (
+    b'{"version":7,"routes":[{"name":"r","host":"h.example",'
+    b'"path_prefix":"/p/","kind":"non_idempotent","timeout_ms":3000,'
+    b'"target_latency_ms":250,"priority":2,"service":"s","max_attempts":4,'
+    b'"slack_factor":1.5}],"services":[{"name":"s","max_connections":64}],'
+    b'"limits":{}}'
+)
+BEAT = {
+    'service': 's',
+    'address': '10.128.0.9:8080',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'draining',
+    'remaining_ms': 4000,
+    'cold_remaining_ms': 0,
+    'capacity': {'cpu': 16000, 'mem_mb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clock_ms': 482113,
+    'sequence': 4,
+    'born': 17,
+}
+
+
+class SettingsTest(testtools.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'local.conf'
+            path.write_text(text)
+            return settings.load_deployment(path)
+
+    def test_founder_knows_the_first_voters(self):
+        loaded = self.load(LINES)
+        self.assertEqual('10.1.0.13:7720', loaded.settings.listen)
+        self.assertEqual(3, len(loaded.settings.voters))
+        self.assertIn(settings.name_replica(loaded), loaded.settings.voters)
+        self.assertEqual(5, loaded.options.voters)
+        self.assertEqual(4.0, loaded.options.lease.total_seconds())
+
+    def test_later_start_founds_nothing(self):
+        loaded = self.load(LINES.replace('bootstrap=true', 'bootstrap=false'))
+        self.assertEqual({}, loaded.settings.voters)
+        self.assertEqual(3, len(loaded.settings.control))
+
+    def test_missing_field_is_a_coded_error(self):
+        text = LINES.replace('node_name=', 'other=')
+        error = self.assertRaises(errors.SettingsError, self.load, text)
+        self.assertIn('node_name', str(error))
+
+
+class JobTest(testtools.TestCase):
+    def decode(self, body):
+        return jobs.decode_job(body, host='h', path='/p/1')
+
+    def test_fields_are_decoded_once(self):
+        first, second = self.decode(JOB).steps
+        self.assertEqual((4, 500, 256), (first.tasks, first.cpu, 256))
+        self.assertEqual([0], second.after)
+        self.assertEqual(3, second.max_per_backend)
+        self.assertEqual('a', second.required_label)
+        self.assertTrue(second.best_effort and second.saves_progress)
+        self.assertIsNone(second.disruption_budget)
+
+    def test_times_become_seconds(self):
+        body = msgspec.json.decode(JOB)
+        body |= {
+            'start_at_ms': 5000,
+            'interval_ms': 1500,
+            'repeat_count': 3,
+        }
+        schedule = self.decode(msgspec.json.encode(body)).schedule
+        self.assertEqual(8.0, schedule.find_due(2))
+
+    def test_bad_bodies_are_coded_errors(self):
+        for body in (b'', b'{', b'[]', b'{"spec":1,"steps":[]}', b'\xff'):
+            self.assertRaises(errors.BadInputError, self.decode, body)
+
+
+class CatalogTest(testtools.TestCase):
+    def test_routes_become_queues(self):
+        request = catalogs.decode_configuration(CONFIGURATION)
+        (queue,) = request.queues
+        self.assertEqual(
+            ('s', '/p/', 250, 4),
+            (queue.pool, queue.prefix, queue.latency_ms, queue.max_attempts),
+        )
+        self.assertEqual(CONFIGURATION, request.document)
+
+    def test_cut_off_configuration_is_refused(self):
+        for end in range(0, len(CONFIGURATION), 7):
+            self.assertRaises(
+                errors.BadInputError,
+                catalogs.decode_configuration,
+                CONFIGURATION[:end],
+            )
+
+
+class HeartbeatTest(testtools.TestCase):
+    def decode(self, **changes):
+        body = msgspec.json.encode({**BEAT, **changes})
+        return workers.decode_heartbeat('i-1', body)
+
+    def test_fields(self):
+        told = self.decode()
+        self.assertEqual('r1-3', told.state.rack)
+        self.assertEqual(17, told.state.born_ms)
+        self.assertTrue(told.state.draining)
+        self.assertEqual(16000, told.state.cpu)
+
+    def test_foreign_writers_name_no_worker(self):
+        for changes in (
+            {'state': 'asleep'},
+            {'sequence': 'four'},
+            {'address': 'nowhere'},
+            {'capacity': None},
+        ):
+            self.assertRaises(errors.BadInputError, self.decode, **changes)
+
+
+class FakeGateway:
+    def __init__(self, answer):
+        self.answer = answer
+        self.asked = []
+
+    def send(self, request, *, timeout, step):
+        self.asked.append(request)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class CallerFaceTest(testtools.TestCase):
+    def call(self, answer, *, method='POST', body=JOB, draining=False):
+        self.gateway = FakeGateway(answer)
+        handle = faces.build_caller_face(self.gateway, lambda: draining)
+        environ = {
+            'REQUEST_METHOD': method,
+            'PATH_INFO': '/p/5c0e7a21d94b36f8',
+            'HTTP_HOST': 'h.example:8161',
+        }
+        return handle(environ, body)
+
+    def test_job_is_passed_on(self):
+        response = self.call(message.StateReply(state='queued'))
+        self.assertEqual(200, response.status)
+        self.assertEqual('h.example', self.gateway.asked[0].host)
+
+    def test_count(self):
+        response = self.call(message.CountReply(waiting=12), method='GET')
+        self.assertEqual(b'{"pending":12}', response.body)
+
+    def test_not_run_is_503_and_says_when_to_return(self):
+        error = errors.UnavailableError('no leader', step='submit')
+        response = self.call(error)
+        self.assertEqual(503, response.status)
+        self.assertIn('Retry-After', response.headers)
+
+    def test_doubtful_outcome_is_never_told_as_not_run(self):
+        error = errors.UnavailableError(
+            'no leader', step='submit', outcome=errors.Outcome.UNKNOWN
+        )
+        self.assertEqual(504, self.call(error).status)
+
+    def test_other_errors(self):
+        for error, status in (
+            (errors.GoneError('x', step='s'), 410),
+            (errors.NotFoundError('x', step='s'), 404),
+            (errors.BadInputError('x', step='s'), 400),
+        ):
+            self.assertEqual(status, self.call(error).status)
+
+    def test_stopping_entry_closes_its_connections(self):
+        response = self.call(message.StateReply(state='x'), draining=True)
+        self.assertEqual('close', response.headers['Connection'])
--- /dev/null
+++ b/tests/test_workflow_commands.py
@@ -0,0 +1,170 @@
+"""Runs, ends and cancellation of workflows, as the log applies them."""
+
+import testtools
+
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.tables import workflow
+from tests import workflow_fakes as fakes
+
+DONE = 'done'
+FAILED = 'failed'
+
+
+class StartTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = fakes.World('a', 'b')
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+
+    def test_task_runs_once_at_a_time(self):
+        self.assertEqual(1, self.world.start('w', '0.0.0', 1, 'a'))
+        self.assertEqual(0, self.world.start('w', '0.0.0', 2, 'b'))
+
+    def test_run_number_never_repeats(self):
+        self.world.start('w', '0.0.0', 1, 'a')
+        self.world.end('a', 1, 'w', '0.0.0', 1, 'stopped')
+        self.assertEqual(0, self.world.start('w', '0.0.0', 1, 'b'))
+        self.assertEqual(1, self.world.start('w', '0.0.0', 2, 'b'))
+
+    def test_done_task_is_not_started(self):
+        self.world.start('w', '0.0.0', 1, 'a')
+        self.world.end('a', 1, 'w', '0.0.0', 1, DONE)
+        self.assertEqual(0, self.world.start('w', '0.0.0', 2, 'b'))
+
+    def test_closed_server_gets_no_run(self):
+        self.world.close('a')
+        self.assertEqual(0, self.world.start('w', '0.0.0', 1, 'a'))
+
+    def test_cancelled_workflow_gets_no_run(self):
+        self.world.apply(workflow_commands.CancelWorkflow(id='w', at=1))
+        self.assertEqual(0, self.world.start('w', '0.0.0', 1, 'a'))
+
+    def test_attempts_are_bounded(self):
+        for number in (1, 2):
+            self.world.start('w', '0.0.0', number, 'a')
+            self.world.end('a', number, 'w', '0.0.0', number, FAILED)
+        self.assertEqual(0, self.world.start('w', '0.0.0', 3, 'a'))
+        self.assertEqual(
+            workflow.WorkflowState.FAILED, self.world.find('w').state
+        )
+
+
+class EndTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = fakes.World('a', 'b')
+
+    def test_next_step_waits_for_all_tasks(self):
+        steps = (fakes.build_step(tasks=2), fakes.build_step(after=[0]))
+        self.world.submit(fakes.build_workflow('w', *steps))
+        self.world.start('w', '0.0.0', 1, 'a')
+        self.world.end('a', 1, 'w', '0.0.0', 1, DONE)
+        self.assertEqual({('w', '0.0.1')}, self.world.list_ready())
+        self.world.start('w', '0.0.1', 1, 'a')
+        self.world.end('a', 2, 'w', '0.0.1', 1, DONE)
+        self.assertEqual({('w', '0.1.0')}, self.world.list_ready())
+
+    def test_end_counts_once(self):
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+        self.world.start('w', '0.0.0', 1, 'a')
+        for _ in range(2):
+            self.world.end('a', 1, 'w', '0.0.0', 1, FAILED)
+        self.assertEqual(1, self.world.find('w').find_task('0.0.0').failures)
+
+    def test_end_of_a_run_elsewhere_is_ignored(self):
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+        self.world.start('w', '0.0.0', 1, 'a')
+        self.world.close('a')
+        self.world.start('w', '0.0.0', 2, 'b')
+        self.world.open('a')
+        self.world.end('a', 1, 'w', '0.0.0', 1, DONE)
+        self.assertFalse(self.world.find('w').find_task('0.0.0').done)
+
+    def test_lost_server_frees_its_runs(self):
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+        self.world.start('w', '0.0.0', 1, 'a')
+        self.assertEqual(set(), self.world.list_ready())
+        self.world.close('a')
+        self.assertEqual({('w', '0.0.0')}, self.world.list_ready())
+
+    def test_checkpoint_is_kept_for_the_next_run(self):
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+        self.world.start('w', '0.0.0', 1, 'a')
+        self.world.end('a', 1, 'w', '0.0.0', 1, 'stopped', 'c1')
+        task = self.world.find('w').find_task('0.0.0')
+        self.assertEqual('c1', task.checkpoint)
+
+    def test_long_running_task_starts_again_however_it_ends(self):
+        step = fakes.build_step(long_running=True)
+        self.world.submit(fakes.build_workflow('w', step))
+        for number, how in enumerate((DONE, FAILED, FAILED, FAILED), 1):
+            self.assertEqual(1, self.world.start('w', '0.0.0', number, 'a'))
+            self.world.end('a', number, 'w', '0.0.0', number, how)
+            self.assertEqual({('w', '0.0.0')}, self.world.list_ready())
+
+    def test_one_end_stands_for_a_gang(self):
+        step = fakes.build_step(tasks=3, gang=True)
+        self.world.submit(fakes.build_workflow('w', step))
+        for index in range(3):
+            self.world.start('w', f'0.0.{index}', 1, 'a')
+        self.world.end('a', 1, 'w', '0.0.1', 1, DONE)
+        self.assertEqual(
+            workflow.WorkflowState.COMPLETED, self.world.find('w').state
+        )
+
+    def test_gang_waits_until_all_members_have_ended(self):
+        step = fakes.build_step(tasks=2, gang=True)
+        self.world.submit(fakes.build_workflow('w', step))
+        for index in range(2):
+            self.world.start('w', f'0.0.{index}', 1, 'a')
+        self.world.end('a', 1, 'w', '0.0.0', 1, 'alone')
+        self.assertEqual(set(), self.world.list_ready())
+        self.world.end('a', 2, 'w', '0.0.1', 1, 'alone')
+        self.assertEqual(2, len(self.world.list_ready()))
+
+
+class CancelTest(testtools.TestCase):
+    def test_runs_are_stopped(self):
+        world = fakes.World('a')
+        world.submit(fakes.build_workflow('w', fakes.build_step()))
+        world.start('w', '0.0.0', 1, 'a')
+        world.apply(workflow_commands.CancelWorkflow(id='w', at=1))
+        world.board.refresh(10)
+        (view,) = world.board.runs['a'].values()
+        self.assertTrue(view.stopping)
+
+    def test_second_submission_changes_nothing(self):
+        world = fakes.World('a')
+        world.submit(fakes.build_workflow('w', fakes.build_step()))
+        world.apply(workflow_commands.CancelWorkflow(id='w', at=1))
+        world.submit(fakes.build_workflow('w', fakes.build_step()))
+        self.assertEqual(
+            workflow.WorkflowState.CANCELLED, world.find('w').state
+        )
+
+
+class ScheduleTest(testtools.TestCase):
+    def test_occurrences_become_ready_in_time(self):
+        world = fakes.World('a')
+        schedule = workflow.Schedule(first_at=10, interval_s=5, count=2)
+        row = fakes.build_workflow('w', fakes.build_step(), schedule=schedule)
+        world.submit(row)
+        self.assertEqual(set(), world.list_ready(now=9.9))
+        self.assertEqual({('w', '0.0.0')}, world.list_ready(now=10))
+        self.assertEqual(
+            {('w', '0.0.0'), ('w', '1.0.0')}, world.list_ready(now=15)
+        )
+
+
+class SnapshotTest(testtools.TestCase):
+    def test_tables_survive_a_snapshot(self):
+        world = fakes.World('a')
+        world.submit(fakes.build_workflow('w', fakes.build_step(tasks=2)))
+        world.start('w', '0.0.0', 1, 'a')
+        world.end('a', 1, 'w', '0.0.0', 1, 'stopped', 'c1')
+        dumped = world.state.dump()
+        other = fakes.World()
+        other.state.load(dumped)
+        self.assertEqual(dumped, other.state.dump())
+        self.assertEqual(world.find('w'), other.find('w'))
+        self.assertEqual(2, len(other.list_ready()))
--- /dev/null
+++ b/tests/workflow_fakes.py
@@ -0,0 +1,91 @@
+"""Builders of workflows, servers and commands for the tests."""
+
+from bilberryhaven import commands
+from bilberryhaven import tables
+from bilberryhaven.commands import backend as backend_commands
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.tables import backend
+from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import board
+from bilberryhaven.workflow import planner
+
+POOL = 'desk'
+CORES = 64
+
+
+def build_step(**fields):
+    fields.setdefault('tasks', 1)
+    fields.setdefault('cpu', 1000)
+    fields.setdefault('memory_mb', 1000)
+    return workflow.Step(**fields)
+
+
+def build_workflow(name, *steps, **fields):
+    fields.setdefault('queue', 'surveys')
+    fields.setdefault('max_attempts', 2)
+    return workflow.Workflow(
+        id=name, pool=POOL, spec='spec', steps=list(steps), **fields
+    )
+
+
+def build_server(key='a', **fields):
+    fields.setdefault('pool', POOL)
+    fields.setdefault('cpu', CORES * 1000)
+    fields.setdefault('memory_mb', 256_000)
+    return planner.Server(key=key, **fields)
+
+
+class World:
+    """Tables, and the commands that the leader would commit."""
+
+    def __init__(self, *servers):
+        self.state = tables.State()
+        self.board = board.Board(self.state)
+        for key in servers:
+            self.open(key)
+
+    def apply(self, command):
+        # What is committed went through the codec.
+        command = commands.decode(commands.encode(command))
+        return commands.apply(self.state, command)
+
+    def open(self, key):
+        row = backend.Backend(
+            key=key,
+            id=key,
+            instance=f'on-{key}',
+            pool=POOL,
+            cpu=CORES * 1000,
+            memory_mb=256_000,
+        )
+        return self.apply(backend_commands.OpenBackend(backend=row, at=0))
+
+    def close(self, key):
+        self.apply(backend_commands.CloseBackend(key=key, at=1, reason='test'))
+
+    def submit(self, row):
+        return self.apply(workflow_commands.SubmitWorkflow(workflow=row))
+
+    def start(self, name, task, number, server):
+        start = workflow_commands.RunStart(name, task, number, server)
+        return self.apply(workflow_commands.StartRuns(starts=[start], at=2))
+
+    def end(self, server, number, name, task, run, how, checkpoint=''):
+        ref = workflow_commands.RunRef(name, task, run)
+        end = workflow_commands.RunEnd(number, ref, how, checkpoint)
+        return self.apply(
+            workflow_commands.RecordEnds(
+                backend=server, ends=[end], upto=number, at=3
+            )
+        )
+
+    def find(self, name):
+        return self.state.workflows.find(name)
+
+    def list_ready(self, now=10.0):
+        self.board.refresh(now)
+        return {
+            (group.row.id, key)
+            for group in self.board.list_groups()
+            for key in group.keys
+        }
