--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import datetime
 import functools
 import random
 import threading
@@ -69,6 +70,7 @@
         self._options = options or replica_options.Options()
         self._on_leadership = on_leadership
         self._leading_term = 0
+        self._leading_since = clock.monotonic()
         self._view = actor.View(status=status.ReplicaStatus(name=name))
         self._actor = None
         self._follows = threading.Event()
@@ -198,6 +200,12 @@
         valid = view.serving and self._clock.monotonic() < view.lease_end
         return dataclasses.replace(view.status, lease_valid=valid)
 
+    def leading_for(self):
+        """Return how long it has been able to serve as leader."""
+        if not self._leading_term:
+            return datetime.timedelta()
+        return self._clock.monotonic() - self._leading_since
+
     def change_members(self, *, add=None, remove=None, timeout=None):
         """Add a learner, promoted once it has caught up, or remove one.
 
@@ -270,6 +278,7 @@
         if term == self._leading_term:
             return
         previous, self._leading_term = self._leading_term, term
+        self._leading_since = self._clock.monotonic()
         if previous:
             self._notify(False, previous)
         if term:
--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -1,9 +1,8 @@
 """Roles as the infrastructure runs them: wiring only."""
 
+import importlib
 import threading
 
-import msgspec
-
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
@@ -19,12 +18,12 @@
 from bilberryhaven.workflow import agent
 from bilberryhaven.workflow import gateway
 
-__all__ = ['get_role_by_name', 'run']
+__all__ = ['Role', 'get_role_by_name', 'register', 'run']
 
 SEED_INTERVAL = clocks.seconds(1)
-ATTEMPT_TIMEOUT = clocks.seconds(1)
+# Above the time for which a poll is held; a frozen leader costs this once.
+ATTEMPT_TIMEOUT = clocks.seconds(0.8)
 CALLER_THREADS = 48
-OPERATOR_THREADS = 12
 WORKER_THREADS = 4
 READY_THREADS = 2
 # How long a stopping entry answers, refusing readiness: the balancer leaves
@@ -32,7 +31,7 @@
 NOTICE = clocks.seconds(3)
 
 _registry = registry.Registry(family='role')
-get_role_by_name = _registry.get
+register = _registry.register
 _logger = log.get_logger('platform')
 
 
@@ -103,7 +102,7 @@
         self._leader.learn([*dict.fromkeys([*addresses, *seeds])])
 
 
-@_registry.register('entry')
+@register('entry')
 class EntryRole(Role):
     """Takes callers' jobs."""
 
@@ -128,7 +127,7 @@
         return server.Response(status=200 if ready else 503, body=b'{}')
 
 
-@_registry.register('agent')
+@register('agent')
 class AgentRole(Role):
     """Runs beside a worker."""
 
@@ -159,41 +158,14 @@
         super().stop()
 
 
-@_registry.register('control')
-class ControlRole(Role):
-    """Serves operators; holds a replica of the log where there is a disk."""
-
-    def __init__(self, **kwargs):
-        super().__init__(**kwargs)
-        self._control = self._build_control()
-        self._serve(
-            self._deployment.orders,
-            faces.build_operator_face(self._gateway),
-            OPERATOR_THREADS,
-        )
-
-    def _build_control(self):
-        # The replica's imports are the largest; other roles do without.
-        from bilberryhaven.roles import control
-
-        return control.ControlRole(
-            settings=msgspec.structs.replace(
-                self._deployment.settings,
-                name=platform_settings.name_replica(self._deployment),
-            ),
-            clock=self._clock,
-            options=self._deployment.options,
-        )
+def get_role_by_name(name):
+    """Return the role class called ``name``.
 
-    def start(self):
-        """Join the quorum and listen."""
-        self._control.start()
-        super().start()
-
-    def stop(self):
-        """Hand leadership over and stop."""
-        self._control.stop()
-        super().stop()
+    The control role's imports are the largest; the others do without.
+    """
+    if name not in _registry.names():
+        importlib.import_module(f'{__package__}.{name}')
+    return _registry.get(name)
 
 
 def run(name, clock):
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -8,6 +8,7 @@
 from bilberryhaven.consensus import transport
 from bilberryhaven.control import api
 from bilberryhaven.control import heartbeat
+from bilberryhaven.control import keeper
 from bilberryhaven.control import leader
 from bilberryhaven.control import machine
 from bilberryhaven.control import sync
@@ -38,9 +39,10 @@
         settings: The process's ``Settings``.
         clock: The ``Clock``.
         options: The ``Options`` of workflows, or None for the defaults.
+        keep_members: Whether lost members are replaced without an operator.
     """
 
-    def __init__(self, *, settings, clock, options=None):
+    def __init__(self, *, settings, clock, options=None, keep_members=False):
         self._settings = settings
         self._client = client.Client()
         self.metrics = metrics.Metrics()
@@ -66,11 +68,16 @@
             replica=self.replica,
             machine=self._machine,
         )
+        options = options or workflow_options.Options()
+        members = keeper.MemberKeeper(
+            replica=self.replica, clock=clock, voters=options.voters
+        )
         self.workflows = dispatcher.Dispatcher(
             replica=self.replica,
             machine=self._machine,
             clock=clock,
-            options=options or workflow_options.Options(),
+            options=options,
+            membership=members if keep_members else None,
         )
         self._beats = heartbeat.HeartbeatHandler(leader=self.leader)
         self._sync = sync.SyncHandler(leader=self.leader)
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -346,6 +346,8 @@
                 _logger.exception('scheduling failed')
 
     def _schedule(self):
+        if self._membership is not None:
+            self._membership.tick()
         self._close_lapsed()
         self._expire()
         self._relocate()
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -5,10 +5,10 @@
 import testtools
 
 from bilberryhaven import clock as clocks
-from bilberryhaven import errors
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.consensus import status
 from bilberryhaven.control import machine
-from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
 from bilberryhaven.tables import catalog
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import dispatcher
--- a/tests/workflow_fakes.py
+++ b/tests/workflow_fakes.py
@@ -1,9 +1,9 @@
 """Builders of workflows, servers and commands for the tests."""
 
 from bilberryhaven import commands
-from bilberryhaven import tables
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import tables
 from bilberryhaven.tables import backend
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import board
