--- a/bilberryhaven/roles/process.py
+++ b/bilberryhaven/roles/process.py
@@ -19,7 +19,9 @@
     Returns:
         The exit status.
     """
-    log.start_logging(level=settings.log_level, stream=sys.stdout)
+    log.start_logging(
+        level=settings.log_level, stream=sys.stdout, background=True
+    )
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -352,7 +352,7 @@
         self._expire()
         self._relocate()
         while not self._stopping.is_set():
-            starts = self._plan()
+            starts, servers = self._plan()
             if not starts:
                 return
             command = workflow_commands.StartRuns(
@@ -360,15 +360,26 @@
             )
             self.propose(command)
             for start in starts:
-                log.log_decision(
-                    _logger,
-                    'start run',
-                    reason='room there',
-                    workflow=start.workflow,
-                    task=start.task,
-                    run=start.number,
-                    backend=start.backend,
-                )
+                self._log_start(start, servers[start.backend])
+
+    def _log_start(self, start, server):
+        held = self._sessions.find(start.backend)
+        now = self._clock.monotonic()
+        age = now - held.listed_at if held and held.listed_at else None
+        log.log_decision(
+            _logger,
+            'start run',
+            reason='room there',
+            workflow=start.workflow,
+            task=start.task,
+            run=start.number,
+            backend=start.backend,
+            unclaimed_cpu=server.unclaimed,
+            best_effort_share=server.share,
+            satisfaction=round(server.satisfaction, 2),
+            worst_tail=round(max((t for _, t in server.tails), default=0), 2),
+            report_age_s=age and round(age.total_seconds(), 3),
+        )
 
     def _relocate(self):
         """Stop best-effort runs that would do better elsewhere."""
@@ -426,7 +437,10 @@
                 if held is not None:
                     self._order_runs(held)
             servers = [self._build_server(row) for row in self._state.backends]
-            return planner.plan_starts(self._board.list_groups(), servers, now)
+            starts = planner.plan_starts(
+                self._board.list_groups(), servers, now, self._neighbours
+            )
+            return starts, {server.key: server for server in servers}
 
     def _build_server(self, row):
         now = self._clock.monotonic()
--- a/bilberryhaven/workflow/gateway.py
+++ b/bilberryhaven/workflow/gateway.py
@@ -1,11 +1,17 @@
 """Callers' and operators' way to the leader, from any process."""
 
 from bilberryhaven import errors
+from bilberryhaven import log
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import message
 
 __all__ = ['Gateway']
 
+# What callers ask for again and again without any harm isn't logged.
+_QUIET = (errors.GoneError, errors.NotFoundError)
+
+_logger = log.get_logger('gateway')
+
 
 class Gateway:
     """Sends requests about workflows to the leader.
@@ -34,9 +40,31 @@
             BilberryhavenError: The leader refused.
         """
         wrapped = wire_message.WorkRequest(body=message.encode(request))
-        reply = self._leader.send(wrapped, timeout=timeout, step=step)
+        try:
+            reply = self._leader.send(wrapped, timeout=timeout, step=step)
+        except errors.BilberryhavenError as error:
+            if not isinstance(error, _QUIET):
+                self._log_refusal(request, timeout, error)
+            raise
         if not isinstance(reply, wire_message.WorkReply):
             raise errors.PeerError(
                 f'answered {type(reply).__name__}', step=step
             )
         return message.decode_reply(reply.body)
+
+    def _log_refusal(self, request, timeout, error):
+        # Polls and reports are repeated; their senders log a lost leader.
+        path = getattr(request, 'path', '')
+        if not path and error.status >= 500:
+            return
+        log.log_decision(
+            _logger,
+            'refuse request',
+            reason=error.message,
+            request=type(request).__name__,
+            path=path,
+            code=error.code,
+            outcome=str(error.outcome),
+            peer=error.peer,
+            waited_up_to_s=timeout.total_seconds(),
+        )
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -39,6 +39,7 @@
         leaves_at: When it leaves at the earliest, monotonic, or None.
         share: Percentage at which best-effort tasks may work there.
         present: ``Presence`` by run.
+        listed_at: When that was reported, monotonic, or None.
         paused: Best-effort runs that have been paused for long.
         pressing: Best-effort runs that raise tails near their targets.
     """
@@ -52,6 +53,7 @@
         self.leaves_at = None
         self.share = 100
         self.present = {}
+        self.listed_at = None
         self.paused = []
         self.pressing = []
         self.closed = False
@@ -132,6 +134,7 @@
                 running=row, first_at=first_at, moved_at=moved_at
             )
         self.present = present
+        self.listed_at = now
 
 
 class SessionTable:
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -324,3 +324,21 @@
         self.schedule()
         task = self.state.workflows.find('w1').find_task('0.0.0')
         self.assertEqual(2, task.last_run)
+
+
+class NeighboursTest(DispatcherTest):
+    """Surveys of an unknown image beside tasks that serve users."""
+
+    def test_placement_uses_what_was_learned(self):
+        self.replace()
+        self.poll()
+        serving = fakes.build_step(image='map', target_ms=150, cpu=1000)
+        self.submit('watch', serving)
+        self.schedule()
+        survey = fakes.build_step(
+            tasks=5, image='survey', cpu=7000, best_effort=True
+        )
+        self.submit('survey', survey)
+        self.schedule()
+        row = self.state.workflows.find('survey')
+        self.assertEqual(1, len(row.list_runs()))
