Start stragglers anew elsewhere

Cause: tasks on servers that stand still or turn slow were waited for, though their like elsewhere end in a fraction of the time.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -20,6 +20,7 @@
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import session
+from bilberryhaven.workflow import stragglers
 
 __all__ = ['Dispatcher']
 
@@ -57,6 +58,7 @@
         self._sessions = session.SessionTable()
         self._health = health.HealthTable()
         self._neighbours = neighbours.Neighbours()
+        self._times = stragglers.RunTimes()
         self._board = board.Board(machine.state)
         self._desk = callers.CallerDesk(leader=self, clock=clock)
         self._membership = membership
@@ -264,6 +266,7 @@
             held.record_presence(request.running, now)
             self._stop_unknown(held, request)
             pressing = self._learn(held, now)
+            self._stop_stragglers(held, now)
         if request.lapsed:
             self._close_backend(request.key, 'its agent says it has lapsed')
         return message.ReportReply(acked=acked, pressing=pressing)
@@ -277,12 +280,46 @@
             upto=request.upto,
             at=self._clock.wall().timestamp(),
         )
+        self._learn_run_times(request)
         acked = self.propose(command)
         for end in request.ends:
             self._judge_end(request.key, end)
         self.wake()
         return acked
 
+    def _learn_run_times(self, request):
+        now = self._clock.wall().timestamp()
+        with self._replica.machine_lock:
+            views = self._board.runs.get(request.key, {})
+            for end in request.ends:
+                view = views.get(end.run)
+                if view is not None and end.how == workflow_commands.DONE:
+                    seconds = now - view.ordered_at
+                    self._times.record(view.row.queue, seconds)
+
+    def _stop_stragglers(self, held, now):
+        with self._replica.machine_lock:
+            views = self._board.runs.get(held.key, {})
+            slow = stragglers.list_stragglers(
+                views, held.present, self._times, now
+            )
+        if not slow:
+            return
+        self._health.note_slow(held.key, now)
+        self.propose(workflow_commands.StopRuns(runs=slow))
+        self.wake()
+        for ref in slow:
+            log.log_decision(
+                _logger,
+                'stop straggler',
+                reason='far slower than its queue; starts anew elsewhere',
+                workflow=ref.workflow,
+                task=ref.task,
+                run=ref.number,
+                percent=held.present[ref].running.percent,
+                backend=held.key,
+            )
+
     def _judge_end(self, key, end):
         log.log_decision(
             _logger,
@@ -459,7 +496,7 @@
                 and self._is_fresh(held, now)
                 and self._health.is_open(row.key, now)
             ),
-            doubtful=self._health.is_doubtful(row.key),
+            doubtful=self._health.is_doubtful(row.key, now),
             proven=self._health.is_proven(row.key),
             share=held.share if held else 0,
         )
--- a/bilberryhaven/workflow/health.py
+++ b/bilberryhaven/workflow/health.py
@@ -23,6 +23,7 @@
         failed: Workflows whose runs have failed there since one ended well.
         ended_well: How many runs have ended well.
         until: Until when it gets no new work.
+        slow_until: Until when others are preferred, since runs stalled there.
     """
 
     failed: collections.OrderedDict = dataclasses.field(
@@ -30,6 +31,7 @@
     )
     ended_well: int = 0
     until: datetime.timedelta = datetime.timedelta.min
+    slow_until: datetime.timedelta = datetime.timedelta.min
 
 
 class HealthTable:
@@ -75,10 +77,17 @@
         row = self._rows.get(key)
         return row is None or now >= row.until
 
-    def is_doubtful(self, key):
-        """Return whether its last run failed."""
+    def note_slow(self, key, now):
+        """Prefer other servers for a while; runs are slow or stalled here."""
+        row = self._rows.setdefault(key, Health())
+        row.slow_until = now + QUARANTINE
+
+    def is_doubtful(self, key, now):
+        """Return whether its last run failed, or runs are slow there."""
         row = self._rows.get(key)
-        return row is not None and bool(row.failed)
+        if row is None:
+            return False
+        return bool(row.failed) or now < row.slow_until
 
     def is_proven(self, key):
         """Return whether a run has ended well there since the last failure."""
