Found no log of one's own after a lost disk

Cause: a voter that came back with an empty disk had no voters in its settings, and the default made it a quorum of one: it led in term 1 beside the true leader and answered as if current. Change: where members are kept without an operator, an instance without voters waits to be taken in.

--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -39,7 +39,8 @@
         settings: The process's ``Settings``.
         clock: The ``Clock``.
         options: The ``Options`` of workflows, or None for the defaults.
-        keep_members: Whether lost members are replaced without an operator.
+        keep_members: Whether lost members are replaced without an operator;
+            an instance without voters then waits to be taken in.
     """
 
     def __init__(self, *, settings, clock, options=None, keep_members=False):
@@ -53,10 +54,13 @@
             threads=THREADS,
         )
         self._machine = machine.TableMachine(on_applied=self._note_applied)
+        voters = settings.voters
+        if not voters and not keep_members:
+            voters = {settings.name: settings.listen}
         self.replica = replica.Replica(
             name=settings.name,
             address=settings.advertise or settings.listen,
-            voters=settings.voters or {settings.name: settings.listen},
+            voters=voters,
             folder=pathlib.Path(settings.data),
             machine=self._machine,
             clock=clock,
