--- a/tests/check_binary.py
+++ b/tests/check_binary.py
@@ -67,6 +67,7 @@
                 [BINARY, '--settings', path, 'standalone'],
                 env=self.env,
                 stderr=log,
+                stdout=log,
             )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
