Find out whether a lease ran out under an earlier agent

Cause: an agent that is restarted knows nothing of the deadlines that its predecessor granted, so it took ends over that a lapse had voided (KNOWN-RED, seed 61 of the workflows' fuzzing). Change: agents report the deadline that the server has confirmed; the leader hands it to the next agent with the time until all earlier grants have surely lapsed. A new agent counts the ends if the server's clock is before the deadline, voids them once the lapse is certain, and grants nothing in between.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -347,7 +347,7 @@
             self._rules.note_pace(run, percent)
 
     def _is_due(self, report, now):
-        if report.ends or report.trouble:
+        if report.ends or report.trouble or self._rules.report_due:
             return True
         runs = {row.run for row in report.running}
         if runs != self._listed_runs:
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -157,8 +157,17 @@
             orders=orders,
             acked=row.acked if row else 0,
             control=self._list_control(),
+            former_deadline_ms=held.deadline_ms,
+            doubt_ms=self._find_doubt(held),
         )
 
+    def _find_doubt(self, held):
+        if held.doubt_until is None:
+            return 0
+        rest = held.doubt_until - self._clock.monotonic()
+        # An agent that is new to the server has to know that there was one.
+        return max(1, int(rest / clocks.seconds(0.001)))
+
     def _renew(self, held, server):
         with self._replica.machine_lock:
             _check_open(held)
@@ -183,9 +192,10 @@
                 )
             if held is not None and held.epoch == row.epoch:
                 return held
-        else:
-            row = self._open_backend(key, request)
-        return self._open_session(row)
+            return self._open_session(row)
+        known = row is not None
+        row = self._open_backend(key, request)
+        return self._open_session(row, inherit=known)
 
     def _open_backend(self, key, request):
         self._close_former_lives(key, request)
@@ -228,13 +238,21 @@
         for other in former:
             self._close_backend(other, 'a later life has begun there')
 
-    def _open_session(self, row):
+    def _open_session(self, row, *, inherit=False):
+        """Open a session; ``inherit`` where an agent is new to the server."""
+        delay = self._options.closing_delay
         held = session.Session(
             key=row.key,
             epoch=row.epoch,
-            lease_end=self._clock.monotonic() + self._options.closing_delay,
+            lease_end=self._clock.monotonic() + delay,
         )
         with self._replica.machine_lock:
+            former = self._sessions.find(row.key)
+            if inherit:
+                held.doubt_until = self._ready_at + delay
+            if inherit and former is not None:
+                held.doubt_until = former.lease_end
+                held.deadline_ms = former.deadline_ms
             self._sessions.put(held)
             self._board.refresh(self._clock.wall().timestamp())
             self._order_runs(held)
@@ -253,6 +271,7 @@
         acked = self._record_ends(request)
         now = self._clock.monotonic()
         held.share = request.share
+        held.deadline_ms = max(held.deadline_ms, request.deadline_ms)
         held.paused = request.paused
         if request.trouble and self._health.set_aside(request.key, now):
             log.log_decision(
@@ -492,6 +511,7 @@
             gpu=row.gpu,
             open=(
                 held is not None
+                and not self._is_unsettled(held)
                 and not held.draining
                 and self._is_fresh(held, now)
                 and self._health.is_open(row.key, now)
@@ -530,6 +550,11 @@
         if wanted:
             server.satisfaction = used / wanted
 
+    @staticmethod
+    def _is_unsettled(held):
+        # A new agent may have to wait for what an earlier one kept alive.
+        return held.doubt_until is not None and held.listed_at is None
+
     def _is_fresh(self, held, now):
         # An agent that missed two polls is not given new work.
         silence = now - (held.lease_end - self._options.closing_delay)
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -154,6 +154,10 @@
         orders: Orders that are new to the agent.
         acked: Number of the newest end that was taken over.
         control: Addresses of the control instances.
+        former_deadline_ms: Deadline on the server's clock until which an
+            earlier agent is known to have kept runs alive; 0 if none is.
+        doubt_ms: How long what earlier agents granted may last yet; 0
+            where there was none.
     """
 
     key: str
@@ -164,6 +168,8 @@
     orders: list[Order] = []
     acked: int = 0
     control: list[str] = []
+    former_deadline_ms: int = 0
+    doubt_ms: int = 0
 
 
 class Report(Request, kw_only=True):
@@ -181,6 +187,8 @@
         paused: Best-effort runs that have been paused for long.
         lapsed: Whether the server is known to run nothing any more.
         trouble: Why starts fail there, or empty.
+        deadline_ms: Deadline on the server's clock that the runs have, as
+            the server has confirmed; 0 for none.
     """
 
     agent: str
@@ -194,6 +202,7 @@
     paused: list[workflow_commands.RunRef] = []
     lapsed: bool = False
     trouble: str = ''
+    deadline_ms: int = 0
 
 
 class ReportReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -42,6 +42,10 @@
         listed_at: When that was reported, monotonic, or None.
         paused: Best-effort runs that have been paused for long.
         pressing: Best-effort runs that raise tails near their targets.
+        deadline_ms: Newest deadline on the server's clock that an agent has
+            reported; 0 for none.
+        doubt_until: Until when runs may live that earlier agents have kept
+            alive, monotonic, or None.
     """
 
     def __init__(self, *, key, epoch, lease_end):
@@ -56,6 +60,8 @@
         self.listed_at = None
         self.paused = []
         self.pressing = []
+        self.deadline_ms = 0
+        self.doubt_until = None
         self.closed = False
         self._last = 0
         self._orders = []
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -66,6 +66,7 @@
         acked: Number of the newest end that the leader has taken over.
         listed_epoch: Fencing token with which the runs were listed last.
         paces_changed: Whether the last listing changed the paces.
+        report_due: Whether the leader hasn't had a report in this session.
     """
 
     def __init__(self, *, agent):
@@ -79,6 +80,7 @@
         self.acked = 0
         self.listed_epoch = 0
         self.paces_changed = False
+        self.report_due = False
         self.runs = {}
         self._feed = ''
         self._seen = 0
@@ -88,6 +90,8 @@
         self._granted_ms = 0
         self._void_upto = 0
         self._granted_until = None
+        self._former_deadline_ms = 0
+        self._doubt_until = None
         self._trouble = ''
         self._listed = set()
         self._pressing = set()
@@ -135,10 +139,13 @@
     def note_poll(self, reply, sent_at, now):
         """Take over a ``PollReply``; return the orders that are new here."""
         self.key = reply.key
-        self.epoch = reply.epoch
+        if reply.epoch != self.epoch:
+            self.epoch = reply.epoch
+            self._inherit(reply, now)
         if reply.feed != self._feed:
             self._feed = reply.feed
             self._seen = 0
+            self.report_due = True
         self._seen = max(self._seen, reply.last)
         end = sent_at + reply.lease_ms * MS
         if self._lease_end is None or end > self._lease_end:
@@ -146,6 +153,12 @@
         self.acked = max(self.acked, reply.acked)
         return [order for order in reply.orders if self._is_new(order, now)]
 
+    def _inherit(self, reply, now):
+        """Note until when an earlier agent's runs may have been alive."""
+        if reply.doubt_ms:
+            self._former_deadline_ms = reply.former_deadline_ms
+            self._doubt_until = now + reply.doubt_ms * MS
+
     def _is_new(self, order, now):
         known = self.runs.get(order.run)
         if order.kind == message.OrderKind.START:
@@ -195,6 +208,8 @@
         """
         if self._clock_ms is None or self._lease_end is None:
             return None
+        if self._doubt_until is not None:
+            return None
         if now >= self._lease_end:
             return None
         elapsed_ms = (now - self._clock_at) / MS
@@ -227,12 +242,12 @@
             sent_at: When it was asked for, monotonic.
             now: When it arrived, monotonic.
         """
+        if not self._settle_doubt(listing, now):
+            return self._build_report(listing)
         if 0 < self._granted_ms <= listing.clock_ms:
             # The lease ran out; what was listed before never counts.
             self._granted_ms = 0
-            self._void_upto = max(
-                (end.number for end in listing.ends), default=0
-            )
+            self._void_upto = _find_last(listing)
         self._clock_ms = listing.clock_ms
         self._clock_at = now
         ends = [end for end in listing.ends if end.number > self.acked]
@@ -240,19 +255,52 @@
         self._listed = {row.run for row in listing.running}
         self.listed_epoch = epoch
         self._settle_doubtful({end.run for end in ends}, sent_at)
-        return message.Report(
-            agent=self._agent,
-            key=self.key,
-            epoch=self.epoch,
+        return self._build_report(
+            listing,
             ends=ends + self._list_absent(),
             upto=max((end.number for end in ends), default=0),
-            running=listing.running,
             listed=True,
             share=self._update_paces(listing.running, now),
             paused=self._pacer.list_paused(now),
             trouble=self._trouble,
         )
 
+    def _build_report(self, listing, **fields):
+        return message.Report(
+            agent=self._agent,
+            key=self.key,
+            epoch=self.epoch,
+            running=listing.running,
+            deadline_ms=self._granted_ms,
+            **fields,
+        )
+
+    def _settle_doubt(self, listing, now):
+        """Find out whether the lease ran out under an earlier agent.
+
+        Ends from before a lapse never count, others always do. Where
+        neither is certain, nothing is kept alive until a lapse is.
+
+        Returns:
+            Whether it is known.
+        """
+        if self._doubt_until is None:
+            return True
+        if listing.clock_ms < self._former_deadline_ms:
+            self._granted_ms = self._former_deadline_ms
+        elif now >= self._doubt_until:
+            self._void_upto = _find_last(listing)
+        elif not self._is_lapse_harmless(listing):
+            return False
+        self._doubt_until = None
+        return True
+
+    def _is_lapse_harmless(self, listing):
+        if all(end.how != DONE for end in listing.ends):
+            return True
+        # What still works there has outlived a deadline that isn't known.
+        return bool(listing.running) and not self._former_deadline_ms
+
     def _settle_doubtful(self, ended, sent_at):
         for ref, known in self.runs.items():
             if known.phase != RunPhase.DOUBTFUL or sent_at < known.since:
@@ -306,6 +354,7 @@
     def note_reported(self, report, reply):
         """Forget what the leader has taken over."""
         self.acked = max(self.acked, reply.acked)
+        self.report_due = False
         self._pressing = set(reply.pressing)
         for end in report.ends:
             if end.number <= self.acked:
@@ -322,6 +371,11 @@
     return not older and told.state.id != known.state.id
 
 
+def _find_last(listing):
+    """Return the number of the newest end that is listed."""
+    return max((end.number for end in listing.ends), default=0)
+
+
 def _void_lapsed(ends, void_upto):
     """Return the ends without those that a lapse of the lease has voided.
 
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -207,6 +207,15 @@
         self.assertRaises(errors.FencedError, self.poll, epoch=first.epoch)
         self.assertRaises(errors.FencedError, self.report, first)
 
+    def test_new_agent_learns_what_its_predecessor_kept_alive(self):
+        first = self.poll()
+        self.assertEqual(0, first.doubt_ms)
+        self.report(first, deadline_ms=4200)
+        self.advance(1)
+        second = self.poll()
+        self.assertEqual(4200, second.former_deadline_ms)
+        self.assertTrue(4000 < second.doubt_ms <= 4600, second.doubt_ms)
+
     def test_silent_server_is_closed_only_after_its_lease(self):
         self.submit('w1')
         first = self.poll()
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -64,6 +64,63 @@
         )
 
 
+class SuccessionTest(SupervisionTest):
+    """A new agent doesn't know what its predecessor kept alive."""
+
+    done = workflow_commands.RunEnd(1, build_ref(), 'done')
+
+    def inherit(self, *, deadline_ms, doubt_ms):
+        reply = message.PollReply(
+            key='s@1',
+            epoch=8,
+            lease_ms=5000,
+            feed='f',
+            last=0,
+            former_deadline_ms=deadline_ms,
+            doubt_ms=doubt_ms,
+        )
+        self.rules.note_poll(reply, self.now(), self.now())
+
+    def list_done(self, clock_ms, running=()):
+        return self.list(clock_ms=clock_ms, ends=[self.done], running=running)
+
+    def test_ends_before_the_known_deadline_count(self):
+        self.inherit(deadline_ms=4000, doubt_ms=2000)
+        report = self.list_done(3000)
+        self.assertEqual([self.done], report.ends)
+        self.assertIsNotNone(self.rules.find_deadline(self.now()))
+
+    def test_lapse_after_the_handover_is_seen(self):
+        self.inherit(deadline_ms=4000, doubt_ms=2000)
+        self.list(clock_ms=3000)
+        report = self.list_done(4000)
+        self.assertEqual(['lapsed'], [end.how for end in report.ends])
+
+    def test_nothing_is_granted_or_told_while_a_lapse_is_uncertain(self):
+        self.inherit(deadline_ms=4000, doubt_ms=2000)
+        report = self.list_done(4500, running=[build_ref(2)])
+        self.assertEqual(([], 0), (report.ends, report.upto))
+        self.assertIsNone(self.rules.find_deadline(self.now()))
+        self.assertNotEqual(self.rules.epoch, self.rules.listed_epoch)
+
+    def test_ends_are_void_once_the_lapse_is_certain(self):
+        self.inherit(deadline_ms=4000, doubt_ms=2000)
+        self.list_done(4500)
+        self.clock.advance(clocks.seconds(2))
+        report = self.list_done(6500)
+        self.assertEqual(['lapsed'], [end.how for end in report.ends])
+        self.assertIsNotNone(self.rules.find_deadline(self.now()))
+
+    def test_nothing_to_void_needs_no_wait(self):
+        self.inherit(deadline_ms=4000, doubt_ms=2000)
+        self.assertTrue(self.list(clock_ms=4500).listed)
+
+    def test_after_a_change_of_leader_what_works_proves_the_lease(self):
+        self.inherit(deadline_ms=0, doubt_ms=2000)
+        report = self.list_done(4500, running=[build_ref(2)])
+        self.assertEqual([self.done], report.ends)
+
+
 class LeaseTest(SupervisionTest):
     def test_no_deadline_before_the_servers_clock_is_known(self):
         self.poll()
