--- a/bilberryhaven/platform/control.py
+++ b/bilberryhaven/platform/control.py
@@ -18,12 +18,18 @@
 
 @roles.register('control')
 class ControlRole(roles.Role):
-    """Serves operators and holds a replica of the log."""
+    """Serves operators, and holds a replica of the log where a disk is.
+
+    Without a disk nothing that was acknowledged would last, so such an
+    instance only passes operators' requests on to the leader.
+    """
 
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
         self._stop_joiner = None
-        self._control = self._build_control()
+        self._control = None
+        if self._deployment.has_disk:
+            self._control = self._build_control()
         self._serve(
             self._deployment.orders,
             faces.build_operator_face(self._gateway),
@@ -43,6 +49,9 @@
 
     def start(self):
         """Join the quorum and listen."""
+        if self._control is None:
+            super().start()
+            return
         self._control.start()
         super().start()
         joiner = keeper.Joiner(
@@ -59,6 +68,7 @@
 
     def stop(self):
         """Hand leadership over and stop."""
-        self._stop_joiner()
-        self._control.stop()
+        if self._control is not None:
+            self._stop_joiner()
+            self._control.stop()
         super().stop()
--- a/bilberryhaven/platform/settings.py
+++ b/bilberryhaven/platform/settings.py
@@ -30,6 +30,7 @@
         ready: Address to serve readiness checks at, or empty.
         orders: Address to serve operators or the backend server at, or
             empty.
+        has_disk: Whether what is written to the data folder lasts.
     """
 
     settings: settings.Settings
@@ -37,6 +38,7 @@
     callers: str
     ready: str
     orders: str
+    has_disk: bool
 
 
 def find_path():
@@ -102,6 +104,7 @@
         callers=fields.get('listen.frontend', ''),
         ready=fields.get('listen.ready', ''),
         orders=fields.get('listen.control', ''),
+        has_disk=bool(fields.get('data_dir')),
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -74,6 +74,11 @@
         self.assertEqual(5, loaded.options.voters)
         self.assertEqual(4.0, loaded.options.lease.total_seconds())
 
+    def test_disk_is_known_by_its_folder(self):
+        self.assertTrue(self.load(LINES).has_disk)
+        without = LINES.replace('data_dir=/data/my-frontend\n', '')
+        self.assertFalse(self.load(without).has_disk)
+
     def test_later_start_founds_nothing(self):
         loaded = self.load(LINES.replace('bootstrap=true', 'bootstrap=false'))
         self.assertEqual({}, loaded.settings.voters)
--- /dev/null
+++ b/tests/test_platform_control.py
@@ -0,0 +1,34 @@
+"""The control role on an instance without a disk only passes requests on."""
+
+import testtools
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.platform import control
+from bilberryhaven.platform import settings as platform_settings
+from bilberryhaven import settings
+from bilberryhaven.workflow import options
+
+
+def build_role(folder, *, has_disk):
+    deployment = platform_settings.Deployment(
+        settings=settings.Settings(
+            name='n', listen='127.0.0.1:0', data=str(folder)
+        ),
+        options=options.Options(),
+        callers='',
+        ready='',
+        orders='127.0.0.1:0',
+        has_disk=has_disk,
+    )
+    return control.ControlRole(
+        deployment=deployment, clock=clocks.SystemClock()
+    )
+
+
+class ControlRoleTest(testtools.TestCase):
+    def test_without_a_disk_there_is_no_replica(self):
+        role = build_role('/nowhere', has_disk=False)
+        self.assertIsNone(role._control)
+        role.start()
+        self.addCleanup(role.stop)
+        self.assertTrue(role.address)
