Share out what tails have left to the workflow that came first

Change: the pacer computes what each tail has left from the learned effects, gives it to runs in the order of their workflows and stops the rest; slow runs that save no progress move too while less than half is done.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -329,7 +329,7 @@
                 'pace best-effort tasks',
                 reason='tail latencies against their targets',
                 share=report.share,
-                tails=tails,
+                tails=[(row.latency_ms, row.target_ms) for row in tails],
                 runs=len(listing.running),
             )
         for run, percent in paces:
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -280,15 +280,15 @@
                 reason=request.trouble,
                 backend=request.key,
             )
-        pressing = []
+        effects = []
         if request.listed:
             held.record_presence(request.running, now)
             self._stop_unknown(held, request)
-            pressing = self._learn(held, now)
+            effects = self._learn(held, now)
             self._stop_stragglers(held, now)
         if request.lapsed:
             self._close_backend(request.key, 'its agent says it has lapsed')
-        return message.ReportReply(acked=acked, pressing=pressing)
+        return message.ReportReply(acked=acked, effects=effects)
 
     def _record_ends(self, request):
         if not request.ends and not request.upto:
@@ -373,8 +373,8 @@
             views = self._board.runs.get(held.key, {})
             self._neighbours.observe(row, views, held.present, now)
             pairs = self._neighbours.list_pressing(row, views, held.present)
-        held.pressing = [ref for _, ref in pairs]
-        return held.pressing
+            held.pressing = [ref for _, ref in pairs]
+            return self._neighbours.list_present_effects(views)
 
     def _stop_unknown(self, held, request):
         """Stop what runs there though the log knows nothing of it."""
@@ -454,6 +454,7 @@
                     moves += planner.list_relocations(
                         self._board.runs.get(held.key, {}),
                         held.paused,
+                        held.present,
                         servers[held.key],
                         list(servers.values()),
                         self._neighbours,
@@ -466,7 +467,7 @@
             log.log_decision(
                 _logger,
                 'relocate run',
-                reason='paused for long where it is, room elsewhere',
+                reason='slowed down for long where it is, room elsewhere',
                 workflow=ref.workflow,
                 task=ref.task,
                 run=ref.number,
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -15,6 +15,7 @@
     'Cancel',
     'CatalogReply',
     'CountReply',
+    'Effect',
     'Inquire',
     'Join',
     'JoinReply',
@@ -96,6 +97,9 @@
         target_ms: Bound on its tail latency, 0 for none.
         best_effort: Whether it uses what others leave.
         percent: Percentage at which a best-effort run works at first.
+        image: What it runs.
+        cpu: Thousandths of a core that it asks for.
+        rank: Best-effort runs with a lower one come first.
     """
 
     kind: str
@@ -105,6 +109,23 @@
     target_ms: int = 0
     best_effort: bool = False
     percent: int = 100
+    image: str = ''
+    cpu: int = 0
+    rank: float = 0.0
+
+
+class Effect(msgspec.Struct, array_like=True):
+    """How much one image raises the tails of another.
+
+    Attributes:
+        serving: Image of the tasks that serve users.
+        image: Image of the best-effort tasks.
+        per_tenth: Logarithm of the factor for each tenth of a server.
+    """
+
+    serving: str
+    image: str
+    per_tenth: float
 
 
 class Running(msgspec.Struct, array_like=True):
@@ -184,7 +205,7 @@
         running: The runs that are present.
         listed: Whether ``running`` was read just now.
         share: Percentage at which best-effort tasks may work there.
-        paused: Best-effort runs that have been paused for long.
+        paused: Best-effort runs that have been slowed down for long.
         lapsed: Whether the server is known to run nothing any more.
         trouble: Why starts fail there, or empty.
         deadline_ms: Deadline on the server's clock that the runs have, as
@@ -210,11 +231,11 @@
 
     Attributes:
         acked: Number of the newest end that was taken over.
-        pressing: Best-effort runs that raise tails near their targets.
+        effects: What is known of the images that are present there.
     """
 
     acked: int = 0
-    pressing: list[workflow_commands.RunRef] = []
+    effects: list[Effect] = []
 
 
 class Submit(Request, kw_only=True):
--- a/bilberryhaven/workflow/neighbours.py
+++ b/bilberryhaven/workflow/neighbours.py
@@ -13,14 +13,14 @@
 import math
 
 from bilberryhaven.systems import regression
+from bilberryhaven.workflow import message
+from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import planner
 
 __all__ = ['Neighbours']
 
 TENTHS = 10
-# Effects lie between nothing and about a factor of two; as long as a pair of
-# images is unknown, it counts as a bad one.
-PRIOR_EFFECT = 0.5
+PRIOR_EFFECT = pacing.UNKNOWN_EFFECT
 PRIOR_VARIANCE = 0.25
 LEAST_EFFECT = 0.0
 # Tails of two listings differ by some tenths without any cause to be seen.
@@ -205,6 +205,21 @@
                 pressing.append((effect, ref))
         return sorted(pressing, key=lambda pair: -pair[0])
 
+    def list_present_effects(self, views):
+        """Return the ``Effect`` rows of images that are on one server.
+
+        Args:
+            views: ``RunView`` by run, all that count there.
+        """
+        steps = [view.step for view in views.values()]
+        serving = {step.image for step in steps if step.target_ms}
+        others = {step.image for step in steps if step.best_effort}
+        return [
+            message.Effect(one, other, round(self.get_effect(one, other), 3))
+            for one in sorted(serving)
+            for other in sorted(others)
+        ]
+
     def list_effects(self):
         """Return the learned (serving image, image, factor) triples."""
         return [
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -1,35 +1,63 @@
-"""Pacing of best-effort tasks beside tasks that serve users."""
+"""Pacing of best-effort tasks beside tasks that serve users.
+
+The logarithm of a serving task's tail latency rises with the processor time
+that best-effort runs beside it use, by an effect that differs by their images
+(``neighbours``). What a tail has left below its target is shared out among
+those runs by rank: the workflow that came first works fully as far as it may,
+the others give way. So what has begun ends, and nothing is held up by its one
+task that stands still.
+"""
 
 import dataclasses
 import datetime
+import math
 
-__all__ = ['FULL', 'Pacer']
+__all__ = ['FULL', 'Pacer', 'Tail']
 
 FULL = 100
 # Percentage at which a task starts that may disturb those beside it.
 CAREFUL = 20
-# Share of the target at which best-effort tasks are slowed down, so that the
-# tail stays below the target itself.
-SLOW_AT = 0.85
-# Share of the target below which they may work more again.
-RELAX_AT = 0.7
-# Additive increase, multiplicative decrease.
-INCREASE = 20
-DECREASE = 0.4
+# Effect of an image on a tail before anything was learned, as the logarithm
+# for a tenth of a server: effects lie between nothing and a factor of two.
+UNKNOWN_EFFECT = 0.5
+# Share of the target up to which tails may be raised; the rest is for what
+# changes until the next listing.
+AIM = 0.85
+# Runs that raise a tail by less than this, a logarithm, aren't paced for it.
+NEGLIGIBLE = 0.03
 # Below this percentage a task is stopped altogether.
 LEAST = 8
+# Largest raise between two listings: effects are estimates.
+MAX_RAISE = 50
+# Changes of percentage below this aren't worth an order.
+LEAST_CHANGE = 6
 # A tail is measured over half a second, so a change shows in whole only then.
 SETTLE = datetime.timedelta(seconds=0.55)
-# How long a run that was slowed down waits before it is let work more; twice
-# as long after each further time.
-FIRST_BACKOFF = datetime.timedelta(seconds=1)
-MAX_BACKOFF = datetime.timedelta(seconds=4)
-# Step by which such a run is let work more again, one run at a time.
-RETRY_INCREASE = 25
-# A run that has been paused for this long would do better elsewhere.
-PAUSED_LONG = datetime.timedelta(seconds=1)
-# A run that was let work more within this time is blamed for a higher tail.
-BLAME = datetime.timedelta(seconds=1.3)
+# Weight of the newest listing in what a tail has left: its figure is rough.
+NEWEST_WEIGHT = 0.5
+# A tail over its target for longer stops all runs, also those that are known
+# as harmless: it may stay over it for a few seconds only.
+LONG_OVER = datetime.timedelta(seconds=1.2)
+# A run below this percentage for this long would do better elsewhere.
+SLOW_PERCENT = 35
+SLOW_FOR = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Tail:
+    """Tail latency of one serving run.
+
+    Attributes:
+        run: The run.
+        image: What it runs.
+        latency_ms: Its tail latency in ms.
+        target_ms: Bound on it in ms.
+    """
+
+    run: object
+    image: str
+    latency_ms: float
+    target_ms: float
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -37,17 +65,19 @@
     """Percentage at which one run may work.
 
     Attributes:
+        image: What it runs.
+        tenths: Tenths of the server that it uses when it works fully.
+        rank: Lower ones come first.
         percent: The percentage.
-        raised_at: When it was raised last, monotonic.
-        backoff: How long it waits after it was slowed down; 0 if it never
-            was.
-        lowered_at: When it was slowed down last, monotonic.
+        slow_since: Since when it has been below ``SLOW_PERCENT``, monotonic,
+            or None.
     """
 
+    image: str
+    tenths: float
+    rank: float
     percent: int
-    raised_at: datetime.timedelta
-    backoff: datetime.timedelta = datetime.timedelta()
-    lowered_at: datetime.timedelta = datetime.timedelta()
+    slow_since: datetime.timedelta | None = None
 
 
 class Pacer:
@@ -55,12 +85,16 @@
 
     def __init__(self):
         self._paces = {}
+        self._rooms = {}
         self._changed_at = None
+        self._over_since = None
         self.worst = 0.0
 
-    def add(self, run, percent, now):
+    def add(self, run, *, image, tenths, rank, percent):
         """Begin to pace a run."""
-        self._paces[run] = Pace(percent=percent, raised_at=now)
+        self._paces[run] = Pace(
+            image=image, tenths=tenths, rank=rank, percent=percent
+        )
 
     def remove(self, run):
         """Forget a run."""
@@ -79,82 +113,115 @@
         total = sum(pace.percent for pace in self._paces.values())
         return total // len(self._paces)
 
-    def update(self, tails, pressing, now):
+    def update(self, tails, effects, now):
         """Take the newest tail latencies.
 
         Args:
-            tails: (tail latency, target) pairs in ms of the tasks that serve
-                users.
-            pressing: Runs that are known to raise the tails.
+            tails: The ``Tail`` rows of the runs that serve users.
+            effects: Learned effects by (serving image, image).
             now: Monotonic time.
 
         Returns:
             Whether any percentage has changed.
         """
-        self.worst = max((tail / target for tail, target in tails), default=0)
+        # A task that has just started has no figure yet.
+        tails = [tail for tail in tails if tail.latency_ms > 0]
+        self.worst = max(
+            (tail.latency_ms / tail.target_ms for tail in tails), default=0
+        )
+        self._note_over(now)
+        if not self._paces:
+            return False
         recent = self._changed_at and now - self._changed_at < SETTLE
-        if not self._paces or recent:
+        if recent and self.worst < 1.0:
             return False
-        before = {run: pace.percent for run, pace in self._paces.items()}
-        if self.worst >= SLOW_AT:
-            for pace in self._find_blamed(pressing, now):
-                self._lower(pace, now)
-        elif self.worst < RELAX_AT:
-            self._relax(now)
-        after = {run: pace.percent for run, pace in self._paces.items()}
-        if before == after:
+        rooms = self._estimate_rooms(tails, effects, settled=not recent)
+        before = [pace.percent for pace in self._paces.values()]
+        self._share_out(tails, rooms, effects)
+        self._note_slow(now)
+        if before == [pace.percent for pace in self._paces.values()]:
             return False
         self._changed_at = now
         return True
 
-    def _find_blamed(self, pressing, now):
-        """Return the paces to lower: the newest raised, else the pressing."""
-        working = {
-            run: pace for run, pace in self._paces.items() if pace.percent
-        }
-        raised = [
-            pace for pace in working.values() if now - pace.raised_at < BLAME
-        ]
-        known = [pace for run, pace in working.items() if run in pressing]
-        if self.worst >= 1.0:
-            return raised + known or list(working.values())
-        return raised or known or list(working.values())
-
-    def _relax(self, now):
-        """Raise what never disturbed, and one run of those that did."""
-        waiting = []
+    def _note_over(self, now):
+        if self.worst < 1.0:
+            self._over_since = None
+        elif self._over_since is None:
+            self._over_since = now
+        self._over_long = (
+            self._over_since is not None
+            and now - self._over_since >= LONG_OVER
+        )
+
+    def _estimate_rooms(self, tails, effects, *, settled):
+        """Return by how much all runs together may raise each tail."""
+        rooms = {}
+        for tail in tails:
+            load = sum(
+                _find_cost(effects, tail, pace) * pace.percent / FULL
+                for pace in self._paces.values()
+            )
+            left = math.log(AIM * tail.target_ms / tail.latency_ms)
+            room = load + left
+            former = self._rooms.get(tail.run, room)
+            if not settled:
+                # The figure still holds what was raised or lowered last.
+                room = min(room, former)
+            elif left > 0:
+                room = former + NEWEST_WEIGHT * (room - former)
+            rooms[tail.run] = room
+        self._rooms = rooms
+        return rooms
+
+    def _share_out(self, tails, rooms, effects):
+        rest = dict(rooms)
+        for pace in sorted(self._paces.values(), key=lambda row: row.rank):
+            costs = {
+                tail.run: _find_cost(effects, tail, pace) for tail in tails
+            }
+            share = min(
+                (
+                    rest[run] / cost
+                    for run, cost in costs.items()
+                    if cost > NEGLIGIBLE
+                ),
+                default=1.0,
+            )
+            if self._over_long:
+                share = 0.0
+            _set_percent(pace, int(FULL * max(0.0, min(1.0, share))))
+            for run, cost in costs.items():
+                if cost > NEGLIGIBLE:
+                    rest[run] -= cost * pace.percent / FULL
+
+    def _note_slow(self, now):
         for pace in self._paces.values():
-            if pace.percent >= FULL:
-                continue
-            if pace.backoff:
-                waiting.append(pace)
-            else:
-                _raise(pace, INCREASE, now)
-        ready = [
-            pace for pace in waiting if now >= pace.lowered_at + pace.backoff
-        ]
-        if ready:
-            first = max(ready, key=lambda pace: pace.percent)
-            _raise(first, RETRY_INCREASE, now)
-
-    def _lower(self, pace, now):
-        lower = int(pace.percent * DECREASE)
-        # Over the target there is no time to approach the right pace.
-        if self.worst >= 1.0 or lower < LEAST:
-            lower = 0
-        pace.percent = lower
-        pace.lowered_at = now
-        pace.backoff = min(max(2 * pace.backoff, FIRST_BACKOFF), MAX_BACKOFF)
-
-    def list_paused(self, now):
-        """Return the runs that have been paused for long."""
+            if pace.percent >= SLOW_PERCENT:
+                pace.slow_since = None
+            elif pace.slow_since is None:
+                pace.slow_since = now
+
+    def list_slow(self, now):
+        """Return the runs that have been slowed down for long."""
         return [
             run
             for run, pace in self._paces.items()
-            if not pace.percent and now - pace.lowered_at >= PAUSED_LONG
+            if pace.slow_since is not None
+            and now - pace.slow_since >= SLOW_FOR
         ]
 
 
-def _raise(pace, step, now):
-    pace.percent = min(FULL, pace.percent + step)
-    pace.raised_at = now
+def _find_cost(effects, tail, pace):
+    """Return how much a run raises a tail if it works fully."""
+    effect = effects.get((tail.image, pace.image), UNKNOWN_EFFECT)
+    return effect * pace.tenths
+
+
+def _set_percent(pace, percent):
+    if percent < LEAST:
+        percent = 0
+    percent = min(percent, pace.percent + MAX_RAISE)
+    if 0 < percent < FULL and abs(percent - pace.percent) < LEAST_CHANGE:
+        return
+    pace.percent = percent
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -27,6 +27,9 @@
 MAX_TAIL_SHARE = 0.7
 # Effects on tails are counted for each tenth of a server.
 TENTHS = 10
+# A run that saves no progress is moved only before this percentage: with less
+# than half done, starting anew at full speed ends sooner than waiting does.
+MAX_LOST_PERCENT = 50
 # A workflow with nothing running waits no longer than this for processor
 # time that is left over, as long as the pool is not half full.
 MAX_LEFTOVER_WAIT_S = 1.5
@@ -372,20 +375,21 @@
     return (not server.serving, disturbed)
 
 
-def list_relocations(views, paused, server, others, effects):
-    """Return the paused runs that can do better on another server.
+def list_relocations(views, slow, present, server, others, effects):
+    """Return the slow runs that can do better on another server.
 
     Args:
         views: ``RunView`` by run, all that count on the server.
-        paused: Runs that have been paused there for long.
+        slow: Runs that have been slowed down there for long.
+        present: ``Presence`` by run, as the server listed them.
         server: The ``Server`` that they are on.
         others: The other ``Server`` rows.
         effects: The ``Effects``.
     """
     moves = []
-    for ref in paused:
-        view = views.get(ref)
-        if view is None or view.stopping or not view.step.saves_progress:
+    ranked = [views[ref] for ref in slow if ref in views]
+    for view in sorted(ranked, key=lambda item: item.row.submitted_at):
+        if view.stopping or not _is_cheap_to_move(view, present):
             continue
         fits = [
             other
@@ -399,5 +403,13 @@
         ]
         if fits:
             fits[0].claim(view.step, view.group)
-            moves.append(ref)
+            moves.append(view.ref)
     return moves
+
+
+def _is_cheap_to_move(view, present):
+    """Return whether little of a run's work is lost by a move."""
+    if view.step.saves_progress:
+        return True
+    seen = present.get(view.ref)
+    return seen is not None and seen.running.percent < MAX_LOST_PERCENT
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -40,7 +40,7 @@
         share: Percentage at which best-effort tasks may work there.
         present: ``Presence`` by run.
         listed_at: When that was reported, monotonic, or None.
-        paused: Best-effort runs that have been paused for long.
+        paused: Best-effort runs that have been slowed down for long.
         pressing: Best-effort runs that raise tails near their targets.
         deadline_ms: Newest deadline on the server's clock that an agent has
             reported; 0 for none.
@@ -185,4 +185,7 @@
         target_ms=step.target_ms,
         best_effort=step.best_effort,
         percent=find_percent(view) if step.best_effort else 100,
+        image=step.image,
+        cpu=step.cpu,
+        rank=view.row.submitted_at,
     )
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -13,6 +13,7 @@
 __all__ = ['RunPhase', 'Supervision']
 
 MS = clocks.seconds(0.001)
+TENTHS = 10
 DONE = workflow_commands.EndHow.DONE
 LAPSED = workflow_commands.EndHow.LAPSED
 REJECTED = workflow_commands.EndHow.REJECTED
@@ -94,7 +95,7 @@
         self._doubt_until = None
         self._trouble = ''
         self._listed = set()
-        self._pressing = set()
+        self._effects = {}
         self._pacer = pacing.Pacer()
 
     def note_announcement(self, told):
@@ -174,7 +175,7 @@
                 order=order, phase=phase, since=now, percent=percent
             )
             if order.best_effort:
-                self._pacer.add(order.run, order.percent, now)
+                self._pace(order)
             return phase == RunPhase.STARTING
         if known is None:
             known = OrderedRun(order=None, phase=RunPhase.STARTED, since=now)
@@ -183,6 +184,16 @@
         known.stopping = True
         return news
 
+    def _pace(self, order):
+        cpu = max(self.target.state.cpu, 1)
+        self._pacer.add(
+            order.run,
+            image=order.image,
+            tenths=TENTHS * order.cpu / cpu,
+            rank=order.rank,
+            percent=order.percent,
+        )
+
     def may_start(self, run):
         """Return whether the start of ``run`` may still be sent."""
         known = self.runs.get(run)
@@ -261,7 +272,7 @@
             upto=max((end.number for end in ends), default=0),
             listed=True,
             share=self._update_paces(listing.running, now),
-            paused=self._pacer.list_paused(now),
+            paused=self._pacer.list_slow(now),
             trouble=self._trouble,
         )
 
@@ -317,17 +328,24 @@
 
     def _update_paces(self, running, now):
         tails = self.list_tails(running)
-        self.paces_changed = self._pacer.update(tails, self._pressing, now)
+        self.paces_changed = self._pacer.update(tails, self._effects, now)
         return self._pacer.share
 
     def list_tails(self, running):
-        """Return (tail latency, target) pairs in ms of the given runs."""
+        """Return the ``Tail`` rows of those runs that serve users."""
         tails = []
         for row in running:
             known = self.runs.get(row.run)
-            target = known.order.target_ms if known and known.order else 0
-            if target:
-                tails.append((row.gauge, target))
+            order = known.order if known else None
+            if order is not None and order.target_ms:
+                tails.append(
+                    pacing.Tail(
+                        run=row.run,
+                        image=order.image,
+                        latency_ms=row.gauge,
+                        target_ms=order.target_ms,
+                    )
+                )
         return tails
 
     def list_paces(self):
@@ -355,7 +373,9 @@
         """Forget what the leader has taken over."""
         self.acked = max(self.acked, reply.acked)
         self.report_due = False
-        self._pressing = set(reply.pressing)
+        self._effects.update(
+            {(row.serving, row.image): row.per_tenth for row in reply.effects}
+        )
         for end in report.ends:
             if end.number <= self.acked:
                 self.runs.pop(end.run, None)
