Let a survey that came first take the room of later ones

Cause: the planner compared a server's tail with all that runs there, so a disturbing survey waited until the tail was low by itself, though the pacing would make later ones give way to it. Change: placement predicts the pace that a run would get by its rank; slow runs move to the server with the best one.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -328,7 +328,7 @@
                 _logger,
                 'pace best-effort tasks',
                 reason='tail latencies against their targets',
-                share=report.share,
+                share=self._rules.share,
                 tails=[(row.latency_ms, row.target_ms) for row in tails],
                 runs=len(listing.running),
             )
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -270,7 +270,6 @@
             )
         acked = self._record_ends(request)
         now = self._clock.monotonic()
-        held.share = request.share
         held.deadline_ms = max(held.deadline_ms, request.deadline_ms)
         held.paused = request.paused
         if request.trouble and self._health.set_aside(request.key, now):
@@ -431,7 +430,6 @@
             run=start.number,
             backend=start.backend,
             unclaimed_cpu=server.unclaimed,
-            best_effort_share=server.share,
             satisfaction=round(server.satisfaction, 2),
             worst_tail=round(max((t for _, t in server.tails), default=0), 2),
             report_age_s=age and round(age.total_seconds(), 3),
@@ -519,7 +517,6 @@
             ),
             doubtful=self._health.is_doubtful(row.key, now),
             proven=self._health.is_proven(row.key),
-            share=held.share if held else 0,
         )
         views = self._board.runs.get(row.key, {})
         for ref, view in views.items():
@@ -542,8 +539,17 @@
                 server.tails.append((view.step.image, share))
                 continue
             age = (now - seen.first_at).total_seconds()
-            if not view.step.best_effort or age < SETTLED_S:
-                server.trying |= view.step.best_effort
+            if not view.step.best_effort:
+                continue
+            server.fillers.append(
+                planner.Filler(
+                    image=view.step.image,
+                    tenths=planner.TENTHS * seen.running.gauge / server.cpu,
+                    rank=view.row.submitted_at,
+                )
+            )
+            if age < SETTLED_S:
+                server.trying = True
                 continue
             if ref not in held.pressing:
                 wanted += view.step.cpu
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -204,7 +204,6 @@
         upto: Number of the newest end among them.
         running: The runs that are present.
         listed: Whether ``running`` was read just now.
-        share: Percentage at which best-effort tasks may work there.
         paused: Best-effort runs that have been slowed down for long.
         lapsed: Whether the server is known to run nothing any more.
         trouble: Why starts fail there, or empty.
@@ -219,7 +218,6 @@
     upto: int = 0
     running: list[Running] = []
     listed: bool = False
-    share: int = 100
     paused: list[workflow_commands.RunRef] = []
     lapsed: bool = False
     trouble: str = ''
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -5,6 +5,7 @@
 import math
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.tables import workflow
 
 __all__ = ['Effects', 'Server', 'list_relocations', 'plan_starts']
 
@@ -17,14 +18,17 @@
 # Best-effort tasks that get less than this share of what they ask for show
 # that nothing is left over, whatever the claims say.
 MIN_SATISFACTION = 0.8
-# A server whose best-effort tasks are paced below this percentage gets no
-# more that may raise a tail.
-MIN_SHARE_PERCENT = 60
+# A best-effort task goes only where it may work at this share of its speed:
+# elsewhere it would hold its workflow up.
+MIN_PACE = 0.6
 # A best-effort task that raises a tail by less than this (a logarithm) isn't
 # kept away from it.
 NO_EFFECT = 0.05
-# Share of a tail latency's target that a placement may bring it to.
-MAX_TAIL_SHARE = 0.7
+# Share of a tail latency's target that a placement may bring it to; below
+# what the pacing allows, since the load of tasks that serve users swings.
+MAX_TAIL_SHARE = 0.75
+# A tail below this share of its target leaves room for anything.
+LEAST_TAIL = 0.01
 # Effects on tails are counted for each tenth of a server.
 TENTHS = 10
 # A run that saves no progress is moved only before this percentage: with less
@@ -48,6 +52,21 @@
         return True
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Filler:
+    """A best-effort run that works on a server.
+
+    Attributes:
+        image: What it runs.
+        tenths: Tenths of the server that it uses.
+        rank: When its workflow was submitted; earlier ones come first.
+    """
+
+    image: str
+    tenths: float
+    rank: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Server:
     """A backend server as a place for tasks.
@@ -65,7 +84,6 @@
         proven: Whether a task has ended well there since its last failure.
         trying: Whether a best-effort task has just been started there of
             which it isn't known whether it raises a tail.
-        share: Mean percentage at which its best-effort tasks may work.
         speed: Speed of its work relative to others; 1 is normal.
         used_cpu: Thousandths of a core that its tasks have claimed.
         used_memory_mb: Memory that its tasks have claimed.
@@ -77,6 +95,7 @@
             get.
         tails: (image, share of the target that its tail has reached) pairs
             of the tasks that serve users.
+        fillers: The ``Filler`` rows of its best-effort runs.
         held: Tasks that it holds, by group.
     """
 
@@ -91,7 +110,6 @@
     doubtful: bool = False
     proven: bool = True
     trying: bool = False
-    share: int = 100
     speed: float = 1.0
     used_cpu: int = 0
     used_memory_mb: int = 0
@@ -102,6 +120,7 @@
     )
     satisfaction: float = 1.0
     tails: list = dataclasses.field(default_factory=list)
+    fillers: list = dataclasses.field(default_factory=list)
     held: dict = dataclasses.field(
         default_factory=lambda: collections.defaultdict(int)
     )
@@ -131,32 +150,41 @@
             for image in self.serving
         )
 
-    def predict_tail(self, step, effects):
-        """Return the worst tail with one more best-effort task of ``step``.
+    def predict_pace(self, step, rank, effects):
+        """Return how fast one more best-effort task of ``step`` may work.
 
         Args:
             step: The ``Step``.
+            rank: Rank of its workflow; later ones give way to it.
             effects: The ``Effects``.
 
         Returns:
-            The tail as a share of its target; 0 where it raises none.
+            The share of its speed, 0 to 1, that keeps all tails low enough.
         """
         weight = step.cpu / max(self.cpu, 1) * TENTHS
-        worst = 0.0
+        pace = 1.0
         for image, tail in self.tails:
             effect = weight * effects.get_effect(image, step.image)
-            if effect > NO_EFFECT:
-                worst = max(worst, tail * math.exp(effect))
-        return worst
-
-    def add_effect(self, step, effects):
-        """Raise the tails by one best-effort task until they are measured."""
+            if effect <= NO_EFFECT:
+                continue
+            room = math.log(MAX_TAIL_SHARE / max(tail, LEAST_TAIL))
+            room += sum(
+                filler.tenths * effects.get_effect(image, filler.image)
+                for filler in self.fillers
+                if filler.rank > rank
+            )
+            pace = min(pace, room / effect)
+        return max(0.0, pace)
+
+    def add_filler(self, step, rank, effects):
+        """Count one best-effort task as working until it is measured."""
         weight = step.cpu / max(self.cpu, 1) * TENTHS
         raised = []
         for image, tail in self.tails:
             effect = weight * effects.get_effect(image, step.image)
             raised.append((image, tail * math.exp(effect)))
         self.tails = raised
+        self.fillers.append(Filler(image=step.image, tenths=weight, rank=rank))
 
     def claim(self, step, group):
         """Count one task of ``step`` as present."""
@@ -232,9 +260,14 @@
     placed = []
     for key in group.keys:
         task = group.row.find_task(key)
-        server = _choose_server(
-            step, name, task, servers, None if starved else effects
+        wish = Wish(
+            step=step,
+            group=name,
+            task=task,
+            rank=group.row.submitted_at,
+            starved=starved,
         )
+        server = _choose_server(wish, servers, effects)
         starved = False
         if server is None:
             if step.gang:
@@ -247,7 +280,7 @@
         server.claim(step, name)
         if step.best_effort and server.serving:
             server.trying |= not server.is_harmless(step, effects)
-            server.add_effect(step, effects)
+            server.add_filler(step, group.row.submitted_at, effects)
         placed.append((key, server))
     return [
         workflow_commands.RunStart(
@@ -310,24 +343,44 @@
     return min(counts, default=step.tasks)
 
 
-def _choose_server(step, name, task, servers, effects):
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Wish:
+    """A task that a server is looked for.
+
+    Attributes:
+        step: Its ``Step``.
+        group: (workflow id, occurrence, step number).
+        task: The ``Task``.
+        rank: When its workflow was submitted.
+        starved: Whether it starts even where it disturbs others.
+    """
+
+    step: workflow.Step
+    group: tuple
+    task: workflow.Task
+    rank: float
+    starved: bool
+
+
+def _choose_server(wish, servers, effects):
     best = None
     best_cost = None
+    step = wish.step
     for server in servers:
         if not server.has_room(step):
             continue
-        if 0 < step.max_per_backend <= server.held[name]:
+        if 0 < step.max_per_backend <= server.held[wish.group]:
             continue
-        careful = step.best_effort and effects is not None
-        if careful and not _may_fill(server, step, effects):
+        careful = step.best_effort and not wish.starved
+        if careful and not _may_fill(server, step, wish.rank, effects):
             continue
-        cost = _estimate_cost(server, step, task, effects)
+        cost = _estimate_cost(server, wish, effects)
         if best is None or cost < best_cost:
             best, best_cost = server, cost
     return best
 
 
-def _may_fill(server, step, effects):
+def _may_fill(server, step, rank, effects):
     """Return whether a best-effort task would work well on the server."""
     if server.satisfaction < MIN_SATISFACTION:
         return False
@@ -338,23 +391,24 @@
         return False
     if server.is_harmless(step, effects):
         return True
-    if server.trying or server.share < MIN_SHARE_PERCENT:
+    if server.trying:
         return False
-    return server.predict_tail(step, effects) <= MAX_TAIL_SHARE
+    return server.predict_pace(step, rank, effects) >= MIN_PACE
 
 
-def _estimate_cost(server, step, task, effects):
+def _estimate_cost(server, wish, effects):
+    step, task = wish.step, wish.task
     return (
         server.key in task.failed_on,
         task.failures > 0 and not server.proven,
         server.doubtful,
         bool(step.data_rack) and server.rack != step.data_rack,
-        *_rank_company(server, step, effects),
+        *_rank_company(server, wish, effects),
         -server.leftover / max(server.cpu, 1),
     )
 
 
-def _rank_company(server, step, effects):
+def _rank_company(server, wish, effects):
     """Return the sort key of a server by what runs there.
 
     How much a best-effort task disturbs one that serves users depends on
@@ -363,12 +417,13 @@
     known to raise no tail, and other tasks fill up the servers that
     best-effort tasks avoid.
     """
+    step = wish.step
     if step.best_effort:
-        if not server.serving or effects is None:
-            return (bool(server.serving), 0.0)
+        if not server.serving:
+            return (0, 0.0)
         if server.is_harmless(step, effects):
             return (1, 0.0)
-        return (2, round(server.predict_tail(step, effects), 1))
+        return (2, -round(server.predict_pace(step, wish.rank, effects), 1))
     disturbed = round(server.leftover_used / max(server.cpu, 1), 1)
     if step.target_ms:
         return (disturbed, -server.serving_cpu)
@@ -391,6 +446,7 @@
     for view in sorted(ranked, key=lambda item: item.row.submitted_at):
         if view.stopping or not _is_cheap_to_move(view, present):
             continue
+        rank = view.row.submitted_at
         fits = [
             other
             for other in others
@@ -399,10 +455,15 @@
             and other.pool == server.pool
             and _is_eligible(other, view.step)
             and other.has_room(view.step)
-            and _may_fill(other, view.step, effects)
+            and _may_fill(other, view.step, rank, effects)
         ]
         if fits:
-            fits[0].claim(view.step, view.group)
+            best = max(
+                fits,
+                key=lambda item: item.predict_pace(view.step, rank, effects),
+            )
+            best.claim(view.step, view.group)
+            best.add_filler(view.step, rank, effects)
             moves.append(view.ref)
     return moves
 
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -37,7 +37,6 @@
         lease_end: When the runs there have surely lapsed, monotonic.
         draining: Whether the backend server is about to leave.
         leaves_at: When it leaves at the earliest, monotonic, or None.
-        share: Percentage at which best-effort tasks may work there.
         present: ``Presence`` by run.
         listed_at: When that was reported, monotonic, or None.
         paused: Best-effort runs that have been slowed down for long.
@@ -55,7 +54,6 @@
         self.lease_end = lease_end
         self.draining = False
         self.leaves_at = None
-        self.share = 100
         self.present = {}
         self.listed_at = None
         self.paused = []
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -266,12 +266,12 @@
         self._listed = {row.run for row in listing.running}
         self.listed_epoch = epoch
         self._settle_doubtful({end.run for end in ends}, sent_at)
+        self._update_paces(listing.running, now)
         return self._build_report(
             listing,
             ends=ends + self._list_absent(),
             upto=max((end.number for end in ends), default=0),
             listed=True,
-            share=self._update_paces(listing.running, now),
             paused=self._pacer.list_slow(now),
             trouble=self._trouble,
         )
@@ -329,7 +329,6 @@
     def _update_paces(self, running, now):
         tails = self.list_tails(running)
         self.paces_changed = self._pacer.update(tails, self._effects, now)
-        return self._pacer.share
 
     def list_tails(self, running):
         """Return the ``Tail`` rows of those runs that serve users."""
@@ -359,6 +358,11 @@
             and known.percent != self._pacer.get_percent(ref)
         ]
 
+    @property
+    def share(self):
+        """Mean percentage at which best-effort tasks work."""
+        return self._pacer.share
+
     def get_percent(self, run):
         """Return at which percentage a best-effort run may work."""
         return self._pacer.get_percent(run)
--- a/tests/test_workflow_planner.py
+++ b/tests/test_workflow_planner.py
@@ -166,6 +166,18 @@
         starts = self.plan(HEAVY, [build_serving_server('a', tail=0.6)])
         self.assertEqual([], starts)
 
+    def test_earlier_workflow_takes_the_room_of_later_ones(self):
+        # The later run raises the tail by as much as the new one would.
+        later = planner.Filler(image=HEAVY, tenths=1.1, rank=1.0)
+        server = build_serving_server('a', tail=0.6)
+        server.fillers.append(later)
+        starts = self.plan(HEAVY, [server])
+        self.assertEqual(1, len(starts))
+        earlier = planner.Filler(image=HEAVY, tenths=1.1, rank=-1.0)
+        server = build_serving_server('a', tail=0.6)
+        server.fillers.append(earlier)
+        self.assertEqual([], self.plan(HEAVY, [server]))
+
     def test_unknown_pairs_are_tried_one_at_a_time(self):
         server = build_serving_server('a')
         starts = self.plan(LIGHT, [server], tasks=5, known=False)
