Give what is left over to workflows that can still be in time

Cause: under a backlog, first come first served makes all surveys late. Change: best-effort workflows are ranked by their deadlines (the queue's allowance on the longest chain, with learned run times); those that can't end in time any more follow. The rank holds for placement, moves and pacing.

--- a/bilberryhaven/workflow/board.py
+++ b/bilberryhaven/workflow/board.py
@@ -19,6 +19,7 @@
         step: The ``Step``.
         keys: Keys of the tasks that may start.
         due_at: Since when they may start at the earliest, Unix time.
+        rank: Best-effort tasks with a lower one come first.
     """
 
     row: workflow.Workflow
@@ -27,6 +28,7 @@
     step: workflow.Step
     keys: list[str]
     due_at: float
+    rank: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -42,6 +44,7 @@
         stopping: Whether its stop was ordered.
         checkpoint: What it is started with.
         ordered_at: When it was ordered, Unix time in seconds.
+        rank: Best-effort runs with a lower one come first.
     """
 
     ref: workflow_commands.RunRef
@@ -52,6 +55,7 @@
     stopping: bool
     checkpoint: str
     ordered_at: float
+    rank: float
 
 
 class Board:
@@ -61,14 +65,18 @@
 
     Args:
         state: The replicated tables.
+        find_rank: Function of a ``Workflow``, when an occurrence was due and
+            the time, which returns the rank of its best-effort tasks; None
+            ranks them as they come.
 
     Attributes:
         groups: Lists of ``Group`` by workflow id.
         runs: ``RunView`` by run, by key of the backend server.
     """
 
-    def __init__(self, state):
+    def __init__(self, state, *, find_rank=None):
         self._state = state
+        self._find_rank = find_rank or _rank_by_due_time
         self._journal = state.workflows.watch()
         self._changed = set()
         self._clear()
@@ -98,9 +106,16 @@
         changed, self._changed = self._changed, set()
         return changed
 
-    def list_groups(self):
-        """Return all groups of tasks that may start."""
-        return [group for rows in self.groups.values() for group in rows]
+    def list_groups(self, now):
+        """Return all groups of tasks that may start, ranked anew.
+
+        Args:
+            now: Unix time in seconds.
+        """
+        groups = [group for rows in self.groups.values() for group in rows]
+        for group in groups:
+            group.rank = self._find_rank(group.row, group.due_at, now)
+        return groups
 
     def _refresh_one(self, key, now):
         for backend, ref in self._runs_of.pop(key, ()):
@@ -111,48 +126,56 @@
         row = self._state.workflows.find(key)
         if row is None:
             return
-        self._index_runs(row)
+        self._index_runs(row, now)
         if row.state == workflow.WorkflowState.ACTIVE:
             groups = self._build_groups(row, now)
             if groups:
                 self.groups[key] = groups
 
-    def _index_runs(self, row):
+    def _index_runs(self, row, now):
         held = []
         for key, task in row.tasks.items():
             for run in task.runs:
-                view = _build_run_view(row, key, task, run)
+                view = self._build_run_view(row, key, task, run, now)
                 self.runs.setdefault(run.backend, {})[view.ref] = view
                 held.append((run.backend, view.ref))
                 self._changed.add(run.backend)
         if held:
             self._runs_of[row.id] = held
 
+    def _build_run_view(self, row, key, task, run, now):
+        occurrence, step, _ = workflow.split_task_key(key)
+        return RunView(
+            ref=workflow_commands.RunRef(row.id, key, run.number),
+            row=row,
+            step=row.steps[step],
+            group=(row.id, occurrence, step),
+            backend=run.backend,
+            stopping=run.stopping,
+            checkpoint=task.checkpoint,
+            ordered_at=run.ordered_at,
+            rank=self._find_rank(row, _find_due(row, occurrence), now),
+        )
+
     def _build_groups(self, row, now):
         groups = []
         for occurrence in range(row.occurrences):
-            due_at = row.submitted_at
-            if row.schedule is not None:
-                due_at = row.schedule.find_due(occurrence)
-                if due_at > now:
-                    self._next_due[row.id] = due_at
-                    break
+            due_at = _find_due(row, occurrence)
+            if row.schedule is not None and due_at > now:
+                self._next_due[row.id] = due_at
+                break
             groups.extend(_list_occurrence_groups(row, occurrence, due_at))
         return groups
 
 
-def _build_run_view(row, key, task, run):
-    occurrence, step, _ = workflow.split_task_key(key)
-    return RunView(
-        ref=workflow_commands.RunRef(row.id, key, run.number),
-        row=row,
-        step=row.steps[step],
-        group=(row.id, occurrence, step),
-        backend=run.backend,
-        stopping=run.stopping,
-        checkpoint=task.checkpoint,
-        ordered_at=run.ordered_at,
-    )
+def _rank_by_due_time(row, due_at, now):
+    return due_at
+
+
+def _find_due(row, occurrence):
+    if row.schedule is None:
+        return row.submitted_at
+    return row.schedule.find_due(occurrence)
 
 
 def _list_occurrence_groups(row, occurrence, due_at):
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -21,6 +21,7 @@
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import stragglers
+from bilberryhaven.workflow import urgency
 
 __all__ = ['Dispatcher']
 
@@ -59,7 +60,8 @@
         self._health = health.HealthTable()
         self._neighbours = neighbours.Neighbours()
         self._times = stragglers.RunTimes()
-        self._board = board.Board(machine.state)
+        order = urgency.Urgency(times=self._times)
+        self._board = board.Board(machine.state, find_rank=order.find_rank)
         self._desk = callers.CallerDesk(leader=self, clock=clock)
         self._membership = membership
         self._ready_term = 0
@@ -493,7 +495,10 @@
                     self._order_runs(held)
             servers = [self._build_server(row) for row in self._state.backends]
             starts = planner.plan_starts(
-                self._board.list_groups(), servers, now, self._neighbours
+                self._board.list_groups(now),
+                servers,
+                now,
+                self._neighbours,
             )
             return starts, {server.key: server for server in servers}
 
@@ -545,7 +550,7 @@
                 planner.Filler(
                     image=view.step.image,
                     tenths=planner.TENTHS * seen.running.gauge / server.cpu,
-                    rank=view.row.submitted_at,
+                    rank=view.rank,
                 )
             )
             if age < SETTLED_S:
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -59,7 +59,7 @@
     Attributes:
         image: What it runs.
         tenths: Tenths of the server that it uses.
-        rank: When its workflow was submitted; earlier ones come first.
+        rank: Lower ones come first.
     """
 
     image: str
@@ -244,7 +244,8 @@
 def rank_group(group):
     """Return the sort key of a group; the lowest is placed first."""
     row = group.row
-    return (row.priority, group.due_at, row.id, group.index)
+    due_at = group.rank if group.step.best_effort else group.due_at
+    return (row.priority, due_at, row.id, group.index)
 
 
 def _place_group(group, servers, now, effects):
@@ -264,7 +265,7 @@
             step=step,
             group=name,
             task=task,
-            rank=group.row.submitted_at,
+            rank=group.rank,
             starved=starved,
         )
         server = _choose_server(wish, servers, effects)
@@ -280,7 +281,7 @@
         server.claim(step, name)
         if step.best_effort and server.serving:
             server.trying |= not server.is_harmless(step, effects)
-            server.add_filler(step, group.row.submitted_at, effects)
+            server.add_filler(step, group.rank, effects)
         placed.append((key, server))
     return [
         workflow_commands.RunStart(
@@ -351,7 +352,7 @@
         step: Its ``Step``.
         group: (workflow id, occurrence, step number).
         task: The ``Task``.
-        rank: When its workflow was submitted.
+        rank: Lower ones come first.
         starved: Whether it starts even where it disturbs others.
     """
 
@@ -443,10 +444,10 @@
     """
     moves = []
     ranked = [views[ref] for ref in slow if ref in views]
-    for view in sorted(ranked, key=lambda item: item.row.submitted_at):
+    for view in sorted(ranked, key=lambda item: item.rank):
         if view.stopping or not _is_cheap_to_move(view, present):
             continue
-        rank = view.row.submitted_at
+        rank = view.rank
         fits = [
             other
             for other in others
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -185,5 +185,5 @@
         percent=find_percent(view) if step.best_effort else 100,
         image=step.image,
         cpu=step.cpu,
-        rank=view.row.submitted_at,
+        rank=view.rank,
     )
--- a/tests/workflow_fakes.py
+++ b/tests/workflow_fakes.py
@@ -86,6 +86,6 @@
         self.board.refresh(now)
         return {
             (group.row.id, key)
-            for group in self.board.list_groups()
+            for group in self.board.list_groups(now)
             for key in group.keys
         }
