Learn effects on headroom instead of on the tail's logarithm

Cause: on the kapok site tails jumped from 0.88 to 6.9 times their target within half a second, and effects of up to 10.8 for a tenth of a server were learned from it: near saturation a tail grows like 1 / (1 - load), not evenly in its logarithm. Change: pacing, placement and learning count the headroom, target / latency, which falls evenly with the load; tails are kept at 1.35, placements at 1.5.

--- a/bilberryhaven/workflow/board.py
+++ b/bilberryhaven/workflow/board.py
@@ -55,7 +55,7 @@
     stopping: bool
     checkpoint: str
     ordered_at: float
-    rank: float
+    rank: float = 0.0
 
 
 class Board:
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -621,9 +621,9 @@
             _logger.info(
                 'effects of best-effort images on tails',
                 extra={
-                    'factors_by_tenth_of_a_server': [
-                        (serving, image, round(factor, 2))
-                        for serving, image, factor in effects
+                    'headroom_by_tenth_of_a_server': [
+                        (serving, image, round(effect, 2))
+                        for serving, image, effect in effects
                     ]
                 },
             )
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -120,7 +120,7 @@
     Attributes:
         serving: Image of the tasks that serve users.
         image: Image of the best-effort tasks.
-        per_tenth: Logarithm of the factor for each tenth of a server.
+        per_tenth: Loss of headroom for each tenth of a server.
     """
 
     serving: str
--- a/bilberryhaven/workflow/neighbours.py
+++ b/bilberryhaven/workflow/neighbours.py
@@ -1,16 +1,15 @@
 """How best-effort tasks and tasks that serve users affect each other.
 
-The logarithm of a serving task's tail latency changes by one effect for each
-tenth of the server that a best-effort image works on. Effects are learned
-from the differences between two listings of the same server, half a second
-apart: the load of the serving task itself, which isn't told, hardly changes
-in between.
+The headroom of a serving task, its target as a multiple of its tail latency,
+falls by one effect for each tenth of the server that a best-effort image works
+on (``pacing`` says why). Effects are learned from the differences between two
+listings of the same server, half a second apart: the load of the serving task
+itself, which isn't told, changes little in between.
 """
 
 import collections
 import dataclasses
 import datetime
-import math
 
 from bilberryhaven.systems import regression
 from bilberryhaven.workflow import message
@@ -21,24 +20,26 @@
 
 TENTHS = 10
 PRIOR_EFFECT = pacing.UNKNOWN_EFFECT
-PRIOR_VARIANCE = 0.25
+PRIOR_VARIANCE = 0.15
 LEAST_EFFECT = 0.0
-# Tails of two listings differ by some tenths without any cause to be seen.
-NOISE_VARIANCE = 0.02
+# Headrooms of two listings differ by some tenths without any cause to be seen.
+NOISE_VARIANCE = 0.1
 MAX_ERROR = 1.5
 MEMORY_S = 900.0
 # How many observations of other pairs weigh as much as the prior.
 PRIOR_COUNT = 2
 # Change of an image's use, in tenths of a server, that tells something.
 LEAST_CHANGE = 0.05
+# Above this headroom a tail tells nothing of its neighbours.
+MAX_HEADROOM = 10.0
 # Longest time between two listings that are compared.
 MAX_GAP = datetime.timedelta(seconds=1.2)
 # Observations of a pair of images after which its effect is trusted.
 TRUSTED_COUNT = 3
 # Best-effort runs count as pressing on a tail that has reached this share of
-# its target, if they raise it by more than this factor's logarithm.
+# its target, if they cost more headroom than this.
 PRESSED_TAIL_SHARE = 0.5
-PRESSING_EFFECT = 0.05
+PRESSING_EFFECT = 0.08
 # A run's figure is a mean over half a second, so a younger one says little.
 MIN_AGE_S = 0.7
 
@@ -50,7 +51,7 @@
     Attributes:
         at: When it was taken, monotonic.
         used: Use by best-effort image, in tenths of the server.
-        tails: (image, tail latency in ms) by serving run.
+        tails: (image, headroom) by serving run.
     """
 
     at: datetime.timedelta
@@ -97,10 +98,10 @@
             return
         for run, (image, tail) in sample.tails.items():
             if run in former.tails:
-                ratio = math.log(tail / former.tails[run][1])
-                self._learn(image, changes, ratio, now)
+                loss = former.tails[run][1] - tail
+                self._learn(image, changes, loss, now)
 
-    def _learn(self, serving, changes, ratio, now):
+    def _learn(self, serving, changes, loss, now):
         model = self._models.get(serving)
         if model is None:
             model = self._models[serving] = regression.Regression(
@@ -114,7 +115,7 @@
                     variance=PRIOR_VARIANCE,
                     least=LEAST_EFFECT,
                 )
-        model.observe(changes, ratio, now.total_seconds())
+        model.observe(changes, loss, now.total_seconds())
         for image in changes:
             self._counts[serving, image] += 1
             self._note_mean(image)
@@ -133,14 +134,14 @@
         return weighted / (count + PRIOR_COUNT)
 
     def get_effect(self, serving, image):
-        """Return how much a tenth of a server of ``image`` raises a tail.
+        """Return how much headroom a tenth of a server of ``image`` takes.
 
         Args:
             serving: Image of the task that serves users.
             image: Image of the best-effort task.
 
         Returns:
-            The effect as a natural logarithm.
+            The loss of headroom.
         """
         model = self._models.get(serving)
         if model is None or image not in model.means:
@@ -221,9 +222,9 @@
         ]
 
     def list_effects(self):
-        """Return the learned (serving image, image, factor) triples."""
+        """Return the learned (serving image, image, effect) triples."""
         return [
-            (serving, image, math.exp(effect))
+            (serving, image, effect)
             for serving, model in self._models.items()
             for image, effect in model.means.items()
         ]
@@ -241,5 +242,6 @@
             used[view.step.image] += share * TENTHS
         age = (now - seen.first_at).total_seconds()
         if view.step.target_ms and seen.running.gauge and age > MIN_AGE_S:
-            tails[ref] = (view.step.image, seen.running.gauge)
+            headroom = view.step.target_ms / seen.running.gauge
+            tails[ref] = (view.step.image, min(headroom, MAX_HEADROOM))
     return Sample(at=now, used=used, tails=tails)
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -1,30 +1,29 @@
 """Pacing of best-effort tasks beside tasks that serve users.
 
-The logarithm of a serving task's tail latency rises with the processor time
-that best-effort runs beside it use, by an effect that differs by their images
-(``neighbours``). What a tail has left below its target is shared out among
-those runs by rank: the workflow that came first works fully as far as it may,
-the others give way. So what has begun ends, and nothing is held up by its one
-task that stands still.
+Near saturation a tail latency grows like that of a queue, as 1 / (1 - load),
+so its headroom (target / latency) falls evenly with what best-effort runs
+beside it use, by an effect that differs by their images (``neighbours``). What
+the headroom has left is shared out among those runs by rank: the workflow that
+comes first works fully as far as it may, the others give way. So what has
+begun ends, and nothing is held up by its one task that stands still.
 """
 
 import dataclasses
 import datetime
-import math
 
 __all__ = ['FULL', 'Pacer', 'Tail']
 
 FULL = 100
 # Percentage at which a task starts that may disturb those beside it.
 CAREFUL = 20
-# Effect of an image on a tail before anything was learned, as the logarithm
-# for a tenth of a server: effects lie between nothing and a factor of two.
-UNKNOWN_EFFECT = 0.5
-# Share of the target up to which tails may be raised; the rest is for what
-# changes until the next listing.
-AIM = 0.85
-# Runs that raise a tail by less than this, a logarithm, aren't paced for it.
-NEGLIGIBLE = 0.03
+# Loss of headroom by a tenth of a server before anything was learned: a few
+# unknown runs use up what a tail at half of its target has left.
+UNKNOWN_EFFECT = 0.4
+# Headroom that tails must keep; what is above 1 is for what changes until the
+# next listing.
+LEAST_HEADROOM = 1.35
+# Runs that cost less headroom than this aren't paced for it.
+NEGLIGIBLE = 0.05
 # Below this percentage a task is stopped altogether.
 LEAST = 8
 # Largest raise between two listings: effects are estimates.
@@ -59,6 +58,11 @@
     latency_ms: float
     target_ms: float
 
+    @property
+    def headroom(self):
+        """The target as a multiple of the tail latency."""
+        return self.target_ms / self.latency_ms
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Pace:
@@ -155,14 +159,14 @@
         )
 
     def _estimate_rooms(self, tails, effects, *, settled):
-        """Return by how much all runs together may raise each tail."""
+        """Return what all runs together may take of each headroom."""
         rooms = {}
         for tail in tails:
             load = sum(
                 _find_cost(effects, tail, pace) * pace.percent / FULL
                 for pace in self._paces.values()
             )
-            left = math.log(AIM * tail.target_ms / tail.latency_ms)
+            left = tail.headroom - LEAST_HEADROOM
             room = load + left
             former = self._rooms.get(tail.run, room)
             if not settled:
@@ -213,7 +217,7 @@
 
 
 def _find_cost(effects, tail, pace):
-    """Return how much a run raises a tail if it works fully."""
+    """Return how much headroom a run takes if it works fully."""
     effect = effects.get((tail.image, pace.image), UNKNOWN_EFFECT)
     return effect * pace.tenths
 
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import math
 
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
@@ -21,12 +20,11 @@
 # A best-effort task goes only where it may work at this share of its speed:
 # elsewhere it would hold its workflow up.
 MIN_PACE = 0.6
-# A best-effort task that raises a tail by less than this (a logarithm) isn't
-# kept away from it.
-NO_EFFECT = 0.05
-# Share of a tail latency's target that a placement may bring it to; below
-# what the pacing allows, since the load of tasks that serve users swings.
-MAX_TAIL_SHARE = 0.75
+# A best-effort task that costs less headroom than this isn't kept away.
+NO_EFFECT = 0.08
+# Headroom that a placement must leave; more than the pacing keeps, since the
+# load of tasks that serve users swings.
+LEAST_HEADROOM = 1.5
 # A tail below this share of its target leaves room for anything.
 LEAST_TAIL = 0.01
 # Effects on tails are counted for each tenth of a server.
@@ -44,7 +42,7 @@
     """Effects of best-effort images on tails; this base knows of none."""
 
     def get_effect(self, serving, image):
-        """Return the effect of a tenth of a server, as a logarithm."""
+        """Return the loss of headroom by a tenth of a server."""
         return 0.0
 
     def is_known(self, serving, image):
@@ -167,7 +165,7 @@
             effect = weight * effects.get_effect(image, step.image)
             if effect <= NO_EFFECT:
                 continue
-            room = math.log(MAX_TAIL_SHARE / max(tail, LEAST_TAIL))
+            room = 1 / max(tail, LEAST_TAIL) - LEAST_HEADROOM
             room += sum(
                 filler.tenths * effects.get_effect(image, filler.image)
                 for filler in self.fillers
@@ -182,7 +180,8 @@
         raised = []
         for image, tail in self.tails:
             effect = weight * effects.get_effect(image, step.image)
-            raised.append((image, tail * math.exp(effect)))
+            headroom = 1 / max(tail, LEAST_TAIL) - effect
+            raised.append((image, 1 / max(headroom, LEAST_TAIL)))
         self.tails = raised
         self.fillers.append(Filler(image=step.image, tenths=weight, rank=rank))
 
