--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 SEED ?= 1
-.PHONY: demo test lint format binary check-binary bench fuzz lock clean
+COUNT ?= 1
+SECONDS ?= 15
+.PHONY: demo test lint format binary check-binary bench fuzz soak lock clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -42,6 +44,9 @@
 fuzz: $(VENV)/.ready
 	$(PY) -m tests.fuzz --seed $(SEED)
 
+soak: $(VENV)/.ready
+	$(PY) -m soak --seed $(SEED) --seconds $(SECONDS) --count $(COUNT)
+
 lock:
 	$(VENV)/bin/pip install -q pip-tools
 	$(VENV)/bin/pip-compile -q --no-emit-index-url --no-emit-find-links \
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real processes on loopback, with injected faults."""
--- /dev/null
+++ b/soak/machines.py
@@ -0,0 +1,157 @@
+"""The real processes, each machine at a loopback address of its own."""
+
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+
+from tests import processes
+
+__all__ = ['Machines']
+
+FRONTS = 3
+STOP_SECONDS = 20
+ENTRY_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT, APP_PORT = range(5)
+
+
+class Machines:
+    """Starts, stops and signals processes that it started, by their ids.
+
+    Args:
+        sides: How many workers' machines there are.
+    """
+
+    def __init__(self, *, sides):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+        self.ports = processes.find_ports(5)
+        self.processes = {}
+        self._paused = set()
+        self._founded = set()
+        self.fronts = [f'front-{n}' for n in range(1, FRONTS + 1)]
+        self.sides = [f'side-{n}' for n in range(1, sides + 1)]
+        self.names = [f'control/{name}' for name in self.fronts]
+        self.names += [f'entry/{name}' for name in self.fronts]
+        self.names += [f'agent/{name}' for name in self.sides]
+
+    def find_host(self, machine):
+        """Return the loopback address of a machine."""
+        kind, _, number = machine.partition('-')
+        return f'127.0.{1 if kind == "front" else 2}.{number}'
+
+    def find_address(self, machine, port):
+        """Return HOST:PORT of one of a machine's services."""
+        return f'{self.find_host(machine)}:{self.ports[port]}'
+
+    def start(self, name):
+        """Start a process; the first start of all founds the log."""
+        settings = self.folder / f'{name.replace("/", "-")}.conf'
+        settings.write_text(self._build_settings(name))
+        self._founded.add(name)
+        log_path = self.folder / f'{name.replace("/", "-")}.log'
+        with log_path.open('a') as log:
+            self.processes[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'bilberryhaven',
+                    'platform',
+                    name.partition('/')[0],
+                ],
+                env={'BILBERRYHAVEN_BOOT': str(settings)},
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def _build_settings(self, name):
+        role, _, machine = name.partition('/')
+        controls = [
+            self.find_address(item, CONTROL_PORT) for item in self.fronts
+        ]
+        internal = self.ports[INTERNAL_PORT]
+        fields = {
+            'node_name': machine,
+            'ip': self.find_host(machine),
+            'zone': 'z',
+            'listen.frontend': self.find_address(machine, ENTRY_PORT),
+            'listen.ready': self.find_address(machine, READY_PORT),
+            'listen.control': self.find_address(machine, CONTROL_PORT),
+            'internal_port_range': f'{internal},{internal}',
+            'seeds': ','.join(controls),
+            'bootstrap': str(name not in self._founded).lower(),
+            'fault_tolerance.machines': '1',
+            'bounds.max_lease_ms': '10000',
+            'bounds.status_s': '120',
+        }
+        if role == 'control':
+            fields['data_dir'] = str(self._find_data(name))
+        return ''.join(f'{key}={value}\n' for key, value in fields.items())
+
+    def _find_data(self, name):
+        return self.folder / f'{name.replace("/", "-")}.data'
+
+    def kill(self, name, *, wipe=False):
+        """End a process at once; ``wipe`` empties its disk."""
+        process = self.processes.pop(name)
+        self._paused.discard(name)
+        process.kill()
+        process.wait()
+        if wipe:
+            shutil.rmtree(self._find_data(name), ignore_errors=True)
+
+    def terminate(self, name):
+        """Ask a process to stop; return its exit status.
+
+        Raises:
+            AssertionError: It didn't stop in time.
+        """
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        try:
+            return process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired as error:
+            process.kill()
+            process.wait()
+            raise AssertionError(f'{name} ignored SIGTERM') from error
+
+    def signal(self, name, number):
+        """Send a signal to a process that runs."""
+        self.processes[name].send_signal(number)
+
+    def pause(self, name):
+        """Let a process stand still."""
+        self._paused.add(name)
+        self.signal(name, signal.SIGSTOP)
+
+    def resume(self, name):
+        """Let a paused process go on."""
+        if name in self._paused:
+            self._paused.discard(name)
+            self.signal(name, signal.SIGCONT)
+
+    def list_up(self, role):
+        """Return the processes of a role that run and aren't paused."""
+        return [
+            name
+            for name in self.names
+            if name.startswith(f'{role}/')
+            and name in self.processes
+            and name not in self._paused
+        ]
+
+    def list_dead(self):
+        """Return the processes that have ended by themselves."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if process.poll() is not None
+        ]
+
+    def close(self, *, keep):
+        """End all processes; ``keep`` leaves their logs."""
+        for name in list(self.processes):
+            self.kill(name)
+        if not keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
