Bind connections to one life of a worker

The header that names the intended worker holds the id only. Change: a new connection is checked by a list that grants and acknowledges nothing; another life raises GoneError before any order is sent. The soak ends a crashed worker's connections, as a crash does, and some of its tasks outlast a lease.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -1,5 +1,8 @@
 """The infrastructure's workers: their heartbeats, and calls to them."""
 
+import functools
+import threading
+
 import msgspec
 import urllib3
 
@@ -58,6 +61,12 @@
     born: int = 0
 
 
+class _Identity(msgspec.Struct):
+    """What tells one life from another; 0 where it isn't told."""
+
+    born: int = 0  # Unix milliseconds
+
+
 class _Answer(msgspec.Struct):
     """Any other answer of a worker."""
 
@@ -101,13 +110,36 @@
     )
 
 
+class _LifePool(urllib3.HTTPConnectionPool):
+    """Connections to one life of a worker.
+
+    A worker that crashes may come back under the id that it had, and the
+    header that names the intended worker holds no more than that id. Its
+    connections don't outlive it, so each new one is checked once.
+
+    Args:
+        check: Called with each new connection; raises if it isn't to be used.
+    """
+
+    def __init__(self, *, check, **kwargs):
+        super().__init__(**kwargs)
+        self._check = check
+
+    def _validate_conn(self, conn):
+        # The library calls this before each request on a connection.
+        super()._validate_conn(conn)
+        if conn.is_closed:
+            conn.connect()
+            self._check(conn)
+
+
 class WorkerClient(server_client.ServerClient):
     """Calls the worker on this machine over kept-alive connections."""
 
     def __init__(self):
-        self._pools = urllib3.PoolManager(
-            num_pools=2, maxsize=CONNECTIONS, retries=False
-        )
+        self._lock = threading.Lock()
+        self._life = None
+        self._pool = None
 
     def start_run(self, target, order, *, deadline_ms, epoch):
         """Start a run and return a ``Verdict``."""
@@ -172,7 +204,29 @@
 
     def close(self):
         """Close idle connections."""
-        self._pools.clear()
+        with self._lock:
+            if self._pool is not None:
+                self._pool.close()
+            self._life = self._pool = None
+
+    def _find_pool(self, target, epoch):
+        """Return the connections to the life that is meant."""
+        state = target.state
+        life = (target.address, state.id, state.born_ms)
+        with self._lock:
+            if life != self._life:
+                if self._pool is not None:
+                    self._pool.close()
+                host, port = util.parse_address(target.address)
+                self._pool = _LifePool(
+                    host=host,
+                    port=port,
+                    maxsize=CONNECTIONS,
+                    retries=False,
+                    check=functools.partial(_check_life, target, epoch),
+                )
+                self._life = life
+            return self._pool
 
     def _check(self, target, step, status, body):
         if status == 200:
@@ -194,15 +248,13 @@
         )
 
     def _post(self, target, path, fields, *, seconds=CALL_SECONDS):
+        pool = self._find_pool(target, fields['fencing_token'])
         try:
-            response = self._pools.request(
+            response = pool.urlopen(
                 'POST',
-                f'http://{target.address}{path}',
+                path,
                 body=msgspec.json.encode(fields),
-                headers={
-                    'Content-Type': 'application/json',
-                    INSTANCE_HEADER: target.state.id,
-                },
+                headers=_build_headers(target),
                 timeout=urllib3.Timeout(
                     connect=CONNECT_SECONDS, total=seconds
                 ),
@@ -222,6 +274,40 @@
         return response.status, response.data
 
 
+def _build_headers(target):
+    return {
+        'Content-Type': 'application/json',
+        INSTANCE_HEADER: target.state.id,
+    }
+
+
+def _check_life(target, epoch, conn):
+    """Check that the life which is meant is at the other end.
+
+    Raises:
+        GoneError: Another one is there.
+        PeerError: It can't be told.
+    """
+    # Acknowledges nothing and prolongs nothing: ends and clock of another
+    # life would be counted anew.
+    body = msgspec.json.encode({'fencing_token': epoch, 'ack_cursor': 0})
+    conn.request('POST', '/hold', body=body, headers=_build_headers(target))
+    response = conn.getresponse()
+    try:
+        born_ms = msgspec.json.decode(response.data, type=_Identity).born
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.PeerError(
+            f'unreadable lists: {error}', step='connect', peer=target.address
+        ) from error
+    known = response.status == STATUS_OTHER_INSTANCE or born_ms
+    if known and born_ms != target.state.born_ms:
+        raise errors.GoneError(
+            'another life of the worker answered',
+            step='connect',
+            peer=target.address,
+        )
+
+
 def _describe_fault(error, target, path):
     return errors.PeerError(
         f'no answer: {error}', step=path, peer=target.address
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -72,15 +72,23 @@
         return made.address
 
     def _build_worker(self, machine):
+        announced = self._put_proxy(machine, machines.APP_PORT, '127.0.4')
         return worker.Worker(
             number=int(machine.partition('-')[2]),
             listen=self.machines.find_address(machine, machines.APP_PORT),
-            announced=self._put_proxy(machine, machines.APP_PORT, '127.0.4'),
+            announced=announced,
             agent=self.machines.find_address(machine, machines.CONTROL_PORT),
             judge=self.judge,
             random=random.Random(self.random.random()),
+            on_crash=lambda: self._reset_proxy(announced),
         )
 
+    def _reset_proxy(self, address):
+        # A process's connections end with it.
+        for item in self.proxies:
+            if item.address == address:
+                item.reset()
+
     def play(self, seconds):
         """Play the seed; return the broken promises."""
         try:
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -19,6 +19,10 @@
 WAIT_STEP = 0.02
 THREADS = 24
 MEMORY_MB = 64_000
+# Some tasks outlast a lease, so that a run which is freed too early is seen.
+SHORT_SECONDS = (0.1, 1.5)
+LONG_SECONDS = (3.0, 9.0)
+LONG_SHARE = 0.15
 Verdict = workflow_server.Verdict
 
 
@@ -78,13 +82,25 @@
         agent: HOST:PORT of the agent beside it.
         judge: The ``Judge``.
         random: Source of run times.
+        on_crash: Called when it crashes, to end its connections.
     """
 
-    def __init__(self, *, number, listen, announced, agent, judge, random):
+    def __init__(
+        self,
+        *,
+        number,
+        listen,
+        announced,
+        agent,
+        judge,
+        random,
+        on_crash=lambda: None,
+    ):
         self.id = f'i-{number:08x}'
         self.number = number
         self._announced = announced
         self._agent = agent
+        self._on_crash = on_crash
         self._judge = judge
         self._random = random
         self._http = urllib3.PoolManager(retries=False, maxsize=2)
@@ -105,6 +121,7 @@
         with self._judge.lock:
             if self._life is not None:
                 self._life.crash()
+                self._on_crash()
             self._life = _Life(
                 key=self.id,
                 born_ms=int(time.time() * 1000),
@@ -186,7 +203,7 @@
                     fields['deadline_ms'],
                     fields['fencing_token'],
                     now,
-                    self._random.uniform(0.1, 1.5),
+                    self._draw_seconds(),
                 )
             except AssertionError as error:
                 self._judge.broken.append(str(error))
@@ -196,6 +213,11 @@
         reason = 'late' if verdict == Verdict.LATE else 'old'
         return 409, {'reason': reason}
 
+    def _draw_seconds(self):
+        if self._random.random() < LONG_SHARE:
+            return self._random.uniform(*LONG_SECONDS)
+        return self._random.uniform(*SHORT_SECONDS)
+
     def _stop_run(self, fields):
         with self._judge.lock:
             self.advance()
--- /dev/null
+++ b/tests/test_platform_workers.py
@@ -0,0 +1,94 @@
+"""Calls to a worker that comes back under its id, at its address."""
+
+import json
+
+import testtools
+
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
+from bilberryhaven.platform import workers
+from bilberryhaven.wire import server
+from bilberryhaven.workflow import message
+from bilberryhaven.workflow import server_client
+from tests import processes
+
+RUN = workflow_commands.RunRef('w', '0.0.0', 1)
+
+
+class Life:
+    """One life of a worker; keeps what it was told."""
+
+    def __init__(self, *, address, born_ms):
+        self.born_ms = born_ms
+        self.calls = []
+        self.server = server.Server(
+            address=address, handlers={}, fallback=self.answer, threads=2
+        )
+        self.server.start()
+
+    def answer(self, environ, body):
+        self.calls.append((environ['PATH_INFO'], json.loads(body)))
+        fields = {'clock_ms': 5, 'running': [], 'finished': []}
+        fields['born'] = self.born_ms
+        return server.Response(body=json.dumps(fields).encode())
+
+
+class WorkerClientTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        (port,) = processes.find_ports(1)
+        self.address = f'127.0.0.1:{port}'
+        self.client = workers.WorkerClient()
+        self.addCleanup(self.client.close)
+
+    def begin_life(self, born_ms):
+        life = Life(address=self.address, born_ms=born_ms)
+        self.addCleanup(life.server.stop)
+        return life
+
+    def build_target(self, born_ms):
+        return server_client.Announcement(
+            state=message.ServerState(id='i-1', born_ms=born_ms, pool='p'),
+            address=self.address,
+            sequence=1,
+        )
+
+    def start(self, target):
+        order = message.Order(message.OrderKind.START, RUN)
+        return self.client.start_run(
+            target, order, deadline_ms=480_000, epoch=4
+        )
+
+    def hold(self, target):
+        return self.client.hold(
+            target, deadline_ms=480_000, epoch=4, acked=57, wait_ms=0
+        )
+
+    def test_connection_is_checked_once(self):
+        life = self.begin_life(1)
+        target = self.build_target(1)
+        for _ in range(3):
+            self.start(target)
+        paths = [path for path, _ in life.calls]
+        self.assertEqual(['/hold', *3 * ['/run-start']], paths)
+
+    def test_nothing_meant_for_a_former_life_reaches_the_next(self):
+        former = self.begin_life(1)
+        target = self.build_target(1)
+        self.start(target)
+        former.server.stop()
+        later = self.begin_life(2)
+        self.assertRaises(errors.GoneError, self.start, target)
+        self.assertRaises(errors.GoneError, self.hold, target)
+        for path, fields in later.calls:
+            self.assertEqual('/hold', path)
+            self.assertEqual(0, fields['ack_cursor'])
+            self.assertNotIn('deadline_ms', fields)
+
+    def test_later_life_is_served_once_it_is_known(self):
+        former = self.begin_life(1)
+        self.start(self.build_target(1))
+        former.server.stop()
+        later = self.begin_life(2)
+        self.start(self.build_target(2))
+        self.assertIn('/run-start', [path for path, _ in later.calls])
