--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 SEED ?= 1
 COUNT ?= 1
-SECONDS ?= 15
+SOAK_SECONDS ?= 15
 .PHONY: demo test lint format binary check-binary bench fuzz soak lock clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
@@ -45,7 +45,7 @@
 	$(PY) -m tests.fuzz --seed $(SEED)
 
 soak: $(VENV)/.ready
-	$(PY) -m soak --seed $(SEED) --seconds $(SECONDS) --count $(COUNT)
+	$(PY) -m soak --seed $(SEED) --seconds $(SOAK_SECONDS) --count $(COUNT)
 
 lock:
 	$(VENV)/bin/pip install -q pip-tools
