End waiting calls of the soak's workers with their life

Its stand-in let a call for a list that was waiting when the life ended grant its deadline, on the former life's clock, to the next one. A worker that crashes answers nothing more. Change: such a call ends; calls on a former life's connections are refused, as a proxy may hold them back.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -191,6 +191,7 @@
         print(
             f'seed {seed}: {len(soak.caller.accepted)} jobs accepted, '
             f'{soak.judge.starts} starts, {len(soak.played)} faults, '
+            f'{sum(item.stale_calls for item in soak.workers)} stale calls, '
             f'answers {soak.caller.statuses}',
             flush=True,
         )
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -23,6 +23,7 @@
 SHORT_SECONDS = (0.1, 1.5)
 LONG_SECONDS = (3.0, 9.0)
 LONG_SHARE = 0.15
+CLOSE = {'Connection': 'close'}
 Verdict = workflow_server.Verdict
 
 
@@ -105,6 +106,8 @@
         self._random = random
         self._http = urllib3.PoolManager(retries=False, maxsize=2)
         self._sequence = 0
+        self._connections = {}
+        self.stale_calls = 0
         self._stopping = threading.Event()
         self._server = server.Server(
             address=listen,
@@ -183,11 +186,25 @@
         call = calls.get(environ['PATH_INFO'])
         if call is None:
             return server.Response(status=404)
+        if self._is_stale(environ):
+            return server.Response(status=502, headers=CLOSE)
         status, fields = call(json.loads(body))
         answer = {'clock_ms': self._find_clock(), **fields}
         answer['born'] = self._life.born_ms
         return server.Response(status=status, body=json.dumps(answer).encode())
 
+    def _is_stale(self, environ):
+        """Return whether the connection is one of a former life.
+
+        What a proxy has held back may still arrive on it; a process that
+        has crashed would never read it.
+        """
+        peer = (environ['REMOTE_ADDR'], environ['REMOTE_PORT'])
+        born_ms = self._life.born_ms
+        stale = self._connections.setdefault(peer, born_ms) != born_ms
+        self.stale_calls += stale
+        return stale
+
     def _find_clock(self):
         return self._life.clock_ms(time.monotonic())
 
@@ -233,10 +250,14 @@
         end = time.monotonic() + min(
             fields.get('wait_ms', 0) / 1000, MAX_WAIT_SECONDS
         )
+        life = self._life
         while True:
             with self._judge.lock:
+                if life is not self._life:
+                    # A call that waited ends with the life that took it.
+                    return 502, {}
                 self.advance()
-                listing = self._life.hold(
+                listing = life.hold(
                     fields.get('deadline_ms'),
                     fields['fencing_token'],
                     fields['ack_cursor'],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -117,6 +117,16 @@
         self.start(0, 1, spec='other')
         self.assertIn('another spec', self.judge.broken[0])
 
+    def test_call_that_waits_ends_with_its_life(self):
+        item = self.workers[0]
+        fields = {'fencing_token': 1, 'ack_cursor': 0, 'wait_ms': 400}
+        timer = threading.Timer(0.1, item.begin_life)
+        timer.start()
+        status, _ = item._hold({**fields, 'deadline_ms': 60_000})
+        timer.join()
+        self.assertEqual(502, status)
+        self.assertEqual(0, item._life.deadline_ms)
+
     def test_lower_fencing_token_does_nothing(self):
         self.start(0, 1, epoch=2)
         status, _ = self.workers[0]._stop_run(
