Let voters announce themselves to seeds without a disk

Change: members of the quorum tell each seed that is none of them where they are, each second; an instance without a disk listens and names one of them.

--- /dev/null
+++ b/bilberryhaven/control/relay.py
@@ -0,0 +1,116 @@
+"""Control instances without a disk: they name the voters to who asks them.
+
+Such an instance keeps no replica, so its settings may name nothing but others
+like it. The voters know each other from the log, and tell it.
+"""
+
+import itertools
+
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import message as wire_message
+from bilberryhaven.wire import server
+from bilberryhaven.workflow import message
+
+__all__ = ['Announcer', 'Relay']
+
+# Above a round trip between availability zones, below the interval at which
+# announcements follow each other.
+ANNOUNCE_TIMEOUT = clocks.seconds(0.4)
+THREADS = 16
+
+_logger = log.get_logger('control')
+
+
+class Relay:
+    """Answers requests for the leader with the address of a voter.
+
+    Args:
+        address: HOST:PORT to listen on.
+        on_members: Called with the voters' addresses when they are told.
+
+    Attributes:
+        members: Addresses of the voters, as they were told last.
+    """
+
+    def __init__(self, *, address, on_members):
+        self._on_members = on_members
+        self._turns = itertools.count()
+        self.members = []
+        self._server = server.Server(
+            address=address,
+            handlers={wire_message.WorkRequest: self.handle},
+            threads=THREADS,
+        )
+
+    def start(self):
+        """Start to listen."""
+        self._server.start()
+
+    def stop(self):
+        """Stop listening."""
+        self._server.stop()
+
+    def handle(self, request):
+        """Return the ``WorkReply`` to an announcement.
+
+        Raises:
+            NotLeaderError: It is any other request; names one of the voters.
+        """
+        msg = message.decode_request(request.body)
+        if isinstance(msg, message.Announce):
+            self._note(msg)
+            reply = message.encode(message.AnnounceReply())
+            return wire_message.WorkReply(body=reply)
+        members = self.members
+        named = members[next(self._turns) % len(members)] if members else ''
+        raise errors.NotLeaderError(
+            'this instance has no disk and keeps no replica',
+            step='relay',
+            peer=named,
+        )
+
+    def _note(self, msg):
+        if msg.members != self.members:
+            log.log_decision(
+                _logger,
+                'note voters',
+                reason='one of them announced them',
+                members=msg.members,
+            )
+        self.members = msg.members
+        self._on_members(msg.members)
+
+
+class Announcer:
+    """Tells the seeds that are no members where the members are.
+
+    Args:
+        replica: The ``Replica``.
+        client: A ``wire`` client.
+        list_seeds: Function that returns the addresses of the seeds.
+    """
+
+    def __init__(self, *, replica, client, list_seeds):
+        self._replica = replica
+        self._client = client
+        self._list_seeds = list_seeds
+
+    def tick(self):
+        """Announce, if this instance is a member."""
+        rows = self._replica.status().members
+        members = [row.address for row in rows]
+        if self._replica.address not in members:
+            return
+        body = message.encode(message.Announce(members=members))
+        request = wire_message.WorkRequest(body=body)
+        for seed in self._list_seeds():
+            if seed in members:
+                continue
+            try:
+                self._client.send(
+                    seed, request, timeout=ANNOUNCE_TIMEOUT, step='announce'
+                )
+            except errors.BilberryhavenError as error:
+                _logger.debug('members not announced: {}', error)
--- a/bilberryhaven/platform/control.py
+++ b/bilberryhaven/platform/control.py
@@ -4,6 +4,7 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.control import keeper
+from bilberryhaven.control import relay
 from bilberryhaven.platform import faces
 from bilberryhaven.platform import roles
 from bilberryhaven.platform import settings as platform_settings
@@ -13,6 +14,8 @@
 __all__ = ['ControlRole']
 
 JOIN_INTERVAL = clocks.seconds(0.5)
+# A seed without a replica knows the members within a second of its start.
+ANNOUNCE_INTERVAL = clocks.seconds(1)
 OPERATOR_THREADS = 12
 
 
@@ -21,15 +24,20 @@
     """Serves operators, and holds a replica of the log where a disk is.
 
     Without a disk nothing that was acknowledged would last, so such an
-    instance only passes operators' requests on to the leader.
+    instance passes operators' requests on and names the voters to others.
     """
 
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
-        self._stop_joiner = None
-        self._control = None
+        self._stop_tickers = []
+        self._control = self._relay = None
         if self._deployment.has_disk:
             self._control = self._build_control()
+        else:
+            self._relay = relay.Relay(
+                address=self._deployment.settings.listen,
+                on_members=self._learn,
+            )
         self._serve(
             self._deployment.orders,
             faces.build_operator_face(self._gateway),
@@ -48,8 +56,9 @@
         )
 
     def start(self):
-        """Join the quorum and listen."""
+        """Join the quorum, or listen to its members."""
         if self._control is None:
+            self._relay.start()
             super().start()
             return
         self._control.start()
@@ -59,16 +68,33 @@
             gateway=self._gateway,
             clock=self._clock,
         )
-        self._stop_joiner = ticker.Ticker.launch(
-            name='join',
-            func=joiner.tick,
-            interval=JOIN_INTERVAL,
-            clock=self._clock,
+        announcer = relay.Announcer(
+            replica=self._control.replica,
+            client=self._client,
+            list_seeds=lambda: self.seeds,
         )
+        self._stop_tickers = [
+            ticker.Ticker.launch(
+                name=name,
+                func=func,
+                interval=interval,
+                clock=self._clock,
+            )
+            for name, func, interval in (
+                ('join', joiner.tick, JOIN_INTERVAL),
+                ('announce', announcer.tick, ANNOUNCE_INTERVAL),
+            )
+        ]
 
     def stop(self):
         """Hand leadership over and stop."""
-        if self._control is not None:
-            self._stop_joiner()
-            self._control.stop()
+        for stop in self._stop_tickers:
+            stop()
+        for part in (self._control, self._relay):
+            if part is not None:
+                part.stop()
         super().stop()
+
+    def _learn(self, addresses):
+        known = self._relay.members if self._relay is not None else []
+        super()._learn([*known, *addresses])
--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -41,11 +41,15 @@
     Args:
         deployment: The ``Deployment``.
         clock: The ``Clock``.
+
+    Attributes:
+        seeds: Addresses of control instances, as the settings name them now.
     """
 
     def __init__(self, *, deployment, clock):
         self._deployment = deployment
         self._clock = clock
+        self.seeds = deployment.settings.control
         self._client = client.Client()
         self._leader = leader.LeaderClient(
             addresses=deployment.settings.control,
@@ -95,7 +99,8 @@
         except errors.SettingsError as error:
             _logger.warning('settings not read again: {}', error)
             return
-        self._learn(read.settings.control)
+        self.seeds = read.settings.control
+        self._learn(self.seeds)
 
     def _learn(self, addresses):
         seeds = self._deployment.settings.control
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -79,6 +79,8 @@
             message.Replace: self._desk.replace_catalog,
             message.ReadCatalog: self._desk.read_catalog,
             message.Join: self._join,
+            # A replica knows the members from its log, or asks to join.
+            message.Announce: lambda msg: message.AnnounceReply(),
         }
 
     def start(self):
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -12,6 +12,8 @@
 from bilberryhaven.tables import workflow
 
 __all__ = [
+    'Announce',
+    'AnnounceReply',
     'Cancel',
     'CatalogReply',
     'CountReply',
@@ -307,6 +309,20 @@
     address: str
 
 
+class Announce(Request, kw_only=True):
+    """A member tells an instance without a replica who the members are.
+
+    Attributes:
+        members: Addresses of the members of the quorum.
+    """
+
+    members: list[str]
+
+
+class AnnounceReply(Reply, kw_only=True):
+    """The announcement has arrived."""
+
+
 class JoinReply(Reply, kw_only=True):
     """Whether the control instance is a member now."""
 
@@ -314,7 +330,15 @@
 
 
 _REQUESTS = msgspec.msgpack.Decoder(
-    Poll | Report | Submit | Inquire | Cancel | Replace | ReadCatalog | Join
+    Poll
+    | Report
+    | Submit
+    | Inquire
+    | Cancel
+    | Replace
+    | ReadCatalog
+    | Join
+    | Announce
 )
 _REPLIES = msgspec.msgpack.Decoder(
     PollReply
@@ -323,6 +347,7 @@
     | CountReply
     | CatalogReply
     | JoinReply
+    | AnnounceReply
 )
 
 
