Keep the connections of a whole fleet open

Cause: the HTTP library keeps ten idle connections by default and closes each further one after its answer. With more than ten peers nearly every poll and report at the leader opened a new connection.

Change: the listener keeps up to 2,000 idle connections.

--- a/bilberryhaven/wire/listener.py
+++ b/bilberryhaven/wire/listener.py
@@ -13,6 +13,8 @@
 MAX_HEADER_BYTES = 64 * 1024
 REQUEST_QUEUE_SIZE = 512
 STOP_TIMEOUT_SECONDS = 30
+# Idle connections that are kept open: those of all instances of a fleet.
+MAX_IDLE_CONNECTIONS = 2_000
 
 
 class Listener:
@@ -52,6 +54,7 @@
         )
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         self._server.error_log = error_log
         connection_class = connection.build_connection_class(self.guard)
         self._server.ConnectionClass = (
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -38,13 +38,25 @@
         self.server = server.Server(
             address='127.0.0.1:0',
             handlers={message.ClaimRequest: self.answer},
+            wrap_connection=self.count_connections,
         )
+        self.accepted = 0
         self.server.start()
         self.client = client.Client()
         self.addCleanup(self.server.stop)
         self.addCleanup(self.client.close)
         self.addCleanup(self.release.set)
 
+    def count_connections(self, connection_class):
+        test = self
+
+        class CountedConnection(connection_class):
+            def __init__(self, *args, **kwargs):
+                super().__init__(*args, **kwargs)
+                test.accepted += 1
+
+        return CountedConnection
+
     def answer(self, msg):
         if msg.workload == 'slow':
             self.release.wait()
@@ -77,6 +89,26 @@
         self.release.set()
         self.assertEqual('next', self.send('next', 'w').holder)
 
+    def test_connections_of_many_idle_peers_are_kept(self):
+        """A fleet's connections must survive between its requests."""
+        clients = [client.Client() for _ in range(40)]
+        for peer in clients:
+            self.addCleanup(peer.close)
+        for round_number in range(3):
+            for number, peer in enumerate(clients):
+                reply = peer.send(
+                    self.server.address,
+                    message.ClaimRequest(
+                        request_id=f'{round_number}.{number}',
+                        workload='w',
+                        entry='e',
+                    ),
+                    timeout=clock.seconds(5),
+                    step='claim',
+                )
+                self.assertEqual(f'{round_number}.{number}', reply.holder)
+        self.assertEqual(len(clients), self.accepted)
+
     def test_unreachable_peer_has_outcome_not_run(self):
         self.server.stop()
         error = self.assertRaises(errors.PeerError, self.send, 'r', 'w')
