Hold polls at the leader without a thread each

Cause: each held poll of an agent occupied one of 96 threads for up to half a second, so the polls of 160 agents alone filled the pool, and reports, submissions and votes waited behind them.

Change: a message handler may return a future; its connection then waits without a thread and is written to when the reply is known. Held polls are completed by orders, by the end of the session or after the longest wait. Messages on workflows have a bound of their own, so that the other control instances always find a thread; what is over it is refused at once.

A control role with a disk is now built by a test.

--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -26,10 +26,11 @@
 
 TICK_INTERVAL = clocks.seconds(0.1)
 RELAY_TIMEOUT = clocks.seconds(5)
-# Each agent occupies a thread with its long poll and may send reports at the
-# same time; entries and the other control instances add to that. Sized for a
-# few dozen instances per leader.
-THREADS = 96
+# Held polls occupy no thread, other requests only for the time of a commit.
+THREADS = 64
+# The remaining threads serve the other control instances, whose votes and
+# appends must not wait for requests on workflows.
+MAX_WORK_REQUESTS = 48
 API_PREFIX = '/v1/'
 
 
@@ -56,6 +57,7 @@
             handlers=self._list_handlers(),
             fallback=self._serve_http,
             threads=THREADS,
+            limits={message.WorkRequest: MAX_WORK_REQUESTS},
         )
         self._machine = machine.TableStateMachine(
             on_applied=self._handle_applied
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -125,12 +125,16 @@
 
 
 def build_connection_class(guard):
-    """Return a connection class whose requests ``guard`` times out."""
+    """Return a connection class whose requests ``guard`` times out.
+
+    The attribute ``pending`` of a connection is the deferred response that
+    it waits for, or None.
+    """
     request_class = type('GuardedRequest', (Request,), {'guard': guard})
     return type(
         'GuardedConnection',
         (cheroot_server.HTTPConnection,),
-        {'RequestHandlerClass': request_class},
+        {'RequestHandlerClass': request_class, 'pending': None},
     )
 
 
--- /dev/null
+++ b/bilberryhaven/wire/deferral.py
@@ -0,0 +1,101 @@
+"""Responses that are completed after the thread of their request was freed.
+
+A handler that has to wait for an event returns a future. The connection then
+waits without a thread, so that many held requests don't keep other requests
+from being served.
+"""
+
+from cheroot import wsgi
+
+from bilberryhaven import log
+
+__all__ = ['Deferred', 'Gateway', 'Server']
+
+_logger = log.get_logger('wire')
+
+
+class Deferred:
+    """Result of a WSGI application whose response isn't known yet.
+
+    Args:
+        future: Future that is done when the response is known.
+        build_body: Function without arguments that calls ``start_response``
+            and returns the chunks of the body; called once ``future`` is
+            done.
+    """
+
+    def __init__(self, *, future, build_body):
+        self.future = future
+        self.build_body = build_body
+
+
+class Gateway(wsgi.Gateway_10):
+    """WSGI gateway for applications that may return ``Deferred``."""
+
+    def respond(self):
+        """Write the response, or let the connection wait for it."""
+        result = self.req.server.wsgi_app(self.env, self.start_response)
+        if not isinstance(result, Deferred):
+            self.write_body(result)
+            return
+        if self.req.close_connection:
+            # The library closes such a connection once this returns.
+            result.future.exception()
+            self.write_body(result.build_body())
+            return
+        # Keeps the library from writing headers when this returns.
+        self.req.ready = False
+        self.req.conn.pending = _PendingResponse(gateway=self, deferred=result)
+
+    def write_body(self, chunks):
+        """Write the headers and the chunks of the body."""
+        for chunk in filter(None, chunks):
+            self.write(chunk)
+        self.req.ensure_headers_sent()
+
+
+class Server(wsgi.Server):
+    """WSGI server whose connections can wait for deferred responses."""
+
+    def put_conn(self, conn):
+        """Wait for the next request, or for a response that is pending."""
+        pending = conn.pending
+        if pending is None:
+            super().put_conn(conn)
+        else:
+            pending.release()
+
+
+class _PendingResponse:
+    """Response that is written once it is known and its thread is free."""
+
+    def __init__(self, *, gateway, deferred):
+        self._gateway = gateway
+        self._deferred = deferred
+
+    def release(self):
+        """Write the response once it is known.
+
+        Called when the thread of the request has stopped using the
+        connection.
+        """
+        self._deferred.future.add_done_callback(lambda future: self._finish())
+
+    def _finish(self):
+        request = self._gateway.req
+        connection = request.conn
+        connection.pending = None
+        try:
+            self._gateway.write_body(self._deferred.build_body())
+        except Exception as error:  # noqa: BLE001
+            _logger.warning(
+                'a deferred response was not sent: {!r}',
+                error,
+                extra={'peer': connection.remote_addr},
+            )
+            connection.close()
+            return
+        if request.close_connection:
+            connection.close()
+        else:
+            request.server.put_conn(connection)
--- a/bilberryhaven/wire/listener.py
+++ b/bilberryhaven/wire/listener.py
@@ -2,10 +2,9 @@
 
 import threading
 
-from cheroot import wsgi
-
 from bilberryhaven import util
 from bilberryhaven.wire import connection
+from bilberryhaven.wire import deferral
 
 __all__ = ['Listener']
 
@@ -27,7 +26,7 @@
         error_log: Function called with the HTTP library's log lines.
         wrap_connection: Function from the connection class to the one to
             use, or None.
-        gateway: WSGI gateway class, or None for the library's.
+        gateway: WSGI gateway class, or None for ``deferral.Gateway``.
 
     Attributes:
         guard: Shuts down connections whose requests arrive too slowly; the
@@ -45,7 +44,7 @@
         gateway=None,
     ):
         self.guard = connection.ReadGuard()
-        self._server = wsgi.Server(
+        self._server = deferral.Server(
             util.parse_address(address),
             application,
             numthreads=threads,
@@ -62,8 +61,7 @@
             if wrap_connection
             else connection_class
         )
-        if gateway is not None:
-            self._server.gateway = gateway
+        self._server.gateway = gateway or deferral.Gateway
         self._thread = None
 
     @property
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -1,6 +1,9 @@
 """HTTP server of a process: messages, API, health and metrics."""
 
+import concurrent.futures
+import contextlib
 import json
+import threading
 
 from cheroot import errors as cheroot_errors
 
@@ -8,6 +11,7 @@
 from bilberryhaven import log
 from bilberryhaven.wire import client
 from bilberryhaven.wire import codec
+from bilberryhaven.wire import deferral
 from bilberryhaven.wire import listener
 from bilberryhaven.wire import message
 
@@ -94,10 +98,15 @@
 
     Args:
         address: HOST:PORT to listen on; port 0 picks a free one.
-        handlers: Functions from a message to its reply, by message class.
+        handlers: Functions from a message to its reply, or to a future of
+            it, by message class. A request whose reply is a future occupies
+            no thread until the reply is known.
         fallback: Function from a WSGI environ and body to a ``Response``,
             for all other paths.
         threads: Number of requests served concurrently.
+        limits: Largest number of messages of a class that are handled
+            concurrently, by message class; more are refused at once, so that
+            no class of messages starves another.
         wrap_connection: Function from the connection class to the one to
             use, or None.
     """
@@ -109,9 +118,14 @@
         handlers,
         fallback=None,
         threads=16,
+        limits=None,
         wrap_connection=None,
     ):
         self._handlers = dict(handlers)
+        self._slots = {
+            cls: threading.BoundedSemaphore(count)
+            for cls, count in (limits or {}).items()
+        }
         self._fallback = fallback
         self._listener = listener.Listener(
             address=address,
@@ -136,10 +150,14 @@
 
     def _serve(self, environ, start_response):
         response = self._answer(environ)
-        reason = REASON_PHRASES.get(response.status, 'Unknown')
-        headers = list(response.headers.items())
-        start_response(f'{response.status} {reason}', headers)
-        return [response.body]
+        if not isinstance(response, concurrent.futures.Future):
+            return _start_response(response, start_response)
+        return deferral.Deferred(
+            future=response,
+            build_body=lambda: _start_response(
+                _build_deferred_response(response), start_response
+            ),
+        )
 
     def _answer(self, environ):
         try:
@@ -155,6 +173,7 @@
         return Response(status=404)
 
     def _answer_message(self, body):
+        """Return the ``Response``, or a future of the reply message."""
         try:
             msg = codec.decode(body)
             handler = self._handlers.get(type(msg))
@@ -163,16 +182,55 @@
                     f'this role does not handle {type(msg).__name__}',
                     step='dispatch',
                 )
-            reply = handler(msg)
-        except errors.BilberryhavenError as error:
-            reply = build_error_reply(error)
+            with self._claim_slot(msg):
+                reply = handler(msg)
         except Exception as error:  # noqa: BLE001
-            _logger.exception('a message handler failed')
-            internal_error = errors.InternalError(repr(error), step='dispatch')
-            reply = build_error_reply(internal_error)
-        return Response(
-            body=codec.encode(reply), content_type=client.CONTENT_TYPE
-        )
+            reply = _convert_error(error)
+        if isinstance(reply, concurrent.futures.Future):
+            return reply
+        return _build_message_response(reply)
+
+    @contextlib.contextmanager
+    def _claim_slot(self, msg):
+        slots = self._slots.get(type(msg))
+        if slots is None:
+            yield
+            return
+        if not slots.acquire(blocking=False):
+            raise errors.OverloadError(
+                f'too many {type(msg).__name__} messages are being handled',
+                step='dispatch',
+                retry_after=1,
+            )
+        try:
+            yield
+        finally:
+            slots.release()
+
+
+def _convert_error(error):
+    """Return the reply that reports an exception to a peer."""
+    if not isinstance(error, errors.BilberryhavenError):
+        _logger.error('a message handler failed: {!r}', error, exc_info=error)
+        error = errors.InternalError(repr(error), step='dispatch')
+    return build_error_reply(error)
+
+
+def _build_message_response(reply):
+    return Response(body=codec.encode(reply), content_type=client.CONTENT_TYPE)
+
+
+def _build_deferred_response(future):
+    error = future.exception()
+    reply = _convert_error(error) if error else future.result()
+    return _build_message_response(reply)
+
+
+def _start_response(response, start_response):
+    reason = REASON_PHRASES.get(response.status, 'Unknown')
+    headers = list(response.headers.items())
+    start_response(f'{response.status} {reason}', headers)
+    return [response.body]
 
 
 def read_body(environ):
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -1,6 +1,8 @@
 """Serves workflow requests, keeps agent sessions and schedules runs."""
 
+import concurrent.futures
 import contextlib
+import functools
 import threading
 
 from bilberryhaven import clock as clocks
@@ -18,6 +20,7 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import polls
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import stragglers
 from bilberryhaven.workflow import urgency
@@ -74,6 +77,7 @@
         self._ready_at = clock.monotonic()
         self._ready_lock = threading.Lock()
         self._expired_at = clock.monotonic()
+        self._polls = polls.HeldPolls(max_wait=options.max_poll_wait)
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._handlers = {
@@ -101,6 +105,7 @@
         self._stopping.set()
         self._wake.set()
         self._sessions.clear()
+        self._polls.stop()
 
     def handle(self, request):
         """Handle a ``WorkRequest``.
@@ -109,11 +114,13 @@
             request: The ``WorkRequest``.
 
         Returns:
-            The ``WorkReply``.
+            The ``WorkReply``, or a future of it for a poll.
         """
         msg = message.decode_request(request.body)
         reply = self._handlers[type(msg)](msg)
-        return wire_message.WorkReply(body=message.encode(reply))
+        if isinstance(reply, concurrent.futures.Future):
+            return _chain_future(reply, _wrap_reply)
+        return _wrap_reply(reply)
 
     def wake(self):
         """Run the scheduler without waiting for its next interval."""
@@ -175,10 +182,17 @@
         key = backend.build_backend_key(server.id, server.born_ms)
         agent_session = self._find_or_open_session(key, request)
         self._renew_lease(agent_session, server)
-        timeout = self._options.max_poll_wait.total_seconds()
-        last, orders = agent_session.wait(request.feed, request.seen, timeout)
+        return self._polls.hold(
+            agent_session,
+            request,
+            functools.partial(self._build_poll_reply, request, agent_session),
+        )
+
+    def _build_poll_reply(self, request, agent_session):
         self.ensure_ready()
         _check_open(agent_session)
+        key = agent_session.key
+        last, orders = agent_session.list_orders(request.feed, request.seen)
         row = self._state.backends.find(key)
         return message.PollReply(
             key=key,
@@ -691,6 +705,24 @@
             )
 
 
+def _wrap_reply(reply):
+    return wire_message.WorkReply(body=message.encode(reply))
+
+
+def _chain_future(future, convert):
+    """Return a future of the converted result of another one."""
+    chained = concurrent.futures.Future()
+
+    def copy(done):
+        try:
+            chained.set_result(convert(done.result()))
+        except Exception as error:  # noqa: BLE001
+            chained.set_exception(error)
+
+    future.add_done_callback(copy)
+    return chained
+
+
 def _check_open(agent_session):
     if agent_session.closed:
         raise errors.UnavailableError(
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -72,7 +72,8 @@
         self._last_number = 0
         self._orders = []
         self._ordered_kinds = {}
-        self._changed = threading.Condition()
+        self._notify = None
+        self._lock = threading.RLock()
 
     def reconcile_runs(self, views, find_percent):
         """Order the starts and stops that the backend server lacks.
@@ -83,7 +84,7 @@
             find_percent: Function of a ``RunView`` that returns the initial
                 percentage of full speed of a best-effort run.
         """
-        with self._changed:
+        with self._lock:
             for ref in [
                 ref for ref in self._ordered_kinds if ref not in views
             ]:
@@ -97,7 +98,7 @@
 
     def order_stop(self, ref):
         """Order the stop of a run that must not be on the server."""
-        with self._changed:
+        with self._lock:
             self._order_stop(ref)
 
     def _order_stop(self, ref):
@@ -108,33 +109,60 @@
         self._last_number += 1
         self._ordered_kinds[order.run] = order.kind
         self._orders.append((self._last_number, order))
-        self._changed.notify_all()
+        self._notify_subscriber()
 
-    def wait(self, feed, seen, timeout):
-        """Wait for orders with a number above ``seen``.
+    def subscribe(self, feed, seen, notify):
+        """Call a function once there are orders with a number above ``seen``.
+
+        A function that is still subscribed is replaced and called at once:
+        its poll was abandoned by the agent.
 
         Args:
             feed: The feed to which ``seen`` belongs.
             seen: Number of the newest order that the agent has received.
-            timeout: Longest wait in seconds.
+            notify: Function without arguments; it must not block. It is also
+                called when the session closes.
 
         Returns:
-            The pair (number of the newest order, orders).
+            Whether it was subscribed; False if there are orders already or
+            the session is closed.
         """
-        if feed != self.feed:
-            seen = 0
-        with self._changed:
+        with self._lock:
+            if feed != self.feed:
+                seen = 0
             self._orders = [item for item in self._orders if item[0] > seen]
-            self._changed.wait_for(
-                lambda: self._orders or self.closed, timeout
-            )
-            return self._last_number, [order for _, order in self._orders]
+            former, self._notify = self._notify, None
+            waits = not self._orders and not self.closed
+            if waits:
+                self._notify = notify
+        if former is not None:
+            former()
+        return waits
+
+    def list_orders(self, feed, seen):
+        """Return the pair (number of the newest order, orders).
+
+        Args:
+            feed: The feed to which ``seen`` belongs.
+            seen: Number of the newest order that the agent has received.
+        """
+        with self._lock:
+            if feed != self.feed:
+                seen = 0
+            orders = [order for number, order in self._orders if number > seen]
+            return self._last_number, orders
 
     def close(self):
-        """Close the session and wake up waiting polls."""
-        with self._changed:
+        """Close the session and notify the subscribed poll."""
+        with self._lock:
             self.closed = True
-            self._changed.notify_all()
+        self._notify_subscriber()
+
+    def _notify_subscriber(self):
+        with self._lock:
+            notify, self._notify = self._notify, None
+        if notify is not None:
+            notify()
 
     def record_presence(self, running, now):
         """Store the listed runs.
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -9,6 +9,7 @@
 complete.
 """
 
+import concurrent.futures
 import random
 
 from bilberryhaven import clock as clocks
@@ -224,6 +225,8 @@
     def send_request(self, request):
         body = message.encode(request)
         reply = self.leader.handle(wire_message.WorkRequest(body=body))
+        if isinstance(reply, concurrent.futures.Future):
+            reply = reply.result()
         return message.decode_reply(reply.body)
 
     def is_live(self, ref):
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -1,5 +1,7 @@
 """Tests that the control role without a disk only forwards requests."""
 
+import tempfile
+
 import testtools
 
 from bilberryhaven import clock as clocks
@@ -32,3 +34,12 @@
         role.start()
         self.addCleanup(role.stop)
         self.assertTrue(role.address)
+
+    def test_with_disk_a_replica_is_started(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        role = build_role(folder.name, has_disk=True)
+        role.start()
+        self.addCleanup(role.stop)
+        self.assertIsNotNone(role._control)
+        self.assertTrue(role._control.address)
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -1,11 +1,14 @@
 """Dispatcher on the leader, with a log that commits immediately."""
 
+import concurrent.futures
+
 import testtools
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.control import machine
 from bilberryhaven import errors
+from bilberryhaven.tables import backend
 from bilberryhaven.tables import catalog
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import dispatcher
@@ -30,6 +33,7 @@
             clock=self.clock,
             options=options.Options(max_poll_wait=clocks.seconds(0.01)),
         )
+        self.addCleanup(self.leader.stop)
         self.feeds = {}
 
     @property
@@ -39,6 +43,8 @@
     def ask(self, request):
         body = message.encode(request)
         reply = self.leader.handle(wire_message.WorkRequest(body=body))
+        if isinstance(reply, concurrent.futures.Future):
+            reply = reply.result()
         return message.decode_reply(reply.body)
 
     def replace(self, version=1, prefix=PREFIX):
@@ -285,6 +291,80 @@
         self.assertRaises(errors.NotLeaderError, self.submit, 'w1')
 
 
+class HeldPollTest(DispatcherTest):
+    """Polls of a large fleet, all held at the same time."""
+
+    AGENTS = 500
+
+    def hold_poll(self, agent, epoch, feed, seen):
+        server = message.ServerState(
+            id=f's-{agent}',
+            born_ms=1,
+            pool=fakes.POOL,
+            cpu=64_000,
+            memory_mb=256_000,
+        )
+        poll = message.Poll(
+            agent=agent, server=server, epoch=epoch, feed=feed, seen=seen
+        )
+        body = message.encode(poll)
+        return self.leader.handle(wire_message.WorkRequest(body=body))
+
+    def build_leader(self):
+        return dispatcher.Dispatcher(
+            replica=self.replica,
+            machine=self.machine,
+            clock=self.clock,
+            options=options.Options(max_poll_wait=clocks.seconds(30)),
+        )
+
+    def setUp(self):
+        super().setUp()
+        self.leader = self.build_leader()
+        self.addCleanup(self.leader.stop)
+        self.replace()
+        self.polls = {}
+        for number in range(self.AGENTS):
+            agent = f'i{number}'
+            self.polls[agent] = self.hold_poll(agent, 0, '', 0)
+
+    def decode(self, future):
+        return message.decode_reply(future.result(5).body)
+
+    def test_submission_is_accepted_while_all_agents_poll(self):
+        self.assertFalse(any(poll.done() for poll in self.polls.values()))
+        self.assertEqual('queued', self.submit('w1').state)
+
+    def test_only_polls_with_orders_are_answered(self):
+        self.submit('w1', fakes.build_step(tasks=3, cpu=64_000))
+        self.schedule()
+        views = self.leader._index.runs
+        chosen = {
+            self.state.backends.find(key).instance
+            for key, runs in views.items()
+            if runs
+        }
+        orders = [self.decode(self.polls[agent]).orders for agent in chosen]
+        self.assertEqual([1, 1, 1], [len(item) for item in orders])
+        held = [poll for poll in self.polls.values() if not poll.done()]
+        self.assertEqual(self.AGENTS - 3, len(held))
+
+    def test_abandoned_poll_is_replaced(self):
+        first = self.polls['i0']
+        key = backend.build_backend_key('s-i0', 1)
+        epoch = self.state.backends.find(key).epoch
+        again = self.hold_poll('i0', epoch, '', 0)
+        self.assertEqual(epoch, self.decode(first).epoch)
+        self.assertFalse(again.done())
+
+    def test_polls_end_when_the_leader_stops(self):
+        self.leader.stop()
+        error = self.assertRaises(
+            errors.UnavailableError, self.polls['i0'].result, 5
+        )
+        self.assertEqual('poll', error.step)
+
+
 class HealthTest(DispatcherTest):
     """A server on which every run fails gets no new runs for a while."""
 
