Keep the view of the fleet and the ranking of servers up to date

Cause: each scheduling round built every server anew from all its runs and compared every server for every task, under the lock that commits and polls need, and a round follows each recorded end. The leader's work grew with fleet times starts.

Change: FleetView builds a server again only when its runs, its session or its row have changed. The servers of a step are ranked once in a heap; a placement changes the position of its own server only. Steps that need at least as much as a refused one are refused without a comparison. In fleets of more than 160 servers, steps that run equally well anywhere are compared with a sample first. Candidates and relocation are modules of their own.

The stateful fuzzing compares the cached servers with newly built ones in each tick; it failed first on a session that was opened later.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -15,12 +15,14 @@
 from bilberryhaven.tables import workflow
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import callers
+from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import interference
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import polls
+from bilberryhaven.workflow import relocation
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import stragglers
 from bilberryhaven.workflow import urgency
@@ -32,9 +34,6 @@
 # Interval of the checks for due workflows, expired leases and ended
 # quarantines while no event wakes the scheduler.
 IDLE_SECONDS = 0.1
-# CPU use of a run is a mean over half a second, so the figure of a younger run
-# covers only part of that window.
-MIN_SAMPLE_AGE_S = 0.7
 EXPIRY_INTERVAL = clocks.seconds(10)
 
 _logger = log.get_logger('workflow')
@@ -69,6 +68,13 @@
         self._index = workflow_index.WorkflowIndex(
             machine.state, find_rank=ranker.find_rank
         )
+        self._fleet = fleet.FleetView(
+            state=machine.state,
+            index=self._index,
+            sessions=self._sessions,
+            health=self._health,
+            options=options,
+        )
         self._caller_requests = callers.CallerRequestHandler(
             leader=self, clock=clock
         )
@@ -501,7 +507,6 @@
         """Stop throttled best-effort runs to restart them elsewhere."""
         relocations = []
         with self._replica.machine_lock:
-            self._index.refresh(self._clock.wall().timestamp())
             paused = [
                 agent_session
                 for agent_session in self._sessions
@@ -509,13 +514,11 @@
             ]
             if not paused:
                 return
-            servers = {
-                row.key: self._build_server(row)
-                for row in self._state.backends
-            }
+            now = self._clock.wall().timestamp()
+            servers = {row.key: row for row in self._refresh_fleet(now)}
             for agent_session in paused:
                 if agent_session.key in servers:
-                    relocations += planner.list_relocations(
+                    relocations += relocation.list_relocations(
                         self._index.runs.get(agent_session.key, {}),
                         agent_session.paused,
                         agent_session.present,
@@ -554,12 +557,7 @@
     def _plan(self):
         now = self._clock.wall().timestamp()
         with self._replica.machine_lock:
-            self._index.refresh(now)
-            for key in self._index.take_changed():
-                agent_session = self._sessions.find(key)
-                if agent_session is not None:
-                    self._order_runs(agent_session)
-            servers = [self._build_server(row) for row in self._state.backends]
+            servers = self._refresh_fleet(now)
             starts = planner.plan_starts(
                 self._index.list_groups(now),
                 servers,
@@ -568,83 +566,19 @@
             )
             return starts, {server.key: server for server in servers}
 
-    def _build_server(self, row):
-        now = self._clock.monotonic()
-        agent_session = self._sessions.find(row.key)
-        server = planner.Server(
-            key=row.key,
-            pool=row.pool,
-            rack=row.rack,
-            labels=frozenset(row.labels),
-            cpu=row.cpu,
-            memory_mb=row.memory_mb,
-            gpu=row.gpu,
-            open=(
-                agent_session is not None
-                and not self._awaits_former_lease(agent_session)
-                and not agent_session.draining
-                and self._is_fresh(agent_session, now)
-                and self._health.accepts_work(row.key, now)
-            ),
-            suspect=self._health.is_suspect(row.key, now),
-            recent_success=self._health.has_recent_success(row.key),
-        )
-        views = self._index.runs.get(row.key, {})
-        for ref, view in views.items():
-            server.claim(view.step, view.group)
-            if agent_session is not None and ref not in agent_session.present:
-                server.probing |= view.step.best_effort
-        if agent_session is not None:
-            self._add_measurements(server, agent_session, views, now)
-        return server
-
-    def _add_measurements(self, server, agent_session, views, now):
-        """Add measured tail latencies and CPU use of the runs on a server."""
-        requested = used = 0.0
-        for ref, seen in agent_session.present.items():
-            view = views.get(ref)
-            if view is None:
-                continue
-            if view.step.target_ms:
-                share = seen.running.gauge / view.step.target_ms
-                server.tails.append((view.step.image, share))
-                continue
-            age = (now - seen.first_at).total_seconds()
-            if not view.step.best_effort:
-                continue
-            server.best_effort_runs.append(
-                planner.BestEffortRun(
-                    image=view.step.image,
-                    tenths=planner.TENTHS_PER_SERVER
-                    * seen.running.gauge
-                    / server.cpu,
-                    rank=view.rank,
-                )
-            )
-            if age < MIN_SAMPLE_AGE_S:
-                server.probing = True
-                continue
-            if ref not in agent_session.interfering:
-                requested += view.step.cpu
-                used += seen.running.gauge
-        if requested:
-            server.satisfaction = used / requested
-
-    @staticmethod
-    def _awaits_former_lease(agent_session):
-        # Runs under an earlier agent's lease may still be alive until the new
-        # agent has listed the runs.
-        return (
-            agent_session.uncertain_until is not None
-            and agent_session.listed_at is None
-        )
+    def _refresh_fleet(self, now):
+        """Order changed runs and return the ``Server`` rows.
 
-    def _is_fresh(self, agent_session, now):
-        # An agent that has missed two polls gets no new runs.
-        silence = now - (
-            agent_session.lease_end - self._options.lease_expiry_delay
-        )
-        return silence < 3 * self._options.max_poll_wait
+        Args:
+            now: Unix time in seconds.
+        """
+        self._index.refresh(now)
+        for key in self._index.take_changed():
+            self._fleet.invalidate(key)
+            agent_session = self._sessions.find(key)
+            if agent_session is not None:
+                self._order_runs(agent_session)
+        return self._fleet.list_servers(self._clock.monotonic())
 
     def _close_lapsed(self):
         now = self._clock.monotonic()
--- a/bilberryhaven/workflow/interference.py
+++ b/bilberryhaven/workflow/interference.py
@@ -13,9 +13,9 @@
 import datetime
 
 from bilberryhaven.systems import regression
+from bilberryhaven.workflow import candidate
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
-from bilberryhaven.workflow import planner
 
 __all__ = ['InterferenceModel']
 
@@ -63,7 +63,7 @@
     tails: dict
 
 
-class InterferenceModel(planner.InterferenceEffects):
+class InterferenceModel(candidate.InterferenceEffects):
     """Learns from reports how much one image raises the tails of another.
 
     Kept only in the leader's memory.
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -1,253 +1,34 @@
 """Placement of tasks on backend servers.
 
-The functions are pure: they depend on their arguments alone. Headroom of a
-latency-critical task is its target as a multiple of its tail latency.
+The functions are pure: they depend on their arguments alone.
 """
 
 import collections
 import dataclasses
+import heapq
+import zlib
 
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import candidate
 
-__all__ = ['InterferenceEffects', 'Server', 'list_relocations', 'plan_starts']
+__all__ = ['can_take_best_effort', 'is_eligible', 'plan_starts']
 
 # Share of a best-effort task's CPU request that must be spare on a
 # server; with less, it would slow down the best-effort tasks already there.
 MIN_SPARE_CPU_SHARE = 0.7
-# Share of their CPU claim that latency-critical tasks are expected to use; the
-# rest counts as spare CPU.
-SERVING_LOAD = 0.55
 # If the best-effort tasks of a server get less than this share of the CPU that
 # they request, the server has no spare CPU, whatever the claims add up to.
 MIN_SATISFACTION = 0.8
 # A best-effort task is placed only where it may run at this share of its full
 # speed; a slower task would delay its whole workflow.
 MIN_SPEED_SHARE = 0.6
-# Loss of headroom up to which a best-effort task is placed without regard to
-# tail latency.
-NEGLIGIBLE_EFFECT = 0.08
-# Headroom that a placement must leave. It is more than the pacing keeps, since
-# the load of latency-critical tasks varies.
-MIN_HEADROOM = 1.5
-# Lower bound on a tail latency relative to its target, and on a headroom, in
-# divisions; a tail below it leaves room for any best-effort task.
-MIN_TAIL_RATIO = 0.01
-# Effects on tail latency are per tenth of a server's CPU.
-TENTHS_PER_SERVER = 10
-# Progress in percent up to which a run without checkpoints is relocated: with
-# less than half done, a restart at full speed ends sooner than waiting does.
-MAX_LOST_PERCENT = 50
 # A best-effort workflow without any run waits at most this long for spare CPU
 # while less than this share of the pool's CPU and of its memory is claimed.
 MAX_SPARE_CPU_WAIT_S = 1.5
 LOW_POOL_UTILISATION = 0.5
-
-
-class InterferenceEffects:
-    """Effects of best-effort images on tail latency.
-
-    This base class is the model without any interference.
-    """
-
-    def get_effect(self, serving, image):
-        """Return the loss of headroom per tenth of a server.
-
-        Args:
-            serving: Image of the latency-critical task.
-            image: Image of the best-effort task.
-        """
-        return 0.0
-
-    def is_known(self, serving, image):
-        """Return whether the effect is backed by enough observations."""
-        return True
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class BestEffortRun:
-    """A best-effort run that uses CPU of a server.
-
-    Attributes:
-        image: Its image.
-        tenths: CPU that it uses, in tenths of the server.
-        rank: Rank of its workflow; lower ranks take precedence.
-    """
-
-    image: str
-    tenths: float
-    rank: float
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Server:
-    """A backend server as a candidate for placement.
-
-    Attributes:
-        key: Its key.
-        pool: Pool that it serves.
-        rack: Its rack.
-        labels: Its labels.
-        cpu: Its capacity in thousandths of a core.
-        memory_mb: Its memory in MB.
-        gpu: Its accelerators.
-        open: Whether it accepts new tasks.
-        suspect: Whether runs failed or were slow there recently.
-        recent_success: Whether a run has succeeded there since its last
-            failure.
-        probing: Whether a best-effort task was started there recently whose
-            effect on tail latency hasn't been measured yet.
-        speed: Its speed relative to other servers; 1 is normal.
-        used_cpu: Thousandths of a core that its tasks have claimed.
-        used_memory_mb: Memory that its tasks have claimed, in MB.
-        used_gpu: Accelerators that its tasks have claimed.
-        best_effort_cpu: Thousandths of a core that its best-effort tasks
-            request.
-        serving: Thousandths of a core that its latency-critical tasks claim,
-            by image.
-        satisfaction: Share of the CPU that its best-effort tasks request
-            which they get.
-        tails: (image, tail latency as a share of its target) pairs of its
-            latency-critical tasks.
-        best_effort_runs: The ``BestEffortRun`` rows.
-        task_counts: Number of its tasks by group.
-    """
-
-    key: str
-    pool: str
-    rack: str = ''
-    labels: frozenset = frozenset()
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
-    open: bool = True
-    suspect: bool = False
-    recent_success: bool = True
-    probing: bool = False
-    speed: float = 1.0
-    used_cpu: int = 0
-    used_memory_mb: int = 0
-    used_gpu: int = 0
-    best_effort_cpu: int = 0
-    serving: dict = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(int)
-    )
-    satisfaction: float = 1.0
-    tails: list = dataclasses.field(default_factory=list)
-    best_effort_runs: list = dataclasses.field(default_factory=list)
-    task_counts: dict = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(int)
-    )
-
-    @property
-    def serving_cpu(self):
-        """Thousandths of a core that latency-critical tasks claim."""
-        return sum(self.serving.values())
-
-    @property
-    def unclaimed(self):
-        """Thousandths of a core that no task requests."""
-        return self.cpu - self.used_cpu - self.best_effort_cpu
-
-    @property
-    def spare_cpu(self):
-        """Thousandths of a core that are expected to be idle."""
-        idle = (1 - SERVING_LOAD) * self.serving_cpu
-        return self.unclaimed + idle
-
-    def is_interference_negligible(self, step, effects):
-        """Return whether a best-effort task is known not to raise a tail here.
-
-        Args:
-            step: The ``Step`` of the task.
-            effects: The ``InterferenceEffects``.
-        """
-        weight = step.cpu / max(self.cpu, 1) * TENTHS_PER_SERVER
-        return all(
-            effects.is_known(image, step.image)
-            and weight * effects.get_effect(image, step.image)
-            <= NEGLIGIBLE_EFFECT
-            for image in self.serving
-        )
-
-    def predict_speed_share(self, step, rank, effects):
-        """Predict how fast one more best-effort task may run.
-
-        Args:
-            step: The ``Step`` of the task.
-            rank: Rank of its workflow; runs of higher ranks are slowed down
-                in its favour.
-            effects: The ``InterferenceEffects``.
-
-        Returns:
-            The share of its full speed that leaves every latency-critical
-            task ``MIN_HEADROOM``: at least 0, at most 1.
-        """
-        weight = step.cpu / max(self.cpu, 1) * TENTHS_PER_SERVER
-        share = 1.0
-        for image, tail in self.tails:
-            effect = weight * effects.get_effect(image, step.image)
-            if effect <= NEGLIGIBLE_EFFECT:
-                continue
-            headroom = 1 / max(tail, MIN_TAIL_RATIO) - MIN_HEADROOM
-            headroom += sum(
-                run.tenths * effects.get_effect(image, run.image)
-                for run in self.best_effort_runs
-                if run.rank > rank
-            )
-            share = min(share, headroom / effect)
-        return max(0.0, share)
-
-    def add_best_effort_run(self, step, rank, effects):
-        """Add the predicted effect of a task that isn't measured yet.
-
-        Args:
-            step: The ``Step`` of the best-effort task.
-            rank: Rank of its workflow.
-            effects: The ``InterferenceEffects``.
-        """
-        weight = step.cpu / max(self.cpu, 1) * TENTHS_PER_SERVER
-        tails = []
-        for image, tail in self.tails:
-            effect = weight * effects.get_effect(image, step.image)
-            headroom = 1 / max(tail, MIN_TAIL_RATIO) - effect
-            tails.append((image, 1 / max(headroom, MIN_TAIL_RATIO)))
-        self.tails = tails
-        self.best_effort_runs.append(
-            BestEffortRun(image=step.image, tenths=weight, rank=rank)
-        )
-
-    def claim(self, step, group):
-        """Claim the resources of one task of ``step``."""
-        self._count(step, group, 1)
-
-    def release(self, step, group):
-        """Release the resources that ``claim`` took."""
-        self._count(step, group, -1)
-
-    def _count(self, step, group, sign):
-        self.used_memory_mb += sign * step.memory_mb
-        self.used_gpu += sign * step.gpu
-        if step.best_effort:
-            self.best_effort_cpu += sign * step.cpu
-        else:
-            self.used_cpu += sign * step.cpu
-        if step.target_ms:
-            self.serving[step.image] += sign * step.cpu
-            if not self.serving[step.image]:
-                del self.serving[step.image]
-        self.task_counts[group] += sign
-
-    def has_capacity(self, step):
-        """Return whether one more task of ``step`` fits into the capacity.
-
-        Best-effort tasks need no CPU claim, only memory and accelerators.
-        """
-        if self.used_memory_mb + step.memory_mb > self.memory_mb:
-            return False
-        if self.used_gpu + step.gpu > self.gpu:
-            return False
-        return step.best_effort or self.used_cpu + step.cpu <= self.cpu
+# Servers that are compared for a step whose tasks run equally well anywhere.
+MAX_SAMPLE = 160
 
 
 def plan_starts(groups, servers, now, effects=None):
@@ -262,18 +43,58 @@
     Returns:
         The ``RunStart`` rows, most urgent first.
     """
-    effects = effects or InterferenceEffects()
+    effects = effects or candidate.InterferenceEffects()
     starts = []
     by_pool = collections.defaultdict(list)
     for server in servers:
         if server.open:
             by_pool[server.pool].append(server)
+    refusals = _Refusals()
     for group in sorted(groups, key=rank_group):
         servers = by_pool[group.row.pool]
-        starts.extend(_place_group(group, servers, now, effects))
+        starts.extend(_place_group(group, servers, now, effects, refusals))
     return starts
 
 
+class _Refusals:
+    """Tasks that fit on no server in the current round.
+
+    Placements only reduce what is left for later groups, so a task that needs
+    as much as a refused one doesn't fit either.
+    """
+
+    def __init__(self):
+        self._smallest = collections.defaultdict(list)
+
+    def add(self, group):
+        """Record that a task of ``group`` fits on no server."""
+        step = group.step
+        limited = step.rack_local or step.max_per_backend
+        if not limited:
+            key = _build_refusal_key(group)
+            self._smallest[key].append((step.cpu, step.memory_mb, step.gpu))
+
+    def include(self, group):
+        """Return whether tasks of ``group`` certainly fit on no server."""
+        step = group.step
+        return any(
+            step.cpu >= cpu and step.memory_mb >= memory_mb and step.gpu >= gpu
+            for cpu, memory_mb, gpu in self._smallest[
+                _build_refusal_key(group)
+            ]
+        )
+
+
+def _build_refusal_key(group):
+    """Return what tasks have in common that are refused alike."""
+    step = group.step
+    return (
+        group.row.pool,
+        step.required_label,
+        step.best_effort and (step.image, group.row.priority),
+    )
+
+
 def rank_group(group):
     """Return the sort key of a group; lower keys are placed first."""
     row = group.row
@@ -281,48 +102,107 @@
     return (row.priority, due_at, row.id, group.index)
 
 
-def _place_group(group, servers, now, effects):
+def _place_group(group, servers, now, effects, refusals):
     step = group.step
-    servers = [item for item in servers if _is_eligible(item, step)]
+    starved = _is_starved(group, servers, now)
+    if refusals.include(group) and not starved:
+        return []
+    servers = [item for item in servers if is_eligible(item, step)]
     if not servers:
         return []
     if step.rack_local:
         servers = _choose_rack(group, servers)
-    number = 1 + max(group.row.find_task(key).last_run for key in group.keys)
-    name = (group.row.id, group.occurrence, group.index)
-    starved = _is_starved(group, servers, now)
     placed = []
+    chooser = _ServerChooser(group, servers, effects, starved=starved)
     for key in group.keys:
         task = group.row.find_task(key)
+        server = chooser.choose(task)
+        if server is not None:
+            placed.append((key, server))
+            continue
+        if not placed and not starved:
+            refusals.add(group)
+        if step.gang:
+            for _, claimed in placed:
+                claimed.release(step, chooser.group)
+            return []
+        if not task.failures:
+            break
+    return _build_starts(group, placed)
+
+
+class _ServerChooser:
+    """Chooses the servers of a step's tasks and claims their resources.
+
+    Args:
+        group: The ``Group``.
+        servers: The ``Server`` rows.
+        effects: The ``InterferenceEffects``.
+        starved: Whether the first task starts even where it interferes with
+            others.
+
+    Attributes:
+        group: (workflow id, occurrence, step number).
+    """
+
+    def __init__(self, group, servers, effects, *, starved):
+        self.group = (group.row.id, group.occurrence, group.index)
+        self._step = group.step
+        self._rank = group.rank
+        self._servers = servers
+        self._effects = effects
+        self._starved = starved
+        self._ranking = None
+
+    def choose(self, task):
+        """Return the server on which ``task`` was placed, or None."""
         request = PlacementRequest(
-            step=step,
-            group=name,
+            step=self._step,
+            group=self.group,
             task=task,
-            rank=group.rank,
-            starved=starved,
+            rank=self._rank,
+            starved=self._starved,
+        )
+        if self._starved or task.failures:
+            # The cost depends on the task, and the placement would make the
+            # ranking outdated.
+            self._ranking = None
+            server = _choose_server(request, self._servers, self._effects)
+        else:
+            if self._ranking is None:
+                self._ranking = _ServerRanking(
+                    request, self._servers, self._effects
+                )
+            server = self._ranking.take()
+        self._starved = False
+        if server is not None:
+            _claim(server, request, self._effects)
+            if self._ranking is not None:
+                self._ranking.put_back(server)
+        return server
+
+
+def _claim(server, request, effects):
+    step = request.step
+    server.claim(step, request.group)
+    if step.best_effort and server.serving:
+        server.probing |= not server.is_interference_negligible(step, effects)
+        server.add_best_effort_run(step, request.rank, effects)
+
+
+def _build_starts(group, placed):
+    row = group.row
+    gang_number = 0
+    if group.step.gang:
+        # All members of a gang have the same number.
+        gang_number = 1 + max(
+            row.find_task(key).last_run for key in group.keys
         )
-        server = _choose_server(request, servers, effects)
-        starved = False
-        if server is None:
-            if step.gang:
-                for _, claimed in placed:
-                    claimed.release(step, name)
-                return []
-            if not task.failures:
-                break
-            continue
-        server.claim(step, name)
-        if step.best_effort and server.serving:
-            server.probing |= not server.is_interference_negligible(
-                step, effects
-            )
-            server.add_best_effort_run(step, group.rank, effects)
-        placed.append((key, server))
     return [
         workflow_commands.RunStart(
-            group.row.id,
+            row.id,
             key,
-            number if step.gang else group.row.find_task(key).last_run + 1,
+            gang_number or row.find_task(key).last_run + 1,
             server.key,
         )
         for key, server in placed
@@ -345,7 +225,8 @@
     )
 
 
-def _is_eligible(server, step):
+def is_eligible(server, step):
+    """Return whether a server has the label that a step requires."""
     return not step.required_label or step.required_label in server.labels
 
 
@@ -399,55 +280,107 @@
     starved: bool
 
 
+class _ServerRanking:
+    """Servers that can take a task that has never failed, cheapest first.
+
+    A placement changes the cost of its own server only, so the other servers
+    keep their positions from one task of a step to the next. In a large fleet
+    only a sample of the servers is compared, and the next ones when none of
+    them can take a task.
+
+    Args:
+        request: The ``PlacementRequest`` of one of the tasks.
+        servers: The ``Server`` rows.
+        effects: The ``InterferenceEffects``.
+    """
+
+    def __init__(self, request, servers, effects):
+        self._request = request
+        self._effects = effects
+        self._taken = None
+        self._heap = []
+        self._remaining = list(enumerate(servers))
+        if len(servers) > MAX_SAMPLE and not _needs_all_servers(request.step):
+            # Different workflows start with different servers.
+            start = zlib.crc32(repr(request.group).encode()) % len(servers)
+            self._remaining = [
+                *self._remaining[start:],
+                *self._remaining[:start],
+            ]
+            self._sample_size = MAX_SAMPLE
+        else:
+            self._sample_size = len(servers)
+
+    def take(self):
+        """Return the cheapest server and remove it; None if there is none."""
+        while not self._heap and self._remaining:
+            self._add_sample()
+        if not self._heap:
+            return None
+        _, self._taken, server = heapq.heappop(self._heap)
+        return server
+
+    def _add_sample(self):
+        sample = self._remaining[: self._sample_size]
+        del self._remaining[: self._sample_size]
+        for position, server in sample:
+            cost = _estimate_cost(server, self._request, self._effects)
+            if cost is not None:
+                self._heap.append((cost, position, server))
+        heapq.heapify(self._heap)
+
+    def put_back(self, server):
+        """Add the server taken last again, if it can take another task."""
+        cost = _estimate_cost(server, self._request, self._effects)
+        if cost is not None:
+            heapq.heappush(self._heap, (cost, self._taken, server))
+
+
+def _needs_all_servers(step):
+    """Return whether the choice of a server matters beyond its spare CPU."""
+    return bool(step.target_ms or step.data_rack or step.rack_local)
+
+
 def _choose_server(request, servers, effects):
+    """Return the cheapest server that can take a task, or None."""
     best = None
     best_cost = None
-    step = request.step
     for server in servers:
-        if not server.has_capacity(step):
-            continue
-        if 0 < step.max_per_backend <= server.task_counts[request.group]:
-            continue
-        avoids_interference = step.best_effort and not request.starved
-        if avoids_interference and not _can_take_best_effort(
-            server, step, request.rank, effects
-        ):
-            continue
         cost = _estimate_cost(server, request, effects)
-        if best is None or cost < best_cost:
+        if cost is not None and (best is None or cost < best_cost):
             best, best_cost = server, cost
     return best
 
 
-def _can_take_best_effort(server, step, rank, effects):
-    """Return whether a best-effort task runs well without raising tails."""
-    if server.satisfaction < MIN_SATISFACTION:
-        return False
-    needed = step.cpu * MIN_SPARE_CPU_SHARE
-    if not server.serving:
-        return not server.best_effort_cpu or server.unclaimed >= needed
-    if server.spare_cpu < needed:
-        return False
-    if server.is_interference_negligible(step, effects):
-        return True
-    if server.probing:
-        return False
-    return server.predict_speed_share(step, rank, effects) >= MIN_SPEED_SHARE
-
-
 def _estimate_cost(server, request, effects):
+    """Return the sort key of a server for a task.
+
+    Returns:
+        The key, lower ones are better; None if the server can't take the
+        task.
+    """
     step, task = request.step, request.task
+    if not server.has_capacity(step):
+        return None
+    if 0 < step.max_per_backend <= server.task_counts[request.group]:
+        return None
+    if step.best_effort:
+        colocation = _rate_best_effort(server, request, effects)
+        if colocation is None:
+            return None
+    else:
+        colocation = _rate_colocation(server, step)
     return (
         server.key in task.failed_on,
         task.failures > 0 and not server.recent_success,
         server.suspect,
         bool(step.data_rack) and server.rack != step.data_rack,
-        *_build_colocation_key(server, request, effects),
+        *colocation,
         -server.spare_cpu / max(server.cpu, 1),
     )
 
 
-def _build_colocation_key(server, request, effects):
+def _rate_colocation(server, step):
     """Return the sort key of a server by the tasks that run there.
 
     How much a best-effort task interferes with a latency-critical one depends
@@ -456,69 +389,53 @@
     known to raise no tail, and other tasks fill up the servers that
     best-effort tasks avoid.
     """
-    step = request.step
-    if step.best_effort:
-        if not server.serving:
-            return (0, 0.0)
-        if server.is_interference_negligible(step, effects):
-            return (1, 0.0)
-        return (
-            2,
-            -round(server.predict_speed_share(step, request.rank, effects), 1),
-        )
     best_effort_share = round(server.best_effort_cpu / max(server.cpu, 1), 1)
     if step.target_ms:
         return (best_effort_share, -server.serving_cpu)
     return (not server.serving, best_effort_share)
 
 
-def list_relocations(views, slow, present, server, others, effects):
-    """Return the throttled runs that would run faster on another server.
+def _rate_best_effort(server, request, effects):
+    """Return the sort key of a server for a best-effort task.
+
+    Returns:
+        The key, or None if the task would run slowly there or raise a tail
+        latency too much.
+    """
+    step = request.step
+    if not request.starved and not _has_spare_cpu(server, step):
+        return None
+    if not server.serving:
+        return (0, 0.0)
+    if server.is_interference_negligible(step, effects):
+        return (1, 0.0)
+    if server.probing and not request.starved:
+        return None
+    share = server.predict_speed_share(step, request.rank, effects)
+    if share < MIN_SPEED_SHARE and not request.starved:
+        return None
+    return (2, -round(share, 1))
+
+
+def _has_spare_cpu(server, step):
+    if server.satisfaction < MIN_SATISFACTION:
+        return False
+    needed = step.cpu * MIN_SPARE_CPU_SHARE
+    if not server.serving:
+        return not server.best_effort_cpu or server.unclaimed >= needed
+    return server.spare_cpu >= needed
+
+
+def can_take_best_effort(server, step, rank, effects):
+    """Return whether a best-effort task runs well without raising tails.
 
     Args:
-        views: ``RunView`` by run, all that count on the server.
-        slow: Runs that have been throttled there for long.
-        present: ``Presence`` by run, as the server listed them.
-        server: The ``Server`` that they are on.
-        others: The ``Server`` rows to choose from; ``server`` itself is
-            skipped. Relocated runs are claimed on them.
+        server: The ``Server``.
+        step: The ``Step`` of the task.
+        rank: Rank of its workflow; lower ranks take precedence.
         effects: The ``InterferenceEffects``.
-
-    Returns:
-        The ``RunRef`` of each run to relocate, lowest rank first.
     """
-    relocations = []
-    ranked = [views[ref] for ref in slow if ref in views]
-    for view in sorted(ranked, key=lambda item: item.rank):
-        if view.stopping or not _is_cheap_to_relocate(view, present):
-            continue
-        rank = view.rank
-        fits = [
-            other
-            for other in others
-            if other.key != server.key
-            and other.open
-            and other.pool == server.pool
-            and _is_eligible(other, view.step)
-            and other.has_capacity(view.step)
-            and _can_take_best_effort(other, view.step, rank, effects)
-        ]
-        if fits:
-            best = max(
-                fits,
-                key=lambda item: item.predict_speed_share(
-                    view.step, rank, effects
-                ),
-            )
-            best.claim(view.step, view.group)
-            best.add_best_effort_run(view.step, rank, effects)
-            relocations.append(view.ref)
-    return relocations
-
-
-def _is_cheap_to_relocate(view, present):
-    """Return whether a relocation loses little of a run's work."""
-    if view.step.saves_progress:
-        return True
-    seen = present.get(view.ref)
-    return seen is not None and seen.running.percent < MAX_LOST_PERCENT
+    request = PlacementRequest(
+        step=step, group=(), task=workflow.Task(), rank=rank, starved=False
+    )
+    return _rate_best_effort(server, request, effects) is not None
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -18,6 +18,7 @@
 from bilberryhaven.tables import catalog
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import dispatcher
+from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import server_client
@@ -198,7 +199,7 @@
                 max_poll_wait=clocks.seconds(0.0), lease=clocks.seconds(2)
             ),
         )
-        self.leader._is_fresh = lambda held, now: True
+        self.leader._fleet._is_fresh = lambda held, now: True
         self._replace_catalog()
         self.agents = [AgentModel(self, f'a{n}') for n in range(agents)]
         for agent in self.agents:
@@ -291,9 +292,25 @@
             self.start(server, call)
         self.leader.ensure_ready()
         self.leader._schedule()
+        self.check_fleet_view()
         for agent in self.agents:
             agent.step()
 
+    def check_fleet_view(self):
+        """Check the cached servers against servers built from all state."""
+        leader = self.leader
+        cached = leader._refresh_fleet(self.clock.wall().timestamp())
+        view = fleet.FleetView(
+            state=leader._state,
+            index=leader._index,
+            sessions=leader._sessions,
+            health=leader._health,
+            options=leader._options,
+        )
+        view._is_fresh = lambda held, now: True
+        built = view.list_servers(self.clock.monotonic())
+        assert cached == built, f'cached: {cached}, built: {built}'
+
     def run(self, ticks):
         for _ in range(ticks):
             if self.random.random() < 0.1:
--- a/tests/test_workflow_planner.py
+++ b/tests/test_workflow_planner.py
@@ -1,12 +1,17 @@
 """Placement: capacity, colocation, racks, interference and starvation."""
 
 import collections
+import random
+from unittest import mock
 
 import testtools
 
 from bilberryhaven import clock as clocks
+from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import candidate
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import relocation
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import workflow_index
 from tests import workflow_fakes as fakes
@@ -16,7 +21,7 @@
 LIGHT = 'light-survey'
 
 
-class HeavyImageEffects(planner.InterferenceEffects):
+class HeavyImageEffects(candidate.InterferenceEffects):
     """Only HEAVY raises tails: it costs 0.7 headroom per tenth of a server."""
 
     def __init__(self, *, known=True):
@@ -50,6 +55,121 @@
     return collections.Counter(start.backend for start in starts)
 
 
+class FullScan:
+    """Ranking that compares all servers for each task."""
+
+    def __init__(self, request, servers, effects):
+        self._args = (request, servers, effects)
+
+    def take(self):
+        return planner._choose_server(*self._args)
+
+    def put_back(self, server):
+        pass
+
+
+def build_random_fleet(rng, count):
+    servers = []
+    for number in range(count):
+        server = fakes.build_server(
+            str(number),
+            rack=f'r{number // 16}',
+            suspect=rng.random() < 0.1,
+            satisfaction=rng.choice((1.0, 1.0, 0.5)),
+            probing=rng.random() < 0.1,
+        )
+        for index in range(rng.randrange(4)):
+            step = fakes.build_step(
+                cpu=rng.randrange(2000, 15_000),
+                image=SERVING,
+                target_ms=rng.choice((0, 150)),
+                best_effort=rng.random() < 0.3,
+                memory_mb=rng.randrange(1000, 60_000),
+            )
+            server.claim(step, ('other', 0, index))
+        if server.serving:
+            server.tails = [(SERVING, rng.uniform(0.1, 0.9))]
+        servers.append(server)
+    return servers
+
+
+def build_random_group(rng, number):
+    step = fakes.build_step(
+        tasks=rng.randrange(1, 60),
+        cpu=rng.randrange(1000, 12_000),
+        memory_mb=rng.randrange(1000, 30_000),
+        image=rng.choice((HEAVY, LIGHT)),
+        best_effort=rng.random() < 0.5,
+        max_per_backend=rng.choice((0, 0, 0, 1)),
+        gang=rng.random() < 0.1,
+        rack_local=rng.random() < 0.1,
+        data_rack=rng.choice(('', '', 'r1')),
+    )
+    group = build_group(f'w{number}', step, due_at=rng.uniform(0, 9))
+    group.rank = rng.uniform(0, 9)
+    for key in group.keys:
+        if rng.random() < 0.05:
+            group.row.tasks[key] = workflow.Task(
+                failures=1, last_run=1, failed_on=[rng.choice('012')]
+            )
+    return group
+
+
+class LargeFleetTest(testtools.TestCase):
+    """Many wide steps wait for a large fleet."""
+
+    def plan(self, seed, count):
+        rng = random.Random(seed)
+        servers = build_random_fleet(rng, count)
+        groups = [build_random_group(rng, number) for number in range(15)]
+        return planner.plan_starts(groups, servers, 10, HeavyImageEffects())
+
+    def plan_by_full_scan(self, seed, count):
+        with (
+            mock.patch.object(planner, '_ServerRanking', FullScan),
+            mock.patch.object(
+                planner._Refusals, 'include', lambda self, group: False
+            ),
+        ):
+            return self.plan(seed, count)
+
+    def test_ranking_chooses_the_servers_of_a_full_scan(self):
+        for seed in range(12):
+            count = random.Random(seed).randrange(1, planner.MAX_SAMPLE)
+            expected = self.plan_by_full_scan(seed, count)
+            self.assertEqual(expected, self.plan(seed, count), seed)
+
+    def test_sample_starts_as_many_tasks_as_a_full_scan(self):
+        for seed in range(2):
+            expected = self.plan_by_full_scan(seed, 480)
+            actual = self.plan(seed, 480)
+            self.assertTrue(
+                len(actual) >= 0.98 * len(expected),
+                (seed, len(actual), len(expected)),
+            )
+
+    def test_task_that_fits_on_one_server_of_many_is_placed(self):
+        step = fakes.build_step(cpu=60_000)
+        servers = [fakes.build_server(str(n), cpu=1000) for n in range(479)]
+        servers.insert(333, fakes.build_server('large'))
+        (start,) = planner.plan_starts([build_group('w', step)], servers, 0)
+        self.assertEqual('large', start.backend)
+
+    def test_effort_does_not_grow_with_waiting_workflows(self):
+        """Steps that fit nowhere are compared with one refused step."""
+        servers = [fakes.build_server(str(n), cpu=1000) for n in range(160)]
+        step = fakes.build_step(tasks=39, cpu=7000)
+        groups = [build_group(f'w{n}', step) for n in range(100)]
+        estimates = []
+        with mock.patch.object(
+            planner,
+            '_estimate_cost',
+            lambda *args: estimates.append(args),
+        ):
+            planner.plan_starts(groups, servers, 0)
+        self.assertEqual(160, len(estimates))
+
+
 class CapacityTest(testtools.TestCase):
     def test_capacity_is_never_exceeded(self):
         servers = [fakes.build_server(key) for key in 'ab']
@@ -170,12 +290,12 @@
 
     def test_workflow_of_lower_rank_displaces_those_of_higher_rank(self):
         # The effect of the later run is as large as that of the new one.
-        later = planner.BestEffortRun(image=HEAVY, tenths=1.1, rank=1.0)
+        later = candidate.BestEffortRun(image=HEAVY, tenths=1.1, rank=1.0)
         server = build_serving_server('a', tail=0.6)
         server.best_effort_runs.append(later)
         starts = self.plan(HEAVY, [server])
         self.assertEqual(1, len(starts))
-        earlier = planner.BestEffortRun(image=HEAVY, tenths=1.1, rank=-1.0)
+        earlier = candidate.BestEffortRun(image=HEAVY, tenths=1.1, rank=-1.0)
         server = build_serving_server('a', tail=0.6)
         server.best_effort_runs.append(earlier)
         self.assertEqual([], self.plan(HEAVY, [server]))
@@ -219,7 +339,7 @@
         views = world.workflow_index.runs['a']
         current = build_serving_server('a', tail=0.9)
         free = fakes.build_server('b')
-        relocations = planner.list_relocations(
+        relocations = relocation.list_relocations(
             views,
             list(views),
             {},
@@ -229,7 +349,7 @@
         )
         self.assertEqual(list(views), relocations)
         busy = build_serving_server('b', tail=0.9)
-        relocations = planner.list_relocations(
+        relocations = relocation.list_relocations(
             views,
             list(views),
             {},
@@ -255,7 +375,7 @@
             )
             servers = [fakes.build_server('b')]
             current = build_serving_server('a', tail=0.9)
-            relocations = planner.list_relocations(
+            relocations = relocation.list_relocations(
                 views,
                 [ref],
                 {ref: seen},
--- a/tests/workflow_fakes.py
+++ b/tests/workflow_fakes.py
@@ -6,7 +6,7 @@
 from bilberryhaven import tables
 from bilberryhaven.tables import backend
 from bilberryhaven.tables import workflow
-from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import candidate
 from bilberryhaven.workflow import workflow_index
 
 POOL = 'desk'
@@ -32,7 +32,7 @@
     fields.setdefault('pool', POOL)
     fields.setdefault('cpu', CORES * 1000)
     fields.setdefault('memory_mb', 256_000)
-    return planner.Server(key=key, **fields)
+    return candidate.Server(key=key, **fields)
 
 
 class World:
