Resend a change whose commit is unknown after a lost leader

Change: the API raises an unknown commit to the process that relays the call. The test of the adopted job counts starts; a new one shows the checkpoint after each restart.

--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -25,6 +25,7 @@
 ]
 
 ID_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._:@=+-]{0,199}$'
+COMMIT_STEP = 'commit'
 MAX_INTEGER = 2**53
 MAX_DIGITS = 18
 
@@ -175,6 +176,9 @@
     Raises:
         NotLeaderError: The request was not executed; the caller must send it
             to the leader.
+        BilberryhavenError: It isn't known whether a change was committed. The
+            caller must send the request again under the same idempotency
+            key.
     """
     fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
     request = Request(
@@ -191,6 +195,10 @@
     except errors.NotLeaderError:
         raise
     except errors.BilberryhavenError as error:
+        if error.step == COMMIT_STEP and (
+            error.outcome == errors.Outcome.UNKNOWN
+        ):
+            raise
         return error.status, _encode_error(error, request)
     except Exception as error:  # noqa: BLE001
         _logger.exception('{} {} raised an unexpected error', method, path)
--- a/tests/test_agent_faults.py
+++ b/tests/test_agent_faults.py
@@ -136,10 +136,20 @@
     def test_restarted_agent_does_not_start_a_job_again(self):
         self.control.order_start('j1', 1)
         self.restart_agent()
-        self.wait_for(lambda: len(self.control.list_kinds('j1')) > 1)
-        self.assertEqual({'started'}, set(self.control.list_kinds('j1')))
+        self.wait_for(
+            lambda: self.control.list_kinds('j1').count('started') > 1
+        )
+        # A job that a restarted agent adopts takes a checkpoint at once.
+        kinds = set(self.control.list_kinds('j1')) - {'checkpoint'}
+        self.assertEqual({'started'}, kinds)
         self.assertEqual(1, len(self.backend.list_tasks()))
 
+    def test_adopted_job_takes_a_checkpoint_at_once(self):
+        self.control.order_start('j1', 1)
+        self.wait_for(lambda: self.control.find_event('j1', 'started'))
+        self.restart_agent()
+        self.wait_for(lambda: 'checkpoint' in self.control.list_kinds('j1'))
+
     def test_job_lost_by_a_restarted_backend_server_is_reported(self):
         address = self.backend.address
         self.backend.stop()
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -57,6 +57,18 @@
         return None
 
 
+class LostLeaderContext(FakeContext):
+    """Commits a change, but loses leadership before that is known."""
+
+    def propose(self, command):
+        super().propose(command)
+        raise errors.PeerError(
+            'leadership was lost before the entry was committed',
+            step='commit',
+            outcome=errors.Outcome.UNKNOWN,
+        )
+
+
 class ApiTestCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -360,3 +372,32 @@
         )
         self.assertLess(status, 500, answer)
         json.loads(answer)
+
+
+class TestLostLeadership(testtools.TestCase):
+    """The process that relays a call resolves an unknown commit."""
+
+    def put(self, ctx, body):
+        return api.handle(
+            ctx,
+            'PUT',
+            '/v1/workloads/w',
+            'idempotency_key=c1',
+            json.dumps(body).encode(),
+            'test',
+        )
+
+    def test_unknown_outcome_of_a_commit_is_raised(self):
+        ctx = LostLeaderContext()
+        body = {'kind': 'batch'}
+        error = self.assertRaises(errors.PeerError, self.put, ctx, body)
+        self.assertEqual(errors.Outcome.UNKNOWN, error.outcome)
+
+    def test_resent_change_returns_the_first_response(self):
+        ctx = LostLeaderContext()
+        body = {'kind': 'batch', 'expect': 0}
+        self.assertRaises(errors.PeerError, self.put, ctx, body)
+        successor = FakeContext()
+        successor.state = ctx.state
+        status, answer = self.put(successor, body)
+        self.assertEqual((200, 1), (status, json.loads(answer)['revision']))
