Resume lost runs from their checkpoints; fence the closing of servers

The end of a server's registration wasn't bound to its epoch: an agent that registered between the decision and the commit had its new runs ended in the log while the server worked on them. A poll in that window opened a session that the closing then dropped.

Change: the leader commits the newest checkpoints once a second, and those of a server with its closing. CloseBackend names the epoch that it closes; a session stays closed in the table until the commit.

--- a/bilberryhaven/commands/backend.py
+++ b/bilberryhaven/commands/backend.py
@@ -31,13 +31,34 @@
 
 
 class CloseBackend(commands.Command):
-    """Removes an incarnation of a backend server known to run nothing."""
+    """Removes an incarnation of a backend server known to run nothing.
+
+    Attributes:
+        key: Its key.
+        at: Unix time in seconds.
+        reason: Why it is known to run nothing.
+        checkpoints: Newest checkpoints of its runs.
+        epoch: Epoch of the registration to which that applies. If an agent
+            has registered since, the server may run tasks again and stays.
+            0 in entries of earlier versions, which applies to any.
+    """
 
     key: str
     at: float
     reason: str
+    checkpoints: list[workflow_commands.RunCheckpoint] = []
+    epoch: int = 0
 
     def apply(self, state):
-        """Remove the backend server and end its runs as lapsed."""
-        if state.backends.remove(self.key) is not None:
-            workflow_commands.end_all_runs(state, self.key, self.at)
+        """Remove the backend server and end its runs as lapsed.
+
+        Returns:
+            Whether it was removed.
+        """
+        row = state.backends.find(self.key)
+        if row is None or self.epoch not in (0, row.epoch):
+            return False
+        state.backends.remove(self.key)
+        workflow_commands.save_checkpoints(state, self.checkpoints)
+        workflow_commands.end_all_runs(state, self.key, self.at)
+        return True
--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -11,12 +11,15 @@
     'ExpireWorkflows',
     'FailWorkflow',
     'RecordEnds',
+    'RunCheckpoint',
     'RunEnd',
     'RunRef',
     'RunStart',
+    'SaveCheckpoints',
     'StartRuns',
     'StopRuns',
     'SubmitWorkflow',
+    'save_checkpoints',
 ]
 
 DONE = 'done'
@@ -72,6 +75,18 @@
     backend: str
 
 
+class RunCheckpoint(msgspec.Struct, frozen=True, array_like=True):
+    """A checkpoint that a run has written.
+
+    Attributes:
+        run: The run.
+        checkpoint: The checkpoint.
+    """
+
+    run: RunRef
+    checkpoint: str
+
+
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
     """The end of a run, as its backend server lists it.
 
@@ -236,6 +251,19 @@
         return server.acked
 
 
+class SaveCheckpoints(commands.Command):
+    """Stores the newest checkpoints of runs.
+
+    A task whose run is lost with its backend server resumes from there.
+    """
+
+    checkpoints: list[RunCheckpoint]
+
+    def apply(self, state):
+        """Store the checkpoints of the runs that have not ended."""
+        save_checkpoints(state, self.checkpoints)
+
+
 class ExpireWorkflows(commands.Command):
     """Removes workflows whose retention after their end has passed."""
 
@@ -251,6 +279,24 @@
                 state.workflows.remove(workflow_id)
 
 
+def save_checkpoints(state, checkpoints):
+    """Store the checkpoints of the runs that have not ended.
+
+    Args:
+        state: The replicated tables.
+        checkpoints: The ``RunCheckpoint`` rows.
+    """
+    for row in checkpoints:
+        found = state.workflows.find(row.run.workflow)
+        task = found.tasks.get(row.run.task) if found else None
+        if task is None:
+            continue
+        if any(run.number == row.run.number for run in task.runs):
+            # No reader depends on the checkpoint of a run that works, so the
+            # change isn't recorded in the table's journals.
+            task.checkpoint = row.checkpoint
+
+
 def end_all_runs(state, backend, at):
     """End all runs of a backend server that is known to run none any more.
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -15,6 +15,7 @@
 from bilberryhaven.tables import workflow
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import callers
+from bilberryhaven.workflow import checkpoints
 from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import interference
@@ -75,6 +76,7 @@
             health=self._health,
             options=options,
         )
+        self._checkpoints = checkpoints.CheckpointCollector(clock=clock)
         self._caller_requests = callers.CallerRequestHandler(
             leader=self, clock=clock
         )
@@ -146,6 +148,7 @@
             if term != self._ready_term:
                 self._sessions.clear()
                 self._health.clear()
+                self._checkpoints.clear()
                 self._ready_at = self._clock.monotonic()
                 self._ready_term = term
                 _logger.info('schedules workflows', extra={'term': term})
@@ -282,14 +285,16 @@
     def _close_former_incarnations(self, key, request):
         with self._replica.machine_lock:
             former = [
-                row.key
+                (row.key, self._sessions.find(row.key))
                 for row in self._state.backends.select(
                     'instance', request.agent
                 )
                 if row.key != key
             ]
-        for former_key in former:
-            self._close_backend(former_key, 'a later life has begun there')
+        for former_key, agent_session in former:
+            self._close_backend(
+                former_key, agent_session, 'a later life has begun there'
+            )
 
     def _open_session(self, row, *, inherit=False):
         """Open the session of a backend server and order its runs.
@@ -321,7 +326,8 @@
     def _report(self, request):
         self.ensure_ready()
         agent_session = self._sessions.find(request.key)
-        if agent_session is None or agent_session.epoch != request.epoch:
+        valid = agent_session is not None and not agent_session.closed
+        if not valid or agent_session.epoch != request.epoch:
             raise errors.FencedError(
                 f'session with epoch {request.epoch} of backend server '
                 f'{request.key} does not exist',
@@ -348,7 +354,9 @@
             effects = self._observe_interference(agent_session, now)
             self._stop_stragglers(agent_session, now)
         if request.lapsed:
-            self._close_backend(request.key, 'its agent says it has lapsed')
+            self._close_backend(
+                request.key, agent_session, 'its agent says it has lapsed'
+            )
         return message.ReportReply(acked=acked, effects=effects)
 
     def _record_ends(self, request):
@@ -469,6 +477,7 @@
             self._membership.tick()
         self._close_lapsed()
         self._expire()
+        self._save_checkpoints()
         self._relocate()
         while not self._stopping.is_set():
             starts, servers = self._plan()
@@ -591,18 +600,43 @@
                     agent_session.lease_end if agent_session else earliest_end
                 )
                 if now >= end:
-                    lapsed.append(row.key)
-                    self._sessions.remove(row.key)
-        for key in lapsed:
-            self._close_backend(key, 'its agent let the lease run out')
+                    lapsed.append((row.key, agent_session))
+        for key, agent_session in lapsed:
+            self._close_backend(
+                key, agent_session, 'its agent let the lease run out'
+            )
 
-    def _close_backend(self, key, reason):
-        self._sessions.remove(key)
-        self._health.remove(key)
+    def _close_backend(self, key, agent_session, reason):
+        """Close a backend server whose runs have certainly ended.
+
+        Args:
+            key: Its key.
+            agent_session: Its ``Session`` as of that decision, or None.
+            reason: Why its runs have ended.
+        """
+        saved = []
+        with self._replica.machine_lock:
+            row = self._state.backends.find(key)
+            replaced = self._sessions.find(key) is not agent_session
+            if row is None or replaced:
+                return
+            if agent_session is not None:
+                # Stays in the table until the commit, so that no poll opens
+                # another session in between.
+                agent_session.close()
+                saved = checkpoints.list_checkpoints(agent_session)
         command = backend_commands.CloseBackend(
-            key=key, at=self._clock.wall().timestamp(), reason=reason
+            key=key,
+            at=self._clock.wall().timestamp(),
+            reason=reason,
+            checkpoints=saved,
+            epoch=row.epoch,
         )
-        self.propose(command)
+        if not self.propose(command):
+            return
+        if agent_session is not None:
+            self._sessions.remove(key, agent_session)
+        self._health.remove(key)
         log.log_decision(
             _logger, 'close backend server', reason=reason, backend=key
         )
@@ -625,6 +659,11 @@
         if ended:
             self.propose(workflow_commands.ExpireWorkflows(ids=ended))
 
+    def _save_checkpoints(self):
+        rows = self._checkpoints.collect(self._sessions)
+        if rows:
+            self.propose(workflow_commands.SaveCheckpoints(checkpoints=rows))
+
     def _log_effects(self):
         effects = self._interference.list_effects()
         if effects:
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -92,6 +92,7 @@
         server, agent_session = entry.server, entry.session
         server.open = (
             agent_session is not None
+            and not agent_session.closed
             and not _awaits_former_lease(agent_session)
             and not agent_session.draining
             and self._is_fresh(agent_session, now)
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -205,16 +205,16 @@
         if old is not None:
             old.close()
 
-    def remove(self, key):
-        """Close and remove the session of a backend server."""
-        old = self._rows.pop(key, None)
-        if old is not None:
-            old.close()
+    def remove(self, key, session):
+        """Close a session and remove it unless it was replaced."""
+        if self._rows.get(key) is session:
+            del self._rows[key]
+        session.close()
 
     def clear(self):
         """Close and remove all sessions."""
-        for key in list(self._rows):
-            self.remove(key)
+        for key, session in list(self._rows.items()):
+            self.remove(key, session)
 
 
 def _build_start(view, find_percent):
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -285,6 +285,84 @@
         self.report(first, lapsed=True)
         self.assertNotIn(first.key, self.state.backends)
 
+    def test_closing_spares_a_server_with_a_new_agent(self):
+        """The new agent registers between the decision and the commit."""
+        self.submit('w1')
+        first = self.poll()
+        propose = self.replica.propose
+
+        def register_first(data, *, timeout):
+            self.replica.propose = propose
+            self.second = self.poll()
+            self.report(self.second)
+            self.schedule()
+            return propose(data, timeout=timeout)
+
+        self.replica.propose = register_first
+        self.report(first, lapsed=True)
+        self.assertIn(first.key, self.state.backends)
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual(1, len(task.runs))
+        self.assertEqual(
+            self.second.epoch, self.state.backends.find(first.key).epoch
+        )
+
+    def test_session_stays_closed_until_its_server_is_closed(self):
+        first = self.poll()
+        propose = self.replica.propose
+
+        def poll_first(data, *, timeout):
+            self.replica.propose = propose
+            self.assertRaises(
+                errors.UnavailableError, self.poll, epoch=first.epoch
+            )
+            self.assertRaises(errors.FencedError, self.report, first)
+            return propose(data, timeout=timeout)
+
+        self.replica.propose = poll_first
+        self.report(first, lapsed=True)
+        self.assertNotIn(first.key, self.state.backends)
+
+    def test_run_lost_with_its_server_resumes_from_its_checkpoint(self):
+        self.submit('w1', fakes.build_step(saves_progress=True))
+        first = self.poll()
+        self.schedule()
+        ref = workflow_commands.RunRef('w1', '0.0.0', 1)
+        running = message.Running(ref, checkpoint='c7')
+        self.ask(
+            message.Report(
+                agent='i',
+                key=first.key,
+                epoch=first.epoch,
+                running=[running],
+                listed=True,
+            )
+        )
+        self.poll(born_ms=2)
+        self.schedule()
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual(('c7', 2), (task.checkpoint, task.last_run))
+
+    def test_checkpoints_survive_the_leader(self):
+        self.submit('w1', fakes.build_step(saves_progress=True))
+        first = self.poll()
+        self.schedule()
+        ref = workflow_commands.RunRef('w1', '0.0.0', 1)
+        running = message.Running(ref, checkpoint='c7')
+        self.ask(
+            message.Report(
+                agent='i',
+                key=first.key,
+                epoch=first.epoch,
+                running=[running],
+                listed=True,
+            )
+        )
+        self.advance(1)
+        self.schedule()
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual('c7', task.checkpoint)
+
     def test_follower_refuses_requests(self):
         self.replica.leading = False
         self.assertRaises(errors.NotLeaderError, self.poll)
