Elect a leader within a second on the platform; retry sooner

Change: election timeout 0.6 s and jitter 0.3 s for the platform's replicas, whose zones are a few milliseconds apart; the pause between attempts to reach a leader is at most 0.25 s.

--- a/bilberryhaven/platform/control.py
+++ b/bilberryhaven/platform/control.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bilberryhaven import clock as clocks
+from bilberryhaven.consensus import options as replica_options
 from bilberryhaven.control import membership
 from bilberryhaven.control import redirector
 from bilberryhaven.platform import handlers
@@ -17,6 +18,13 @@
 # A seed without a replica learns the members within a second of its start.
 ANNOUNCE_INTERVAL = clocks.seconds(1)
 OPERATOR_THREADS = 12
+# Many round trips between the zones of a region, which are a few ms apart, and
+# several heartbeats.
+REPLICA_OPTIONS = replica_options.Options(
+    election_timeout=clocks.seconds(0.6),
+    election_jitter=clocks.seconds(0.3),
+    lease_margin=clocks.seconds(0.08),
+)
 
 
 @roles.register('control')
@@ -54,6 +62,7 @@
             clock=self._clock,
             options=self._deployment.options,
             manage_membership=True,
+            replica_options=REPLICA_OPTIONS,
         )
 
     def start(self):
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -44,10 +44,18 @@
         manage_membership: Whether lost members are replaced automatically.
             An instance that has no voters then waits to be added to a quorum
             instead of founding its own.
+        replica_options: The ``Options`` of the replica, or None for the
+            defaults.
     """
 
     def __init__(
-        self, *, settings, clock, options=None, manage_membership=False
+        self,
+        *,
+        settings,
+        clock,
+        options=None,
+        manage_membership=False,
+        replica_options=None,
     ):
         self._settings = settings
         self._client = client.Client()
@@ -73,6 +81,7 @@
             machine=self._machine,
             clock=clock,
             transport=transport.WireTransport(client=self._client),
+            options=replica_options,
         )
         self.leader = leader.Leader(
             settings=settings,
--- a/bilberryhaven/wire/leader.py
+++ b/bilberryhaven/wire/leader.py
@@ -11,7 +11,7 @@
 INITIAL_BACKOFF = datetime.timedelta(milliseconds=50)
 # Avoids a busy loop when two instances redirect to each other.
 REDIRECT_DELAY = datetime.timedelta(milliseconds=2)
-MAX_BACKOFF = datetime.timedelta(milliseconds=500)
+MAX_BACKOFF = datetime.timedelta(milliseconds=250)
 
 
 class LeaderClient:
