Give spare CPU to the least remaining work for its value

Change: among workflows that can still be in time, the one with the least remaining work for its value comes first; then those that can be late, then the others by due time. One pass over the tasks of an occurrence gives its groups and its remaining work.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -65,9 +65,8 @@
         self._health = health.HealthTable()
         self._interference = interference.InterferenceModel()
         self._run_times = stragglers.RunTimes()
-        ranker = urgency.DeadlineRanker(times=self._run_times)
         self._index = workflow_index.WorkflowIndex(
-            machine.state, find_rank=ranker.find_rank
+            machine.state, ranker=urgency.ValueRanker(times=self._run_times)
         )
         self._fleet = fleet.FleetView(
             state=machine.state,
--- a/bilberryhaven/workflow/workflow_index.py
+++ b/bilberryhaven/workflow/workflow_index.py
@@ -19,6 +19,7 @@
         step: The ``Step``.
         keys: Keys of the tasks that may start.
         due_at: When the occurrence was due, Unix time in seconds.
+        undone: Number of tasks by step that aren't done in the occurrence.
         rank: Rank of its best-effort tasks; lower ranks take precedence.
     """
 
@@ -28,6 +29,7 @@
     step: workflow.Step
     keys: list[str]
     due_at: float
+    undone: list[int] = dataclasses.field(default_factory=list)
     rank: float = 0.0
 
 
@@ -65,18 +67,18 @@
 
     Args:
         state: The replicated tables.
-        find_rank: Function of a ``Workflow``, the due time of an occurrence
-            and the current time, which returns the rank of its best-effort
-            tasks; None ranks them by due time.
+        ranker: Has ``find_rank``, as ``urgency.ValueRanker`` does, and
+            ``record``, which is called once with each ``Workflow``; None
+            ranks the tasks by due time.
 
     Attributes:
         groups: Lists of ``Group`` by workflow id.
         runs: ``RunView`` by run, by key of the backend server.
     """
 
-    def __init__(self, state, *, find_rank=None):
+    def __init__(self, state, *, ranker=None):
         self._state = state
-        self._find_rank = find_rank or _rank_by_due_time
+        self._ranker = ranker or _DueTimeRanker()
         self._journal = state.workflows.open_journal()
         self._changed = set()
         self._clear()
@@ -86,6 +88,7 @@
         self.runs = {}
         self._runs_of = {}
         self._next_due = {}
+        self._recorded = set()
 
     def refresh(self, now):
         """Update the index with the changes since the last call.
@@ -114,7 +117,10 @@
         """
         groups = [group for rows in self.groups.values() for group in rows]
         for group in groups:
-            group.rank = self._find_rank(group.row, group.due_at, now)
+            if group.step.best_effort:
+                group.rank = self._ranker.find_rank(
+                    group.row, group.undone, group.due_at, now
+                )
         return groups
 
     def _refresh_one(self, key, now):
@@ -125,7 +131,11 @@
         self._next_due.pop(key, None)
         row = self._state.workflows.find(key)
         if row is None:
+            self._recorded.discard(key)
             return
+        if key not in self._recorded:
+            self._recorded.add(key)
+            self._ranker.record(row)
         self._index_runs(row, now)
         if row.state == workflow.WorkflowState.ACTIVE:
             groups = self._build_groups(row, now)
@@ -134,17 +144,26 @@
 
     def _index_runs(self, row, now):
         indexed = []
+        ranks = {}
         for key, task in row.tasks.items():
             for run in task.runs:
-                view = self._build_run_view(row, key, task, run, now)
+                view = self._build_run_view(row, key, task, run, ranks, now)
                 self.runs.setdefault(run.backend, {})[view.ref] = view
                 indexed.append((run.backend, view.ref))
                 self._changed.add(run.backend)
         if indexed:
             self._runs_of[row.id] = indexed
 
-    def _build_run_view(self, row, key, task, run, now):
+    def _build_run_view(self, row, key, task, run, ranks, now):
         occurrence, step, _ = workflow.split_task_key(key)
+        rank = 0.0
+        if row.steps[step].best_effort:
+            rank = ranks.get(occurrence)
+            if rank is None:
+                undone = [scan.undone for scan in _scan(row, occurrence)]
+                due_at = _find_due(row, occurrence)
+                rank = self._ranker.find_rank(row, undone, due_at, now)
+                ranks[occurrence] = rank
         return RunView(
             ref=workflow_commands.RunRef(row.id, key, run.number),
             row=row,
@@ -154,7 +173,7 @@
             stopping=run.stopping,
             checkpoint=task.checkpoint,
             ordered_at=run.ordered_at,
-            rank=self._find_rank(row, _find_due(row, occurrence), now),
+            rank=rank,
         )
 
     def _build_groups(self, row, now):
@@ -168,8 +187,28 @@
         return groups
 
 
-def _rank_by_due_time(row, due_at, now):
-    return due_at
+class _DueTimeRanker:
+    """Ranks by due time."""
+
+    def record(self, row):
+        """Do nothing."""
+
+    def find_rank(self, row, undone, due_at, now):
+        """Return the due time."""
+        return due_at
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _StepScan:
+    """Tasks of a step in one occurrence.
+
+    Attributes:
+        undone: Number of tasks that aren't done.
+        startable: Keys of the tasks that are neither done nor have runs.
+    """
+
+    undone: int
+    startable: list[str]
 
 
 def _find_due(row, occurrence):
@@ -178,34 +217,43 @@
     return row.schedule.find_due(occurrence)
 
 
+def _scan(row, occurrence):
+    """Return the ``_StepScan`` of each step."""
+    scans = []
+    for index, step in enumerate(row.steps):
+        undone = 0
+        startable = []
+        for number in range(step.tasks):
+            key = workflow.build_task_key(occurrence, index, number)
+            task = row.tasks.get(key)
+            if task is None:
+                undone += 1
+                startable.append(key)
+            elif not task.done:
+                undone += 1
+                if not task.runs:
+                    startable.append(key)
+        scans.append(_StepScan(undone=undone, startable=startable))
+    return scans
+
+
 def _list_occurrence_groups(row, occurrence, due_at):
-    done = [
-        row.is_step_done(occurrence, index) for index in range(len(row.steps))
-    ]
+    scans = _scan(row, occurrence)
+    undone = [scan.undone for scan in scans]
     for index, step in enumerate(row.steps):
-        if done[index] or not all(done[other] for other in step.after):
+        if any(undone[other] for other in step.after):
             continue
-        keys = _list_startable(row, occurrence, index, step)
-        if keys:
-            yield Group(
-                row=row,
-                occurrence=occurrence,
-                index=index,
-                step=step,
-                keys=keys,
-                due_at=due_at,
-            )
-
-
-def _list_startable(row, occurrence, index, step):
-    keys = []
-    for number in range(step.tasks):
-        key = workflow.build_task_key(occurrence, index, number)
-        task = row.tasks.get(key)
-        if task is None or not (task.done or task.runs):
-            keys.append(key)
-    if step.gang and len(keys) < step.tasks:
+        keys = scans[index].startable
         # The members of a gang start together, after all its earlier runs
         # have ended.
-        return []
-    return keys
+        if not keys or (step.gang and len(keys) < step.tasks):
+            continue
+        yield Group(
+            row=row,
+            occurrence=occurrence,
+            index=index,
+            step=step,
+            keys=keys,
+            due_at=due_at,
+            undone=undone,
+        )
