--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,6 +11,7 @@
 
 IN_FORCE_TIMEOUT_S = 8
 SESSION_CLOSE_TIMEOUT_S = 3
+START_TIMEOUT_S = 30
 
 
 class ProcessTestCase(testtools.TestCase):
@@ -245,19 +246,25 @@
     def terminate_under_load(self, work, count, name):
         """Stop a process while ``count`` threads call ``work(number)``.
 
+        Each thread has completed a call before the process is stopped.
+
         Returns:
             The exit status of the process.
         """
         stopping = threading.Event()
+        started = threading.Barrier(count + 1, timeout=START_TIMEOUT_S)
 
         def repeat(first):
-            number = first
+            work(first)
+            started.wait()
+            number = first + count
             while not stopping.is_set():
                 work(number)
                 number += count
 
         with concurrent.futures.ThreadPoolExecutor(count) as pool:
             jobs = [pool.submit(repeat, first) for first in range(count)]
+            started.wait()
             status = self.fleet.terminate(name)
             stopping.set()
         for job in jobs:
