Evacuate servers before they leave

Change: runs that save their progress and long-running tasks are stopped 1.5 s before the server leaves; runs that can't end in time are stopped as soon as that is known; the others run to their end.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -16,6 +16,7 @@
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import callers
 from bilberryhaven.workflow import checkpoints
+from bilberryhaven.workflow import evacuation
 from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import interference
@@ -36,6 +37,7 @@
 # quarantines while no event wakes the scheduler.
 IDLE_SECONDS = 0.1
 EXPIRY_INTERVAL = clocks.seconds(10)
+MS_PER_S = 1000
 
 _logger = log.get_logger('workflow')
 
@@ -229,6 +231,9 @@
             now = self._clock.monotonic()
             agent_session.lease_end = now + self._options.lease_expiry_delay
             agent_session.draining = server.draining
+            if server.draining:
+                remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
+                agent_session.set_departure(now + remaining)
 
     def _list_control_addresses(self):
         return [row.address for row in self._replica.status().members]
@@ -477,6 +482,7 @@
         self._close_lapsed()
         self._expire()
         self._save_checkpoints()
+        self._evacuate()
         self._relocate()
         while not self._stopping.is_set():
             starts, servers = self._plan()
@@ -511,6 +517,37 @@
             report_age_s=age and round(age.total_seconds(), 3),
         )
 
+    def _evacuate(self):
+        """Stop runs on servers that leave before the runs end."""
+        now = self._clock.monotonic()
+        evacuated = []
+        with self._replica.machine_lock:
+            for agent_session in self._sessions:
+                if agent_session.draining:
+                    views = self._index.runs.get(agent_session.key, {})
+                    evacuated += [
+                        (ref, agent_session)
+                        for ref in evacuation.list_evacuations(
+                            agent_session, views, self._run_times, now
+                        )
+                    ]
+        if not evacuated:
+            return
+        refs = [ref for ref, _ in evacuated]
+        self.propose(workflow_commands.StopRuns(runs=refs))
+        for ref, agent_session in evacuated:
+            remaining = agent_session.leaves_at - now
+            log.log_decision(
+                _logger,
+                'evacuate run',
+                reason='its backend server leaves before it ends',
+                workflow=ref.workflow,
+                task=ref.task,
+                run=ref.number,
+                backend=agent_session.key,
+                leaves_in_s=round(remaining.total_seconds(), 3),
+            )
+
     def _relocate(self):
         """Stop throttled best-effort runs to restart them elsewhere."""
         relocations = []
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -152,6 +152,18 @@
             orders = [order for number, order in self._orders if number > seen]
             return self._last_number, orders
 
+    def set_departure(self, at):
+        """Record when the server leaves; the earliest known time counts.
+
+        An agent repeats the remaining time of the last heartbeat, which is
+        out of date by then.
+
+        Args:
+            at: Monotonic time.
+        """
+        if self.leaves_at is None or at < self.leaves_at:
+            self.leaves_at = at
+
     def close(self):
         """Close the session and notify the subscribed poll."""
         with self._lock:
--- /dev/null
+++ b/tests/test_workflow_evacuation.py
@@ -0,0 +1,103 @@
+"""Servers that leave at short notice while surveys run on them.
+
+Guards against work that is thrown away: a run that saves its progress is
+stopped in time, and one that can't end there is started again elsewhere at
+once.
+"""
+
+import testtools
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.workflow import evacuation
+from bilberryhaven.workflow import message
+from bilberryhaven.workflow import session
+from bilberryhaven.workflow import stragglers
+from tests import test_workflow_dispatcher
+from tests import workflow_fakes as fakes
+
+NOW = clocks.seconds(100)
+LEAD_S = evacuation.LEAD_TIME.total_seconds()
+
+
+class EvacuationTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.times = stragglers.RunTimes()
+
+    def list_evacuations(self, step, *, leaves_in, percent=50, age=2):
+        world = fakes.World('a')
+        world.submit(fakes.build_workflow('w', step))
+        world.start('w', '0.0.0', 1, 'a')
+        world.workflow_index.refresh(0)
+        ref = workflow_commands.RunRef('w', '0.0.0', 1)
+        agent_session = session.Session(key='a', epoch=1, lease_end=NOW)
+        running = [message.Running(ref, percent=percent)]
+        agent_session.record_presence(running, NOW - clocks.seconds(age))
+        if leaves_in is not None:
+            agent_session.leaves_at = NOW + clocks.seconds(leaves_in)
+        refs = evacuation.list_evacuations(
+            agent_session, world.workflow_index.runs['a'], self.times, NOW
+        )
+        return refs == [ref]
+
+    def test_run_with_progress_is_stopped_shortly_before(self):
+        step = fakes.build_step(saves_progress=True)
+        for leaves_in, expected in (
+            (None, False),
+            (LEAD_S + 0.1, False),
+            (LEAD_S, True),
+            (-1, True),
+        ):
+            found = self.list_evacuations(step, leaves_in=leaves_in)
+            self.assertEqual(expected, found, leaves_in)
+
+    def test_long_running_task_is_stopped_shortly_before(self):
+        step = fakes.build_step(long_running=True)
+        self.assertFalse(self.list_evacuations(step, leaves_in=LEAD_S + 0.1))
+        self.assertTrue(self.list_evacuations(step, leaves_in=LEAD_S))
+
+    def test_run_without_progress_is_stopped_if_it_ends_too_late(self):
+        step = fakes.build_step()
+        for percent, expected in ((50, False), (20, True)):
+            found = self.list_evacuations(step, leaves_in=3, percent=percent)
+            self.assertEqual(expected, found, percent)
+
+    def test_mean_run_time_is_used_before_there_is_progress(self):
+        step = fakes.build_step()
+        self.assertFalse(self.list_evacuations(step, leaves_in=3, percent=0))
+        self.times.record('surveys', 9.0)
+        self.assertTrue(self.list_evacuations(step, leaves_in=3, percent=0))
+
+    def test_gang_is_not_broken(self):
+        step = fakes.build_step(gang=True, saves_progress=True)
+        self.assertFalse(self.list_evacuations(step, leaves_in=0))
+
+
+class DepartureTest(testtools.TestCase):
+    def test_repeated_remaining_time_does_not_delay_the_departure(self):
+        agent_session = session.Session(key='a', epoch=1, lease_end=NOW)
+        for at, expected in ((5, 5), (6, 5), (4, 4)):
+            agent_session.set_departure(clocks.seconds(at))
+            self.assertEqual(clocks.seconds(expected), agent_session.leaves_at)
+
+
+class DrainingServerTest(test_workflow_dispatcher.DispatcherTest):
+    def test_run_moves_from_a_server_that_leaves(self):
+        self.replace()
+        self.submit('w1', fakes.build_step(saves_progress=True))
+        first = self.poll()
+        self.schedule()
+        self.poll(epoch=first.epoch)
+        self.poll('other')
+        self.poll(epoch=first.epoch, draining=True)
+        self.schedule()
+        (order,) = self.poll(epoch=first.epoch, draining=True).orders
+        self.assertEqual(message.OrderKind.STOP, order.kind)
+        end = workflow_commands.RunEnd(1, order.run, 'stopped', 'c3')
+        self.report(first, end)
+        self.schedule()
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        (run,) = task.runs
+        self.assertEqual(('c3', 2), (task.checkpoint, run.number))
+        self.assertNotEqual(first.key, run.backend)
