--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -3,8 +3,7 @@
 import dataclasses
 import datetime
 
-import pykka
-
+from bilberryhaven import actor
 from bilberryhaven.agent import actors
 from bilberryhaven.agent import effects
 from bilberryhaven.agent import job
@@ -35,7 +34,7 @@
     """Message: report that the agent is leaving, from now on."""
 
 
-class ReporterActor(pykka.ThreadingActor):
+class ReporterActor(actor.ResilientActor):
     """Renews the session and reconciles jobs with control's orders.
 
     Args:
@@ -49,8 +48,6 @@
             server.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         *,
@@ -96,20 +93,8 @@
         """Stop the actor that executes task commands."""
         self._task_actor.stop(block=False)
 
-    def on_receive(self, msg):
-        """Handle one message.
-
-        An exception is logged and doesn't stop the actor, so that heartbeats
-        continue.
-        """
-        try:
-            self._handle(msg)
-        except Exception:  # noqa: BLE001
-            _logger.exception(
-                'failed to handle message {}', type(msg).__name__
-            )
-
-    def _handle(self, msg):
+    def handle(self, msg):
+        """Handle one message."""
         if isinstance(msg, Beat):
             self._heartbeat_queued = False
             self._send_heartbeat()
--- a/bilberryhaven/entry/relay.py
+++ b/bilberryhaven/entry/relay.py
@@ -4,8 +4,7 @@
 import dataclasses
 import datetime
 
-import pykka
-
+from bilberryhaven import actor
 from bilberryhaven import errors
 from bilberryhaven.wire import message
 
@@ -33,7 +32,7 @@
     """Send the queued heartbeats."""
 
 
-class HeartbeatActor(pykka.ThreadingActor):
+class HeartbeatActor(actor.ResilientActor):
     """Queues heartbeats briefly and sends them as one batch.
 
     Args:
@@ -43,8 +42,6 @@
             any agent gets its reply.
     """
 
-    use_daemon_thread = True
-
     def __init__(self, *, name, leader, on_revision):
         super().__init__()
         self._name = name
@@ -55,7 +52,7 @@
             max_workers=SENDERS, thread_name_prefix='relay'
         )
 
-    def on_receive(self, command):
+    def handle(self, command):
         """Queue a heartbeat; send the batch when full or on ``Flush``."""
         if isinstance(command, QueuedHeartbeat):
             self._queued.append(command)
--- a/bilberryhaven/entry/sync.py
+++ b/bilberryhaven/entry/sync.py
@@ -4,8 +4,7 @@
 import datetime
 import threading
 
-import pykka
-
+from bilberryhaven import actor
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.wire import message
@@ -30,7 +29,7 @@
     requested_at: datetime.timedelta
 
 
-class SyncActor(pykka.ThreadingActor):
+class SyncActor(actor.ResilientActor):
     """Renews the lease and applies the leader's changes to the view.
 
     Args:
@@ -41,8 +40,6 @@
         clock: Source of time.
     """
 
-    use_daemon_thread = True
-
     def __init__(self, *, name, view, lock, leader, clock):
         super().__init__()
         self._name = name
@@ -54,7 +51,7 @@
         self._failing = False
         self._pause = threading.Event()
 
-    def on_receive(self, renewal):
+    def handle(self, renewal):
         """Renew the view unless a renewal was sent since the request.
 
         Renewals are at least ``MIN_RENEWAL_INTERVAL`` apart, so that many
@@ -66,7 +63,6 @@
             )
             self._pause.wait(max(delay.total_seconds(), 0.0))
             self._renew()
-        return None
 
     def _renew(self):
         view = self._view
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -4,8 +4,7 @@
 import threading
 import zlib
 
-import pykka
-
+from bilberryhaven import actor
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
@@ -36,12 +35,10 @@
 _logger = log.get_logger('agent')
 
 
-class OrderActor(pykka.ThreadingActor):
+class OrderActor(actor.ResilientActor):
     """Executes orders; all orders on one run go to the same actor."""
 
-    use_daemon_thread = True
-
-    def on_receive(self, message):
+    def handle(self, message):
         """Execute one order.
 
         Args:
@@ -110,8 +107,8 @@
         self._stopping.set()
         for stop in self._stop_tickers:
             stop()
-        for actor in self._actors:
-            actor.stop(block=False)
+        for item in self._actors:
+            item.stop(block=False)
         self._client.close()
 
     def handle_announcement(self, announcement):
@@ -199,7 +196,11 @@
             _logger.warning('leader lost: {}', error)
 
     def _start_run(self, target, epoch, order):
-        phase, trouble = self._try_start(target, epoch, order)
+        try:
+            phase, trouble = self._try_start(target, epoch, order)
+        except Exception:  # noqa: BLE001
+            _logger.exception('start of run {} failed', order.run)
+            phase, trouble = None, 'unexpected error'
         if phase is None:
             # A start that got no answer may still be executed. A stop makes
             # the backend server reject it.
@@ -294,6 +295,9 @@
                     'backend server refused to stop a run: {}', error
                 )
                 break
+            except Exception:  # noqa: BLE001
+                _logger.exception('stop of run {} failed', order.run)
+                self._stopping.wait(RETRY_DELAY_S)
         with self._lock:
             now = self._clock.monotonic()
             self._supervisor.set_phase(order.run, RunPhase.DOUBTFUL, now)
