Renew no lease of a server once its lapse was decided

Cause: the leader decided for all servers at once which had lapsed and then closed them one commit after the other.

Change: the sessions are closed at the decision, under the lock that polls renew leases with, and stay closed until the commit.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -637,6 +637,10 @@
                 )
                 if now >= end:
                     lapsed.append((row.key, agent_session))
+                    if agent_session is not None:
+                        # No poll may renew the lease from here on, however
+                        # long the closing of other servers takes.
+                        agent_session.close()
         for key, agent_session in lapsed:
             self._close_backend(
                 key, agent_session, 'its agent let the lease run out'
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -323,6 +323,30 @@
         self.report(first, lapsed=True)
         self.assertNotIn(first.key, self.state.backends)
 
+    def test_lapsed_server_gets_no_lease_while_another_is_closed(self):
+        """Agents that were cut off come back while servers are closed."""
+        self.submit('w1', fakes.build_step(tasks=2, cpu=64_000))
+        first = {name: self.poll(name) for name in ('i', 'j')}
+        self.schedule()
+        self.advance(6)
+        propose = self.replica.propose
+        refused = []
+
+        def poll_other(data, *, timeout):
+            if not refused:
+                for name, reply in first.items():
+                    try:
+                        self.poll(name, epoch=reply.epoch)
+                    except errors.UnavailableError:
+                        refused.append(name)
+            return propose(data, timeout=timeout)
+
+        self.replica.propose = poll_other
+        self.schedule()
+        self.assertEqual(['i', 'j'], refused)
+        for reply in first.values():
+            self.assertNotIn(reply.key, self.state.backends)
+
     def test_run_lost_with_its_server_resumes_from_its_checkpoint(self):
         self.submit('w1', fakes.build_step(saves_progress=True))
         first = self.poll()
