Never say not run after an attempt whose answer was lost

Cause: when a first attempt at the leader had got no answer and a second one was refused, the refusal was passed to the caller as it was: 503 or 404, which say that the job never runs, though the first attempt may have stored it.

Change: the client of the leader marks such a refusal's outcome as unknown; callers then get 504 and ask again under the same id.

--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -141,12 +141,13 @@
 def _build_error_response(error):
     """Return the response to a request that failed.
 
-    Status 503 means that nothing was run; a request that may have been
-    carried out is answered with 504.
+    Statuses 404 and 503 mean that nothing was run; a request that may have
+    been carried out is answered with 504.
     """
     response = server.build_error_response(error)
-    if error.status >= 500:
-        not_run = error.outcome == errors.Outcome.NOT_RUN
+    not_run = error.outcome == errors.Outcome.NOT_RUN
+    denies_queue = isinstance(error, errors.NotFoundError)
+    if error.status >= 500 or (denies_queue and not not_run):
         response.status = STATUS_NOT_RUN if not_run else STATUS_UNKNOWN
         if not_run:
             retry_after_s = max(1, round(error.retry_after or 1))
--- a/bilberryhaven/wire/leader.py
+++ b/bilberryhaven/wire/leader.py
@@ -49,7 +49,8 @@
         Raises:
             UnavailableError: No leader was reached in time.
             PeerError: The answer was lost and the message is not repeatable.
-            BilberryhavenError: The leader refused.
+            BilberryhavenError: The leader refused. The outcome is unknown if
+                an earlier attempt may have been executed.
         """
         deadline = self._clock.monotonic() + timeout
         backoff = INITIAL_BACKOFF
@@ -77,6 +78,10 @@
                 last_error = error
                 self._clear_leader(address)
                 self._check_repeatable(error, repeatable)
+            except errors.BilberryhavenError as error:
+                if error.outcome == errors.Outcome.NOT_RUN:
+                    error.outcome = outcome
+                raise
             if last_error.outcome != errors.Outcome.NOT_RUN:
                 outcome = errors.Outcome.UNKNOWN
             self._closed.wait(min(backoff, remaining).total_seconds())
