Close no server while a leader hands over or begins a term

Cause: a stopping leader cleared its sessions while a scheduling round could still run. The beginning of a term cleared the sessions before it set its own start.

Change: a stopping leader keeps its closed sessions; a new term sets its start first, under the lock with which rounds judge leases; a stopped scheduler begins no further round.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -113,7 +113,9 @@
         """Stop scheduling and end pending polls."""
         self._stopping.set()
         self._wake.set()
-        self._sessions.clear()
+        # The sessions stay in the table: without them, a round that still
+        # runs would take the leases of all servers for expired.
+        self._sessions.close()
         self._polls.stop()
 
     def handle(self, request):
@@ -147,10 +149,13 @@
             return
         with self._ready_lock:
             if term != self._ready_term:
-                self._sessions.clear()
+                with self._replica.machine_lock:
+                    # Before the sessions, whose leases are judged by it when
+                    # they are missing.
+                    self._ready_at = self._clock.monotonic()
+                    self._sessions.clear()
                 self._health.clear()
                 self._checkpoints.clear()
-                self._ready_at = self._clock.monotonic()
                 self._ready_term = term
                 _logger.info('schedules workflows', extra={'term': term})
 
@@ -467,6 +472,8 @@
         while not self._stopping.is_set():
             self._wake.wait(IDLE_SECONDS)
             self._wake.clear()
+            if self._stopping.is_set():
+                return
             try:
                 self.ensure_ready()
                 self._schedule()
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -223,6 +223,11 @@
             del self._rows[key]
         session.close()
 
+    def close(self):
+        """Close all sessions."""
+        for session in self:
+            session.close()
+
     def clear(self):
         """Close and remove all sessions."""
         for key, session in list(self._rows.items()):
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -347,6 +347,35 @@
         for reply in first.values():
             self.assertNotIn(reply.key, self.state.backends)
 
+    def poll_for_long(self):
+        """Renew the lease until a whole lease of the term has passed."""
+        first = self.poll()
+        for _ in range(4):
+            self.advance(3)
+            self.poll(epoch=first.epoch)
+        return first
+
+    def test_stopping_leader_closes_no_server(self):
+        """Rounds may still run while a planned stop hands over."""
+        first = self.poll_for_long()
+        self.leader.stop()
+        self.leader._schedule()
+        self.assertIn(first.key, self.state.backends)
+
+    def test_new_term_closes_no_server_while_it_begins(self):
+        """A round of the former term runs beside the reset of sessions."""
+        first = self.poll_for_long()
+        clear = self.leader._sessions.clear
+
+        def clear_beside_a_round():
+            clear()
+            self.leader._close_lapsed()
+
+        self.leader._sessions.clear = clear_beside_a_round
+        self.replica.term = 2
+        self.leader.ensure_ready()
+        self.assertIn(first.key, self.state.backends)
+
     def test_run_lost_with_its_server_resumes_from_its_checkpoint(self):
         self.submit('w1', fakes.build_step(saves_progress=True))
         first = self.poll()
