Log ends without effect, unknown runs and reported lapses

Cause: a line "record end: done" was written for every end that an agent reported, also for one that the log dropped because its run was not assigned to that server.

Change: RecordEnds returns the runs whose ends had no effect, logged as "ignore end" with the end's number; "stop unknown run" and "report lapse" are new decisions. No change of behaviour.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -11,6 +11,7 @@
     'ExpireWorkflows',
     'FailWorkflow',
     'RecordEnds',
+    'RecordedEnds',
     'RunCheckpoint',
     'RunEnd',
     'RunRef',
@@ -103,6 +104,19 @@
     checkpoint: str = ''
 
 
+class RecordedEnds(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of ``RecordEnds``.
+
+    Attributes:
+        acked: Number of the newest end that is acknowledged.
+        ignored: Runs whose ends were acknowledged without effect, since the
+            runs weren't assigned to the backend server.
+    """
+
+    acked: int
+    ignored: list[RunRef]
+
+
 class SubmitWorkflow(commands.Command):
     """Accepts a workflow; resubmission of the same id changes nothing."""
 
@@ -226,7 +240,8 @@
     """Records the ends of runs that a backend server lists.
 
     The backend server may discard an end only after this command has been
-    committed.
+    committed. An end whose run isn't assigned to the server is acknowledged
+    without effect.
 
     Attributes:
         backend: Key of the backend server.
@@ -241,14 +256,17 @@
     at: float
 
     def apply(self, state):
-        """Record new ends; return the number of the last acknowledged one."""
+        """Record new ends; return the ``RecordedEnds``."""
         server = state.backends.get(self.backend)
-        for end in self.ends:
-            if end.number == 0 or end.number > server.acked:
-                _record_end(state, self.backend, end, self.at)
+        ignored = [
+            end.run
+            for end in self.ends
+            if (end.number == 0 or end.number > server.acked)
+            and not _record_end(state, self.backend, end, self.at)
+        ]
         if self.upto > server.acked:
             state.backends.update(self.backend, acked=self.upto)
-        return server.acked
+        return RecordedEnds(acked=server.acked, ignored=ignored)
 
 
 class SaveCheckpoints(commands.Command):
@@ -314,17 +332,16 @@
 
 
 def _record_end(state, backend, end, at):
+    """Record the end of a run; return whether the run was assigned there."""
     row = state.workflows.find(end.run.workflow)
     task = row.tasks.get(end.run.task) if row else None
-    if task is None:
-        return
     known = [
         run
-        for run in task.runs
+        for run in (task.runs if task else [])
         if run.number == end.run.number and run.backend == backend
     ]
     if not known:
-        return
+        return False
     task.runs.remove(known[0])
     if end.checkpoint:
         task.checkpoint = end.checkpoint
@@ -333,6 +350,7 @@
     if row.state == workflow.WorkflowState.ACTIVE:
         _apply_end(state, row, step, task, end, backend, at)
     state.workflows.update(row.id)
+    return True
 
 
 def _apply_end(state, row, step, task, end, backend, at):
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -429,6 +429,19 @@
             )
         if not epoch or not lapsed:
             return
+        log.log_decision(
+            _logger,
+            'report lapse',
+            reason=(
+                'another incarnation or none answers'
+                if gone
+                else 'the granted lease has expired'
+            ),
+            backend=key,
+            called=target.state.id,
+            born_ms=target.state.born_ms,
+            epoch=epoch,
+        )
         report = message.Report(
             agent=target.state.id, key=key, epoch=epoch, lapsed=True
         )
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -378,11 +378,12 @@
             at=self._clock.wall().timestamp(),
         )
         self._record_run_times(request)
-        acked = self.propose(command)
+        recorded = self.propose(command)
+        ignored = set(recorded.ignored)
         for end in request.ends:
-            self._handle_end(request.key, end)
+            self._handle_end(request.key, end, ignored=end.run in ignored)
         self.wake()
-        return acked
+        return recorded.acked
 
     def _record_run_times(self, request):
         now = self._clock.wall().timestamp()
@@ -417,15 +418,16 @@
                 backend=agent_session.key,
             )
 
-    def _handle_end(self, key, end):
+    def _handle_end(self, key, end, *, ignored):
         log.log_decision(
             _logger,
-            'record end',
+            'ignore end' if ignored else 'record end',
             reason=end.how,
             workflow=end.run.workflow,
             task=end.run.task,
             run=end.run.number,
             backend=key,
+            number=end.number,
         )
         if end.how not in (workflow_commands.DONE, workflow_commands.FAILED):
             return
@@ -466,7 +468,16 @@
             ]
             self._order_runs(agent_session)
         for ref in unknown:
-            agent_session.order_stop(ref)
+            if agent_session.order_stop(ref):
+                log.log_decision(
+                    _logger,
+                    'stop unknown run',
+                    reason='listed, but not assigned to the server',
+                    workflow=ref.workflow,
+                    task=ref.task,
+                    run=ref.number,
+                    backend=request.key,
+                )
 
     def _run(self):
         while not self._stopping.is_set():
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -97,13 +97,19 @@
                     self._append(_build_start(view, find_percent))
 
     def order_stop(self, ref):
-        """Order the stop of a run that must not be on the server."""
+        """Order the stop of a run that must not be on the server.
+
+        Returns:
+            Whether it had not been ordered yet.
+        """
         with self._lock:
-            self._order_stop(ref)
+            return self._order_stop(ref)
 
     def _order_stop(self, ref):
-        if self._ordered_kinds.get(ref) != message.OrderKind.STOP:
-            self._append(message.Order(message.OrderKind.STOP, ref))
+        if self._ordered_kinds.get(ref) == message.OrderKind.STOP:
+            return False
+        self._append(message.Order(message.OrderKind.STOP, ref))
+        return True
 
     def _append(self, order):
         self._last_number += 1
