Stop a start of unknown outcome whatever a later one is answered

Cause: a start that got no answer may be executed seconds later. When the retry was answered as busy or rejected, or failed with another error, the agent took that for the outcome of both, and reported the run as rejected after the next listing without it. The leader then started it elsewhere.

Change: once an attempt got no answer, the run is stopped before it can be reported as rejected; the server then rejects the start that is under way.

Test: UnknownStartTest; three of its four tests failed before.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -202,8 +202,7 @@
             _logger.exception('start of run {} failed', order.run)
             phase, trouble = None, 'unexpected error'
         if phase is None:
-            # A start that got no answer may still be executed. A stop makes
-            # the backend server reject it.
+            # A stop makes the backend server reject the start.
             self._stop_run(target, epoch, order)
             return
         with self._lock:
@@ -225,6 +224,9 @@
         if not self._wait_for_listing(epoch):
             return None, 'runs of the backend server were not listed'
         trouble = ''
+        # A start that got no answer may still be executed, whatever a later
+        # one is answered.
+        refused = RunPhase.DOUBTFUL
         for _ in range(START_ATTEMPTS):
             with self._lock:
                 now = self._clock.monotonic()
@@ -241,15 +243,16 @@
                 )
             except errors.PeerError as error:
                 trouble = f'no answer to the start request: {error.message}'
+                refused = None
                 continue
             except errors.BilberryhavenError as error:
-                return RunPhase.DOUBTFUL, error.message
+                return refused, error.message
             if result == StartResult.STARTED:
                 self._start_pacing(target, epoch, order)
                 return RunPhase.STARTED, ''
             if result != StartResult.LATE:
                 return (
-                    RunPhase.DOUBTFUL,
+                    refused,
                     f'start request was answered with {result.value}',
                 )
             trouble = 'start request arrived after its deadline'
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -124,3 +124,158 @@
         # Each failed start was made certain by a stop, then reported.
         self.assertEqual(failed, client.stopped)
         self.assertEqual(failed, {end.run for end in gateway.ends})
+
+
+class ScriptedClient(server_client.ServerClient):
+    """Server that answers calls as scripted and records them.
+
+    Attributes:
+        calls: Names of the calls received.
+        starts: Answers to the starts; an exception is raised.
+        stops: Answers to the stops; later ones are answered.
+        before_answer: Functions by name of the call, called before its
+            answer.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.starts = []
+        self.stops = []
+        self.hold_error = None
+        self.before_answer = {}
+
+    def start_run(self, target, order, *, deadline_ms, epoch):
+        return self._answer('start', self.starts.pop(0))
+
+    def stop_run(self, target, run, *, epoch):
+        return self._answer('stop', self.stops.pop(0) if self.stops else None)
+
+    def pace_run(self, target, run, *, percent, epoch):
+        raise errors.PeerError('not used', step='pace')
+
+    def hold(self, target, *, deadline_ms, epoch, acked, wait_ms):
+        return self._answer('hold', self.hold_error or build_listing())
+
+    def _answer(self, call, answer):
+        self.calls.append(call)
+        self.before_answer.get(call, lambda: None)()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def close(self):
+        pass
+
+
+class ScriptedGateway:
+    """Leader that records reports.
+
+    Attributes:
+        reports: The reports received.
+        error: Raised instead of a reply, unless None.
+    """
+
+    def __init__(self):
+        self.reports = []
+        self.error = None
+
+    def send(self, request, *, timeout, step):
+        self.reports.append(request)
+        if self.error is not None:
+            raise self.error
+        return message.ReportReply()
+
+
+def build_listing(clock_ms=1000, running=()):
+    return server_client.Listing(
+        clock_ms=clock_ms,
+        born_ms=1,
+        running=[message.Running(ref) for ref in running],
+        ends=[],
+    )
+
+
+class OneOrderTest(testtools.TestCase):
+    """An agent without threads, in a session with one start order."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock()
+        self.client, self.gateway = ScriptedClient(), ScriptedGateway()
+        self.agent = agent.WorkflowAgent(
+            name='a',
+            gateway=self.gateway,
+            client=self.client,
+            clock=self.clock,
+            options=options.Options(),
+        )
+        self.supervisor = self.agent._supervisor
+        self.order = message.Order(message.OrderKind.START, build_ref(0))
+        self.announce(born_ms=1)
+        self.target = self.supervisor.target
+        self.poll(epoch=1)
+
+    def announce(self, *, born_ms):
+        state = message.ServerState(id='s', born_ms=born_ms, pool='p')
+        self.agent.handle_announcement(
+            server_client.Announcement(
+                state=state, address='127.0.0.1:1', sequence=1
+            )
+        )
+
+    def poll(self, *, epoch):
+        now = self.clock.monotonic()
+        reply = message.PollReply(
+            key=f's@{self.supervisor.target.state.born_ms}',
+            epoch=epoch,
+            lease_ms=5000,
+            feed=f'f{epoch}',
+            last=1,
+            orders=[self.order],
+        )
+        self.supervisor.handle_poll_reply(reply, now, now)
+        self.list(epoch=epoch)
+
+    def list(self, *, epoch=1, clock_ms=1000):
+        now = self.clock.monotonic()
+        return self.supervisor.handle_listing(
+            build_listing(clock_ms), epoch, now, now
+        )
+
+    def start(self):
+        self.agent._start_run(self.target, 1, self.order)
+
+    def list_rejected(self, *, epoch=1):
+        self.clock.advance(clocks.seconds(0.1))
+        report = self.list(epoch=epoch, clock_ms=1100)
+        return [end.run for end in report.ends]
+
+
+class UnknownStartTest(OneOrderTest):
+    """A start without an answer may be carried out after the next listing.
+
+    If the run was reported as rejected then, its task would run twice.
+    """
+
+    lost = errors.PeerError('no answer', step='start')
+
+    def check_stopped(self, answer):
+        self.client.starts = [self.lost, answer]
+        self.start()
+        self.assertEqual(['start', 'start', 'stop'], self.client.calls)
+        self.assertEqual([self.order.run], self.list_rejected())
+
+    def test_start_answered_busy_after_a_lost_one_is_stopped(self):
+        self.check_stopped(StartResult.BUSY)
+
+    def test_start_rejected_after_a_lost_one_is_stopped(self):
+        self.check_stopped(StartResult.REJECTED)
+
+    def test_start_refused_after_a_lost_one_is_stopped(self):
+        self.check_stopped(errors.GoneError('refused', step='start'))
+
+    def test_start_only_answered_busy_needs_no_stop(self):
+        self.client.starts = [StartResult.BUSY]
+        self.start()
+        self.assertEqual(['start'], self.client.calls)
+        self.assertEqual([self.order.run], self.list_rejected())
