Retry a stop whose connection was refused

Cause: the agent took a refused connection, as it took the answer of another incarnation, for an answer to the stop. If the server took connections again shortly after, a listing without the run made the agent report it as rejected while its start, which had got no answer, could still be executed.

Change: the stop is repeated until it is answered or the session ends. If the incarnation has ended, the session ends with the next heartbeat or lapse.

Test: UnansweredStopTest; test_refused_connection_is_no_answer_to_a_stop failed before.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -291,7 +291,8 @@
             try:
                 self._client.stop_run(target, order.run, epoch=epoch)
                 break
-            except errors.PeerError:
+            except (errors.PeerError, errors.GoneError):
+                # If that incarnation has ended, the token changes soon.
                 self._stopping.wait(RETRY_DELAY_S)
             except errors.BilberryhavenError as error:
                 _logger.warning(
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -279,3 +279,21 @@
         self.start()
         self.assertEqual(['start'], self.client.calls)
         self.assertEqual([self.order.run], self.list_rejected())
+
+
+class UnansweredStopTest(OneOrderTest):
+    """Only a stop that the server has answered rules a start out."""
+
+    def stop(self):
+        self.agent._stop_run(self.target, 1, self.order)
+
+    def test_refused_connection_is_no_answer_to_a_stop(self):
+        self.client.stops = [errors.GoneError('refused', step='stop')]
+        self.stop()
+        self.assertEqual(['stop', 'stop'], self.client.calls)
+
+    def test_stop_of_a_former_incarnation_ends_with_it(self):
+        self.client.stops = [errors.GoneError('refused', step='stop')]
+        self.client.before_answer['stop'] = lambda: self.announce(born_ms=2)
+        self.stop()
+        self.assertEqual(['stop'], self.client.calls)
