Commit no ends of runs for an agent that was replaced

Cause: the leader checked the reporting agent's epoch before it proposed RecordEnds, but the command named none. If a new agent registered in between and started an ordered run itself, the rejection that its predecessor had reported still ended that run in the log, and the task was started elsewhere.

Result: test_replaced_agent_ends_no_run_that_its_successor_started failed before.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bilberryhaven import commands
+from bilberryhaven import errors
 from bilberryhaven.tables import workflow
 
 __all__ = [
@@ -248,16 +249,31 @@
         ends: Ends in order of their numbers.
         upto: Number of the newest end that this acknowledges.
         at: Unix time in seconds.
+        epoch: Epoch of the agent that reported the ends. If another agent
+            has registered since, it may have started these runs again. 0 in
+            entries of earlier versions, which applies to any.
     """
 
     backend: str
     ends: list[RunEnd]
     upto: int
     at: float
+    epoch: int = 0
 
     def apply(self, state):
-        """Record new ends; return the ``RecordedEnds``."""
+        """Record new ends; return the ``RecordedEnds``.
+
+        Raises:
+            FencedError: The agent was replaced.
+        """
         server = state.backends.get(self.backend)
+        if self.epoch not in (0, server.epoch):
+            raise errors.FencedError(
+                f'epoch {self.epoch} of backend server {self.backend} was '
+                f'replaced by epoch {server.epoch}',
+                step='record ends',
+                peer=server.instance,
+            )
         ignored = [
             end.run
             for end in self.ends
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -376,6 +376,7 @@
             ends=request.ends,
             upto=request.upto,
             at=self._clock.wall().timestamp(),
+            epoch=request.epoch,
         )
         self._record_run_times(request)
         recorded = self.propose(command)
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -323,6 +323,28 @@
         self.report(first, lapsed=True)
         self.assertNotIn(first.key, self.state.backends)
 
+    def test_replaced_agent_ends_no_run_that_its_successor_started(self):
+        """A report is committed after a new agent has started the run again.
+
+        If its rejection counted, the task would run twice.
+        """
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        (order,) = self.poll(epoch=first.epoch).orders
+        propose = self.replica.propose
+
+        def register_first(data, *, timeout):
+            self.replica.propose = propose
+            self.assertEqual([order.run], [o.run for o in self.poll().orders])
+            return propose(data, timeout=timeout)
+
+        self.replica.propose = register_first
+        end = workflow_commands.RunEnd(0, order.run, 'rejected')
+        self.assertRaises(errors.FencedError, self.report, first, end)
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual([1], [run.number for run in task.runs])
+
     def test_lapsed_server_gets_no_lease_while_another_is_closed(self):
         """Agents that were cut off come back while servers are closed."""
         self.submit('w1', fakes.build_step(tasks=2, cpu=64_000))
