Let a late poll of an ended incarnation close no server

Cause: a poll that opens a server closed every other server registered on the same instance. A poll of an incarnation that has ended, held up by the network until its successor was registered, closed the successor while its tasks ran, and they were started again elsewhere. Their ends were then acknowledged without effect.

Change: incarnations are compared by their start times; a poll of an earlier one than is registered is refused as fenced.

Result: test_late_poll_of_a_former_incarnation_closes_no_server failed before.

--- a/bilberryhaven/tables/backend.py
+++ b/bilberryhaven/tables/backend.py
@@ -5,7 +5,12 @@
 from bilberryhaven import tables
 from bilberryhaven.tables import table
 
-__all__ = ['Backend', 'BackendTable', 'build_backend_key']
+__all__ = [
+    'Backend',
+    'BackendTable',
+    'build_backend_key',
+    'get_born_ms',
+]
 
 
 def build_backend_key(server_id, born_ms):
@@ -21,6 +26,15 @@
     return f'{server_id}@{born_ms}'
 
 
+def get_born_ms(key):
+    """Return when an incarnation started, Unix time in milliseconds.
+
+    Args:
+        key: Its key, as ``build_backend_key`` returns it.
+    """
+    return int(key.rpartition('@')[2])
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Backend:
     """One incarnation of a backend server.
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -292,6 +292,13 @@
         return row
 
     def _close_former_incarnations(self, key, request):
+        """Close the earlier incarnations of the server on an instance.
+
+        Raises:
+            FencedError: A later incarnation is registered: the poll was
+                held up by the network.
+        """
+        born_ms = request.server.born_ms
         with self._replica.machine_lock:
             former = [
                 (row.key, self._sessions.find(row.key))
@@ -300,6 +307,13 @@
                 )
                 if row.key != key
             ]
+        for other_key, _ in former:
+            if backend.get_born_ms(other_key) > born_ms:
+                raise errors.FencedError(
+                    f'{key} was replaced by {other_key}',
+                    step='poll',
+                    peer=request.agent,
+                )
         for former_key, agent_session in former:
             self._close_backend(
                 former_key, agent_session, 'a later life has begun there'
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -278,6 +278,21 @@
         self.poll(born_ms=2)
         self.assertNotIn(first.key, self.state.backends)
 
+    def test_late_poll_of_a_former_incarnation_closes_no_server(self):
+        """A poll held up by the network arrives after a restart.
+
+        If it closed the newer incarnation, the tasks that run there would be
+        started again elsewhere.
+        """
+        self.submit('w1')
+        self.poll(born_ms=1)
+        second = self.poll(born_ms=2)
+        self.schedule()
+        self.assertRaises(errors.FencedError, self.poll, born_ms=1)
+        self.assertIn(second.key, self.state.backends)
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual([second.key], [run.backend for run in task.runs])
+
     def test_lapsed_server_is_closed_at_once(self):
         self.submit('w1')
         first = self.poll()
