Apply an order's outcome only to the session that it belongs to

Cause: a call that was under way when the agent's session ended set the phase of its run in the next session. The leader had ordered the run there again; if the next listing came before that start was executed, the agent reported the run as rejected and the leader started it elsewhere as well.

Change: the phase is set only if the fencing token is still that of the order.

Test: OutdatedOrderTest; both tests failed before.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -205,9 +205,7 @@
             # A stop makes the backend server reject the start.
             self._stop_run(target, epoch, order)
             return
-        with self._lock:
-            now = self._clock.monotonic()
-            self._supervisor.set_phase(order.run, phase, now, trouble=trouble)
+        self._set_phase(epoch, order.run, phase, trouble=trouble)
         if trouble:
             log.log_decision(
                 _logger,
@@ -302,9 +300,14 @@
             except Exception:  # noqa: BLE001
                 _logger.exception('stop of run {} failed', order.run)
                 self._stopping.wait(RETRY_DELAY_S)
+        self._set_phase(epoch, order.run, RunPhase.DOUBTFUL)
+
+    def _set_phase(self, epoch, run, phase, *, trouble=''):
         with self._lock:
-            now = self._clock.monotonic()
-            self._supervisor.set_phase(order.run, RunPhase.DOUBTFUL, now)
+            # A later session may have ordered the run again.
+            if self._supervisor.epoch == epoch:
+                now = self._clock.monotonic()
+                self._supervisor.set_phase(run, phase, now, trouble=trouble)
 
     def _renew_lease(self):
         with self._lock:
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -297,3 +297,26 @@
         self.client.before_answer['stop'] = lambda: self.announce(born_ms=2)
         self.stop()
         self.assertEqual(['stop'], self.client.calls)
+
+
+class OutdatedOrderTest(OneOrderTest):
+    """An order's outcome must not be applied to a later session's order.
+
+    The later session may still start the run. If it was reported as rejected
+    as well, its task would run twice.
+    """
+
+    def begin_session(self):
+        self.supervisor.reset_session()
+        self.poll(epoch=2)
+
+    def test_stop_of_a_former_session_rejects_no_later_order(self):
+        self.client.before_answer['stop'] = self.begin_session
+        self.agent._stop_run(self.target, 1, self.order)
+        self.assertEqual([], self.list_rejected(epoch=2))
+
+    def test_start_of_a_former_session_rejects_no_later_order(self):
+        self.client.starts = [StartResult.BUSY]
+        self.client.before_answer['start'] = self.begin_session
+        self.start()
+        self.assertEqual([], self.list_rejected(epoch=2))
