Report no lapse of an incarnation that has begun since the call

Cause: a renewal that failed because the former life had ended was reported with the key and token that the agent had by then. If the next life had been announced and registered during the call, it was closed with all its runs.

Change: a failed call says nothing about another incarnation than its own.

Test: test_next_incarnation_is_not_reported_as_lapsed failed before.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -430,6 +430,8 @@
         now = self._clock.monotonic()
         with self._lock:
             supervisor = self._supervisor
+            if not _is_same_incarnation(supervisor.target, target):
+                return
             epoch, key = supervisor.epoch, supervisor.key
             lapsed = gone or supervisor.has_lapsed(
                 now, self._options.lease_margin
@@ -461,3 +463,8 @@
         with self._lock:
             if supervisor.epoch == epoch:
                 supervisor.reset_session()
+
+
+def _is_same_incarnation(announcement, other):
+    first, second = announcement.state, other.state
+    return (first.id, first.born_ms) == (second.id, second.born_ms)
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -320,3 +320,34 @@
         self.client.before_answer['start'] = self.begin_session
         self.start()
         self.assertEqual([], self.list_rejected(epoch=2))
+
+
+class LapseReportTest(OneOrderTest):
+    """A report that all runs have lapsed makes the leader end them all.
+
+    If the runs go on, their tasks run twice.
+    """
+
+    gone = errors.GoneError('refused', step='hold')
+    unanswered = errors.UnavailableError('no answer', step='report')
+
+    def list_lapsed(self):
+        return [row.key for row in self.gateway.reports if row.lapsed]
+
+    def renew(self, hold_error=None):
+        self.client.hold_error = hold_error
+        self.agent._renew_lease()
+
+    def test_lapse_of_the_incarnation_is_reported(self):
+        self.renew(self.gone)
+        self.assertEqual(['s@1'], self.list_lapsed())
+
+    def test_next_incarnation_is_not_reported_as_lapsed(self):
+        def begin_incarnation():
+            self.announce(born_ms=2)
+            self.poll(epoch=2)
+
+        self.client.before_answer['hold'] = begin_incarnation
+        self.renew(self.gone)
+        self.assertEqual([], self.list_lapsed())
+        self.assertEqual(2, self.supervisor.epoch)
