End the session before its lapse is reported

Cause: after a report of a lapse that got no answer, the agent went on with the same fencing token. If the server answered again, its lease was renewed and runs were started under that token. The leader, which may receive the report or act on it seconds later, then closed the server with these runs.

Change: the agent drops the token first and repeats the report for the ended session until it is answered, refused, or a new session has begun. A report that is acted on later than that names a token that was replaced.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -82,6 +82,8 @@
         self._answered_at = None
         self._connected = None
         self._server_reachable = None
+        # Report on the session that ended last, until the leader has it.
+        self._lapse_report = None
         self._stopping = threading.Event()
         self._actors = []
         self._stop_tickers = []
@@ -429,15 +431,39 @@
         """
         now = self._clock.monotonic()
         with self._lock:
-            supervisor = self._supervisor
-            if not _is_same_incarnation(supervisor.target, target):
-                return
-            epoch, key = supervisor.epoch, supervisor.key
-            lapsed = gone or supervisor.has_lapsed(
-                now, self._options.lease_margin
-            )
-        if not epoch or not lapsed:
+            self._end_lapsed_session(target, gone, now)
+            if self._supervisor.epoch:
+                self._lapse_report = None
+            report = self._lapse_report
+        if report is None:
+            return
+        try:
+            self._gateway.send(report, timeout=REPORT_TIMEOUT, step='report')
+        except errors.FencedError as error:
+            _logger.debug('session had ended at the leader before: {}', error)
+        except errors.BilberryhavenError as error:
+            _logger.debug('lapse could not be reported: {}', error)
+            return
+        self._lapse_report = None
+
+    def _end_lapsed_session(self, target, gone, now):
+        supervisor = self._supervisor
+        if not supervisor.epoch or not _is_same_incarnation(
+            supervisor.target, target
+        ):
             return
+        if not gone and not supervisor.has_lapsed(
+            now, self._options.lease_margin
+        ):
+            return
+        # The leader may act on the report later than the server answers
+        # again, so nothing may run there under this token from here on.
+        self._lapse_report = message.Report(
+            agent=target.state.id,
+            key=supervisor.key,
+            epoch=supervisor.epoch,
+            lapsed=True,
+        )
         log.log_decision(
             _logger,
             'report lapse',
@@ -446,23 +472,11 @@
                 if gone
                 else 'the granted lease has expired'
             ),
-            backend=key,
-            called=target.state.id,
-            born_ms=target.state.born_ms,
-            epoch=epoch,
+            backend=supervisor.key,
+            epoch=supervisor.epoch,
         )
-        report = message.Report(
-            agent=target.state.id, key=key, epoch=epoch, lapsed=True
-        )
-        try:
-            self._gateway.send(report, timeout=REPORT_TIMEOUT, step='report')
-        except errors.BilberryhavenError as error:
-            _logger.debug('lapse could not be reported: {}', error)
-            return
         self._answered_at = None
-        with self._lock:
-            if supervisor.epoch == epoch:
-                supervisor.reset_session()
+        supervisor.reset_session()
 
 
 def _is_same_incarnation(announcement, other):
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -351,3 +351,32 @@
         self.renew(self.gone)
         self.assertEqual([], self.list_lapsed())
         self.assertEqual(2, self.supervisor.epoch)
+
+    def test_session_ends_before_its_lapse_is_reported(self):
+        # The leader may receive the report, or act on it, at any later time.
+        self.gateway.error = self.unanswered
+        self.renew(self.gone)
+        self.assertEqual(['s@1'], self.list_lapsed())
+        self.assertEqual(0, self.supervisor.epoch)
+
+    def test_unanswered_report_is_repeated_for_the_ended_session(self):
+        self.gateway.error = self.unanswered
+        self.renew(self.gone)
+        self.gateway.error = None
+        self.renew(self.gone)
+        self.renew(self.gone)
+        self.assertEqual(['s@1', 's@1'], self.list_lapsed())
+        self.assertEqual([1, 1], [row.epoch for row in self.gateway.reports])
+
+    def test_report_is_not_repeated_in_a_later_session(self):
+        self.gateway.error = self.unanswered
+        self.renew(self.gone)
+        self.poll(epoch=2)
+        self.renew(errors.PeerError('no answer', step='hold'))
+        self.assertEqual(['s@1'], self.list_lapsed())
+
+    def test_fenced_report_is_not_repeated(self):
+        self.gateway.error = errors.FencedError('closed', step='report')
+        self.renew(self.gone)
+        self.renew(self.gone)
+        self.assertEqual(['s@1'], self.list_lapsed())
