Log a start that is given up with an unknown outcome

Cause: the agent logged a start that it gave up only when the server had refused it. One that stayed unanswered left no line, so that a log could not tell a late start from any other unexpected run.

Change: "give a start up" is logged for both, with the outcome.

Result: tests of the agent pass; no change of behaviour.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -203,21 +203,22 @@
         except Exception:  # noqa: BLE001
             _logger.exception('start of run {} failed', order.run)
             phase, trouble = None, 'unexpected error'
-        if phase is None:
-            # A stop makes the backend server reject the start.
-            self._stop_run(target, epoch, order)
-            return
-        self._set_phase(epoch, order.run, phase, trouble=trouble)
         if trouble:
             log.log_decision(
                 _logger,
                 'give a start up',
                 reason=trouble,
+                outcome='unknown' if phase is None else 'not_run',
                 workflow=order.run.workflow,
                 task=order.run.task,
                 run=order.run.number,
                 backend=target.state.id,
             )
+        if phase is None:
+            # A stop makes the backend server reject the start.
+            self._stop_run(target, epoch, order)
+            return
+        self._set_phase(epoch, order.run, phase, trouble=trouble)
 
     def _try_start(self, target, epoch, order):
         """Return the (phase, trouble) pair; phase is None if unknown."""
