Place tasks by the newest announced capacity of a server

Callers saw tasks started on servers that had shrunk since their registration, beyond what they announced, and servers left unused that had grown. The leader took the capacity once, when an agent registered, although every poll carries the newest one; agents computed the share of a best-effort run only when its order arrived.

The session keeps the newest capacity. A replicated row would cost a log entry for each change and gain nothing: a server without a session gets no starts, and the poll that opens a session brings the capacity. Polls carry the number of the heartbeat, so that a delayed one restores nothing. A cached server is built again when its capacity changes, interference is not learned across a change, and paces follow it. A server with no CPU no longer divides by zero.

Runs above a smaller capacity go on; a step that fits nowhere waits.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -196,7 +196,7 @@
         server = request.server
         key = backend.build_backend_key(server.id, server.born_ms)
         agent_session = self._find_or_open_session(key, request)
-        self._renew_lease(agent_session, server)
+        self._renew_lease(agent_session, request)
         return self._polls.hold(
             agent_session,
             request,
@@ -230,7 +230,8 @@
         # it.
         return max(1, int(remaining / clocks.seconds(0.001)))
 
-    def _renew_lease(self, agent_session, server):
+    def _renew_lease(self, agent_session, request):
+        server = request.server
         with self._replica.machine_lock:
             _check_open(agent_session)
             now = self._clock.monotonic()
@@ -239,6 +240,18 @@
             if server.draining:
                 remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
                 agent_session.set_departure(now + remaining)
+            changed = agent_session.update_capacity(request)
+        if changed:
+            log.log_decision(
+                _logger,
+                'change capacity',
+                reason='announced by the backend server',
+                backend=agent_session.key,
+                cpu=server.cpu,
+                memory_mb=server.memory_mb,
+                gpu=server.gpu,
+            )
+            self.wake()
 
     def _list_control_addresses(self):
         return [row.address for row in self._replica.status().members]
@@ -257,10 +270,10 @@
                 )
             if agent_session is not None and agent_session.epoch == row.epoch:
                 return agent_session
-            return self._open_session(row)
+            return self._open_session(row, request)
         known = row is not None
         row = self._open_backend(key, request)
-        return self._open_session(row, inherit=known)
+        return self._open_session(row, request, inherit=known)
 
     def _open_backend(self, key, request):
         self._close_former_incarnations(key, request)
@@ -319,11 +332,12 @@
                 former_key, agent_session, 'a later life has begun there'
             )
 
-    def _open_session(self, row, *, inherit=False):
+    def _open_session(self, row, request, *, inherit=False):
         """Open the session of a backend server and order its runs.
 
         Args:
             row: The ``Backend``.
+            request: The ``Poll`` of its agent.
             inherit: Whether the agent is new to the server, so that leases
                 granted by an earlier agent may still be valid.
         """
@@ -332,6 +346,7 @@
             key=row.key,
             epoch=row.epoch,
             lease_end=self._clock.monotonic() + delay,
+            poll=request,
         )
         with self._replica.machine_lock:
             former = self._sessions.find(row.key)
@@ -465,6 +480,7 @@
             row = self._state.backends.find(agent_session.key)
             if row is None:
                 return []
+            row = agent_session.capacity.apply_to(row)
             views = self._index.runs.get(agent_session.key, {})
             self._interference.observe(row, views, agent_session.present, now)
             pairs = self._interference.list_interfering_runs(
@@ -621,6 +637,9 @@
     def _order_runs(self, agent_session):
         views = self._index.runs.get(agent_session.key, {})
         row = self._state.backends.find(agent_session.key)
+        if row is None:
+            return
+        row = agent_session.capacity.apply_to(row)
 
         def find_percent(view):
             if self._interference.is_interference_negligible(
@@ -629,8 +648,7 @@
                 return pacing.FULL_PERCENT
             return pacing.INITIAL_PERCENT
 
-        if row is not None:
-            agent_session.reconcile_runs(views, find_percent)
+        agent_session.reconcile_runs(views, find_percent)
 
     def _plan(self):
         now = self._clock.wall().timestamp()
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -68,6 +68,8 @@
 
     def _build_entry(self, row, now):
         agent_session = self._sessions.find(row.key)
+        if agent_session is not None:
+            row = agent_session.capacity.apply_to(row)
         server = candidate.Server(
             key=row.key,
             pool=row.pool,
@@ -123,6 +125,7 @@
         self.session = session
         self.expires_at = datetime.timedelta.max
         self._listed_at = session.listed_at if session else None
+        self._capacity = session.capacity if session else None
 
     def is_stale(self, agent_session, now):
         """Return whether the server has to be built again.
@@ -135,9 +138,9 @@
             return True
         if agent_session is not self.session:
             return True
-        return (
-            agent_session is not None
-            and agent_session.listed_at != self._listed_at
+        return agent_session is not None and (
+            agent_session.listed_at != self._listed_at
+            or agent_session.capacity != self._capacity
         )
 
 
@@ -169,7 +172,7 @@
                 image=view.step.image,
                 tenths=candidate.TENTHS_PER_SERVER
                 * seen.running.gauge
-                / server.cpu,
+                / max(server.cpu, 1),
                 rank=view.rank,
             )
         )
--- a/bilberryhaven/workflow/interference.py
+++ b/bilberryhaven/workflow/interference.py
@@ -54,11 +54,13 @@
 
     Attributes:
         at: When it was taken, monotonic.
+        cpu: Capacity of the server at that time, in thousandths of a core.
         used: CPU use by best-effort image, in tenths of the server.
         tails: (image, headroom) by latency-critical run.
     """
 
     at: datetime.timedelta
+    cpu: int
     used: dict
     tails: dict
 
@@ -89,6 +91,9 @@
         self._samples[row.key] = sample
         if former is None or sample.at - former.at > MAX_SAMPLE_GAP:
             return
+        if sample.cpu != former.cpu:
+            # The uses are shares of different capacities.
+            return
         changes = {
             image: sample.used.get(image, 0.0) - former.used.get(image, 0.0)
             for image in {*sample.used, *former.used}
@@ -256,4 +261,4 @@
         if view.step.target_ms and seen.running.gauge and age > MIN_AGE_S:
             headroom = view.step.target_ms / seen.running.gauge
             tails[ref] = (view.step.image, min(headroom, MAX_HEADROOM))
-    return Sample(at=now, used=used, tails=tails)
+    return Sample(at=now, cpu=row.cpu, used=used, tails=tails)
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -158,6 +158,8 @@
         epoch: Fencing token of the agent; 0 requests a new one.
         feed: Feed to which ``seen`` belongs.
         seen: Number of the newest order that the agent has received.
+        sequence: Number of the heartbeat that ``server`` is from; higher
+            ones are newer.
     """
 
     agent: str
@@ -165,6 +167,7 @@
     epoch: int = 0
     feed: str = ''
     seen: int = 0
+    sequence: int = 0
 
 
 class PollReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/pacing.py
+++ b/bilberryhaven/workflow/pacing.py
@@ -117,6 +117,12 @@
             image=image, tenths=tenths, rank=rank, percent=percent
         )
 
+    def set_tenths(self, run, tenths):
+        """Set the tenths of the server that a run uses, if it is present."""
+        pace = self._paces.get(run)
+        if pace is not None:
+            pace.tenths = tenths
+
     def remove(self, run):
         """Remove a run if it is present."""
         self._paces.pop(run, None)
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -7,7 +7,7 @@
 from bilberryhaven import util
 from bilberryhaven.workflow import message
 
-__all__ = ['Session', 'SessionTable']
+__all__ = ['Capacity', 'Session', 'SessionTable']
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -25,6 +25,27 @@
     progressed_at: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Capacity:
+    """Capacity that a backend server has announced.
+
+    Attributes:
+        cpu: Thousandths of a core.
+        memory_mb: Memory in MB.
+        gpu: Number of accelerators.
+    """
+
+    cpu: int
+    memory_mb: int
+    gpu: int
+
+    def apply_to(self, row):
+        """Return a ``Backend`` row with this capacity."""
+        return dataclasses.replace(
+            row, cpu=self.cpu, memory_mb=self.memory_mb, gpu=self.gpu
+        )
+
+
 class Session:
     """Session of one agent for one backend server.
 
@@ -34,12 +55,15 @@
         key: Key of the backend server's incarnation.
         epoch: Fencing token of the agent.
         lease_end: See the attribute.
+        poll: The ``Poll`` that opens it.
 
     Attributes:
         feed: Unique id of the session's sequence of orders, within which
             orders are numbered.
         lease_end: Monotonic time at which the runs there have certainly
             lapsed.
+        capacity: Newest ``Capacity`` of the backend server. The row has that
+            of the registration.
         draining: Whether the backend server is draining.
         leaves_at: Earliest monotonic time at which the backend server
             leaves, or None.
@@ -55,11 +79,13 @@
         closed: Whether the session was replaced or removed.
     """
 
-    def __init__(self, *, key, epoch, lease_end):
+    def __init__(self, *, key, epoch, lease_end, poll):
         self.key = key
         self.epoch = epoch
         self.feed = util.create_id('orders')
         self.lease_end = lease_end
+        self.capacity = _read_capacity(poll.server)
+        self._sequence = poll.sequence
         self.draining = False
         self.leaves_at = None
         self.present = {}
@@ -158,6 +184,21 @@
             orders = [order for number, order in self._orders if number > seen]
             return self._last_number, orders
 
+    def update_capacity(self, poll):
+        """Store the capacity in a poll unless a newer one is known.
+
+        Args:
+            poll: The ``Poll``; one that was delayed may arrive late.
+
+        Returns:
+            Whether the capacity has changed.
+        """
+        if poll.sequence < self._sequence:
+            return False
+        self._sequence = poll.sequence
+        former, self.capacity = self.capacity, _read_capacity(poll.server)
+        return self.capacity != former
+
     def set_departure(self, at):
         """Record when the server leaves; the earliest known time counts.
 
@@ -240,6 +281,10 @@
             self.remove(key, session)
 
 
+def _read_capacity(server):
+    return Capacity(cpu=server.cpu, memory_mb=server.memory_mb, gpu=server.gpu)
+
+
 def _build_start(view, find_percent):
     step = view.step
     return message.Order(
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -120,6 +120,8 @@
         same = announcement.state.id == known.state.id
         if same and announcement.sequence > known.sequence:
             self.target = announcement
+            if announcement.state.cpu != known.state.cpu:
+                self._update_tenths()
         return False
 
     @property
@@ -145,6 +147,7 @@
             epoch=self.epoch,
             feed=self._feed,
             seen=self._seen,
+            sequence=self.target.sequence,
         )
 
     def handle_poll_reply(self, reply, sent_at, now):
@@ -205,15 +208,22 @@
         return is_new
 
     def _add_to_pacer(self, order):
-        cpu = max(self.target.state.cpu, 1)
         self._pacer.add(
             order.run,
             image=order.image,
-            tenths=TENTHS_PER_SERVER * order.cpu / cpu,
+            tenths=self._compute_tenths(order),
             rank=order.rank,
             percent=order.percent,
         )
 
+    def _update_tenths(self):
+        for ref, known in self.runs.items():
+            if known.order is not None:
+                self._pacer.set_tenths(ref, self._compute_tenths(known.order))
+
+    def _compute_tenths(self, order):
+        return TENTHS_PER_SERVER * order.cpu / max(self.target.state.cpu, 1)
+
     def may_start(self, run):
         """Return whether the start of ``run`` may still be sent."""
         known = self.runs.get(run)
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -75,19 +75,34 @@
             )
         )
 
-    def poll(self, agent='i', *, epoch=0, born_ms=1, draining=False):
+    def poll(
+        self,
+        agent='i',
+        *,
+        epoch=0,
+        born_ms=1,
+        draining=False,
+        cpu=64_000,
+        memory_mb=256_000,
+        **fields,
+    ):
         server = message.ServerState(
             id=f's-{agent}',
             born_ms=born_ms,
             pool=fakes.POOL,
-            cpu=64_000,
-            memory_mb=256_000,
+            cpu=cpu,
+            memory_mb=memory_mb,
             draining=draining,
         )
         feed, seen = self.feeds.get(agent, ('', 0))
         reply = self.ask(
             message.Poll(
-                agent=agent, server=server, epoch=epoch, feed=feed, seen=seen
+                agent=agent,
+                server=server,
+                epoch=epoch,
+                feed=feed,
+                seen=seen,
+                **fields,
             )
         )
         self.feeds[agent] = (reply.feed, reply.last)
@@ -459,6 +474,82 @@
         self.assertRaises(errors.NotLeaderError, self.submit, 'w1')
 
 
+class ChangedCapacityTest(DispatcherTest):
+    """A server's capacity changes while it runs.
+
+    Guards against placement by the capacity at the registration, which
+    started tasks on servers that had shrunk and left grown ones unused.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.replace()
+        self.first = self.poll()
+
+    def poll_again(self, **fields):
+        return self.poll(epoch=self.first.epoch, **fields)
+
+    def run_count(self, name='w1'):
+        self.schedule()
+        row = self.state.workflows.find(name)
+        return sum(len(task.runs) for task in row.tasks.values())
+
+    def test_shrunk_cpu_limits_starts(self):
+        self.poll_again(cpu=2_500)
+        self.submit('w1', fakes.build_step(tasks=4))
+        self.assertEqual(2, self.run_count())
+
+    def test_shrunk_memory_limits_best_effort_starts(self):
+        self.poll_again(memory_mb=2_500)
+        self.submit('w1', fakes.build_step(tasks=4, best_effort=True))
+        self.assertTrue(self.run_count() <= 2)
+
+    def test_server_shrunk_below_its_runs_gets_none_until_it_has_grown(self):
+        self.submit('w1', fakes.build_step(tasks=4))
+        self.assertEqual(4, self.run_count())
+        self.poll_again(cpu=2_000)
+        self.submit('w2', fakes.build_step())
+        self.assertEqual(0, self.run_count('w2'))
+        self.poll_again(cpu=5_000)
+        self.assertEqual(1, self.run_count('w2'))
+
+    def test_growth_beyond_the_registration_counts(self):
+        self.submit('w1', fakes.build_step(cpu=65_000))
+        self.assertEqual(0, self.run_count())
+        self.poll_again(cpu=66_000)
+        self.assertEqual(1, self.run_count())
+
+    def test_step_that_fits_nowhere_waits(self):
+        self.poll_again(cpu=0, memory_mb=0)
+        self.submit('w1', fakes.build_step())
+        self.assertEqual(0, self.run_count())
+        self.poll_again()
+        self.assertEqual(1, self.run_count())
+
+    def test_new_leader_takes_it_from_the_first_poll(self):
+        self.poll_again(cpu=2_500)
+        self.replica.term += 1
+        self.poll_again(cpu=2_500)
+        self.submit('w1', fakes.build_step(tasks=4))
+        self.assertEqual(2, self.run_count())
+
+    def test_delayed_poll_with_a_former_capacity_is_ignored(self):
+        self.poll_again(cpu=2_500, sequence=9)
+        self.poll_again(sequence=8)
+        self.submit('w1', fakes.build_step(tasks=4))
+        self.assertEqual(2, self.run_count())
+
+    def test_measurements_of_a_server_without_cpu(self):
+        self.submit('w1', fakes.build_step(best_effort=True))
+        self.schedule()
+        (order,) = self.poll_again().orders
+        self.report(self.first, running=[order.run])
+        self.poll_again(cpu=0)
+        self.report(self.first, running=[order.run])
+        self.submit('w2', fakes.build_step())
+        self.assertEqual(0, self.run_count('w2'))
+
+
 class HeldPollTest(DispatcherTest):
     """Polls of a large fleet, all held at the same time."""
 
--- a/tests/test_workflow_interference.py
+++ b/tests/test_workflow_interference.py
@@ -117,6 +117,18 @@
         light = self.model.get_effect('other', 'light')
         self.assertTrue(light < heavy)
 
+    def test_change_of_capacity_is_no_change_of_use(self):
+        """Guards against learning from shares of two capacities."""
+        self.server.add_best_effort_run('f', 'heavy')
+        for _ in range(3):
+            self.server.observe(self.model)
+        known = self.model.get_effect('map', 'heavy')
+        count = self.model._counts['map', 'heavy']
+        self.server.row.cpu //= 2
+        self.server.observe(self.model)
+        self.assertEqual(count, self.model._counts['map', 'heavy'])
+        self.assertEqual(known, self.model.get_effect('map', 'heavy'))
+
     def test_interfering_runs_are_listed(self):
         self.run_cycles('heavy')
         self.run_cycles('light')
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -19,11 +19,15 @@
 
 
 def build_announcement(
-    *, born_ms=1, sequence=1, server_id='s', draining=False
+    *, born_ms=1, sequence=1, server_id='s', draining=False, cpu=0
 ):
     return server_client.Announcement(
         state=message.ServerState(
-            id=server_id, born_ms=born_ms, pool='desk', draining=draining
+            id=server_id,
+            born_ms=born_ms,
+            pool='desk',
+            draining=draining,
+            cpu=cpu,
         ),
         address='127.0.0.1:1',
         sequence=sequence,
@@ -304,3 +308,27 @@
         self.supervisor.handle_announcement(announcement)
         self.supervisor.handle_announcement(build_announcement(sequence=4))
         self.assertTrue(self.supervisor.draining)
+
+
+class ChangedCapacityTest(RunSupervisorTest):
+    def test_shares_of_runs_follow_the_capacity(self):
+        """Guards against pacing by the capacity at the time of the order."""
+        self.supervisor.handle_announcement(
+            build_announcement(sequence=2, cpu=20_000)
+        )
+        order = message.Order(
+            START, build_ref(), best_effort=True, image='f', cpu=2_000
+        )
+        self.poll(order)
+        self.supervisor.handle_announcement(
+            build_announcement(sequence=3, cpu=10_000)
+        )
+        pace = self.supervisor._pacer._paces[build_ref()]
+        self.assertEqual(2, pace.tenths)
+
+    def test_poll_numbers_the_announced_capacity(self):
+        self.supervisor.handle_announcement(
+            build_announcement(sequence=5, cpu=10_000)
+        )
+        poll = self.supervisor.build_poll()
+        self.assertEqual((5, 10_000), (poll.sequence, poll.server.cpu))
