Refuse a heartbeat whose capacity is incomplete or out of range

A heartbeat of a bad writer that lacked a field of its capacity was taken for one of a worker without that resource, and a huge number made every later poll of the agent fail to encode. The fields were optional and unbounded. They are now required and bounded, and the agent keeps what the last good heartbeat said.

Before the change both new tests of test_platform failed.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -2,6 +2,7 @@
 
 import functools
 import threading
+import typing
 
 import msgspec
 import urllib3
@@ -21,18 +22,22 @@
 CONNECT_TIMEOUT_S = 0.4
 MAX_CONNECTIONS = 8
 INSTANCE_HEADER = 'X-Expected-Instance'
+MAX_AMOUNT = 10**12
 REASON_LATE = 'late'
 REASON_FENCE = 'fence'
 STATUS_OTHER_INSTANCE = 421
 StartResult = server_client.StartResult
 
 
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+
+
 class _Capacity(msgspec.Struct):
-    """Capacity of a worker."""
+    """Capacity of a worker; a missing field doesn't mean that it has none."""
 
-    cpu: int = 0  # thousandths of a core
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount  # thousandths of a core
+    mem_mb: _Amount
+    gpu: _Amount
 
 
 class _Heartbeat(msgspec.Struct):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from bilberryhaven.platform import settings
 from bilberryhaven.platform import workers
 from bilberryhaven.workflow import message
+from bilberryhaven.workflow import supervision
 
 SETTINGS_TEXT = """\
 node_name=frontend-pingtung-1
@@ -162,6 +163,47 @@
         ):
             self.assertRaises(errors.BadInputError, self.decode, **changes)
 
+    def test_incomplete_or_odd_capacity_is_rejected(self):
+        """Guards against taking a missing field for a server without it."""
+        for capacity in (
+            {},
+            {'cpu': 16000, 'gpu': 0},
+            {'mem_mb': 32768, 'gpu': 0},
+            {'cpu': 16000, 'mem_mb': 32768},
+            {'cpu': -1, 'mem_mb': 32768, 'gpu': 0},
+            {'cpu': 2**70, 'mem_mb': 32768, 'gpu': 0},
+            {'cpu': 16000, 'mem_mb': '32768', 'gpu': 0},
+            {'cpu': 16000, 'mem_mb': 32768, 'gpu': True},
+        ):
+            self.assertRaises(
+                errors.BadInputError, self.decode, capacity=capacity
+            )
+
+    def test_odd_heartbeat_keeps_the_last_good_capacity(self):
+        supervisor = supervision.RunSupervisor(agent='a')
+        supervisor.handle_announcement(self.decode())
+        bad = {**HEARTBEAT, 'sequence': 5, 'capacity': {'cpu': 1}}
+        handle = handlers.build_worker_handler(supervisor)
+        response = handle(
+            {
+                'REQUEST_METHOD': 'POST',
+                'PATH_INFO': '/Instances.Heartbeat/i-1',
+            },
+            msgspec.json.encode(bad),
+        )
+        self.assertEqual(400, response.status)
+        self.assertEqual(16000, supervisor.target.state.cpu)
+        supervisor.handle_announcement(
+            self.decode(
+                sequence=6,
+                capacity={'cpu': 8000, 'mem_mb': 16384, 'gpu': 1},
+            )
+        )
+        state = supervisor.target.state
+        self.assertEqual(
+            (8000, 16384, 1), (state.cpu, state.memory_mb, state.gpu)
+        )
+
 
 class StubGateway:
     def __init__(self, answer):
