Start nothing on a server that has shrunk below its claims

A best-effort task was started on a server whose other tasks claimed more CPU than it had left after shrinking, because such a task claims no CPU itself. There is no spare CPU on such a server, and any start leaves it above its capacity. Servers within their capacity are not affected.

Before the change the new test of test_workflow_dispatcher failed.

--- a/bilberryhaven/workflow/candidate.py
+++ b/bilberryhaven/workflow/candidate.py
@@ -227,9 +227,11 @@
         """Return whether one more task of ``step`` fits into the capacity.
 
         Best-effort tasks need no CPU claim, only memory and accelerators.
+        A server that has shrunk below its claims takes nothing.
         """
         if self.used_memory_mb + step.memory_mb > self.memory_mb:
             return False
         if self.used_gpu + step.gpu > self.gpu:
             return False
-        return step.best_effort or self.used_cpu + step.cpu <= self.cpu
+        cpu = 0 if step.best_effort else step.cpu
+        return self.used_cpu + cpu <= self.cpu
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -513,6 +513,14 @@
         self.poll_again(cpu=5_000)
         self.assertEqual(1, self.run_count('w2'))
 
+    def test_server_shrunk_below_its_runs_gets_no_best_effort_run(self):
+        """Guards against any start on a server that is over its capacity."""
+        self.submit('w1', fakes.build_step(tasks=4))
+        self.assertEqual(4, self.run_count())
+        self.poll_again(cpu=2_000)
+        self.submit('w2', fakes.build_step(best_effort=True))
+        self.assertEqual(0, self.run_count('w2'))
+
     def test_growth_beyond_the_registration_counts(self):
         self.submit('w1', fakes.build_step(cpu=65_000))
         self.assertEqual(0, self.run_count())
