Give up starts that no longer fit into a server that has shrunk

An order that waited was started although its server had announced a smaller capacity since. The leader's view doesn't suffice: a start planned up to 1.5 s after an agent's last poll is delivered when the agent is back within its lease of 5 s, and a new leader repeats unfinished orders.

The agent, which knows the newest announcement first, compares what its runs need with it before each start. Orders carry memory and accelerators for that, stops too, since a run counts until a listing requested after its start or stop lacks it. A start that doesn't fit is stopped before it begins, so that the leader hears of its absence and plans it again; the server isn't set aside for it.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -204,16 +204,8 @@
             _logger.exception('start of run {} failed', order.run)
             phase, trouble = None, 'unexpected error'
         if trouble:
-            log.log_decision(
-                _logger,
-                'give a start up',
-                reason=trouble,
-                outcome='unknown' if phase is None else 'not_run',
-                workflow=order.run.workflow,
-                task=order.run.task,
-                run=order.run.number,
-                backend=target.state.id,
-            )
+            outcome = 'unknown' if phase is None else 'not_run'
+            self._log_start_given_up(target, order, trouble, outcome=outcome)
         if phase is None:
             # A stop makes the backend server reject the start.
             self._stop_run(target, epoch, order)
@@ -234,8 +226,19 @@
                 deadline = self._supervisor.grant_deadline(now)
                 allowed = self._supervisor.may_start(order.run)
                 listed = self._supervisor.is_listed(order.run)
+                fits = self._supervisor.fits(order.run)
             if listed:
                 return RunPhase.STARTED, ''
+            if not fits:
+                self._log_start_given_up(
+                    target,
+                    order,
+                    'backend server has shrunk since it was planned',
+                    outcome='unknown',
+                )
+                # No trouble of the server: it isn't set aside for it. An
+                # earlier attempt may still be executed, hence the stop.
+                return None, ''
             if deadline is None or not allowed:
                 break
             try:
@@ -259,6 +262,18 @@
             trouble = 'start request arrived after its deadline'
         return None, trouble
 
+    def _log_start_given_up(self, target, order, reason, *, outcome):
+        log.log_decision(
+            _logger,
+            'give a start up',
+            reason=reason,
+            outcome=outcome,
+            workflow=order.run.workflow,
+            task=order.run.task,
+            run=order.run.number,
+            backend=target.state.id,
+        )
+
     def _start_pacing(self, target, epoch, order):
         with self._lock:
             percent = self._supervisor.get_percent(order.run)
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -103,6 +103,8 @@
         image: Image that the run executes.
         cpu: Requested CPU in thousandths of a core.
         rank: Best-effort runs with a lower rank are served first.
+        memory_mb: Memory of the task in MB.
+        gpu: Number of its accelerators.
     """
 
     kind: str
@@ -115,6 +117,8 @@
     image: str = ''
     cpu: int = 0
     rank: float = 0.0
+    memory_mb: int = 0
+    gpu: int = 0
 
 
 class Effect(msgspec.Struct, array_like=True):
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -118,7 +118,7 @@
             for ref, view in views.items():
                 ordered_kind = self._ordered_kinds.get(ref)
                 if view.stopping:
-                    self._order_stop(ref)
+                    self._order_stop(ref, _build_stop(view))
                 elif ordered_kind is None:
                     self._append(_build_start(view, find_percent))
 
@@ -129,12 +129,14 @@
             Whether it had not been ordered yet.
         """
         with self._lock:
-            return self._order_stop(ref)
+            return self._order_stop(
+                ref, message.Order(message.OrderKind.STOP, ref)
+            )
 
-    def _order_stop(self, ref):
+    def _order_stop(self, ref, order):
         if self._ordered_kinds.get(ref) == message.OrderKind.STOP:
             return False
-        self._append(message.Order(message.OrderKind.STOP, ref))
+        self._append(order)
         return True
 
     def _append(self, order):
@@ -298,4 +300,18 @@
         image=step.image,
         cpu=step.cpu,
         rank=view.rank,
+        memory_mb=step.memory_mb,
+        gpu=step.gpu,
+    )
+
+
+def _build_stop(view):
+    step = view.step
+    return message.Order(
+        message.OrderKind.STOP,
+        view.ref,
+        best_effort=step.best_effort,
+        cpu=step.cpu,
+        memory_mb=step.memory_mb,
+        gpu=step.gpu,
     )
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -39,6 +39,7 @@
 
     Attributes:
         order: The start order, or None if only a stop was ordered.
+        needs: The first order, which tells what the run needs.
         phase: The ``RunPhase``.
         since: Monotonic time at which the phase began.
         stopping: Whether a stop was ordered.
@@ -47,6 +48,7 @@
     """
 
     order: message.Order | None
+    needs: message.Order
     phase: RunPhase
     since: datetime.timedelta
     stopping: bool = False
@@ -98,6 +100,7 @@
         self._uncertain_until = None
         self._trouble = ''
         self._listed = set()
+        self._listing_sent_at = None
         self._effects = {}
         self._pacer = pacing.Pacer()
 
@@ -195,13 +198,19 @@
                 None if phase == RunPhase.STARTED else pacing.FULL_PERCENT
             )
             self.runs[order.run] = OrderedRun(
-                order=order, phase=phase, since=now, percent=percent
+                order=order,
+                needs=order,
+                phase=phase,
+                since=now,
+                percent=percent,
             )
             if order.best_effort:
                 self._add_to_pacer(order)
             return phase == RunPhase.STARTING
         if known is None:
-            known = OrderedRun(order=None, phase=RunPhase.STARTED, since=now)
+            known = OrderedRun(
+                order=None, needs=order, phase=RunPhase.STARTED, since=now
+            )
             self.runs[order.run] = known
         is_new = not known.stopping
         known.stopping = True
@@ -231,6 +240,43 @@
             return False
         return not self.draining
 
+    def fits(self, run):
+        """Return whether ``run`` fits into the newest announced capacity.
+
+        Its start may have been planned for a larger one. Of the starts that
+        are still to be sent, the earlier ones take precedence.
+        """
+        known = self.runs.get(run)
+        if known is None:
+            return False
+        needed = [known.needs]
+        is_earlier = True
+        for ref, other in self.runs.items():
+            if ref == run:
+                is_earlier = False
+            elif self._is_counted(ref, other, is_earlier):
+                needed.append(other.needs)
+        state = self.target.state
+        cpu = sum(item.cpu for item in needed if not item.best_effort)
+        memory_mb = sum(item.memory_mb for item in needed)
+        gpu = sum(item.gpu for item in needed)
+        return (
+            cpu <= state.cpu
+            and memory_mb <= state.memory_mb
+            and gpu <= state.gpu
+        )
+
+    def _is_counted(self, ref, known, is_earlier):
+        if ref in self._listed:
+            return True
+        if known.phase == RunPhase.STARTING:
+            return is_earlier
+        # What a listing requested after the start or stop lacks has ended.
+        return known.phase != RunPhase.ABSENT and (
+            self._listing_sent_at is None
+            or known.since >= self._listing_sent_at
+        )
+
     def set_phase(self, run, phase, now, *, trouble=''):
         """Set the phase of a run and record why its start failed.
 
@@ -316,6 +362,7 @@
         ends = [end for end in listing.ends if end.number > self.acked]
         ends = _void_lapsed_ends(ends, self._void_upto)
         self._listed = {row.run for row in listing.running}
+        self._listing_sent_at = sent_at
         self.listed_epoch = epoch
         self._resolve_doubtful_runs({end.run for end in ends}, sent_at)
         self._update_paces(listing.running, now)
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -24,20 +24,25 @@
 class FakeGateway:
     """Leader that orders runs once and records the reported ends."""
 
-    def __init__(self):
+    def __init__(self, *, cpu=0):
+        self.cpu = cpu
         self.sent = False
         self.ends = []
+        self.troubles = set()
 
     def send(self, request, *, timeout, step):
         if isinstance(request, message.Report):
             self.ends += request.ends
+            self.troubles.add(request.trouble)
             return message.ReportReply()
         time.sleep(0.02)
         orders = []
         if not self.sent:
             self.sent = True
             orders = [
-                message.Order(message.OrderKind.START, build_ref(number))
+                message.Order(
+                    message.OrderKind.START, build_ref(number), cpu=self.cpu
+                )
                 for number in range(ORDERS)
             ]
         return message.PollReply(
@@ -94,6 +99,37 @@
         pass
 
 
+class ShrunkServerTest(testtools.TestCase):
+    def test_start_that_no_longer_fits_is_reported_as_rejected(self):
+        """Guards against a late order that brings a server over its limit."""
+        gateway, client = FakeGateway(cpu=500), FakeClient()
+        tested = agent.WorkflowAgent(
+            name='a',
+            gateway=gateway,
+            client=client,
+            clock=clocks.SystemClock(),
+            options=options.Options(),
+        )
+        state = message.ServerState(id='s', born_ms=1, pool='p', cpu=400)
+        tested.handle_announcement(
+            server_client.Announcement(
+                state=state, address='127.0.0.1:1', sequence=1
+            )
+        )
+        tested.start()
+        self.addCleanup(tested.stop)
+        refused = {build_ref(number) for number in range(ORDERS)}
+        deadline = time.monotonic() + 10
+        while time.monotonic() < deadline:
+            if {end.run for end in gateway.ends} >= refused:
+                break
+            time.sleep(0.02)
+        self.assertEqual(set(), client.running)
+        self.assertEqual(refused, {end.run for end in gateway.ends})
+        # The server isn't set aside for it.
+        self.assertEqual({''}, gateway.troubles)
+
+
 class UnexpectedErrorTest(testtools.TestCase):
     def test_unexpected_errors_stop_no_later_order(self):
         gateway, client = FakeGateway(), FakeClient()
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -547,6 +547,19 @@
         self.submit('w1', fakes.build_step(tasks=4))
         self.assertEqual(2, self.run_count())
 
+    def test_orders_tell_what_each_run_needs(self):
+        step = fakes.build_step(cpu=700, memory_mb=800, gpu=0)
+        self.submit('w1', step)
+        self.schedule()
+        (start,) = self.poll_again().orders
+        self.ask(message.Cancel(host=HOST, path=PREFIX + 'w1'))
+        self.schedule()
+        (stop,) = self.poll_again().orders
+        for order in (start, stop):
+            self.assertEqual(
+                (700, 800, 0), (order.cpu, order.memory_mb, order.gpu)
+            )
+
     def test_measurements_of_a_server_without_cpu(self):
         self.submit('w1', fakes.build_step(best_effort=True))
         self.schedule()
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -19,7 +19,14 @@
 
 
 def build_announcement(
-    *, born_ms=1, sequence=1, server_id='s', draining=False, cpu=0
+    *,
+    born_ms=1,
+    sequence=1,
+    server_id='s',
+    draining=False,
+    cpu=0,
+    memory_mb=0,
+    gpu=0,
 ):
     return server_client.Announcement(
         state=message.ServerState(
@@ -28,6 +35,8 @@
             pool='desk',
             draining=draining,
             cpu=cpu,
+            memory_mb=memory_mb,
+            gpu=gpu,
         ),
         address='127.0.0.1:1',
         sequence=sequence,
@@ -332,3 +341,68 @@
         )
         poll = self.supervisor.build_poll()
         self.assertEqual((5, 10_000), (poll.sequence, poll.server.cpu))
+
+
+class ShrunkServerTest(RunSupervisorTest):
+    """Orders that waited while the server shrank.
+
+    Guards against starts that a leader planned, lost contact, and delivered
+    after the server had announced less.
+    """
+
+    def announce(self, sequence, **fields):
+        self.supervisor.handle_announcement(
+            build_announcement(sequence=sequence, **fields)
+        )
+
+    def order(self, number, kind=START, **fields):
+        return message.Order(kind, build_ref(number), **fields)
+
+    def order_all(self, *orders, **fields):
+        self.announce(2, cpu=4000, memory_mb=4000, gpu=4)
+        self.poll(*orders)
+        self.announce(3, **fields)
+
+    def list_fitting(self, *numbers):
+        return [
+            number
+            for number in numbers
+            if self.supervisor.fits(build_ref(number))
+        ]
+
+    def test_earlier_orders_come_first(self):
+        orders = [self.order(n, cpu=1000) for n in (1, 2, 3)]
+        self.order_all(*orders, cpu=2000, memory_mb=4000, gpu=4)
+        self.assertEqual([1, 2], self.list_fitting(1, 2, 3))
+
+    def test_memory_and_gpu_limit_best_effort_runs_too(self):
+        orders = [
+            self.order(1, best_effort=True, cpu=9000, memory_mb=3000, gpu=1),
+            self.order(2, best_effort=True, cpu=9000, memory_mb=2000),
+            self.order(3, best_effort=True, cpu=9000, gpu=2),
+        ]
+        self.order_all(*orders, cpu=1000, memory_mb=4000, gpu=1)
+        self.assertEqual([1], self.list_fitting(1, 2, 3))
+
+    def test_listed_runs_and_runs_being_stopped_count(self):
+        stop = self.order(1, STOP, cpu=1000)
+        self.order_all(
+            stop, self.order(2, cpu=1000), cpu=1500, memory_mb=9, gpu=0
+        )
+        self.list(running=[build_ref(1)])
+        self.assertEqual([], self.list_fitting(2))
+        self.clock.advance(clocks.seconds(1))
+        self.list()
+        self.assertEqual([2], self.list_fitting(2))
+
+    def test_run_counts_from_its_start_until_a_listing_lacks_it(self):
+        orders = [self.order(1, cpu=1000), self.order(2, cpu=1000)]
+        self.order_all(*orders, cpu=1500)
+        sent_at = self.now()
+        self.clock.advance(clocks.seconds(1))
+        self.supervisor.set_phase(build_ref(1), RunPhase.STARTED, self.now())
+        self.supervisor.handle_listing(build_listing(), 7, sent_at, self.now())
+        self.assertEqual([], self.list_fitting(2))
+        self.clock.advance(clocks.seconds(1))
+        self.list()
+        self.assertEqual([2], self.list_fitting(2))
