Take no run for absent by a listing that may be cut

Seen (in the test only): a run that had ended was reported as rejected, so that its task was started again after that end.

Cause: a server lists at most 500 ends that were not acknowledged. While more are waiting, the end of a stopped run, or of one whose start was refused, may be missing although the run was there.

Change: absence is concluded only from a listing with fewer ends.

Test: test_full_listing_proves_no_absence failed before.

--- a/bilberryhaven/workflow/server_client.py
+++ b/bilberryhaven/workflow/server_client.py
@@ -9,6 +9,9 @@
 
 __all__ = ['Announcement', 'Listing', 'ServerClient', 'StartResult']
 
+# Largest number of ends in a listing.
+MAX_ENDS = 500
+
 
 class StartResult(enum.Enum):
     """Answer of a backend server to a start request.
@@ -49,7 +52,8 @@
         clock_ms: The server's own clock when it answered, in ms.
         born_ms: Start of the server's incarnation, Unix time in ms.
         running: The ``Running`` rows of the runs that are present.
-        ends: The ``RunEnd`` rows that have not been acknowledged.
+        ends: The oldest ``RunEnd`` rows that have not been acknowledged, at
+            most ``MAX_ENDS``.
     """
 
     clock_ms: int
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -9,6 +9,7 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options as workflow_options
 from bilberryhaven.workflow import pacing
+from bilberryhaven.workflow import server_client
 
 __all__ = ['RunPhase', 'RunSupervisor']
 
@@ -364,7 +365,8 @@
         self._listed = {row.run for row in listing.running}
         self._listing_sent_at = sent_at
         self.listed_epoch = epoch
-        self._resolve_doubtful_runs({end.run for end in ends}, sent_at)
+        if len(listing.ends) < server_client.MAX_ENDS:
+            self._resolve_doubtful_runs({end.run for end in ends}, sent_at)
         self._update_paces(listing.running, now)
         return self._build_report(
             listing,
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -284,6 +284,17 @@
         )
         self.assertEqual([], self.list_rejected(self.list()))
 
+    def test_full_listing_proves_no_absence(self):
+        # The server lists at most 500 ends; the run's may be a later one. If
+        # it was done, the task would be started again after that.
+        ends = [
+            workflow_commands.RunEnd(number, build_ref(number + 1), 'done')
+            for number in range(1, 501)
+        ]
+        self.assertEqual([], self.list_rejected(self.list(ends=ends)))
+        report = self.list(ends=ends[1:])
+        self.assertEqual([build_ref()], self.list_rejected(report))
+
     def test_listed_run_is_not_reported_as_rejected(self):
         report = self.list(running=[build_ref()])
         self.assertEqual([], self.list_rejected(report))
