Take a former lease for lapsed only once that is certain

Seen (in the test only): an end was voided although the lease had not lapsed; its task is started again and the end acknowledged.

Cause: a new agent treated the deadline that the leader knew from its predecessor as the newest that had been granted. The predecessor renews more often than it reports, so the server's deadline may be later. If the known one passed before the new agent had granted its own, ends were voided at once and the lease was then renewed.

Change: in that case the former lease is uncertain again, as it is when the known deadline has passed before the first listing.

Test: test_end_after_the_known_deadline_may_be_within_the_lease failed before. test_lapse_after_the_takeover_is_detected held the fault: it expected the lapse at the known deadline, 2 s before the former lease has certainly ended. It now demands that nothing is reported before that moment, and the lapse at it; it failed before as well.

--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -98,6 +98,7 @@
         self._void_upto = 0
         self._granted_until = None
         self._former_deadline_ms = 0
+        self._former_lease_end = None
         self._uncertain_until = None
         self._trouble = ''
         self._listed = set()
@@ -183,7 +184,8 @@
         """Record how long a predecessor's lease may keep runs alive."""
         if reply.doubt_ms:
             self._former_deadline_ms = reply.former_deadline_ms
-            self._uncertain_until = now + reply.doubt_ms * MILLISECOND
+            self._former_lease_end = now + reply.doubt_ms * MILLISECOND
+            self._uncertain_until = self._former_lease_end
 
     def _record_order(self, order, now):
         known = self.runs.get(order.run)
@@ -352,6 +354,7 @@
             sent_at: Monotonic time at which the request was sent.
             now: Monotonic time at which the listing arrived.
         """
+        self._doubt_former_lease(listing)
         if not self._resolve_uncertain_lease(listing, now):
             return self._build_report(listing)
         if 0 < self._granted_deadline_ms <= listing.clock_ms:
@@ -387,6 +390,19 @@
             **fields,
         )
 
+    def _doubt_former_lease(self, listing):
+        """Doubt the former lease again once its known deadline has passed.
+
+        Unless a later deadline was granted here in time: an earlier agent may
+        have granted one that it did not report.
+        """
+        former = self._former_deadline_ms
+        if self._granted_deadline_ms == former and (
+            0 < former <= listing.clock_ms
+        ):
+            self._granted_deadline_ms = 0
+            self._uncertain_until = self._former_lease_end
+
     def _resolve_uncertain_lease(self, listing, now):
         """Determine whether the lease expired under an earlier agent.
 
