Test what a refused connection to a worker is taken for

Cause: no test held that the agent takes it for proof that all runs there have ended, and reports them as lapsed.

Change: a test of the present behaviour only. It also shows the limit of the proof: the same incarnation may take connections later. Whether a worker that runs refuses connections was not measured here.

--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -95,3 +95,12 @@
         later = self.start_incarnation(2)
         self.start(self.build_target(2))
         self.assertIn('/run-start', [path for path, _ in later.calls])
+
+    def test_refused_connection_is_taken_for_the_end_of_a_worker(self):
+        # Nothing listens at the address of a worker that has ended. A worker
+        # that only refused connections for a while would be taken for ended.
+        target = self.build_target(1)
+        self.start_incarnation(1).server.stop()
+        self.assertRaises(errors.GoneError, self.hold, target)
+        self.start_incarnation(1)
+        self.assertEqual(1, self.hold(target).born_ms)
