Give a task up that crashes the servers that start it

A task that crashed each server that started it was started again without end: a crash ends a run as lapsed, and only failed runs counted against max_attempts.

The tables now count per task the crashes of servers that had just started it. Only a crash that is certain counts: a refused connection or a later life of a server that wasn't draining. Runs at work for a second and starts that never left the agent are not suspected. A suspected task starts apart from the newly started runs of other workflows, on at most a share of the servers, so that a second crash there is its own; then its workflow fails with that reason.

--- a/bilberryhaven/commands/backend.py
+++ b/bilberryhaven/commands/backend.py
@@ -41,6 +41,7 @@
         epoch: Epoch of the registration to which that applies. If an agent
             has registered since, the server may run tasks again and stays.
             0 in entries of earlier versions, which applies to any.
+        suspects: If it has crashed, the runs that may have caused that.
     """
 
     key: str
@@ -48,6 +49,7 @@
     reason: str
     checkpoints: list[workflow_commands.RunCheckpoint] = []
     epoch: int = 0
+    suspects: list[workflow_commands.RunRef] = []
 
     def apply(self, state):
         """Remove the backend server and end its runs as lapsed.
@@ -60,5 +62,6 @@
             return False
         state.backends.remove(self.key)
         workflow_commands.save_checkpoints(state, self.checkpoints)
+        workflow_commands.record_crash(state, self.key, self.suspects, self.at)
         workflow_commands.end_all_runs(state, self.key, self.at)
         return True
--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -21,12 +21,17 @@
     'StartRuns',
     'StopRuns',
     'SubmitWorkflow',
+    'record_crash',
     'save_checkpoints',
 ]
 
 DONE = 'done'
 FAILED = 'failed'
 MAX_FAILED_ON = 8
+# Crashes under a task after which its workflow fails: if no other workflow's
+# task can have caused the last one, and in any case.
+MAX_CERTAIN_CRASHES = 2
+MAX_CRASHES = 3
 
 
 class EndHow:
@@ -331,6 +336,49 @@
             task.checkpoint = row.checkpoint
 
 
+def record_crash(state, backend, suspects, at):
+    """Count a crash of a backend server for the tasks suspected of it.
+
+    A workflow fails once a task of it has certainly crashed several servers.
+    To be called before the runs of the server are ended; a run that has ended
+    isn't counted.
+
+    Args:
+        state: The replicated tables.
+        backend: Key of the backend server.
+        suspects: The ``RunRef`` rows of the runs that may have caused it.
+        at: Unix time in seconds.
+    """
+    counted = []
+    for ref in suspects:
+        row = state.workflows.find(ref.workflow)
+        if row is None or row.state != workflow.WorkflowState.ACTIVE:
+            continue
+        task = row.find_task(ref.task)
+        known = any(
+            run.number == ref.number and run.backend == backend
+            for run in task.runs
+        )
+        if known and not task.done:
+            task.crashes += 1
+            state.workflows.update(row.id)
+            counted.append((row, ref.task, task))
+    is_certain = len({row.id for row, _, _ in counted}) == 1
+    limit = MAX_CERTAIN_CRASHES if is_certain else MAX_CRASHES
+    for row, key, task in counted:
+        if (
+            task.crashes >= limit
+            and row.state == workflow.WorkflowState.ACTIVE
+        ):
+            _end_workflow(
+                state,
+                row,
+                workflow.WorkflowState.FAILED,
+                at,
+                f'{task.crashes} backend servers crashed under task {key}',
+            )
+
+
 def end_all_runs(state, backend, at):
     """End all runs of a backend server that is known to run none any more.
 
--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -142,6 +142,8 @@
         checkpoint: Newest checkpoint to resume from, or empty.
         failed_on: Keys of the backend servers on which it failed last, oldest
             first.
+        crashes: Number of backend servers that crashed soon after they had
+            started it.
     """
 
     done: bool = False
@@ -150,6 +152,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     checkpoint: str = ''
     failed_on: list[str] = dataclasses.field(default_factory=list)
+    crashes: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -242,9 +242,7 @@
             if deadline is None or not allowed:
                 break
             try:
-                result = self._client.start_run(
-                    target, order, deadline_ms=deadline, epoch=epoch
-                )
+                result = self._send_start(target, epoch, order, deadline)
             except errors.PeerError as error:
                 trouble = f'no answer to the start request: {error.message}'
                 refused = None
@@ -274,6 +272,18 @@
             backend=target.state.id,
         )
 
+    def _send_start(self, target, epoch, order, deadline_ms):
+        with self._lock:
+            self._supervisor.count_start(order.run, 1)
+        try:
+            return self._client.start_run(
+                target, order, deadline_ms=deadline_ms, epoch=epoch
+            )
+        except errors.GoneError:
+            with self._lock:
+                self._supervisor.count_start(order.run, -1)
+            raise
+
     def _start_pacing(self, target, epoch, order):
         with self._lock:
             percent = self._supervisor.get_percent(order.run)
@@ -472,6 +482,8 @@
             now, self._options.lease_margin
         ):
             return
+        # A server that leaves as planned is draining before.
+        crashed = gone and not supervisor.draining
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
         self._lapse_report = message.Report(
@@ -479,6 +491,8 @@
             key=supervisor.key,
             epoch=supervisor.epoch,
             lapsed=True,
+            crashed=crashed,
+            unsent=supervisor.list_unsent() if crashed else [],
         )
         log.log_decision(
             _logger,
--- a/bilberryhaven/workflow/candidate.py
+++ b/bilberryhaven/workflow/candidate.py
@@ -92,6 +92,10 @@
             latency-critical tasks.
         best_effort_runs: The ``BestEffortRun`` rows.
         task_counts: Number of its tasks by group.
+        fresh: Ids of the workflows of which it has started tasks a short time
+            ago.
+        suspected: Those among them whose tasks are suspected of crashes, or
+            that wait to start such a task there.
         is_modified: Whether tasks were placed on it since it was built.
     """
 
@@ -120,8 +124,15 @@
     task_counts: dict = dataclasses.field(
         default_factory=lambda: collections.defaultdict(int)
     )
+    fresh: set = dataclasses.field(default_factory=set)
+    suspected: set = dataclasses.field(default_factory=set)
     is_modified: bool = False
 
+    @property
+    def task_count(self):
+        """Number of its tasks."""
+        return sum(self.task_counts.values())
+
     @property
     def serving_cpu(self):
         """Thousandths of a core that latency-critical tasks claim."""
@@ -201,6 +212,30 @@
             BestEffortRun(image=step.image, tenths=weight, rank=rank)
         )
 
+    def accepts(self, workflow_id, *, suspected):
+        """Return whether a task can start as far as crashes are concerned.
+
+        A suspected task and the newly started tasks of other workflows are
+        kept apart.
+
+        Args:
+            workflow_id: Id of the task's workflow.
+            suspected: Whether the task is suspected of a crash.
+        """
+        own = {workflow_id}
+        return self.suspected <= own and (not suspected or self.fresh <= own)
+
+    def add_fresh(self, workflow_id, *, suspected):
+        """Record a task that has just been started here."""
+        self.fresh.add(workflow_id)
+        if suspected:
+            self.suspected.add(workflow_id)
+
+    def reserve(self, workflow_id):
+        """Accept no other workflow in this round, for a suspected task."""
+        self.is_modified = True
+        self.suspected.add(workflow_id)
+
     def claim(self, step, group):
         """Claim the resources of one task of ``step``."""
         self.is_modified = True
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -24,6 +24,7 @@
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import polls
+from bilberryhaven.workflow import probation
 from bilberryhaven.workflow import relocation
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import stragglers
@@ -328,8 +329,13 @@
                     peer=request.agent,
                 )
         for former_key, agent_session in former:
+            # A server that leaves as planned is draining before.
+            draining = agent_session is not None and agent_session.draining
             self._close_backend(
-                former_key, agent_session, 'a later life has begun there'
+                former_key,
+                agent_session,
+                'a later life has begun there',
+                crashed=not draining,
             )
 
     def _open_session(self, row, request, *, inherit=False):
@@ -393,7 +399,11 @@
             self._stop_stragglers(agent_session, now)
         if request.lapsed:
             self._close_backend(
-                request.key, agent_session, 'its agent says it has lapsed'
+                request.key,
+                agent_session,
+                'its agent says it has lapsed',
+                crashed=request.crashed and not agent_session.draining,
+                unsent=request.unsent,
             )
         return message.ReportReply(acked=acked, effects=effects)
 
@@ -697,15 +707,20 @@
                 key, agent_session, 'its agent let the lease run out'
             )
 
-    def _close_backend(self, key, agent_session, reason):
+    def _close_backend(
+        self, key, agent_session, reason, *, crashed=False, unsent=()
+    ):
         """Close a backend server whose runs have certainly ended.
 
         Args:
             key: Its key.
             agent_session: Its ``Session`` as of that decision, or None.
             reason: Why its runs have ended.
+            crashed: Whether the server has certainly crashed.
+            unsent: If so, runs that it has certainly not started.
         """
         saved = []
+        suspects = []
         with self._replica.machine_lock:
             row = self._state.backends.find(key)
             replaced = self._sessions.find(key) is not agent_session
@@ -716,12 +731,15 @@
                 # another session in between.
                 agent_session.close()
                 saved = checkpoints.list_checkpoints(agent_session)
+            if crashed:
+                suspects = self._list_suspects(key, agent_session, unsent)
         command = backend_commands.CloseBackend(
             key=key,
             at=self._clock.wall().timestamp(),
             reason=reason,
             checkpoints=saved,
             epoch=row.epoch,
+            suspects=suspects,
         )
         if not self.propose(command):
             return
@@ -731,8 +749,58 @@
         log.log_decision(
             _logger, 'close backend server', reason=reason, backend=key
         )
+        if crashed:
+            self._log_crash(key, suspects)
         self.wake()
 
+    def _list_suspects(self, key, agent_session, unsent):
+        """Return the runs that may have crashed a backend server."""
+        wall = self._clock.wall().timestamp()
+        self._index.refresh(wall)
+        present = agent_session.present if agent_session is not None else {}
+        fresh = probation.list_fresh_runs(
+            self._index.runs.get(key, {}),
+            present,
+            self._clock.monotonic(),
+            wall,
+        )
+        unsent = set(unsent)
+        return [ref for ref in fresh if ref not in unsent]
+
+    def _log_crash(self, key, suspects):
+        with self._replica.machine_lock:
+            rows = [
+                (ref, self._state.workflows.find(ref.workflow))
+                for ref in suspects
+            ]
+            counts = [
+                (ref.workflow, ref.task, row.find_task(ref.task).crashes)
+                for ref, row in rows
+                if row is not None
+            ]
+            failed = {
+                row.id: row.reason
+                for _, row in rows
+                if row is not None
+                and row.state == workflow.WorkflowState.FAILED
+            }
+        log.log_decision(
+            _logger,
+            'record crash',
+            reason='runs that had just been started are suspected',
+            backend=key,
+            suspects=len(counts),
+            crashes=counts,
+        )
+        for workflow_id, reason in failed.items():
+            log.log_decision(
+                _logger,
+                'give workflow up',
+                reason=reason,
+                workflow=workflow_id,
+                backend=key,
+            )
+
     def _expire(self):
         now = self._clock.monotonic()
         if now - self._expired_at < EXPIRY_INTERVAL:
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -4,6 +4,7 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.workflow import candidate
+from bilberryhaven.workflow import probation
 
 __all__ = ['FleetView']
 
@@ -86,6 +87,7 @@
             if agent_session is not None and ref not in agent_session.present:
                 server.probing |= view.step.best_effort
         server.is_modified = False
+        _add_fresh(entry, views, now)
         if agent_session is not None:
             _add_measurements(entry, views, now)
         return entry
@@ -153,6 +155,20 @@
     )
 
 
+def _add_fresh(entry, views, now):
+    """Add the runs that were started a short time ago."""
+    present = entry.session.present if entry.session is not None else {}
+    for ref, view in views.items():
+        seen = present.get(ref)
+        if probation.is_settled(seen, now):
+            continue
+        task = view.row.find_task(ref.task)
+        entry.server.add_fresh(ref.workflow, suspected=task.crashes > 0)
+        if seen is not None:
+            settles_at = seen.first_at + probation.SETTLING_TIME
+            entry.expires_at = min(entry.expires_at, settles_at)
+
+
 def _add_measurements(entry, views, now):
     """Add measured tail latencies and CPU use of the runs on a server."""
     server, agent_session = entry.server, entry.session
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -222,6 +222,8 @@
         trouble: Why starts fail there, or empty.
         deadline_ms: Deadline of the runs in ms on the server's clock, as
             the server has confirmed it; 0 for none.
+        crashed: Whether ``lapsed`` is known from a crash of the server.
+        unsent: If so, runs whose start was never sent to the server.
     """
 
     agent: str
@@ -235,6 +237,8 @@
     lapsed: bool = False
     trouble: str = ''
     deadline_ms: int = 0
+    crashed: bool = False
+    unsent: list[workflow_commands.RunRef] = []
 
 
 class ReportReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -29,6 +29,10 @@
 LOW_POOL_UTILISATION = 0.5
 # Servers that are compared for a step whose tasks run equally well anywhere.
 MAX_SAMPLE = 160
+# Share of a pool's servers that are kept for tasks suspected of crashes: while
+# other tasks wait, and once these have been placed.
+SUSPECTED_SHARE = 1 / 3
+MAX_SUSPECTED_SHARE = 2 / 3
 
 
 def plan_starts(groups, servers, now, effects=None):
@@ -50,12 +54,60 @@
         if server.open:
             by_pool[server.pool].append(server)
     refusals = _Refusals()
-    for group in sorted(groups, key=rank_group):
-        servers = by_pool[group.row.pool]
-        starts.extend(_place_group(group, servers, now, effects, refusals))
+    suspected, others = _split_suspects(sorted(groups, key=rank_group))
+    # Suspected tasks need servers on which nothing has just been started, so
+    # later in the round they would find none.
+    for batch, share in (
+        (suspected, SUSPECTED_SHARE),
+        (others, 0.0),
+        (suspected, MAX_SUSPECTED_SHARE),
+    ):
+        for group in batch:
+            if not group.keys:
+                continue
+            servers = by_pool[group.row.pool]
+            limit = max(1, int(len(servers) * share))
+            placed = _place_group(
+                group, servers, now, effects, refusals, limit
+            )
+            starts.extend(placed)
+            if batch is suspected:
+                _remove_placed(group, placed)
     return starts
 
 
+def _remove_placed(group, starts):
+    placed = {start.task for start in starts}
+    group.keys = [key for key in group.keys if key not in placed]
+
+
+def _split_suspects(groups):
+    """Return groups of tasks suspected of crashes, and of all others.
+
+    Gangs are not divided.
+    """
+    suspected, others = [], []
+    for group in groups:
+        keys = _list_suspects(group)
+        if not keys:
+            others.append(group)
+            continue
+        if group.step.gang:
+            keys = group.keys
+        rest = [key for key in group.keys if key not in keys]
+        suspected.append(dataclasses.replace(group, keys=keys))
+        if rest:
+            others.append(dataclasses.replace(group, keys=rest))
+    return suspected, others
+
+
+def _list_suspects(group):
+    if not group.row.started:
+        return []
+    tasks = group.row.tasks
+    return [key for key in group.keys if key in tasks and tasks[key].crashes]
+
+
 class _Refusals:
     """Tasks that fit on no server in the current round.
 
@@ -102,10 +154,11 @@
     return (row.priority, due_at, row.id, group.index)
 
 
-def _place_group(group, servers, now, effects, refusals):
+def _place_group(group, servers, now, effects, refusals, max_suspected):
     step = group.step
     starved = _is_starved(group, servers, now)
-    if refusals.include(group) and not starved:
+    suspected = bool(_list_suspects(group))
+    if refusals.include(group) and not starved and not suspected:
         return []
     servers = [item for item in servers if is_eligible(item, step)]
     if not servers:
@@ -113,14 +166,20 @@
     if step.rack_local:
         servers = _choose_rack(group, servers)
     placed = []
-    chooser = _ServerChooser(group, servers, effects, starved=starved)
+    chooser = _ServerChooser(
+        group,
+        servers,
+        effects,
+        starved=starved,
+        max_suspected=max_suspected,
+    )
     for key in group.keys:
         task = group.row.find_task(key)
         server = chooser.choose(task)
         if server is not None:
             placed.append((key, server))
             continue
-        if not placed and not starved:
+        if not placed and not starved and not suspected:
             refusals.add(group)
         if step.gang:
             for _, claimed in placed:
@@ -140,12 +199,13 @@
         effects: The ``InterferenceEffects``.
         starved: Whether the first task starts even where it interferes with
             others.
+        max_suspected: Number of servers that may be kept for suspected tasks.
 
     Attributes:
         group: (workflow id, occurrence, step number).
     """
 
-    def __init__(self, group, servers, effects, *, starved):
+    def __init__(self, group, servers, effects, *, starved, max_suspected):
         self.group = (group.row.id, group.occurrence, group.index)
         self._step = group.step
         self._rank = group.rank
@@ -153,6 +213,7 @@
         self._effects = effects
         self._starved = starved
         self._ranking = None
+        self._max_suspected = max_suspected
 
     def choose(self, task):
         """Return the server on which ``task`` was placed, or None."""
@@ -163,7 +224,10 @@
             rank=self._rank,
             starved=self._starved,
         )
-        if self._starved or task.failures:
+        if task.crashes:
+            self._ranking = None
+            server = self._choose_apart(request)
+        elif self._starved or task.failures:
             # The cost depends on the task, and the placement would make the
             # ranking outdated.
             self._ranking = None
@@ -181,10 +245,37 @@
                 self._ranking.put_back(server)
         return server
 
+    def _choose_apart(self, request):
+        """Return a server for a task that is suspected of a crash, or None.
+
+        If none is ready for it, one is reserved until it is.
+        """
+        workflow_id = self.group[0]
+        servers = self._servers
+        kept = [server for server in servers if server.suspected]
+        if len(kept) >= self._max_suspected and not self._step.gang:
+            servers = [row for row in kept if workflow_id in row.suspected]
+        server = _choose_server(request, servers, self._effects)
+        if server is None:
+            waiting = [
+                row
+                for row in servers
+                if row.accepts(workflow_id, suspected=False)
+                and row.has_capacity(self._step)
+            ]
+            if waiting:
+                best = min(
+                    waiting,
+                    key=lambda row: (len(row.fresh), row.task_count, row.key),
+                )
+                best.reserve(workflow_id)
+        return server
+
 
 def _claim(server, request, effects):
     step = request.step
     server.claim(step, request.group)
+    server.add_fresh(request.group[0], suspected=request.task.crashes > 0)
     if step.best_effort and server.serving:
         server.probing |= not server.is_interference_negligible(step, effects)
         server.add_best_effort_run(step, request.rank, effects)
@@ -360,8 +451,11 @@
         task.
     """
     step, task = request.step, request.task
+    suspected = task.crashes > 0
     if not server.has_capacity(step):
         return None
+    if not server.accepts(request.group[0], suspected=suspected):
+        return None
     if 0 < step.max_per_backend <= server.task_counts[request.group]:
         return None
     if step.best_effort:
@@ -371,6 +465,9 @@
     else:
         colocation = _rate_colocation(server, step)
     return (
+        # A crash of the server ends all other tasks there.
+        suspected and request.group[0] not in server.suspected,
+        suspected and server.task_count,
         server.key in task.failed_on,
         task.failures > 0 and not server.recent_success,
         server.suspect,
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -46,6 +46,7 @@
         stopping: Whether a stop was ordered.
         percent: Percentage of full speed last set for the run, None if
             unknown.
+        starts: Number of start requests that the server may have received.
     """
 
     order: message.Order | None
@@ -54,6 +55,7 @@
     since: datetime.timedelta
     stopping: bool = False
     percent: int | None = pacing.FULL_PERCENT
+    starts: int = 0
 
 
 class RunSupervisor:
@@ -280,6 +282,29 @@
             or known.since >= self._listing_sent_at
         )
 
+    def count_start(self, run, change):
+        """Count a start request that the server may have received.
+
+        Args:
+            run: The run.
+            change: 1 before the request is sent, -1 once it is certain that
+                the server has not received it.
+        """
+        known = self.runs.get(run)
+        if known is not None:
+            known.starts += change
+
+    def list_unsent(self):
+        """Return the runs whose start the server can't have received."""
+        return [
+            ref
+            for ref, known in self.runs.items()
+            if known.order is not None
+            and not known.starts
+            and known.phase != RunPhase.STARTED
+            and ref not in self._listed
+        ]
+
     def set_phase(self, run, phase, now, *, trouble=''):
         """Set the phase of a run and record why its start failed.
 
