Suspect every start that an earlier agent may have sent

Cause: an agent that had just started reported the starts of its predecessor as unsent if the server crashed before it had listed the runs. The deadly start among them was not suspected.

Change: before its first listing an agent vouches for no start.

Result: test_new_agent_vouches_for_nothing_before_a_listing failed before.

--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -295,7 +295,12 @@
             known.starts += change
 
     def list_unsent(self):
-        """Return the runs whose start the server can't have received."""
+        """Return the runs whose start the server can't have received.
+
+        Before the first listing, an earlier agent may have sent any of them.
+        """
+        if self.listed_epoch != self.epoch:
+            return []
         return [
             ref
             for ref, known in self.runs.items()
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -371,14 +371,27 @@
         now = clocks.seconds(0)
         self.supervisor.handle_poll_reply(reply, now, now)
 
+    def list_runs(self):
+        now = clocks.seconds(0)
+        listing = server_client.Listing(
+            clock_ms=1, born_ms=1, running=[], ends=[]
+        )
+        self.supervisor.handle_listing(listing, 1, now, now)
+
+    def test_new_agent_vouches_for_nothing_before_a_listing(self):
+        """Its predecessor may have sent the start that was deadly."""
+        self.assertEqual([], self.supervisor.list_unsent())
+
     def test_refused_request_is_not_counted(self):
         """A start that met a closed port can't have crashed the server."""
+        self.list_runs()
         self.supervisor.count_start(self.ref, 1)
         self.supervisor.count_start(self.ref, -1)
         self.assertEqual([self.ref], self.supervisor.list_unsent())
 
     def test_unanswered_request_counts(self):
         """A deadly start gets no answer; a later attempt is refused."""
+        self.list_runs()
         self.supervisor.count_start(self.ref, 1)
         self.supervisor.count_start(self.ref, 1)
         self.supervisor.count_start(self.ref, -1)
