Clear the tasks that ran beside a deadly one once it is found

Once a crash is certainly of one task, the others suspected of the same crashes are cleared; a run counts as settled after half a second.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -28,8 +28,8 @@
 DONE = 'done'
 FAILED = 'failed'
 MAX_FAILED_ON = 8
-# Crashes under a task after which its workflow fails: if no other workflow's
-# task can have caused the last one, and in any case.
+# Crashes of which a task is suspected when its workflow fails: if no other
+# workflow's task can have caused the last one, and in any case.
 MAX_CERTAIN_CRASHES = 2
 MAX_CRASHES = 3
 
@@ -361,13 +361,14 @@
         )
         if known and not task.done:
             task.crashes += 1
+            task.suspected_on = [*task.suspected_on, backend]
             state.workflows.update(row.id)
             counted.append((row, ref.task, task))
     is_certain = len({row.id for row, _, _ in counted}) == 1
     limit = MAX_CERTAIN_CRASHES if is_certain else MAX_CRASHES
     for row, key, task in counted:
         if (
-            task.crashes >= limit
+            len(task.suspected_on) >= limit
             and row.state == workflow.WorkflowState.ACTIVE
         ):
             _end_workflow(
@@ -377,6 +378,24 @@
                 at,
                 f'{task.crashes} backend servers crashed under task {key}',
             )
+            if is_certain:
+                _clear_suspects(state, task.suspected_on)
+
+
+def _clear_suspects(state, backends):
+    """Drop the suspicion of crashes whose cause has been found."""
+    for row in list(state.workflows):
+        if row.state != workflow.WorkflowState.ACTIVE or not row.started:
+            continue
+        for task in row.tasks.values():
+            suspected = any(key in backends for key in task.suspected_on)
+            # A task with more crashes stays suspected, since one crash may
+            # have had several causes.
+            if suspected and task.crashes < MAX_CRASHES:
+                task.suspected_on = [
+                    key for key in task.suspected_on if key not in backends
+                ]
+                state.workflows.update(row.id)
 
 
 def end_all_runs(state, backend, at):
--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -144,6 +144,8 @@
             first.
         crashes: Number of backend servers that crashed soon after they had
             started it.
+        suspected_on: Keys of those among them for whose crash no other task
+            is known to be the cause.
     """
 
     done: bool = False
@@ -153,6 +155,7 @@
     checkpoint: str = ''
     failed_on: list[str] = dataclasses.field(default_factory=list)
     crashes: int = 0
+    suspected_on: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -31,7 +31,7 @@
 MAX_SAMPLE = 160
 # Share of a pool's servers that are kept for tasks suspected of crashes: while
 # other tasks wait, and once these have been placed.
-SUSPECTED_SHARE = 1 / 3
+SUSPECTED_SHARE = 1 / 2
 MAX_SUSPECTED_SHARE = 2 / 3
 
 
@@ -105,7 +105,9 @@
     if not group.row.started:
         return []
     tasks = group.row.tasks
-    return [key for key in group.keys if key in tasks and tasks[key].crashes]
+    return [
+        key for key in group.keys if key in tasks and tasks[key].suspected_on
+    ]
 
 
 class _Refusals:
@@ -224,7 +226,7 @@
             rank=self._rank,
             starved=self._starved,
         )
-        if task.crashes:
+        if task.suspected_on:
             self._ranking = None
             server = self._choose_apart(request)
         elif self._starved or task.failures:
@@ -275,7 +277,8 @@
 def _claim(server, request, effects):
     step = request.step
     server.claim(step, request.group)
-    server.add_fresh(request.group[0], suspected=request.task.crashes > 0)
+    suspected = bool(request.task.suspected_on)
+    server.add_fresh(request.group[0], suspected=suspected)
     if step.best_effort and server.serving:
         server.probing |= not server.is_interference_negligible(step, effects)
         server.add_best_effort_run(step, request.rank, effects)
@@ -451,7 +454,7 @@
         task.
     """
     step, task = request.step, request.task
-    suspected = task.crashes > 0
+    suspected = bool(task.suspected_on)
     if not server.has_capacity(step):
         return None
     if not server.accepts(request.group[0], suspected=suspected):
--- a/bilberryhaven/workflow/probation.py
+++ b/bilberryhaven/workflow/probation.py
@@ -11,7 +11,7 @@
 __all__ = ['is_settled', 'list_fresh_runs']
 
 # Time since its first listing after which a run isn't suspected of a crash.
-SETTLING_TIME = clocks.seconds(1)
+SETTLING_TIME = clocks.seconds(0.5)
 # Upper bound on the same time since the start was ordered. It counts if the
 # run was never listed, and after a change of leaders, which resets listings.
 MAX_FRESH_AGE_S = 5.0
