Open sessions in the tests of evacuation with a poll

Cause: a session takes the announced capacity from the poll that opens it, and these tests still opened theirs without one; six of them failed with a TypeError. Nothing else in them changes.

--- a/tests/test_workflow_evacuation.py
+++ b/tests/test_workflow_evacuation.py
@@ -17,6 +17,9 @@
 from tests import workflow_fakes as fakes
 
 NOW = clocks.seconds(100)
+POLL = message.Poll(
+    agent='a', server=message.ServerState(id='a', born_ms=1, pool=fakes.POOL)
+)
 LEAD_S = evacuation.LEAD_TIME.total_seconds()
 
 
@@ -31,7 +34,9 @@
         world.start('w', '0.0.0', 1, 'a')
         world.workflow_index.refresh(0)
         ref = workflow_commands.RunRef('w', '0.0.0', 1)
-        agent_session = session.Session(key='a', epoch=1, lease_end=NOW)
+        agent_session = session.Session(
+            key='a', epoch=1, lease_end=NOW, poll=POLL
+        )
         running = [message.Running(ref, percent=percent)]
         agent_session.record_presence(running, NOW - clocks.seconds(age))
         if leaves_in is not None:
@@ -76,7 +81,9 @@
 
 class DepartureTest(testtools.TestCase):
     def test_repeated_remaining_time_does_not_delay_the_departure(self):
-        agent_session = session.Session(key='a', epoch=1, lease_end=NOW)
+        agent_session = session.Session(
+            key='a', epoch=1, lease_end=NOW, poll=POLL
+        )
         for at, expected in ((5, 5), (6, 5), (4, 4)):
             agent_session.set_departure(clocks.seconds(at))
             self.assertEqual(clocks.seconds(expected), agent_session.leaves_at)
