Take the report of a lapse without a session

Cause: an agent that reports a lapse polls no more, so that a leader that has just taken over has no session of it and refused the report. The tasks there then wait until the server's lease has run out.

Change: a new leader takes the report if its token is the one of the server's row. The agent gives the token up before it reports, so nothing runs under it.

Test: test_new_leader_takes_a_lapse_without_a_session failed before.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -370,6 +370,11 @@
     def _report(self, request):
         self.ensure_ready()
         agent_session = self._sessions.find(request.key)
+        if agent_session is None and self._is_lapse_of_row(request):
+            self._close_backend(
+                request.key, None, 'its agent says it has lapsed'
+            )
+            return message.ReportReply()
         valid = agent_session is not None and not agent_session.closed
         if not valid or agent_session.epoch != request.epoch:
             raise errors.FencedError(
@@ -407,6 +412,17 @@
             )
         return message.ReportReply(acked=acked, effects=effects)
 
+    def _is_lapse_of_row(self, request):
+        # An agent that reports a lapse doesn't poll, so that a new leader has
+        # no session of it.
+        with self._replica.machine_lock:
+            row = self._state.backends.find(request.key)
+            return (
+                request.lapsed
+                and row is not None
+                and row.epoch == request.epoch
+            )
+
     def _record_ends(self, request):
         if not request.ends and not request.upto:
             return 0
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -399,6 +399,20 @@
         for reply in first.values():
             self.assertNotIn(reply.key, self.state.backends)
 
+    def test_new_leader_takes_a_lapse_without_a_session(self):
+        """The agent polls no more, so its tasks would wait for the lease."""
+        first = self.poll()
+        self.replica.term = 2
+        self.report(first, lapsed=True)
+        self.assertNotIn(first.key, self.state.backends)
+
+    def test_new_leader_refuses_the_lapse_of_a_replaced_token(self):
+        first = self.poll()
+        self.poll()
+        self.replica.term = 2
+        self.assertRaises(errors.FencedError, self.report, first, lapsed=True)
+        self.assertIn(first.key, self.state.backends)
+
     def poll_for_long(self):
         """Renew the lease until a whole lease of the term has passed."""
         first = self.poll()
