Count the crash in a lapse that a new leader is told of

Cause: a leader without a session of the server took the report of its lapse, but not that the server had crashed, so that the task that had caused it was started once more than counted.

Change: the crash and the unsent starts are passed on as they are with a session.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -372,7 +372,11 @@
         agent_session = self._sessions.find(request.key)
         if agent_session is None and self._is_lapse_of_row(request):
             self._close_backend(
-                request.key, None, 'its agent says it has lapsed'
+                request.key,
+                None,
+                'its agent says it has lapsed',
+                crashed=request.crashed,
+                unsent=request.unsent,
             )
             return message.ReportReply()
         valid = agent_session is not None and not agent_session.closed
