--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -170,6 +170,16 @@
         self.assertEqual(FAILED, self.find_state('w1'))
         self.assertLessEqual(self.starts['w1', KEY], 3)
 
+    def test_new_leader_counts_a_crash_without_a_session(self):
+        """The agent of a crashed server polls no more."""
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        self.replica.term = 2
+        self.report(first, lapsed=True, crashed=True)
+        task = self.state.workflows.find('w1').find_task(KEY)
+        self.assertEqual(([], 1), (task.runs, task.crashes))
+
     def test_planned_leave_is_no_crash(self):
         """A server that drains and leaves hasn't crashed."""
         self.submit('w1', fakes.build_step(long_running=True))
