Failing: spare a server whose new agent is being registered

Seen in tests only.

A poll commits a new registration and stores its session afterwards. A closing decided in between reads the new epoch with the old session, or with none, so that the epoch in CloseBackend guards nothing: runs that the new agent has been ordered to start are ended, and their tasks are started elsewhere as well.

--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatcher on the leader, with a log that commits immediately."""
 
 import concurrent.futures
+import threading
 
 import testtools
 
@@ -337,6 +338,84 @@
             self.second.epoch, self.state.backends.find(first.key).epoch
         )
 
+    def close_beside_registration(self, decide):
+        """Let a server be closed while a new agent's session is being opened.
+
+        The decision falls after the registration was committed and before
+        the session is stored; the closing is committed after the new agent
+        has received its orders.
+
+        Args:
+            decide: Function without arguments that closes the server.
+
+        Returns:
+            The reply to the new agent's poll.
+        """
+        propose = self.replica.propose
+        decided, answered = threading.Event(), threading.Event()
+
+        def close_late(data, *, timeout):
+            decided.set()
+            answered.wait(10)
+            return propose(data, timeout=timeout)
+
+        def register(data, *, timeout):
+            row = propose(data, timeout=timeout)
+            self.replica.propose = close_late
+            closing.start()
+            decided.wait(1)
+            return row
+
+        closing = threading.Thread(target=decide)
+        self.replica.propose = register
+        try:
+            second = self.poll()
+        finally:
+            answered.set()
+            closing.join()
+            self.replica.propose = propose
+        return second
+
+    def check_spared(self, second):
+        self.assertEqual(
+            ['0.0.0'], [order.run.task for order in second.orders]
+        )
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual([1], [run.number for run in task.runs])
+        self.assertIn(second.key, self.state.backends)
+
+    def test_late_lapse_report_spares_a_server_being_registered(self):
+        """If it ended the runs ordered anew, their tasks would run twice."""
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        second = self.close_beside_registration(
+            lambda: self.report(first, lapsed=True)
+        )
+        self.check_spared(second)
+
+    def test_expired_lease_spares_a_server_being_registered(self):
+        """If it ended the runs ordered anew, their tasks would run twice."""
+        self.submit('w1')
+        self.poll()
+        self.schedule()
+        self.clock.advance(clocks.seconds(20))
+        self.check_spared(
+            self.close_beside_registration(self.leader._close_lapsed)
+        )
+
+    def test_new_leader_spares_a_server_being_registered(self):
+        """As above, by a leader that has no session of the former agent."""
+        self.submit('w1')
+        self.poll()
+        self.schedule()
+        self.replica.term = 2
+        self.leader.ensure_ready()
+        self.clock.advance(clocks.seconds(20))
+        self.check_spared(
+            self.close_beside_registration(self.leader._close_lapsed)
+        )
+
     def test_session_stays_closed_until_its_server_is_closed(self):
         first = self.poll()
         propose = self.replica.propose
