Failing: a rejected run is ordered again; a lost outcome takes capacity

Seen in tests only.

LateOrderTest: a reply to a poll that a new leader has built before the rejection was committed arrives after the reply to the report. The agent has forgotten the run and starts it; its task may run elsewhere.

ReopenedServerTest: the epoch changes without a reset when the leader has closed the server. An order in progress keeps its phase STARTING for ever, since its outcome belongs to the former epoch, and is counted against the capacity.

--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -279,6 +279,40 @@
         self.assertFalse(self.supervisor.may_start(build_ref()))
 
 
+class LateOrderTest(RunSupervisorTest):
+    """A poll's reply may arrive after the reply to a later report."""
+
+    start = message.Order(START, build_ref())
+
+    def test_run_reported_as_rejected_is_never_started(self):
+        """Its task may have been started elsewhere and would run twice."""
+        self.poll(self.start)
+        self.list()
+        # The start was answered as busy: the server doesn't know the run.
+        self.supervisor.set_phase(build_ref(), RunPhase.DOUBTFUL, self.now())
+        self.clock.advance(clocks.seconds(0.1))
+        report = self.list(clock_ms=1100)
+        self.assertEqual([build_ref()], [end.run for end in report.ends])
+        self.supervisor.handle_report_reply(report, message.ReportReply())
+        # A new leader had repeated the order before it recorded the end.
+        self.assertEqual([], self.poll(self.start, feed='g'))
+
+
+class ReopenedServerTest(RunSupervisorTest):
+    """The leader registers the agent anew after it has closed the server."""
+
+    def test_order_of_the_former_session_takes_no_capacity(self):
+        """Its outcome is dropped, so that it would take capacity for ever."""
+        self.supervisor.handle_announcement(
+            build_announcement(sequence=2, cpu=1000)
+        )
+        former, later = build_ref(1), build_ref(2)
+        self.poll(message.Order(START, former, cpu=1000))
+        self.poll(message.Order(START, later, cpu=1000), epoch=8, feed='g')
+        self.list()
+        self.assertTrue(self.supervisor.fits(later))
+
+
 class DoubtfulRunTest(RunSupervisorTest):
     def setUp(self):
         super().setUp()
