Fuzz workflows with busy servers beside late starts

What callers saw: nothing; the fuzzing of workflows couldn't find a start that is executed after a later one was answered as busy, since its servers were never busy.

Change: a world may have servers that answer a share of starts and stops as busy and do nothing; the agent's model stops a run of unknown outcome. A stop that was decided on is repeated and no longer turns into a start again, as in the agent. Without busy servers nothing more is drawn from the generator.

--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -2,14 +2,15 @@
 
 The real dispatcher, planner, commands, sessions and run supervisors run
 against models of servers. Faults are injected: messages are lost, orders are
-executed late, agents and leaders are replaced, servers crash and restart,
-agents are partitioned from the leader. The oracle observes the servers and
-checks that no task runs twice or after its end was acknowledged and that no
-server exceeds its capacity. After all faults have ended, every workflow must
-complete.
+executed late, servers answer as busy, agents and leaders are replaced,
+servers crash and restart, agents are partitioned from the leader. The oracle
+observes the servers and checks that no task runs twice or after its end was
+acknowledged and that no server exceeds its capacity. After all faults have
+ended, every workflow must complete.
 """
 
 import concurrent.futures
+import dataclasses
 import random
 
 from bilberryhaven import clock as clocks
@@ -34,6 +35,23 @@
 StartResult = server_client.StartResult
 
 
+@dataclasses.dataclass
+class PendingOrder:
+    """An order that the agent has yet to complete.
+
+    Attributes:
+        order: The ``Order``.
+        tries: Number of starts that were unanswered or too late.
+        unanswered: Whether a start got no answer.
+        given_up: Whether the run must be stopped before it is reported.
+    """
+
+    order: message.Order
+    tries: int = 0
+    unanswered: bool = False
+    given_up: bool = False
+
+
 class AgentModel:
     """Model of an agent that uses the real ``RunSupervisor``."""
 
@@ -98,7 +116,7 @@
         if self.world.drops_message():
             return
         for order in self.supervisor.handle_poll_reply(reply, now, now):
-            self.pending_orders.append((order, 0))
+            self.pending_orders.append(PendingOrder(order))
 
     def _hold(self):
         supervisor = self.supervisor
@@ -126,17 +144,21 @@
 
     def _execute_orders(self):
         pending_orders, self.pending_orders = self.pending_orders, []
-        for order, tries in pending_orders:
-            if order.kind == message.OrderKind.STOP:
-                self._stop(order)
+        for pending in pending_orders:
+            if (
+                pending.order.kind == message.OrderKind.STOP
+                or pending.given_up
+            ):
+                self._stop(pending)
             else:
-                self._start(order, tries)
+                self._start(pending)
 
-    def _start(self, order, tries):
+    def _start(self, pending):
+        order = pending.order
         supervisor = self.supervisor
         now = self.world.clock.monotonic()
         if supervisor.listed_epoch != supervisor.epoch:
-            self.pending_orders.append((order, tries))
+            self.pending_orders.append(pending)
             return
         if supervisor.is_listed(order.run):
             supervisor.set_phase(order.run, RunPhase.STARTED, now)
@@ -145,31 +167,44 @@
         if (
             deadline is None
             or not supervisor.may_start(order.run)
-            or tries > 2
+            or pending.tries > 2
         ):
-            self._stop(order)
+            self._stop(pending)
             return
         call = (order.run, deadline, supervisor.epoch)
         if self.world.drops_message():
             # There is no answer, and the call may be executed later.
             self.world.delay_call(self.server, call)
-            self.pending_orders.append((order, tries + 1))
+            pending.tries += 1
+            pending.unanswered = True
+            self.pending_orders.append(pending)
             return
-        result = self.world.start(self.server, call)
+        result = StartResult.BUSY
+        if not self.world.is_busy():
+            result = self.world.start(self.server, call)
         if result == StartResult.LATE:
-            self.pending_orders.append((order, tries + 1))
-            return
-        started = result == StartResult.STARTED
-        phase = RunPhase.STARTED if started else RunPhase.DOUBTFUL
-        supervisor.set_phase(order.run, phase, now)
+            pending.tries += 1
+            self.pending_orders.append(pending)
+        elif result == StartResult.STARTED:
+            supervisor.set_phase(order.run, RunPhase.STARTED, now)
+        elif self.is_unknown(pending):
+            self._stop(pending)
+        else:
+            supervisor.set_phase(order.run, RunPhase.DOUBTFUL, now)
 
-    def _stop(self, order):
-        if self.world.drops_message():
-            self.pending_orders.append((order, 3))
+    def is_unknown(self, pending):
+        """Return whether a start that was refused may still be executed."""
+        return pending.unanswered
+
+    def _stop(self, pending):
+        if self.world.drops_message() or self.world.is_busy():
+            pending.given_up = True
+            self.pending_orders.append(pending)
             return
-        self.server.stop(order.run, self.supervisor.epoch, self.world.now)
+        run = pending.order.run
+        self.server.stop(run, self.supervisor.epoch, self.world.now)
         now = self.world.clock.monotonic()
-        self.supervisor.set_phase(order.run, RunPhase.DOUBTFUL, now)
+        self.supervisor.set_phase(run, RunPhase.DOUBTFUL, now)
 
 
 class World:
@@ -178,14 +213,18 @@
     Args:
         seed: Seed of the only random generator.
         agents: Number of agents, each with one server.
+        busy: Share of the starts and stops that servers answer as busy
+            until the faults end; they do nothing then.
+        build_agent: Function of the world and a name that returns an agent.
     """
 
-    def __init__(self, *, seed, agents=3):
+    def __init__(self, *, seed, agents=3, busy=0.0, build_agent=AgentModel):
         self.random = random.Random(seed)
         self.clock = clocks.ManualClock()
         self.now = 0.0
         self.boots = 0
         self.loss = 0.0
+        self.busy = busy
         self.delayed_calls = []
         self.submitted = []
         self.oracle = workflow_server.Oracle()
@@ -201,7 +240,7 @@
         )
         self.leader._fleet._is_fresh = lambda held, now: True
         self._replace_catalog()
-        self.agents = [AgentModel(self, f'a{n}') for n in range(agents)]
+        self.agents = [build_agent(self, f'a{n}') for n in range(agents)]
         for agent in self.agents:
             agent.boot_server()
 
@@ -239,6 +278,10 @@
     def drops_message(self):
         return self.random.random() < self.loss
 
+    def is_busy(self):
+        # Without busy servers, nothing is drawn from the generator.
+        return self.busy > 0 and self.random.random() < self.busy
+
     def start(self, server, call):
         ref, deadline, epoch = call
         if not server.up:
@@ -321,7 +364,7 @@
 
     def settle(self, ticks=400):
         """End all faults and run until all workflows have ended."""
-        self.loss = 0.0
+        self.loss = self.busy = 0.0
         for agent in self.agents:
             agent.partitioned_until = 0.0
         for _ in range(ticks):
@@ -340,9 +383,15 @@
         ]
 
 
-def run_seed(seed, ticks=300):
-    """Run one seed and raise AssertionError if an invariant is violated."""
-    world = World(seed=seed)
+def run_seed(seed, ticks=300, **fields):
+    """Run one seed and raise AssertionError if an invariant is violated.
+
+    Args:
+        seed: Seed of the world.
+        ticks: Number of ticks with faults.
+        fields: Further arguments of the ``World``.
+    """
+    world = World(seed=seed, **fields)
     world.run(ticks)
     world.settle()
     return world
--- a/tests/test_workflow_fuzz.py
+++ b/tests/test_workflow_fuzz.py
@@ -5,6 +5,15 @@
 from tests.fuzz import workflow
 
 SEEDS = range(40)
+BUSY_SEEDS = range(20)
+BUSY = 0.5
+
+
+class FirstAnswerAgent(workflow.AgentModel):
+    """Faulty agent: takes the first answer for the outcome of all starts."""
+
+    def is_unknown(self, pending):
+        return False
 
 
 class WorkflowFuzzTest(testtools.TestCase):
@@ -21,3 +30,26 @@
     def test_agent_restarts_while_its_lease_expires(self):
         # The new agent does not know that the lease expired before it started.
         workflow.run_seed(61)
+
+    def test_invariants_hold_beside_busy_servers(self):
+        """A start without an answer may be executed after a busy one."""
+        starts = 0
+        for seed in BUSY_SEEDS:
+            try:
+                world = workflow.run_seed(seed, busy=BUSY)
+            except AssertionError as error:
+                self.fail(f'seed {seed}: {error}')
+            starts += world.oracle.starts
+        self.assertTrue(starts > 20 * len(BUSY_SEEDS), starts)
+
+    def test_agent_that_trusts_the_first_answer_is_found_out(self):
+        """Without that, the test above could not detect the fault."""
+        found = []
+        for seed in BUSY_SEEDS:
+            try:
+                workflow.run_seed(
+                    seed, busy=BUSY, build_agent=FirstAnswerAgent
+                )
+            except AssertionError as error:
+                found.append(str(error))
+        self.assertTrue(any('works twice' in error for error in found), found)
