Failing: a server that a new leader closes gets no orders

Seen in a test only.

A new leader that has no session of a server decides to close it. While that is being committed, the agent polls under its registered epoch: a session is opened and orders the runs that the commit then ends; they start elsewhere as well.

--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -416,6 +416,34 @@
             self.close_beside_registration(self.leader._close_lapsed)
         )
 
+    def test_server_being_closed_by_a_new_leader_gets_no_orders(self):
+        """The agent comes back while the closing is being committed.
+
+        If it got the orders, their tasks would run twice.
+        """
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        self.replica.term = 2
+        self.leader.ensure_ready()
+        self.clock.advance(clocks.seconds(20))
+        propose = self.replica.propose
+        orders = []
+
+        def poll_first(data, *, timeout):
+            self.replica.propose = propose
+            try:
+                orders.extend(self.poll(epoch=first.epoch).orders)
+            except errors.UnavailableError:
+                pass
+            return propose(data, timeout=timeout)
+
+        self.replica.propose = poll_first
+        self.leader._close_lapsed()
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual([], task.runs)
+        self.assertEqual([], orders)
+
     def test_session_stays_closed_until_its_server_is_closed(self):
         first = self.poll()
         propose = self.replica.propose
