Open no session of a server whose closing may still be committed

Seen in tests only: a task could run twice at the same time.

Cause: a poll commits a registration, or finds a registered one, and stores its session afterwards. A closing decided in between names the epoch of the row, so that it took effect on the new agent's registration and ended runs that the new session had ordered.

Change: the leader remembers the epoch that a closing names until that was committed, or for its term if the outcome is unknown. It opens no session for that epoch. The agent polls again and is registered anew.

Test: test_late_lapse_report_ends_no_run_ordered_anew, test_expired_lease_ends_no_run_ordered_anew, test_new_leader_ends_no_run_ordered_anew and test_server_being_closed_by_a_new_leader_gets_no_orders failed before.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -86,6 +86,9 @@
         self._ready_term = 0
         self._ready_at = clock.monotonic()
         self._ready_lock = threading.Lock()
+        # Epochs of the servers whose closing was proposed, by key. If its
+        # outcome is unknown, it may still be committed.
+        self._closing = {}
         self._expired_at = clock.monotonic()
         self._polls = polls.HeldPolls(max_wait=options.max_poll_wait)
         self._wake = threading.Event()
@@ -155,6 +158,7 @@
                     # they are missing.
                     self._ready_at = self._clock.monotonic()
                     self._sessions.clear()
+                    self._closing.clear()
                 self._health.clear()
                 self._checkpoints.clear()
                 self._ready_term = term
@@ -346,6 +350,10 @@
             request: The ``Poll`` of its agent.
             inherit: Whether the agent is new to the server, so that leases
                 granted by an earlier agent may still be valid.
+
+        Raises:
+            UnavailableError: The backend server is being closed, which
+                would end the runs that the session orders.
         """
         delay = self._options.lease_expiry_delay
         agent_session = session.Session(
@@ -355,6 +363,12 @@
             poll=request,
         )
         with self._replica.machine_lock:
+            if self._closing.get(row.key) == row.epoch:
+                raise errors.UnavailableError(
+                    f'{row.key} is being closed',
+                    step='poll',
+                    peer=request.agent,
+                )
             former = self._sessions.find(row.key)
             if inherit:
                 agent_session.uncertain_until = self._ready_at + delay
@@ -753,6 +767,7 @@
                 saved = checkpoints.list_checkpoints(agent_session)
             if crashed:
                 suspects = self._list_suspects(key, agent_session, unsent)
+            self._closing[key] = row.epoch
         command = backend_commands.CloseBackend(
             key=key,
             at=self._clock.wall().timestamp(),
@@ -761,7 +776,11 @@
             epoch=row.epoch,
             suspects=suspects,
         )
-        if not self.propose(command):
+        closed = self.propose(command)
+        with self._replica.machine_lock:
+            if self._closing.get(key) == row.epoch:
+                del self._closing[key]
+        if not closed:
             return
         if agent_session is not None:
             self._sessions.remove(key, agent_session)
