Drop the orders of a closed server's session

Seen in a test only: starts were given up again and again, as if the server had shrunk.

Cause: a leader that has closed a server answers the agent's next poll with a new epoch, and the agent kept the former session's orders. The outcome of one that was in progress is dropped, since it belongs to the former epoch, so that it stayed in STARTING and was counted against the capacity for ever.

Change: the session is reset when the epoch changes. The closing has ended all runs that the leader had assigned to the server.

Test: test_order_of_the_former_session_takes_no_capacity failed before.

--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -165,10 +165,13 @@
             sent_at: Monotonic time at which the poll was sent.
             now: Monotonic time.
         """
-        self.key = reply.key
         if reply.epoch != self.epoch:
+            if self.epoch:
+                # The leader has closed the server and ended all runs there.
+                self.reset_session()
             self.epoch = reply.epoch
             self._record_former_lease(reply, now)
+        self.key = reply.key
         if reply.feed != self._feed:
             self._feed = reply.feed
             self._seen = 0
