Start no run that was reported as rejected

Seen in tests only: a task could run twice, or start again after its end.

Cause: a run whose start was answered as busy is forgotten once its rejection was acknowledged. A reply of a new leader that was built before that commit, or its orders repeated after a lost reply, order it again; the server, which has never heard of the run, accepts it.

Change: the agent remembers rejected runs until the reply to a poll that it sent after the acknowledgement.

Test: test_run_reported_as_rejected_is_never_started failed before.

--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -91,6 +91,10 @@
         self.paces_changed = False
         self.report_due = False
         self.runs = {}
+        # Runs that were reported as rejected, and those of them that the
+        # reply to the newest poll can't order any more.
+        self._rejected = set()
+        self._settled = set()
         self._feed = ''
         self._seen = 0
         self._lease_end = None
@@ -148,6 +152,7 @@
 
     def build_poll(self):
         """Return the next ``Poll``."""
+        self._settled = set(self._rejected)
         return message.Poll(
             agent=self._agent,
             server=self.target.state,
@@ -181,9 +186,11 @@
         if self._lease_end is None or end > self._lease_end:
             self._lease_end = end
         self.acked = max(self.acked, reply.acked)
-        return [
+        orders = [
             order for order in reply.orders if self._record_order(order, now)
         ]
+        self._rejected -= self._settled
+        return orders
 
     def _record_former_lease(self, reply, now):
         """Record how long a predecessor's lease may keep runs alive."""
@@ -195,6 +202,9 @@
     def _record_order(self, order, now):
         known = self.runs.get(order.run)
         if order.kind == message.OrderKind.START:
+            if order.run in self._rejected:
+                # The reply was built before the leader knew that.
+                return False
             if known is not None:
                 known.order = known.order or order
                 return False
@@ -542,6 +552,8 @@
         for end in report.ends:
             if end.number <= self.acked:
                 self.runs.pop(end.run, None)
+                if end.number == 0:
+                    self._rejected.add(end.run)
                 self._pacer.remove(end.run)
         if report.trouble == self._trouble:
             self._trouble = ''
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -286,6 +286,24 @@
 
     def test_run_reported_as_rejected_is_never_started(self):
         """Its task may have been started elsewhere and would run twice."""
+        self.reject()
+        # A new leader had repeated the order before it recorded the end.
+        self.assertEqual([], self.poll(self.start, feed='g'))
+
+    def test_rejection_acknowledged_during_a_poll_is_remembered(self):
+        """Guards against forgetting it with the reply to that poll."""
+        self.supervisor.build_poll()
+        self.reject()
+        self.assertEqual([], self.poll(self.start, feed='g'))
+
+    def test_rejections_are_forgotten_after_the_next_poll(self):
+        """Guards against a set that grows as long as the session lasts."""
+        self.reject()
+        self.supervisor.build_poll()
+        self.poll(feed='g')
+        self.assertEqual(set(), self.supervisor._rejected)
+
+    def reject(self):
         self.poll(self.start)
         self.list()
         # The start was answered as busy: the server doesn't know the run.
@@ -294,8 +312,6 @@
         report = self.list(clock_ms=1100)
         self.assertEqual([build_ref()], [end.run for end in report.ends])
         self.supervisor.handle_report_reply(report, message.ReportReply())
-        # A new leader had repeated the order before it recorded the end.
-        self.assertEqual([], self.poll(self.start, feed='g'))
 
 
 class ReopenedServerTest(RunSupervisorTest):
