--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -417,6 +417,26 @@
             self.close_beside_registration(self.leader._close_lapsed)
         )
 
+    def test_rejected_run_is_not_ordered_again(self):
+        """The first reply of a new leader is lost, so its orders stay.
+
+        If the run that was rejected meanwhile started, its task would run
+        twice.
+        """
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        (order,) = self.poll(epoch=first.epoch).orders
+        self.replica.term = 2
+        feeds = dict(self.feeds)
+        second = self.poll(epoch=first.epoch)
+        self.assertEqual([order.run], [o.run for o in second.orders])
+        self.feeds = feeds
+        end = workflow_commands.RunEnd(0, order.run, 'rejected')
+        self.report(first, end)
+        third = self.poll(epoch=first.epoch)
+        self.assertNotIn(order.run, [o.run for o in third.orders])
+
     def test_server_being_closed_by_a_new_leader_gets_no_orders(self):
         """The agent comes back while the closing is being committed.
 
