Repeat no order of a run that has ended

Seen in tests only: a task could run twice, or start again after its end.

Cause: a session keeps its orders until the agent has seen them. If the reply of a new leader was lost and the run, whose start had been answered as busy, was reported as rejected meanwhile, the next reply ordered it again, beside its successor on another server.

Change: a session drops the start orders of runs that have ended.

Test: test_rejected_run_is_not_ordered_again failed before.

--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -115,6 +115,12 @@
                 ref for ref in self._ordered_kinds if ref not in views
             ]:
                 del self._ordered_kinds[ref]
+            # The reply that contained them may have been lost.
+            self._orders = [
+                (number, order)
+                for number, order in self._orders
+                if order.kind == message.OrderKind.STOP or order.run in views
+            ]
             for ref, view in views.items():
                 ordered_kind = self._ordered_kinds.get(ref)
                 if view.stopping:
