Suspect runs of ended workflows of a crash as well

A run of a cancelled or failed workflow that was still stopping on a server that crashed wasn't counted among the suspects, so that a task beside it could seem to be the sole one and fail its workflow. A workflow given up is logged once.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -350,21 +350,26 @@
         at: Unix time in seconds.
     """
     counted = []
+    # Runs of a workflow that has ended may be the cause as well.
+    suspected = set()
     for ref in suspects:
         row = state.workflows.find(ref.workflow)
-        if row is None or row.state != workflow.WorkflowState.ACTIVE:
+        if row is None:
             continue
         task = row.find_task(ref.task)
         known = any(
             run.number == ref.number and run.backend == backend
             for run in task.runs
         )
-        if known and not task.done:
+        if not known:
+            continue
+        suspected.add(row.id)
+        if row.state == workflow.WorkflowState.ACTIVE and not task.done:
             task.crashes += 1
             task.suspected_on = [*task.suspected_on, backend]
             state.workflows.update(row.id)
             counted.append((row, ref.task, task))
-    is_certain = len({row.id for row, _, _ in counted}) == 1
+    is_certain = len(suspected) == 1
     limit = MAX_CERTAIN_CRASHES if is_certain else MAX_CRASHES
     for row, key, task in counted:
         if (
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -789,7 +789,7 @@
             _logger, 'close backend server', reason=reason, backend=key
         )
         if crashed:
-            self._log_crash(key, suspects)
+            self._log_crash(key, suspects, command.at)
         self.wake()
 
     def _list_suspects(self, key, agent_session, unsent):
@@ -806,7 +806,7 @@
         unsent = set(unsent)
         return [ref for ref in fresh if ref not in unsent]
 
-    def _log_crash(self, key, suspects):
+    def _log_crash(self, key, suspects, at):
         with self._replica.machine_lock:
             rows = [
                 (ref, self._state.workflows.find(ref.workflow))
@@ -822,6 +822,7 @@
                 for _, row in rows
                 if row is not None
                 and row.state == workflow.WorkflowState.FAILED
+                and row.ended_at == at
             }
         log.log_decision(
             _logger,
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -289,6 +289,15 @@
         self.crash('d', 3, 'v')
         self.assertEqual([FAILED, FAILED], self.list_states())
 
+    def test_run_of_a_cancelled_workflow_is_suspected_too(self):
+        """Else a task beside it would seem to be the sole suspect."""
+        self.crash('a', 1, 'w')
+        for name in ('v', 'w'):
+            self.world.start(name, KEY, 2, 'b')
+        self.world.apply(workflow_commands.CancelWorkflow(id='v', at=3))
+        self.crash('b', 2, 'v', 'w')
+        self.assertEqual(ACTIVE, self.world.find('w').state)
+
     def test_crash_counts_once(self):
         """The same crash may be reported again after a change of leaders."""
         self.crash('a', 1, 'w')
