Fuzz busy servers on thirty seeds; demand both faults of the old agent

Change: thirty seeds for this test and for the mended agent. The faulty agent must now be found by a task that works twice and by one that starts after its end, the fault of the incident; before, the first sufficed.

--- a/tests/test_workflow_fuzz.py
+++ b/tests/test_workflow_fuzz.py
@@ -5,7 +5,7 @@
 from tests.fuzz import workflow
 
 SEEDS = range(40)
-BUSY_SEEDS = range(20)
+BUSY_SEEDS = range(30)
 BUSY = 0.5
 
 
@@ -52,4 +52,5 @@
                 )
             except AssertionError as error:
                 found.append(str(error))
-        self.assertTrue(any('works twice' in error for error in found), found)
+        for fault in ('works twice', 'starts after its task has ended'):
+            self.assertTrue(any(fault in error for error in found), found)
