Accept a heartbeat without accelerators

Cause: since a heartbeat with an incomplete capacity is refused, a worker that leaves its accelerators out could not register. The soak's workers do; jobs leave out fields that are 0 too.

Change: only CPU and memory are required.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -33,11 +33,11 @@
 
 
 class _Capacity(msgspec.Struct):
-    """Capacity of a worker; a missing field doesn't mean that it has none."""
+    """Capacity of a worker; one without accelerators may leave them out."""
 
     cpu: _Amount  # thousandths of a core
     mem_mb: _Amount
-    gpu: _Amount
+    gpu: _Amount = 0
 
 
 class _Heartbeat(msgspec.Struct):
