--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -137,7 +137,7 @@
             self.assertLessEqual(self.starts[task], 3)
 
     def test_others_start_while_a_suspect_waits(self):
-        """Keeping suspects apart must not hold the whole pool up."""
+        """Other tasks still start while suspects are kept apart."""
         self.deadly = {('w0', KEY)}
         self.submit('w0', fakes.build_step(tasks=8))
         self.play(3)
@@ -435,7 +435,7 @@
 
 
 class CrashingClient(server_client.ServerClient):
-    """Server that listens no more once it has been told to start a run."""
+    """Server that refuses connections after its first start request."""
 
     def __init__(self):
         self._crashed = threading.Event()
