Split the dispatcher by its jobs

Cause: dispatcher.py held registration, closing, reports, upkeep and the scheduling round in one class of 904 lines, so that each new decision made it longer.

Change: what the leader remembers beside the tables is LeaderMemory (memory.py). The closing of servers is in closing.py, their registration and leases in registration.py, polls in poll_requests.py, reports in reports.py, expiry, checkpoints and moves of runs in upkeep.py. Stopping runs and logging each stop, written four times before, is in stops.py. Locks and the order of operations stay as they were, except that the log fields of stopped runs are computed for all of them before the first is logged, and those of an evacuation under the lock, before its commit. Tests and the stateful fuzzing reach the same objects through LeaderMemory and BackendCloser; no assertion changed.

--- /dev/null
+++ b/bilberryhaven/workflow/closing.py
@@ -0,0 +1,174 @@
+"""Closing of backend servers whose runs have certainly ended."""
+
+from bilberryhaven.commands import backend as backend_commands
+from bilberryhaven import log
+from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import checkpoints
+from bilberryhaven.workflow import probation
+
+__all__ = ['BackendCloser']
+
+_logger = log.get_logger('workflow')
+
+
+class BackendCloser:
+    """Closes backend servers and records suspects of crashes.
+
+    Args:
+        leader: The ``Dispatcher``.
+        memory: The ``LeaderMemory``.
+        clock: The ``Clock``.
+        options: The workflow ``Options``.
+
+    Attributes:
+        ready_at: Monotonic time at which the term began here.
+    """
+
+    def __init__(self, *, leader, memory, clock, options):
+        self._leader = leader
+        self._memory = memory
+        self._clock = clock
+        self._options = options
+        self.ready_at = clock.monotonic()
+        # Epochs of the servers whose closing was proposed, by key. If its
+        # outcome is unknown, it may still be committed.
+        self._closing = {}
+
+    def begin_term(self):
+        """Discard the sessions of the former term."""
+        with self._memory.lock:
+            # Before the sessions, whose leases are judged by it when they
+            # are missing.
+            self.ready_at = self._clock.monotonic()
+            self._memory.sessions.clear()
+            self._closing.clear()
+
+    def is_closing(self, row):
+        """Return whether the closing of a server's epoch was proposed.
+
+        Args:
+            row: The ``Backend``.
+        """
+        return self._closing.get(row.key) == row.epoch
+
+    def close_lapsed(self):
+        """Close the servers whose leases have expired."""
+        now = self._clock.monotonic()
+        earliest_end = self.ready_at + self._options.lease_expiry_delay
+        with self._memory.lock:
+            lapsed = []
+            for row in self._memory.state.backends:
+                agent_session = self._memory.sessions.find(row.key)
+                end = (
+                    agent_session.lease_end if agent_session else earliest_end
+                )
+                if now >= end:
+                    lapsed.append((row.key, agent_session))
+                    if agent_session is not None:
+                        # No poll may renew the lease from here on, however
+                        # long the closing of other servers takes.
+                        agent_session.close()
+        for key, agent_session in lapsed:
+            self.close_backend(
+                key, agent_session, 'its agent let the lease run out'
+            )
+
+    def close_backend(
+        self, key, agent_session, reason, *, crashed=False, unsent=()
+    ):
+        """Close a backend server whose runs have certainly ended.
+
+        Args:
+            key: Its key.
+            agent_session: Its ``Session`` as of that decision, or None.
+            reason: Why its runs have ended.
+            crashed: Whether the server has certainly crashed.
+            unsent: If so, runs that it has certainly not started.
+        """
+        saved = []
+        suspects = []
+        with self._memory.lock:
+            row = self._memory.state.backends.find(key)
+            replaced = self._memory.sessions.find(key) is not agent_session
+            if row is None or replaced:
+                return
+            if agent_session is not None:
+                # Stays in the table until the commit, so that no poll opens
+                # another session in between.
+                agent_session.close()
+                saved = checkpoints.list_checkpoints(agent_session)
+            if crashed:
+                suspects = self._list_suspects(key, agent_session, unsent)
+            self._closing[key] = row.epoch
+        command = backend_commands.CloseBackend(
+            key=key,
+            at=self._clock.wall().timestamp(),
+            reason=reason,
+            checkpoints=saved,
+            epoch=row.epoch,
+            suspects=suspects,
+        )
+        closed = self._leader.propose(command)
+        with self._memory.lock:
+            if self._closing.get(key) == row.epoch:
+                del self._closing[key]
+        if not closed:
+            return
+        if agent_session is not None:
+            self._memory.sessions.remove(key, agent_session)
+        self._memory.health.remove(key)
+        log.log_decision(
+            _logger, 'close backend server', reason=reason, backend=key
+        )
+        if crashed:
+            self._log_crash(key, suspects, command.at)
+        self._leader.wake()
+
+    def _list_suspects(self, key, agent_session, unsent):
+        """Return the runs that may have crashed a backend server."""
+        wall = self._clock.wall().timestamp()
+        self._memory.index.refresh(wall)
+        present = agent_session.present if agent_session is not None else {}
+        fresh = probation.list_fresh_runs(
+            self._memory.index.runs.get(key, {}),
+            present,
+            self._clock.monotonic(),
+            wall,
+        )
+        unsent = set(unsent)
+        return [ref for ref in fresh if ref not in unsent]
+
+    def _log_crash(self, key, suspects, at):
+        with self._memory.lock:
+            rows = [
+                (ref, self._memory.state.workflows.find(ref.workflow))
+                for ref in suspects
+            ]
+            counts = [
+                (ref.workflow, ref.task, row.find_task(ref.task).crashes)
+                for ref, row in rows
+                if row is not None
+            ]
+            failed = {
+                row.id: row.reason
+                for _, row in rows
+                if row is not None
+                and row.state == workflow.WorkflowState.FAILED
+                and row.ended_at == at
+            }
+        log.log_decision(
+            _logger,
+            'record crash',
+            reason='runs that had just been started are suspected',
+            backend=key,
+            suspects=len(counts),
+            crashes=counts,
+        )
+        for workflow_id, reason in failed.items():
+            log.log_decision(
+                _logger,
+                'give workflow up',
+                reason=reason,
+                workflow=workflow_id,
+                backend=key,
+            )
--- /dev/null
+++ b/bilberryhaven/workflow/memory.py
@@ -0,0 +1,90 @@
+"""What the leader remembers beside the replicated tables."""
+
+from bilberryhaven.workflow import fleet
+from bilberryhaven.workflow import health
+from bilberryhaven.workflow import interference
+from bilberryhaven.workflow import pacing
+from bilberryhaven.workflow import session
+from bilberryhaven.workflow import stragglers
+from bilberryhaven.workflow import urgency
+from bilberryhaven.workflow import workflow_index
+
+__all__ = ['LeaderMemory']
+
+
+class LeaderMemory:
+    """Sessions, health, measurements and the views derived from them.
+
+    The methods require that ``lock`` is held.
+
+    Args:
+        machine: The ``TableStateMachine`` that committed commands are
+            applied to.
+        lock: The lock of the state machine.
+        clock: The ``Clock``.
+        options: The workflow ``Options``.
+
+    Attributes:
+        state: The replicated tables.
+        lock: The lock of the state machine.
+        sessions: The ``SessionTable``.
+        health: The ``HealthTable``.
+        interference: The ``InterferenceModel``.
+        run_times: The ``RunTimes`` of the queues.
+        index: The ``WorkflowIndex``.
+        fleet: The ``FleetView``.
+    """
+
+    def __init__(self, *, machine, lock, clock, options):
+        self._clock = clock
+        self.state = machine.state
+        self.lock = lock
+        self.sessions = session.SessionTable()
+        self.health = health.HealthTable()
+        self.interference = interference.InterferenceModel()
+        self.run_times = stragglers.RunTimes()
+        self.index = workflow_index.WorkflowIndex(
+            machine.state, ranker=urgency.ValueRanker(times=self.run_times)
+        )
+        self.fleet = fleet.FleetView(
+            state=machine.state,
+            index=self.index,
+            sessions=self.sessions,
+            health=self.health,
+            options=options,
+        )
+
+    def order_runs(self, agent_session):
+        """Order what the log assigns to the server of a session.
+
+        Args:
+            agent_session: The ``Session``.
+        """
+        views = self.index.runs.get(agent_session.key, {})
+        row = self.state.backends.find(agent_session.key)
+        if row is None:
+            return
+        row = agent_session.capacity.apply_to(row)
+
+        def find_percent(view):
+            if self.interference.is_interference_negligible(
+                row, views, view.step
+            ):
+                return pacing.FULL_PERCENT
+            return pacing.INITIAL_PERCENT
+
+        agent_session.reconcile_runs(views, find_percent)
+
+    def refresh_fleet(self, now):
+        """Order changed runs and return the ``Server`` rows.
+
+        Args:
+            now: Unix time in seconds.
+        """
+        self.index.refresh(now)
+        for key in self.index.take_changed():
+            self.fleet.invalidate(key)
+            agent_session = self.sessions.find(key)
+            if agent_session is not None:
+                self.order_runs(agent_session)
+        return self.fleet.list_servers(self._clock.monotonic())
--- /dev/null
+++ b/bilberryhaven/workflow/registration.py
@@ -0,0 +1,215 @@
+"""Registration of backend servers and the sessions of their agents."""
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.commands import backend as backend_commands
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.tables import backend
+from bilberryhaven.workflow import session
+
+__all__ = ['SessionKeeper', 'check_open']
+
+MS_PER_S = 1000
+
+_logger = log.get_logger('workflow')
+
+
+class SessionKeeper:
+    """Opens backend servers and sessions, and renews leases.
+
+    Args:
+        leader: The ``Dispatcher``.
+        memory: The ``LeaderMemory``.
+        closer: The ``BackendCloser``.
+        clock: The ``Clock``.
+        options: The workflow ``Options``.
+    """
+
+    def __init__(self, *, leader, memory, closer, clock, options):
+        self._leader = leader
+        self._memory = memory
+        self._closer = closer
+        self._clock = clock
+        self._options = options
+
+    def find_or_open(self, key, request):
+        """Return the session of a backend server that polls.
+
+        Args:
+            key: The key of the server.
+            request: The ``Poll`` of its agent.
+
+        Returns:
+            The ``Session``.
+
+        Raises:
+            FencedError: Another agent or a later incarnation is registered.
+            UnavailableError: The backend server is being closed.
+        """
+        with self._memory.lock:
+            row = self._memory.state.backends.find(key)
+            agent_session = self._memory.sessions.find(key)
+        if row is not None and request.epoch > 0:
+            if row.epoch != request.epoch:
+                raise errors.FencedError(
+                    f'epoch {request.epoch} of backend server {key} was '
+                    f'replaced by epoch {row.epoch}',
+                    step='poll',
+                    peer=request.agent,
+                )
+            if agent_session is not None and agent_session.epoch == row.epoch:
+                return agent_session
+            return self._open_session(row, request)
+        known = row is not None
+        row = self._open_backend(key, request)
+        return self._open_session(row, request, inherit=known)
+
+    def _open_backend(self, key, request):
+        self._close_former_incarnations(key, request)
+        server = request.server
+        row = backend.Backend(
+            key=key,
+            id=server.id,
+            instance=request.agent,
+            pool=server.pool,
+            zone=server.zone,
+            labels=server.labels,
+            rack=server.rack,
+            cpu=server.cpu,
+            memory_mb=server.memory_mb,
+            gpu=server.gpu,
+        )
+        command = backend_commands.OpenBackend(
+            backend=row, at=self._clock.wall().timestamp()
+        )
+        row = self._leader.propose(command)
+        log.log_decision(
+            _logger,
+            'open backend server',
+            reason='registered by its agent',
+            backend=key,
+            instance=request.agent,
+            epoch=row.epoch,
+        )
+        return row
+
+    def _close_former_incarnations(self, key, request):
+        """Close the earlier incarnations of the server on an instance.
+
+        Raises:
+            FencedError: A later incarnation is registered: the poll was
+                held up by the network.
+        """
+        born_ms = request.server.born_ms
+        with self._memory.lock:
+            former = [
+                (row.key, self._memory.sessions.find(row.key))
+                for row in self._memory.state.backends.select(
+                    'instance', request.agent
+                )
+                if row.key != key
+            ]
+        for other_key, _ in former:
+            if backend.get_born_ms(other_key) > born_ms:
+                raise errors.FencedError(
+                    f'{key} was replaced by {other_key}',
+                    step='poll',
+                    peer=request.agent,
+                )
+        for former_key, agent_session in former:
+            # A server that leaves as planned is draining before.
+            draining = agent_session is not None and agent_session.draining
+            self._closer.close_backend(
+                former_key,
+                agent_session,
+                'a later life has begun there',
+                crashed=not draining,
+            )
+
+    def _open_session(self, row, request, *, inherit=False):
+        """Open the session of a backend server and order its runs.
+
+        Args:
+            row: The ``Backend``.
+            request: The ``Poll`` of its agent.
+            inherit: Whether the agent is new to the server, so that leases
+                granted by an earlier agent may still be valid.
+
+        Raises:
+            UnavailableError: The backend server is being closed, which
+                would end the runs that the session orders.
+        """
+        delay = self._options.lease_expiry_delay
+        agent_session = session.Session(
+            key=row.key,
+            epoch=row.epoch,
+            lease_end=self._clock.monotonic() + delay,
+            poll=request,
+        )
+        with self._memory.lock:
+            if self._closer.is_closing(row):
+                raise errors.UnavailableError(
+                    f'{row.key} is being closed',
+                    step='poll',
+                    peer=request.agent,
+                )
+            former = self._memory.sessions.find(row.key)
+            if inherit:
+                agent_session.uncertain_until = self._closer.ready_at + delay
+            if inherit and former is not None:
+                agent_session.uncertain_until = former.lease_end
+                agent_session.deadline_ms = former.deadline_ms
+            self._memory.sessions.put(agent_session)
+            self._memory.index.refresh(self._clock.wall().timestamp())
+            self._memory.order_runs(agent_session)
+        self._leader.wake()
+        return agent_session
+
+    def renew_lease(self, agent_session, request):
+        """Renew the lease of a server and record what its poll announces.
+
+        Args:
+            agent_session: The ``Session``.
+            request: The ``Poll``.
+
+        Raises:
+            UnavailableError: The session is closed.
+        """
+        server = request.server
+        with self._memory.lock:
+            check_open(agent_session)
+            now = self._clock.monotonic()
+            agent_session.lease_end = now + self._options.lease_expiry_delay
+            agent_session.draining = server.draining
+            if server.draining:
+                remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
+                agent_session.set_departure(now + remaining)
+            changed = agent_session.update_capacity(request)
+        if changed:
+            log.log_decision(
+                _logger,
+                'change capacity',
+                reason='announced by the backend server',
+                backend=agent_session.key,
+                cpu=server.cpu,
+                memory_mb=server.memory_mb,
+                gpu=server.gpu,
+            )
+            self._leader.wake()
+
+
+def check_open(agent_session):
+    """Check that a session is open.
+
+    Args:
+        agent_session: The ``Session``.
+
+    Raises:
+        UnavailableError: It is closed.
+    """
+    if agent_session.closed:
+        raise errors.UnavailableError(
+            'session was closed while the poll was pending',
+            step='poll',
+            peer=agent_session.key,
+        )
--- /dev/null
+++ b/bilberryhaven/workflow/reports.py
@@ -0,0 +1,221 @@
+"""Handles the reports of the agents."""
+
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.workflow import message
+from bilberryhaven.workflow import stops
+from bilberryhaven.workflow import stragglers
+
+__all__ = ['ReportHandler']
+
+_logger = log.get_logger('workflow')
+
+
+class ReportHandler:
+    """Records ends and measurements of runs that agents report.
+
+    Args:
+        leader: The ``Dispatcher``.
+        memory: The ``LeaderMemory``.
+        closer: The ``BackendCloser``.
+        clock: The ``Clock``.
+    """
+
+    def __init__(self, *, leader, memory, closer, clock):
+        self._leader = leader
+        self._memory = memory
+        self._closer = closer
+        self._clock = clock
+
+    def handle(self, request):
+        """Record what an agent reports about its server.
+
+        Args:
+            request: The ``Report``.
+
+        Returns:
+            The ``ReportReply``.
+
+        Raises:
+            FencedError: The session that it belongs to doesn't exist.
+            NotLeaderError: This instance is not the leader.
+        """
+        self._leader.ensure_ready()
+        agent_session = self._memory.sessions.find(request.key)
+        if agent_session is None and self._is_lapse_of_row(request):
+            self._closer.close_backend(
+                request.key,
+                None,
+                'its agent says it has lapsed',
+                crashed=request.crashed,
+                unsent=request.unsent,
+            )
+            return message.ReportReply()
+        valid = agent_session is not None and not agent_session.closed
+        if not valid or agent_session.epoch != request.epoch:
+            raise errors.FencedError(
+                f'session with epoch {request.epoch} of backend server '
+                f'{request.key} does not exist',
+                step='report',
+                peer=request.agent,
+            )
+        acked = self._record_ends(request)
+        now = self._clock.monotonic()
+        agent_session.deadline_ms = max(
+            agent_session.deadline_ms, request.deadline_ms
+        )
+        agent_session.paused = request.paused
+        if request.trouble and self._memory.health.quarantine(
+            request.key, now
+        ):
+            log.log_decision(
+                _logger,
+                'set backend server aside',
+                reason=request.trouble,
+                backend=request.key,
+            )
+        effects = []
+        if request.listed:
+            agent_session.record_presence(request.running, now)
+            self._stop_unknown_runs(agent_session, request)
+            effects = self._observe_interference(agent_session, now)
+            self._stop_stragglers(agent_session, now)
+        if request.lapsed:
+            self._closer.close_backend(
+                request.key,
+                agent_session,
+                'its agent says it has lapsed',
+                crashed=request.crashed and not agent_session.draining,
+                unsent=request.unsent,
+            )
+        return message.ReportReply(acked=acked, effects=effects)
+
+    def _is_lapse_of_row(self, request):
+        # An agent that reports a lapse doesn't poll, so that a new leader has
+        # no session of it.
+        with self._memory.lock:
+            row = self._memory.state.backends.find(request.key)
+            return (
+                request.lapsed
+                and row is not None
+                and row.epoch == request.epoch
+            )
+
+    def _record_ends(self, request):
+        if not request.ends and not request.upto:
+            return 0
+        command = workflow_commands.RecordEnds(
+            backend=request.key,
+            ends=request.ends,
+            upto=request.upto,
+            at=self._clock.wall().timestamp(),
+            epoch=request.epoch,
+        )
+        self._record_run_times(request)
+        recorded = self._leader.propose(command)
+        ignored = set(recorded.ignored)
+        for end in request.ends:
+            self._handle_end(request.key, end, ignored=end.run in ignored)
+        self._leader.wake()
+        return recorded.acked
+
+    def _record_run_times(self, request):
+        now = self._clock.wall().timestamp()
+        with self._memory.lock:
+            views = self._memory.index.runs.get(request.key, {})
+            for end in request.ends:
+                view = views.get(end.run)
+                if view is not None and end.how == workflow_commands.DONE:
+                    seconds = now - view.ordered_at
+                    self._memory.run_times.record(view.row.queue, seconds)
+
+    def _handle_end(self, key, end, *, ignored):
+        log.log_decision(
+            _logger,
+            'ignore end' if ignored else 'record end',
+            reason=end.how,
+            workflow=end.run.workflow,
+            task=end.run.task,
+            run=end.run.number,
+            backend=key,
+            number=end.number,
+        )
+        if end.how not in (workflow_commands.DONE, workflow_commands.FAILED):
+            return
+        newly_quarantined = self._memory.health.record(
+            key,
+            end.run.workflow,
+            failed=end.how == workflow_commands.FAILED,
+            now=self._clock.monotonic(),
+        )
+        if newly_quarantined:
+            log.log_decision(
+                _logger,
+                'set backend server aside',
+                reason='consecutive runs of different workflows failed',
+                backend=key,
+            )
+
+    def _stop_stragglers(self, agent_session, now):
+        with self._memory.lock:
+            views = self._memory.index.runs.get(agent_session.key, {})
+            slow = stragglers.list_stragglers(
+                views, agent_session.present, self._memory.run_times, now
+            )
+        if not slow:
+            return
+        self._memory.health.mark_slow(agent_session.key, now)
+        self._leader.propose(workflow_commands.StopRuns(runs=slow))
+        self._leader.wake()
+        stopped = [
+            (
+                ref,
+                {
+                    'percent': agent_session.present[ref].running.percent,
+                    'backend': agent_session.key,
+                },
+            )
+            for ref in slow
+        ]
+        stops.log_stops(
+            stopped,
+            'stop straggler',
+            reason='much slower than the mean run time of its queue',
+        )
+
+    def _observe_interference(self, agent_session, now):
+        with self._memory.lock:
+            row = self._memory.state.backends.find(agent_session.key)
+            if row is None:
+                return []
+            row = agent_session.capacity.apply_to(row)
+            views = self._memory.index.runs.get(agent_session.key, {})
+            self._memory.interference.observe(
+                row, views, agent_session.present, now
+            )
+            pairs = self._memory.interference.list_interfering_runs(
+                row, views, agent_session.present
+            )
+            agent_session.interfering = [ref for _, ref in pairs]
+            return self._memory.interference.list_present_effects(views)
+
+    def _stop_unknown_runs(self, agent_session, request):
+        """Stop reported runs that the replicated tables don't contain."""
+        with self._memory.lock:
+            self._memory.index.refresh(self._clock.wall().timestamp())
+            known = self._memory.index.runs.get(request.key, {})
+            unknown = [
+                row.run for row in request.running if row.run not in known
+            ]
+            self._memory.order_runs(agent_session)
+        ordered = [
+            (ref, {'backend': request.key})
+            for ref in unknown
+            if agent_session.order_stop(ref)
+        ]
+        stops.log_stops(
+            ordered,
+            'stop unknown run',
+            reason='listed, but not assigned to the server',
+        )
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -230,15 +230,16 @@
         self.oracle = workflow_server.Oracle()
         self.machine = machine.TableStateMachine()
         self.replica = workflow_replica.FakeReplica(self.machine)
+        self.options = options.Options(
+            max_poll_wait=clocks.seconds(0.0), lease=clocks.seconds(2)
+        )
         self.leader = dispatcher.Dispatcher(
             replica=self.replica,
             machine=self.machine,
             clock=self.clock,
-            options=options.Options(
-                max_poll_wait=clocks.seconds(0.0), lease=clocks.seconds(2)
-            ),
+            options=self.options,
         )
-        self.leader._fleet._is_fresh = lambda held, now: True
+        self.leader._memory.fleet._is_fresh = lambda held, now: True
         self._replace_catalog()
         self.agents = [build_agent(self, f'a{n}') for n in range(agents)]
         for agent in self.agents:
@@ -341,14 +342,14 @@
 
     def check_fleet_view(self):
         """Check the cached servers against servers built from all state."""
-        leader = self.leader
-        cached = leader._refresh_fleet(self.clock.wall().timestamp())
+        memory = self.leader._memory
+        cached = memory.refresh_fleet(self.clock.wall().timestamp())
         view = fleet.FleetView(
-            state=leader._state,
-            index=leader._index,
-            sessions=leader._sessions,
-            health=leader._health,
-            options=leader._options,
+            state=memory.state,
+            index=memory.index,
+            sessions=memory.sessions,
+            health=memory.health,
+            options=self.options,
         )
         view._is_fresh = lambda held, now: True
         built = view.list_servers(self.clock.monotonic())
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -402,7 +402,7 @@
         self.schedule()
         self.clock.advance(clocks.seconds(20))
         self.check_not_ended(
-            self.close_beside_registration(self.leader._close_lapsed)
+            self.close_beside_registration(self.leader._closer.close_lapsed)
         )
 
     def test_new_leader_ends_no_run_ordered_anew(self):
@@ -414,7 +414,7 @@
         self.leader.ensure_ready()
         self.clock.advance(clocks.seconds(20))
         self.check_not_ended(
-            self.close_beside_registration(self.leader._close_lapsed)
+            self.close_beside_registration(self.leader._closer.close_lapsed)
         )
 
     def test_rejected_run_is_not_ordered_again(self):
@@ -460,7 +460,7 @@
             return propose(data, timeout=timeout)
 
         self.replica.propose = poll_first
-        self.leader._close_lapsed()
+        self.leader._closer.close_lapsed()
         task = self.state.workflows.find('w1').find_task('0.0.0')
         self.assertEqual([], task.runs)
         self.assertEqual([], orders)
@@ -559,13 +559,13 @@
     def test_new_term_closes_no_server_while_it_begins(self):
         """A round of the former term runs beside the reset of sessions."""
         first = self.poll_for_long()
-        clear = self.leader._sessions.clear
+        clear = self.leader._memory.sessions.clear
 
         def clear_beside_a_round():
             clear()
-            self.leader._close_lapsed()
+            self.leader._closer.close_lapsed()
 
-        self.leader._sessions.clear = clear_beside_a_round
+        self.leader._memory.sessions.clear = clear_beside_a_round
         self.replica.term = 2
         self.leader.ensure_ready()
         self.assertIn(first.key, self.state.backends)
@@ -760,7 +760,7 @@
     def test_only_polls_with_orders_are_answered(self):
         self.submit('w1', fakes.build_step(tasks=3, cpu=64_000))
         self.schedule()
-        views = self.leader._index.runs
+        views = self.leader._memory.index.runs
         chosen = {
             self.state.backends.find(key).instance
             for key, runs in views.items()
