--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -11,6 +11,7 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import candidate
+from bilberryhaven.workflow import colocation
 
 __all__ = ['can_take_best_effort', 'is_eligible', 'plan_starts']
 
@@ -462,11 +463,11 @@
     if 0 < step.max_per_backend <= server.task_counts[request.group]:
         return None
     if step.best_effort:
-        colocation = _rate_best_effort(server, request, effects)
-        if colocation is None:
+        rating = _rate_best_effort(server, request, effects)
+        if rating is None:
             return None
     else:
-        colocation = _rate_colocation(server, step)
+        rating = colocation.rate_colocation(server, step)
     return (
         # A crash of the server ends all other tasks there.
         suspected and request.group[0] not in server.suspected,
@@ -475,26 +476,11 @@
         task.failures > 0 and not server.recent_success,
         server.suspect,
         bool(step.data_rack) and server.rack != step.data_rack,
-        *colocation,
+        *rating,
         -server.spare_cpu / max(server.cpu, 1),
     )
 
 
-def _rate_colocation(server, step):
-    """Return the sort key of a server by the tasks that run there.
-
-    How much a best-effort task interferes with a latency-critical one depends
-    on the pair of their images. So latency-critical tasks are packed on few
-    servers, a best-effort task is placed where there are none or where it is
-    known to raise no tail, and other tasks fill up the servers that
-    best-effort tasks avoid.
-    """
-    best_effort_share = round(server.best_effort_cpu / max(server.cpu, 1), 1)
-    if step.target_ms:
-        return (best_effort_share, -server.serving_cpu)
-    return (not server.serving, best_effort_share)
-
-
 def _rate_best_effort(server, request, effects):
     """Return the sort key of a server for a best-effort task.
 
