Take servers with throttled or new best-effort runs for less full

A run that its agent throttles uses little CPU, which says nothing about the CPU that is spare; and the effect of a new run need not be measured where it is known.

Change: agents report the pace at which a gauge was measured, and satisfaction is relative to it. A run that no listing shows yet counts with its predicted effect; only one of unknown effect keeps others away.

The fuzz check of the fleet view gets the same effects as the view that it compares.

--- a/bilberryhaven/workflow/candidate.py
+++ b/bilberryhaven/workflow/candidate.py
@@ -165,6 +165,17 @@
                 return False
         return True
 
+    def is_interference_known(self, step, effects):
+        """Return whether the effects of a best-effort task here are known.
+
+        Args:
+            step: The ``Step`` of the task.
+            effects: The ``InterferenceEffects``.
+        """
+        return all(
+            effects.is_known(image, step.image) for image in self.serving
+        )
+
     def predict_speed_share(self, step, rank, effects):
         """Predict how fast one more best-effort task may run.
 
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -11,6 +11,7 @@
 # CPU use of a run is a mean over half a second, so the figure of a younger run
 # covers only part of that window.
 MIN_SAMPLE_AGE = clocks.seconds(0.7)
+FULL_PACE = 100
 
 
 class FleetView:
@@ -26,14 +27,18 @@
         sessions: The ``SessionTable``.
         health: The ``HealthTable``.
         options: The workflow ``Options``.
+        effects: The ``InterferenceEffects``; None assumes no interference.
     """
 
-    def __init__(self, *, state, index, sessions, health, options):
+    def __init__(
+        self, *, state, index, sessions, health, options, effects=None
+    ):
         self._state = state
         self._index = index
         self._sessions = sessions
         self._health = health
         self._options = options
+        self._effects = effects or candidate.InterferenceEffects()
         self._journal = state.backends.open_journal()
         self._entries = {}
 
@@ -82,16 +87,36 @@
         )
         entry = _Entry(server=server, session=agent_session)
         views = self._index.runs.get(row.key, {})
-        for ref, view in views.items():
+        for view in views.values():
             server.claim(view.step, view.group)
-            if agent_session is not None and ref not in agent_session.present:
-                server.probing |= view.step.best_effort
-        server.is_modified = False
         _add_fresh(entry, views, now)
         if agent_session is not None:
             _add_measurements(entry, views, now)
+            self._add_unmeasured_runs(entry, views, now)
+        server.is_modified = False
         return entry
 
+    def _add_unmeasured_runs(self, entry, views, now):
+        """Add best-effort runs whose effect no listing shows yet.
+
+        They count with their predicted effect, if that is known. Otherwise
+        no further one is started there until they have been measured.
+        """
+        server = entry.server
+        for ref, view in views.items():
+            if not view.step.best_effort or view.stopping:
+                continue
+            seen = entry.session.present.get(ref)
+            if seen is not None:
+                counts_at = seen.first_at + MIN_SAMPLE_AGE
+                if now >= counts_at:
+                    continue
+                entry.expires_at = min(entry.expires_at, counts_at)
+            if server.is_interference_known(view.step, self._effects):
+                server.add_best_effort_run(view.step, view.rank, self._effects)
+            else:
+                server.probing = True
+
     def _update_state(self, entry, now):
         server, agent_session = entry.server, entry.session
         server.open = (
@@ -183,6 +208,8 @@
             continue
         if not view.step.best_effort:
             continue
+        if now < seen.first_at + MIN_SAMPLE_AGE:
+            continue
         server.best_effort_runs.append(
             candidate.BestEffortRun(
                 image=view.step.image,
@@ -192,12 +219,8 @@
                 rank=view.rank,
             )
         )
-        counts_at = seen.first_at + MIN_SAMPLE_AGE
-        if now < counts_at:
-            server.probing = True
-            entry.expires_at = min(entry.expires_at, counts_at)
-        elif ref not in agent_session.interfering:
-            requested += view.step.cpu
+        if ref not in agent_session.interfering:
+            requested += view.step.cpu * seen.running.pace / FULL_PACE
             used += seen.running.gauge
     if requested:
         server.satisfaction = used / requested
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -52,6 +52,7 @@
             sessions=self.sessions,
             health=self.health,
             options=options,
+            effects=self.interference,
         )
 
     def order_runs(self, agent_session):
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -145,12 +145,15 @@
         percent: Progress; for a long-running task, whether it is working.
         gauge: Tail latency in ms of a task that serves users, CPU usage of
             any other.
+        pace: Percentage of full speed that the run was allowed while the
+            gauge was measured.
     """
 
     run: workflow_commands.RunRef
     checkpoint: str = ''
     percent: float = 0
     gauge: float = 0
+    pace: int = 100
 
 
 class Poll(Request, kw_only=True):
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -46,6 +46,7 @@
         stopping: Whether a stop was ordered.
         percent: Percentage of full speed last set for the run, None if
             unknown.
+        listed_percent: The same at the listing before the newest one.
         starts: Number of start requests that the server may have received.
     """
 
@@ -55,6 +56,7 @@
     since: datetime.timedelta
     stopping: bool = False
     percent: int | None = pacing.FULL_PERCENT
+    listed_percent: int | None = pacing.FULL_PERCENT
     starts: int = 0
 
 
@@ -221,6 +223,7 @@
                 phase=phase,
                 since=now,
                 percent=percent,
+                listed_percent=percent,
             )
             if order.best_effort:
                 self._add_to_pacer(order)
@@ -413,6 +416,7 @@
         self.listed_epoch = epoch
         if len(listing.ends) < server_client.MAX_ENDS:
             self._resolve_doubtful_runs({end.run for end in ends}, sent_at)
+        self._add_allowed_paces(listing.running)
         self._update_paces(listing.running, now)
         return self._build_report(
             listing,
@@ -488,6 +492,16 @@
             if known.phase == RunPhase.ABSENT
         ]
 
+    def _add_allowed_paces(self, running):
+        # A gauge is a mean over the time since the listing before, within
+        # which the pace may have been raised.
+        for row in running:
+            known = self.runs.get(row.run)
+            if known is None or known.percent is None:
+                continue
+            row.pace = min(known.percent, known.listed_percent or 0)
+            known.listed_percent = known.percent
+
     def _update_paces(self, running, now):
         tails = self.list_tail_latencies(running)
         self.paces_changed = self._pacer.update(tails, self._effects, now)
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -350,6 +350,7 @@
             sessions=memory.sessions,
             health=memory.health,
             options=self.options,
+            effects=memory.interference,
         )
         view._is_fresh = lambda held, now: True
         built = view.list_servers(self.clock.monotonic())
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -417,6 +417,17 @@
         pace = self.supervisor._pacer._paces[build_ref()]
         self.assertEqual(2, pace.tenths)
 
+    def test_gauge_is_reported_with_the_lower_of_two_paces(self):
+        """Guards against taking a run that was throttled for a slow one."""
+        ref = build_ref()
+        self.poll(message.Order(START, ref, best_effort=True, image='f'))
+        reported = []
+        for percent in (20, 70, 70):
+            self.supervisor.record_pace(ref, percent)
+            report = self.list(running=[ref])
+            reported.append(report.running[0].pace)
+        self.assertEqual([20, 20, 70], reported)
+
     def test_poll_numbers_the_announced_capacity(self):
         self.supervisor.handle_announcement(
             build_announcement(sequence=5, cpu=10_000)
