Suspect no task of a crash that is part of an outage

Each suspected task starts apart, on a server where nothing else is new, so up to half of the servers were kept for them while a thousand tasks waited; and an innocent task had one of its two crashes counted.

Change: servers that crash although they have started nothing show that the cause is no task. From the third within two seconds on, nothing is suspected, and the suspicion of the crashes before is taken back by a command (workflow/outage).

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'CancelWorkflow',
+    'ClearSuspects',
     'EndHow',
     'ExpireWorkflows',
     'FailWorkflow',
@@ -318,6 +319,37 @@
                 state.workflows.remove(workflow_id)
 
 
+class ClearSuspects(commands.Command):
+    """Takes back the suspicion of crashes that no task has caused.
+
+    Attributes:
+        backends: Keys of the backend servers that crashed.
+    """
+
+    backends: list[str]
+
+    def apply(self, state):
+        """Drop these crashes; return the number of tasks cleared of them."""
+        cleared = 0
+        for row in list(state.workflows):
+            changed = False
+            for task in row.tasks.values():
+                kept = [
+                    key
+                    for key in task.suspected_on
+                    if key not in self.backends
+                ]
+                dropped = len(task.suspected_on) - len(kept)
+                if dropped:
+                    task.suspected_on = kept
+                    task.crashes -= dropped
+                    cleared += 1
+                    changed = True
+            if changed:
+                state.workflows.update(row.id)
+        return cleared
+
+
 def save_checkpoints(state, checkpoints):
     """Store the checkpoints of the runs that have not ended.
 
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -1,9 +1,11 @@
 """Closing of backend servers whose runs have certainly ended."""
 
 from bilberryhaven.commands import backend as backend_commands
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import log
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import checkpoints
+from bilberryhaven.workflow import outage
 from bilberryhaven.workflow import probation
 
 __all__ = ['BackendCloser']
@@ -33,6 +35,7 @@
         # Epochs of the servers whose closing was proposed, by key. If its
         # outcome is unknown, it may still be committed.
         self._closing = {}
+        self._outages = outage.OutageDetector()
 
     def begin_term(self):
         """Discard the sessions of the former term."""
@@ -42,6 +45,7 @@
             self.ready_at = self._clock.monotonic()
             self._memory.sessions.clear()
             self._closing.clear()
+            self._outages.clear()
 
     def is_closing(self, row):
         """Return whether the closing of a server's epoch was proposed.
@@ -87,6 +91,7 @@
         """
         saved = []
         suspects = []
+        cleared = []
         with self._memory.lock:
             row = self._memory.state.backends.find(key)
             replaced = self._memory.sessions.find(key) is not agent_session
@@ -99,6 +104,10 @@
                 saved = checkpoints.list_checkpoints(agent_session)
             if crashed:
                 suspects = self._list_suspects(key, agent_session, unsent)
+                now = self._clock.monotonic()
+                if self._outages.record(key, suspects, now):
+                    suspects = []
+                    cleared = self._outages.take_suspected()
             self._closing[key] = row.epoch
         command = backend_commands.CloseBackend(
             key=key,
@@ -122,8 +131,24 @@
         )
         if crashed:
             self._log_crash(key, suspects, command.at)
+            self._clear_suspects(cleared)
         self._leader.wake()
 
+    def _clear_suspects(self, keys):
+        """Clear the tasks suspected of crashes that an outage explains."""
+        if not keys:
+            return
+        count = self._leader.propose(
+            workflow_commands.ClearSuspects(backends=keys)
+        )
+        log.log_decision(
+            _logger,
+            'clear suspects',
+            reason='servers that had started nothing crashed at the same time',
+            crashes=len(keys),
+            tasks=count,
+        )
+
     def _list_suspects(self, key, agent_session, unsent):
         """Return the runs that may have crashed a backend server."""
         wall = self._clock.wall().timestamp()
