Stop stragglers only where their server is slow or they stand still

Cause: runs whose remaining time exceeded twice the mean run time of their queue were stopped. Under run times with a heavy tail those were long tasks on sound servers, whose work began anew.

Change: run times are kept as a distribution by queue and image; progress is measured over the last seconds; the speed of a server is the median over its tasks, each compared with the other tasks of its step. A run is stopped if it stands still, or if its server is slow, another one has room and a new start ends sooner, with the saved progress counted. Evacuation uses the typical remaining time at the run's age instead of the mean.

--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -38,12 +38,13 @@
         self._outages = outage.OutageDetector()
 
     def begin_term(self):
-        """Discard the sessions of the former term."""
+        """Discard the sessions and measurements of the former term."""
         with self._memory.lock:
             # Before the sessions, whose leases are judged by it when they
             # are missing.
             self.ready_at = self._clock.monotonic()
             self._memory.sessions.clear()
+            self._memory.monitor.clear()
             self._closing.clear()
             self._outages.clear()
 
@@ -121,6 +122,8 @@
         with self._memory.lock:
             if self._closing.get(key) == row.epoch:
                 del self._closing[key]
+            if closed:
+                self._memory.monitor.remove(key)
         if not closed:
             return
         if agent_session is not None:
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -18,6 +18,7 @@
 from bilberryhaven.workflow import poll_requests
 from bilberryhaven.workflow import registration
 from bilberryhaven.workflow import reports
+from bilberryhaven.workflow import run_watch
 from bilberryhaven.workflow import upkeep
 
 __all__ = ['Dispatcher']
@@ -74,8 +75,15 @@
             clock=clock,
             options=options,
         )
+        self._watch = run_watch.RunWatch(
+            leader=self, memory=self._memory, clock=clock
+        )
         self._upkeep = upkeep.RunUpkeep(
-            leader=self, memory=self._memory, clock=clock, options=options
+            leader=self,
+            memory=self._memory,
+            watch=self._watch,
+            clock=clock,
+            options=options,
         )
         self._ready_term = 0
         self._ready_lock = threading.Lock()
@@ -88,6 +96,7 @@
             leader=self,
             memory=self._memory,
             closer=self._closer,
+            watch=self._watch,
             clock=self._clock,
         )
         caller_requests = callers.CallerRequestHandler(
--- a/bilberryhaven/workflow/evacuation.py
+++ b/bilberryhaven/workflow/evacuation.py
@@ -14,6 +14,8 @@
 # A run with less progress than this, in percent, gives no estimate of its
 # remaining time.
 MIN_PERCENT = 1
+# Share of the runs that the typical remaining time covers.
+TYPICAL_SHARE = 0.5
 
 
 def list_evacuations(agent_session, views, times, now):
@@ -26,7 +28,7 @@
     Args:
         agent_session: The ``Session`` of the server.
         views: ``RunView`` by run, all that the log assigns to it.
-        times: The measured ``RunTimes`` of the queues.
+        times: The measured ``RunTimes``.
         now: Monotonic time.
     """
     if agent_session.leaves_at is None:
@@ -52,8 +54,10 @@
 
 def _estimate_remaining_s(view, seen, times, now):
     """Return the remaining time of a run in s, or None if unknown."""
+    age_s = (now - seen.first_at).total_seconds() if seen is not None else 0.0
     if seen is not None and seen.running.percent >= MIN_PERCENT:
         completed = seen.running.percent / 100
-        age_s = (now - seen.first_at).total_seconds()
         return age_s * (1 - completed) / completed
-    return times.find(view.row.queue)
+    return times.remaining(
+        view.row.queue, age_s, TYPICAL_SHARE, image=view.step.image
+    )
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -4,8 +4,8 @@
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import interference
 from bilberryhaven.workflow import pacing
+from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import session
-from bilberryhaven.workflow import stragglers
 from bilberryhaven.workflow import urgency
 from bilberryhaven.workflow import workflow_index
 
@@ -30,7 +30,7 @@
         sessions: The ``SessionTable``.
         health: The ``HealthTable``.
         interference: The ``InterferenceModel``.
-        run_times: The ``RunTimes`` of the queues.
+        monitor: The ``RunMonitor``.
         index: The ``WorkflowIndex``.
         fleet: The ``FleetView``.
     """
@@ -42,9 +42,10 @@
         self.sessions = session.SessionTable()
         self.health = health.HealthTable()
         self.interference = interference.InterferenceModel()
-        self.run_times = stragglers.RunTimes()
+        self.monitor = run_monitor.RunMonitor()
         self.index = workflow_index.WorkflowIndex(
-            machine.state, ranker=urgency.ValueRanker(times=self.run_times)
+            machine.state,
+            ranker=urgency.ValueRanker(times=self.monitor.times),
         )
         self.fleet = fleet.FleetView(
             state=machine.state,
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -5,7 +5,6 @@
 from bilberryhaven import log
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import stops
-from bilberryhaven.workflow import stragglers
 
 __all__ = ['ReportHandler']
 
@@ -19,13 +18,15 @@
         leader: The ``Dispatcher``.
         memory: The ``LeaderMemory``.
         closer: The ``BackendCloser``.
+        watch: The ``RunWatch``.
         clock: The ``Clock``.
     """
 
-    def __init__(self, *, leader, memory, closer, clock):
+    def __init__(self, *, leader, memory, closer, watch, clock):
         self._leader = leader
         self._memory = memory
         self._closer = closer
+        self._watch = watch
         self._clock = clock
 
     def handle(self, request):
@@ -80,7 +81,7 @@
             agent_session.record_presence(request.running, now)
             self._stop_unknown_runs(agent_session, request)
             effects = self._observe_interference(agent_session, now)
-            self._stop_stragglers(agent_session, now)
+            self._watch.observe(agent_session)
         if request.lapsed:
             self._closer.close_backend(
                 request.key,
@@ -112,7 +113,7 @@
             at=self._clock.wall().timestamp(),
             epoch=request.epoch,
         )
-        self._record_run_times(request)
+        self._watch.record_ends(request.key, request.ends)
         recorded = self._leader.propose(command)
         ignored = set(recorded.ignored)
         for end in request.ends:
@@ -120,16 +121,6 @@
         self._leader.wake()
         return recorded.acked
 
-    def _record_run_times(self, request):
-        now = self._clock.wall().timestamp()
-        with self._memory.lock:
-            views = self._memory.index.runs.get(request.key, {})
-            for end in request.ends:
-                view = views.get(end.run)
-                if view is not None and end.how == workflow_commands.DONE:
-                    seconds = now - view.ordered_at
-                    self._memory.run_times.record(view.row.queue, seconds)
-
     def _handle_end(self, key, end, *, ignored):
         log.log_decision(
             _logger,
@@ -157,33 +148,6 @@
                 backend=key,
             )
 
-    def _stop_stragglers(self, agent_session, now):
-        with self._memory.lock:
-            views = self._memory.index.runs.get(agent_session.key, {})
-            slow = stragglers.list_stragglers(
-                views, agent_session.present, self._memory.run_times, now
-            )
-        if not slow:
-            return
-        self._memory.health.mark_slow(agent_session.key, now)
-        self._leader.propose(workflow_commands.StopRuns(runs=slow))
-        self._leader.wake()
-        stopped = [
-            (
-                ref,
-                {
-                    'percent': agent_session.present[ref].running.percent,
-                    'backend': agent_session.key,
-                },
-            )
-            for ref in slow
-        ]
-        stops.log_stops(
-            stopped,
-            'stop straggler',
-            reason='much slower than the mean run time of its queue',
-        )
-
     def _observe_interference(self, agent_session, now):
         with self._memory.lock:
             row = self._memory.state.backends.find(agent_session.key)
--- /dev/null
+++ b/bilberryhaven/workflow/run_monitor.py
@@ -0,0 +1,115 @@
+"""What a leader learns of the speed of runs, tasks and servers."""
+
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.workflow import progress
+from bilberryhaven.workflow import run_times
+from bilberryhaven.workflow import server_speed
+from bilberryhaven.workflow import stragglers
+
+__all__ = ['RunMonitor']
+
+
+class RunMonitor:
+    """Measures progress, run times and the speed of servers.
+
+    It is in the leader's memory only. A new leader keeps the run times of its
+    former terms, and learns the rest from two listings of each server.
+
+    Not thread-safe: callers must hold the state machine's lock.
+
+    Attributes:
+        times: The ``RunTimes``.
+        progress: The ``ProgressTable``.
+        speeds: The ``ServerSpeeds``.
+    """
+
+    def __init__(self):
+        self.times = run_times.RunTimes()
+        self.progress = progress.ProgressTable()
+        self.speeds = server_speed.ServerSpeeds(times=self.times)
+        self._slow = {}
+
+    def clear(self):
+        """Forget what was measured in an earlier term, but run times."""
+        self.progress.clear()
+        self.speeds.clear()
+        self._slow.clear()
+
+    def remove(self, backend):
+        """Forget a backend server that was closed."""
+        self.progress.remove(backend)
+        self.speeds.remove(backend)
+        self._slow.pop(backend, None)
+
+    def record_ends(self, views, ends, now, wall, *, rack=''):
+        """Include runs that have ended.
+
+        Args:
+            views: ``RunView`` by run, all that the log assigns to the server.
+            ends: The ``RunEnd`` rows.
+            now: Monotonic time.
+            wall: Unix time in seconds.
+            rack: Rack of the server.
+        """
+        for end in ends:
+            view = views.get(end.run)
+            if view is None or end.how != workflow_commands.DONE:
+                continue
+            if view.step.saves_progress and end.run.number > 1:
+                # It may have resumed from a checkpoint.
+                continue
+            seconds = wall - view.ordered_at
+            self.times.record(view.row.queue, seconds, image=view.step.image)
+            self.speeds.record_end(view, seconds, now, rack=rack)
+
+    def observe(self, backend, views, present, now, *, rack=''):
+        """Take the newest listing of a server into account.
+
+        Args:
+            backend: Key of the backend server.
+            views: ``RunView`` by run, all that the log assigns to it.
+            present: ``Presence`` by run.
+            now: Monotonic time.
+            rack: Rack of the server.
+
+        Returns:
+            The ``RunRef`` rows of runs that stand still.
+        """
+        runs = self.progress.observe(backend, present, now)
+        pairs = [(views[ref], runs[ref]) for ref in runs if ref in views]
+        self.speeds.observe(backend, pairs, now, rack=rack)
+        stalled, slow = stragglers.list_stragglers(
+            views, runs, self.speeds, self.times, now
+        )
+        self._slow[backend] = slow
+        return stalled
+
+    @property
+    def has_slow(self):
+        """Whether there may be slow runs to restart elsewhere."""
+        return any(self._slow.values())
+
+    def take_slow(self, runs, list_servers):
+        """Return the slow runs for which another server has room, once.
+
+        Args:
+            runs: ``RunView`` by run, by key of the backend server.
+            list_servers: Function that returns the ``Server`` rows; it is
+                called only if there are slow runs.
+        """
+        views = [
+            runs[backend][ref]
+            for backend, refs in self._slow.items()
+            for ref in refs
+            if ref in runs.get(backend, {})
+        ]
+        self._slow.clear()
+        waiting = [view for view in views if not view.stopping]
+        if not waiting:
+            return []
+        servers = list_servers()
+        return [
+            view
+            for view in waiting
+            if stragglers.has_room_elsewhere(view, servers)
+        ]
--- a/bilberryhaven/workflow/stragglers.py
+++ b/bilberryhaven/workflow/stragglers.py
@@ -1,69 +1,120 @@
-"""Detection of runs that are far slower than others of their queue."""
+"""Runs that would end sooner if they were started again elsewhere.
 
-__all__ = ['RunTimes', 'list_stragglers']
+The load that it answers: run times with a heavy tail on servers some of which
+turn slow or stand still for seconds. A long task on a sound server is left
+alone: stopped, it would only begin anew. So a run is a straggler only if the
+speed of its server says so, or if it stands still.
+"""
+
+from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import server_speed
+
+__all__ = ['estimate_restart_s', 'has_room_elsewhere', 'list_stragglers']
 
-# Weight of the newest run, for a mean over about the last 20 runs.
-NEWEST_WEIGHT = 0.05
 # Progress is listed twice a second, so little is known of a younger run.
 MIN_AGE_S = 1.0
-# A run is a straggler if its remaining time exceeds the mean run time of its
-# queue by more than this factor. Then a new start on another server ends
-# sooner, even if the mean is a poor estimate.
-MAX_REMAINING_FACTOR = 2.0
+# Time that a stop and a new start take.
+RESTART_DELAY_S = 0.5
+# A run is a straggler if its remaining time exceeds that of a new start by
+# more than this factor. The server may become faster in the meantime.
+MIN_GAIN = 1.5
+# The same factor for a task that may be copied, which loses no work.
+MIN_COPIED_GAIN = 3.0
+# A run stands still if one percent takes longer than this, and than this
+# multiple of the time that one percent takes a long task of its queue.
+MIN_STALL_S = 1.0
+STALL_FACTOR = 6.0
+LONG_SHARE = 0.98
 # Tasks with this many starts are not moved again.
 MAX_STARTS = 3
+FULL_PERCENT = 100
+
 
+def list_stragglers(views, runs, speeds, times, now):
+    """Return the runs of one server that would end sooner elsewhere.
 
-class RunTimes:
-    """Mean run times of tasks by queue, held in the leader's memory only.
+    Args:
+        views: ``RunView`` by run, all that the log assigns to the server.
+        runs: ``RunProgress`` by run, from the server's listings.
+        speeds: The ``ServerSpeeds``.
+        times: The ``RunTimes``.
+        now: Monotonic time.
 
-    They are measured because declared run times are far off.
+    Returns:
+        (stalled, slow): ``RunRef`` rows of runs that stand still, and of
+        runs that are slow since their server is.
     """
+    stalled, slow = [], []
+    for ref, seen in runs.items():
+        view = views.get(ref)
+        if view is None or view.stopping or seen.age_s < MIN_AGE_S:
+            continue
+        if ref.number >= MAX_STARTS:
+            continue
+        if not server_speed.is_comparable(view.step):
+            continue
+        if _is_stalled(view, seen, speeds, times, now):
+            stalled.append(ref)
+        elif _is_slowed(view, seen, speeds.find(view.backend, now)):
+            slow.append(ref)
+    return stalled, slow
 
-    def __init__(self):
-        self._means = {}
 
-    def record(self, queue, seconds):
-        """Add the run time of a task that has succeeded.
+def _is_stalled(view, seen, speeds, times, now):
+    long_s = times.quantile(
+        view.row.queue, LONG_SHARE, image=view.step.image
+    ) or speeds.find_typical(view, now)
+    if long_s is None:
+        return False
+    per_percent_s = max(long_s / FULL_PERCENT, seen.seconds_per_percent or 0.0)
+    return seen.stalled_s > max(MIN_STALL_S, STALL_FACTOR * per_percent_s)
 
-        Args:
-            queue: Name of the queue.
-            seconds: The run time.
-        """
-        known = self._means.get(queue, seconds)
-        self._means[queue] = known + NEWEST_WEIGHT * (seconds - known)
 
-    def find(self, queue):
-        """Return a queue's mean in seconds, or None if no task has ended."""
-        return self._means.get(queue)
+def _is_slowed(view, seen, speed):
+    restart_s = estimate_restart_s(view, seen, speed)
+    if restart_s is None or not server_speed.is_slow(speed):
+        return False
+    copies = view.step.speculative
+    gain = MIN_COPIED_GAIN if copies else MIN_GAIN
+    return seen.remaining_s > gain * restart_s
 
 
-def list_stragglers(views, present, times, now):
-    """Return the runs that would end sooner if restarted elsewhere.
+def estimate_restart_s(view, seen, speed):
+    """Return when a run would end if it were started again elsewhere.
 
     Args:
-        views: ``RunView`` by run, all that the log assigns to one server.
-        present: ``Presence`` by run, from the server's newest listing.
-        times: The ``RunTimes``.
-        now: Monotonic time as a timedelta.
+        view: Its ``RunView``.
+        seen: Its ``RunProgress``.
+        speed: Speed of its server, relative to the others.
+
+    Returns:
+        The time in seconds from now, or None if it isn't known.
     """
-    found = []
-    for ref, seen in present.items():
-        view = views.get(ref)
-        if view is None or view.stopping or not _is_comparable(view.step):
-            continue
-        mean = times.find(view.row.queue)
-        age = (now - seen.first_at).total_seconds()
-        if mean is None or age < MIN_AGE_S or ref.number >= MAX_STARTS:
-            continue
-        completed = max(seen.running.percent, 1) / 100
-        remaining = age * (1 - completed) / completed
-        if remaining > MAX_REMAINING_FACTOR * mean:
-            found.append(ref)
-    return found
+    if seen.total_s is None:
+        return None
+    needed_s = seen.total_s * min(speed, 1.0)
+    if view.step.saves_progress:
+        needed_s *= 1 - seen.percent / FULL_PERCENT
+    return RESTART_DELAY_S + needed_s
+
 
+def has_room_elsewhere(view, servers):
+    """Return whether a server of normal speed can take a run's task now.
 
-def _is_comparable(step):
-    # Best-effort tasks are throttled, the tasks of a gang wait for each other,
-    # and long-running tasks do not end.
-    return not (step.best_effort or step.gang or step.long_running)
+    Args:
+        view: The ``RunView``.
+        servers: The ``Server`` rows; the task is claimed on the one found.
+    """
+    for server in servers:
+        if (
+            server.key != view.backend
+            and server.open
+            and server.pool == view.row.pool
+            and not server.suspect
+            and not server_speed.is_slow(server.speed)
+            and planner.is_eligible(server, view.step)
+            and server.has_capacity(view.step)
+        ):
+            server.claim(view.step, view.group)
+            return True
+    return False
--- a/bilberryhaven/workflow/upkeep.py
+++ b/bilberryhaven/workflow/upkeep.py
@@ -22,13 +22,15 @@
     Args:
         leader: The ``Dispatcher``.
         memory: The ``LeaderMemory``.
+        watch: The ``RunWatch``.
         clock: The ``Clock``.
         options: The workflow ``Options``.
     """
 
-    def __init__(self, *, leader, memory, clock, options):
+    def __init__(self, *, leader, memory, watch, clock, options):
         self._leader = leader
         self._memory = memory
+        self._watch = watch
         self._clock = clock
         self._options = options
         self._checkpoints = checkpoints.CheckpointCollector(clock=clock)
@@ -39,11 +41,12 @@
         self._checkpoints.clear()
 
     def run(self):
-        """Expire workflows, save checkpoints, evacuate and relocate runs."""
+        """Expire workflows, save checkpoints and move runs."""
         self._expire()
         self._save_checkpoints()
         self._evacuate()
         self._relocate()
+        self._watch.restart_slow()
 
     def _expire(self):
         now = self._clock.monotonic()
@@ -93,7 +96,10 @@
                     evacuated += [
                         (ref, _describe_departure(agent_session, now))
                         for ref in evacuation.list_evacuations(
-                            agent_session, views, self._memory.run_times, now
+                            agent_session,
+                            views,
+                            self._memory.monitor.times,
+                            now,
                         )
                     ]
         stops.stop_runs(
--- a/bilberryhaven/workflow/urgency.py
+++ b/bilberryhaven/workflow/urgency.py
@@ -28,7 +28,7 @@
     """Ranks best-effort workflows by remaining work for their value.
 
     Args:
-        times: The measured ``RunTimes`` of the queues. They are preferred,
+        times: The measured ``RunTimes``. They are preferred,
             since declared run times are far off.
     """
 
