Place tasks that end soon on servers of normal speed first

Cause: a server that had turned slow took quick tasks as before, as long as it had the most spare CPU, until a run there was found to be a straggler.

Change: the measured speed is part of the sort key of a server, before the place of the data. Best-effort and long-running tasks are placed as before.

--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -26,17 +26,27 @@
         index: The ``WorkflowIndex``.
         sessions: The ``SessionTable``.
         health: The ``HealthTable``.
+        speeds: The ``ServerSpeeds``.
         options: The workflow ``Options``.
         effects: The ``InterferenceEffects``; None assumes no interference.
     """
 
     def __init__(
-        self, *, state, index, sessions, health, options, effects=None
+        self,
+        *,
+        state,
+        index,
+        sessions,
+        health,
+        speeds,
+        options,
+        effects=None,
     ):
         self._state = state
         self._index = index
         self._sessions = sessions
         self._health = health
+        self._speeds = speeds
         self._options = options
         self._effects = effects or candidate.InterferenceEffects()
         self._journal = state.backends.open_journal()
@@ -128,6 +138,7 @@
             and self._health.accepts_work(server.key, now)
         )
         server.suspect = self._health.is_suspect(server.key, now)
+        server.speed = self._speeds.find(server.key, now)
         server.recent_success = self._health.has_recent_success(server.key)
 
     def _is_fresh(self, agent_session, now):
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -52,6 +52,7 @@
             index=self.index,
             sessions=self.sessions,
             health=self.health,
+            speeds=self.monitor.speeds,
             options=options,
             effects=self.interference,
         )
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -12,6 +12,7 @@
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import candidate
 from bilberryhaven.workflow import colocation
+from bilberryhaven.workflow import server_speed
 
 __all__ = ['can_take_best_effort', 'is_eligible', 'plan_starts']
 
@@ -475,6 +476,7 @@
         server.key in task.failed_on,
         task.failures > 0 and not server.recent_success,
         server.suspect,
+        server_speed.rate_slowness(server.speed, step),
         bool(step.data_rack) and server.rack != step.data_rack,
         *rating,
         -server.spare_cpu / max(server.cpu, 1),
--- a/bilberryhaven/workflow/server_speed.py
+++ b/bilberryhaven/workflow/server_speed.py
@@ -14,11 +14,14 @@
 
 from bilberryhaven import clock as clocks
 
-__all__ = ['ServerSpeeds', 'is_comparable', 'is_slow']
+__all__ = ['ServerSpeeds', 'is_comparable', 'is_slow', 'rate_slowness']
 
 NORMAL_SPEED = 1.0
 # A server below this speed is slow. Tasks of one step differ by less.
 SLOW_SPEED = 0.5
+# Speeds from this one on are equal for the choice of a server.
+MIN_EQUAL_SPEED = 0.6
+MIN_SPEED = 0.01
 # Tasks that a speed rests on at least; one slow task may be a long one.
 MIN_SAMPLES = 2
 # Time after which an ended run, and a speed that nothing confirms, no longer
@@ -40,6 +43,21 @@
     return speed < SLOW_SPEED
 
 
+def rate_slowness(speed, step):
+    """Return the sort key of a server's speed for a task; 0 is the best.
+
+    Best-effort tasks are throttled anyway, and long-running tasks outlast the
+    seconds for which a server is slow.
+
+    Args:
+        speed: Speed of the server.
+        step: The ``Step`` of the task.
+    """
+    if step.best_effort or step.long_running or speed >= MIN_EQUAL_SPEED:
+        return 0
+    return round(1 / max(speed, MIN_SPEED))
+
+
 def is_comparable(step):
     """Return whether the run time of a step's tasks tells a server's speed.
 
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -349,6 +349,7 @@
             index=memory.index,
             sessions=memory.sessions,
             health=memory.health,
+            speeds=memory.monitor.speeds,
             options=self.options,
             effects=memory.interference,
         )
--- a/tests/test_workflow_server_speed.py
+++ b/tests/test_workflow_server_speed.py
@@ -4,12 +4,16 @@
 30 %, and a sixth of the servers turns five times as slow for some seconds.
 """
 
+import collections
 import random
 
 import testtools
 
+from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import server_speed
+from bilberryhaven.workflow import workflow_index
+from tests import workflow_fakes as fakes
 from tests import workflow_listings
 
 SERVERS = [f's{number}' for number in range(8)]
@@ -133,6 +137,53 @@
         return self.fleet.views['a'].values()
 
 
+class PlacementTest(testtools.TestCase):
+    """Quick tasks go where they end soonest."""
+
+    def plan(self, step, *servers):
+        group = workflow_index.Group(
+            row=fakes.build_workflow('w', step),
+            occurrence=0,
+            index=0,
+            step=step,
+            keys=[f'0.0.{index}' for index in range(step.tasks)],
+            due_at=0.0,
+        )
+        starts = planner.plan_starts([group], list(servers), 0)
+        return collections.Counter(start.backend for start in starts)
+
+    def place(self, step, *, cpu=64_000):
+        return self.plan(
+            step,
+            fakes.build_server('slow', speed=0.2),
+            fakes.build_server('slower', speed=0.1),
+            fakes.build_server('sound', speed=0.8, cpu=cpu, used_cpu=1000),
+            fakes.build_server('normal', cpu=cpu, used_cpu=1000),
+        )
+
+    def test_slow_servers_are_left_while_others_have_room(self):
+        placed = self.place(fakes.build_step(tasks=10))
+        self.assertEqual({'normal': 5, 'sound': 5}, placed)
+
+    def test_the_least_slow_server_takes_what_others_have_no_room_for(self):
+        placed = self.place(fakes.build_step(tasks=10), cpu=4000)
+        self.assertEqual({'normal': 3, 'sound': 3, 'slow': 4}, placed)
+
+    def test_slow_server_counts_more_than_the_place_of_the_data(self):
+        step = fakes.build_step(tasks=1, data_rack='r1')
+        placed = self.plan(
+            step,
+            fakes.build_server('slow', speed=0.4, rack='r1'),
+            fakes.build_server('normal', rack='r2'),
+        )
+        self.assertEqual({'normal': 1}, placed)
+
+    def test_tasks_that_last_are_placed_without_regard_to_speed(self):
+        for field in ('long_running', 'best_effort'):
+            step = fakes.build_step(tasks=1, **{field: True})
+            self.assertEqual({'slow': 1}, self.place(step), field)
+
+
 class MixedLoadTest(testtools.TestCase):
     """Quick steps of ten tasks arrive throughout; some tasks are long."""
 
