Start best-effort runs at the pace that the tails allow

Cause: a run that may raise a tail started at a fifth of its speed, also where its effect was known, and got faster by half of its speed at each listing; of a run of a few seconds that is a tenth and more.

Change: where the effects are known, the first pace follows from the headroom of the tails, shared by the runs ordered together (workflow/initial_pace). Unknown effects are tried out at a fifth as before. The check of negligible interference that this replaces is gone; its test became test_harmless_run_starts_at_full_speed_only_when_known.

--- a/bilberryhaven/workflow/candidate.py
+++ b/bilberryhaven/workflow/candidate.py
@@ -7,7 +7,14 @@
 import collections
 import dataclasses
 
-__all__ = ['BestEffortRun', 'InterferenceEffects', 'Server']
+__all__ = [
+    'MIN_HEADROOM',
+    'NEGLIGIBLE_EFFECT',
+    'TENTHS_PER_SERVER',
+    'BestEffortRun',
+    'InterferenceEffects',
+    'Server',
+]
 
 # Share of their CPU claim that latency-critical tasks are expected to use; the
 # rest counts as spare CPU.
--- a/bilberryhaven/workflow/interference.py
+++ b/bilberryhaven/workflow/interference.py
@@ -164,26 +164,6 @@
         """Return whether the effect is backed by enough observations."""
         return self._counts[serving, image] >= TRUSTED_COUNT
 
-    def is_interference_negligible(self, row, views, step):
-        """Return whether one more run of a step is known not to raise a tail.
-
-        Args:
-            row: The ``Backend``.
-            views: ``RunView`` by run, all that count there.
-            step: The ``Step`` of a best-effort task.
-        """
-        weight = step.cpu / max(row.cpu, 1) * TENTHS_PER_SERVER
-        for view in views.values():
-            serving = view.step.image
-            if not view.step.target_ms:
-                continue
-            if not self.is_known(serving, step.image):
-                return False
-            effect = weight * self.get_effect(serving, step.image)
-            if effect > SIGNIFICANT_EFFECT:
-                return False
-        return True
-
     def list_interfering_runs(self, row, views, present):
         """Return the best-effort runs that raise tails near their targets.
 
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -2,8 +2,8 @@
 
 from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import health
+from bilberryhaven.workflow import initial_pace
 from bilberryhaven.workflow import interference
-from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import urgency
@@ -69,14 +69,13 @@
             return
         row = agent_session.capacity.apply_to(row)
 
-        def find_percent(view):
-            if self.interference.is_interference_negligible(
-                row, views, view.step
-            ):
-                return pacing.FULL_PERCENT
-            return pacing.INITIAL_PERCENT
-
-        agent_session.reconcile_runs(views, find_percent)
+        paces = initial_pace.InitialPaces(
+            effects=self.interference,
+            row=row,
+            views=views,
+            present=agent_session.present,
+        )
+        agent_session.reconcile_runs(views, paces.find_percent)
 
     def refresh_fleet(self, now):
         """Order changed runs and return the ``Server`` rows.
--- a/tests/test_workflow_interference.py
+++ b/tests/test_workflow_interference.py
@@ -8,6 +8,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import backend
+from bilberryhaven.workflow import initial_pace
 from bilberryhaven.workflow import interference
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import session
@@ -153,13 +154,35 @@
             ),
         )
 
-    def test_interference_is_negligible_only_when_known(self):
-        step = fakes.build_step(image='light', cpu=7000, best_effort=True)
-        row, views = self.server.row, self.server.views
-        self.assertFalse(
-            self.model.is_interference_negligible(row, views, step)
+    def find_percents(self, image, *, tail=30, names=('f',)):
+        """Return the initial paces of runs that are ordered together."""
+        present = self.server.list_present()
+        present[self.server.serving].running.gauge = tail
+        paces = initial_pace.InitialPaces(
+            effects=self.model,
+            row=self.server.row,
+            views=self.server.views,
+            present=present,
         )
+        step = fakes.build_step(image=image, cpu=7000, best_effort=True)
+        refs = [self.server.add(name, step) for name in names]
+        return [paces.find_percent(self.server.views[ref]) for ref in refs]
+
+    def test_harmless_run_starts_at_full_speed_only_when_known(self):
+        self.assertEqual([20], self.find_percents('light'))
         self.run_cycles('light')
-        self.assertTrue(
-            self.model.is_interference_negligible(row, views, step)
-        )
+        for tail in (30, 140):
+            self.assertEqual([100], self.find_percents('light', tail=tail))
+
+    def test_interfering_run_starts_as_fast_as_the_tail_allows(self):
+        self.run_cycles('heavy')
+        self.assertEqual([100], self.find_percents('heavy', tail=30))
+        (percent,) = self.find_percents('heavy', tail=70)
+        self.assertTrue(20 < percent < 100, percent)
+        self.assertEqual([20], self.find_percents('heavy', tail=140))
+
+    def test_runs_that_start_together_share_the_headroom(self):
+        self.run_cycles('heavy')
+        percents = self.find_percents('heavy', tail=70, names='fgh')
+        self.assertTrue(percents[0] > 20, percents)
+        self.assertEqual([20, 20], percents[1:])
