Split the choice of servers from the planner

Change: the cost of a server and whether a best-effort task runs well there are in server_cost.py, the ranking of the servers and the choice for each task in server_choice.py; planner.py keeps the order of the groups, suspects, refusals and racks. The tests replace the same functions as before, in the modules that hold them now: the full scan, the sample's size and the counted cost function; no assertion changed. Relocation asks server_cost.

--- a/bilberryhaven/workflow/relocation.py
+++ b/bilberryhaven/workflow/relocation.py
@@ -1,6 +1,6 @@
 """Relocation of throttled best-effort runs to faster servers."""
 
-from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import server_cost
 
 __all__ = ['list_relocations']
 
@@ -36,9 +36,11 @@
             if other.key != server.key
             and other.open
             and other.pool == server.pool
-            and planner.is_eligible(other, view.step)
+            and server_cost.is_eligible(other, view.step)
             and other.has_capacity(view.step)
-            and planner.can_take_best_effort(other, view.step, rank, effects)
+            and server_cost.can_take_best_effort(
+                other, view.step, rank, effects
+            )
         ]
         if fits:
             best = max(
--- a/tests/test_workflow_planner.py
+++ b/tests/test_workflow_planner.py
@@ -12,6 +12,8 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import relocation
+from bilberryhaven.workflow import server_choice
+from bilberryhaven.workflow import server_cost
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import workflow_index
 from tests import workflow_fakes as fakes
@@ -62,7 +64,7 @@
         self._args = (request, servers, effects)
 
     def take(self):
-        return planner._choose_server(*self._args)
+        return server_choice._choose_server(*self._args)
 
     def put_back(self, server):
         pass
@@ -126,7 +128,7 @@
 
     def plan_by_full_scan(self, seed, count):
         with (
-            mock.patch.object(planner, '_ServerRanking', FullScan),
+            mock.patch.object(server_choice, '_ServerRanking', FullScan),
             mock.patch.object(
                 planner._Refusals, 'include', lambda self, group: False
             ),
@@ -135,7 +137,7 @@
 
     def test_ranking_chooses_the_servers_of_a_full_scan(self):
         for seed in range(12):
-            count = random.Random(seed).randrange(1, planner.MAX_SAMPLE)
+            count = random.Random(seed).randrange(1, server_choice.MAX_SAMPLE)
             expected = self.plan_by_full_scan(seed, count)
             self.assertEqual(expected, self.plan(seed, count), seed)
 
@@ -162,8 +164,8 @@
         groups = [build_group(f'w{n}', step) for n in range(100)]
         estimates = []
         with mock.patch.object(
-            planner,
-            '_estimate_cost',
+            server_cost,
+            'estimate_cost',
             lambda *args: estimates.append(args),
         ):
             planner.plan_starts(groups, servers, 0)
