--- a/bilberryhaven/workflow/stragglers.py
+++ b/bilberryhaven/workflow/stragglers.py
@@ -6,7 +6,7 @@
 speed of its server says so, or if it stands still.
 """
 
-from bilberryhaven.workflow import planner
+from bilberryhaven.workflow import server_cost
 from bilberryhaven.workflow import server_speed
 
 __all__ = ['estimate_restart_s', 'has_room_elsewhere', 'list_stragglers']
@@ -112,7 +112,7 @@
             and server.pool == view.row.pool
             and not server.suspect
             and not server_speed.is_slow(server.speed)
-            and planner.is_eligible(server, view.step)
+            and server_cost.is_eligible(server, view.step)
             and server.has_capacity(view.step)
         ):
             server.claim(view.step, view.group)
