Make the speeds of servers optional in the view of the fleet

Change: no speeds means the normal speed.

Result: the four tests of tests/test_workflow_fleet.py that failed pass.

--- a/bench/round.py
+++ b/bench/round.py
@@ -14,8 +14,6 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import planner
-from bilberryhaven.workflow import run_times
-from bilberryhaven.workflow import server_speed
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import workflow_index
 
@@ -45,7 +43,6 @@
             index=self.index,
             sessions=self.sessions,
             health=health.HealthTable(),
-            speeds=server_speed.ServerSpeeds(times=run_times.RunTimes()),
             options=options.Options(),
         )
         for number in range(servers):
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -26,9 +26,9 @@
         index: The ``WorkflowIndex``.
         sessions: The ``SessionTable``.
         health: The ``HealthTable``.
-        speeds: The ``ServerSpeeds``.
         options: The workflow ``Options``.
         effects: The ``InterferenceEffects``; None assumes no interference.
+        speeds: The ``ServerSpeeds``; None assumes the normal speed.
     """
 
     def __init__(
@@ -38,9 +38,9 @@
         index,
         sessions,
         health,
-        speeds,
         options,
         effects=None,
+        speeds=None,
     ):
         self._state = state
         self._index = index
@@ -138,7 +138,8 @@
             and self._health.accepts_work(server.key, now)
         )
         server.suspect = self._health.is_suspect(server.key, now)
-        server.speed = self._speeds.find(server.key, now)
+        if self._speeds is not None:
+            server.speed = self._speeds.find(server.key, now)
         server.recent_success = self._health.has_recent_success(server.key)
 
     def _is_fresh(self, agent_session, now):
