Place several best-effort tasks of known effect in one round

Cause: the first task with more than a negligible effect kept all others off its server for the rest of the round, though its predicted effect had been added to the tails.

Change: only a task of unknown effect keeps others off.

--- a/bilberryhaven/workflow/server_choice.py
+++ b/bilberryhaven/workflow/server_choice.py
@@ -99,7 +99,7 @@
     suspected = bool(request.task.suspected_on)
     server.add_fresh(request.group[0], suspected=suspected)
     if step.best_effort and server.serving:
-        server.probing |= not server.is_interference_negligible(step, effects)
+        server.probing |= not server.is_interference_known(step, effects)
         server.add_best_effort_run(step, request.rank, effects)
 
 
--- a/tests/test_workflow_planner.py
+++ b/tests/test_workflow_planner.py
@@ -307,6 +307,13 @@
         starts = self.plan(LIGHT, [server], tasks=5, known=False)
         self.assertEqual(1, len(starts))
 
+    def test_measured_pairs_share_the_headroom_of_one_round(self):
+        """Each task costs a headroom of 0.77; the tail has 3.3 to spare."""
+        starts = self.plan(
+            HEAVY, [build_serving_server('a', tail=0.2)], tasks=9
+        )
+        self.assertEqual(4, len(starts))
+
     def test_server_with_low_satisfaction_gets_no_more_surveys(self):
         server = fakes.build_server('a', satisfaction=0.5)
         self.assertEqual([], self.plan(LIGHT, [server]))
