Hold the requests of the test of a planned stop until it has begun

Cause: the test waited for four queued requests while the eight before them ran 300 ms of wall time. Beside busy processes the first ones ended before the last ones arrived, and the four were never seen together. Change: requests hang until the agent is draining, and are then released by the stand-in's new release_requests(), which stop() did before. Their deadline is the agent's longest, as it isn't what is tested.

--- a/bilberryhaven/standin/server.py
+++ b/bilberryhaven/standin/server.py
@@ -98,9 +98,13 @@
         """Start listening and serving."""
         self._http.start()
 
+    def release_requests(self):
+        """Answer hanging and running requests, and later ones, at once."""
+        self._requests.stop()
+
     def stop(self):
         """Answer hanging and running requests, then stop listening."""
-        self._requests.stop()
+        self.release_requests()
         self._http.stop()
 
     def list_violations(self):
--- a/tests/test_agent_faults.py
+++ b/tests/test_agent_faults.py
@@ -5,6 +5,8 @@
 from bilberryhaven import util
 from tests import agent_fakes
 
+# Requests that wait for an event must not expire before it.
+MAX_DEADLINE_MS = 30_000
 ANSWER_FAULTS = (
     'lose_answer',
     'truncate_answer',
@@ -83,11 +85,18 @@
         self.assertEqual('', self.admit('r1').code)
 
     def test_planned_stop_completes_all_requests(self):
+        self.backend.faults.hang = True
         threads = [
-            self.admit_in_thread(f'r{n}', workload='slow') for n in range(12)
+            self.admit_in_thread(
+                f'r{n}', workload='slow', deadline_ms=MAX_DEADLINE_MS
+            )
+            for n in range(12)
         ]
         self.wait_for(lambda: self.get_load().queued == 4)
-        self.agent.stop()
+        stopper, _ = self.call_in_thread(self.agent.stop)
+        self.wait_for(lambda: self.get_load().draining)
+        self.backend.release_requests()
+        stopper.join()
         for thread, replies in threads:
             thread.join()
             self.assertEqual(b'slow: ', replies[0].body)
