Pace the clock of the tests of replicas by the replicas' progress

Cause: election timeouts, leases and transfers of half a second ran on wall time. Beside busy processes a heartbeat took longer than that; leadership was lost, and a transfer ended before its target was told. Change: replicas of a test share a clock that advances by a tick once each of them has handled a message over the wire. Limits of waits that aren't asserted (transfers, messages, results) only end a test that would wait forever. Nodes are cut off before they stop, so that none waits for a successor. All assertions are unchanged.

--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -18,14 +18,55 @@
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
 
-TIMEOUT = clock.seconds(20)
+# Ends a test that would wait forever.
+TIMEOUT = clock.seconds(120)
 OPTIONS = options.Options(
     election_timeout=clock.seconds(0.5),
     election_jitter=clock.seconds(0.2),
-    transfer_timeout=clock.seconds(0.4),
+    transfer_timeout=TIMEOUT,
 )
 
 
+class PacedClock(clock.ManualClock):
+    """Advances by a tick once each replica has handled a message.
+
+    Replicas that wait for a processor hold back the time of all of them.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.addresses = []
+        self.stopping = threading.Event()
+        self.client = client.Client()
+        self.thread = threading.Thread(target=self.run)
+        self.thread.start()
+
+    def run(self):
+        while not self.stopping.wait(OPTIONS.tick_interval.total_seconds()):
+            for address in list(self.addresses):
+                self.wait_for_reply(address)
+            self.advance(OPTIONS.tick_interval)
+
+    def wait_for_reply(self, address):
+        batch = message.ConsensusBatch(sender='clock', messages=[])
+        try:
+            self.client.send(address, batch, timeout=TIMEOUT, step='pace')
+        except errors.BilberryhavenError:
+            self.addresses.remove(address)
+
+    def stop(self):
+        self.stopping.set()
+        self.thread.join()
+        self.client.close()
+
+
+class PatientClient(client.Client):
+    """Keeps a message that is late because of a busy processor."""
+
+    def send(self, address, msg, *, timeout, step):
+        return super().send(address, msg, timeout=TIMEOUT, step=step)
+
+
 class ListMachine(machine.StateMachine):
     """Stores each entry, but refuses b'bad' and raises for b'fault'."""
 
@@ -50,11 +91,14 @@
 class Node:
     """A replica behind a server on the loopback interface."""
 
-    def __init__(self, *, name, folder):
+    def __init__(self, *, name, folder, clock):
         self.name = name
         self.folder = folder
+        self.clock = clock
         self.replica = None
         self.leading_event = threading.Event()
+        self.following_event = threading.Event()
+        self.following_event.set()
         self.server = server.Server(
             address='127.0.0.1:0',
             handlers={message.ConsensusBatch: self.handle},
@@ -69,18 +113,21 @@
             voters=voters,
             folder=self.folder / self.name,
             machine=self.machine,
-            clock=clock.SystemClock(),
-            transport=transport.WireTransport(client=client.Client()),
+            clock=self.clock,
+            transport=transport.WireTransport(client=PatientClient()),
             options=OPTIONS,
             on_leadership=self.record_leadership,
         )
         self.replica.start()
+        self.clock.addresses.append(self.server.address)
 
     def record_leadership(self, leading, term):
         if leading:
+            self.following_event.clear()
             self.leading_event.set()
         else:
             self.leading_event.clear()
+            self.following_event.set()
 
     def handle(self, batch):
         replies = self.replica.handle(batch.messages, batch.sender)
@@ -92,11 +139,13 @@
 
 
 def stop_all(nodes):
-    threads = [threading.Thread(target=node.stop) for node in nodes]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    """Cut the nodes off first, so that none waits for a successor."""
+    for node in nodes:
+        node.server.stop()
+    for node in nodes:
+        if len(nodes) > 1:
+            node.following_event.wait(TIMEOUT.total_seconds())
+        node.replica.stop()
 
 
 class ReplicaTestCase(testtools.TestCase):
@@ -105,10 +154,15 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
+        self.clock = PacedClock()
+        self.addCleanup(self.clock.stop)
         self.nodes = []
 
+    def build_node(self, name):
+        return Node(name=name, folder=self.folder, clock=self.clock)
+
     def build(self, names):
-        self.nodes = [Node(name=name, folder=self.folder) for name in names]
+        self.nodes = [self.build_node(name) for name in names]
         voters = {node.name: node.server.address for node in self.nodes}
         self.addCleanup(stop_all, list(self.nodes))
         for node in self.nodes:
@@ -129,7 +183,7 @@
         for number in range(20):
             leader.replica.propose(b'%d' % number, timeout=TIMEOUT)
         leader.stop()
-        restarted = Node(name='a', folder=self.folder)
+        restarted = self.build_node('a')
         restarted.start({})
         self.addCleanup(restarted.stop)
         restarted.leading_event.wait(TIMEOUT.total_seconds())
@@ -208,7 +262,7 @@
         stop_all(self.nodes)
         folder = self.folder / leader.name
         restore.restore_quorum(folder=folder, name=leader.name, address='a:1')
-        restarted = Node(name=leader.name, folder=self.folder)
+        restarted = self.build_node(leader.name)
         restarted.start({})
         self.addCleanup(restarted.stop)
         self.assertEqual(6, restarted.replica.propose(b'y', timeout=TIMEOUT))
@@ -224,12 +278,12 @@
         self.build('abc')
         leader = self.find_leader().replica
         leader.propose(b'x', timeout=TIMEOUT)
-        added = Node(name='d', folder=self.folder)
+        added = self.build_node('d')
         added.start({})
         self.addCleanup(added.stop)
         leader.change_members(add=('d', added.server.address))
         waiter = threading.Event()
-        for _ in range(200):
+        for _ in range(int(TIMEOUT.total_seconds() / 0.05)):
             rows = {m.name: m for m in leader.status().members}
             if rows['d'].voter and added.machine.items:
                 break
