Withdraw and restore availability zones

Cause: an operator could not keep new runs out of a zone; the order was answered with 404. Change: replicated rows and two commands hold which zones are withdrawn, so that the order outlives any leader; a resent order is acknowledged again and an unknown zone is refused with not_found. Servers of a withdrawn zone are closed to placement, starts that were planned before the order are refused when they are applied (a gang as a whole), and polls tell agents to give up starts that wait. What runs is left to end.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -30,6 +30,7 @@
 from bilberryhaven.workflow import stragglers
 from bilberryhaven.workflow import urgency
 from bilberryhaven.workflow import workflow_index
+from bilberryhaven.workflow import zones as workflow_zones
 
 __all__ = ['Dispatcher']
 
@@ -57,9 +58,19 @@
         clock: The ``Clock``.
         options: The workflow ``Options``.
         membership: Handles ``Join`` requests; None if they aren't served.
+        zones: Names of the deployment's availability zones.
     """
 
-    def __init__(self, *, replica, machine, clock, options, membership=None):
+    def __init__(
+        self,
+        *,
+        replica,
+        machine,
+        clock,
+        options,
+        membership=None,
+        zones=(),
+    ):
         self._replica = replica
         self._state = machine.state
         self._clock = clock
@@ -82,6 +93,12 @@
         self._caller_requests = callers.CallerRequestHandler(
             leader=self, clock=clock
         )
+        zone_requests = workflow_zones.ZoneRequestHandler(
+            leader=self, clock=clock, zones=zones
+        )
+        self._zone_monitor = workflow_zones.ZoneMonitor(
+            state=machine.state, index=self._index, sessions=self._sessions
+        )
         self._membership = membership
         self._ready_term = 0
         self._ready_at = clock.monotonic()
@@ -101,6 +118,8 @@
             message.Cancel: self._caller_requests.cancel,
             message.Replace: self._caller_requests.replace_catalog,
             message.ReadCatalog: self._caller_requests.read_catalog,
+            message.Withdraw: zone_requests.withdraw,
+            message.Restore: zone_requests.restore,
             message.Join: self._join,
             # Nothing to do: a replica takes the members from its log, or
             # requests to join.
@@ -225,6 +244,8 @@
             control=self._list_control_addresses(),
             former_deadline_ms=agent_session.deadline_ms,
             doubt_ms=self._compute_former_lease_ms(agent_session),
+            withdrawn=row is not None
+            and self._state.zones.is_withdrawn(row.zone),
         )
 
     def _compute_former_lease_ms(self, agent_session):
@@ -572,6 +593,8 @@
     def _schedule(self):
         if self._membership is not None:
             self._membership.tick()
+        with self._replica.machine_lock:
+            self._zone_monitor.tick(self._clock.monotonic())
         self._close_lapsed()
         self._expire()
         self._save_checkpoints()
