Prefer warm servers for quick and latency-critical tasks

Cause: servers that had just started are slow for a while, as those of a restored zone may be, and were given work like all others. Change: heartbeats say how much longer a server remains slow; sessions keep it, and the planner ranks servers by the share of a task's run time in which they are slow. It is a preference: a cold server takes what no warm one can.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -267,6 +267,7 @@
                 remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
                 agent_session.set_departure(now + remaining)
             changed = agent_session.update_capacity(request)
+            agent_session.update_warming(request, now)
         if changed:
             log.log_decision(
                 _logger,
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -11,6 +11,7 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import candidate
+from bilberryhaven.workflow import warmth
 
 __all__ = ['can_take_best_effort', 'is_eligible', 'plan_starts']
 
@@ -475,6 +476,7 @@
         task.failures > 0 and not server.recent_success,
         server.suspect,
         bool(step.data_rack) and server.rack != step.data_rack,
+        warmth.compute_slow_share(step, server.warming_ms),
         *colocation,
         -server.spare_cpu / max(server.cpu, 1),
     )
