--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -85,15 +85,19 @@
         draining=False,
         cpu=64_000,
         memory_mb=256_000,
+        zone='',
+        warming_ms=0,
         **fields,
     ):
         server = message.ServerState(
             id=f's-{agent}',
             born_ms=born_ms,
             pool=fakes.POOL,
+            zone=zone,
             cpu=cpu,
             memory_mb=memory_mb,
             draining=draining,
+            warming_ms=warming_ms,
         )
         feed, seen = self.feeds.get(agent, ('', 0))
         reply = self.ask(
