Serve the work that can be in time together

Cause: each best-effort workflow was ranked for itself, and work that claims CPU was served by its due time, so that a surge made most of it late.

Change: RoomTracker measures the room of each pool in the leader's rounds and reports. Once it is known, the index chooses among all occurrences that compete for it by overload.precedence; until then ranks are as before. Late work of any priority gives way to work that can be in time. Long-running work keeps its place by due time.

Its effect on a whole system has not been measured yet.

--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -9,6 +9,7 @@
 import zlib
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.overload import precedence
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import candidate
 
@@ -152,8 +153,8 @@
 def rank_group(group):
     """Return the sort key of a group; lower keys are placed first."""
     row = group.row
-    due_at = group.rank if group.step.best_effort else group.due_at
-    return (row.priority, due_at, row.id, group.index)
+    key = precedence.build_sort_key(row.priority, group.rank)
+    return (*key, row.id, group.index)
 
 
 def _place_group(group, servers, now, effects, refusals, max_suspected):
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -129,6 +129,7 @@
                 if view is not None and end.how == workflow_commands.DONE:
                     seconds = now - view.ordered_at
                     self._memory.run_times.record(view.row.queue, seconds)
+                    self._memory.rooms.record_end(view, seconds)
 
     def _handle_end(self, key, end, *, ignored):
         log.log_decision(
