--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -116,7 +116,9 @@
             clock=self._clock,
         )
         caller_requests = callers.CallerRequestHandler(
-            leader=self, clock=self._clock
+            leader=self,
+            acceptance=self._memory.acceptance,
+            clock=self._clock,
         )
         zone_requests = workflow_zones.ZoneRequestHandler(
             leader=self, clock=self._clock, zones=zones
@@ -184,7 +186,8 @@
         with self._ready_lock:
             if term != self._ready_term:
                 self._closer.begin_term()
-                self._memory.health.clear()
+                with self._memory.lock:
+                    self._memory.begin_term()
                 self._upkeep.begin_term()
                 self._ready_term = term
                 _logger.info('schedules workflows', extra={'term': term})
@@ -284,7 +287,7 @@
         with self._replica.machine_lock:
             servers = self._memory.refresh_fleet(now)
             starts = planner.plan_starts(
-                self._memory.index.list_groups(now),
+                self._memory.index.list_groups(now, self._memory.rooms.rates),
                 servers,
                 now,
                 self._memory.interference,
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -26,6 +26,14 @@
         voters: Largest number of control instances that vote.
         start_validity: How long after an agent's newest poll ordered starts
             may be sent; None for as long as the lease lasts.
+        admission: Whether workflows are rejected under overload.
+        max_active_workflows: Number of workflows that haven't ended from
+            which on others are rejected.
+        max_active_bytes: Estimated memory that these may occupy in the
+            leader.
+        chooses_claims: Whether work that claims CPU is served in the order
+            that costs callers least, as best-effort work is, instead of by
+            due time.
     """
 
     lease: datetime.timedelta = clock.seconds(5)
@@ -35,6 +43,10 @@
     ended_retention: datetime.timedelta = clock.seconds(180)
     voters: int = 3
     start_validity: datetime.timedelta | None = None
+    admission: bool = True
+    max_active_workflows: int = 10_000
+    max_active_bytes: int = 64 * 1024 * 1024
+    chooses_claims: bool = True
 
     @property
     def lease_expiry_delay(self):
--- a/bilberryhaven/workflow/run_watch.py
+++ b/bilberryhaven/workflow/run_watch.py
@@ -1,5 +1,6 @@
 """Takes listings and ends of runs in, and stops slow runs."""
 
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.workflow import stops
 
 __all__ = ['RunWatch']
@@ -27,14 +28,20 @@
             ends: The ``RunEnd`` rows; they aren't committed yet.
         """
         memory = self._memory
+        wall = self._clock.wall().timestamp()
         with memory.lock:
+            views = memory.index.runs.get(backend, {})
             memory.monitor.record_ends(
-                memory.index.runs.get(backend, {}),
+                views,
                 ends,
                 self._clock.monotonic(),
-                self._clock.wall().timestamp(),
+                wall,
                 rack=self._find_rack(backend),
             )
+            for end in ends:
+                view = views.get(end.run)
+                if view is not None and end.how == workflow_commands.DONE:
+                    memory.rooms.record_end(view, wall - view.ordered_at)
 
     def observe(self, agent_session):
         """Take a listing in; stop the runs that stand still.
