Copy tasks that take far longer than like tasks

Cause: step.speculative was stored, but nothing ever started a second run of a task, so that a step waited for its last task when a few tasks took many times as long, or when their server was slow or out of reach.

A task has at most two runs, on different servers, and each run counts as a possible attempt. Decisions 'start copy' and 'stop copy'. A slow run that may be copied is stopped only if it has no copy after two seconds.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -29,6 +29,8 @@
 DONE = 'done'
 FAILED = 'failed'
 MAX_FAILED_ON = 8
+# Runs of a task that may work at the same time.
+MAX_COPIES = 2
 # Crashes of which a task is suspected when its workflow fails: if no other
 # workflow's task can have caused the last one, and in any case.
 MAX_CERTAIN_CRASHES = 2
@@ -207,10 +209,11 @@
         task = row.find_task(start.task)
         if task.done or start.number <= task.last_run:
             return False
-        attempts_exhausted = task.failures >= row.max_attempts
-        if attempts_exhausted and not row.steps[step].long_running:
+        # Each run that hasn't ended may use up another attempt.
+        attempts = task.failures + len(task.runs)
+        if attempts >= row.max_attempts and not row.steps[step].long_running:
             return False
-        return not task.runs or row.steps[step].speculative
+        return not task.runs or _may_copy(row.steps[step], task, start)
 
     def _record_start(self, state, start):
         row = state.workflows.get(start.workflow)
@@ -226,6 +229,15 @@
         state.workflows.update(row.id, started=True)
 
 
+def _may_copy(step, task, start):
+    """Return whether a run may start beside another one of its task."""
+    return (
+        step.speculative
+        and len(task.runs) < MAX_COPIES
+        and all(run.backend != start.backend for run in task.runs)
+    )
+
+
 class StopRuns(commands.Command):
     """Orders runs to stop; their tasks are started again elsewhere."""
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -260,12 +260,10 @@
         now = self._clock.wall().timestamp()
         with self._replica.machine_lock:
             servers = self._memory.refresh_fleet(now)
+            groups = self._memory.index.list_groups(now)
             starts = planner.plan_starts(
-                self._memory.index.list_groups(now),
-                servers,
-                now,
-                self._memory.interference,
-            )
+                groups, servers, now, self._memory.interference
+            ) or self._watch.plan_copies(groups, servers)
             return starts, {server.key: server for server in servers}
 
 
--- a/bilberryhaven/workflow/run_monitor.py
+++ b/bilberryhaven/workflow/run_monitor.py
@@ -1,13 +1,19 @@
 """What a leader learns of the speed of runs, tasks and servers."""
 
+from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.workflow import progress
 from bilberryhaven.workflow import run_times
 from bilberryhaven.workflow import server_speed
+from bilberryhaven.workflow import speculation
 from bilberryhaven.workflow import stragglers
 
 __all__ = ['RunMonitor']
 
+# Least time between two measurements of a server's speed. Servers list their
+# runs at each end, too.
+MIN_INTERVAL = clocks.seconds(0.4)
+
 
 class RunMonitor:
     """Measures progress, run times and the speed of servers.
@@ -21,25 +27,31 @@
         times: The ``RunTimes``.
         progress: The ``ProgressTable``.
         speeds: The ``ServerSpeeds``.
+        copies: The ``CopyOutcomes``.
     """
 
     def __init__(self):
         self.times = run_times.RunTimes()
         self.progress = progress.ProgressTable()
         self.speeds = server_speed.ServerSpeeds(times=self.times)
+        self.copies = speculation.CopyOutcomes()
         self._slow = {}
+        self._due_at = {}
 
     def clear(self):
         """Forget what was measured in an earlier term, but run times."""
         self.progress.clear()
         self.speeds.clear()
+        self.copies.clear()
         self._slow.clear()
+        self._due_at.clear()
 
     def remove(self, backend):
         """Forget a backend server that was closed."""
         self.progress.remove(backend)
         self.speeds.remove(backend)
         self._slow.pop(backend, None)
+        self._due_at.pop(backend, None)
 
     def record_ends(self, views, ends, now, wall, *, rack=''):
         """Include runs that have ended.
@@ -55,6 +67,7 @@
             view = views.get(end.run)
             if view is None or end.how != workflow_commands.DONE:
                 continue
+            self.copies.record_end(end.run, now)
             if view.step.saves_progress and end.run.number > 1:
                 # It may have resumed from a checkpoint.
                 continue
@@ -73,9 +86,13 @@
             rack: Rack of the server.
 
         Returns:
-            The ``RunRef`` rows of runs that stand still.
+            The ``RunRef`` rows of runs that stand still; none between two
+            measurements.
         """
         runs = self.progress.observe(backend, present, now)
+        if now < self._due_at.get(backend, now):
+            return []
+        self._due_at[backend] = now + MIN_INTERVAL
         pairs = [(views[ref], runs[ref]) for ref in runs if ref in views]
         self.speeds.observe(backend, pairs, now, rack=rack)
         stalled, slow = stragglers.list_stragglers(
--- a/bilberryhaven/workflow/run_watch.py
+++ b/bilberryhaven/workflow/run_watch.py
@@ -1,9 +1,20 @@
-"""Takes listings and ends of runs in, and stops slow runs."""
+"""Takes listings and ends of runs in, and stops or copies slow runs."""
 
+import datetime
+
+from bilberryhaven import clock as clocks
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import log
+from bilberryhaven.workflow import speculation
 from bilberryhaven.workflow import stops
 
 __all__ = ['RunWatch']
 
+# Interval at which copies are considered; rounds may be far more frequent.
+COPY_INTERVAL = clocks.seconds(0.25)
+
+_logger = log.get_logger('workflow')
+
 
 class RunWatch:
     """Feeds the leader's ``RunMonitor`` and carries out what it finds.
@@ -18,6 +29,7 @@
         self._leader = leader
         self._memory = memory
         self._clock = clock
+        self._copies_due_at = datetime.timedelta.min
 
     def record_ends(self, backend, ends):
         """Include the ends of runs that a server has reported.
@@ -28,8 +40,10 @@
         """
         memory = self._memory
         with memory.lock:
+            views = memory.index.runs.get(backend, {})
+            _log_losers(ends, views)
             memory.monitor.record_ends(
-                memory.index.runs.get(backend, {}),
+                views,
                 ends,
                 self._clock.monotonic(),
                 self._clock.wall().timestamp(),
@@ -71,6 +85,43 @@
         if slow:
             self._stop(slow, 'backend server is much slower than others')
 
+    def plan_copies(self, waiting, servers):
+        """Return the copies to start once no other task can start.
+
+        Args:
+            waiting: The ``Group`` rows that have found no server.
+            servers: The ``Server`` rows.
+
+        Returns:
+            The ``RunStart`` rows.
+        """
+        memory = self._memory
+        now = self._clock.monotonic()
+        if now < self._copies_due_at:
+            return []
+        self._copies_due_at = now + COPY_INTERVAL
+        rows = memory.index.speculative.values()
+        copies = speculation.plan_copies(
+            [view for views in rows for view in views],
+            waiting,
+            servers,
+            memory.monitor,
+            now,
+        )
+        for copy in copies:
+            memory.monitor.copies.add(copy)
+            log.log_decision(
+                _logger,
+                'start copy',
+                reason=copy.reason,
+                workflow=copy.start.workflow,
+                task=copy.start.task,
+                run=copy.start.number,
+                backend=copy.start.backend,
+                gain_s=round(copy.gain_s, 2),
+            )
+        return [copy.start for copy in copies]
+
     def _find_rack(self, backend):
         row = self._memory.state.backends.find(backend)
         return row.rack if row is not None else ''
@@ -95,3 +146,24 @@
             'percent': seen.percent if seen else None,
             'speed': round(monitor.speeds.find(view.backend, now), 2),
         }
+
+
+def _log_losers(ends, views):
+    """Log the runs that are stopped since another run of their task ends."""
+    for end in ends:
+        view = views.get(end.run)
+        if view is None or end.how != workflow_commands.DONE:
+            continue
+        losers = [
+            (
+                workflow_commands.RunRef(
+                    end.run.workflow, end.run.task, run.number
+                ),
+                {'backend': run.backend},
+            )
+            for run in view.row.find_task(end.run.task).runs
+            if run.number != end.run.number
+        ]
+        stops.log_stops(
+            losers, 'stop copy', reason='another run of the task is done'
+        )
--- a/bilberryhaven/workflow/stragglers.py
+++ b/bilberryhaven/workflow/stragglers.py
@@ -9,7 +9,12 @@
 from bilberryhaven.workflow import server_cost
 from bilberryhaven.workflow import server_speed
 
-__all__ = ['estimate_restart_s', 'has_room_elsewhere', 'list_stragglers']
+__all__ = [
+    'can_take',
+    'estimate_restart_s',
+    'has_room_elsewhere',
+    'list_stragglers',
+]
 
 # Progress is listed twice a second, so little is known of a younger run.
 MIN_AGE_S = 1.0
@@ -18,8 +23,9 @@
 # A run is a straggler if its remaining time exceeds that of a new start by
 # more than this factor. The server may become faster in the meantime.
 MIN_GAIN = 1.5
-# The same factor for a task that may be copied, which loses no work.
-MIN_COPIED_GAIN = 3.0
+# Age from which a run is stopped though its task may be copied: a copy loses
+# no work, and would have been started by then.
+MAX_COPY_WAIT_S = 2.0
 # A run stands still if one percent takes longer than this, and than this
 # multiple of the time that one percent takes a long task of its queue.
 MIN_STALL_S = 1.0
@@ -74,9 +80,12 @@
     restart_s = estimate_restart_s(view, seen, speed)
     if restart_s is None or not server_speed.is_slow(speed):
         return False
-    copies = view.step.speculative
-    gain = MIN_COPIED_GAIN if copies else MIN_GAIN
-    return seen.remaining_s > gain * restart_s
+    if view.step.speculative and (
+        seen.age_s < MAX_COPY_WAIT_S
+        or len(view.row.find_task(view.ref.task).runs) > 1
+    ):
+        return False
+    return seen.remaining_s > MIN_GAIN * restart_s
 
 
 def estimate_restart_s(view, seen, speed):
@@ -106,15 +115,28 @@
         servers: The ``Server`` rows; the task is claimed on the one found.
     """
     for server in servers:
-        if (
-            server.key != view.backend
-            and server.open
-            and server.pool == view.row.pool
-            and not server.suspect
-            and not server_speed.is_slow(server.speed)
-            and server_cost.is_eligible(server, view.step)
-            and server.has_capacity(view.step)
-        ):
+        if can_take(server, view):
             server.claim(view.step, view.group)
             return True
     return False
+
+
+def can_take(server, view):
+    """Return whether another server of normal speed can take a run's task.
+
+    Args:
+        server: The ``Server``.
+        view: The ``RunView``.
+    """
+    limit = view.step.max_per_backend
+    return (
+        server.key != view.backend
+        and server.open
+        and server.pool == view.row.pool
+        and not server.suspect
+        and not server_speed.is_slow(server.speed)
+        and server_cost.is_eligible(server, view.step)
+        and server.accepts(view.ref.workflow, suspected=False)
+        and server.has_capacity(view.step)
+        and not 0 < limit <= server.task_counts.get(view.group, 0)
+    )
--- a/bilberryhaven/workflow/workflow_index.py
+++ b/bilberryhaven/workflow/workflow_index.py
@@ -74,6 +74,8 @@
     Attributes:
         groups: Lists of ``Group`` by workflow id.
         runs: ``RunView`` by run, by key of the backend server.
+        speculative: Lists of the ``RunView`` rows of tasks that may be
+            copied, by workflow id.
     """
 
     def __init__(self, state, *, ranker=None):
@@ -86,6 +88,7 @@
     def _clear(self):
         self.groups = {}
         self.runs = {}
+        self.speculative = {}
         self._runs_of = {}
         self._next_due = {}
         self._recorded = set()
@@ -128,6 +131,7 @@
             self.runs[backend].pop(ref, None)
             self._changed.add(backend)
         self.groups.pop(key, None)
+        self.speculative.pop(key, None)
         self._next_due.pop(key, None)
         row = self._state.workflows.find(key)
         if row is None:
@@ -144,15 +148,20 @@
 
     def _index_runs(self, row, now):
         indexed = []
+        speculative = []
         ranks = {}
         for key, task in row.tasks.items():
             for run in task.runs:
                 view = self._build_run_view(row, key, task, run, ranks, now)
                 self.runs.setdefault(run.backend, {})[view.ref] = view
                 indexed.append((run.backend, view.ref))
+                if view.step.speculative:
+                    speculative.append(view)
                 self._changed.add(run.backend)
         if indexed:
             self._runs_of[row.id] = indexed
+        if speculative:
+            self.speculative[row.id] = speculative
 
     def _build_run_view(self, row, key, task, run, ranks, now):
         occurrence, step, _ = workflow.split_task_key(key)
--- a/tests/test_workflow_stragglers.py
+++ b/tests/test_workflow_stragglers.py
@@ -115,6 +115,7 @@
             {'suspect': True},
             {'speed': 0.4},
             {'pool': 'other'},
+            {'suspected': {'other'}},
         ):
             self.fleet = workflow_listings.Listings()
             self.make_slow()
--- a/tests/workflow_listings.py
+++ b/tests/workflow_listings.py
@@ -2,6 +2,7 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import session
@@ -41,7 +42,16 @@
         ref = workflow_commands.RunRef(name, f'0.0.{index}', number)
         self.views.setdefault(server, {})[ref] = workflow_index.RunView(
             ref=ref,
-            row=fakes.build_workflow(name, step),
+            row=fakes.build_workflow(
+                name,
+                step,
+                tasks={
+                    ref.task: workflow.Task(
+                        last_run=number,
+                        runs=[workflow.Run(number=number, backend=server)],
+                    )
+                },
+            ),
             step=step,
             group=(name, 0, 0),
             backend=server,
