--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -286,12 +286,12 @@
         now = self._clock.wall().timestamp()
         with self._replica.machine_lock:
             servers = self._memory.refresh_fleet(now)
-            starts = planner.plan_starts(
-                self._memory.index.list_groups(now, self._memory.rooms.rates),
-                servers,
-                now,
-                self._memory.interference,
+            groups = self._memory.index.list_groups(
+                now, self._memory.rooms.rates
             )
+            starts = planner.plan_starts(
+                groups, servers, now, self._memory.interference
+            ) or self._watch.plan_copies(groups, servers)
             return starts, {server.key: server for server in servers}
 
 
