--- a/bilberryhaven/workflow/room.py
+++ b/bilberryhaven/workflow/room.py
@@ -8,6 +8,7 @@
 import collections
 
 from bilberryhaven import clock as clocks
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.overload import forecast
 from bilberryhaven.workflow import server_cost
 
@@ -75,18 +76,23 @@
                 if self._chooses_claims:
                     self.rates[pool, False] = found.claim_rate
 
-    def record_end(self, view, seconds):
-        """Measure a task that has been done.
+    def record_ends(self, views, ends, wall):
+        """Measure the work of tasks that have been done.
 
         Args:
-            view: The ``RunView`` of its run.
-            seconds: The run time.
+            views: ``RunView`` by run, all that the log assigns to the server.
+            ends: The ``RunEnd`` rows.
+            wall: Unix time in seconds.
         """
-        self._get_forecaster(view.row.pool).record_end(
-            view.step.cpu * seconds,
-            self._clock.monotonic().total_seconds(),
-            best_effort=view.step.best_effort,
-        )
+        for end in ends:
+            view = views.get(end.run)
+            if view is None or end.how != workflow_commands.DONE:
+                continue
+            self._get_forecaster(view.row.pool).record_end(
+                view.step.cpu * max(0.0, wall - view.ordered_at),
+                self._clock.monotonic().total_seconds(),
+                best_effort=view.step.best_effort,
+            )
 
     def get_limits(self, pool):
         """Return the ``Limits`` of a pool's servers."""
--- a/bilberryhaven/workflow/run_watch.py
+++ b/bilberryhaven/workflow/run_watch.py
@@ -50,10 +50,7 @@
                 wall,
                 rack=self._find_rack(backend),
             )
-            for end in ends:
-                view = views.get(end.run)
-                if view is not None and end.how == workflow_commands.DONE:
-                    memory.rooms.record_end(view, wall - view.ordered_at)
+            memory.rooms.record_ends(views, ends, wall)
 
     def observe(self, agent_session):
         """Take a listing in; stop the runs that stand still.
--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -7,6 +7,7 @@
 import testtools
 
 from bilberryhaven import clock as clocks
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.overload import forecast
 from bilberryhaven.overload import precedence
 from bilberryhaven.workflow import options
@@ -37,8 +38,9 @@
             clock=self.clock,
             options=options.Options(),
         )
+        self.ref = workflow_commands.RunRef('w', '0.0.0', 1)
         self.view = workflow_index.RunView(
-            ref=None,
+            ref=self.ref,
             row=fakes.build_workflow('w'),
             step=fakes.build_step(best_effort=True),
             group=(),
@@ -49,8 +51,9 @@
         )
 
     def measure(self, **fields):
-        for _ in range(forecast.MIN_ENDS):
-            self.rooms.record_end(self.view, 0.0)
+        end = workflow_commands.RunEnd(1, self.ref, workflow_commands.DONE, '')
+        ends = [end] * forecast.MIN_ENDS
+        self.rooms.record_ends({self.ref: self.view}, ends, 0.0)
         self.clock.advance(clocks.seconds(forecast.MIN_OBSERVED_S))
         self.rooms.observe([fakes.build_server('a', **fields)])
 
