Choose the work that is in time by its value

Cause: best-effort workflows are ranked by remaining work for their value, each for itself. Under a backlog that misses what could be in time together, and work with time to spare goes before work that is pressing.

Change: the package overload gets the module precedence, which has the rank of ValueRanker and chooses among all work that competes for the same room. Work is chosen by value as long as all work chosen can be in time, and is served by its latest start. Late work gives way to work of any priority that can be in time. The leader doesn't use the choice yet; its rank is as before. A base of the tests, urgency.TIER, has moved to precedence.TIER.

--- a/bilberryhaven/workflow/urgency.py
+++ b/bilberryhaven/workflow/urgency.py
@@ -1,12 +1,8 @@
-"""Order in which best-effort workflows get spare CPU.
+"""Needs of workflows, by which those that wait are ranked under a backlog."""
 
-Under a backlog, first come, first served and earliest deadline first make
-most workflows miss their deadlines, since many are begun and few are
-finished. So the workflows with the least remaining work for their value come
-first, among those that can still meet their deadlines. Begun workflows are
-finished before others are begun, and a wide one isn't passed over for long by
-narrow ones, as its value grows with its work.
-"""
+import collections
+
+from bilberryhaven.overload import precedence
 
 __all__ = ['ValueRanker']
 
@@ -14,18 +10,14 @@
 # Value of a workflow that doesn't depend on its work, as a multiple of the
 # mean work of its queue. It makes small workflows worth more for their work.
 BASE_VALUE = 0.3 / 0.7
-# A workflow is of little value to its caller after this multiple of the time
-# that it was to take.
-MAX_LATENESS = 3.0
-# Difference between the ranks of workflows that can be in time, can be late
-# and are too late.
-TIER = 1e12
+# Tasks without any known run time still differ by the CPU that they request.
+MIN_RUN_S = 0.001
 # Weight of the newest workflow in the mean work of a queue.
 NEWEST_WEIGHT = 0.05
 
 
 class ValueRanker:
-    """Ranks best-effort workflows by remaining work for their value.
+    """Ranks workflows by remaining work for their value.
 
     Args:
         times: The measured ``RunTimes``. They are preferred,
@@ -47,43 +39,85 @@
         self._mean_work[row.queue] = known + NEWEST_WEIGHT * (work - known)
 
     def find_rank(self, row, undone, due_at, now):
-        """Return the rank of one occurrence; lower ranks take precedence.
+        """Return the rank of one occurrence, whatever else is waiting.
 
         Args:
             row: The ``Workflow``.
             undone: Number of tasks by step that aren't done.
             due_at: When the occurrence was due, Unix time in seconds.
             now: Unix time in seconds.
+        """
+        return precedence.find_rank(self.describe(row, undone, due_at), now)
+
+    def choose_ranks(self, occurrences, rates, now):
+        """Return the ranks of all occurrences that compete for room.
+
+        Args:
+            occurrences: The ``Occurrence`` rows by key.
+            rates: CPU that the work of a pool gets in total, by ``room_key``
+                of the occurrences. Those for which it is unknown are ranked
+                whatever else is waiting.
+            now: Unix time in seconds.
 
         Returns:
-            The remaining work for the value, in three tiers: workflows that
-            can be in time, that can be late and, by due time, the others.
+            The ranks by key.
         """
-        total_s, remaining_s = self._estimate_critical_path(row, undone)
-        allowed_s = row.latency_ms / MS_PER_S + row.slack_factor * total_s
-        needed_s = now + remaining_s - due_at
-        if needed_s > MAX_LATENESS * allowed_s:
-            return 2 * TIER + due_at
+        ranks = {}
+        competing = collections.defaultdict(dict)
+        for key, item in occurrences.items():
+            need = self.describe(item.row, item.undone, item.due_at)
+            if item.room_key in rates:
+                competing[item.room_key][key] = need
+            else:
+                ranks[key] = precedence.find_rank(need, now)
+        for room_key, needs in competing.items():
+            ranks.update(precedence.choose_ranks(needs, rates[room_key], now))
+        return ranks
+
+    def describe(self, row, undone, due_at):
+        """Return the ``Need`` of one occurrence.
+
+        Args:
+            row: The ``Workflow``.
+            undone: Number of tasks by step that aren't done.
+            due_at: When the occurrence was due, Unix time in seconds.
+        """
+        seconds = [self._estimate_run_time(row, step) for step in row.steps]
+        total_s, remaining_s = _measure_critical_path(row, undone, seconds)
+        remaining = _sum_work(row.steps, undone)
         work = _sum_work(row.steps, [step.tasks for step in row.steps])
         value = BASE_VALUE * self._mean_work.get(row.queue, work) + work
-        cost = _sum_work(row.steps, undone) / max(value, 1)
-        return cost if needed_s <= allowed_s else TIER + cost
+        cpu_seconds = sum(
+            step.cpu * count * max(step_s, MIN_RUN_S)
+            for step, count, step_s in zip(
+                row.steps, undone, seconds, strict=True
+            )
+        )
+        mean_s = cpu_seconds / remaining if remaining else 1.0
+        return precedence.Need(
+            due_at=due_at,
+            allowed_s=row.latency_ms / MS_PER_S + row.slack_factor * total_s,
+            remaining_s=remaining_s,
+            work=cpu_seconds,
+            value=value * mean_s,
+            priority=row.priority,
+            begun=row.started,
+        )
 
-    def _estimate_critical_path(self, row, undone):
-        """Return the length and the remainder of the critical path in s."""
+    def _estimate_run_time(self, row, step):
         mean_s = self._times.find(row.queue)
-        totals, remainders = [], []
-        for step, count in zip(row.steps, undone, strict=True):
-            seconds = mean_s
-            if seconds is None:
-                seconds = step.estimate_ms / MS_PER_S
-            before = max((totals[other] for other in step.after), default=0.0)
-            left = max(
-                (remainders[other] for other in step.after), default=0.0
-            )
-            totals.append(before + seconds)
-            remainders.append(left + (seconds if count else 0.0))
-        return max(totals), max(remainders)
+        return step.estimate_ms / MS_PER_S if mean_s is None else mean_s
+
+
+def _measure_critical_path(row, undone, seconds):
+    """Return the length and the remainder of the critical path in s."""
+    totals, remainders = [], []
+    for step, count, step_s in zip(row.steps, undone, seconds, strict=True):
+        before = max((totals[other] for other in step.after), default=0.0)
+        left = max((remainders[other] for other in step.after), default=0.0)
+        totals.append(before + step_s)
+        remainders.append(left + (step_s if count else 0.0))
+    return max(totals), max(remainders)
 
 
 def _sum_work(steps, counts):
--- a/tests/test_workflow_urgency.py
+++ b/tests/test_workflow_urgency.py
@@ -9,6 +9,7 @@
 
 import testtools
 
+from bilberryhaven.overload import precedence
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import run_times
 from bilberryhaven.workflow import urgency
@@ -45,7 +46,7 @@
         return self.ranker.find_rank(row, undone, due_at, now)
 
     def find_tier(self, *args, **kwargs):
-        return int(self.rank(*args, **kwargs) // urgency.TIER)
+        return int(self.rank(*args, **kwargs) // precedence.TIER)
 
     def test_deadline_is_the_queues_allowance_on_the_critical_path(self):
         for steps, deadline in ((1, 109), (2, 117)):
