Send the retry time of an error to its caller's process

Cause: an error that the leader raises loses its retry_after on the wire, so each entry tells its caller to come back after a second.

Change: ErrorReply carries it in milliseconds; 0 is none, as older processes send it.

Result: TestExchange.test_error_keeps_its_code asks for it, failed before and passes now.

--- a/bilberryhaven/wire/client.py
+++ b/bilberryhaven/wire/client.py
@@ -14,6 +14,7 @@
 MAX_CONNECTIONS_PER_PEER = 64
 MAX_PEERS = 8192
 CONNECT_SECONDS = 0.5
+MS_PER_S = 1000
 
 
 class Client:
@@ -90,7 +91,7 @@
 
 
 def _rebuild_error(reply, address):
-    return errors.build_error(
+    error = errors.build_error(
         {
             'code': reply.code,
             'message': reply.message,
@@ -100,3 +101,6 @@
             'request_id': reply.request_id,
         }
     )
+    if reply.retry_after_ms:
+        error.retry_after = reply.retry_after_ms / MS_PER_S
+    return error
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -75,6 +75,7 @@
     peer: str = ''
     outcome: str = ''
     request_id: str = ''
+    retry_after_ms: int = 0
 
 
 @_declare_message
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -257,6 +257,7 @@
   peer @3 :Text;
   outcome @4 :Text;
   requestId @5 :Text;
+  retryAfterMs @6 :UInt32;
 }
 
 # Messages of the consensus core, each encoded by its own codec.
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -24,6 +24,7 @@
     'read_body',
 ]
 
+MS_PER_S = 1000
 AUTHOR_HEADER = 'HTTP_X_BILBERRYHAVEN_BY'
 REASON_PHRASES = {
     200: 'OK',
@@ -73,7 +74,8 @@
 
 def build_error_reply(error):
     """Return the message that carries ``error`` to a peer."""
-    return message.ErrorReply(**error.to_dict())
+    retry_after_ms = round((error.retry_after or 0) * MS_PER_S)
+    return message.ErrorReply(**error.to_dict(), retry_after_ms=retry_after_ms)
 
 
 def build_error_response(error):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -66,7 +66,7 @@
         if msg.workload == 'slow':
             self.release.wait()
         if msg.workload == 'bad':
-            raise errors.OverloadError('full', step='claim')
+            raise errors.OverloadError('full', step='claim', retry_after=7)
         return message.ClaimReply(granted=True, holder=msg.request_id)
 
     def send(self, request_id, workload, seconds=5):
@@ -85,6 +85,7 @@
     def test_error_keeps_its_code(self):
         error = self.assertRaises(errors.OverloadError, self.send, 'r', 'bad')
         self.assertEqual('claim', error.step)
+        self.assertEqual(7, error.retry_after)
 
     def test_late_answer_is_not_matched_to_another_request(self):
         error = self.assertRaises(
