Serve the work that can be in time together

Cause: each best-effort workflow was ranked for itself, and work that claims CPU was served by its due time, so that a surge made most of it late.

Change: RoomTracker measures the room of each pool in the leader's rounds and reports. Once it is known, the index chooses among all occurrences that compete for it by overload.precedence; until then ranks are as before. Late work of any priority gives way to work that can be in time. Long-running work keeps its place by due time. A run keeps the rank by which it was started. chooses_claims in the workflow options switches it off for work that claims CPU.

Its effect on a whole system has not been measured yet.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -100,7 +100,8 @@
             clock=self._clock,
         )
         caller_requests = callers.CallerRequestHandler(
-            leader=self, clock=self._clock
+            leader=self,
+            clock=self._clock,
         )
         return {
             message.Poll: self._polls.handle,
@@ -163,7 +164,8 @@
         with self._ready_lock:
             if term != self._ready_term:
                 self._closer.begin_term()
-                self._memory.health.clear()
+                with self._memory.lock:
+                    self._memory.begin_term()
                 self._upkeep.begin_term()
                 self._ready_term = term
                 _logger.info('schedules workflows', extra={'term': term})
@@ -261,7 +263,7 @@
         with self._replica.machine_lock:
             servers = self._memory.refresh_fleet(now)
             starts = planner.plan_starts(
-                self._memory.index.list_groups(now),
+                self._memory.index.list_groups(now, self._memory.rooms.rates),
                 servers,
                 now,
                 self._memory.interference,
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -4,6 +4,7 @@
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import initial_pace
 from bilberryhaven.workflow import interference
+from bilberryhaven.workflow import room
 from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import urgency
@@ -33,6 +34,7 @@
         monitor: The ``RunMonitor``.
         index: The ``WorkflowIndex``.
         fleet: The ``FleetView``.
+        rooms: The ``RoomTracker``.
     """
 
     def __init__(self, *, machine, lock, clock, options):
@@ -43,10 +45,8 @@
         self.health = health.HealthTable()
         self.interference = interference.InterferenceModel()
         self.monitor = run_monitor.RunMonitor()
-        self.index = workflow_index.WorkflowIndex(
-            machine.state,
-            ranker=urgency.ValueRanker(times=self.monitor.times),
-        )
+        ranker = urgency.ValueRanker(times=self.monitor.times)
+        self.index = workflow_index.WorkflowIndex(machine.state, ranker=ranker)
         self.fleet = fleet.FleetView(
             state=machine.state,
             index=self.index,
@@ -56,6 +56,14 @@
             options=options,
             effects=self.interference,
         )
+        self.rooms = room.RoomTracker(
+            index=self.index, ranker=ranker, clock=clock, options=options
+        )
+
+    def begin_term(self):
+        """Forget what was measured and decided in an earlier term."""
+        self.health.clear()
+        self.rooms.begin_term()
 
     def order_runs(self, agent_session):
         """Order what the log assigns to the server of a session.
@@ -89,4 +97,6 @@
             agent_session = self.sessions.find(key)
             if agent_session is not None:
                 self.order_runs(agent_session)
-        return self.fleet.list_servers(self._clock.monotonic())
+        servers = self.fleet.list_servers(self._clock.monotonic())
+        self.rooms.observe(servers)
+        return servers
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -24,6 +24,9 @@
         ended_retention: How long the state of an ended workflow can be
             queried.
         voters: Largest number of control instances that vote.
+        chooses_claims: Whether work that claims CPU is served in the order
+            that costs callers least, as best-effort work is, instead of by
+            due time.
     """
 
     lease: datetime.timedelta = clock.seconds(5)
@@ -32,6 +35,7 @@
     report_interval: datetime.timedelta = clock.seconds(0.5)
     ended_retention: datetime.timedelta = clock.seconds(180)
     voters: int = 3
+    chooses_claims: bool = True
 
     @property
     def lease_expiry_delay(self):
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.overload import precedence
 from bilberryhaven.workflow import candidate
 from bilberryhaven.workflow import server_choice
 from bilberryhaven.workflow import server_cost
@@ -144,8 +145,8 @@
         group: The ``Group``.
     """
     row = group.row
-    due_at = group.rank if group.step.best_effort else group.due_at
-    return (row.priority, due_at, row.id, group.index)
+    key = precedence.build_sort_key(row.priority, group.rank)
+    return (*key, row.id, group.index)
 
 
 def _place_group(group, servers, now, effects, refusals, max_suspected):
--- a/bilberryhaven/workflow/run_watch.py
+++ b/bilberryhaven/workflow/run_watch.py
@@ -27,12 +27,15 @@
             ends: The ``RunEnd`` rows; they aren't committed yet.
         """
         memory = self._memory
+        wall = self._clock.wall().timestamp()
         with memory.lock:
+            views = memory.index.runs.get(backend, {})
+            memory.rooms.record_ends(views, ends, wall)
             memory.monitor.record_ends(
-                memory.index.runs.get(backend, {}),
+                views,
                 ends,
                 self._clock.monotonic(),
-                self._clock.wall().timestamp(),
+                wall,
                 rack=self._find_rack(backend),
             )
 
--- a/bilberryhaven/workflow/urgency.py
+++ b/bilberryhaven/workflow/urgency.py
@@ -52,11 +52,14 @@
     def choose_ranks(self, occurrences, rates, now):
         """Return the ranks of all occurrences that compete for room.
 
+        Without a known rate, best-effort work is ranked whatever else is
+        waiting and other work by its due time. Long-running work is needed
+        from its due time on, so it keeps its place.
+
         Args:
-            occurrences: The ``Occurrence`` rows by key.
-            rates: CPU that the work of a pool gets in total, by ``room_key``
-                of the occurrences. Those for which it is unknown are ranked
-                whatever else is waiting.
+            occurrences: The ``Occurrence`` rows.
+            rates: CPU that competing work gets in total, by ``room_key``, as
+                far as it is known.
             now: Unix time in seconds.
 
         Returns:
@@ -64,12 +67,16 @@
         """
         ranks = {}
         competing = collections.defaultdict(dict)
-        for key, item in occurrences.items():
+        for item in occurrences:
+            competes = item.room_key in rates and not item.long_running
+            if not competes and not item.best_effort:
+                ranks[item.key] = item.due_at - precedence.TIER
+                continue
             need = self.describe(item.row, item.undone, item.due_at)
-            if item.room_key in rates:
-                competing[item.room_key][key] = need
+            if competes:
+                competing[item.room_key][item.key] = need
             else:
-                ranks[key] = precedence.find_rank(need, now)
+                ranks[item.key] = precedence.find_rank(need, now)
         for room_key, needs in competing.items():
             ranks.update(precedence.choose_ranks(needs, rates[room_key], now))
         return ranks
--- a/bilberryhaven/workflow/workflow_index.py
+++ b/bilberryhaven/workflow/workflow_index.py
@@ -5,7 +5,7 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
 
-__all__ = ['WorkflowIndex', 'Group', 'RunView']
+__all__ = ['Group', 'Occurrence', 'RunView', 'WorkflowIndex']
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -19,8 +19,8 @@
         step: The ``Step``.
         keys: Keys of the tasks that may start.
         due_at: When the occurrence was due, Unix time in seconds.
-        undone: Number of tasks by step that aren't done in the occurrence.
-        rank: Rank of its best-effort tasks; lower ranks take precedence.
+        rank: Rank of its workflow, the due time by default; lower ranks take
+            precedence.
     """
 
     row: workflow.Workflow
@@ -29,8 +29,48 @@
     step: workflow.Step
     keys: list[str]
     due_at: float
-    undone: list[int] = dataclasses.field(default_factory=list)
-    rank: float = 0.0
+    rank: float | None = None
+
+    def __post_init__(self):
+        if self.rank is None:
+            self.rank = self.due_at
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Occurrence:
+    """An occurrence of an active workflow that is due and isn't done.
+
+    Attributes:
+        row: The ``Workflow``.
+        number: Number of the occurrence.
+        due_at: When it was due, Unix time in seconds.
+        undone: Number of tasks by step that aren't done.
+    """
+
+    row: workflow.Workflow
+    number: int
+    due_at: float
+    undone: list[int]
+
+    @property
+    def key(self):
+        """(workflow id, occurrence) pair."""
+        return (self.row.id, self.number)
+
+    @property
+    def best_effort(self):
+        """Whether its tasks run on CPU time that others leave unused."""
+        return any(step.best_effort for step in self.row.steps)
+
+    @property
+    def long_running(self):
+        """Whether its tasks run until the workflow is cancelled."""
+        return any(step.long_running for step in self.row.steps)
+
+    @property
+    def room_key(self):
+        """What occurrences have in common that compete for room."""
+        return (self.row.pool, self.best_effort)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -67,12 +107,13 @@
 
     Args:
         state: The replicated tables.
-        ranker: Has ``find_rank``, as ``urgency.ValueRanker`` does, and
-            ``record``, which is called once with each ``Workflow``; None
-            ranks the tasks by due time.
+        ranker: Has ``find_rank`` and ``choose_ranks``, as
+            ``urgency.ValueRanker`` does, and ``record``, which is called once
+            with each ``Workflow``; None ranks the tasks by due time.
 
     Attributes:
         groups: Lists of ``Group`` by workflow id.
+        occurrences: Lists of ``Occurrence`` by workflow id.
         runs: ``RunView`` by run, by key of the backend server.
     """
 
@@ -85,10 +126,12 @@
 
     def _clear(self):
         self.groups = {}
+        self.occurrences = {}
         self.runs = {}
         self._runs_of = {}
         self._next_due = {}
         self._recorded = set()
+        self._ranks = {}
 
     def refresh(self, now):
         """Update the index with the changes since the last call.
@@ -109,25 +152,33 @@
         changed, self._changed = self._changed, set()
         return changed
 
-    def list_groups(self, now):
+    def list_groups(self, now, rates=None):
         """Return all groups of tasks that may start, with current ranks.
 
         Args:
             now: Unix time in seconds.
+            rates: CPU that competing work gets in total, by ``room_key``, as
+                far as it is known.
         """
         groups = [group for rows in self.groups.values() for group in rows]
+        if groups:
+            self._ranks = self._ranker.choose_ranks(
+                self.list_occurrences(), rates or {}, now
+            )
         for group in groups:
-            if group.step.best_effort:
-                group.rank = self._ranker.find_rank(
-                    group.row, group.undone, group.due_at, now
-                )
+            group.rank = self._ranks[group.row.id, group.occurrence]
         return groups
 
+    def list_occurrences(self):
+        """Return the ``Occurrence`` rows of all workflows."""
+        return [item for rows in self.occurrences.values() for item in rows]
+
     def _refresh_one(self, key, now):
         for backend, ref in self._runs_of.pop(key, ()):
             self.runs[backend].pop(ref, None)
             self._changed.add(backend)
         self.groups.pop(key, None)
+        self.occurrences.pop(key, None)
         self._next_due.pop(key, None)
         row = self._state.workflows.find(key)
         if row is None:
@@ -138,9 +189,7 @@
             self._ranker.record(row)
         self._index_runs(row, now)
         if row.state == workflow.WorkflowState.ACTIVE:
-            groups = self._build_groups(row, now)
-            if groups:
-                self.groups[key] = groups
+            self._index_occurrences(row, now)
 
     def _index_runs(self, row, now):
         indexed = []
@@ -158,7 +207,8 @@
         occurrence, step, _ = workflow.split_task_key(key)
         rank = 0.0
         if row.steps[step].best_effort:
-            rank = ranks.get(occurrence)
+            # The rank by which the run was started, as long as it is known.
+            rank = self._ranks.get((row.id, occurrence), ranks.get(occurrence))
             if rank is None:
                 undone = [scan.undone for scan in _scan(row, occurrence)]
                 due_at = _find_due(row, occurrence)
@@ -176,15 +226,27 @@
             rank=rank,
         )
 
-    def _build_groups(self, row, now):
-        groups = []
-        for occurrence in range(row.occurrences):
-            due_at = _find_due(row, occurrence)
+    def _index_occurrences(self, row, now):
+        groups, occurrences = [], []
+        for number in range(row.occurrences):
+            due_at = _find_due(row, number)
             if row.schedule is not None and due_at > now:
                 self._next_due[row.id] = due_at
                 break
-            groups.extend(_list_occurrence_groups(row, occurrence, due_at))
-        return groups
+            scans = _scan(row, number)
+            item = Occurrence(
+                row=row,
+                number=number,
+                due_at=due_at,
+                undone=[scan.undone for scan in scans],
+            )
+            if any(item.undone):
+                occurrences.append(item)
+            groups.extend(_list_occurrence_groups(item, scans))
+        if occurrences:
+            self.occurrences[row.id] = occurrences
+        if groups:
+            self.groups[row.id] = groups
 
 
 class _DueTimeRanker:
@@ -197,6 +259,10 @@
         """Return the due time."""
         return due_at
 
+    def choose_ranks(self, occurrences, rates, now):
+        """Return the due times by key."""
+        return {item.key: item.due_at for item in occurrences}
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _StepScan:
@@ -237,11 +303,9 @@
     return scans
 
 
-def _list_occurrence_groups(row, occurrence, due_at):
-    scans = _scan(row, occurrence)
-    undone = [scan.undone for scan in scans]
-    for index, step in enumerate(row.steps):
-        if any(undone[other] for other in step.after):
+def _list_occurrence_groups(item, scans):
+    for index, step in enumerate(item.row.steps):
+        if any(item.undone[other] for other in step.after):
             continue
         keys = scans[index].startable
         # The members of a gang start together, after all its earlier runs
@@ -249,11 +313,10 @@
         if not keys or (step.gang and len(keys) < step.tasks):
             continue
         yield Group(
-            row=row,
-            occurrence=occurrence,
+            row=item.row,
+            occurrence=item.number,
             index=index,
             step=step,
             keys=keys,
-            due_at=due_at,
-            undone=undone,
+            due_at=item.due_at,
         )
