Reject workflows at once under overload

Cause: the leader accepts every valid workflow, without bound, and tells no caller that its work can't be served.

The workflow options admission, max_active_workflows and max_active_bytes control it.

--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -21,6 +21,7 @@
     'OverloadError',
     'PeerError',
     'RefusedError',
+    'RejectedError',
     'SelectorError',
     'SettingsError',
     'StorageError',
@@ -171,6 +172,13 @@
     status = 503
 
 
+class RejectedError(BilberryhavenError):
+    """A workflow can't be served at present; it was not accepted."""
+
+    code = 'rejected'
+    status = 503
+
+
 class DrainingError(BilberryhavenError):
     """The process is draining and accepts no new work."""
 
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -8,6 +8,7 @@
 from bilberryhaven import log
 from bilberryhaven.tables import catalog
 from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import acceptance as acceptances
 from bilberryhaven.workflow import checks
 from bilberryhaven.workflow import message
 
@@ -25,11 +26,13 @@
 
     Args:
         leader: The ``Dispatcher``.
+        acceptance: The ``WorkflowAcceptance``.
         clock: The ``Clock``.
     """
 
-    def __init__(self, *, leader, clock):
+    def __init__(self, *, leader, acceptance, clock):
         self._leader = leader
+        self._acceptance = acceptance
         self._clock = clock
 
     def submit(self, request):
@@ -45,18 +48,22 @@
             BadInputError: The steps, the schedule or the id is invalid.
             NotFoundError: No queue matches the host and path.
             NotLeaderError: This instance is not the leader.
+            RejectedError: The workflow can't be served at present.
             UnavailableError: No catalog has been set yet.
         """
         checks.check_steps(request.steps, request.schedule)
         with self._leader.read() as state:
             queue, workflow_id = _resolve(state, request)
             known = state.workflows.find(workflow_id)
+            if known is None:
+                row = self._build_row(request, queue, workflow_id)
+                decision = self._acceptance.check(row)
         if known is None:
-            known = self._accept(request, queue, workflow_id)
+            known = self._accept(row, decision)
         return message.StateReply(state=describe_state(known))
 
-    def _accept(self, request, queue, workflow_id):
-        row = workflow.Workflow(
+    def _build_row(self, request, queue, workflow_id):
+        return workflow.Workflow(
             id=workflow_id,
             queue=queue.name,
             pool=queue.pool,
@@ -69,6 +76,8 @@
             latency_ms=queue.latency_ms,
             submitted_at=self._clock.wall().timestamp(),
         )
+
+    def _accept(self, row, decision):
         command = workflow_commands.SubmitWorkflow(workflow=row)
         stored = self._leader.propose(command)
         self._leader.wake()
@@ -76,9 +85,10 @@
             _logger,
             'accept workflow',
             reason='accepted by its queue',
-            workflow=workflow_id,
-            queue=queue.name,
+            workflow=row.id,
+            queue=row.queue,
             tasks=sum(step.tasks for step in row.steps),
+            **acceptances.describe_decision(decision),
         )
         return stored
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -101,6 +101,7 @@
         )
         caller_requests = callers.CallerRequestHandler(
             leader=self,
+            acceptance=self._memory.acceptance,
             clock=self._clock,
         )
         return {
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -1,5 +1,6 @@
 """What the leader remembers beside the replicated tables."""
 
+from bilberryhaven.workflow import acceptance
 from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import initial_pace
@@ -35,6 +36,7 @@
         index: The ``WorkflowIndex``.
         fleet: The ``FleetView``.
         rooms: The ``RoomTracker``.
+        acceptance: The ``WorkflowAcceptance``.
     """
 
     def __init__(self, *, machine, lock, clock, options):
@@ -59,11 +61,20 @@
         self.rooms = room.RoomTracker(
             index=self.index, ranker=ranker, clock=clock, options=options
         )
+        self.acceptance = acceptance.WorkflowAcceptance(
+            state=machine.state,
+            index=self.index,
+            rooms=self.rooms,
+            ranker=ranker,
+            clock=clock,
+            options=options,
+        )
 
     def begin_term(self):
         """Forget what was measured and decided in an earlier term."""
         self.health.clear()
         self.rooms.begin_term()
+        self.acceptance.begin_term()
 
     def order_runs(self, agent_session):
         """Order what the log assigns to the server of a session.
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -24,6 +24,11 @@
         ended_retention: How long the state of an ended workflow can be
             queried.
         voters: Largest number of control instances that vote.
+        admission: Whether workflows are rejected under overload.
+        max_active_workflows: Number of workflows that haven't ended from
+            which on others are rejected.
+        max_active_bytes: Estimated memory that these may occupy in the
+            leader.
         chooses_claims: Whether work that claims CPU is served in the order
             that costs callers least, as best-effort work is, instead of by
             due time.
@@ -35,6 +40,9 @@
     report_interval: datetime.timedelta = clock.seconds(0.5)
     ended_retention: datetime.timedelta = clock.seconds(180)
     voters: int = 3
+    admission: bool = True
+    max_active_workflows: int = 10_000
+    max_active_bytes: int = 64 * 1024 * 1024
     chooses_claims: bool = True
 
     @property
--- a/bilberryhaven/workflow/workflow_index.py
+++ b/bilberryhaven/workflow/workflow_index.py
@@ -5,7 +5,11 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
 
-__all__ = ['Group', 'Occurrence', 'RunView', 'WorkflowIndex']
+__all__ = ['Group', 'Occurrence', 'RunView', 'WorkflowIndex', 'estimate_size']
+
+# Estimated memory of a workflow and of each of its tasks in the leader.
+WORKFLOW_BYTES = 600
+TASK_BYTES = 500
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -114,6 +118,7 @@
     Attributes:
         groups: Lists of ``Group`` by workflow id.
         occurrences: Lists of ``Occurrence`` by workflow id.
+        size_bytes: Estimated memory that the active workflows occupy.
         runs: ``RunView`` by run, by key of the backend server.
     """
 
@@ -132,6 +137,8 @@
         self._next_due = {}
         self._recorded = set()
         self._ranks = {}
+        self._sizes = {}
+        self.size_bytes = 0
 
     def refresh(self, now):
         """Update the index with the changes since the last call.
@@ -180,6 +187,7 @@
         self.groups.pop(key, None)
         self.occurrences.pop(key, None)
         self._next_due.pop(key, None)
+        self.size_bytes -= self._sizes.pop(key, 0)
         row = self._state.workflows.find(key)
         if row is None:
             self._recorded.discard(key)
@@ -189,6 +197,8 @@
             self._ranker.record(row)
         self._index_runs(row, now)
         if row.state == workflow.WorkflowState.ACTIVE:
+            self._sizes[key] = estimate_size(row)
+            self.size_bytes += self._sizes[key]
             self._index_occurrences(row, now)
 
     def _index_runs(self, row, now):
@@ -277,6 +287,12 @@
     startable: list[str]
 
 
+def estimate_size(row):
+    """Return the estimated memory that a workflow occupies, in bytes."""
+    tasks = row.occurrences * sum(step.tasks for step in row.steps)
+    return WORKFLOW_BYTES + len(row.spec) + TASK_BYTES * tasks
+
+
 def _find_due(row, occurrence):
     if row.schedule is None:
         return row.submitted_at
