--- a/bilberryhaven/overload/precedence.py
+++ b/bilberryhaven/overload/precedence.py
@@ -18,6 +18,7 @@
     'TIER',
     'Need',
     'Outlook',
+    'Schedule',
     'build_sort_key',
     'choose_ranks',
     'find_outlook',
@@ -107,13 +108,17 @@
     return outlook * TIER + need.work / max(need.value, 1e-9)
 
 
-def choose_ranks(needs, rate, now):
+def choose_ranks(needs, rate, now, choose=None):
     """Return the ranks of all work that competes for the same room.
 
     Args:
         needs: The ``Need`` rows by key.
         rate: CPU that the work gets in total.
         now: Current time in seconds.
+        choose: Function that returns the keys of the work chosen, from the
+            (priority, rank, key) triples of all work that can be in time for
+            itself, in order, and an empty ``Schedule``; None chooses what
+            costs callers least.
 
     Returns:
         The ranks by key, for ``build_sort_key``. The work chosen is ranked
@@ -127,13 +132,16 @@
             rank *= BEGUN_SHARE if need.begun else 1.0
             candidates.append((need.priority, rank, key))
         ranks[key] = rank
-    schedule = _Schedule(rate=rate, now=now)
-    for _, _, key in sorted(candidates):
-        if schedule.add(needs[key]):
-            ranks[key] = needs[key].latest_start - TIER
+    schedule = Schedule(needs=needs, rate=rate, now=now)
+    for key in (choose or _choose_least_cost)(sorted(candidates), schedule):
+        ranks[key] = needs[key].latest_start - TIER
     return ranks
 
 
+def _choose_least_cost(candidates, schedule):
+    return [key for _, _, key in candidates if schedule.add(key)]
+
+
 def build_sort_key(priority, rank):
     """Return the sort key of work; lower keys take precedence.
 
@@ -147,27 +155,38 @@
     return (max(0, rank // TIER), priority, rank)
 
 
-class _Schedule:
+class Schedule:
     """Work that is all in time if the earliest deadline is served first.
 
     Args:
+        needs: The ``Need`` rows by key.
         rate: CPU that the work gets in total.
         now: Current time in seconds.
+
+    Attributes:
+        now: Current time in seconds.
     """
 
-    def __init__(self, *, rate, now):
+    def __init__(self, *, needs, rate, now):
+        self.now = now
+        self._needs = needs
         self._rate = max(rate, 1e-9)
-        self._now = now
         self._deadlines = []
         self._works = []
 
-    def add(self, need):
+    def find_deadline(self, key):
+        """Return when the room must have been given to work of a key."""
+        need = self._needs[key]
+        # With all the room, its last parts still take part of their time.
+        rest_s = need.remaining_s - need.work / self._rate
+        return need.due_at + need.allowed_s - max(0.0, rest_s)
+
+    def add(self, key):
         """Add work unless some would be late then; return whether it was."""
         if len(self._works) >= MAX_CHOSEN:
             return False
-        # With all the room, its last parts still take part of their time.
-        rest_s = need.remaining_s - need.work / self._rate
-        deadline = need.due_at + need.allowed_s - max(0.0, rest_s)
+        need = self._needs[key]
+        deadline = self.find_deadline(key)
         index = bisect.bisect(self._deadlines, deadline)
         done = sum(self._works[:index]) + need.work
         if not self._fits(done, deadline):
@@ -181,5 +200,16 @@
         self._works.insert(index, need.work)
         return True
 
+    def fits_all(self, keys):
+        """Return whether all work of some keys can be added to nothing."""
+        done = 0.0
+        for deadline, key in sorted(
+            (self.find_deadline(key), key) for key in keys
+        ):
+            done += self._needs[key].work
+            if not self._fits(done, deadline):
+                return False
+        return len(keys) <= MAX_CHOSEN
+
     def _fits(self, work, deadline):
-        return self._now + work / self._rate <= deadline
+        return self.now + work / self._rate <= deadline
