Divide room by shares of callers' zones: on the leader

Cause: nothing called the decision, and workflows didn't tell who asks.

Change: the entry of the infrastructure adds its availability zone to a submission; the workflow keeps it, empty in old logs and from old entries. Options: shares (on, acts where callers of several zones compete), zone_weights. In tests/test_platform.py and test_workflow_dispatcher.py a zone is passed in and checked besides.

--- a/bilberryhaven/overload/shares.py
+++ b/bilberryhaven/overload/shares.py
@@ -21,6 +21,7 @@
 import collections
 import dataclasses
 import functools
+import heapq
 
 from bilberryhaven.overload import precedence
 
@@ -32,6 +33,7 @@
     'Room',
     'ShareLedger',
     'ZoneShare',
+    'are_divided',
     'choose_ranks',
 ]
 
@@ -130,6 +132,11 @@
     credit_s: float
 
 
+def are_divided(zones):
+    """Return whether callers of several known zones are among some zones."""
+    return sum(map(bool, zones)) > 1
+
+
 def choose_ranks(needs, requests, room, now, ledger):
     """Return the ranks of all work that competes for the same room.
 
@@ -184,8 +191,7 @@
         self.delays = {}
         self._prepare(candidates, schedule, requests)
         keys = [key for _, _, key in candidates]
-        known = [name for name in self._zones if name]
-        if len(known) < 2 or schedule.fits_all(keys):
+        if not are_divided(self._zones) or schedule.fits_all(keys):
             self._zones = {}
             return [key for key in keys if schedule.add(key)]
         return self._divide(schedule)
@@ -208,17 +214,25 @@
 
     def _divide(self, schedule):
         chosen = []
-        waiting = {n: zone for n, zone in self._zones.items() if zone.waits}
-        while waiting:
-            name = min(waiting, key=lambda name: waiting[name].build_key(name))
-            item = waiting[name].pop()
+        heap = [
+            (*zone.find_precedence(), name)
+            for name, zone in self._zones.items()
+            if zone.waits
+        ]
+        heapq.heapify(heap)
+        while heap:
+            name = heap[0][-1]
+            zone = self._zones[name]
+            item = zone.pop()
             if schedule.add(item.key):
                 chosen.append(item.key)
-                waiting[name].add(item)
+                zone.add(item)
             else:
                 self._delay(name, item)
-            if not waiting[name].waits:
-                del waiting[name]
+            if zone.waits:
+                heapq.heapreplace(heap, (*zone.find_precedence(), name))
+            else:
+                heapq.heappop(heap)
         return chosen
 
     def _credit(self, now):
@@ -389,11 +403,11 @@
         """Return the share of work that the credit doesn't pay."""
         return max(0.0, item.size_s - self._unspent_s) / item.time_s
 
-    def build_key(self, name):
-        """Return the sort key of its next work among all zones."""
+    def find_precedence(self):
+        """Return the (priority, weighted share) pair with its next work."""
         item = self._items[0]
         charged = self._charged + self._find_charge(item)
-        return (item.priority, charged / self._weight, name)
+        return (item.priority, charged / self._weight)
 
     def pop(self):
         """Remove and return its next work."""
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -33,12 +33,13 @@
 }
 
 
-def build_caller_handler(gateway, is_draining):
+def build_caller_handler(gateway, is_draining, zone=''):
     """Return the handler of callers' requests.
 
     Args:
         gateway: The ``Gateway``.
         is_draining: Function that returns whether the process is stopping.
+        zone: Availability zone of the entry.
     """
 
     def handle(environ, body):
@@ -58,7 +59,7 @@
         }
         method = environ['REQUEST_METHOD']
         if method == 'POST':
-            request = jobs.decode_job(body, **address)
+            request = jobs.decode_job(body, **address, zone=zone)
         elif method == 'GET':
             request = message.Inquire(**address)
         elif method == 'DELETE':
--- a/bilberryhaven/platform/jobs.py
+++ b/bilberryhaven/platform/jobs.py
@@ -44,13 +44,14 @@
     repeat_count: int = 0  # 0: run once, immediately
 
 
-def decode_job(body, *, host, path):
+def decode_job(body, *, host, path, zone=''):
     """Return the ``Submit`` request for a job's body.
 
     Args:
         body: JSON of the job, as bytes.
         host: Host that the request was sent to, without a port.
         path: Path that the request was sent to.
+        zone: Availability zone of the entry.
 
     Raises:
         BadInputError: The body is not a valid job.
@@ -79,6 +80,7 @@
         spec=job.spec,
         steps=[_convert_step(step) for step in job.steps],
         schedule=schedule,
+        zone=zone,
     )
 
 
--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -118,7 +118,9 @@
         self._serve(
             self._deployment.caller_address,
             handlers.build_caller_handler(
-                self._gateway, self._draining.is_set
+                self._gateway,
+                self._draining.is_set,
+                self._deployment.settings.zone,
             ),
             CALLER_THREADS,
         )
--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -179,6 +179,7 @@
         ended_at: When it ended, Unix time in seconds; 0 before its end.
         reason: Why it ended, or empty.
         started: Whether any of its tasks has ever been started.
+        zone: Availability zone of its caller, or empty if unknown.
     """
 
     id: str
@@ -197,6 +198,7 @@
     ended_at: float = 0.0
     reason: str = ''
     started: bool = False
+    zone: str = ''
 
     @property
     def occurrences(self):
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -75,6 +75,7 @@
             slack_factor=queue.slack_factor,
             latency_ms=queue.latency_ms,
             submitted_at=self._clock.wall().timestamp(),
+            zone=request.zone,
         )
 
     def _accept(self, row, decision):
@@ -87,6 +88,7 @@
             reason='accepted by its queue',
             workflow=row.id,
             queue=row.queue,
+            zone=row.zone,
             tasks=sum(step.tasks for step in row.steps),
             **acceptances.describe_decision(decision),
         )
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -1,6 +1,7 @@
 """What the leader remembers beside the replicated tables."""
 
 from bilberryhaven.workflow import acceptance
+from bilberryhaven.workflow import caller_shares
 from bilberryhaven.workflow import fleet
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import initial_pace
@@ -36,6 +37,7 @@
         index: The ``WorkflowIndex``.
         fleet: The ``FleetView``.
         rooms: The ``RoomTracker``.
+        shares: The ``CallerShares``.
         acceptance: The ``WorkflowAcceptance``.
     """
 
@@ -47,7 +49,10 @@
         self.health = health.HealthTable()
         self.interference = interference.InterferenceModel()
         self.monitor = run_monitor.RunMonitor()
-        ranker = urgency.ValueRanker(times=self.monitor.times)
+        self.shares = caller_shares.CallerShares(clock=clock, options=options)
+        ranker = urgency.ValueRanker(
+            times=self.monitor.times, shares=self.shares
+        )
         self.index = workflow_index.WorkflowIndex(machine.state, ranker=ranker)
         self.fleet = fleet.FleetView(
             state=machine.state,
@@ -74,6 +79,7 @@
         """Forget what was measured and decided in an earlier term."""
         self.health.clear()
         self.rooms.begin_term()
+        self.shares.begin_term()
         self.acceptance.begin_term()
 
     def order_runs(self, agent_session):
@@ -110,4 +116,5 @@
                 self.order_runs(agent_session)
         servers = self.fleet.list_servers(self._clock.monotonic())
         self.rooms.observe(servers)
+        self.shares.observe(servers)
         return servers
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -274,6 +274,7 @@
         spec: Specification that each task is started with.
         steps: The steps.
         schedule: When the workflow runs, or None.
+        zone: Availability zone of the entry that took the request, or empty.
     """
 
     host: str
@@ -281,6 +282,7 @@
     spec: str
     steps: list[workflow.Step]
     schedule: workflow.Schedule | None = None
+    zone: str = ''
 
 
 class Inquire(Request, kw_only=True):
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -34,6 +34,9 @@
         chooses_claims: Whether work that claims CPU is served in the order
             that costs callers least, as best-effort work is, instead of by
             due time.
+        shares: Whether the room is divided by shares of callers' availability
+            zones when callers of several zones ask for more than there is.
+        zone_weights: Weights of the zones' shares; 1 for all others.
     """
 
     lease: datetime.timedelta = clock.seconds(5)
@@ -47,6 +50,8 @@
     max_active_workflows: int = 10_000
     max_active_bytes: int = 64 * 1024 * 1024
     chooses_claims: bool = True
+    shares: bool = True
+    zone_weights: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def lease_expiry_delay(self):
--- a/bilberryhaven/workflow/run_watch.py
+++ b/bilberryhaven/workflow/run_watch.py
@@ -51,6 +51,7 @@
                 rack=self._find_rack(backend),
             )
             memory.rooms.record_ends(views, ends, wall)
+            memory.shares.record_ends(views, ends, wall)
 
     def observe(self, agent_session):
         """Take a listing in; stop the runs that stand still.
--- a/bilberryhaven/workflow/urgency.py
+++ b/bilberryhaven/workflow/urgency.py
@@ -22,10 +22,13 @@
     Args:
         times: The measured ``RunTimes``. They are preferred,
             since declared run times are far off.
+        shares: The ``CallerShares``; None chooses among competing work
+            whoever asks for it.
     """
 
-    def __init__(self, *, times):
+    def __init__(self, *, times, shares=None):
         self._times = times
+        self._shares = shares
         self._mean_work = {}
 
     def record(self, row):
@@ -74,13 +77,21 @@
                 continue
             need = self.describe(item.row, item.undone, item.due_at)
             if competes:
-                competing[item.room_key][item.key] = need
+                competing[item.room_key][item.key] = (item, need)
             else:
                 ranks[item.key] = precedence.find_rank(need, now)
-        for room_key, needs in competing.items():
-            ranks.update(precedence.choose_ranks(needs, rates[room_key], now))
+        for room_key, rows in competing.items():
+            ranks.update(self._choose(room_key, rows, rates[room_key], now))
         return ranks
 
+    def _choose(self, room_key, rows, rate, now):
+        if self._shares is not None:
+            return self._shares.choose_ranks(
+                room_key, rows, rate, now, self._list_run_times
+            )
+        needs = {key: need for key, (_, need) in rows.items()}
+        return precedence.choose_ranks(needs, rate, now)
+
     def describe(self, row, undone, due_at):
         """Return the ``Need`` of one occurrence.
 
@@ -89,7 +100,7 @@
             undone: Number of tasks by step that aren't done.
             due_at: When the occurrence was due, Unix time in seconds.
         """
-        seconds = [self._estimate_run_time(row, step) for step in row.steps]
+        seconds = self._list_run_times(row)
         total_s, remaining_s = _measure_critical_path(row, undone, seconds)
         remaining = _sum_work(row.steps, undone)
         work = _sum_work(row.steps, [step.tasks for step in row.steps])
@@ -111,9 +122,13 @@
             begun=row.started,
         )
 
-    def _estimate_run_time(self, row, step):
+    def _list_run_times(self, row):
+        """Return the expected run times of a task, in s, by step."""
         mean_s = self._times.find(row.queue)
-        return step.estimate_ms / MS_PER_S if mean_s is None else mean_s
+        return [
+            step.estimate_ms / MS_PER_S if mean_s is None else mean_s
+            for step in row.steps
+        ]
 
 
 def _measure_critical_path(row, undone, seconds):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -280,7 +280,9 @@
 class CallerHandlerTest(testtools.TestCase):
     def call(self, answer, *, method='POST', body=JOB, draining=False):
         self.gateway = StubGateway(answer)
-        handle = handlers.build_caller_handler(self.gateway, lambda: draining)
+        handle = handlers.build_caller_handler(
+            self.gateway, lambda: draining, 'pingtung'
+        )
         environ = {
             'REQUEST_METHOD': method,
             'PATH_INFO': '/p/5c0e7a21d94b36f8',
@@ -291,7 +293,9 @@
     def test_job_is_forwarded(self):
         response = self.call(message.StateReply(state='queued'))
         self.assertEqual(200, response.status)
-        self.assertEqual('h.example', self.gateway.requests[0].host)
+        (request,) = self.gateway.requests
+        self.assertEqual('h.example', request.host)
+        self.assertEqual('pingtung', request.zone)
 
     def test_count_is_encoded(self):
         response = self.call(message.CountReply(waiting=12), method='GET')
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -66,13 +66,14 @@
             )
         )
 
-    def submit(self, name, *steps):
+    def submit(self, name, *steps, **fields):
         return self.ask(
             message.Submit(
                 host=HOST,
                 path=PREFIX + name,
                 spec='spec',
                 steps=list(steps) or [fakes.build_step()],
+                **fields,
             )
         )
 
@@ -149,6 +150,14 @@
         error = self.assertRaises(errors.BadInputError, self.submit, 'w1')
         self.assertIn('surveys/w1', str(error))
 
+    def test_zone_of_the_entry_is_stored(self):
+        self.replace()
+        self.submit('w1', zone='pingtung')
+        self.submit('w2')
+        with self.leader.read() as state:
+            zones = [state.workflows.get(name).zone for name in ('w1', 'w2')]
+        self.assertEqual(['pingtung', ''], zones)
+
     def test_states_from_queued_to_completed(self):
         self.replace()
         self.assertEqual('queued', self.submit('w1').state)
