Give room beyond the shares to what costs callers least

Change: a zone's work up to its share is chosen first; what is left goes to the work that costs callers least, whatever its zone.

--- a/bilberryhaven/overload/shares.py
+++ b/bilberryhaven/overload/shares.py
@@ -6,11 +6,12 @@
 changes.
 
 Work asks for a share of the room: the part of its dominant resource that it
-occupies from now until its deadline. Zones are served so that the largest
-weighted sum of shares stays as small as possible. All work of zones whose sums
-stay within their weights can be in time together, so none of it is displaced.
-What such zones leave is given to the others. Within a zone, and of the same
-priority, work is chosen that costs callers least.
+occupies from now until its deadline. Each zone is entitled to a sum of shares
+by its weight. All work within these sums can be in time together, so none of
+it is displaced by work beyond them. The room that is left goes to the work
+that costs callers least, whatever its zone, and so does the share of a zone
+that doesn't ask for it. Within a zone, what costs callers least comes first.
+Work of a higher priority precedes all that.
 
 A zone whose work is too large to ever come first earns credit for the share
 that it lacks, and a queue for a part of that. Credit is lost once nothing of
@@ -46,6 +47,7 @@
 # the work that was waiting meanwhile.
 MAX_INTERVAL_S = 1.0
 MIN_TIME_S = 1e-6
+TOLERANCE = 1e-9
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -254,7 +256,7 @@
         for request, _ in requests.values():
             present[request.zone].add(request.queue)
         items = collections.defaultdict(list)
-        for priority, _, key in candidates:
+        for priority, rank, key in candidates:
             request, size_s = requests[key]
             time_s = schedule.find_deadline(key) - schedule.now
             items[request.zone].append(
@@ -262,6 +264,7 @@
                     key=key,
                     queue=request.queue,
                     priority=priority,
+                    rank=rank,
                     size_s=size_s,
                     time_s=max(time_s, MIN_TIME_S),
                 )
@@ -301,6 +304,7 @@
         key: Its key.
         queue: Its queue.
         priority: Its priority.
+        rank: Its rank by what its delay costs callers.
         size_s: Seconds for which it occupies its dominant resource.
         time_s: Seconds until its deadline.
     """
@@ -308,6 +312,7 @@
     key: object
     queue: str
     priority: int
+    rank: float
     size_s: float
     time_s: float
 
@@ -404,10 +409,12 @@
         return max(0.0, item.size_s - self._unspent_s) / item.time_s
 
     def find_precedence(self):
-        """Return the (priority, weighted share) pair with its next work."""
+        """Return the sort key of its next work among all zones."""
         item = self._items[0]
         charged = self._charged + self._find_charge(item)
-        return (item.priority, charged / self._weight)
+        if charged <= self.entitled + TOLERANCE:
+            return (item.priority, 0, charged / self._weight)
+        return (item.priority, 1, item.rank)
 
     def pop(self):
         """Remove and return its next work."""
