Count only a zone's own work beyond the shares when work is rejected

Cause: work of a zone that doesn't surge could be rejected as too late for the work of another zone's surge, though its share would serve it. Such a refusal isn't true.

Change: the backlog keeps its sums by zone as well; what precedes a newcomer is the work of higher priorities and that of its own zone over the zone's share, if that is less than all. The share of a zone is computed in one place.

--- a/bilberryhaven/overload/admission.py
+++ b/bilberryhaven/overload/admission.py
@@ -84,6 +84,8 @@
         sizes: (CPU, memory in MB, accelerators) that a server must have, and
             the label that it requires or an empty string, by step.
         size_bytes: Estimated size in the leader's memory.
+        zone: Availability zone of its caller, or empty if the room isn't
+            divided by shares.
     """
 
     key: str
@@ -92,6 +94,7 @@
     has_deadline: bool
     sizes: tuple
     size_bytes: int = 0
+    zone: str = ''
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
@@ -229,7 +232,10 @@
             return
         share = {'best_effort': newcomer.best_effort}
         ahead = forecast.backlog.sum_ahead(
-            need.priority, precedence.find_rank(need, now), **share
+            need.priority,
+            precedence.find_rank(need, now),
+            zone=newcomer.zone,
+            **share,
         )
         total = ahead + need.work
         self.work_ahead = ahead
--- a/bilberryhaven/overload/forecast.py
+++ b/bilberryhaven/overload/forecast.py
@@ -16,6 +16,8 @@
 import itertools
 import math
 
+from bilberryhaven.overload import shares
+
 __all__ = [
     'Backlog',
     'Forecast',
@@ -110,47 +112,90 @@
         rank: Its rank within the priority, lower ranks take precedence.
         work: Remaining work, in thousandths of a core times seconds.
         best_effort: Whether it gets spare CPU only.
+        zone: Availability zone of its caller, or empty if the room isn't
+            divided by shares.
     """
 
     priority: int
     rank: float
     work: float
     best_effort: bool
+    zone: str = ''
 
 
 class Backlog:
     """Work that is accepted and hasn't ended.
 
+    Args:
+        rows: The ``Waiting`` rows.
+        weights: Weights by availability zone; 1 for zones without one.
+    """
+
+    def __init__(self, rows=(), *, weights=None):
+        self._weights = weights or {}
+        kinds = {False: [], True: []}
+        zones = {False: {}, True: {}}
+        for row in rows:
+            kinds[row.best_effort].append(row)
+            zones[row.best_effort].setdefault(row.zone, []).append(row)
+        self._kinds = {kind: _Queue(items) for kind, items in kinds.items()}
+        self._zones = {
+            kind: {zone: _Queue(items) for zone, items in by_zone.items()}
+            for kind, by_zone in zones.items()
+        }
+
+    def sum_ahead(self, priority, rank, *, best_effort, zone=''):
+        """Return the work that takes precedence over work of a rank.
+
+        Work of other zones and the same priority can't take the share of its
+        own zone.
+
+        Args:
+            priority: Its priority.
+            rank: Its rank.
+            best_effort: Whether it gets spare CPU only.
+            zone: Availability zone of its caller, or empty if the room isn't
+                divided by shares.
+        """
+        queue = self._kinds[best_effort]
+        ahead = queue.sum_ahead(priority, rank)
+        queues = self._zones[best_effort]
+        zones = sorted(queues.keys() | {zone})
+        if not zone or not shares.are_divided(zones):
+            return ahead
+        share = shares.find_share(zone, zones, self._weights)
+        own = queues.get(zone, _Queue())
+        prior = queue.sum_ahead(priority)
+        own_ahead = own.sum_ahead(priority, rank) - own.sum_ahead(priority)
+        return min(ahead, prior + own_ahead / share)
+
+    def sum_work(self):
+        """Return all work."""
+        return sum(queue.sum_work() for queue in self._kinds.values())
+
+
+class _Queue:
+    """Work in order, with its sums.
+
     Args:
         rows: The ``Waiting`` rows.
     """
 
     def __init__(self, rows=()):
-        self._keys = {}
-        self._sums = {}
-        rows = list(rows)
-        for best_effort in (False, True):
-            ordered = sorted(
-                (row.priority, row.rank, row.work)
-                for row in rows
-                if row.best_effort == best_effort
-            )
-            self._keys[best_effort] = [item[:2] for item in ordered]
-            self._sums[best_effort] = list(
-                itertools.accumulate(
-                    (item[2] for item in ordered), initial=0.0
-                )
-            )
-
-    def sum_ahead(self, priority, rank, *, best_effort):
-        """Return the work that takes precedence over work of a rank."""
-        keys = self._keys[best_effort]
-        index = bisect.bisect_left(keys, (priority, rank))
-        return self._sums[best_effort][index]
+        ordered = sorted((row.priority, row.rank, row.work) for row in rows)
+        self._keys = [item[:2] for item in ordered]
+        self._sums = list(
+            itertools.accumulate((item[2] for item in ordered), initial=0.0)
+        )
+
+    def sum_ahead(self, priority, rank=-math.inf):
+        """Return the work ahead of a priority and rank."""
+        index = bisect.bisect_left(self._keys, (priority, rank))
+        return self._sums[index]
 
     def sum_work(self):
         """Return all work."""
-        return sum(sums[-1] for sums in self._sums.values())
+        return self._sums[-1]
 
 
 class Limits:
--- a/bilberryhaven/overload/shares.py
+++ b/bilberryhaven/overload/shares.py
@@ -36,6 +36,7 @@
     'ZoneShare',
     'are_divided',
     'choose_ranks',
+    'find_share',
 ]
 
 SHARE_USED_UP = 'share of its zone is used up'
@@ -48,6 +49,7 @@
 MAX_INTERVAL_S = 1.0
 MIN_TIME_S = 1e-6
 TOLERANCE = 1e-9
+MIN_WEIGHT = 1e-6
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -139,6 +141,18 @@
     return sum(map(bool, zones)) > 1
 
 
+def find_share(zone, zones, weights):
+    """Return the share of the room that a zone is entitled to.
+
+    Args:
+        zone: Availability zone, one of ``zones``.
+        zones: Zones whose callers ask for room.
+        weights: Weights by zone; 1 for zones without one.
+    """
+    total = sum(weights.get(name, 1.0) for name in zones)
+    return max(weights.get(zone, 1.0), MIN_WEIGHT) / max(total, MIN_WEIGHT)
+
+
 def choose_ranks(needs, requests, room, now, ledger):
     """Return the ranks of all work that competes for the same room.
 
@@ -269,14 +283,14 @@
                     time_s=max(time_s, MIN_TIME_S),
                 )
             )
-        weights = {name: self._weights.get(name, 1.0) for name in present}
         # A zone without work that can be in time doesn't ask for anything.
-        total = sum(weights[name] for name in items)
+        entitled = {
+            name: find_share(name, items, self._weights) for name in items
+        }
         self._zones = {
             name: _Zone(
-                weight=weights[name],
-                entitled=weights[name] / total if name in items else 0.0,
-                items=items[name],
+                entitled=entitled.get(name, 0.0),
+                items=items.get(name, []),
                 queues=sorted(queues),
                 before=self._zones.get(name),
             )
@@ -361,18 +375,16 @@
     """Account of an availability zone, with its work in order.
 
     Args:
-        weight: Its weight.
         entitled: Share of the room by its weight.
         items: The ``_Item`` rows, what costs callers least first.
         queues: Names of its queues.
         before: Its account in the choice before, or None.
     """
 
-    def __init__(self, *, weight, entitled, items, queues, before):
+    def __init__(self, *, entitled, items, queues, before):
         super().__init__(
             entitled=entitled, largest_s=_find_largest(items), before=before
         )
-        self._weight = max(weight, 1e-6)
         self._charged = 0.0
         self._unspent_s = self.credit_s
         earlier = {} if before is None else before.queues
@@ -413,7 +425,7 @@
         item = self._items[0]
         charged = self._charged + self._find_charge(item)
         if charged <= self.entitled + TOLERANCE:
-            return (item.priority, 0, charged / self._weight)
+            return (item.priority, 0, charged / self.entitled)
         return (item.priority, 1, item.rank)
 
     def pop(self):
--- a/bilberryhaven/workflow/acceptance.py
+++ b/bilberryhaven/workflow/acceptance.py
@@ -58,6 +58,7 @@
         self._ranker = ranker
         self._clock = clock
         self._enabled = options.admission
+        self._shares = options.shares
         self._admission = admission.Admission(
             bounds=admission.Bounds(
                 entries=options.max_active_workflows,
@@ -123,6 +124,7 @@
                 for step in row.steps
             ),
             size_bytes=workflow_index.estimate_size(row),
+            zone=row.zone if self._shares else '',
         )
 
     def _reject(self, row, decision, forecast, now):
--- a/bilberryhaven/workflow/room.py
+++ b/bilberryhaven/workflow/room.py
@@ -39,7 +39,7 @@
         self._index = index
         self._ranker = ranker
         self._clock = clock
-        self._chooses_claims = options.chooses_claims
+        self._options = options
         self.begin_term()
 
     def begin_term(self):
@@ -73,7 +73,7 @@
             found = forecaster.build(forecast.Backlog(), seconds)
             if found.measured:
                 self.rates[pool, True] = found.best_effort_rate
-                if self._chooses_claims:
+                if self._options.chooses_claims:
                     self.rates[pool, False] = found.claim_rate
 
     def record_ends(self, views, ends, wall):
@@ -103,7 +103,9 @@
         now = self._clock.monotonic().total_seconds()
         found = self._forecasts.get(pool)
         if found is None or now >= found.built_at + INTERVAL.total_seconds():
-            backlog = forecast.Backlog(self._list_waiting(pool))
+            backlog = forecast.Backlog(
+                self._list_waiting(pool), weights=self._options.zone_weights
+            )
             found = self._get_forecaster(pool).build(backlog, now)
             self._forecasts[pool] = found
         return found
@@ -126,6 +128,7 @@
                     rank=self._ranker.find_rank(*args, now),
                     work=self._ranker.describe(*args).work,
                     best_effort=item.best_effort,
+                    zone=item.row.zone if self._options.shares else '',
                 )
 
 
--- a/tests/test_overload_admission.py
+++ b/tests/test_overload_admission.py
@@ -22,9 +22,11 @@
 REASON = admission.Reason
 
 
-def build_forecast(work=0.0, *, built_at=NOW, measured=True, rank=-1.0):
+def build_forecast(
+    work=0.0, *, built_at=NOW, measured=True, rank=-1.0, zone=''
+):
     waiting = forecast.Waiting(
-        priority=0, rank=rank, work=work, best_effort=True
+        priority=0, rank=rank, work=work, best_effort=True, zone=zone
     )
     return forecast.Forecast(
         built_at=built_at,
@@ -96,6 +98,12 @@
         decision = self.check(REASON.TOO_LATE, known=build_forecast(work))
         self.assertTrue(30 <= decision.retry_after_s <= 60, decision)
 
+    def test_surge_of_one_zone_does_not_reject_work_of_another(self):
+        known = build_forecast(CPU * LATEST_S - 4_000, zone='a')
+        self.check(REASON.TOO_LATE, build_newcomer(zone='a'), known=known)
+        calm = build_newcomer('calm', zone='b')
+        self.assertEqual(0.0, self.check(None, calm, known=known).work_ahead)
+
     def test_retry_after_is_when_a_newcomer_would_be_in_time(self):
         """The work ahead takes 10 s, and the newcomer may wait for 6 s."""
         known = build_forecast(10 * CPU / 2)
--- a/tests/test_overload_forecast.py
+++ b/tests/test_overload_forecast.py
@@ -21,9 +21,13 @@
     return forecast.ServerRoom(cpu=CPU, standing_cpu=2_000, **fields)
 
 
-def build_waiting(priority, rank, work, *, best_effort=True):
+def build_waiting(priority, rank, work, *, best_effort=True, zone=''):
     return forecast.Waiting(
-        priority=priority, rank=rank, work=work, best_effort=best_effort
+        priority=priority,
+        rank=rank,
+        work=work,
+        best_effort=best_effort,
+        zone=zone,
     )
 
 
@@ -140,6 +144,26 @@
         self.assertEqual(1000, backlog.sum_ahead(1, 0.0, best_effort=False))
         self.assertEqual(1111, backlog.sum_work())
 
+    def test_work_of_other_zones_leaves_the_share_of_a_zone(self):
+        """The callers of zone a surge."""
+        rows = [
+            build_waiting(1, 5.0, 1000, zone='a'),
+            build_waiting(0, 5.0, 100, zone='a'),
+            build_waiting(1, 5.0, 10, zone='b'),
+        ]
+        backlog = forecast.Backlog(rows)
+        weighted = forecast.Backlog(rows, weights={'b': 4.0})
+        for found, zone, work in (
+            (backlog, '', 1110),
+            (backlog, 'a', 1110),
+            (backlog, 'b', 100 + 2 * 10),
+            (backlog, 'c', 100),
+            (weighted, 'b', 100 + 10 / 0.8),
+            (forecast.Backlog(rows[:2]), 'a', 1100),
+        ):
+            ahead = found.sum_ahead(1, 9.0, best_effort=True, zone=zone)
+            self.assertEqual(work, ahead, zone)
+
 
 class LimitsTest(testtools.TestCase):
     def setUp(self):
--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -4,6 +4,8 @@
 can't all be in time is chosen by its value, once the room was measured.
 """
 
+import math
+
 import testtools
 
 from bilberryhaven import clock as clocks
@@ -94,6 +96,20 @@
         backlog = self.rooms.get_forecast(fakes.POOL).backlog
         self.assertEqual(3 * 1000 * RUN_S, backlog.sum_work())
 
+    def test_backlog_tells_whose_work_it_is(self):
+        self.times.record('surveys', RUN_S)
+        for name, tasks in (('a', 30), ('b', 3)):
+            step = fakes.build_step(tasks=tasks)
+            self.world.submit(fakes.build_workflow(name, step, zone=name))
+        self.index.refresh(0)
+        backlog = self.rooms.get_forecast(fakes.POOL).backlog
+        kind = {'best_effort': False}
+        for zone, tasks in (('', 33), ('b', 6)):
+            self.assertEqual(
+                tasks * 1000 * RUN_S,
+                backlog.sum_ahead(0, math.inf, zone=zone, **kind),
+            )
+
 
 class ChosenRankTest(testtools.TestCase):
     """A surge: work that can't all be in time competes for the room."""
