--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -97,9 +97,7 @@
             options=options,
         )
         self._zone_monitor = workflow_zones.ZoneMonitor(
-            state=self._state,
-            index=self._memory.index,
-            sessions=self._memory.sessions,
+            memory=self._memory, clock=clock
         )
         self._ready_term = 0
         self._ready_lock = threading.Lock()
@@ -245,8 +243,7 @@
     def _schedule(self):
         if self._membership is not None:
             self._membership.tick()
-        with self._replica.machine_lock:
-            self._zone_monitor.tick(self._clock.monotonic())
+        self._zone_monitor.tick()
         self._closer.close_lapsed()
         self._upkeep.run()
         while not self._stopping.is_set():
--- a/bilberryhaven/workflow/zones.py
+++ b/bilberryhaven/workflow/zones.py
@@ -82,32 +82,30 @@
 class ZoneMonitor:
     """Informs agents of withdrawn zones, and logs what still runs there.
 
-    Not thread-safe: callers must hold the state machine's lock.
-
     Args:
-        state: The replicated tables.
-        index: The ``WorkflowIndex``.
-        sessions: The ``SessionTable``.
+        memory: The ``LeaderMemory``.
+        clock: The ``Clock``.
     """
 
-    def __init__(self, *, state, index, sessions):
-        self._state = state
-        self._index = index
-        self._sessions = sessions
-        self._journal = state.zones.open_journal()
+    def __init__(self, *, memory, clock):
+        self._state = memory.state
+        self._memory = memory
+        self._clock = clock
+        self._journal = memory.state.zones.open_journal()
         self._logged_at = None
 
-    def tick(self, now):
-        """Process the orders that were committed since the last call.
-
-        Args:
-            now: Monotonic time.
-        """
-        changed = self._journal.take()
-        if changed is None:
-            changed = [row.name for row in self._state.zones]
-        for zone in changed:
-            self._answer_polls(zone)
+    def tick(self):
+        """Process the orders that were committed since the last call."""
+        with self._memory.lock:
+            changed = self._journal.take()
+            if changed is None:
+                changed = [row.name for row in self._state.zones]
+            for zone in changed:
+                self._answer_polls(zone)
+            self._log_if_due(changed)
+
+    def _log_if_due(self, changed):
+        now = self._clock.monotonic()
         due = self._logged_at is None or now - self._logged_at >= LOG_INTERVAL
         if changed or due:
             self._logged_at = now
@@ -116,7 +114,7 @@
     def _answer_polls(self, zone):
         """Tell the agents of a zone now whether starts may be sent."""
         for row in self._state.backends.iterate('zone', zone):
-            agent_session = self._sessions.find(row.key)
+            agent_session = self._memory.sessions.find(row.key)
             if agent_session is not None:
                 agent_session.answer_poll()
 
@@ -125,7 +123,7 @@
             if row.withdrawn:
                 servers = self._state.backends.select('zone', row.name)
                 runs = sum(
-                    len(self._index.runs.get(server.key, ()))
+                    len(self._memory.index.runs.get(server.key, ()))
                     for server in servers
                 )
                 _logger.info(
