Withdraw and restore availability zones

Cause: an operator could not keep new runs out of a zone; the order was answered with 404. Change: replicated rows and two commands hold which zones are withdrawn, so that the order outlives any leader; a resent order is acknowledged again and an unknown zone is refused with not_found. Servers of a withdrawn zone are closed to placement, starts that were planned before the order are refused when they are applied (a gang as a whole), and polls tell agents to give up starts that wait. An agent that hears nothing from the leader sends no start later than half the time that the deployment allows. What runs is left to end.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -191,12 +191,27 @@
     def apply(self, state):
         """Record the runs that may still start; return their number."""
         allowed = 0
+        withdrawn = self._list_withdrawn(state)
         for start in self.starts:
+            if withdrawn and _build_unit(state, start) in withdrawn:
+                continue
             if self._may_start(state, start):
                 self._record_start(state, start)
                 allowed += 1
         return allowed
 
+    def _list_withdrawn(self, state):
+        """Return the units with a start in a withdrawn availability zone.
+
+        The zone may have been withdrawn since the starts were planned.
+        """
+        units = set()
+        for start in self.starts:
+            row = state.backends.find(start.backend)
+            if row is not None and state.zones.is_withdrawn(row.zone):
+                units.add(_build_unit(state, start))
+        return units
+
     def _may_start(self, state, start):
         row = state.workflows.find(start.workflow)
         if row is None or row.state != workflow.WorkflowState.ACTIVE:
@@ -226,6 +241,18 @@
         state.workflows.update(row.id, started=True)
 
 
+def _build_unit(state, start):
+    """Return what a start belongs to that starts as a whole or not at all.
+
+    That is the step of a gang, and otherwise the task alone.
+    """
+    row = state.workflows.find(start.workflow)
+    occurrence, index, _ = workflow.split_task_key(start.task)
+    if row is not None and row.steps[index].gang:
+        return (start.workflow, occurrence, index)
+    return (start.workflow, start.task, start.backend)
+
+
 class StopRuns(commands.Command):
     """Orders runs to stop; their tasks are started again elsewhere."""
 
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -27,6 +27,10 @@
 STATUS_UNKNOWN = 504
 HEARTBEAT_PATH = '/Instances.Heartbeat/'
 DEREGISTER_PATH = '/Instances.Deregister/'
+ZONE_REQUESTS = {
+    '/Evacuation.Start/': message.Withdraw,
+    '/Evacuation.End/': message.Restore,
+}
 
 
 def build_caller_handler(gateway, is_draining):
@@ -85,6 +89,11 @@
                 return _replace(body)
             if call == ('GET', '/Config.Get'):
                 return _read()
+            order = _decode_zone_order(*call)
+            if order is not None:
+                step = type(order).__name__.lower()
+                gateway.send(order, timeout=OPERATOR_TIMEOUT, step=step)
+                return server.Response(body=b'{}')
         except errors.BilberryhavenError as error:
             return _build_error_response(error)
         error = errors.NotFoundError(
@@ -110,6 +119,14 @@
     return handle
 
 
+def _decode_zone_order(method, path):
+    """Return the order on an availability zone in a call, or None."""
+    for prefix, kind in ZONE_REQUESTS.items():
+        if method == 'POST' and path.startswith(prefix):
+            return kind(zone=path.removeprefix(prefix))
+    return None
+
+
 def build_worker_handler(agent):
     """Return the handler of the worker's heartbeats."""
 
--- a/bilberryhaven/platform/settings.py
+++ b/bilberryhaven/platform/settings.py
@@ -17,6 +17,11 @@
 # Upper bound on the lease on a backend server, also where the deployment
 # allows a longer one: it limits how long the work of a lost server is stalled.
 MAX_LEASE = clocks.seconds(5)
+ZONE_PREFIX = 'zones.'
+# Share of the time allowed for the withdrawal of a zone to take effect in
+# which an agent that is cut off may send starts; the rest is for calls that
+# take long.
+START_VALIDITY_SHARE = 0.5
 
 
 @dataclasses.dataclass(kw_only=True, frozen=True)
@@ -100,6 +105,7 @@
         else {},
         # The settings file calls the backend server beside an agent "app".
         backend=fields.get('app', ''),
+        zones=_list_zones(fields),
     )
     return Deployment(
         settings=loaded,
@@ -122,9 +128,18 @@
     return _build_replica_name(deployment.settings.listen)
 
 
+def _list_zones(fields):
+    return [
+        settings.Zone(name=name.removeprefix(ZONE_PREFIX), region=region)
+        for name, region in fields.items()
+        if name.startswith(ZONE_PREFIX)
+    ]
+
+
 def _build_options(fields):
     defaults = options.Options()
     max_lease = int(fields.get('bounds.max_lease_ms', 0)) * MILLISECOND
+    withdrawal = int(fields.get('bounds.evacuate_ms', 0)) * MILLISECOND
     tolerated_failures = int(fields.get('fault_tolerance.machines', 1))
     return dataclasses.replace(
         defaults,
@@ -133,6 +148,7 @@
             1.5 * float(fields.get('bounds.status_s', 120))
         ),
         voters=2 * tolerated_failures + 1,
+        start_validity=withdrawal * START_VALIDITY_SHARE or None,
     )
 
 
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -99,6 +99,7 @@
             clock=clock,
             options=options,
             membership=members if manage_membership else None,
+            zones=[zone.name for zone in settings.zones],
         )
         self._heartbeats = heartbeat.HeartbeatHandler(leader=self.leader)
         self._sync = sync.SyncHandler(leader=self.leader)
--- a/bilberryhaven/tables/backend.py
+++ b/bilberryhaven/tables/backend.py
@@ -75,4 +75,4 @@
     name = 'backends'
     row_class = Backend
     key = 'key'
-    indexes = ('instance',)
+    indexes = ('instance', 'zone')
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -12,6 +12,7 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import server_client
+from bilberryhaven.workflow import start_permit
 from bilberryhaven.workflow import supervision
 
 __all__ = ['WorkflowAgent']
@@ -76,6 +77,9 @@
         self._options = options
         self._on_control = on_control_addresses or (lambda addresses: None)
         self._supervisor = supervision.RunSupervisor(agent=name)
+        self._permit = start_permit.StartPermit(
+            validity=options.start_validity
+        )
         self._lock = threading.Lock()
         self._reported_at = clock.monotonic()
         self._listed_runs = None
@@ -168,6 +172,7 @@
             if self._supervisor.epoch not in (poll.epoch, reply.epoch):
                 return
             now = self._clock.monotonic()
+            self._permit.update(reply, sent_at)
             orders = self._supervisor.handle_poll_reply(reply, sent_at, now)
             target = self._supervisor.target
             epoch = reply.epoch
@@ -226,15 +231,12 @@
                 deadline = self._supervisor.grant_deadline(now)
                 allowed = self._supervisor.may_start(order.run)
                 listed = self._supervisor.is_listed(order.run)
-                fits = self._supervisor.fits(order.run)
+                refusal = self._find_refusal(order.run, now)
             if listed:
                 return RunPhase.STARTED, ''
-            if not fits:
+            if refusal:
                 self._log_start_given_up(
-                    target,
-                    order,
-                    'backend server has shrunk since it was planned',
-                    outcome='unknown',
+                    target, order, refusal, outcome='unknown'
                 )
                 # No trouble of the server: it isn't set aside for it. An
                 # earlier attempt may still be executed, hence the stop.
@@ -260,6 +262,12 @@
             trouble = 'start request arrived after its deadline'
         return None, trouble
 
+    def _find_refusal(self, run, now):
+        """Return why a start must not be sent, or an empty string."""
+        if not self._supervisor.fits(run):
+            return 'backend server has shrunk since it was planned'
+        return self._permit.find_refusal(now)
+
     def _log_start_given_up(self, target, order, reason, *, outcome):
         log.log_decision(
             _logger,
--- a/bilberryhaven/workflow/candidate.py
+++ b/bilberryhaven/workflow/candidate.py
@@ -74,6 +74,7 @@
     Attributes:
         key: Its key.
         pool: Pool that it serves.
+        zone: Its availability zone.
         rack: Its rack.
         labels: Its labels.
         cpu: Its capacity in thousandths of a core.
@@ -108,6 +109,7 @@
 
     key: str
     pool: str
+    zone: str = ''
     rack: str = ''
     labels: frozenset = frozenset()
     cpu: int = 0
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -20,6 +20,7 @@
 from bilberryhaven.workflow import reports
 from bilberryhaven.workflow import run_watch
 from bilberryhaven.workflow import upkeep
+from bilberryhaven.workflow import zones as workflow_zones
 
 __all__ = ['Dispatcher']
 
@@ -45,9 +46,19 @@
         clock: The ``Clock``.
         options: The workflow ``Options``.
         membership: Handles ``Join`` requests; None if they aren't served.
+        zones: Names of the deployment's availability zones.
     """
 
-    def __init__(self, *, replica, machine, clock, options, membership=None):
+    def __init__(
+        self,
+        *,
+        replica,
+        machine,
+        clock,
+        options,
+        membership=None,
+        zones=(),
+    ):
         self._replica = replica
         self._state = machine.state
         self._clock = clock
@@ -85,13 +96,16 @@
             clock=clock,
             options=options,
         )
+        self._zone_monitor = workflow_zones.ZoneMonitor(
+            memory=self._memory, clock=clock
+        )
         self._ready_term = 0
         self._ready_lock = threading.Lock()
         self._wake = threading.Event()
         self._stopping = threading.Event()
-        self._handlers = self._build_handlers()
+        self._handlers = self._build_handlers(zones)
 
-    def _build_handlers(self):
+    def _build_handlers(self, zones):
         reports_handler = reports.ReportHandler(
             leader=self,
             memory=self._memory,
@@ -102,6 +116,9 @@
         caller_requests = callers.CallerRequestHandler(
             leader=self, clock=self._clock
         )
+        zone_requests = workflow_zones.ZoneRequestHandler(
+            leader=self, clock=self._clock, zones=zones
+        )
         return {
             message.Poll: self._polls.handle,
             message.Report: reports_handler.handle,
@@ -110,6 +127,8 @@
             message.Cancel: caller_requests.cancel,
             message.Replace: caller_requests.replace_catalog,
             message.ReadCatalog: caller_requests.read_catalog,
+            message.Withdraw: zone_requests.withdraw,
+            message.Restore: zone_requests.restore,
             message.Join: self._join,
             # Nothing to do: a replica takes the members from its log, or
             # requests to join.
@@ -221,6 +240,7 @@
     def _schedule(self):
         if self._membership is not None:
             self._membership.tick()
+        self._zone_monitor.tick()
         self._closer.close_lapsed()
         self._upkeep.run()
         while not self._stopping.is_set():
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -89,6 +89,7 @@
         server = candidate.Server(
             key=row.key,
             pool=row.pool,
+            zone=row.zone,
             rack=row.rack,
             labels=frozenset(row.labels),
             cpu=row.cpu,
@@ -134,6 +135,7 @@
             and not agent_session.closed
             and not _awaits_former_lease(agent_session)
             and not agent_session.draining
+            and not self._state.zones.is_withdrawn(server.zone)
             and self._is_fresh(agent_session, now)
             and self._health.accepts_work(server.key, now)
         )
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -30,10 +30,13 @@
     'Replace',
     'Report',
     'ReportReply',
+    'Restore',
     'Running',
     'ServerState',
     'StateReply',
     'Submit',
+    'Withdraw',
+    'ZoneReply',
     'decode_reply',
     'decode_request',
     'encode',
@@ -195,6 +198,8 @@
             known.
         doubt_ms: Longest time in ms for which leases granted by earlier
             agents may still last; 0 if there was no earlier agent.
+        withdrawn: Whether the server's availability zone is withdrawn, so
+            that no start may be sent any more.
     """
 
     key: str
@@ -207,6 +212,7 @@
     control: list[str] = []
     former_deadline_ms: int = 0
     doubt_ms: int = 0
+    withdrawn: bool = False
 
 
 class Report(Request, kw_only=True):
@@ -320,6 +326,24 @@
     document: bytes = b''
 
 
+class Withdraw(Request, kw_only=True):
+    """Request of an operator to start nothing in an availability zone."""
+
+    zone: str
+
+
+class Restore(Request, kw_only=True):
+    """Request of an operator to end the withdrawal of a zone."""
+
+    zone: str
+
+
+class ZoneReply(Reply, kw_only=True):
+    """State of an availability zone once the order is committed."""
+
+    withdrawn: bool
+
+
 class Join(Request, kw_only=True):
     """Request of a control instance to become a member of the quorum."""
 
@@ -355,6 +379,8 @@
     | Cancel
     | Replace
     | ReadCatalog
+    | Withdraw
+    | Restore
     | Join
     | Announce
 )
@@ -364,6 +390,7 @@
     | StateReply
     | CountReply
     | CatalogReply
+    | ZoneReply
     | JoinReply
     | AnnounceReply
 )
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -24,6 +24,8 @@
         ended_retention: How long the state of an ended workflow can be
             queried.
         voters: Largest number of control instances that vote.
+        start_validity: How long after an agent's newest poll ordered starts
+            may be sent; None for as long as the lease lasts.
     """
 
     lease: datetime.timedelta = clock.seconds(5)
@@ -32,6 +34,7 @@
     report_interval: datetime.timedelta = clock.seconds(0.5)
     ended_retention: datetime.timedelta = clock.seconds(180)
     voters: int = 3
+    start_validity: datetime.timedelta | None = None
 
     @property
     def lease_expiry_delay(self):
--- a/bilberryhaven/workflow/poll_requests.py
+++ b/bilberryhaven/workflow/poll_requests.py
@@ -76,6 +76,8 @@
             control=self._list_addresses(),
             former_deadline_ms=agent_session.deadline_ms,
             doubt_ms=self._compute_former_lease_ms(agent_session),
+            withdrawn=row is not None
+            and self._memory.state.zones.is_withdrawn(row.zone),
         )
 
     def _compute_former_lease_ms(self, agent_session):
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -219,6 +219,10 @@
         if self.leaves_at is None or at < self.leaves_at:
             self.leaves_at = at
 
+    def answer_poll(self):
+        """Answer the held poll now: its reply has more than orders."""
+        self._notify_subscriber()
+
     def close(self):
         """Close the session and notify the subscribed poll."""
         with self._lock:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -94,6 +94,15 @@
         error = self.assertRaises(errors.SettingsError, self.load, text)
         self.assertIn('node_name', str(error))
 
+    def test_zones_and_their_withdrawal_are_read(self):
+        loaded = self.load(
+            SETTINGS_TEXT + 'zones.pingtung=tw\nbounds.evacuate_ms=5000\n'
+        )
+        (zone,) = loaded.settings.zones
+        self.assertEqual(('pingtung', 'tw'), (zone.name, zone.region))
+        self.assertEqual(2.5, loaded.options.start_validity.total_seconds())
+        self.assertIsNone(self.load(SETTINGS_TEXT).options.start_validity)
+
 
 class JobTest(testtools.TestCase):
     def decode(self, body):
@@ -223,6 +232,35 @@
         return self.answer
 
 
+class OperatorHandlerTest(testtools.TestCase):
+    def call(self, answer, path, method='POST'):
+        self.gateway = StubGateway(answer)
+        handle = handlers.build_operator_handler(self.gateway)
+        environ = {'REQUEST_METHOD': method, 'PATH_INFO': path}
+        return handle(environ, b'').status
+
+    def test_zone_orders_are_forwarded(self):
+        for path, request in (
+            ('/Evacuation.Start/pingtung', message.Withdraw(zone='pingtung')),
+            ('/Evacuation.End/pingtung', message.Restore(zone='pingtung')),
+        ):
+            self.assertEqual(200, self.call(message.ZoneReply, path))
+            self.assertEqual([request], self.gateway.requests)
+
+    def test_failed_zone_orders_keep_their_outcome(self):
+        path = '/Evacuation.Start/z'
+        unknown = errors.UnavailableError(
+            'x', step='s', outcome=errors.Outcome.UNKNOWN
+        )
+        for error, status in (
+            (errors.NotFoundError('no zone', step='s'), 404),
+            (errors.UnavailableError('no leader', step='s'), 503),
+            (unknown, 504),
+        ):
+            self.assertEqual(status, self.call(error, path))
+        self.assertEqual(404, self.call(None, path, method='GET'))
+
+
 class CallerHandlerTest(testtools.TestCase):
     def call(self, answer, *, method='POST', body=JOB, draining=False):
         self.gateway = StubGateway(answer)
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -232,7 +232,13 @@
 
 
 class OneOrderTest(testtools.TestCase):
-    """An agent without threads, in a session with one start order."""
+    """An agent without threads, in a session with one start order.
+
+    Attributes:
+        options: The ``Options`` of the agent.
+    """
+
+    options = options.Options()
 
     def setUp(self):
         super().setUp()
@@ -243,7 +249,7 @@
             gateway=self.gateway,
             client=self.client,
             clock=self.clock,
-            options=options.Options(),
+            options=self.options,
         )
         self.supervisor = self.agent._supervisor
         self.order = message.Order(message.OrderKind.START, build_ref(0))
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -85,12 +85,14 @@
         draining=False,
         cpu=64_000,
         memory_mb=256_000,
+        zone='',
         **fields,
     ):
         server = message.ServerState(
             id=f's-{agent}',
             born_ms=born_ms,
             pool=fakes.POOL,
+            zone=zone,
             cpu=cpu,
             memory_mb=memory_mb,
             draining=draining,
--- a/tests/workflow_fakes.py
+++ b/tests/workflow_fakes.py
@@ -49,12 +49,13 @@
         command = commands.decode(commands.encode(command))
         return commands.apply(self.state, command)
 
-    def open(self, key):
+    def open(self, key, zone=''):
         row = backend.Backend(
             key=key,
             id=key,
             instance=f'on-{key}',
             pool=POOL,
+            zone=zone,
             cpu=CORES * 1000,
             memory_mb=256_000,
         )
