Prefer warm servers for quick and latency-critical tasks

Cause: servers that had just started are slow for a while, as those of a restored zone may be, and were given work like all others. Change: heartbeats say how much longer a server remains slow; sessions keep it, and the planner ranks servers by the share of a task's run time in which they are slow. It is a preference: a cold server takes what no warm one can. Best-effort tasks are placed as before.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -30,6 +30,7 @@
 
 
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Duration = typing.Annotated[float, msgspec.Meta(le=MAX_AMOUNT)]
 
 
 class _Capacity(msgspec.Struct):
@@ -51,6 +52,7 @@
     zone: str = ''
     labels: list[str] = []  # its kind, then its rack
     remaining_ms: int = 0
+    cold_remaining_ms: _Duration = 0
     born: int = 0  # Unix milliseconds
 
 
@@ -110,6 +112,7 @@
             gpu=heartbeat.capacity.gpu,
             draining=heartbeat.state == 'draining',
             remaining_ms=heartbeat.remaining_ms,
+            warming_ms=max(0, int(heartbeat.cold_remaining_ms)),
         ),
         address=heartbeat.address,
         sequence=heartbeat.sequence,
--- a/bilberryhaven/workflow/candidate.py
+++ b/bilberryhaven/workflow/candidate.py
@@ -82,6 +82,7 @@
         gpu: Its accelerators.
         open: Whether it accepts new tasks.
         suspect: Whether runs failed or were slow there recently.
+        warming_ms: How much longer it is slow after its start, in ms.
         recent_success: Whether a run has succeeded there since its last
             failure.
         probing: Whether a best-effort task was started there recently whose
@@ -117,6 +118,7 @@
     gpu: int = 0
     open: bool = True
     suspect: bool = False
+    warming_ms: int = 0
     recent_success: bool = True
     probing: bool = False
     speed: float = 1.0
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -8,6 +8,7 @@
 
 __all__ = ['FleetView']
 
+MILLISECOND = clocks.seconds(0.001)
 # CPU use of a run is a mean over half a second, so the figure of a younger run
 # covers only part of that window.
 MIN_SAMPLE_AGE = clocks.seconds(0.7)
@@ -139,6 +140,7 @@
             and self._is_fresh(agent_session, now)
             and self._health.accepts_work(server.key, now)
         )
+        server.warming_ms = _compute_warming_ms(agent_session, now)
         server.suspect = self._health.is_suspect(server.key, now)
         if self._speeds is not None:
             server.speed = self._speeds.find(server.key, now)
@@ -185,6 +187,12 @@
         )
 
 
+def _compute_warming_ms(agent_session, now):
+    if agent_session is None or agent_session.warm_at <= now:
+        return 0
+    return (agent_session.warm_at - now) // MILLISECOND
+
+
 def _awaits_former_lease(agent_session):
     # Runs under an earlier agent's lease may still be alive until the new
     # agent has listed the runs.
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -70,6 +70,8 @@
         gpu: Number of accelerators.
         draining: Whether the server is draining.
         remaining_ms: While draining, least time in ms until it leaves.
+        warming_ms: How much longer the server is slow after its start, in
+            ms.
     """
 
     id: str
@@ -83,6 +85,7 @@
     gpu: int = 0
     draining: bool = False
     remaining_ms: int = 0
+    warming_ms: int = 0
 
 
 class OrderKind:
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -185,6 +185,7 @@
                 remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
                 agent_session.set_departure(now + remaining)
             changed = agent_session.update_capacity(request)
+            agent_session.update_warming(request, now)
         if changed:
             log.log_decision(
                 _logger,
--- a/bilberryhaven/workflow/server_cost.py
+++ b/bilberryhaven/workflow/server_cost.py
@@ -8,6 +8,7 @@
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import colocation
 from bilberryhaven.workflow import server_speed
+from bilberryhaven.workflow import warmth
 
 __all__ = [
     'PlacementRequest',
@@ -81,6 +82,7 @@
         server.suspect,
         server_speed.rate_slowness(server.speed, step),
         bool(step.data_rack) and server.rack != step.data_rack,
+        warmth.compute_slow_share(step, server.warming_ms),
         *rating,
         -server.spare_cpu / max(server.cpu, 1),
     )
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -4,11 +4,14 @@
 import datetime
 import threading
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import util
 from bilberryhaven.workflow import message
 
 __all__ = ['Capacity', 'Session', 'SessionTable']
 
+MILLISECOND = clocks.seconds(0.001)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Presence:
@@ -67,6 +70,8 @@
         draining: Whether the backend server is draining.
         leaves_at: Earliest monotonic time at which the backend server
             leaves, or None.
+        warm_at: Monotonic time from which the backend server is no longer
+            slow after its start.
         present: ``Presence`` by run.
         listed_at: Monotonic time of the report behind ``present``, or None.
         paused: Best-effort runs that have been throttled for long.
@@ -88,6 +93,8 @@
         self._sequence = poll.sequence
         self.draining = False
         self.leaves_at = None
+        self.warm_at = datetime.timedelta()
+        self._warm_sequence = -1
         self.present = {}
         self.listed_at = None
         self.paused = []
@@ -207,6 +214,23 @@
         former, self.capacity = self.capacity, _read_capacity(poll.server)
         return self.capacity != former
 
+    def update_warming(self, poll, now):
+        """Store how long the server remains slow after its start.
+
+        An agent repeats the remaining time of the newest heartbeat, so of
+        one heartbeat the earliest known time counts.
+
+        Args:
+            poll: The ``Poll``; one that was delayed may arrive late.
+            now: Monotonic time.
+        """
+        warm_at = now + poll.server.warming_ms * MILLISECOND
+        if poll.sequence > self._warm_sequence:
+            self._warm_sequence = poll.sequence
+            self.warm_at = warm_at
+        elif poll.sequence == self._warm_sequence:
+            self.warm_at = min(self.warm_at, warm_at)
+
     def set_departure(self, at):
         """Record when the server leaves; the earliest known time counts.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -163,6 +163,11 @@
         self.assertTrue(announcement.state.draining)
         self.assertEqual(16000, announcement.state.cpu)
 
+    def test_time_until_the_server_is_warm_is_decoded(self):
+        for value, expected in ((812.5, 812), (0, 0), (-3, 0)):
+            state = self.decode(cold_remaining_ms=value).state
+            self.assertEqual(expected, state.warming_ms)
+
     def test_invalid_heartbeats_are_rejected(self):
         for changes in (
             {'state': 'asleep'},
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -86,6 +86,7 @@
         cpu=64_000,
         memory_mb=256_000,
         zone='',
+        warming_ms=0,
         **fields,
     ):
         server = message.ServerState(
@@ -96,6 +97,7 @@
             cpu=cpu,
             memory_mb=memory_mb,
             draining=draining,
+            warming_ms=warming_ms,
         )
         feed, seen = self.feeds.get(agent, ('', 0))
         reply = self.ask(
--- a/tests/test_zone_withdrawal.py
+++ b/tests/test_zone_withdrawal.py
@@ -5,6 +5,8 @@
 after their start.
 """
 
+import collections
+
 import msgspec
 import testtools
 
@@ -17,12 +19,16 @@
 from bilberryhaven.workflow import dispatcher
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
+from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import server_client
+from bilberryhaven.workflow import session
 from bilberryhaven.workflow import start_permit
 from tests import test_workflow_agent
 from tests import test_workflow_dispatcher
+from tests import test_workflow_planner
 from tests import workflow_fakes as fakes
 
+NOW = clocks.seconds(100)
 VALIDITY = clocks.seconds(2.5)
 StartResult = server_client.StartResult
 
@@ -291,3 +297,79 @@
         self.supervisor._listed = {self.order.run}
         self.start()
         self.assertEqual([], self.client.calls)
+
+
+class WarmthTest(testtools.TestCase):
+    """Servers of a restored zone that are slow after their start."""
+
+    def place(self, step, *, warming_ms, **fields):
+        servers = [
+            fakes.build_server('cold', warming_ms=warming_ms),
+            fakes.build_server('warm', **fields),
+        ]
+        group = test_workflow_planner.build_group('w', step)
+        starts = planner.plan_starts([group], servers, now=10.0)
+        return collections.Counter(start.backend for start in starts)
+
+    def test_quick_and_latency_critical_tasks_prefer_warm_servers(self):
+        for fields, warming_ms, expected in (
+            ({'estimate_ms': 1000}, 800, {'warm': 1}),
+            ({'estimate_ms': 1000}, 10, {'cold': 1}),
+            ({'estimate_ms': 60_000}, 800, {'cold': 1}),
+            ({'estimate_ms': 60_000, 'target_ms': 9}, 800, {'warm': 1}),
+            ({'estimate_ms': 0}, 800, {'warm': 1}),
+            ({'estimate_ms': 1, 'best_effort': True}, 800, {'cold': 1}),
+        ):
+            step = fakes.build_step(**fields)
+            found = self.place(step, warming_ms=warming_ms)
+            self.assertEqual(expected, found, fields)
+
+    def test_cold_servers_take_what_warm_ones_cannot(self):
+        step = fakes.build_step(tasks=3, estimate_ms=1000)
+        found = self.place(step, warming_ms=9000, cpu=2000)
+        self.assertEqual({'warm': 2, 'cold': 1}, found)
+
+    def test_newest_heartbeat_says_how_long_the_server_stays_slow(self):
+        server = message.ServerState(id='a', born_ms=1, pool=fakes.POOL)
+        poll = message.Poll(agent='a', server=server)
+        tested = session.Session(key='a', epoch=1, lease_end=NOW, poll=poll)
+        for age, sequence, warming_ms, expected in (
+            (0, 1, 4000, 4.0),
+            # Repeated by a later poll, delayed, and cold again.
+            (1, 1, 4000, 4.0),
+            (1, 0, 9000, 4.0),
+            (2, 2, 0, 2.0),
+            (3, 3, 5000, 8.0),
+        ):
+            state = msgspec.structs.replace(server, warming_ms=warming_ms)
+            poll = message.Poll(agent='a', server=state, sequence=sequence)
+            tested.update_warming(poll, NOW + clocks.seconds(age))
+            found = (tested.warm_at - NOW).total_seconds()
+            self.assertEqual(expected, found, age)
+
+
+class WarmingServerTest(test_workflow_dispatcher.DispatcherTest):
+    def test_load_returns_once_the_server_is_warm(self):
+        self.replace()
+        self.poll('a', warming_ms=1500)
+        self.poll('b')
+        expected = {'first': 's-b@1', 'second': 's-a@1'}
+        for name, key in expected.items():
+            self.submit(name, fakes.build_step(estimate_ms=1000, cpu=40_000))
+            self.schedule()
+            runs = self.state.workflows.find(name).list_runs()
+            self.assertEqual([key], [run.backend for _, run in runs])
+            self.report(
+                message.PollReply(
+                    key=key,
+                    epoch=self.state.backends.find(key).epoch,
+                    lease_ms=1,
+                    feed='',
+                    last=0,
+                ),
+                workflow_commands.RunEnd(
+                    1, workflow_commands.RunRef(name, '0.0.0', 1), 'done'
+                ),
+            )
+            self.advance(1)
+            self.poll('a', epoch=1, warming_ms=0, sequence=2)
