Fuzz withdrawals of availability zones

Cause: the withdrawal was tested by cases only. Change: the fuzzing of workflows withdraws and restores zones on request, and fails if a start is sent in a zone more than a second after its withdrawal. Worlds without withdrawals draw the same random numbers as before.

--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -3,10 +3,11 @@
 The real dispatcher, planner, commands, sessions and run supervisors run
 against models of servers. Faults are injected: messages are lost, orders are
 executed late, servers answer as busy, agents and leaders are replaced,
-servers crash and restart, agents are partitioned from the leader. The oracle
-observes the servers and checks that no task runs twice or after its end was
-acknowledged and that no server exceeds its capacity. After all faults have
-ended, every workflow must complete.
+servers crash and restart, agents are partitioned from the leader, zones are
+withdrawn. The oracle observes the servers and checks that no task runs twice
+or after its end was acknowledged, that no server exceeds its capacity and
+that no start is sent in a zone long after its withdrawal. After all faults
+have ended, every workflow must complete.
 """
 
 import concurrent.futures
@@ -23,6 +24,7 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import server_client
+from bilberryhaven.workflow import start_permit
 from bilberryhaven.workflow import supervision
 from tests.fuzz import workflow_server
 from tests import workflow_fakes as fakes
@@ -31,6 +33,8 @@
 TICK_S = 0.1
 CAPACITY = 3
 HOST = 'h'
+ZONES = ('north', 'south')
+START_VALIDITY = clocks.seconds(1)
 RunPhase = supervision.RunPhase
 StartResult = server_client.StartResult
 
@@ -58,12 +62,16 @@
     def __init__(self, world, name):
         self.world = world
         self.name = name
+        self.zone = ZONES[len(world.agents) % len(ZONES)]
         self.server = None
         self.partitioned_until = 0.0
         self.restart()
 
     def restart(self):
         self.supervisor = supervision.RunSupervisor(agent=self.name)
+        self.permit = start_permit.StartPermit(
+            validity=self.world.options.start_validity
+        )
         self.pending_orders = []
 
     def boot_server(self):
@@ -95,6 +103,7 @@
                     id=self.server.key,
                     born_ms=self.server.born_ms,
                     pool=fakes.POOL,
+                    zone=self.zone,
                     cpu=CAPACITY * 1000,
                     memory_mb=256_000,
                 ),
@@ -115,6 +124,7 @@
             return
         if self.world.drops_message():
             return
+        self.permit.update(reply, now)
         for order in self.supervisor.handle_poll_reply(reply, now, now):
             self.pending_orders.append(PendingOrder(order))
 
@@ -167,10 +177,12 @@
         if (
             deadline is None
             or not supervisor.may_start(order.run)
+            or self.permit.find_refusal(now)
             or pending.tries > 2
         ):
             self._stop(pending)
             return
+        self.world.check_zone(self.zone)
         call = (order.run, deadline, supervisor.epoch)
         if self.world.drops_message():
             # There is no answer, and the call may be executed later.
@@ -215,33 +227,49 @@
         agents: Number of agents, each with one server.
         busy: Share of the starts and stops that servers answer as busy
             until the faults end; they do nothing then.
+        withdrawals: Probability of an order on a zone in each tick.
         build_agent: Function of the world and a name that returns an agent.
     """
 
-    def __init__(self, *, seed, agents=3, busy=0.0, build_agent=AgentModel):
+    def __init__(
+        self,
+        *,
+        seed,
+        agents=3,
+        busy=0.0,
+        withdrawals=0.0,
+        build_agent=AgentModel,
+    ):
         self.random = random.Random(seed)
         self.clock = clocks.ManualClock()
         self.now = 0.0
         self.boots = 0
         self.loss = 0.0
         self.busy = busy
+        self.withdrawals = withdrawals
+        self.withdrawn_at = {}
         self.delayed_calls = []
         self.submitted = []
         self.oracle = workflow_server.Oracle()
         self.machine = machine.TableStateMachine()
         self.replica = workflow_replica.FakeReplica(self.machine)
         self.options = options.Options(
-            max_poll_wait=clocks.seconds(0.0), lease=clocks.seconds(2)
+            max_poll_wait=clocks.seconds(0.0),
+            lease=clocks.seconds(2),
+            start_validity=START_VALIDITY if withdrawals else None,
         )
         self.leader = dispatcher.Dispatcher(
             replica=self.replica,
             machine=self.machine,
             clock=self.clock,
             options=self.options,
+            zones=ZONES,
         )
         self.leader._memory.fleet._is_fresh = lambda held, now: True
         self._replace_catalog()
-        self.agents = [build_agent(self, f'a{n}') for n in range(agents)]
+        self.agents = []
+        for number in range(agents):
+            self.agents.append(build_agent(self, f'a{number}'))
         for agent in self.agents:
             agent.boot_server()
 
@@ -325,6 +353,20 @@
         else:
             self.loss = self.random.choice((0.0, 0.1, 0.4))
 
+    def order_zone(self, zone):
+        """Withdraw a zone, or restore it if it is withdrawn."""
+        if self.withdrawn_at.pop(zone, None) is None:
+            self.send_request(message.Withdraw(zone=zone))
+            self.withdrawn_at[zone] = self.clock.monotonic()
+        else:
+            self.send_request(message.Restore(zone=zone))
+
+    def check_zone(self, zone):
+        """Check that a start may still be sent in a zone."""
+        now = self.clock.monotonic()
+        late = now - self.withdrawn_at.get(zone, now)
+        assert late <= START_VALIDITY, f'start in withdrawn zone after {late}'
+
     def tick(self):
         self.now += TICK_S
         self.clock.advance(clocks.seconds(TICK_S))
@@ -363,6 +405,9 @@
                 self.submit()
             if self.random.random() < 0.05:
                 self.inject_fault()
+            # Without withdrawals, nothing is drawn from the generator.
+            if self.withdrawals and self.random.random() < self.withdrawals:
+                self.order_zone(self.random.choice(ZONES))
             self.tick()
 
     def settle(self, ticks=400):
@@ -370,6 +415,8 @@
         self.loss = self.busy = 0.0
         for agent in self.agents:
             agent.partitioned_until = 0.0
+        for zone in list(self.withdrawn_at):
+            self.order_zone(zone)
         for _ in range(ticks):
             if not self.list_active():
                 break
--- a/tests/test_workflow_fuzz.py
+++ b/tests/test_workflow_fuzz.py
@@ -7,6 +7,8 @@
 SEEDS = range(40)
 BUSY_SEEDS = range(30)
 BUSY = 0.5
+ZONE_SEEDS = range(25)
+WITHDRAWALS = 0.02
 
 
 class FirstAnswerAgent(workflow.AgentModel):
@@ -16,6 +18,14 @@
         return False
 
 
+class DeafAgent(workflow.AgentModel):
+    """Faulty agent: sends starts without regard to the leader's answers."""
+
+    def restart(self):
+        super().restart()
+        self.permit.update = lambda reply, sent_at: None
+
+
 class WorkflowFuzzTest(testtools.TestCase):
     def test_invariants_hold_under_faults(self):
         starts = 0
@@ -42,6 +52,26 @@
             starts += world.oracle.starts
         self.assertTrue(starts > 20 * len(BUSY_SEEDS), starts)
 
+    def test_nothing_starts_long_after_a_withdrawal(self):
+        starts = 0
+        for seed in ZONE_SEEDS:
+            try:
+                world = workflow.run_seed(seed, withdrawals=WITHDRAWALS)
+            except AssertionError as error:
+                self.fail(f'seed {seed}: {error}')
+            starts += world.oracle.starts
+        self.assertTrue(starts > 20 * len(ZONE_SEEDS), starts)
+
+    def test_agent_that_ignores_withdrawals_is_found_out(self):
+        def run_all():
+            for seed in ZONE_SEEDS:
+                workflow.run_seed(
+                    seed, withdrawals=WITHDRAWALS, build_agent=DeafAgent
+                )
+
+        error = self.assertRaises(AssertionError, run_all)
+        self.assertIn('withdrawn', str(error))
+
     def test_agent_that_trusts_the_first_answer_is_found_out(self):
         """Without that, the test above could not detect the fault."""
         found = []
