Drop zone orders whose sender has gone

Cause: orders on zones carry no version. One that waited in an instance that was suspended, and that the operator had resent elsewhere, was carried out afterwards and could undo a newer order. Change: before an order is forwarded, the instance checks that its sender still waits; otherwise the order is dropped with unavailable, not run.

--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -91,9 +91,7 @@
                 return _read()
             order = _decode_zone_order(*call)
             if order is not None:
-                step = type(order).__name__.lower()
-                gateway.send(order, timeout=OPERATOR_TIMEOUT, step=step)
-                return server.Response(body=b'{}')
+                return _order(environ, order)
         except errors.BilberryhavenError as error:
             return _build_error_response(error)
         error = errors.NotFoundError(
@@ -101,6 +99,13 @@
         )
         return _build_error_response(error)
 
+    def _order(environ, order):
+        step = type(order).__name__.lower()
+        # Carried out late, it would undo an order given since.
+        server.check_connected(environ, step=step)
+        gateway.send(order, timeout=OPERATOR_TIMEOUT, step=step)
+        return server.Response(body=b'{}')
+
     def _replace(body):
         request = catalogs.decode_configuration(body)
         gateway.send(request, timeout=OPERATOR_TIMEOUT, step='replace')
--- a/bilberryhaven/wire/deferral.py
+++ b/bilberryhaven/wire/deferral.py
@@ -9,7 +9,10 @@
 
 from bilberryhaven import log
 
-__all__ = ['Deferred', 'Gateway', 'Server']
+__all__ = ['Deferred', 'Gateway', 'SOCKET_KEY', 'Server']
+
+# Entry of the WSGI environ with the socket of the request's connection.
+SOCKET_KEY = 'bilberryhaven.socket'
 
 _logger = log.get_logger('wire')
 
@@ -32,6 +35,10 @@
 class Gateway(wsgi.Gateway_10):
     """WSGI gateway for applications that may return ``Deferred``."""
 
+    def get_environ(self):
+        """Return the environ, with the connection's socket."""
+        return {**super().get_environ(), SOCKET_KEY: self.req.conn.socket}
+
     def respond(self):
         """Write the response, or let the connection wait for it."""
         result = self.req.server.wsgi_app(self.env, self.start_response)
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -3,6 +3,8 @@
 import concurrent.futures
 import contextlib
 import json
+import select
+import socket
 import threading
 
 from cheroot import errors as cheroot_errors
@@ -20,6 +22,7 @@
     'Server',
     'build_error_reply',
     'build_error_response',
+    'check_connected',
     'read_author',
     'read_body',
 ]
@@ -233,6 +236,40 @@
     return [response.body]
 
 
+def check_connected(environ, *, step):
+    """Check that the sender of a request still waits for the response.
+
+    A request that waited while this process was suspended is out of date:
+    its sender has closed the connection and sent it elsewhere. A sender that
+    only ends its sending side is taken for one that has gone.
+
+    Args:
+        environ: The WSGI environ.
+        step: Name of the operation, for the error.
+
+    Raises:
+        UnavailableError: The sender has closed the connection.
+    """
+    sock = environ.get(deferral.SOCKET_KEY)
+    if sock is not None and _is_closed_by_peer(sock):
+        raise errors.UnavailableError(
+            'the sender of the request has closed the connection',
+            step=step,
+            peer=environ.get('REMOTE_ADDR', ''),
+        )
+
+
+def _is_closed_by_peer(sock):
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    if not poller.poll(0):
+        return False
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
 def read_body(environ):
     """Return the complete body of a WSGI request.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the adapter's decoding and encoding of infrastructure formats."""
 
 import pathlib
+import socket
 import tempfile
 
 import msgspec
@@ -12,6 +13,7 @@
 from bilberryhaven.platform import jobs
 from bilberryhaven.platform import settings
 from bilberryhaven.platform import workers
+from bilberryhaven.wire import deferral
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import supervision
 
@@ -238,12 +240,21 @@
 
 
 class OperatorHandlerTest(testtools.TestCase):
-    def call(self, answer, path, method='POST'):
+    def call(self, answer, path, method='POST', **environ):
         self.gateway = StubGateway(answer)
         handle = handlers.build_operator_handler(self.gateway)
-        environ = {'REQUEST_METHOD': method, 'PATH_INFO': path}
+        environ |= {'REQUEST_METHOD': method, 'PATH_INFO': path}
         return handle(environ, b'').status
 
+    def test_order_whose_sender_has_gone_is_not_forwarded(self):
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        far.close()
+        status = self.call(
+            None, '/Evacuation.End/z', **{deferral.SOCKET_KEY: near}
+        )
+        self.assertEqual((503, []), (status, self.gateway.requests))
+
     def test_zone_orders_are_forwarded(self):
         for path, request in (
             ('/Evacuation.Start/pingtung', message.Withdraw(zone='pingtung')),
--- a/tests/test_zone_withdrawal.py
+++ b/tests/test_zone_withdrawal.py
@@ -6,6 +6,9 @@
 """
 
 import collections
+import http.client
+import socket
+import threading
 
 import msgspec
 import testtools
@@ -16,6 +19,8 @@
 from bilberryhaven.commands import zone as zone_commands
 from bilberryhaven.control import machine
 from bilberryhaven import errors
+from bilberryhaven import util
+from bilberryhaven.wire import server
 from bilberryhaven.workflow import dispatcher
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
@@ -373,3 +378,57 @@
             )
             self.advance(1)
             self.poll('a', epoch=1, warming_ms=0, sequence=2)
+
+
+class LateOrderTest(testtools.TestCase):
+    """An order read long after its sender has turned to another instance.
+
+    Carried out after a newer one, it would undo that one.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.reached, self.handled = threading.Event(), threading.Event()
+        self.resume = threading.Event()
+        self.errors = []
+        self.server = server.Server(
+            address='127.0.0.1:0', handlers={}, fallback=self.answer
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def answer(self, environ, body):
+        self.reached.set()
+        self.resume.wait(10)
+        try:
+            server.check_connected(environ, step='withdraw')
+        except errors.UnavailableError as error:
+            self.errors.append(error)
+        self.handled.set()
+        return server.Response()
+
+    def connect(self):
+        return http.client.HTTPConnection(
+            *util.parse_address(self.server.address), timeout=10
+        )
+
+    def test_order_whose_sender_has_gone_is_not_carried_out(self):
+        connection = self.connect()
+        connection.request('POST', '/')
+        self.reached.wait(10)
+        connection.sock.shutdown(socket.SHUT_RDWR)
+        connection.close()
+        self.resume.set()
+        self.assertTrue(self.handled.wait(10))
+        (error,) = self.errors
+        self.assertEqual(errors.Outcome.NOT_RUN, error.outcome)
+
+    def test_order_whose_sender_waits_is_carried_out(self):
+        self.resume.set()
+        connection = self.connect()
+        self.addCleanup(connection.close)
+        for _ in range(2):
+            connection.request('POST', '/')
+            response = connection.getresponse()
+            self.assertEqual((200, b''), (response.status, response.read()))
+        self.assertEqual([], self.errors)
