--- a/bilberryhaven/cmdline/get.py
+++ b/bilberryhaven/cmdline/get.py
@@ -69,7 +69,15 @@
 
 
 def _build_zone_table(rows):
-    headers = ['NAME', 'REGION', 'CONNECTED', 'DRAINING', 'SLOTS']
+    headers = [
+        'NAME',
+        'REGION',
+        'CONNECTED',
+        'DRAINING',
+        'SLOTS',
+        'WITHDRAWN',
+        'RUNS',
+    ]
     return headers, [
         [
             row['name'],
@@ -77,6 +85,8 @@
             f'{row["connected"]}/{row["instances"]}',
             row['draining'],
             f'{row["slots_used"]}/{row["slots"]}',
+            'yes' if row['withdrawn'] else 'no',
+            row['runs'],
         ]
         for row in rows
     ]
--- a/bilberryhaven/control/api/zones.py
+++ b/bilberryhaven/control/api/zones.py
@@ -1,13 +1,15 @@
-"""Endpoint of availability zones, summarized from their instances."""
+"""Endpoints of availability zones: summary, withdrawal and its end."""
 
+from bilberryhaven.commands import zone as zone_commands
 from bilberryhaven.control import api
+from bilberryhaven.workflow import zones as workflow_zones
 
 __all__ = []
 
 
 @api.route('GET', '/v1/zones')
 def list_zones(request):
-    """Return the counts of instances and slots per availability zone."""
+    """Return the counts of instances, slots and runs per zone."""
     ctx = request.ctx
     zones = {}
     for zone in ctx.settings.zones:
@@ -17,9 +19,40 @@
             if row.zone not in zones:
                 zones[row.zone] = _build_zone(row.zone, '')
             _add_instance(zones[row.zone], row, ctx.get_load(row.name))
+        runs = workflow_zones.count_runs(ctx.state)
+        for name in [*runs, *(row.name for row in ctx.state.zones)]:
+            zones.setdefault(name, _build_zone(name, ''))
+        for name, zone in zones.items():
+            zone['withdrawn'] = ctx.state.zones.is_withdrawn(name)
+            zone['runs'] = runs.get(name, 0)
     return {'zones': list(zones.values())}
 
 
+@api.route('POST', '/v1/zones/{name}/withdraw')
+def withdraw_zone(request):
+    """Start no workflow runs in an availability zone from now on."""
+    return _commit_order(request, zone_commands.WithdrawZone)
+
+
+@api.route('POST', '/v1/zones/{name}/restore')
+def restore_zone(request):
+    """End the withdrawal of an availability zone."""
+    return _commit_order(request, zone_commands.RestoreZone)
+
+
+def _commit_order(request, kind):
+    ctx, name = request.ctx, request.params['name']
+    command = kind(zone=name, at=ctx.clock.wall().timestamp())
+    zones = {zone.name for zone in ctx.settings.zones}
+    workflow_zones.commit_order(ctx, command, zones=zones, by=request.by)
+    with ctx.read():
+        return {
+            'name': name,
+            'withdrawn': ctx.state.zones.is_withdrawn(name),
+            'runs': workflow_zones.count_runs(ctx.state).get(name, 0),
+        }
+
+
 def _build_zone(name, region):
     return {
         'name': name,
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -231,6 +231,11 @@
         )
         state = self.leader.state
         registry.set('revision', 'Newest accepted change.', state.revision)
+        registry.set(
+            'withdrawn_zones',
+            'Availability zones that operators have withdrawn.',
+            sum(row.withdrawn for row in state.zones),
+        )
         for table in ('workloads', 'instances', 'jobs'):
             rows = len(getattr(state, table))
             registry.set('rows', 'Rows by table.', rows, table=table)
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -252,6 +252,7 @@
     """
     sock = environ.get(deferral.SOCKET_KEY)
     if sock is not None and _is_closed_by_peer(sock):
+        _logger.warning('{}: the sender has closed the connection', step)
         raise errors.UnavailableError(
             'the sender of the request has closed the connection',
             step=step,
--- a/bilberryhaven/workflow/zones.py
+++ b/bilberryhaven/workflow/zones.py
@@ -12,10 +12,14 @@
 from bilberryhaven import log
 from bilberryhaven.workflow import message
 
-__all__ = ['ZoneMonitor', 'ZoneRequestHandler', 'check_known', 'count_runs']
+__all__ = ['ZoneMonitor', 'ZoneRequestHandler', 'commit_order', 'count_runs']
 
 # Interval at which the runs left in a withdrawn zone are logged.
 LOG_INTERVAL = clocks.seconds(10)
+DECISIONS = {
+    zone_commands.WithdrawZone: 'withdraw zone',
+    zone_commands.RestoreZone: 'restore zone',
+}
 
 _logger = log.get_logger('workflow')
 
@@ -50,7 +54,7 @@
             NotFoundError: There is no such availability zone.
             NotLeaderError: This instance is not the leader.
         """
-        self._apply('withdraw zone', zone_commands.WithdrawZone, request.zone)
+        self._apply(zone_commands.WithdrawZone, request.zone)
         return message.ZoneReply(withdrawn=True)
 
     def restore(self, request):
@@ -66,24 +70,13 @@
             NotFoundError: There is no such availability zone.
             NotLeaderError: This instance is not the leader.
         """
-        self._apply('restore zone', zone_commands.RestoreZone, request.zone)
+        self._apply(zone_commands.RestoreZone, request.zone)
         return message.ZoneReply(withdrawn=False)
 
-    def _apply(self, decision, kind, zone):
-        with self._leader.read() as state:
-            check_known(state, self._zones, zone)
-        changed = self._leader.propose(
-            kind(zone=zone, at=self._clock.wall().timestamp())
-        )
+    def _apply(self, kind, zone):
+        command = kind(zone=zone, at=self._clock.wall().timestamp())
+        commit_order(self._leader, command, zones=self._zones)
         self._leader.wake()
-        log.log_decision(
-            _logger,
-            decision,
-            reason='requested by an operator'
-            if changed
-            else 'requested again; nothing changes',
-            zone=zone,
-        )
 
 
 class ZoneMonitor:
@@ -143,18 +136,35 @@
                 )
 
 
-def check_known(state, zones, name):
-    """Check that an availability zone exists.
+def commit_order(leader, command, *, zones, by=''):
+    """Check, commit and log an operator's order on an availability zone.
 
     Args:
-        state: The replicated tables.
-        zones: Names of the deployment's availability zones.
-        name: Name of the zone.
+        leader: Has ``read`` and ``propose``, as the ``Dispatcher`` does.
+        command: The command.
+        zones: Names of the availability zones that are known besides those
+            of backend servers and of earlier orders.
+        by: Who gives the order, if known.
 
     Raises:
-        NotFoundError: Neither the settings nor any registered backend server
-            nor an earlier order names it.
+        NotFoundError: There is no such availability zone.
+        NotLeaderError: This instance is not the leader.
     """
+    with leader.read() as state:
+        _check_known(state, zones, command.zone)
+    changed = leader.propose(command)
+    log.log_decision(
+        _logger,
+        DECISIONS[type(command)],
+        reason='requested by an operator'
+        if changed
+        else 'requested again; nothing changes',
+        zone=command.zone,
+        by=by,
+    )
+
+
+def _check_known(state, zones, name):
     known = (
         name in zones
         or name in state.zones
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -32,7 +32,7 @@
 
     @contextlib.contextmanager
     def read(self):
-        yield
+        yield self.state
 
     def propose(self, command):
         result = commands.apply(
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -146,6 +146,14 @@
             json.loads(self.run_line('get', kind, '--output', 'json'))
         self.run_line('get', 'zones', 'none', status=1)
 
+    def test_zone_is_withdrawn_and_restored(self):
+        for args, withdrawn in (((), 'yes'), ((), 'yes'), (('--end',), 'no')):
+            self.run_line('withdraw-zone', 'a', *args)
+            table = self.run_line('get', 'zones').split()
+            self.assertEqual(withdrawn, table[table.index('a') + 4], table)
+        text = self.run_line('withdraw-zone', 'none', status=1)
+        self.assertThat(text, matchers.StartsWith('not_found: '))
+
     def test_long_lists_are_paginated(self):
         for number in range(5):
             self.open_session(f'i{number}')
--- a/tests/test_zone_withdrawal.py
+++ b/tests/test_zone_withdrawal.py
@@ -15,10 +15,12 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven import commands
+from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.commands import zone as zone_commands
 from bilberryhaven.control import machine
 from bilberryhaven import errors
+from bilberryhaven.tables import backend
 from bilberryhaven import util
 from bilberryhaven.wire import server
 from bilberryhaven.workflow import dispatcher
@@ -28,6 +30,7 @@
 from bilberryhaven.workflow import server_client
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import start_permit
+from tests import test_api
 from tests import test_workflow_agent
 from tests import test_workflow_dispatcher
 from tests import test_workflow_planner
@@ -432,3 +435,42 @@
             response = connection.getresponse()
             self.assertEqual((200, b''), (response.status, response.read()))
         self.assertEqual([], self.errors)
+
+
+class ApiTest(test_api.ApiTestCase):
+    def open_server(self):
+        row = backend.Backend(
+            key='s@1', id='s', instance='i', pool=fakes.POOL, zone='north'
+        )
+        self.ctx.propose(backend_commands.OpenBackend(backend=row, at=0))
+
+    def find_zone(self, name):
+        rows = self.call('GET', '/v1/zones')['zones']
+        (row,) = [row for row in rows if row['name'] == name]
+        return row['withdrawn'], row['runs']
+
+    def test_orders_are_acknowledged_each_time(self):
+        for order, withdrawn in (('withdraw', True), ('restore', False)):
+            for _ in range(2):
+                answer = self.call('POST', f'/v1/zones/a/{order}')
+                self.assertEqual(withdrawn, answer['withdrawn'])
+            self.assertEqual((withdrawn, 0), self.find_zone('a'))
+
+    def test_runs_left_in_the_zone_are_counted(self):
+        self.open_server()
+        row = fakes.build_workflow('w', fakes.build_step())
+        start = workflow_commands.RunStart('w', '0.0.0', 1, 's@1')
+        for command in (
+            workflow_commands.SubmitWorkflow(workflow=row),
+            workflow_commands.StartRuns(starts=[start], at=1),
+        ):
+            self.ctx.propose(command)
+        answer = self.call('POST', '/v1/zones/north/withdraw')
+        self.assertEqual(
+            {'name': 'north', 'withdrawn': True, 'runs': 1}, answer
+        )
+        self.assertEqual((True, 1), self.find_zone('north'))
+
+    def test_unknown_zone_is_refused(self):
+        answer = self.call('POST', '/v1/zones/none/withdraw', status=404)
+        self.assertEqual('not_found', answer['code'])
