Fuzz tasks that may be copied

At most two runs of a task may work at once. In all variants, no run may be left once all workflows have ended.

--- a/tests/test_workflow_fuzz.py
+++ b/tests/test_workflow_fuzz.py
@@ -9,6 +9,7 @@
 BUSY = 0.5
 ZONE_SEEDS = range(25)
 WITHDRAWALS = 0.02
+COPY_SEEDS = range(30)
 
 
 class FirstAnswerAgent(workflow.AgentModel):
@@ -72,6 +73,17 @@
         error = self.assertRaises(AssertionError, run_all)
         self.assertIn('withdrawn', str(error))
 
+    def test_invariants_hold_with_copies(self):
+        """A tenth of the tasks takes far longer, and may be copied."""
+        copies = 0
+        for seed in COPY_SEEDS:
+            try:
+                world = workflow.run_seed(seed, copies=True)
+            except AssertionError as error:
+                self.fail(f'seed {seed}: {error}')
+            copies += world.oracle.copies
+        self.assertTrue(copies > 2 * len(COPY_SEEDS), copies)
+
     def test_agent_that_trusts_the_first_answer_is_found_out(self):
         """Without that, the test above could not detect the fault."""
         found = []
