Stop no stalled run while all servers stand still

Cause: a run without progress was stopped even if nothing made progress anywhere, so that a restart elsewhere could gain nothing.

Change: if at least three runs on other servers are unfinished, one of them must have made progress in the last second.

Result: test_no_run_is_found_while_all_servers_stand_still failed before and passes now.

--- a/bilberryhaven/workflow/progress.py
+++ b/bilberryhaven/workflow/progress.py
@@ -19,6 +19,8 @@
 FULL_PERCENT = 100
 # Progress is listed in whole percent, so half of one is added on average.
 HALF_PERCENT = 0.5
+# Runs on other servers that tell whether all servers stand still.
+MIN_OTHERS = 3
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -118,6 +120,23 @@
         """Return the ``RunProgress`` of a run, or None if it isn't listed."""
         return self._servers.get(backend, {}).get(ref)
 
+    def is_still_elsewhere(self, backend, since):
+        """Return whether nothing makes progress on the other servers either.
+
+        Args:
+            backend: Key of the backend server.
+            since: Monotonic time since which they had to make progress.
+        """
+        others = [
+            row
+            for key, rows in self._servers.items()
+            for row in rows.values()
+            if key != backend and row.percent < FULL_PERCENT
+        ]
+        return len(others) >= MIN_OTHERS and all(
+            row.changed_at < since for row in others
+        )
+
     def observe(self, backend, present, now):
         """Take the newest listing of a server into account.
 
--- a/bilberryhaven/workflow/run_monitor.py
+++ b/bilberryhaven/workflow/run_monitor.py
@@ -86,8 +86,8 @@
             rack: Rack of the server.
 
         Returns:
-            The ``RunRef`` rows of runs that stand still; none between two
-            measurements.
+            The ``RunRef`` rows of runs that stand still while others don't;
+            none between two measurements.
         """
         runs = self.progress.observe(backend, present, now)
         if now < self._due_at.get(backend, now):
@@ -99,6 +99,9 @@
             views, runs, self.speeds, self.times, now
         )
         self._slow[backend] = slow
+        since = now - stragglers.MIN_STALL
+        if stalled and self.progress.is_still_elsewhere(backend, since):
+            return []
         return stalled
 
     @property
--- a/bilberryhaven/workflow/stragglers.py
+++ b/bilberryhaven/workflow/stragglers.py
@@ -6,6 +6,7 @@
 speed of its server says so, or if it stands still.
 """
 
+from bilberryhaven import clock as clocks
 from bilberryhaven.workflow import server_cost
 from bilberryhaven.workflow import server_speed
 
@@ -28,7 +29,7 @@
 MAX_COPY_WAIT_S = 2.0
 # A run stands still if one percent takes longer than this, and than this
 # multiple of the time that one percent takes a long task of its queue.
-MIN_STALL_S = 1.0
+MIN_STALL = clocks.seconds(1)
 STALL_FACTOR = 6.0
 LONG_SHARE = 0.98
 # Tasks with this many starts are not moved again.
@@ -73,7 +74,9 @@
     if long_s is None:
         return False
     per_percent_s = max(long_s / FULL_PERCENT, seen.seconds_per_percent or 0.0)
-    return seen.stalled_s > max(MIN_STALL_S, STALL_FACTOR * per_percent_s)
+    return seen.stalled_s > max(
+        MIN_STALL.total_seconds(), STALL_FACTOR * per_percent_s
+    )
 
 
 def _is_slowed(view, seen, speed):
--- a/tests/test_workflow_stragglers.py
+++ b/tests/test_workflow_stragglers.py
@@ -60,6 +60,13 @@
         self.fleet.run(0.5)
         self.assertEqual([ref], self.fleet.stalled)
 
+    def test_no_run_is_found_while_all_servers_stand_still(self):
+        self.learn()
+        self.fleet.speeds.update(dict.fromkeys(SERVERS, 0.0))
+        self.fleet.add_step('w', SERVERS, MEAN_S)
+        self.fleet.run(5)
+        self.assertEqual([], self.fleet.stalled)
+
     def test_slow_runs_on_a_slow_server_are_found(self):
         # About a sixth of the usual speed.
         refs = self.make_slow()
