End the processes of the soak when it is terminated

Cause: SIGTERM ended the soak at once and left its child processes. Change: the signal sets an event that is checked between steps, and the run ends by its usual cleanup with status 143. Result: test_soak.TerminationTest failed before (status -15, seven processes left) and passes now.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,12 +1,14 @@
 """``python -m soak [--seed N] [--count N] [--seconds S] [--sides N]``.
 
 Runs the seeds one after another. The exit status is 1 if an invariant was
-violated.
+violated. SIGTERM ends the run and all its processes.
 """
 
 import argparse
 import random
+import signal
 import sys
+import threading
 import time
 
 from soak import caller
@@ -23,6 +25,7 @@
 FAULT_INTERVAL_RANGE_S = (0.3, 2.0)
 FAULT_DURATION_RANGE_S = (0.3, 6.0)
 FINAL_STATES = ('completed', 'cancelled')
+TERMINATED_STATUS = 128 + signal.SIGTERM
 
 
 class Soak:
@@ -31,10 +34,12 @@
     Args:
         seed: Seed of all random choices.
         worker_host_count: Number of worker hosts.
+        terminated: Event that ends the run.
     """
 
-    def __init__(self, *, seed, worker_host_count):
+    def __init__(self, *, seed, worker_host_count, terminated):
         self.random = random.Random(seed)
+        self._terminated = terminated
         self.checker = worker.InvariantChecker()
         self.machines = machines.Machines(worker_host_count=worker_host_count)
         self.next_wipe_at = 0.0
@@ -110,6 +115,7 @@
         for item in self.workers:
             item.start()
         for name in self.machines.names:
+            self._check_terminated()
             self.machines.start(name)
         self._wait(
             self.operator.replace,
@@ -121,13 +127,20 @@
         end = self.now() + seconds
         while not condition():
             assert self.now() < end, f'timed out after {seconds} s: {text}'
+            self._check_terminated()
             time.sleep(POLL_INTERVAL_S)
 
+    def _check_terminated(self):
+        # Checked between steps, so that no child process is lost halfway.
+        if self._terminated.is_set():
+            raise SystemExit(TERMINATED_STATUS)
+
     def _inject(self, seconds):
         end = self.now() + seconds
         next_at = self.now()
         pending = []
         while self.now() < end:
+            self._check_terminated()
             if self.now() >= next_at:
                 name, inject = self.random.choice(faults.list_faults())
                 undo = inject(self, self.random)
@@ -200,8 +213,12 @@
     parser.add_argument('--sides', type=int, default=3)
     opts = parser.parse_args(args)
     failed = []
+    terminated = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: terminated.set())
     for seed in range(opts.seed, opts.seed + opts.count):
-        soak = Soak(seed=seed, worker_host_count=opts.sides)
+        soak = Soak(
+            seed=seed, worker_host_count=opts.sides, terminated=terminated
+        )
         violations = soak.run(opts.seconds)
         print(
             f'seed {seed}: {len(soak.caller.accepted)} jobs accepted, '
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,13 @@
 """Tests of the soak itself: its proxy, invariant checker and faults."""
 
+import os
+import pathlib
 import random
+import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import threading
 
 import testtools
@@ -13,6 +19,8 @@
 
 REPLY_TIMEOUT_S = 5
 MUTED_TIMEOUT_S = 0.5
+# Ends a test that would wait forever.
+GUARD_S = 120
 
 
 class EchoServer:
@@ -144,3 +152,47 @@
         required = {'delay', 'reset connections', 'mute requests', 'pause'}
         required |= {'kill', 'terminate', 'wipe', 'worker crash'}
         self.assertEqual(set(), required - names)
+
+
+class TerminationTest(testtools.TestCase):
+    def test_terminated_soak_ends_its_processes(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        soak = subprocess.Popen(
+            [sys.executable, '-m', 'soak', '--sides', '1', '--seconds', '60'],
+            env={**os.environ, 'TMPDIR': folder.name},
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(soak.wait)
+        self.addCleanup(soak.kill)
+        # Three control instances, three entries and an agent.
+        pids = self.wait_for_children(soak, count=7)
+        soak.send_signal(signal.SIGTERM)
+        status = soak.wait(GUARD_S)
+        left = [pid for pid in pids if pathlib.Path('/proc', pid).exists()]
+        for pid in left:
+            os.kill(int(pid), signal.SIGKILL)
+        self.assertEqual((128 + signal.SIGTERM, []), (status, left))
+
+    def wait_for_children(self, process, *, count):
+        pause = threading.Event()
+        for _ in range(int(GUARD_S / 0.05)):
+            pids = list_children(process.pid)
+            if len(pids) >= count or process.poll() is not None:
+                break
+            pause.wait(0.05)
+        self.assertEqual(count, len(pids))
+        return pids
+
+
+def list_children(parent):
+    """Return the ids of the child processes of a process."""
+    found = []
+    for path in pathlib.Path('/proc').glob('[0-9]*/stat'):
+        try:
+            fields = path.read_text().rpartition(')')[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == parent:
+            found.append(path.parent.name)
+    return found
