Test the agent's permit by the replies to its polls

Cause: the tests of queued starts set the permit directly, so that an agent that doesn't pass replies on to it wasn't found out. Result: tests.test_zone_withdrawal passes; without the hand-over in the agent, its tests fail.

--- a/tests/test_zone_withdrawal.py
+++ b/tests/test_zone_withdrawal.py
@@ -265,17 +265,16 @@
         self.client.starts = [StartResult.STARTED]
 
     def answer(self, *, withdrawn):
-        self.agent._permit.update(
-            message.PollReply(
-                key='s@1',
-                epoch=1,
-                lease_ms=5000,
-                feed='f1',
-                last=1,
-                withdrawn=withdrawn,
-            ),
-            self.clock.monotonic(),
+        reply = message.PollReply(
+            key='s@1',
+            epoch=1,
+            lease_ms=5000,
+            feed='f1',
+            last=1,
+            withdrawn=withdrawn,
         )
+        poll, sent_at = self.supervisor.build_poll(), self.clock.monotonic()
+        self.agent._dispatch_orders(poll, reply, sent_at)
 
     def test_queued_start_is_not_sent(self):
         self.answer(withdrawn=True)
