Move and copy runs to warm servers only

Cause: a server that is slow for a while after its start has no measured speed yet, so that a run of a slow server could be moved or copied there.

Result: the cases with warming_ms of test_slow_run_stays_while_no_sound_server_has_room and test_servers_that_take_no_copy failed before and pass now.

--- a/bilberryhaven/workflow/stragglers.py
+++ b/bilberryhaven/workflow/stragglers.py
@@ -137,6 +137,7 @@
         and server.open
         and server.pool == view.row.pool
         and not server.suspect
+        and not server.warming_ms
         and not server_speed.is_slow(server.speed)
         and server_cost.is_eligible(server, view.step)
         and server.accepts(view.ref.workflow, suspected=False)
--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -188,6 +188,7 @@
                 for fields in (
                     {'open': False},
                     {'suspect': True},
+                    {'warming_ms': 500},
                     {'speed': 0.4},
                     {'pool': 'other'},
                     {'memory_mb': 500},
--- a/tests/test_workflow_stragglers.py
+++ b/tests/test_workflow_stragglers.py
@@ -120,6 +120,7 @@
             {'memory_mb': 500},
             {'open': False},
             {'suspect': True},
+            {'warming_ms': 500},
             {'speed': 0.4},
             {'pool': 'other'},
             {'suspected': {'other'}},
