Accept no workflow whose sender has gone

Cause: a process that was suspended forwarded a workflow late, though its sender had closed the connection, sent the workflow elsewhere and been rejected there under overload. A leader holds a rejection only until the caller's return time, so that the workflow was accepted and run after all. Change: the adapter checks the connection before it forwards a submission, as it does for orders on availability zones. Result: test_job_whose_sender_has_gone_is_not_forwarded failed before (200, one request forwarded) and passes now.

--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -58,6 +58,9 @@
         }
         method = environ['REQUEST_METHOD']
         if method == 'POST':
+            # Its sender may have sent it elsewhere and been rejected there,
+            # which stays true only if it isn't accepted late.
+            server.check_connected(environ, step='submit')
             request = jobs.decode_job(body, **address)
         elif method == 'GET':
             request = message.Inquire(**address)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -278,16 +278,29 @@
 
 
 class CallerHandlerTest(testtools.TestCase):
-    def call(self, answer, *, method='POST', body=JOB, draining=False):
+    def call(
+        self, answer, *, method='POST', body=JOB, draining=False, **environ
+    ):
         self.gateway = StubGateway(answer)
         handle = handlers.build_caller_handler(self.gateway, lambda: draining)
-        environ = {
+        environ |= {
             'REQUEST_METHOD': method,
             'PATH_INFO': '/p/5c0e7a21d94b36f8',
             'HTTP_HOST': 'h.example:8161',
         }
         return handle(environ, body)
 
+    def test_job_whose_sender_has_gone_is_not_forwarded(self):
+        """Another process may have rejected it since, under overload."""
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        answer = message.StateReply(state='queued')
+        self.call(answer, **{deferral.SOCKET_KEY: near})
+        self.assertEqual(1, len(self.gateway.requests))
+        far.close()
+        response = self.call(answer, **{deferral.SOCKET_KEY: near})
+        self.assertEqual((503, []), (response.status, self.gateway.requests))
+
     def test_job_is_forwarded(self):
         response = self.call(message.StateReply(state='queued'))
         self.assertEqual(200, response.status)
