Keep callers without a fitting server out of the line for room

Cause: a workflow that fits on no server is told to return after 30 s, and took a place in the one line of return times. All callers rejected after it were told to return later than that, whatever room there was. Change: work that doesn't wait for room takes no place in the line.

--- a/bilberryhaven/overload/admission.py
+++ b/bilberryhaven/overload/admission.py
@@ -190,16 +190,16 @@
         return Reason.TOO_LATE if outlook.is_hopeless() else None
 
     def _reject(self, newcomer, reason, outlook, now):
-        wait_s = outlook.wait_s
+        wait_s, spacing_s = outlook.wait_s, outlook.spacing_s
         if reason == Reason.UNPLACEABLE:
-            wait_s = UNPLACEABLE_WAIT_S
+            wait_s, spacing_s = UNPLACEABLE_WAIT_S, None
         return Decision(
             reason=reason,
             retry_after_s=self._returns.add(
                 newcomer.key,
                 reason,
                 wait_s=wait_s,
-                spacing_s=outlook.spacing_s,
+                spacing_s=spacing_s,
                 now=now,
             ),
             finish_s=outlook.finish_s,
--- a/bilberryhaven/overload/returns.py
+++ b/bilberryhaven/overload/returns.py
@@ -38,14 +38,18 @@
             key: Id of its work.
             reason: Why it is rejected.
             wait_s: Time until there is room for it, in seconds.
-            spacing_s: How long it occupies that room, in seconds.
+            spacing_s: How long it occupies that room, in seconds; None if it
+                waits for something else than room, so that others don't come
+                back after it.
             now: Current time in seconds.
 
         Returns:
             The whole seconds after which it should come back.
         """
-        at = max(now + wait_s, self._next_at)
-        self._next_at = at + spacing_s
+        at = now + wait_s
+        if spacing_s is not None:
+            at = max(at, self._next_at)
+            self._next_at = at + spacing_s
         if at > now + MAX_RETRY_AFTER_S:
             # There is no forecast that far ahead, so they are only spread.
             share = zlib.crc32(key.encode()) / 2**32
--- a/tests/test_overload_admission.py
+++ b/tests/test_overload_admission.py
@@ -163,6 +163,17 @@
         self.assertEqual(first.retry_after_s, again.retry_after_s)
         self.check(None, now=NOW + first.retry_after_s)
 
+    def test_work_that_fits_on_no_server_does_not_delay_the_others(self):
+        """The load: many jobs that can never be done, beside a surge."""
+        expected = self.check(REASON.BACKLOG_FULL, entries=ENTRIES)
+        self.admission.clear()
+        for number in range(20):
+            newcomer = build_newcomer(str(number), sizes=(((1, 1, 0), 'x'),))
+            told = self.check(REASON.UNPLACEABLE, newcomer)
+            self.assertEqual(admission.UNPLACEABLE_WAIT_S, told.retry_after_s)
+        told = self.check(REASON.BACKLOG_FULL, entries=ENTRIES)
+        self.assertEqual(expected.retry_after_s, told.retry_after_s)
+
     def test_new_term_forgets_outcomes(self):
         self.check(REASON.BACKLOG_FULL, entries=ENTRIES)
         self.admission.clear()
