Clear only crashes within the window of an outage

Cause: the suspects of earlier crashes were kept as long as any crash lay in the window. A task that crashed one server after the other before a power loss was cleared of all these crashes. Change: suspects are forgotten once they are older than the window. Result: the new case of test_crashes failed before (s0 and s1 were cleared) and passes now.

--- a/bilberryhaven/workflow/outage.py
+++ b/bilberryhaven/workflow/outage.py
@@ -27,7 +27,7 @@
 
     def __init__(self):
         self._crashes = collections.deque()
-        self._suspected = []
+        self._suspected = collections.deque()
 
     def record(self, key, suspects, now):
         """Record a crash.
@@ -40,16 +40,15 @@
         Returns:
             Whether it belongs to an outage.
         """
-        while self._crashes and now - self._crashes[0][0] > WINDOW:
-            self._crashes.popleft()
-        if not self._crashes:
-            self._suspected.clear()
+        for crashes in (self._crashes, self._suspected):
+            while crashes and now - crashes[0][0] > WINDOW:
+                crashes.popleft()
         self._crashes.append((now, not suspects))
         unexplained = sum(idle for _, idle in self._crashes)
         if unexplained >= MIN_UNEXPLAINED:
             return True
         if suspects:
-            self._suspected.append(key)
+            self._suspected.append((now, key))
         return False
 
     def take_suspected(self):
@@ -58,7 +57,8 @@
         Returns:
             Their keys; each is returned once.
         """
-        keys, self._suspected = self._suspected, []
+        keys = [key for _, key in self._suspected]
+        self._suspected.clear()
         return keys
 
     def clear(self):
--- a/tests/test_workflow_outage.py
+++ b/tests/test_workflow_outage.py
@@ -32,6 +32,11 @@
             # Faults of single servers, far apart.
             ((False, []), [(0, IDLE), (2, IDLE), (5, IDLE)]),
             ((False, ['s3']), [(0, IDLE), (1, IDLE), (9, IDLE), (9, BUSY)]),
+            # A task crashed servers before the power loss, too.
+            (
+                (True, ['s1']),
+                [(0, BUSY), (2, BUSY), (3, IDLE), (3, IDLE), (3, IDLE)],
+            ),
         ):
             self.assertEqual(expected, self.find_outages(*crashes))
 
