Choose work for less than the room, measured by use while tasks wait

Cause: tail latencies often allow fewer best-effort tasks than there is idle CPU, and a choice for too much room begins what it can't finish.

Change: while best-effort tasks wait for longer than a second, the room is what the running ones request. Work is chosen for three quarters of the room.

--- a/bilberryhaven/overload/forecast.py
+++ b/bilberryhaven/overload/forecast.py
@@ -320,8 +320,8 @@
             built_at=now,
             measured=self._has_measured(now, rooms[-1]),
             backlog=backlog,
-            claim_rate=max(rooms[-1].claim_cpu, claimed_rate),
-            best_effort_rate=max(sum(spare) / len(spare), best_effort_rate),
+            claim_rate=rooms[-1].claim_cpu,
+            best_effort_rate=sum(spare) / len(spare),
             most_claim_rate=max(
                 claimed_rate, *(room.most_claim_cpu for room in rooms), 0.0
             ),
--- a/bilberryhaven/overload/precedence.py
+++ b/bilberryhaven/overload/precedence.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     'MAX_LATENESS',
+    'ROOM_SHARE',
     'TIER',
     'Need',
     'Outlook',
@@ -33,6 +34,9 @@
 # Work that is begun is compared as if this share of its remainder were left,
 # so that it isn't delayed for work that is only a little cheaper.
 BEGUN_SHARE = 0.8
+# Share of the room that the work chosen may need. The rest is for what isn't
+# foreseen, such as newcomers, failed runs and the swing of the room.
+ROOM_SHARE = 0.75
 # Work beyond this number isn't compared any further and counts as delayed,
 # which bounds the time that a choice takes.
 MAX_CHOSEN = 500
@@ -127,7 +131,7 @@
             rank *= BEGUN_SHARE if need.begun else 1.0
             candidates.append((need.priority, rank, key))
         ranks[key] = rank
-    schedule = _Schedule(rate=rate, now=now)
+    schedule = _Schedule(rate=rate * ROOM_SHARE, now=now)
     for _, _, key in sorted(candidates):
         if schedule.add(needs[key]):
             ranks[key] = needs[key].latest_start - TIER
--- a/bilberryhaven/workflow/room.py
+++ b/bilberryhaven/workflow/room.py
@@ -14,6 +14,8 @@
 
 __all__ = ['RoomTracker']
 
+# Best-effort tasks that wait longer have found no room.
+MIN_WAIT_S = 1.0
 # Time between two observations, and the age at which a backlog is summed up
 # again.
 INTERVAL = clocks.seconds(0.5)
@@ -62,9 +64,11 @@
         ):
             return
         self._observed_at = now
+        full = self._list_full_pools()
         by_pool = collections.defaultdict(list)
         for server in servers:
-            by_pool[server.pool].append(_describe_server(server))
+            described = _describe_server(server, full=server.pool in full)
+            by_pool[server.pool].append(described)
         self.rates = {}
         seconds = now.total_seconds()
         for pool in by_pool.keys() | self._forecasters.keys():
@@ -76,6 +80,16 @@
                 if self._chooses_claims:
                     self.rates[pool, False] = found.claim_rate
 
+    def _list_full_pools(self):
+        """Return the pools in which best-effort tasks wait for room."""
+        latest = self._clock.wall().timestamp() - MIN_WAIT_S
+        return {
+            group.row.pool
+            for groups in self._index.groups.values()
+            for group in groups
+            if group.step.best_effort and group.due_at <= latest
+        }
+
     def record_ends(self, views, ends, wall):
         """Measure the work of tasks that have been done.
 
@@ -129,10 +143,17 @@
                 )
 
 
-def _describe_server(server):
-    best_effort_cpu = server.spare_cpu + server.best_effort_cpu
-    if server.satisfaction < server_cost.MIN_SATISFACTION:
-        best_effort_cpu = server.satisfaction * server.best_effort_cpu
+def _describe_server(server, *, full):
+    """Return the ``ServerRoom`` of a ``Server``.
+
+    While best-effort tasks wait, those that run show how much room there is;
+    tail latencies often allow less of them than there is idle CPU. What they
+    request counts even if they get less, since their run times are longer
+    then.
+    """
+    best_effort_cpu = server.best_effort_cpu
+    if not full and server.satisfaction >= server_cost.MIN_SATISFACTION:
+        best_effort_cpu += max(0, server.spare_cpu)
     return forecast.ServerRoom(
         open=server.open,
         cpu=server.cpu,
