Let operators set the treatment of workflows under overload

Change: the settings get a section workflows: admission, max_active, max_active_mb and chooses_claims.

Result: the tests of settings and options pass, three cases of them new.

--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -89,7 +89,7 @@
             replica=self.replica,
             machine=self._machine,
         )
-        options = options or workflow_options.Options()
+        options = options or workflow_options.build_options(settings.workflows)
         members = membership.MembershipController(
             replica=self.replica, clock=clock, voters=options.voters
         )
--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -28,6 +28,7 @@
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 1_000_000
 MAX_CORES = 100_000
+MAX_ACTIVE_WORKFLOWS = 1_000_000
 MAX_MEMORY_MB = 1_000_000_000
 MAX_ACCELERATORS = 10_000
 MAX_STANDALONE_INSTANCES = 1_000
@@ -89,6 +90,30 @@
     ] = 0
 
 
+class WorkflowLimits(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Treatment of workflows under overload, for a control process.
+
+    Attributes:
+        admission: Whether workflows are rejected under overload.
+        max_active: Number of workflows that haven't ended from which on
+            others are rejected.
+        max_active_mb: Estimated memory that these may occupy, in MB.
+        chooses_claims: Whether work that claims CPU is served in the order
+            that costs callers least, instead of by due time.
+    """
+
+    admission: bool = True
+    max_active: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=MAX_ACTIVE_WORKFLOWS)
+    ] = 10_000
+    max_active_mb: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)
+    ] = 64
+    chooses_claims: bool = True
+
+
 class StandaloneOptions(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -131,6 +156,7 @@
         objective: Weights of the three objectives.
         service_reserve: Slots of each instance that batch work leaves free.
         standalone: Options of the standalone role.
+        workflows: Treatment of workflows under overload.
         log_level: Lowest level that is logged.
     """
 
@@ -152,6 +178,7 @@
         int, msgspec.Meta(ge=0, le=MAX_SLOTS)
     ] = 2
     standalone: StandaloneOptions = StandaloneOptions()
+    workflows: WorkflowLimits = WorkflowLimits()
     log_level: LogLevel = 'info'
 
     def __post_init__(self):
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -5,8 +5,9 @@
 
 from bilberryhaven import clock
 
-__all__ = ['Options']
+__all__ = ['Options', 'build_options']
 
+BYTES_PER_MB = 1024 * 1024
 # Largest relative drift between two clocks that leases tolerate.
 MAX_DRIFT = 0.02
 
@@ -45,10 +46,24 @@
     start_validity: datetime.timedelta | None = None
     admission: bool = True
     max_active_workflows: int = 10_000
-    max_active_bytes: int = 64 * 1024 * 1024
+    max_active_bytes: int = 64 * BYTES_PER_MB
     chooses_claims: bool = True
 
     @property
     def lease_expiry_delay(self):
         """Time after a poll at which its runs have certainly lapsed."""
         return self.lease * (1 + MAX_DRIFT) + self.lease_margin
+
+
+def build_options(limits):
+    """Return the ``Options`` with the limits of a process's settings.
+
+    Args:
+        limits: The ``WorkflowLimits``.
+    """
+    return Options(
+        admission=limits.admission,
+        max_active_workflows=limits.max_active,
+        max_active_bytes=limits.max_active_mb * BYTES_PER_MB,
+        chooses_claims=limits.chooses_claims,
+    )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -32,6 +32,7 @@
     ('{zone: b, zones: [{name: a}]}', "zone: 'b' is not one of zones: a"),
     ('{name: a, name: b}', "duplicate key 'name'"),
     ('service_reserve: 9', 'capacity.slots is 8'),
+    ('workflows: {max_active: 0}', 'workflows.max_active: 0'),
     ('labels: {zone: a}', 'labels.zone: reserved label'),
     ('log_level: loud', 'expected one of debug, info'),
     ('data: 7', 'data: 7 is invalid: expected str'),
--- a/tests/test_workflow_acceptance.py
+++ b/tests/test_workflow_acceptance.py
@@ -10,6 +10,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.control import machine
 from bilberryhaven import errors
+from bilberryhaven import settings
 from bilberryhaven.tables import catalog
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import dispatcher
@@ -155,3 +156,27 @@
         self.start_leader(admission=False)
         self.fill()
         self.submit('other')
+
+
+class OptionsTest(testtools.TestCase):
+    def test_limits_of_the_settings(self):
+        limits = settings.WorkflowLimits(
+            admission=False,
+            max_active=5,
+            max_active_mb=2,
+            chooses_claims=False,
+        )
+        built = options.build_options(limits)
+        self.assertEqual(
+            options.Options(
+                admission=False,
+                max_active_workflows=5,
+                max_active_bytes=2 * 1024 * 1024,
+                chooses_claims=False,
+            ),
+            built,
+        )
+
+    def test_default_limits_are_the_default_options(self):
+        limits = settings.WorkflowLimits()
+        self.assertEqual(options.Options(), options.build_options(limits))
