Describe waiting workflows again only when they change

Cause: each round, and each forecast, computed the needs of all waiting workflows anew, with the mean run time summed over all buckets each time. The state machine's lock is held meanwhile, so that a large backlog delayed polls and reports. Change: an occurrence keeps its need until its workflow or the mean run time of its queue changes noticeably; a distribution keeps its sums. Result: test_only_what_has_changed_is_described_again failed before (2 calls instead of 0).

--- a/bilberryhaven/workflow/room.py
+++ b/bilberryhaven/workflow/room.py
@@ -10,6 +10,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.overload import forecast
+from bilberryhaven.overload import precedence
 from bilberryhaven.workflow import server_cost
 
 __all__ = ['RoomTracker']
@@ -134,11 +135,11 @@
         now = self._clock.wall().timestamp()
         for item in self._index.list_occurrences():
             if item.row.pool == pool and not item.long_running:
-                args = (item.row, item.undone, item.due_at)
+                need = self._ranker.find_need(item)
                 yield forecast.Waiting(
                     priority=item.row.priority,
-                    rank=self._ranker.find_rank(*args, now),
-                    work=self._ranker.describe(*args).work,
+                    rank=precedence.find_rank(need, now),
+                    work=need.work,
                     best_effort=item.best_effort,
                 )
 
--- a/bilberryhaven/workflow/run_times.py
+++ b/bilberryhaven/workflow/run_times.py
@@ -112,22 +112,25 @@
         self.count = 0
         # [weight, weighted sum of the times] by number of the bucket.
         self._buckets = {}
+        # The same over all buckets: the mean is needed far more often.
+        self._sums = [0.0, 0.0]
         # Weight of the next run; it grows instead of decaying all others.
         self._unit = 1.0
 
     @property
     def mean(self):
         """Mean run time in seconds."""
-        rows = self._buckets.values()
-        return sum(row[1] for row in rows) / sum(row[0] for row in rows)
+        weight, total = self._sums
+        return total / weight
 
     def add(self, seconds):
         """Add a run time."""
         seconds = max(seconds, SHORTEST_S)
         number = int(math.log2(seconds / SHORTEST_S) * BUCKETS_PER_OCTAVE)
         bucket = self._buckets.setdefault(number, [0.0, 0.0])
-        bucket[0] += self._unit
-        bucket[1] += self._unit * seconds
+        for sums in (bucket, self._sums):
+            sums[0] += self._unit
+            sums[1] += self._unit * seconds
         self.count += 1
         self._unit *= 1 + 1 / MEMORY_RUNS
         if self._unit > MAX_UNIT:
@@ -152,9 +155,9 @@
         ]
 
     def _rescale(self):
-        for bucket in self._buckets.values():
-            bucket[0] /= self._unit
-            bucket[1] /= self._unit
+        for sums in (*self._buckets.values(), self._sums):
+            sums[0] /= self._unit
+            sums[1] /= self._unit
         self._unit = 1.0
 
 
--- a/bilberryhaven/workflow/urgency.py
+++ b/bilberryhaven/workflow/urgency.py
@@ -14,6 +14,8 @@
 MIN_RUN_S = 0.001
 # Weight of the newest workflow in the mean work of a queue.
 NEWEST_WEIGHT = 0.05
+# Mean run times that differ by less than this share count as equal.
+EQUAL_SHARE = 0.02
 
 
 class ValueRanker:
@@ -72,7 +74,7 @@
             if not competes and not item.best_effort:
                 ranks[item.key] = item.due_at - precedence.TIER
                 continue
-            need = self.describe(item.row, item.undone, item.due_at)
+            need = self.find_need(item)
             if competes:
                 competing[item.room_key][item.key] = need
             else:
@@ -81,6 +83,21 @@
             ranks.update(precedence.choose_ranks(needs, rates[room_key], now))
         return ranks
 
+    def find_need(self, item):
+        """Return the ``Need`` of an ``Occurrence``, which keeps it.
+
+        A backlog is ranked in each round, so that one is described again only
+        when it or the run times of its queue have changed.
+
+        Args:
+            item: The ``Occurrence``.
+        """
+        run_s = self._times.find(item.row.queue)
+        if item.need is None or not _is_near(item.run_s, run_s):
+            item.need = self.describe(item.row, item.undone, item.due_at)
+            item.run_s = run_s
+        return item.need
+
     def describe(self, row, undone, due_at):
         """Return the ``Need`` of one occurrence.
 
@@ -116,6 +133,12 @@
         return step.estimate_ms / MS_PER_S if mean_s is None else mean_s
 
 
+def _is_near(first, second):
+    if first is None or second is None:
+        return first is second
+    return abs(first - second) <= EQUAL_SHARE * second
+
+
 def _measure_critical_path(row, undone, seconds):
     """Return the length and the remainder of the critical path in s."""
     totals, remainders = [], []
--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -4,6 +4,8 @@
 can't all be in time is chosen by its value, once the room was measured.
 """
 
+from unittest import mock
+
 import testtools
 
 from bilberryhaven import clock as clocks
@@ -123,8 +125,10 @@
         times = run_times.RunTimes()
         times.record('surveys', RUN_S)
         self.world = fakes.World('a')
+        self.times = times
+        self.ranker = urgency.ValueRanker(times=times)
         self.index = workflow_index.WorkflowIndex(
-            self.world.state, ranker=urgency.ValueRanker(times=times)
+            self.world.state, ranker=self.ranker
         )
 
     def submit(self, name, *, at=0.0, latency_ms=4000, **fields):
@@ -172,6 +176,31 @@
         order = self.list_order(best_effort=False, rate=4000)
         self.assertEqual(['standing', 'narrow'], order)
 
+    def test_only_what_has_changed_is_described_again(self):
+        """The load: a large backlog that is ranked in each round."""
+        for name in 'ab':
+            self.submit(name, tasks=2)
+
+        def start():
+            self.world.start('a', '0.0.0', 1, 'a')
+
+        def learn():
+            self.times.record('surveys', 100 * RUN_S)
+
+        for change, count in (
+            (lambda: None, 2),
+            (lambda: None, 0),
+            (lambda: self.times.record('surveys', RUN_S), 0),
+            (start, 1),
+            (learn, 2),
+        ):
+            change()
+            with mock.patch.object(
+                self.ranker, 'describe', wraps=self.ranker.describe
+            ) as describe:
+                self.list_order(best_effort=False, rate=1e6)
+            self.assertEqual(count, describe.call_count, change)
+
     def test_run_keeps_the_rank_by_which_it_was_started(self):
         self.submit('w', best_effort=True, tasks=2)
         self.list_order(best_effort=True, rate=1e6)
