Compare copies with the most urgent waiting task only

Cause: each run that may be copied was compared with all waiting groups, four times a second under the state machine's lock. Change: the highest waiting priority of each pool is found once. Result: test_waiting_tasks_are_read_once failed before (8 reads) and passes now.

--- a/bilberryhaven/workflow/speculation.py
+++ b/bilberryhaven/workflow/speculation.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import math
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
@@ -145,8 +146,12 @@
         The ``Copy`` rows, those that gain most first.
     """
     needed = []
+    urgent = _find_most_urgent(waiting)
     for view in views:
-        if not _may_copy(view) or _is_waited_for(view.row, waiting):
+        # Tasks that come before a copy wait for capacity.
+        if urgent.get(view.row.pool, math.inf) <= view.row.priority:
+            continue
+        if not _may_copy(view):
             continue
         estimate = _estimate_gain(view, monitor, now)
         if estimate is not None:
@@ -202,12 +207,14 @@
     )
 
 
-def _is_waited_for(row, waiting):
-    """Return whether tasks that come before a copy wait for capacity."""
-    return any(
-        group.row.pool == row.pool and group.row.priority <= row.priority
-        for group in waiting
-    )
+def _find_most_urgent(waiting):
+    """Return the highest priority of the waiting tasks by pool."""
+    priorities = {}
+    for group in waiting:
+        row = group.row
+        known = priorities.get(row.pool, math.inf)
+        priorities[row.pool] = min(known, row.priority)
+    return priorities
 
 
 def _estimate_gain(view, monitor, now):
--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -175,6 +176,21 @@
             copies = self.plan(waiting=[group])
             self.assertEqual(expected, len(copies), (priority, pool))
 
+    def test_waiting_tasks_are_read_once(self):
+        """The load: many runs that may be copied beside a large backlog."""
+        self.fleet.add_step('w', SERVERS, LONG_S, speculative=True)
+        views = [
+            view
+            for rows in self.fleet.views.values()
+            for view in rows.values()
+        ]
+        waiting = mock.MagicMock()
+        waiting.__iter__.side_effect = lambda: iter(())
+        speculation.plan_copies(
+            views, waiting, [], self.fleet.monitor, self.fleet.clock
+        )
+        self.assertEqual(1, waiting.__iter__.call_count)
+
     def test_servers_that_take_no_copy(self):
         ref = self.add_long(max_per_backend=1, required_label='ssd')
         labels = frozenset(['ssd'])
