--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -17,7 +17,6 @@
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import speculation
 from bilberryhaven.workflow import workflow_index
-from tests import test_workflow_dispatcher
 from tests import workflow_fakes as fakes
 from tests import workflow_listings
 
@@ -407,95 +406,39 @@
         self.assertTrue(self.task.failures <= attempts)
 
 
-class DispatchedCopyTest(test_workflow_dispatcher.DispatcherTest):
+class DispatchedCopyTest(workflow_listings.DispatchedRunsTest):
     """A long task is copied by the leader, from listings to its end."""
 
     def setUp(self):
         super().setUp()
-        self.replace()
-        self.polls = {agent: self.poll(agent) for agent in 'abcd'}
         self.submit('w1', fakes.build_step(tasks=4, speculative=True))
-        self.percent = {}
         self.schedule()
         self.long = workflow_commands.RunRef('w1', '0.0.3', 1)
 
-    def list_runs(self):
-        return {
-            (key, run.number): run
-            for key, run in self.state.workflows.find('w1').list_runs()
-        }
-
-    def renew(self, agent):
-        first = self.polls[agent]
-        return self.poll(agent, epoch=first.epoch)
-
-    def send(self, agent, ends=()):
-        """Report the runs on a server, of which some have ended."""
-        first = self.polls[agent]
-        running = [
-            message.Running(ref, percent=self.percent.get(ref, 0))
-            for ref in (
-                workflow_commands.RunRef('w1', key, number)
-                for (key, number), run in self.list_runs().items()
-                if run.backend == first.key
-            )
-            if ref not in ends
-        ]
-        self.ends = getattr(self, 'ends', 0) + len(ends)
-        return self.ask(
-            message.Report(
-                agent=agent,
-                key=first.key,
-                epoch=first.epoch,
-                ends=[
-                    workflow_commands.RunEnd(self.ends, ref, 'done')
-                    for ref in ends
-                ],
-                upto=self.ends,
-                running=running,
-                listed=True,
-            )
-        )
-
-    def play(self, seconds, *, skip=''):
-        """Let the long task work at a tenth of the usual speed."""
-        for _ in range(int(seconds * 2)):
-            self.advance(0.5)
-            for key, number in self.list_runs():
-                ref = workflow_commands.RunRef('w1', key, number)
-                rate = 5 if ref == self.long else 50
-                percent = self.percent.get(ref, 0) + rate / 2
-                self.percent[ref] = min(percent, 99)
-            for agent in self.polls:
-                if agent not in skip:
-                    self.renew(agent)
-                    self.send(agent)
-            self.schedule()
+    def find_rate(self, ref, agent):
+        return 5 if ref == self.long else 50
 
     def find_agent(self, number):
-        run = self.list_runs()['0.0.3', number]
-        (agent,) = [
-            agent
-            for agent, first in self.polls.items()
-            if first.key == run.backend
+        return self.list_runs()[
+            workflow_commands.RunRef('w1', '0.0.3', number)
         ]
-        return agent
+
+    def check_runs(self, *numbers):
+        self.assertEqual(
+            [('0.0.3', number) for number in numbers],
+            sorted((ref.task, ref.number) for ref in self.list_runs()),
+        )
 
     def start_copy(self):
         self.play(2)
         self.end_others()
         self.play(1)
-        self.assertEqual(
-            [('0.0.3', 1), ('0.0.3', 2)], sorted(self.list_runs())
-        )
+        self.check_runs(1, 2)
 
     def end_others(self):
-        for (key, number), run in list(self.list_runs().items()):
-            if key != '0.0.3':
-                ref = workflow_commands.RunRef('w1', key, number)
-                for agent, first in self.polls.items():
-                    if first.key == run.backend:
-                        self.send(agent, [ref])
+        for ref, agent in self.list_runs().items():
+            if ref.task != '0.0.3':
+                self.send(agent, [ref])
 
     def test_copy_that_ends_first_stops_the_other_run(self):
         self.start_copy()
@@ -525,9 +468,7 @@
         self.start_copy()
         self.replica.term = 2
         self.play(3)
-        self.assertEqual(
-            [('0.0.3', 1), ('0.0.3', 2)], sorted(self.list_runs())
-        )
+        self.check_runs(1, 2)
 
     def test_other_run_goes_on_after_a_crash_of_the_copys_server(self):
         self.start_copy()
@@ -535,13 +476,13 @@
         self.poll(agent, born_ms=2)
         del self.polls[agent]
         self.schedule()
-        self.assertEqual([('0.0.3', 1)], sorted(self.list_runs()))
+        self.check_runs(1)
         self.play(2)
-        self.assertEqual([('0.0.3', 1)], sorted(self.list_runs()))
+        self.check_runs(1)
 
     def test_expired_lease_of_the_first_run_leaves_the_copy(self):
         self.start_copy()
         silent = self.find_agent(1)
         delay = options.Options().lease_expiry_delay.total_seconds()
         self.play(delay + 1, skip=silent)
-        self.assertEqual([('0.0.3', 2)], sorted(self.list_runs()))
+        self.check_runs(2)
--- a/tests/test_workflow_stragglers.py
+++ b/tests/test_workflow_stragglers.py
@@ -10,9 +10,11 @@
 import testtools
 
 from bilberryhaven import clock as clocks
+from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import server_speed
 from bilberryhaven.workflow import stragglers
+from tests import workflow_fakes as fakes
 from tests import workflow_listings
 
 NOW = clocks.seconds(100)
@@ -200,7 +202,7 @@
         return moved
 
     def list_spare(self):
-        return [workflow_listings.fakes.build_server(SPARE)]
+        return [fakes.build_server(SPARE)]
 
     def test_no_run_is_stopped_on_sound_servers(self):
         self.assertEqual([], self.play(slow=()))
@@ -211,6 +213,42 @@
         self.assertEqual(set(slow), moved)
 
 
+class DispatchedRestartTest(workflow_listings.DispatchedRunsTest):
+    """Runs on a server that turns slow are moved by the leader."""
+
+    SLOW = 'b'
+
+    def find_rate(self, ref, agent):
+        return 2 if agent == self.SLOW else 10
+
+    def list_slow(self):
+        return [
+            ref
+            for ref, agent in self.list_runs().items()
+            if agent == self.SLOW
+        ]
+
+    def test_runs_move_from_the_slow_server(self):
+        for name in ('w1', 'w2', 'w3'):
+            self.submit(name, fakes.build_step(tasks=4))
+        self.schedule()
+        slow = self.list_slow()
+        self.assertEqual(3, len(slow))
+        self.play(3)
+        stopping = [
+            workflow_commands.RunRef(row.id, key, run.number)
+            for row in self.state.workflows
+            for key, run in row.list_runs()
+            if run.stopping
+        ]
+        self.assertEqual(slow, stopping)
+        self.send(self.SLOW, slow, how='stopped')
+        self.schedule()
+        moved = [ref for ref in self.list_runs() if ref.number == 2]
+        self.assertEqual(3, len(moved))
+        self.assertEqual([], self.list_slow())
+
+
 class SlowServerTest(testtools.TestCase):
     def test_slow_server_is_suspect_for_a_while(self):
         table = health.HealthTable()
--- a/tests/workflow_listings.py
+++ b/tests/workflow_listings.py
@@ -7,9 +7,11 @@
 from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import session
 from bilberryhaven.workflow import workflow_index
+from tests import test_workflow_dispatcher
 from tests import workflow_fakes as fakes
 
 INTERVAL_S = 0.5
+AGENTS = 'abcd'
 
 
 class Listings:
@@ -109,3 +111,76 @@
         servers = [fakes.build_server(key, **fields) for key in keys]
         found = self.monitor.take_slow(self.views, lambda: servers)
         return [view.ref for view in found]
+
+
+class DispatchedRunsTest(test_workflow_dispatcher.DispatcherTest):
+    """Base of tests in which agents list the progress of the leader's runs.
+
+    Attributes:
+        polls: First ``PollReply`` by agent.
+        percent: Progress by run.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.replace()
+        self.polls = {agent: self.poll(agent) for agent in AGENTS}
+        self.percent = {}
+        self._ends = 0
+
+    def find_rate(self, ref, agent):
+        """Return the progress of a run in percent per second."""
+        raise NotImplementedError
+
+    def list_runs(self):
+        """Return the agent of each run, in the order of the tasks."""
+        agents = {first.key: agent for agent, first in self.polls.items()}
+        return {
+            workflow_commands.RunRef(row.id, key, run.number): agents[
+                run.backend
+            ]
+            for row in self.state.workflows
+            for key, run in row.list_runs()
+            if run.backend in agents
+        }
+
+    def renew(self, agent):
+        return self.poll(agent, epoch=self.polls[agent].epoch)
+
+    def send(self, agent, ends=(), how='done'):
+        """Report the runs on a server, of which some have ended."""
+        first = self.polls[agent]
+        running = [
+            message.Running(ref, percent=self.percent.get(ref, 0))
+            for ref, other in self.list_runs().items()
+            if other == agent and ref not in ends
+        ]
+        rows = []
+        for ref in ends:
+            self._ends += 1
+            rows.append(workflow_commands.RunEnd(self._ends, ref, how))
+        return self.ask(
+            message.Report(
+                agent=agent,
+                key=first.key,
+                epoch=first.epoch,
+                ends=rows,
+                upto=self._ends,
+                running=running,
+                listed=True,
+            )
+        )
+
+    def play(self, seconds, *, skip=''):
+        """Let the runs work, and list them at intervals."""
+        for _ in range(int(seconds / INTERVAL_S)):
+            self.advance(INTERVAL_S)
+            for ref, agent in self.list_runs().items():
+                gained = INTERVAL_S * self.find_rate(ref, agent)
+                percent = self.percent.get(ref, 0) + gained
+                self.percent[ref] = min(percent, 99)
+            for agent in self.polls:
+                if agent not in skip:
+                    self.renew(agent)
+                    self.send(agent)
+            self.schedule()
