Let no task that fits nowhere hold copies back

Cause: a task that is too large for all servers waits for as long as its workflow exists, and no run of the same or a lower priority was copied meanwhile.

Change: only waiting tasks that would fit on an empty server of the pool count. The outcomes of copies are a module of their own.

Result: the new case of test_waiting_tasks_come_first failed before and passes now.

--- a/bilberryhaven/workflow/run_monitor.py
+++ b/bilberryhaven/workflow/run_monitor.py
@@ -2,10 +2,10 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.workflow import copy_outcomes
 from bilberryhaven.workflow import progress
 from bilberryhaven.workflow import run_times
 from bilberryhaven.workflow import server_speed
-from bilberryhaven.workflow import speculation
 from bilberryhaven.workflow import stragglers
 
 __all__ = ['RunMonitor']
@@ -34,7 +34,7 @@
         self.times = run_times.RunTimes()
         self.progress = progress.ProgressTable()
         self.speeds = server_speed.ServerSpeeds(times=self.times)
-        self.copies = speculation.CopyOutcomes()
+        self.copies = copy_outcomes.CopyOutcomes()
         self._slow = {}
         self._due_at = {}
 
--- a/bilberryhaven/workflow/speculation.py
+++ b/bilberryhaven/workflow/speculation.py
@@ -11,13 +11,16 @@
 """
 
 import dataclasses
+import math
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.workflow import copy_outcomes
+from bilberryhaven.workflow import server_cost
 from bilberryhaven.workflow import server_speed
 from bilberryhaven.workflow import stragglers
 
-__all__ = ['Copy', 'CopyOutcomes', 'CopyReason', 'plan_copies']
+__all__ = ['plan_copies']
 
 # A rate of progress is known from this age on.
 MIN_AGE_S = 1.0
@@ -32,103 +35,8 @@
 # Share of a pool's CPU that copies may use, and that they leave unused.
 MAX_COPY_SHARE = 0.05
 MIN_UNUSED_SHARE = 0.1
-# Share of the copies that must end first; with fewer, a long task takes long
-# on any server. The assumed outcomes count until enough copies were started,
-# and copies are tried again as the outcomes lose weight.
-MIN_WON_SHARE = 0.3
-ASSUMED_WON = 2.0
-ASSUMED_COPIES = 4.0
-OUTCOME_HALF_LIFE = clocks.seconds(60)
 # Tasks with this many starts aren't copied.
 MAX_STARTS = 3
-MAX_PENDING = 256
-
-
-class CopyReason:
-    """Why a run is copied.
-
-    Attributes:
-        SLOW: Its server is slow.
-        SILENT: Its server isn't heard of.
-        LONG: It takes longer than most like tasks.
-    """
-
-    SLOW = 'backend server is slow'
-    SILENT = 'backend server is not heard of'
-    LONG = 'far longer than like tasks'
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Copy:
-    """A copy to start.
-
-    Attributes:
-        start: The ``RunStart``.
-        queue: Name of the workflow's queue.
-        reason: One of ``CopyReason``.
-        gain_s: Time by which the copy is expected to end earlier.
-    """
-
-    start: workflow_commands.RunStart
-    queue: str
-    reason: str
-    gain_s: float
-
-
-class CopyOutcomes:
-    """How often copies of long tasks end first, by queue.
-
-    It is in the leader's memory only; a new leader learns it anew.
-    """
-
-    def __init__(self):
-        # (number, queue, reason) of the newest copy by (workflow id, task).
-        self._pending = {}
-        # [won, ended, monotonic time] by queue.
-        self._counts = {}
-
-    def clear(self):
-        """Remove all records."""
-        self._pending.clear()
-        self._counts.clear()
-
-    def add(self, copy):
-        """Record that a copy is started."""
-        start = copy.start
-        key = (start.workflow, start.task)
-        self._pending[key] = (start.number, copy.queue, copy.reason)
-        if len(self._pending) > MAX_PENDING:
-            del self._pending[next(iter(self._pending))]
-
-    def is_known(self, ref):
-        """Return whether a copy of a run's task was started."""
-        return (ref.workflow, ref.task) in self._pending
-
-    def record_end(self, ref, now):
-        """Record that a run has succeeded.
-
-        Args:
-            ref: The run.
-            now: Monotonic time.
-        """
-        found = self._pending.pop((ref.workflow, ref.task), None)
-        if found is None or found[2] != CopyReason.LONG:
-            return
-        number, queue, _ = found
-        won, ended = self._count(queue, now)
-        won += ref.number >= number
-        self._counts[queue] = [won, ended + 1, now]
-
-    def are_useful(self, queue, now):
-        """Return whether copies of long tasks of a queue end first."""
-        won, ended = self._count(queue, now)
-        share = (won + ASSUMED_WON) / (ended + ASSUMED_COPIES)
-        return share >= MIN_WON_SHARE
-
-    def _count(self, queue, now):
-        won, ended, at = self._counts.get(queue, (0.0, 0.0, now))
-        weight = 0.5 ** ((now - at) / OUTCOME_HALF_LIFE)
-        return won * weight, ended * weight
 
 
 def plan_copies(views, waiting, servers, monitor, now):
@@ -146,31 +54,25 @@
     """
     needed = []
     for view in views:
-        if not _may_copy(view) or _is_waited_for(view.row, waiting):
-            continue
         estimate = _estimate_gain(view, monitor, now)
         if estimate is not None:
             needed.append((*estimate, view))
     if not needed:
         return []
-    pools = _measure_pools(views, servers)
+    pools = _measure_pools(views, waiting, servers)
     copies = []
     for gain_s, reason, view in sorted(needed, key=_rank):
         pool = pools.get(view.row.pool)
-        if pool is None or not pool.has_spare(view.step):
+        if pool is None or not pool.accepts(view):
             continue
         server = _choose_server(view, servers)
         if server is None:
             continue
         server.claim(view.step, view.group)
         pool.claim(view.step)
-        number = view.row.find_task(view.ref.task).last_run + 1
-        start = workflow_commands.RunStart(
-            view.ref.workflow, view.ref.task, number, server.key
-        )
         copies.append(
-            Copy(
-                start=start,
+            copy_outcomes.Copy(
+                start=_build_start(view, server),
                 queue=view.row.queue,
                 reason=reason,
                 gain_s=gain_s,
@@ -179,6 +81,13 @@
     return copies
 
 
+def _build_start(view, server):
+    number = view.row.find_task(view.ref.task).last_run + 1
+    return workflow_commands.RunStart(
+        view.ref.workflow, view.ref.task, number, server.key
+    )
+
+
 def _rank(item):
     gain_s, _, view = item
     return (view.row.priority, -gain_s, view.ref.workflow, view.ref.task)
@@ -202,30 +111,40 @@
     )
 
 
-def _is_waited_for(row, waiting):
-    """Return whether tasks that come before a copy wait for capacity."""
-    return any(
-        group.row.pool == row.pool and group.row.priority <= row.priority
-        for group in waiting
+def _is_large_enough(server, group):
+    """Return whether a task would fit if the server were empty."""
+    step = group.step
+    return (
+        server.pool == group.row.pool
+        and server_cost.is_eligible(server, step)
+        and step.cpu <= server.cpu
+        and step.memory_mb <= server.memory_mb
+        and step.gpu <= server.gpu
     )
 
 
 def _estimate_gain(view, monitor, now):
     """Return (seconds, ``CopyReason``) that a copy gains, or None."""
+    if not _may_copy(view):
+        return None
     seen = monitor.progress.find(view.backend, view.ref)
     if seen is None or monitor.copies.is_known(view.ref):
         return None
     if now - seen.seen_at > SILENCE:
         typical_s = monitor.speeds.find_typical(view, now)
-        return None if typical_s is None else (typical_s, CopyReason.SILENT)
+        return (
+            None
+            if typical_s is None
+            else (typical_s, copy_outcomes.CopyReason.SILENT)
+        )
     if seen.age_s < MIN_AGE_S or seen.remaining_s is None:
         return None
     speed = monitor.speeds.find(view.backend, now)
     if server_speed.is_slow(speed):
-        reason = CopyReason.SLOW
+        reason = copy_outcomes.CopyReason.SLOW
         copy_s = stragglers.estimate_restart_s(view, seen, speed)
     else:
-        reason = CopyReason.LONG
+        reason = copy_outcomes.CopyReason.LONG
         copy_s = _estimate_long_copy_s(view, seen, monitor, now)
     if copy_s is None or seen.remaining_s <= MIN_GAIN * copy_s:
         return None
@@ -247,20 +166,25 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Pool:
-    """CPU of a pool in thousandths of a core.
+    """CPU of a pool in thousandths of a core, and who waits for it.
 
     Attributes:
         total: Capacity of the servers that accept tasks.
         unused: CPU that no task requests.
         copied: CPU that copies request.
+        waiting: Highest priority of the tasks that wait; 0 is the highest.
     """
 
     total: int = 0
     unused: int = 0
     copied: int = 0
+    waiting: float = math.inf
 
-    def has_spare(self, step):
+    def accepts(self, view):
         """Return whether a copy leaves enough for other tasks."""
+        step = view.step
+        if view.row.priority >= self.waiting:
+            return False
         # In a small pool one copy may exceed the share.
         limit = max(MAX_COPY_SHARE * self.total, step.cpu)
         return (
@@ -274,7 +198,7 @@
         self.unused -= step.cpu
 
 
-def _measure_pools(views, servers):
+def _measure_pools(views, waiting, servers):
     pools = {}
     for server in servers:
         if server.open:
@@ -287,6 +211,15 @@
         is_copy = any(run.number < view.ref.number for run in task.runs)
         if pool is not None and is_copy:
             pool.copied += view.step.cpu
+    for group in waiting:
+        pool = pools.get(group.row.pool)
+        if (
+            pool is not None
+            and group.row.priority < pool.waiting
+            # A task that is too large for all servers doesn't count.
+            and any(_is_large_enough(server, group) for server in servers)
+        ):
+            pool.waiting = group.row.priority
     return pools
 
 
--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -13,6 +13,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import copy_outcomes
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import speculation
@@ -73,7 +74,7 @@
         (copy,) = self.plan(
             fakes.build_server(SERVERS[0]), fakes.build_server('spare')
         )
-        self.assertEqual(speculation.CopyReason.LONG, copy.reason)
+        self.assertEqual(copy_outcomes.CopyReason.LONG, copy.reason)
         self.assertEqual(
             workflow_commands.RunStart(ref.workflow, ref.task, 2, 'spare'),
             copy.start,
@@ -98,8 +99,8 @@
         copies = self.plan()
         self.assertEqual(
             [
-                ('w1', speculation.CopyReason.SLOW),
-                ('w2', speculation.CopyReason.SLOW),
+                ('w1', copy_outcomes.CopyReason.SLOW),
+                ('w2', copy_outcomes.CopyReason.SLOW),
             ],
             [(copy.start.workflow, copy.reason) for copy in copies],
         )
@@ -115,7 +116,7 @@
         self.assertEqual([], self.plan())
         self.fleet.run(0.5, skip=SERVERS[:1])
         (copy,) = self.plan()
-        self.assertEqual(speculation.CopyReason.SILENT, copy.reason)
+        self.assertEqual(copy_outcomes.CopyReason.SILENT, copy.reason)
 
     def test_other_kinds_are_not_copied(self):
         for fields in (
@@ -155,12 +156,14 @@
 
     def test_waiting_tasks_come_first(self):
         self.add_long()
-        for priority, pool, expected in (
-            (0, fakes.POOL, 0),
-            (1, fakes.POOL, 1),
-            (0, 'other', 1),
+        for priority, pool, cpu, expected in (
+            (0, fakes.POOL, 1000, 0),
+            (1, fakes.POOL, 1000, 1),
+            (0, 'other', 1000, 1),
+            # No server is large enough for it.
+            (0, fakes.POOL, 65_000, 1),
         ):
-            step = fakes.build_step()
+            step = fakes.build_step(cpu=cpu)
             row = fakes.build_workflow('v', step, priority=priority)
             row.pool = pool
             group = workflow_index.Group(
@@ -172,7 +175,7 @@
                 due_at=0.0,
             )
             copies = self.plan(waiting=[group])
-            self.assertEqual(expected, len(copies), (priority, pool))
+            self.assertEqual(expected, len(copies), (priority, pool, cpu))
 
     def test_servers_that_take_no_copy(self):
         ref = self.add_long(max_per_backend=1, required_label='ssd')
@@ -236,20 +239,20 @@
     def record(self, outcomes, number, *, reason, name='w'):
         start = workflow_commands.RunStart(name, TASK, 2, 'a')
         outcomes.add(
-            speculation.Copy(start=start, queue='q', reason=reason, gain_s=1)
+            copy_outcomes.Copy(start=start, queue='q', reason=reason, gain_s=1)
         )
         outcomes.record_end(
             workflow_commands.RunRef(name, TASK, number), self.NOW
         )
 
-    def play(self, number, reason=speculation.CopyReason.LONG):
-        outcomes = speculation.CopyOutcomes()
+    def play(self, number, reason=copy_outcomes.CopyReason.LONG):
+        outcomes = copy_outcomes.CopyOutcomes()
         for _ in range(5):
             self.record(outcomes, number, reason=reason)
         return outcomes
 
     def test_copies_are_tried_at_first(self):
-        outcomes = speculation.CopyOutcomes()
+        outcomes = copy_outcomes.CopyOutcomes()
         self.assertTrue(outcomes.are_useful('q', self.NOW))
 
     def test_copies_that_end_first_are_useful(self):
@@ -259,22 +262,22 @@
         outcomes = self.play(1)
         self.assertFalse(outcomes.are_useful('q', self.NOW))
         self.assertTrue(outcomes.are_useful('other', self.NOW))
-        later = self.NOW + 3 * speculation.OUTCOME_HALF_LIFE
+        later = self.NOW + 3 * copy_outcomes.OUTCOME_HALF_LIFE
         self.assertTrue(outcomes.are_useful('q', later))
 
     def test_copies_for_other_reasons_say_nothing(self):
-        outcomes = self.play(1, speculation.CopyReason.SLOW)
+        outcomes = self.play(1, copy_outcomes.CopyReason.SLOW)
         self.assertTrue(outcomes.are_useful('q', self.NOW))
 
     def test_pending_copies_are_bounded(self):
-        outcomes = speculation.CopyOutcomes()
-        for number in range(speculation.MAX_PENDING + 5):
+        outcomes = copy_outcomes.CopyOutcomes()
+        for number in range(copy_outcomes.MAX_PENDING + 5):
             start = workflow_commands.RunStart(f'w{number}', TASK, 2, 'a')
             outcomes.add(
-                speculation.Copy(
+                copy_outcomes.Copy(
                     start=start,
                     queue='q',
-                    reason=speculation.CopyReason.LONG,
+                    reason=copy_outcomes.CopyReason.LONG,
                     gain_s=1,
                 )
             )
