Return callers by the room that they wait for

Cause: all rejected callers stood in one line of return times, whatever pool and priority they waited for, and one with a far return time put all later ones behind it for a minute.

Change: there is a line for each pool, priority and kind of CPU; a return time beyond the forecast doesn't move it.

Result: test_callers_for_other_room_do_not_wait_for_each_other and test_far_return_time_does_not_delay_later_callers fail with the earlier schedule and pass now.

--- a/bilberryhaven/overload/admission.py
+++ b/bilberryhaven/overload/admission.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import threading
@@ -79,6 +80,7 @@
         key: Its id.
         need: Its ``Need``.
         best_effort: Whether it gets spare CPU only.
+        line: What newcomers have in common that wait for the same room.
         has_deadline: Whether it is of no value once it is too late. Scheduled
             and long-running work is of value whenever it runs.
         sizes: (CPU, memory in MB, accelerators) that a server must have, and
@@ -89,6 +91,7 @@
     key: str
     need: precedence.Need
     best_effort: bool
+    line: collections.abc.Hashable
     has_deadline: bool
     sizes: tuple
     size_bytes: int = 0
@@ -198,6 +201,7 @@
             retry_after_s=self._returns.add(
                 newcomer.key,
                 reason,
+                line=newcomer.line,
                 wait_s=wait_s,
                 spacing_s=spacing_s,
                 now=now,
--- a/bilberryhaven/overload/returns.py
+++ b/bilberryhaven/overload/returns.py
@@ -24,19 +24,21 @@
 
     def __init__(self):
         self._callers = collections.OrderedDict()
-        self._next_at = -math.inf
+        # Time at which the room after the last caller of a line is free.
+        self._next_at = {}
 
     def clear(self):
         """Forget all callers."""
         self._callers.clear()
-        self._next_at = -math.inf
+        self._next_at.clear()
 
-    def add(self, key, reason, *, wait_s, spacing_s, now):
+    def add(self, key, reason, *, line, wait_s, spacing_s, now):
         """Assign a return time to a caller that is rejected.
 
         Args:
             key: Id of its work.
             reason: Why it is rejected.
+            line: What callers have in common that wait for the same room.
             wait_s: Time until there is room for it, in seconds.
             spacing_s: How long it occupies that room, in seconds; None if it
                 waits for something else than room, so that others don't come
@@ -48,13 +50,13 @@
         """
         at = now + wait_s
         if spacing_s is not None:
-            at = max(at, self._next_at)
-            self._next_at = at + spacing_s
+            at = max(at, self._next_at.get(line, at))
         if at > now + MAX_RETRY_AFTER_S:
             # There is no forecast that far ahead, so they are only spread.
             share = zlib.crc32(key.encode()) / 2**32
             at = now + MAX_RETRY_AFTER_S * (1 + share) / 2
-            self._next_at = now + MAX_RETRY_AFTER_S
+        elif spacing_s is not None:
+            self._next_at[line] = at + spacing_s
         retry_after_s = max(1, math.ceil(at - now))
         self._callers[key] = (now + retry_after_s, reason)
         self._callers.move_to_end(key)
--- a/bilberryhaven/workflow/acceptance.py
+++ b/bilberryhaven/workflow/acceptance.py
@@ -105,10 +105,12 @@
 
     def _describe(self, row, now):
         counts = [step.tasks for step in row.steps]
+        best_effort = any(step.best_effort for step in row.steps)
         return admission.Newcomer(
             key=row.id,
             need=self._ranker.describe(row, counts, now),
-            best_effort=any(step.best_effort for step in row.steps),
+            best_effort=best_effort,
+            line=(row.pool, best_effort, row.priority),
             has_deadline=row.schedule is None
             and not any(step.long_running for step in row.steps),
             sizes=tuple(
--- a/tests/test_overload_admission.py
+++ b/tests/test_overload_admission.py
@@ -5,6 +5,8 @@
 accepted before, and of what is unknown after an election.
 """
 
+import math
+
 import testtools
 
 from bilberryhaven.overload import admission
@@ -57,6 +59,7 @@
     )
     fields.setdefault('sizes', (((CPU, 100, 0), 'fast'),))
     fields.setdefault('has_deadline', True)
+    fields.setdefault('line', 'pool')
     return admission.Newcomer(key=key, need=need, best_effort=True, **fields)
 
 
@@ -199,15 +202,33 @@
         super().setUp()
         self.schedule = returns.ReturnSchedule()
 
-    def add(self, key, wait_s, spacing_s=0.0):
+    def add(self, key, wait_s, spacing_s=0.0, line='pool'):
         return self.schedule.add(
-            key, 'full', wait_s=wait_s, spacing_s=spacing_s, now=NOW
+            key,
+            'full',
+            line=line,
+            wait_s=wait_s,
+            spacing_s=spacing_s,
+            now=NOW,
         )
 
     def test_callers_return_one_after_the_other(self):
         waits = [self.add(str(n), 2.0, 0.5) for n in range(5)]
         self.assertEqual([2, 3, 3, 4, 4], waits)
 
+    def test_callers_for_other_room_do_not_wait_for_each_other(self):
+        self.assertEqual(2, self.add('a', 2.0, 30.0))
+        self.assertEqual(2, self.add('b', 2.0, 30.0, line='other'))
+
+    def test_far_return_time_does_not_delay_later_callers(self):
+        for wait_s, spacing_s in ((1e9, 1.0), (math.inf, math.inf)):
+            self.add(str(wait_s), wait_s, spacing_s)
+            self.assertEqual(2, self.add(f'{wait_s}-next', 2.0))
+
+    def test_without_any_room_callers_are_told_to_return_late(self):
+        self.add('a', 2.0, math.inf)
+        self.assertTrue(self.add('b', 2.0) >= returns.MAX_RETRY_AFTER_S / 2)
+
     def test_at_least_a_second_and_whole_seconds_rounded_up(self):
         self.assertEqual(1, self.add('a', 0.0))
         self.assertEqual(3, self.add('b', 2.1))
