Test what callers are told of a rejected job

Cause: no test followed a rejection to its caller.

Change: the refusals that must never be said of an unknown outcome include it, and one test asks for its status and time to return.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -316,6 +316,13 @@
         self.assertEqual(503, response.status)
         self.assertIn('Retry-After', response.headers)
 
+    def test_rejected_job_returns_503_with_the_time_to_return(self):
+        error = errors.RejectedError('full', step='submit', retry_after=7)
+        response = self.call(error)
+        self.assertEqual(
+            (503, '7'), (response.status, response.headers['Retry-After'])
+        )
+
     def test_unknown_outcome_returns_504(self):
         error = errors.UnavailableError(
             'no leader', step='submit', outcome=errors.Outcome.UNKNOWN
--- a/tests/test_wire_leader.py
+++ b/tests/test_wire_leader.py
@@ -12,6 +12,7 @@
     errors.OverloadError('full', step='dispatch'),
     errors.UnavailableError('no catalog of queues', step='find queue'),
     errors.NotFoundError('no queue matches', step='find queue'),
+    errors.RejectedError('too many workflows are waiting', step='accept'),
 )
 
 
@@ -86,7 +87,7 @@
         statuses = [
             self.answer(type(refusal)('x', step='s')) for refusal in REFUSALS
         ]
-        self.assertEqual([503, 503, 404], statuses)
+        self.assertEqual([503, 503, 404, 503], statuses)
 
     def test_workflow_that_is_gone_keeps_its_status(self):
         self.assertEqual(410, self.answer(errors.GoneError('x', step='s')))
