Withdraw availability zones and resend accepted jobs in the soak

Cause: the soak did not know withdrawals of zones, and callers sent a job again only until it was accepted. Change: its machines have two zones, which a fault withdraws and restores; the checker reports a start later than the bound after the acknowledgement, and a refused order. Callers resend accepted jobs; a rejection of one is a violation.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -83,6 +83,7 @@
         advertised = self._create_proxy(machine, machines.APP_PORT, '127.0.4')
         return worker.Worker(
             number=int(machine.partition('-')[2]),
+            zone=self.machines.find_zone(machine),
             listen=self.machines.find_address(machine, machines.APP_PORT),
             advertised=advertised,
             agent=self.machines.find_address(machine, machines.CONTROL_PORT),
@@ -173,6 +174,9 @@
             self.machines.start(name)
 
     def _settle(self):
+        self._wait(
+            self.operator.restore_all, SETTLE_TIMEOUT_S, 'zones were restored'
+        )
         self._wait(
             self.operator.check, SETTLE_TIMEOUT_S, 'configuration was read'
         )
@@ -223,6 +227,7 @@
         print(
             f'seed {seed}: {len(soak.caller.accepted)} jobs accepted, '
             f'{soak.checker.starts} starts, {len(soak.injected)} faults, '
+            f'{soak.caller.rejections} rejections, '
             f'{sum(item.stale_calls for item in soak.workers)} stale calls, '
             f'answers {soak.caller.statuses}',
             flush=True,
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -2,9 +2,12 @@
 
 import json
 import threading
+import time
 
 import urllib3
 
+from soak import machines
+
 __all__ = ['Caller', 'Operator']
 
 HOST = 'desk.example'
@@ -19,8 +22,10 @@
 MAX_TASKS = 4
 CANCEL_PROBABILITY = 0.1
 STATUS_PROBABILITY = 0.3
+RESEND_PROBABILITY = 0.2
 COMPLETED = 'completed'
 NOT_RUN_STATUSES = (429, 503)
+REJECTED_CODE = b'"rejected"'
 
 
 class Caller:
@@ -35,6 +40,7 @@
     Attributes:
         accepted: Numbers of tasks per step, by id of the accepted job.
         cancelled: Ids of jobs whose cancellation may have taken effect.
+        rejections: Number of answers that rejected a job.
         refused: Ids of jobs whose every submission was refused as not run.
         statuses: Number of answers by HTTP status; None is no answer.
     """
@@ -50,6 +56,7 @@
             for _ in range(THREAD_COUNT)
         ]
         self.accepted = {}
+        self.rejections = 0
         self.cancelled = set()
         self.refused = set()
         self.statuses = {}
@@ -71,6 +78,8 @@
             known = sorted(self.accepted)
             if known and self._random.random() < STATUS_PROBABILITY:
                 self.get_state(self._random.choice(known))
+            if known and self._random.random() < RESEND_PROBABILITY:
+                self._resend(self._random.choice(known))
             if known and self._random.random() < CANCEL_PROBABILITY:
                 name = self._random.choice(known)
                 self.cancelled.add(name)
@@ -82,26 +91,28 @@
             self._random.randint(1, MAX_TASKS)
             for _ in range(self._random.randint(1, 2))
         ]
-        steps = [
-            {'task_count': task_count, 'cpu': 1000, 'mem_mb': 100}
-            for task_count in task_counts
-        ]
-        if len(steps) > 1:
-            steps[1]['after'] = [0]
-        spec = f'spec of {name}'
-        self._checker.specs[name] = spec
+        job = _build_job(name, task_counts)
+        self._checker.specs[name] = job['spec']
         seen = set()
         for _ in range(MAX_ATTEMPTS):
-            status, _ = self._call(
-                'POST', name, {'spec': spec, 'steps': steps}
-            )
+            status, body = self._call('POST', name, job)
             seen.add(status)
+            self.rejections += _is_rejected(status, body)
             if status == 200:
                 self.accepted[name] = task_counts
                 return
         if seen <= set(NOT_RUN_STATUSES):
             self.refused.add(name)
 
+    def _resend(self, name):
+        status, body = self._call(
+            'POST', name, _build_job(name, self.accepted[name])
+        )
+        if _is_rejected(status, body):
+            self._checker.violations.append(
+                f'accepted job {name} was rejected when sent again'
+            )
+
     def get_state(self, name):
         """Return the state of a job, or None without a valid answer."""
         status, body = self._call('GET', name)
@@ -157,8 +168,22 @@
         return status, body
 
 
+def _build_job(name, task_counts):
+    steps = [
+        {'task_count': task_count, 'cpu': 1000, 'mem_mb': 100}
+        for task_count in task_counts
+    ]
+    if len(steps) > 1:
+        steps[1]['after'] = [0]
+    return {'spec': f'spec of {name}', 'steps': steps}
+
+
+def _is_rejected(status, body):
+    return status in NOT_RUN_STATUSES and REJECTED_CODE in body
+
+
 class Operator:
-    """Replaces the configuration and checks the version that is served.
+    """Replaces the configuration, withdraws zones and checks what is served.
 
     Args:
         addresses: HOST:PORT of the control instances.
@@ -168,6 +193,7 @@
     Attributes:
         version: Last version that was sent.
         acknowledged: Last version that was acknowledged.
+        withdrawn: Availability zones whose restoration isn't acknowledged.
     """
 
     def __init__(self, *, addresses, checker, random):
@@ -177,6 +203,7 @@
         self._http = urllib3.PoolManager(retries=False, maxsize=2)
         self.version = 0
         self.acknowledged = 0
+        self.withdrawn = set()
 
     def replace(self):
         """Send the next version; return whether it was acknowledged."""
@@ -184,12 +211,13 @@
         status, _ = self._call('POST', '/Config.Replace', self._build())
         if status == 200:
             self.acknowledged = self.version
-        elif status in range(400, 500) and status not in (408, 429):
-            self._checker.violations.append(
-                f'configuration {self.version} was refused with {status}'
-            )
+        self._check_refusal(status, f'configuration {self.version}')
         return status == 200
 
+    def _check_refusal(self, status, text):
+        if status in range(400, 500) and status not in (408, 429):
+            self._checker.violations.append(f'{text} was refused: {status}')
+
     def _build(self):
         routes = [
             self._build_route('r-jobs', PATH_PREFIX),
@@ -213,6 +241,29 @@
             'max_attempts': 4,
         }
 
+    def withdraw(self, zone):
+        """Withdraw an availability zone; the checker learns of the answer."""
+        self.withdrawn.add(zone)
+        status, _ = self._call('POST', f'/Evacuation.Start/{zone}')
+        self._check_refusal(status, f'withdrawal of {zone}')
+        if status == 200:
+            bound = time.monotonic() + machines.WITHDRAWAL_BOUND_S
+            self._checker.withdrawn_at.setdefault(zone, bound)
+
+    def restore(self, zone):
+        """Restore an availability zone."""
+        self._checker.withdrawn_at.pop(zone, None)
+        status, _ = self._call('POST', f'/Evacuation.End/{zone}')
+        self._check_refusal(status, f'restoration of {zone}')
+        if status == 200:
+            self.withdrawn.discard(zone)
+
+    def restore_all(self):
+        """Restore what is withdrawn; return whether nothing remains."""
+        for zone in sorted(self.withdrawn):
+            self.restore(zone)
+        return not self.withdrawn
+
     def check(self):
         """Check the version that is served; return whether it was read."""
         min_version = self.acknowledged
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -138,6 +138,15 @@
     return _mute(soak, random, proxy.Mode.MUTE_ANSWERS)
 
 
+@register('withdraw zone')
+def withdraw_zone(soak, random):
+    """Withdraw an availability zone; the end of the fault restores it."""
+    machine = random.choice(soak.machines.worker_hosts)
+    zone = soak.machines.find_zone(machine)
+    soak.operator.withdraw(zone)
+    return lambda: soak.operator.restore(zone)
+
+
 @register('configure')
 def configure(soak, random):
     """Replace the configuration."""
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -9,10 +9,11 @@
 
 from tests import processes
 
-__all__ = ['Machines']
+__all__ = ['WITHDRAWAL_BOUND_S', 'Machines']
 
 FRONTEND_HOST_COUNT = 3
 STOP_TIMEOUT_S = 20
+WITHDRAWAL_BOUND_S = 5
 ENTRY_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT, APP_PORT = range(5)
 
 
@@ -44,6 +45,10 @@
         kind, _, number = machine.partition('-')
         return f'127.0.{1 if kind == "front" else 2}.{number}'
 
+    def find_zone(self, machine):
+        """Return the availability zone of a machine."""
+        return f'z{int(machine.partition("-")[2]) % 2}'
+
     def find_address(self, machine, port):
         """Return HOST:PORT of one of a machine's services."""
         return f'{self.find_host(machine)}:{self.ports[port]}'
@@ -79,7 +84,7 @@
         fields = {
             'node_name': machine,
             'ip': self.find_host(machine),
-            'zone': 'z',
+            'zone': self.find_zone(machine),
             'listen.frontend': self.find_address(machine, ENTRY_PORT),
             'listen.ready': self.find_address(machine, READY_PORT),
             'listen.control': self.find_address(machine, CONTROL_PORT),
@@ -89,7 +94,10 @@
             'fault_tolerance.machines': '1',
             'bounds.max_lease_ms': '10000',
             'bounds.status_s': '120',
+            'bounds.evacuate_ms': str(WITHDRAWAL_BOUND_S * 1000),
         }
+        for item in self.worker_hosts:
+            fields[f'zones.{self.find_zone(item)}'] = 'r'
         if role == 'control':
             fields['data_dir'] = str(self._build_data_path(name))
         return ''.join(f'{key}={value}\n' for key, value in fields.items())
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -1,6 +1,7 @@
 """Simulated worker that implements the worker protocol over HTTP."""
 
 import json
+import math
 import threading
 import time
 
@@ -37,6 +38,7 @@
         succeeded: (workflow, task) pairs with a run that succeeded.
         specs: Spec that the caller sent, by workflow.
         started: Workflows of which a run was started.
+        withdrawn_at: Time from which no run may start in a zone, by zone.
     """
 
     def __init__(self):
@@ -47,6 +49,7 @@
         self.succeeded = set()
         self.specs = {}
         self.started = set()
+        self.withdrawn_at = {}
 
     def check_start(self, server, ref):
         """Check a start, after advancing all workers to the present."""
@@ -63,6 +66,11 @@
         """Record that a run succeeded."""
         self.succeeded.add((ref.workflow, ref.task))
 
+    def check_zone(self, ref, zone, now):
+        """Check that a start is not in a withdrawn availability zone."""
+        if now > self.withdrawn_at.get(zone, math.inf):
+            self.violations.append(f'{ref} started in withdrawn zone {zone}')
+
     def check_spec(self, ref, spec):
         """Check that a start carries the spec that its caller sent."""
         if self.specs.get(ref.workflow) != spec:
@@ -81,6 +89,7 @@
 
     Args:
         number: Number of the worker, part of its id.
+        zone: Its availability zone.
         listen: HOST:PORT that it listens on.
         advertised: HOST:PORT that it advertises, of the proxy in front of it.
         agent: HOST:PORT of the agent beside it.
@@ -96,6 +105,7 @@
         self,
         *,
         number,
+        zone,
         listen,
         advertised,
         agent,
@@ -105,6 +115,7 @@
     ):
         self.id = f'i-{number:08x}'
         self.number = number
+        self.zone = zone
         self._advertised = advertised
         self._agent = agent
         self._on_crash = on_crash
@@ -166,7 +177,7 @@
             body = {
                 'service': 'desk',
                 'address': self._advertised,
-                'zone': 'z',
+                'zone': self.zone,
                 'state': 'ready',
                 'sequence': self._sequence,
                 'capacity': {'cpu': CAPACITY * 1000, 'mem_mb': MEMORY_MB},
@@ -232,6 +243,7 @@
                 self._checker.violations.append(str(error))
                 return 409, {'reason': 'old'}
         if verdict == StartResult.STARTED:
+            self._checker.check_zone(ref, self.zone, now)
             return 200, {}
         reason = 'late' if verdict == StartResult.LATE else 'old'
         return 409, {'reason': reason}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,9 @@
 import testtools
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
+from bilberryhaven.wire import server
+from soak import caller
 from soak import faults
 from soak import proxy
 from soak import worker
@@ -51,9 +54,9 @@
 class ProxyTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        server = EchoServer()
-        self.addCleanup(server.listener.close)
-        target = server.listener.getsockname()
+        echo_server = EchoServer()
+        self.addCleanup(echo_server.listener.close)
+        target = echo_server.listener.getsockname()
         self.proxy = proxy.Proxy(listen=('127.0.0.1', 0), target=target)
         self.addCleanup(self.proxy.close)
         host, port = self.proxy.address.split(':')
@@ -91,6 +94,7 @@
         self.workers = [
             worker.Worker(
                 number=number,
+                zone=f'z{number}',
                 listen='127.0.0.1:0',
                 advertised='127.0.0.1:1',
                 agent='127.0.0.1:1',
@@ -127,6 +131,14 @@
         self.start(0, 1, spec='other')
         self.assertIn('another spec', self.checker.violations[0])
 
+    def test_start_in_a_withdrawn_zone_is_detected(self):
+        self.checker.withdrawn_at['z1'] = 0.0
+        self.start(1, 1)
+        self.assertEqual([], self.checker.violations)
+        self.workers[1].start_incarnation()
+        self.start(0, 2)
+        self.assertIn('withdrawn zone z1', self.checker.violations[0])
+
     def test_waiting_call_ends_with_its_incarnation(self):
         target = self.workers[0]
         fields = {'fencing_token': 1, 'ack_cursor': 0, 'wait_ms': 400}
@@ -146,11 +158,28 @@
         self.assertEqual([ref], self.workers[0].list_running())
 
 
+class CallerTest(testtools.TestCase):
+    def test_rejection_of_an_accepted_job_is_detected(self):
+        checker = worker.InvariantChecker()
+        target = caller.Caller(
+            addresses=[], checker=checker, random=random.Random(1)
+        )
+        target.accepted['w'] = [1]
+        cases = [(errors.UnavailableError, 0), (errors.RejectedError, 1)]
+        for kind, count in cases:
+            error = kind('no', step='submit')
+            body = server.build_error_response(error).body
+            target._call = lambda *_, body=body: (503, body)
+            target._resend('w')
+            self.assertEqual(count, len(checker.violations))
+
+
 class FaultsTest(testtools.TestCase):
     def test_required_fault_kinds_are_registered(self):
         names = {name for name, _ in faults.list_faults()}
         required = {'delay', 'reset connections', 'mute requests', 'pause'}
         required |= {'kill', 'terminate', 'wipe', 'worker crash'}
+        required |= {'withdraw zone'}
         self.assertEqual(set(), required - names)
 
 
