--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -180,7 +180,7 @@
 
     def test_waiting_tasks_are_read_once(self):
         """The load: many runs that may be copied beside a large backlog."""
-        self.fleet.add_step('w', SERVERS, LONG_S, speculative=True)
+        self.add_long()
         views = [
             view
             for rows in self.fleet.views.values()
