--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -12,6 +12,7 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import server_client
+from tests import workflow_fakes as fakes
 
 StartResult = server_client.StartResult
 ORDERS = 24
@@ -103,19 +104,7 @@
     def test_start_that_no_longer_fits_is_reported_as_rejected(self):
         """Guards against a late order that brings a server over its limit."""
         gateway, client = FakeGateway(cpu=500), FakeClient()
-        tested = agent.WorkflowAgent(
-            name='a',
-            gateway=gateway,
-            client=client,
-            clock=clocks.SystemClock(),
-            options=options.Options(),
-        )
-        state = message.ServerState(id='s', born_ms=1, pool='p', cpu=400)
-        tested.handle_announcement(
-            server_client.Announcement(
-                state=state, address='127.0.0.1:1', sequence=1
-            )
-        )
+        tested = fakes.build_agent(gateway, client, cpu=400)
         tested.start()
         self.addCleanup(tested.stop)
         refused = {build_ref(number) for number in range(ORDERS)}
@@ -133,19 +122,7 @@
 class UnexpectedErrorTest(testtools.TestCase):
     def test_unexpected_errors_stop_no_later_order(self):
         gateway, client = FakeGateway(), FakeClient()
-        tested = agent.WorkflowAgent(
-            name='a',
-            gateway=gateway,
-            client=client,
-            clock=clocks.SystemClock(),
-            options=options.Options(),
-        )
-        state = message.ServerState(id='s', born_ms=1, pool='p')
-        tested.handle_announcement(
-            server_client.Announcement(
-                state=state, address='127.0.0.1:1', sequence=1
-            )
-        )
+        tested = fakes.build_agent(gateway, client)
         tested.start()
         self.addCleanup(tested.stop)
         started = {build_ref(n) for n in range(0, ORDERS, 2)}
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -11,9 +11,7 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven.tables import workflow
-from bilberryhaven.workflow import agent
 from bilberryhaven.workflow import message
-from bilberryhaven.workflow import options
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import server_client
 from bilberryhaven.workflow import supervision
@@ -496,24 +494,9 @@
     def run_agent(self, *, draining):
         ref = workflow_commands.RunRef('w', KEY, 1)
         gateway, client = OrderingGateway(ref), CrashingClient()
-        tested = agent.WorkflowAgent(
-            name='a',
-            gateway=gateway,
-            client=client,
-            clock=clocks.SystemClock(),
-            options=options.Options(),
-        )
+        tested = fakes.build_agent(gateway, client, draining=draining)
         if draining:
             client._crashed.set()
-        tested.handle_announcement(
-            server_client.Announcement(
-                state=message.ServerState(
-                    id='s', born_ms=1, pool='p', draining=draining
-                ),
-                address='127.0.0.1:1',
-                sequence=1,
-            )
-        )
         # A poll needs an answer of the server, or a session.
         tested._answered_at = clocks.seconds(0)
         tested.start()
--- a/tests/workflow_fakes.py
+++ b/tests/workflow_fakes.py
@@ -1,12 +1,17 @@
 """Builders of workflows, servers and commands for tests."""
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import commands
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import tables
 from bilberryhaven.tables import backend
 from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import agent
 from bilberryhaven.workflow import candidate
+from bilberryhaven.workflow import message
+from bilberryhaven.workflow import options
+from bilberryhaven.workflow import server_client
 from bilberryhaven.workflow import workflow_index
 
 POOL = 'desk'
@@ -35,6 +40,25 @@
     return candidate.Server(key=key, **fields)
 
 
+def build_agent(gateway, client, **fields):
+    """Return an agent to which a server with ``fields`` was announced."""
+    built = agent.WorkflowAgent(
+        name='a',
+        gateway=gateway,
+        client=client,
+        clock=clocks.SystemClock(),
+        options=options.Options(),
+    )
+    built.handle_announcement(
+        server_client.Announcement(
+            state=message.ServerState(id='s', born_ms=1, pool='p', **fields),
+            address='127.0.0.1:1',
+            sequence=1,
+        )
+    )
+    return built
+
+
 class World:
     """Tables, changed by the commands that a leader would commit."""
 
