--- a/bilberryhaven/overload/admission.py
+++ b/bilberryhaven/overload/admission.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import threading
@@ -79,6 +80,7 @@
         key: Its id.
         need: Its ``Need``.
         best_effort: Whether it gets spare CPU only.
+        line: What newcomers have in common that wait for the same room.
         has_deadline: Whether it is of no value once it is too late. Scheduled
             and long-running work is of value whenever it runs.
         sizes: (CPU, memory in MB, accelerators) that a server must have, and
@@ -91,6 +93,7 @@
     key: str
     need: precedence.Need
     best_effort: bool
+    line: collections.abc.Hashable
     has_deadline: bool
     sizes: tuple
     size_bytes: int = 0
@@ -193,16 +196,17 @@
         return Reason.TOO_LATE if outlook.is_hopeless() else None
 
     def _reject(self, newcomer, reason, outlook, now):
-        wait_s = outlook.wait_s
+        wait_s, spacing_s = outlook.wait_s, outlook.spacing_s
         if reason == Reason.UNPLACEABLE:
-            wait_s = UNPLACEABLE_WAIT_S
+            wait_s, spacing_s = UNPLACEABLE_WAIT_S, None
         return Decision(
             reason=reason,
             retry_after_s=self._returns.add(
                 newcomer.key,
                 reason,
+                line=newcomer.line,
                 wait_s=wait_s,
-                spacing_s=outlook.spacing_s,
+                spacing_s=spacing_s,
                 now=now,
             ),
             finish_s=outlook.finish_s,
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -59,6 +59,9 @@
         }
         method = environ['REQUEST_METHOD']
         if method == 'POST':
+            # Its sender may have sent it elsewhere and been rejected there,
+            # which stays true only if it isn't accepted late.
+            server.check_connected(environ, step='submit')
             request = jobs.decode_job(body, **address, zone=zone)
         elif method == 'GET':
             request = message.Inquire(**address)
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -32,6 +32,9 @@
 
 TICK_S = 0.1
 CAPACITY = 3
+# Tasks that take far longer, where tasks may be copied.
+LONG_SHARE = 0.1
+LONG_FACTOR = 7
 HOST = 'h'
 ZONES = ('north', 'south')
 START_VALIDITY = clocks.seconds(1)
@@ -65,6 +68,7 @@
         self.zone = ZONES[len(world.agents) % len(ZONES)]
         self.server = None
         self.partitioned_until = 0.0
+        self.stalled_until = 0.0
         self.restart()
 
     def restart(self):
@@ -83,6 +87,7 @@
             oracle=world.oracle,
             capacity=CAPACITY,
             born_at=world.now,
+            lists_progress=world.copies,
         )
 
     def step(self):
@@ -94,7 +99,8 @@
         self._hold()
         if world.now >= self.partitioned_until:
             self._poll()
-        self._execute_orders()
+        if world.now >= self.stalled_until:
+            self._execute_orders()
 
     def _announce(self):
         self.supervisor.handle_announcement(
@@ -229,6 +235,7 @@
             until the faults end; they do nothing then.
         withdrawals: Probability of an order on a zone in each tick.
         build_agent: Function of the world and a name that returns an agent.
+        copies: Whether tasks may be copied; some take far longer then.
     """
 
     def __init__(
@@ -239,6 +246,7 @@
         busy=0.0,
         withdrawals=0.0,
         build_agent=AgentModel,
+        copies=False,
     ):
         self.random = random.Random(seed)
         self.clock = clocks.ManualClock()
@@ -249,9 +257,10 @@
         self.withdrawals = withdrawals
         self.withdrawn_at = {}
         self.start_validity = START_VALIDITY if withdrawals else None
+        self.copies = copies
         self.delayed_calls = []
         self.submitted = []
-        self.oracle = workflow_server.Oracle()
+        self.oracle = workflow_server.Oracle(max_runs=2 if copies else 1)
         self.machine = machine.TableStateMachine()
         self.replica = workflow_replica.FakeReplica(self.machine)
         self.options = options.Options(
@@ -316,6 +325,8 @@
             return StartResult.OTHER_INCARNATION
         server.advance(self.now)
         seconds = 0.2 + 3 * self.random.random()
+        if self.copies and self.random.random() < LONG_SHARE:
+            seconds *= LONG_FACTOR
         return server.start(ref, deadline, epoch, self.now, seconds)
 
     def delay_call(self, server, call):
@@ -325,9 +336,11 @@
 
     def submit(self):
         name = f'w{len(self.submitted)}'
-        steps = [fakes.build_step(tasks=self.random.randint(1, 3))]
+        fields = {'speculative': True} if self.copies else {}
+        tasks = self.random.randint(1, 3)
+        steps = [fakes.build_step(tasks=tasks, **fields)]
         if self.random.random() < 0.5:
-            steps.append(fakes.build_step(after=[0]))
+            steps.append(fakes.build_step(after=[0], **fields))
         request = message.Submit(
             host=HOST, path=f'/{name}', spec='', steps=steps
         )
@@ -407,13 +420,18 @@
             # Without withdrawals, nothing is drawn from the generator.
             if self.withdrawals and self.random.random() < self.withdrawals:
                 self.order_zone(self.random.choice(ZONES))
+                # Orders wait behind one that its server doesn't answer.
+                agent = self.random.choice(self.agents)
+                agent.stalled_until = self.now + self.random.uniform(0.5, 5)
+                if self.random.random() < 0.5:
+                    agent.partitioned_until = agent.stalled_until + TICK_S
             self.tick()
 
     def settle(self, ticks=400):
         """End all faults and run until all workflows have ended."""
         self.loss = self.busy = 0.0
         for agent in self.agents:
-            agent.partitioned_until = 0.0
+            agent.partitioned_until = agent.stalled_until = 0.0
         for zone in list(self.withdrawn_at):
             self.order_zone(zone)
         for _ in range(ticks):
@@ -423,6 +441,16 @@
         assert not self.list_active(), (
             f'workflows have not ended: {self.list_active()}'
         )
+        self.check_idle()
+
+    def check_idle(self):
+        """Check that the runs which were not needed have been stopped."""
+        for _ in range(20):
+            self.tick()
+        working = [
+            ref for agent in self.agents for ref in agent.server.running
+        ]
+        assert not working, f'still working: {working}'
 
     def list_active(self):
         return [
--- a/tests/test_overload_shares.py
+++ b/tests/test_overload_shares.py
@@ -16,6 +16,7 @@
 
 ALLOWED_S = 10.0
 DUE_AT = 100.0
+ROOM = 1 / precedence.ROOM_SHARE
 SEEDS = range(6)
 WHOLE_ROOM_S = st.floats(0.1, 12)
 
@@ -50,7 +51,7 @@
         return shares.choose_ranks(
             self.needs,
             self.requests,
-            shares.Room(cpu=1.0, memory=1.0),
+            shares.Room(cpu=ROOM, memory=ROOM),
             now,
             self.ledger,
         )
@@ -68,17 +69,17 @@
     def test_nothing_changes_while_there_is_room(self):
         self.add('a', *[1.0] * 8)
         self.add('b', 1.0, 1.0)
-        ranks = precedence.choose_ranks(self.needs, 1.0, DUE_AT)
+        ranks = precedence.choose_ranks(self.needs, ROOM, DUE_AT)
         self.assertEqual(ranks, self.choose())
         self.assertEqual({}, self.ledger.delays)
 
     def test_nothing_changes_for_the_callers_of_one_zone(self):
         self.add('a', *[3.0] * 4, 1.0, value=3.0)
         self.add('a', 3.0, queue='dear')
-        ranks = precedence.choose_ranks(self.needs, 1.0, DUE_AT)
+        ranks = precedence.choose_ranks(self.needs, ROOM, DUE_AT)
         self.assertEqual(ranks, self.choose())
         self.add('', *[1.0] * 9)
-        ranks = precedence.choose_ranks(self.needs, 1.0, DUE_AT)
+        ranks = precedence.choose_ranks(self.needs, ROOM, DUE_AT)
         self.assertEqual(ranks, self.choose())
 
     def test_surge_of_one_zone_does_not_displace_another(self):
--- a/tests/test_workflow_caller_shares.py
+++ b/tests/test_workflow_caller_shares.py
@@ -11,6 +11,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import commands
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.overload import precedence
 from bilberryhaven.overload import shares
 from bilberryhaven.workflow import caller_shares
 from bilberryhaven.workflow import options
@@ -20,7 +21,7 @@
 from tests import workflow_fakes as fakes
 
 RUN_S = 4.0
-RATES = {(fakes.POOL, False): 10_000}
+RATES = {(fakes.POOL, False): 10_000 / precedence.ROOM_SHARE}
 
 
 class CallerSharesTest(testtools.TestCase):
@@ -96,9 +97,9 @@
         self.submit('b', 40, memory_mb=2000)
         self.assertEqual({'a': 10, 'b': 10}, self.count_chosen())
         self.shares.observe(
-            [fakes.build_server(memory_mb=10_000), fakes.build_server('b')]
+            [fakes.build_server(memory_mb=13_500), fakes.build_server('b')]
         )
-        self.shares.observe([fakes.build_server(memory_mb=10_000)])
+        self.shares.observe([fakes.build_server(memory_mb=13_500)])
         self.assertEqual({'a': 15, 'b': 5}, self.count_chosen())
 
     def test_each_delay_is_logged_once(self):
--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from unittest import mock
 
 import testtools
 
@@ -69,12 +70,32 @@
         self.rooms.begin_term()
         self.assertEqual({}, self.rooms.rates)
 
-    def test_best_effort_room_is_what_tasks_get_where_they_get_less(self):
-        for satisfaction, cpu in ((1.0, fakes.CORES * 1000), (0.5, 1000)):
+    def test_best_effort_room_is_what_is_in_use_where_tasks_get_less(self):
+        for satisfaction, cpu in ((1.0, fakes.CORES * 1000), (0.5, 2000)):
             self.rooms.begin_term()
             self.measure(satisfaction=satisfaction, best_effort_cpu=2000)
             self.assertEqual(cpu, self.rooms.rates[fakes.POOL, True])
 
+    def test_best_effort_room_is_what_is_in_use_while_tasks_wait(self):
+        """Tail latencies keep best-effort tasks from using idle CPU."""
+        for name, waited_s, cpu in (
+            ('new', room.MIN_WAIT_S - 0.1, fakes.CORES * 1000),
+            ('old', room.MIN_WAIT_S + 0.1, 2000),
+        ):
+            observed_at = (
+                self.clock.wall().timestamp() + forecast.MIN_OBSERVED_S
+            )
+            row = fakes.build_workflow(
+                name,
+                fakes.build_step(best_effort=True),
+                submitted_at=observed_at - waited_s,
+            )
+            self.world.submit(row)
+            self.rooms.begin_term()
+            self.index.refresh(observed_at)
+            self.measure(best_effort_cpu=2000)
+            self.assertEqual(cpu, self.rooms.rates[fakes.POOL, True])
+
     def test_serving_tasks_leave_their_idle_cpu_to_best_effort_work(self):
         self.measure(used_cpu=10_000, serving={'image': 10_000})
         cpu = fakes.CORES * 1000
@@ -119,8 +140,10 @@
         times = run_times.RunTimes()
         times.record('surveys', RUN_S)
         self.world = fakes.World('a')
+        self.times = times
+        self.ranker = urgency.ValueRanker(times=times)
         self.index = workflow_index.WorkflowIndex(
-            self.world.state, ranker=urgency.ValueRanker(times=times)
+            self.world.state, ranker=self.ranker
         )
 
     def submit(self, name, *, at=0.0, latency_ms=4000, **fields):
@@ -168,6 +191,31 @@
         order = self.list_order(best_effort=False, rate=4000)
         self.assertEqual(['standing', 'narrow'], order)
 
+    def test_only_what_has_changed_is_described_again(self):
+        """The load: a large backlog that is ranked in each round."""
+        for name in 'ab':
+            self.submit(name, tasks=2)
+
+        def start():
+            self.world.start('a', '0.0.0', 1, 'a')
+
+        def learn():
+            self.times.record('surveys', 100 * RUN_S)
+
+        for change, count in (
+            (lambda: None, 2),
+            (lambda: None, 0),
+            (lambda: self.times.record('surveys', RUN_S), 0),
+            (start, 1),
+            (learn, 2),
+        ):
+            change()
+            with mock.patch.object(
+                self.ranker, 'describe', wraps=self.ranker.describe
+            ) as describe:
+                self.list_order(best_effort=False, rate=1e6)
+            self.assertEqual(count, describe.call_count, change)
+
     def test_run_keeps_the_rank_by_which_it_was_started(self):
         self.submit('w', best_effort=True, tasks=2)
         self.list_order(best_effort=True, rate=1e6)
--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -13,11 +14,11 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import copy_outcomes
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import speculation
 from bilberryhaven.workflow import workflow_index
-from tests import test_workflow_dispatcher
 from tests import workflow_fakes as fakes
 from tests import workflow_listings
 
@@ -74,7 +75,7 @@
         (copy,) = self.plan(
             fakes.build_server(SERVERS[0]), fakes.build_server('spare')
         )
-        self.assertEqual(speculation.CopyReason.LONG, copy.reason)
+        self.assertEqual(copy_outcomes.CopyReason.LONG, copy.reason)
         self.assertEqual(
             workflow_commands.RunStart(ref.workflow, ref.task, 2, 'spare'),
             copy.start,
@@ -99,8 +100,8 @@
         copies = self.plan()
         self.assertEqual(
             [
-                ('w1', speculation.CopyReason.SLOW),
-                ('w2', speculation.CopyReason.SLOW),
+                ('w1', copy_outcomes.CopyReason.SLOW),
+                ('w2', copy_outcomes.CopyReason.SLOW),
             ],
             [(copy.start.workflow, copy.reason) for copy in copies],
         )
@@ -116,7 +117,7 @@
         self.assertEqual([], self.plan())
         self.fleet.run(0.5, skip=SERVERS[:1])
         (copy,) = self.plan()
-        self.assertEqual(speculation.CopyReason.SILENT, copy.reason)
+        self.assertEqual(copy_outcomes.CopyReason.SILENT, copy.reason)
 
     def test_other_kinds_are_not_copied(self):
         for fields in (
@@ -156,12 +157,14 @@
 
     def test_waiting_tasks_come_first(self):
         self.add_long()
-        for priority, pool, expected in (
-            (0, fakes.POOL, 0),
-            (1, fakes.POOL, 1),
-            (0, 'other', 1),
+        for priority, pool, cpu, expected in (
+            (0, fakes.POOL, 1000, 0),
+            (1, fakes.POOL, 1000, 1),
+            (0, 'other', 1000, 1),
+            # No server is large enough for it.
+            (0, fakes.POOL, 65_000, 1),
         ):
-            step = fakes.build_step()
+            step = fakes.build_step(cpu=cpu)
             row = fakes.build_workflow('v', step, priority=priority)
             row.pool = pool
             group = workflow_index.Group(
@@ -173,7 +176,22 @@
                 due_at=0.0,
             )
             copies = self.plan(waiting=[group])
-            self.assertEqual(expected, len(copies), (priority, pool))
+            self.assertEqual(expected, len(copies), (priority, pool, cpu))
+
+    def test_waiting_tasks_are_read_once(self):
+        """The load: many runs that may be copied beside a large backlog."""
+        self.add_long()
+        views = [
+            view
+            for rows in self.fleet.views.values()
+            for view in rows.values()
+        ]
+        waiting = mock.MagicMock()
+        waiting.__iter__.side_effect = lambda: iter(())
+        speculation.plan_copies(
+            views, waiting, [], self.fleet.monitor, self.fleet.clock
+        )
+        self.assertEqual(1, waiting.__iter__.call_count)
 
     def test_servers_that_take_no_copy(self):
         ref = self.add_long(max_per_backend=1, required_label='ssd')
@@ -188,6 +206,7 @@
                 for fields in (
                     {'open': False},
                     {'suspect': True},
+                    {'warming_ms': 500},
                     {'speed': 0.4},
                     {'pool': 'other'},
                     {'memory_mb': 500},
@@ -236,20 +255,20 @@
     def record(self, outcomes, number, *, reason, name='w'):
         start = workflow_commands.RunStart(name, TASK, 2, 'a')
         outcomes.add(
-            speculation.Copy(start=start, queue='q', reason=reason, gain_s=1)
+            copy_outcomes.Copy(start=start, queue='q', reason=reason, gain_s=1)
         )
         outcomes.record_end(
             workflow_commands.RunRef(name, TASK, number), self.NOW
         )
 
-    def play(self, number, reason=speculation.CopyReason.LONG):
-        outcomes = speculation.CopyOutcomes()
+    def play(self, number, reason=copy_outcomes.CopyReason.LONG):
+        outcomes = copy_outcomes.CopyOutcomes()
         for _ in range(5):
             self.record(outcomes, number, reason=reason)
         return outcomes
 
     def test_copies_are_tried_at_first(self):
-        outcomes = speculation.CopyOutcomes()
+        outcomes = copy_outcomes.CopyOutcomes()
         self.assertTrue(outcomes.are_useful('q', self.NOW))
 
     def test_copies_that_end_first_are_useful(self):
@@ -259,22 +278,22 @@
         outcomes = self.play(1)
         self.assertFalse(outcomes.are_useful('q', self.NOW))
         self.assertTrue(outcomes.are_useful('other', self.NOW))
-        later = self.NOW + 3 * speculation.OUTCOME_HALF_LIFE
+        later = self.NOW + 3 * copy_outcomes.OUTCOME_HALF_LIFE
         self.assertTrue(outcomes.are_useful('q', later))
 
     def test_copies_for_other_reasons_say_nothing(self):
-        outcomes = self.play(1, speculation.CopyReason.SLOW)
+        outcomes = self.play(1, copy_outcomes.CopyReason.SLOW)
         self.assertTrue(outcomes.are_useful('q', self.NOW))
 
     def test_pending_copies_are_bounded(self):
-        outcomes = speculation.CopyOutcomes()
-        for number in range(speculation.MAX_PENDING + 5):
+        outcomes = copy_outcomes.CopyOutcomes()
+        for number in range(copy_outcomes.MAX_PENDING + 5):
             start = workflow_commands.RunStart(f'w{number}', TASK, 2, 'a')
             outcomes.add(
-                speculation.Copy(
+                copy_outcomes.Copy(
                     start=start,
                     queue='q',
-                    reason=speculation.CopyReason.LONG,
+                    reason=copy_outcomes.CopyReason.LONG,
                     gain_s=1,
                 )
             )
@@ -406,95 +425,39 @@
         self.assertTrue(self.task.failures <= attempts)
 
 
-class DispatchedCopyTest(test_workflow_dispatcher.DispatcherTest):
+class DispatchedCopyTest(workflow_listings.DispatchedRunsTest):
     """A long task is copied by the leader, from listings to its end."""
 
     def setUp(self):
         super().setUp()
-        self.replace()
-        self.polls = {agent: self.poll(agent) for agent in 'abcd'}
         self.submit('w1', fakes.build_step(tasks=4, speculative=True))
-        self.percent = {}
         self.schedule()
         self.long = workflow_commands.RunRef('w1', '0.0.3', 1)
 
-    def list_runs(self):
-        return {
-            (key, run.number): run
-            for key, run in self.state.workflows.find('w1').list_runs()
-        }
-
-    def renew(self, agent):
-        first = self.polls[agent]
-        return self.poll(agent, epoch=first.epoch)
-
-    def send(self, agent, ends=()):
-        """Report the runs on a server, of which some have ended."""
-        first = self.polls[agent]
-        running = [
-            message.Running(ref, percent=self.percent.get(ref, 0))
-            for ref in (
-                workflow_commands.RunRef('w1', key, number)
-                for (key, number), run in self.list_runs().items()
-                if run.backend == first.key
-            )
-            if ref not in ends
-        ]
-        self.ends = getattr(self, 'ends', 0) + len(ends)
-        return self.ask(
-            message.Report(
-                agent=agent,
-                key=first.key,
-                epoch=first.epoch,
-                ends=[
-                    workflow_commands.RunEnd(self.ends, ref, 'done')
-                    for ref in ends
-                ],
-                upto=self.ends,
-                running=running,
-                listed=True,
-            )
-        )
-
-    def play(self, seconds, *, skip=''):
-        """Let the long task work at a tenth of the usual speed."""
-        for _ in range(int(seconds * 2)):
-            self.advance(0.5)
-            for key, number in self.list_runs():
-                ref = workflow_commands.RunRef('w1', key, number)
-                rate = 5 if ref == self.long else 50
-                percent = self.percent.get(ref, 0) + rate / 2
-                self.percent[ref] = min(percent, 99)
-            for agent in self.polls:
-                if agent not in skip:
-                    self.renew(agent)
-                    self.send(agent)
-            self.schedule()
+    def find_rate(self, ref, agent):
+        return 5 if ref == self.long else 50
 
     def find_agent(self, number):
-        run = self.list_runs()['0.0.3', number]
-        (agent,) = [
-            agent
-            for agent, first in self.polls.items()
-            if first.key == run.backend
+        return self.list_runs()[
+            workflow_commands.RunRef('w1', '0.0.3', number)
         ]
-        return agent
+
+    def check_runs(self, *numbers):
+        self.assertEqual(
+            [('0.0.3', number) for number in numbers],
+            sorted((ref.task, ref.number) for ref in self.list_runs()),
+        )
 
     def start_copy(self):
         self.play(2)
         self.end_others()
         self.play(1)
-        self.assertEqual(
-            [('0.0.3', 1), ('0.0.3', 2)], sorted(self.list_runs())
-        )
+        self.check_runs(1, 2)
 
     def end_others(self):
-        for (key, number), run in list(self.list_runs().items()):
-            if key != '0.0.3':
-                ref = workflow_commands.RunRef('w1', key, number)
-                for agent, first in self.polls.items():
-                    if first.key == run.backend:
-                        self.send(agent, [ref])
+        for ref, agent in self.list_runs().items():
+            if ref.task != '0.0.3':
+                self.send(agent, [ref])
 
     def test_copy_that_ends_first_stops_the_other_run(self):
         self.start_copy()
@@ -524,9 +487,7 @@
         self.start_copy()
         self.replica.term = 2
         self.play(3)
-        self.assertEqual(
-            [('0.0.3', 1), ('0.0.3', 2)], sorted(self.list_runs())
-        )
+        self.check_runs(1, 2)
 
     def test_other_run_goes_on_after_a_crash_of_the_copys_server(self):
         self.start_copy()
@@ -534,13 +495,13 @@
         self.poll(agent, born_ms=2)
         del self.polls[agent]
         self.schedule()
-        self.assertEqual([('0.0.3', 1)], sorted(self.list_runs()))
+        self.check_runs(1)
         self.play(2)
-        self.assertEqual([('0.0.3', 1)], sorted(self.list_runs()))
+        self.check_runs(1)
 
     def test_expired_lease_of_the_first_run_leaves_the_copy(self):
         self.start_copy()
         silent = self.find_agent(1)
         delay = options.Options().lease_expiry_delay.total_seconds()
         self.play(delay + 1, skip=silent)
-        self.assertEqual([('0.0.3', 2)], sorted(self.list_runs()))
+        self.check_runs(2)
