--- a/tests/test_workflow_acceptance.py
+++ b/tests/test_workflow_acceptance.py
@@ -175,8 +175,6 @@
                 chooses_claims=False,
                 shares=False,
                 zone_weights={'a': 2.0},
-                shares=False,
-                zone_weights={'a': 2.0},
             ),
             built,
         )
