--- a/bilberryhaven/overload/shares.py
+++ b/bilberryhaven/overload/shares.py
@@ -86,11 +86,13 @@
     def find_size(self, need, request):
         """Return how long work occupies its dominant resource, in seconds.
 
+        It is the part of the room that work is chosen for.
+
         Args:
             need: Its ``Need``.
             request: Its ``Request``.
         """
-        return max(
+        size_s = max(
             amount / total
             for amount, total in (
                 (need.work, max(self.cpu, 1e-9)),
@@ -99,6 +101,7 @@
             )
             if total
         )
+        return size_s / precedence.ROOM_SHARE
 
 
 @dataclasses.dataclass(kw_only=True, frozen=True, slots=True)
--- a/bilberryhaven/workflow/run_monitor.py
+++ b/bilberryhaven/workflow/run_monitor.py
@@ -2,10 +2,10 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.workflow import copy_outcomes
 from bilberryhaven.workflow import progress
 from bilberryhaven.workflow import run_times
 from bilberryhaven.workflow import server_speed
-from bilberryhaven.workflow import speculation
 from bilberryhaven.workflow import stragglers
 
 __all__ = ['RunMonitor']
@@ -34,7 +34,7 @@
         self.times = run_times.RunTimes()
         self.progress = progress.ProgressTable()
         self.speeds = server_speed.ServerSpeeds(times=self.times)
-        self.copies = speculation.CopyOutcomes()
+        self.copies = copy_outcomes.CopyOutcomes()
         self._slow = {}
         self._due_at = {}
 
@@ -86,8 +86,8 @@
             rack: Rack of the server.
 
         Returns:
-            The ``RunRef`` rows of runs that stand still; none between two
-            measurements.
+            The ``RunRef`` rows of runs that stand still while others don't;
+            none between two measurements.
         """
         runs = self.progress.observe(backend, present, now)
         if now < self._due_at.get(backend, now):
@@ -99,6 +99,9 @@
             views, runs, self.speeds, self.times, now
         )
         self._slow[backend] = slow
+        since = now - stragglers.MIN_STALL
+        if stalled and self.progress.is_still_elsewhere(backend, since):
+            return []
         return stalled
 
     @property
