--- a/tests/test_workflow_acceptance.py
+++ b/tests/test_workflow_acceptance.py
@@ -165,6 +165,8 @@
             max_active=5,
             max_active_mb=2,
             chooses_claims=False,
+            shares=False,
+            zone_weights={'a': 2.0},
         )
         built = options.build_options(limits)
         self.assertEqual(
