--- a/bilberryhaven/workflow/server_choice.py
+++ b/bilberryhaven/workflow/server_choice.py
@@ -3,6 +3,7 @@
 import heapq
 import zlib
 
+from bilberryhaven.workflow import colocation
 from bilberryhaven.workflow import server_cost
 
 __all__ = ['ServerChooser']
@@ -35,6 +36,7 @@
         self._starved = starved
         self._ranking = None
         self._max_suspected = max_suspected
+        self._separates = colocation.separates_images(servers, group.step)
 
     def choose(self, task):
         """Return the server on which ``task`` was placed, or None."""
@@ -44,6 +46,7 @@
             task=task,
             rank=self._rank,
             starved=self._starved,
+            separates=self._separates,
         )
         if task.suspected_on:
             self._ranking = None
--- a/bilberryhaven/workflow/server_cost.py
+++ b/bilberryhaven/workflow/server_cost.py
@@ -38,6 +38,7 @@
         task: The ``Task``.
         rank: Rank of its workflow; lower ranks take precedence.
         starved: Whether it starts even where it interferes with others.
+        separates: Whether latency-critical images get servers of their own.
     """
 
     step: workflow.Step
@@ -45,6 +46,7 @@
     task: workflow.Task
     rank: float
     starved: bool
+    separates: bool = False
 
 
 def estimate_cost(server, request, effects):
@@ -72,7 +74,9 @@
         if rating is None:
             return None
     else:
-        rating = colocation.rate_colocation(server, step)
+        rating = colocation.rate_colocation(
+            server, step, separates=request.separates
+        )
     return (
         # A crash of the server ends all other tasks there.
         suspected and request.group[0] not in server.suspected,
--- a/tests/test_workflow_colocation.py
+++ b/tests/test_workflow_colocation.py
@@ -4,7 +4,6 @@
 
 import testtools
 
-from bilberryhaven.workflow import colocation
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import workflow_index
 from tests import workflow_fakes as fakes
@@ -46,29 +45,38 @@
 
 
 class TestColocation(testtools.TestCase):
+    def build_pool(self, *servers):
+        """Return a large pool; its other servers are open for no task."""
+        rest = [build_server(f'full{n}', cpu=0) for n in range(12)]
+        return [*servers, *rest]
+
     def test_task_joins_tasks_of_its_image(self):
         for image, expected in ((FEED, 'a'), (OTHER_FEED, 'b')):
             servers = [build_server('a', FEED), build_server('b', OTHER_FEED)]
-            starts = place([build_serving_step(image)], servers)
+            step = build_serving_step(image)
+            starts = place([step], self.build_pool(*servers))
             self.assertEqual([expected], [row.backend for row in starts])
 
-    def test_image_gets_a_server_of_its_own(self):
+    def test_image_gets_a_server_of_its_own_in_a_large_pool(self):
         servers = [build_server('a', FEED), build_server('b')]
-        starts = place([build_serving_step(OTHER_FEED)], servers)
+        step = build_serving_step(OTHER_FEED)
+        starts = place([step], self.build_pool(*servers))
         self.assertEqual(['b'], [row.backend for row in starts])
 
+    def test_images_are_packed_in_a_small_pool(self):
+        servers = [build_server('a', FEED), build_server('b')]
+        starts = place([build_serving_step(OTHER_FEED)], servers)
+        self.assertEqual(['a'], [row.backend for row in starts])
+
     def test_images_share_a_server_before_a_task_waits(self):
-        servers = [build_server('a', FEED)]
+        servers = self.build_pool(build_server('a', FEED))
         starts = place([build_serving_step(OTHER_FEED)], servers)
         self.assertEqual(['a'], [row.backend for row in starts])
 
     def test_tasks_that_claim_cpu_fill_up_serving_servers(self):
-        step = fakes.build_step()
-        rows = [build_server('a'), build_server('b', FEED)]
-        rated = sorted(
-            rows, key=lambda row: colocation.rate_colocation(row, step)
-        )
-        self.assertEqual(['b', 'a'], [row.key for row in rated])
+        servers = [build_server('a'), build_server('b', FEED)]
+        starts = place([fakes.build_step()], servers)
+        self.assertEqual(['b'], [row.backend for row in starts])
 
 
 class TestStandingLoad(testtools.TestCase):
