Let settings ask for shares and for the choice of best-effort work

Change: workflows.chooses_best_effort and workflows.shares are off unless the settings ask for them.

--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -102,6 +102,8 @@
         max_active_mb: Estimated memory that these may occupy, in MB.
         chooses_claims: Whether work that claims CPU is served in the order
             that costs callers least, instead of by due time.
+        chooses_best_effort: The same for best-effort work, instead of by
+            remaining work for its value.
         shares: Whether room that is too small is divided by shares of callers'
             availability zones.
         zone_weights: Weights of the zones' shares; 1 for all others.
@@ -115,7 +117,8 @@
         int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)
     ] = 64
     chooses_claims: bool = True
-    shares: bool = True
+    chooses_best_effort: bool = False
+    shares: bool = False
     zone_weights: dict[
         str, typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
     ] = {}
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -32,9 +32,11 @@
             which on others are rejected.
         max_active_bytes: Estimated memory that these may occupy in the
             leader.
-        chooses_claims: Whether work that claims CPU is served in the order
-            that costs callers least, as best-effort work is, instead of by
-            due time.
+        chooses_claims: Whether the work that claims CPU and can be in time
+            together is chosen, instead of serving it by due time.
+        chooses_best_effort: Whether the best-effort work that can be in time
+            together is chosen, instead of serving it by its remaining work
+            for its value.
         shares: Whether the room is divided by shares of callers' availability
             zones when callers of several zones ask for more than there is.
         zone_weights: Weights of the zones' shares; 1 for all others.
@@ -51,7 +53,8 @@
     max_active_workflows: int = 10_000
     max_active_bytes: int = 64 * BYTES_PER_MB
     chooses_claims: bool = True
-    shares: bool = True
+    chooses_best_effort: bool = False
+    shares: bool = False
     zone_weights: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
@@ -71,6 +74,7 @@
         max_active_workflows=limits.max_active,
         max_active_bytes=limits.max_active_mb * BYTES_PER_MB,
         chooses_claims=limits.chooses_claims,
+        chooses_best_effort=limits.chooses_best_effort,
         shares=limits.shares,
         zone_weights=limits.zone_weights,
     )
--- a/bilberryhaven/workflow/room.py
+++ b/bilberryhaven/workflow/room.py
@@ -77,7 +77,8 @@
             forecaster.observe(by_pool[pool], seconds)
             found = forecaster.build(forecast.Backlog(), seconds)
             if found.measured:
-                self.rates[pool, True] = found.best_effort_rate
+                if self._options.chooses_best_effort:
+                    self.rates[pool, True] = found.best_effort_rate
                 if self._options.chooses_claims:
                     self.rates[pool, False] = found.claim_rate
 
