Check a catalog of queues and pools before it is sent

Cause: an operator learnt only from the server's answer that a catalog is refused, and not at all that an entry never matches, that limits exclude each other, or what differs from the version in force.

Change: `check FILE` recognises settings, workloads and catalogs. The subcommand moves from cmdline/roles.py to cmdline/check.py, so that a role's process doesn't import it.

No existing test was changed. Not run: the whole tests, check_binary. Not checked: the section of limits, labels that no server has.

--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     'Command',
+    'add_output',
     'build_parser',
     'connect',
     'main',
@@ -115,7 +116,8 @@
     )
 
 
-def _add_output(parser, **options):
+def add_output(parser, **options):
+    """Add the option of the output's format."""
     parser.add_argument(
         '--output',
         choices=('table', 'json'),
@@ -126,7 +128,7 @@
 
 def _add_remote(parser):
     _add_server(parser, default=argparse.SUPPRESS)
-    _add_output(parser, default=argparse.SUPPRESS)
+    add_output(parser, default=argparse.SUPPRESS)
 
 
 def build_parser(args=()):
@@ -143,7 +145,7 @@
         parser,
         default=os.environ.get('BILBERRYHAVEN_SERVER', DEFAULT_SERVER),
     )
-    _add_output(parser, default='table')
+    add_output(parser, default='table')
     subs = parser.add_subparsers(
         dest='command', required=True, metavar='COMMAND', prog=parser.prog
     )
--- a/bilberryhaven/cmdline/roles.py
+++ b/bilberryhaven/cmdline/roles.py
@@ -1,4 +1,4 @@
-"""Subcommands that run a role, and one that validates its settings."""
+"""Subcommands that run a role."""
 
 import importlib
 import sys
@@ -82,20 +82,3 @@
     help = 'run the demo in standalone mode and report its results'
     role = 'demo'
     needs_settings = False
-
-
-@cmdline.register('check')
-class CheckCommand(cmdline.Command):
-    """Validates a settings file."""
-
-    help = 'validate a settings file'
-    remote = False
-
-    def add_arguments(self, parser):
-        """Add the file."""
-        parser.add_argument('file', metavar='FILE')
-
-    def run(self, opts):
-        """Load the file; an error lists all problems in it."""
-        settings.load_settings(opts.file)
-        print(f'{opts.file}: ok')
--- a/bilberryhaven/platform/catalogs.py
+++ b/bilberryhaven/platform/catalogs.py
@@ -1,12 +1,30 @@
 """The operator's configuration in the infrastructure's JSON format."""
 
+import re
+
 import msgspec
 
 from bilberryhaven import errors
 from bilberryhaven.tables import catalog
 from bilberryhaven.workflow import message
 
-__all__ = ['decode_configuration']
+__all__ = [
+    'decode_configuration',
+    'decode_tree',
+    'find_place',
+    'is_configuration',
+    'translate_place',
+]
+
+MAIN_FIELDS = frozenset({'version', 'routes', 'services'})
+FIELDS = {
+    'queues': 'routes',
+    'pools': 'services',
+    'prefix': 'path_prefix',
+    'pool': 'service',
+    'latency_ms': 'target_latency_ms',
+    'guards_capacity': 'enforces_capacity',
+}
 
 
 class _Route(msgspec.Struct):
@@ -67,6 +85,37 @@
     )
 
 
+def is_configuration(body):
+    """Return whether a file's bytes are a configuration, perhaps cut off."""
+    try:
+        tree = msgspec.json.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return body.lstrip().startswith(b'{') and any(
+            f'"{field}"'.encode() in body for field in MAIN_FIELDS
+        )
+    return isinstance(tree, dict) and not MAIN_FIELDS.isdisjoint(tree)
+
+
+def decode_tree(body):
+    """Return all values of a valid configuration's body, for comparison."""
+    return msgspec.json.decode(body)
+
+
+def find_place(error):
+    """Return the path of the field that an error of decoding names, or ''."""
+    match = re.search(r'at `\$\.?([^`]*)`$', error.message)
+    return match[1] if match else ''
+
+
+def translate_place(place):
+    """Return a path in a catalog with the configuration's field names."""
+    return re.sub('[a-z_]+', lambda match: _translate(match[0]), place)
+
+
+def _translate(field):
+    return FIELDS.get(field, field)
+
+
 def _convert_route(route):
     return catalog.Queue(
         name=route.name,
--- a/bilberryhaven/workflow/checks.py
+++ b/bilberryhaven/workflow/checks.py
@@ -1,8 +1,7 @@
 """Validation of workflows and catalogs."""
 
-import collections
-
 from bilberryhaven import errors
+from bilberryhaven.workflow import catalog_check
 
 __all__ = ['check_catalog', 'check_steps']
 
@@ -51,18 +50,8 @@
         BadInputError: A queue refers to an unknown pool, two queues have the
             same address, or a queue has no timeout.
     """
-    names = {pool.name for pool in pools}
-    for queue in queues:
-        if queue.pool not in names:
-            _refuse(f'queue {queue.name}: unknown pool {queue.pool!r}')
-        if queue.timeout_ms <= 0:
-            _refuse(f'queue {queue.name}: timeout_ms must be positive')
-    addresses = collections.Counter(
-        (queue.host, queue.prefix) for queue in queues
-    )
-    for (host, prefix), count in addresses.items():
-        if count > 1:
-            _refuse(f'{count} queues have the same address {host}{prefix}')
+    for finding in catalog_check.find_errors(queues, pools):
+        _refuse(finding.message)
 
 
 def _refuse(reason):
