Compare a catalog with the one in force at a server

Cause: the version in force had to be read back by hand to compare a catalog with it.

Result: the tests of --in-force failed before (unknown option) and pass now, against a server on loopback with a stub of the leader; not run against a running leader. test_platform, test_cmdline and test_wire_leader pass. No existing test was changed.

--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -22,6 +22,7 @@
 __all__ = [
     'Command',
     'add_output',
+    'add_server',
     'build_parser',
     'connect',
     'main',
@@ -106,7 +107,8 @@
     )
 
 
-def _add_server(parser, **options):
+def add_server(parser, **options):
+    """Add the option of the servers' addresses."""
     parser.add_argument(
         '--server',
         metavar='ADDRESS[,ADDRESS...]',
@@ -127,7 +129,7 @@
 
 
 def _add_remote(parser):
-    _add_server(parser, default=argparse.SUPPRESS)
+    add_server(parser, default=argparse.SUPPRESS)
     add_output(parser, default=argparse.SUPPRESS)
 
 
@@ -141,7 +143,7 @@
         epilog=EPILOG,
     )
     _add_settings(parser)
-    _add_server(
+    add_server(
         parser,
         default=os.environ.get('BILBERRYHAVEN_SERVER', DEFAULT_SERVER),
     )
--- a/bilberryhaven/cmdline/check.py
+++ b/bilberryhaven/cmdline/check.py
@@ -26,11 +26,18 @@
     def add_arguments(self, parser):
         """Add the file and the one to compare it with."""
         parser.add_argument('file', metavar='FILE')
-        parser.add_argument(
+        group = parser.add_mutually_exclusive_group()
+        group.add_argument(
             '--against',
             metavar='FILE',
             help='list what differs from this catalog of queues and pools',
         )
+        group.add_argument(
+            '--in-force',
+            action='store_true',
+            help="list what differs from the server's catalog",
+        )
+        cmdline.add_server(parser, default=argparse.SUPPRESS)
         cmdline.add_output(parser, default=argparse.SUPPRESS)
 
     def run(self, opts):
@@ -40,8 +47,11 @@
         body = _read_file(opts.file)
         if catalogs.is_configuration(body):
             return _check_catalog(opts, body)
-        if opts.against is not None:
-            print('check: --against compares catalogs only', file=sys.stderr)
+        if _compares(opts):
+            print(
+                'check: --against and --in-force compare catalogs only',
+                file=sys.stderr,
+            )
             return cmdline.EXIT_USAGE
         kind = 'settings'
         if _contains_declarations(opts.file):
@@ -90,8 +100,8 @@
         findings = catalog_check.find_all(
             request.version, request.queues, request.pools
         )
-        if opts.against is not None:
-            differences, overtaken = _compare(opts.against, request)
+        if _compares(opts):
+            differences, overtaken = _compare(opts, request)
             answer['differences'] = differences
             findings += overtaken
     for finding in findings:
@@ -105,17 +115,33 @@
     return cmdline.EXIT_ERROR
 
 
-def _compare(path, request):
-    """Return the differences from the catalog at ``path``, and findings."""
+def _compares(opts):
+    return opts.in_force or opts.against is not None
+
+
+def _read_other(opts):
+    """Return the request for the catalog to compare with."""
+    import msgspec
+
     from bilberryhaven.platform import catalogs
-    from bilberryhaven.workflow import catalog_check
-    from bilberryhaven.workflow import catalog_diff
 
+    if opts.in_force:
+        tree = cmdline.connect(opts).call('GET', catalogs.READ_PATH)
+        return catalogs.decode_configuration(msgspec.json.encode(tree))
     try:
-        before = catalogs.decode_configuration(_read_file(path))
+        return catalogs.decode_configuration(_read_file(opts.against))
     except errors.BadInputError as error:
-        error.peer = path
+        error.peer = opts.against
         raise
+
+
+def _compare(opts, request):
+    """Return the differences from the other catalog, and findings."""
+    from bilberryhaven.platform import catalogs
+    from bilberryhaven.workflow import catalog_check
+    from bilberryhaven.workflow import catalog_diff
+
+    before = _read_other(opts)
     differences = catalog_diff.compare(
         catalogs.decode_tree(before.document),
         catalogs.decode_tree(request.document),
--- a/bilberryhaven/platform/catalogs.py
+++ b/bilberryhaven/platform/catalogs.py
@@ -9,6 +9,7 @@
 from bilberryhaven.workflow import message
 
 __all__ = [
+    'READ_PATH',
     'decode_configuration',
     'decode_tree',
     'find_place',
@@ -16,6 +17,7 @@
     'translate_place',
 ]
 
+READ_PATH = '/Config.Get'
 MAIN_FIELDS = frozenset({'version', 'routes', 'services'})
 FIELDS = {
     'queues': 'routes',
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -90,7 +90,7 @@
         try:
             if call == ('POST', '/Config.Replace'):
                 return _replace(body)
-            if call == ('GET', '/Config.Get'):
+            if call == ('GET', catalogs.READ_PATH):
                 return _read()
             order = _decode_zone_order(*call)
             if order is not None:
--- a/tests/test_catalog_check.py
+++ b/tests/test_catalog_check.py
@@ -10,10 +10,14 @@
 
 from bilberryhaven import cmdline
 from bilberryhaven import errors
+from bilberryhaven.platform import handlers
 from bilberryhaven.tables import catalog
+from bilberryhaven.wire import server
 from bilberryhaven.workflow import catalog_check
 from bilberryhaven.workflow import catalog_diff
 from bilberryhaven.workflow import checks
+from bilberryhaven.workflow import message
+from tests import test_platform
 
 ROUTE = {
     'name': 'r',
@@ -278,9 +282,33 @@
         path = self.write('new.json', DOCUMENT)
         self.assertIn('old.json', self.check(path, '--against', old, status=1))
 
+    def test_file_is_compared_with_the_catalog_in_force(self):
+        reply = message.CatalogReply(
+            version=7, document=json.dumps(DOCUMENT).encode()
+        )
+        listener = server.Server(
+            address='127.0.0.1:0',
+            handlers={},
+            fallback=handlers.build_operator_handler(
+                test_platform.StubGateway(reply)
+            ),
+        )
+        listener.start()
+        self.addCleanup(listener.stop)
+        options = ('--in-force', '--server', listener.address)
+        same = self.write('same.json', DOCUMENT)
+        self.assertIn('no differences', self.check(same, *options))
+        new = {**DOCUMENT, 'version': 8, 'routes': [ROUTE, OTHER]}
+        answer = self.check_json(self.write('new.json', new), *options)
+        self.assertEqual(
+            ['routes[o]', 'version'],
+            [row['place'] for row in answer['differences']],
+        )
+        old = {**DOCUMENT, 'version': 6}
+        self.check(self.write('old.json', old), *options, status=1)
+
     def test_only_a_catalog_can_be_compared(self):
         old = self.write('old.json', DOCUMENT)
         path = self.write('a.yaml', 'name: a-1\n')
-        self.assertIn(
-            '--against', self.check(path, '--against', old, status=2)
-        )
+        for options in (('--against', old), ('--in-force',)):
+            self.assertIn(options[0], self.check(path, *options, status=2))
