--- a/bilberryhaven/cmdline/__init__.py
+++ b/bilberryhaven/cmdline/__init__.py
@@ -21,6 +21,8 @@
 
 __all__ = [
     'Command',
+    'add_output',
+    'add_server',
     'build_parser',
     'connect',
     'main',
@@ -105,7 +107,8 @@
     )
 
 
-def _add_server(parser, **options):
+def add_server(parser, **options):
+    """Add the option of the servers' addresses."""
     parser.add_argument(
         '--server',
         metavar='ADDRESS[,ADDRESS...]',
@@ -115,7 +118,8 @@
     )
 
 
-def _add_output(parser, **options):
+def add_output(parser, **options):
+    """Add the option of the output's format."""
     parser.add_argument(
         '--output',
         choices=('table', 'json'),
@@ -125,8 +129,8 @@
 
 
 def _add_remote(parser):
-    _add_server(parser, default=argparse.SUPPRESS)
-    _add_output(parser, default=argparse.SUPPRESS)
+    add_server(parser, default=argparse.SUPPRESS)
+    add_output(parser, default=argparse.SUPPRESS)
 
 
 def build_parser(args=()):
@@ -139,11 +143,11 @@
         epilog=EPILOG,
     )
     _add_settings(parser)
-    _add_server(
+    add_server(
         parser,
         default=os.environ.get('BILBERRYHAVEN_SERVER', DEFAULT_SERVER),
     )
-    _add_output(parser, default='table')
+    add_output(parser, default='table')
     subs = parser.add_subparsers(
         dest='command', required=True, metavar='COMMAND', prog=parser.prog
     )
