Rank waiting workflows by the newest run times

Cause: an occurrence kept its whole need until the mean run time of its queue had changed by 2 %, and the mean work of the queue as it was then, so that older workflows were ranked by other figures than newer ones. Change: what is kept is the extent of an occurrence, which doesn't depend on measured times; its need is built from it with the newest ones. Result: test_needs_follow_each_change_of_the_run_times failed before and passes now; the test that little is computed again stays, on extents.

--- a/bilberryhaven/workflow/urgency.py
+++ b/bilberryhaven/workflow/urgency.py
@@ -1,10 +1,11 @@
 """Needs of workflows, by which those that wait are ranked under a backlog."""
 
 import collections
+import dataclasses
 
 from bilberryhaven.overload import precedence
 
-__all__ = ['ValueRanker']
+__all__ = ['Extent', 'ValueRanker']
 
 MS_PER_S = 1000
 # Value of a workflow that doesn't depend on its work, as a multiple of the
@@ -14,8 +15,25 @@
 MIN_RUN_S = 0.001
 # Weight of the newest workflow in the mean work of a queue.
 NEWEST_WEIGHT = 0.05
-# Mean run times that differ by less than this share count as equal.
-EQUAL_SHARE = 0.02
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Extent:
+    """What one occurrence of a workflow comprises, whatever its tasks take.
+
+    Attributes:
+        work: CPU that all its tasks request, in sum.
+        remaining: CPU that the tasks request that aren't done, in sum.
+        path: Number of steps on its critical path, and of those left.
+        declared_path: The same in seconds, by declared run times.
+        declared_work: Remaining CPU times seconds, by declared run times.
+    """
+
+    work: float
+    remaining: float
+    path: tuple
+    declared_path: tuple
+    declared_work: float
 
 
 class ValueRanker:
@@ -84,19 +102,17 @@
         return ranks
 
     def find_need(self, item):
-        """Return the ``Need`` of an ``Occurrence``, which keeps it.
+        """Return the ``Need`` of an ``Occurrence``.
 
-        A backlog is ranked in each round, so that one is described again only
-        when it or the run times of its queue have changed.
+        The occurrence keeps its ``Extent``: a backlog is ranked in each
+        round, and little of it has changed then.
 
         Args:
             item: The ``Occurrence``.
         """
-        run_s = self._times.find(item.row.queue)
-        if item.need is None or not _is_near(item.run_s, run_s):
-            item.need = self.describe(item.row, item.undone, item.due_at)
-            item.run_s = run_s
-        return item.need
+        if item.extent is None:
+            item.extent = _measure_extent(item.row, item.undone)
+        return self._build_need(item.row, item.extent, item.due_at)
 
     def describe(self, row, undone, due_at):
         """Return the ``Need`` of one occurrence.
@@ -106,37 +122,49 @@
             undone: Number of tasks by step that aren't done.
             due_at: When the occurrence was due, Unix time in seconds.
         """
-        seconds = [self._estimate_run_time(row, step) for step in row.steps]
-        total_s, remaining_s = _measure_critical_path(row, undone, seconds)
-        remaining = _sum_work(row.steps, undone)
-        work = _sum_work(row.steps, [step.tasks for step in row.steps])
-        value = BASE_VALUE * self._mean_work.get(row.queue, work) + work
-        cpu_seconds = sum(
-            step.cpu * count * max(step_s, MIN_RUN_S)
-            for step, count, step_s in zip(
-                row.steps, undone, seconds, strict=True
-            )
-        )
-        mean_s = cpu_seconds / remaining if remaining else 1.0
+        return self._build_need(row, _measure_extent(row, undone), due_at)
+
+    def _build_need(self, row, extent, due_at):
+        run_s = self._times.find(row.queue)
+        if run_s is None:
+            total_s, remaining_s = extent.declared_path
+            cpu_seconds = extent.declared_work
+        else:
+            total_s, remaining_s = (count * run_s for count in extent.path)
+            cpu_seconds = extent.remaining * max(run_s, MIN_RUN_S)
+        mean_work = self._mean_work.get(row.queue, extent.work)
+        mean_s = cpu_seconds / extent.remaining if extent.remaining else 1.0
         return precedence.Need(
             due_at=due_at,
             allowed_s=row.latency_ms / MS_PER_S + row.slack_factor * total_s,
             remaining_s=remaining_s,
             work=cpu_seconds,
-            value=value * mean_s,
+            value=(BASE_VALUE * mean_work + extent.work) * mean_s,
             priority=row.priority,
             begun=row.started,
         )
 
-    def _estimate_run_time(self, row, step):
-        mean_s = self._times.find(row.queue)
-        return step.estimate_ms / MS_PER_S if mean_s is None else mean_s
 
+def _measure_extent(row, undone):
+    """Return the ``Extent`` of one occurrence.
 
-def _is_near(first, second):
-    if first is None or second is None:
-        return first is second
-    return abs(first - second) <= EQUAL_SHARE * second
+    Args:
+        row: The ``Workflow``.
+        undone: Number of tasks by step that aren't done.
+    """
+    declared = [step.estimate_ms / MS_PER_S for step in row.steps]
+    return Extent(
+        work=_sum_work(row.steps, [step.tasks for step in row.steps]),
+        remaining=_sum_work(row.steps, undone),
+        path=_measure_critical_path(row, undone, [1] * len(row.steps)),
+        declared_path=_measure_critical_path(row, undone, declared),
+        declared_work=sum(
+            step.cpu * count * max(step_s, MIN_RUN_S)
+            for step, count, step_s in zip(
+                row.steps, undone, declared, strict=True
+            )
+        ),
+    )
 
 
 def _measure_critical_path(row, undone, seconds):
--- a/bilberryhaven/workflow/workflow_index.py
+++ b/bilberryhaven/workflow/workflow_index.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from bilberryhaven.commands import workflow as workflow_commands
-from bilberryhaven.overload import precedence
 from bilberryhaven.tables import workflow
 
 __all__ = ['Group', 'Occurrence', 'RunView', 'WorkflowIndex', 'estimate_size']
@@ -50,17 +49,15 @@
         number: Number of the occurrence.
         due_at: When it was due, Unix time in seconds.
         undone: Number of tasks by step that aren't done.
-        need: Its ``Need`` as the ranker described it last, or None. The row
-            is replaced when its workflow changes.
-        run_s: Mean run time in seconds that ``need`` rests on, or None.
+        extent: What the ranker has measured of it, or None. The row is
+            replaced when its workflow changes.
     """
 
     row: workflow.Workflow
     number: int
     due_at: float
     undone: list[int]
-    need: precedence.Need | None = None
-    run_s: float | None = None
+    extent: object = None
 
     @property
     def key(self):
--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -176,7 +176,7 @@
         order = self.list_order(best_effort=False, rate=4000)
         self.assertEqual(['standing', 'narrow'], order)
 
-    def test_only_what_has_changed_is_described_again(self):
+    def test_only_what_has_changed_is_measured_again(self):
         """The load: a large backlog that is ranked in each round."""
         for name in 'ab':
             self.submit(name, tasks=2)
@@ -187,19 +187,23 @@
         def learn():
             self.times.record('surveys', 100 * RUN_S)
 
-        for change, count in (
-            (lambda: None, 2),
-            (lambda: None, 0),
-            (lambda: self.times.record('surveys', RUN_S), 0),
-            (start, 1),
-            (learn, 2),
-        ):
+        for change, count in ((list, 2), (list, 0), (learn, 0), (start, 1)):
             change()
             with mock.patch.object(
-                self.ranker, 'describe', wraps=self.ranker.describe
-            ) as describe:
+                urgency, '_measure_extent', wraps=urgency._measure_extent
+            ) as measure:
                 self.list_order(best_effort=False, rate=1e6)
-            self.assertEqual(count, describe.call_count, change)
+            self.assertEqual(count, measure.call_count, change)
+
+    def test_needs_follow_each_change_of_the_run_times(self):
+        self.submit('w', tasks=2)
+        self.list_order(best_effort=False, rate=1e6)
+        self.times.record('surveys', 1.01 * RUN_S)
+        (item,) = self.index.list_occurrences()
+        self.assertEqual(
+            self.ranker.describe(item.row, item.undone, item.due_at),
+            self.ranker.find_need(item),
+        )
 
     def test_run_keeps_the_rank_by_which_it_was_started(self):
         self.submit('w', best_effort=True, tasks=2)
