--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -209,6 +209,16 @@
                 self.list_order(best_effort=False, rate=1e6)
             self.assertEqual(count, measure.call_count, change)
 
+    def test_needs_follow_each_change_of_the_run_times(self):
+        self.submit('w', tasks=2)
+        self.list_order(best_effort=False, rate=1e6)
+        self.times.record('surveys', 1.01 * RUN_S)
+        (item,) = self.index.list_occurrences()
+        self.assertEqual(
+            self.ranker.describe(item.row, item.undone, item.due_at),
+            self.ranker.find_need(item),
+        )
+
     def test_run_keeps_the_rank_by_which_it_was_started(self):
         self.submit('w', best_effort=True, tasks=2)
         self.list_order(best_effort=True, rate=1e6)
