Keep the ranker in the tests of chosen ranks

Cause: a merge dropped the attribute that a test of the review reads.

Change: the attribute is back.

Result: the module room passes; one test of it failed before.

--- a/tests/test_workflow_room.py
+++ b/tests/test_workflow_room.py
@@ -141,8 +141,9 @@
         times.record('surveys', RUN_S)
         self.world = fakes.World('a')
         self.times = times
+        self.ranker = urgency.ValueRanker(times=times)
         self.index = workflow_index.WorkflowIndex(
-            self.world.state, ranker=urgency.ValueRanker(times=times)
+            self.world.state, ranker=self.ranker
         )
 
     def submit(self, name, *, at=0.0, latency_ms=4000, **fields):
