--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -245,7 +245,7 @@
 
 
 def _build_unit(state, start):
-    """Return what a start belongs to that starts as a whole or not at all.
+    """Return the unit of a start, all of which starts or nothing of it.
 
     That is the step of a gang, and otherwise the task alone.
     """
--- a/bilberryhaven/overload/returns.py
+++ b/bilberryhaven/overload/returns.py
@@ -20,7 +20,7 @@
 
 
 class ReturnSchedule:
-    """Times at which rejected callers were told to come back."""
+    """Return times that were assigned to rejected callers."""
 
     def __init__(self):
         self._callers = collections.OrderedDict()
--- a/bilberryhaven/workflow/server_speed.py
+++ b/bilberryhaven/workflow/server_speed.py
@@ -135,7 +135,7 @@
             row.ends.append((now, typical / seconds))
 
     def observe(self, backend, runs, now, *, rack=''):
-        """Measure the speed of a server anew.
+        """Measure the speed of a server again.
 
         Args:
             backend: Key of the backend server.
