Log which runs a crashed server had been asked to start

Cause of the change: the logs could not tell whether a suspect of a crash had been started on that server, sent there, or only ordered: 'report lapse' named no runs and 'record crash' no run numbers.

Change: 'report lapse' lists the ordered runs that were never listed, with phase and start requests, and the age of the server's last answer; 'record crash' has run numbers. No logic is changed.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -512,6 +512,11 @@
             ),
             backend=supervisor.key,
             epoch=supervisor.epoch,
+            crashed=crashed,
+            answer_age_s=self._answered_at
+            and round((now - self._answered_at).total_seconds(), 3),
+            listed=supervisor.listed_epoch == supervisor.epoch,
+            unlisted=supervisor.list_unlisted(),
         )
         self._answered_at = None
         supervisor.reset_session()
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -173,7 +173,12 @@
                 for ref in suspects
             ]
             counts = [
-                (ref.workflow, ref.task, row.find_task(ref.task).crashes)
+                (
+                    ref.workflow,
+                    ref.task,
+                    ref.number,
+                    row.find_task(ref.task).crashes,
+                )
                 for ref, row in rows
                 if row is not None
             ]
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -305,6 +305,25 @@
             and ref not in self._listed
         ]
 
+    def list_unlisted(self):
+        """Return what is known of ordered runs that were never listed.
+
+        Returns:
+            (workflow, task, run number, phase, start requests) rows, for
+            logs.
+        """
+        return [
+            (
+                ref.workflow,
+                ref.task,
+                ref.number,
+                known.phase.value,
+                known.starts,
+            )
+            for ref, known in self.runs.items()
+            if known.order is not None and ref not in self._listed
+        ]
+
     def set_phase(self, run, phase, now, *, trouble=''):
         """Set the phase of a run and record why its start failed.
 
