Suspect only runs that the crashed server had received

Cause: the agent named the starts that it had certainly not sent, and the leader suspected all other runs that it had ordered. An order that reached the agent after its report, or before the first listing, was in neither set; so were the orders of a former incarnation when the agent first saw the next one, and to a new leader all runs ordered in the last five seconds were new. The absence of evidence was taken for evidence.

Change: the agent records which start requests the server has answered, or cut off while it was still up, and when the first call failed; its report lists these runs with their age at the crash. The leader suspects nothing else. An agent that first sees a later incarnation reports the crash before it polls.

The tests of 'unsent' are replaced by tests of the evidence: each case of before (never sent, refused, unanswered) is there, with three more.

--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -223,6 +223,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class CutOffError(PeerError):
+    """The peer closed the connection without an answer."""
+
+    code = 'cut_off'
+
+
 class TruncatedAnswerError(PeerError):
     """The answer's length or digest does not match its body."""
 
--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -319,9 +319,10 @@
 
 
 def _build_peer_error(error, target, path):
-    return errors.PeerError(
-        f'no answer: {error}', step=path, peer=target.address
-    )
+    error_class = errors.PeerError
+    if isinstance(error, urllib3.exceptions.ProtocolError):
+        error_class = errors.CutOffError
+    return error_class(f'no answer: {error}', step=path, peer=target.address)
 
 
 def _read_reason(body):
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -125,6 +125,9 @@
         """
         with self._lock:
             known = self._supervisor.target
+            if self._supervisor.is_replaced_by(announcement):
+                now = self._clock.monotonic()
+                self._end_lapsed_session(known, True, now)
             is_new = self._supervisor.handle_announcement(announcement)
             starts_draining = announcement.state.draining and not (
                 known and known.state.draining
@@ -147,9 +150,14 @@
                 self._supervisor.epoch or self._answered_at is not None
             )
             poll = self._supervisor.build_poll() if ready else None
+            lapse_report = self._lapse_report
         if poll is None:
             self._stopping.wait(IDLE_DELAY_S)
             return
+        if lapse_report is not None and not poll.epoch:
+            # The poll of a later incarnation closes the former one, too, but
+            # without the evidence of its crash.
+            self._send_lapse_report(lapse_report)
         sent_at = self._clock.monotonic()
         try:
             reply = self._gateway.send(poll, timeout=POLL_TIMEOUT, step='poll')
@@ -281,16 +289,28 @@
         )
 
     def _send_start(self, target, epoch, order, deadline_ms):
+        run = order.run
         with self._lock:
-            self._supervisor.count_start(order.run, 1)
+            evidence = self._supervisor.evidence
+            self._supervisor.record_request(run, self._clock.monotonic())
         try:
-            return self._client.start_run(
+            result = self._client.start_run(
                 target, order, deadline_ms=deadline_ms, epoch=epoch
             )
-        except errors.GoneError:
+        except errors.CutOffError:
+            with self._lock:
+                evidence.record_cut(run, self._clock.monotonic())
+            raise
+        except errors.BilberryhavenError:
             with self._lock:
-                self._supervisor.count_start(order.run, -1)
+                evidence.discard_request(run)
             raise
+        with self._lock:
+            if result == StartResult.STARTED:
+                evidence.record_start(run, self._clock.monotonic())
+            else:
+                evidence.discard_request(run)
+        return result
 
     def _start_pacing(self, target, epoch, order):
         with self._lock:
@@ -372,6 +392,10 @@
             return
         except errors.BilberryhavenError as error:
             self._update_server_reachable(error)
+            with self._lock:
+                if _is_same_incarnation(self._supervisor.target, target):
+                    now = self._clock.monotonic()
+                    self._supervisor.evidence.record_failure(now)
             gone = isinstance(error, errors.GoneError)
             self._report_lapse(target, gone)
             self._stopping.wait(RETRY_DELAY_S)
@@ -469,8 +493,10 @@
             if self._supervisor.epoch:
                 self._lapse_report = None
             report = self._lapse_report
-        if report is None:
-            return
+        if report is not None:
+            self._send_lapse_report(report)
+
+    def _send_lapse_report(self, report):
         try:
             self._gateway.send(report, timeout=REPORT_TIMEOUT, step='report')
         except errors.FencedError as error:
@@ -478,7 +504,9 @@
         except errors.BilberryhavenError as error:
             _logger.debug('lapse could not be reported: {}', error)
             return
-        self._lapse_report = None
+        with self._lock:
+            if self._lapse_report is report:
+                self._lapse_report = None
 
     def _end_lapsed_session(self, target, gone, now):
         supervisor = self._supervisor
@@ -492,6 +520,7 @@
             return
         # A server that leaves as planned is draining before.
         crashed = gone and not supervisor.draining
+        started = supervisor.evidence.list_started(now) if crashed else []
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
         self._lapse_report = message.Report(
@@ -500,7 +529,8 @@
             epoch=supervisor.epoch,
             lapsed=True,
             crashed=crashed,
-            unsent=supervisor.list_unsent() if crashed else [],
+            started=started,
+            crash_age_ms=supervisor.evidence.get_failure_age_ms(now),
         )
         log.log_decision(
             _logger,
@@ -517,6 +547,10 @@
             and round((now - self._answered_at).total_seconds(), 3),
             listed=supervisor.listed_epoch == supervisor.epoch,
             unlisted=supervisor.list_unlisted(),
+            started=[
+                (row.run.workflow, row.run.task, row.run.number, row.age_ms)
+                for row in started
+            ],
         )
         self._answered_at = None
         supervisor.reset_session()
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -79,7 +79,7 @@
             )
 
     def close_backend(
-        self, key, agent_session, reason, *, crashed=False, unsent=()
+        self, key, agent_session, reason, *, crashed=False, started=()
     ):
         """Close a backend server whose runs have certainly ended.
 
@@ -88,7 +88,8 @@
             agent_session: Its ``Session`` as of that decision, or None.
             reason: Why its runs have ended.
             crashed: Whether the server has certainly crashed.
-            unsent: If so, runs that it has certainly not started.
+            started: If so, ``StartedRun`` rows of the runs that it had
+                received shortly before.
         """
         saved = []
         suspects = []
@@ -104,7 +105,7 @@
                 agent_session.close()
                 saved = checkpoints.list_checkpoints(agent_session)
             if crashed:
-                suspects = self._list_suspects(key, agent_session, unsent)
+                suspects = probation.list_suspects(started)
                 now = self._clock.monotonic()
                 if self._outages.record(key, suspects, now):
                     suspects = []
@@ -152,20 +153,6 @@
             tasks=count,
         )
 
-    def _list_suspects(self, key, agent_session, unsent):
-        """Return the runs that may have crashed a backend server."""
-        wall = self._clock.wall().timestamp()
-        self._memory.index.refresh(wall)
-        present = agent_session.present if agent_session is not None else {}
-        fresh = probation.list_fresh_runs(
-            self._memory.index.runs.get(key, {}),
-            present,
-            self._clock.monotonic(),
-            wall,
-        )
-        unsent = set(unsent)
-        return [ref for ref in fresh if ref not in unsent]
-
     def _log_crash(self, key, suspects, at):
         with self._memory.lock:
             rows = [
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -33,6 +33,7 @@
     'Restore',
     'Running',
     'ServerState',
+    'StartedRun',
     'StateReply',
     'Submit',
     'Withdraw',
@@ -162,6 +163,18 @@
     pace: int = 100
 
 
+class StartedRun(msgspec.Struct, array_like=True):
+    """A run that a backend server had received before it crashed.
+
+    Attributes:
+        run: The run.
+        age_ms: Time from its start to the first call that failed.
+    """
+
+    run: workflow_commands.RunRef
+    age_ms: int
+
+
 class Poll(Request, kw_only=True):
     """Request of an agent to renew its lease and to wait for orders.
 
@@ -235,7 +248,8 @@
         deadline_ms: Deadline of the runs in ms on the server's clock, as
             the server has confirmed it; 0 for none.
         crashed: Whether ``lapsed`` is known from a crash of the server.
-        unsent: If so, runs whose start was never sent to the server.
+        started: If so, the runs that the server had received shortly before.
+        crash_age_ms: If so, ms since the first call to the server failed.
     """
 
     agent: str
@@ -250,7 +264,8 @@
     trouble: str = ''
     deadline_ms: int = 0
     crashed: bool = False
-    unsent: list[workflow_commands.RunRef] = []
+    started: list[StartedRun] = []
+    crash_age_ms: int = 0
 
 
 class ReportReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/probation.py
+++ b/bilberryhaven/workflow/probation.py
@@ -8,13 +8,14 @@
 
 from bilberryhaven import clock as clocks
 
-__all__ = ['is_settled', 'list_fresh_runs']
+__all__ = ['is_settled', 'list_suspects']
 
-# Time since its first listing after which a run isn't suspected of a crash.
+# Time since its first listing after which a run is no longer kept apart from
+# the start of a suspected task.
 SETTLING_TIME = clocks.seconds(0.5)
-# Upper bound on the same time since the start was ordered. It counts if the
-# run was never listed, and after a change of leaders, which resets listings.
-MAX_FRESH_AGE_S = 5.0
+# Time from a start to a crash that it may have caused.
+SUSPICION_TIME = clocks.seconds(0.5)
+MILLISECOND = clocks.seconds(0.001)
 
 
 def is_settled(presence, now):
@@ -27,21 +28,14 @@
     return presence is not None and now - presence.first_at >= SETTLING_TIME
 
 
-def list_fresh_runs(views, present, now, wall):
-    """Return the runs of a server that were started a short time ago.
+def list_suspects(started):
+    """Return the runs that may have crashed a backend server.
 
     Args:
-        views: ``RunView`` by run, all that the log assigns to the server.
-        present: ``Presence`` by run, from the server's newest listing.
-        now: Monotonic time.
-        wall: Unix time in seconds.
+        started: The ``StartedRun`` rows that its agent has reported.
 
     Returns:
         Their ``RunRef`` rows.
     """
-    return [
-        ref
-        for ref, view in views.items()
-        if not is_settled(present.get(ref), now)
-        and wall - view.ordered_at < MAX_FRESH_AGE_S
-    ]
+    limit_ms = SUSPICION_TIME // MILLISECOND
+    return [row.run for row in started if row.age_ms < limit_ms]
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -117,13 +117,9 @@
                     peer=request.agent,
                 )
         for former_key, agent_session in former:
-            # A server that leaves as planned is draining before.
-            draining = agent_session is not None and agent_session.draining
+            # An agent that saw the crash has reported it before it polls.
             self._closer.close_backend(
-                former_key,
-                agent_session,
-                'a later life has begun there',
-                crashed=not draining,
+                former_key, agent_session, 'a later life has begun there'
             )
 
     def _open_session(self, row, request, *, inherit=False):
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -50,7 +50,7 @@
                 None,
                 'its agent says it has lapsed',
                 crashed=request.crashed,
-                unsent=request.unsent,
+                started=request.started,
             )
             return message.ReportReply()
         valid = agent_session is not None and not agent_session.closed
@@ -88,7 +88,7 @@
                 agent_session,
                 'its agent says it has lapsed',
                 crashed=request.crashed and not agent_session.draining,
-                unsent=request.unsent,
+                started=request.started,
             )
         return message.ReportReply(acked=acked, effects=effects)
 
--- a/bilberryhaven/workflow/server_client.py
+++ b/bilberryhaven/workflow/server_client.py
@@ -66,7 +66,8 @@
     """Calls to one backend server.
 
     All of them raise ``PeerError`` if no answer arrived: the call may have
-    been executed or may still be. They raise ``FencedError`` if a newer agent
+    been executed or may still be; ``CutOffError`` if the server closed the
+    connection before it answered. They raise ``FencedError`` if a newer agent
     has taken over, and ``GoneError`` if another incarnation answers.
     """
 
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -5,6 +5,7 @@
 import enum
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.workflow import crash_evidence
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import run_lease
@@ -43,7 +44,7 @@
         percent: Percentage of full speed last set for the run, None if
             unknown.
         listed_percent: The same at the listing before the newest one.
-        starts: Number of start requests that the server may have received.
+        requests: Number of start requests that were sent.
     """
 
     order: message.Order | None
@@ -53,7 +54,7 @@
     stopping: bool = False
     percent: int | None = pacing.FULL_PERCENT
     listed_percent: int | None = pacing.FULL_PERCENT
-    starts: int = 0
+    requests: int = 0
 
 
 class RunSupervisor:
@@ -74,6 +75,7 @@
         paces_changed: Whether the newest listing changed any pace.
         report_due: Whether the leader has yet to receive a report in this
             session.
+        evidence: The ``CrashEvidence`` of this session.
     """
 
     def __init__(self, *, agent):
@@ -101,6 +103,7 @@
         self._listing_sent_at = None
         self._effects = {}
         self._pacer = pacing.Pacer()
+        self.evidence = crash_evidence.CrashEvidence()
 
     def handle_announcement(self, announcement):
         """Store a heartbeat unless it is older than the stored one.
@@ -112,7 +115,7 @@
             Whether it is the first one of a new incarnation.
         """
         known = self.target
-        if known is None or _is_later_incarnation(announcement, known):
+        if known is None or self.is_replaced_by(announcement):
             self._reset()
             self.target = announcement
             return True
@@ -125,6 +128,12 @@
                 self._update_tenths()
         return False
 
+    def is_replaced_by(self, announcement):
+        """Return whether an ``Announcement`` is of a later incarnation."""
+        return self.target is not None and _is_later_incarnation(
+            announcement, self.target
+        )
+
     @property
     def draining(self):
         """Whether the backend server is draining."""
@@ -277,33 +286,12 @@
             or known.since >= self._listing_sent_at
         )
 
-    def count_start(self, run, change):
-        """Count a start request that the server may have received.
-
-        Args:
-            run: The run.
-            change: 1 before the request is sent, -1 once it is certain that
-                the server has not received it.
-        """
+    def record_request(self, run, now):
+        """Record that a start request is about to be sent."""
         known = self.runs.get(run)
         if known is not None:
-            known.starts += change
-
-    def list_unsent(self):
-        """Return the runs whose start the server can't have received.
-
-        Before the first listing, an earlier agent may have sent any of them.
-        """
-        if self.listed_epoch != self.epoch:
-            return []
-        return [
-            ref
-            for ref, known in self.runs.items()
-            if known.order is not None
-            and not known.starts
-            and known.phase != RunPhase.STARTED
-            and ref not in self._listed
-        ]
+            known.requests += 1
+            self.evidence.record_request(run, now)
 
     def list_unlisted(self):
         """Return what is known of ordered runs that were never listed.
@@ -318,7 +306,7 @@
                 ref.task,
                 ref.number,
                 known.phase.value,
-                known.starts,
+                known.requests,
             )
             for ref, known in self.runs.items()
             if known.order is not None and ref not in self._listed
@@ -373,6 +361,7 @@
             sent_at: Monotonic time at which the request was sent.
             now: Monotonic time at which the listing arrived.
         """
+        self.evidence.record_listing(now)
         if not self._lease.handle_listing(listing, now):
             return self._build_report(listing)
         ends = [end for end in listing.ends if end.number > self.acked]
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -1,6 +1,7 @@
 """Tasks that crash each server that starts them, and tasks beside them."""
 
 import collections
+import contextlib
 import threading
 import time
 
@@ -11,10 +12,10 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven.tables import workflow
+from bilberryhaven.workflow import crash_evidence
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import planner
 from bilberryhaven.workflow import server_client
-from bilberryhaven.workflow import supervision
 from bilberryhaven.workflow import workflow_index
 from tests import test_workflow_dispatcher
 from tests import workflow_fakes as fakes
@@ -23,8 +24,11 @@
 COMPLETED = workflow.WorkflowState.COMPLETED
 FAILED = workflow.WorkflowState.FAILED
 ROUND_S = 0.3
+# Time from the start of a deadly task to the crash.
+DEADLY_MS = 20
 RUN_ROUNDS = 8
 KEY = '0.0.0'
+at = clocks.seconds
 
 
 class SimulatedServer:
@@ -88,6 +92,7 @@
                 server.running.setdefault(order.run, 0)
                 self.starts[order.run.workflow, order.run.task] += 1
         if any((r.workflow, r.task) in self.deadly for r in server.running):
+            self.report_crash(reply, server.running)
             server.restart()
             return
         for ref in list(server.running):
@@ -97,6 +102,15 @@
                 ends.append(server.build_end(ref, 'done'))
         self.report(reply, *ends, running=list(server.running))
 
+    def report_crash(self, reply, running):
+        started = [
+            message.StartedRun(ref, DEADLY_MS + int(rounds * ROUND_S * 1000))
+            for ref, rounds in running.items()
+        ]
+        with contextlib.suppress(errors.FencedError):
+            # A new leader has closed the server.
+            self.report(reply, lapsed=True, crashed=True, started=started)
+
     def find_state(self, name):
         return self.state.workflows.find(name).state
 
@@ -174,7 +188,8 @@
         first = self.poll()
         self.schedule()
         self.replica.term = 2
-        self.report(first, lapsed=True, crashed=True)
+        ref = workflow_commands.RunRef('w1', KEY, 1)
+        self.report_crash(first, {ref: 0})
         task = self.state.workflows.find('w1').find_task(KEY)
         self.assertEqual(([], 1), (task.runs, task.crashes))
 
@@ -211,7 +226,7 @@
             for _ in range(5):
                 self.report(first, running=[order.run])
                 self.advance(0.5)
-            self.report(first, running=[order.run], lapsed=True, crashed=True)
+            self.report_crash(first, {order.run: 5})
         row = self.state.workflows.find('w1')
         self.assertEqual((ACTIVE, 0), (row.state, row.find_task(KEY).crashes))
 
@@ -221,8 +236,7 @@
         first = self.poll()
         self.report(first)
         self.schedule()
-        ref = workflow_commands.RunRef('w1', KEY, 1)
-        self.report(first, lapsed=True, crashed=True, unsent=[ref])
+        self.report_crash(first, {})
         task = self.state.workflows.find('w1').find_task(KEY)
         self.assertEqual(([], 0), (task.runs, task.crashes))
 
@@ -386,50 +400,63 @@
         self.assertEqual({'w': 'b'}, self.plan(servers, 'w', suspects='w'))
 
 
-class UnsentStartTest(testtools.TestCase):
+class CrashEvidenceTest(testtools.TestCase):
+    """What an agent knows of the runs that its server had received."""
+
     def setUp(self):
         super().setUp()
-        self.supervisor = supervision.RunSupervisor(agent='i')
-        self.supervisor.handle_announcement(
-            server_client.Announcement(
-                state=message.ServerState(id='s', born_ms=1, pool='p'),
-                address='127.0.0.1:1',
-                sequence=1,
-            )
-        )
-        self.ref = workflow_commands.RunRef('w', KEY, 1)
-        order = message.Order(message.OrderKind.START, self.ref)
-        reply = message.PollReply(
-            key='s@1', epoch=1, lease_ms=5000, feed='f', last=1, orders=[order]
-        )
-        now = clocks.seconds(0)
-        self.supervisor.handle_poll_reply(reply, now, now)
+        self.evidence = crash_evidence.CrashEvidence()
 
-    def list_runs(self):
-        now = clocks.seconds(0)
-        listing = server_client.Listing(
-            clock_ms=1, born_ms=1, running=[], ends=[]
-        )
-        self.supervisor.handle_listing(listing, 1, now, now)
+    def list_ages(self, now):
+        return [row.age_ms for row in self.evidence.list_started(at(now))]
 
-    def test_new_agent_vouches_for_nothing_before_a_listing(self):
-        """Its predecessor may have sent the start that was deadly."""
-        self.assertEqual([], self.supervisor.list_unsent())
+    def test_answered_start(self):
+        """A deadly task answers and crashes its server."""
+        self.evidence.record_request('r', at(1))
+        self.evidence.record_start('r', at(1.1))
+        self.evidence.record_failure(at(1.2))
+        self.assertEqual([100], self.list_ages(1.4))
 
-    def test_refused_request_is_not_counted(self):
+    def test_refused_start(self):
         """A start that met a closed port can't have crashed the server."""
-        self.list_runs()
-        self.supervisor.count_start(self.ref, 1)
-        self.supervisor.count_start(self.ref, -1)
-        self.assertEqual([self.ref], self.supervisor.list_unsent())
-
-    def test_unanswered_request_counts(self):
-        """A deadly start gets no answer; a later attempt is refused."""
-        self.list_runs()
-        self.supervisor.count_start(self.ref, 1)
-        self.supervisor.count_start(self.ref, 1)
-        self.supervisor.count_start(self.ref, -1)
-        self.assertEqual([], self.supervisor.list_unsent())
+        self.evidence.record_request('r', at(1))
+        self.evidence.discard_request('r')
+        self.assertEqual([], self.list_ages(1.1))
+
+    def test_start_cut_off_by_the_crash(self):
+        self.evidence.record_request('r', at(1))
+        self.evidence.record_cut('r', at(1.02))
+        self.assertEqual([20], self.list_ages(1.1))
+
+    def test_start_sent_after_the_first_failure(self):
+        """A request on a broken connection can't have crashed the server."""
+        self.evidence.record_failure(at(1))
+        self.evidence.record_request('r', at(1.05))
+        self.evidence.record_cut('r', at(1.06))
+        self.assertEqual([], self.list_ages(1.1))
+
+    def test_start_without_an_outcome_yet(self):
+        """The listing may notice the crash before the start does."""
+        self.evidence.record_request('r', at(1))
+        self.evidence.record_failure(at(1.01))
+        self.evidence.record_request('s', at(1.02))
+        (row,) = self.evidence.list_started(at(1.03))
+        self.assertEqual('r', row.run)
+
+    def test_answer_after_a_failure(self):
+        """Connections are reset without a crash, too."""
+        self.evidence.record_request('r', at(1))
+        self.evidence.record_start('r', at(1))
+        self.evidence.record_failure(at(1.1))
+        self.evidence.record_listing(at(1.2))
+        self.evidence.record_failure(at(1.7))
+        self.assertEqual([700], self.list_ages(1.8))
+
+    def test_run_at_work_for_long(self):
+        self.evidence.record_request('r', at(1))
+        self.evidence.record_start('r', at(1))
+        self.evidence.record_listing(at(3))
+        self.assertEqual([], self.list_ages(3))
 
 
 class CrashingClient(server_client.ServerClient):
@@ -445,7 +472,7 @@
     def start_run(self, target, order, *, deadline_ms, epoch):
         self._check()
         self._crashed.set()
-        raise errors.PeerError('reset', step='test', peer='s')
+        raise errors.CutOffError('reset', step='test', peer='s')
 
     def stop_run(self, target, run, *, epoch):
         self._check()
@@ -508,7 +535,12 @@
 
     def test_refused_connection_is_reported_as_a_crash(self):
         report = self.run_agent(draining=False)
-        self.assertEqual((True, []), (report.crashed, report.unsent))
+        self.assertTrue(report.crashed)
+
+    def test_start_that_the_crash_cut_off_is_reported(self):
+        """A deadly start may get no answer; a later attempt is refused."""
+        (row,) = self.run_agent(draining=False).started
+        self.assertEqual('w', row.run.workflow)
 
     def test_refusal_of_a_draining_server_is_no_crash(self):
         self.assertFalse(self.run_agent(draining=True).crashed)
