Give a task up after three crashes instead of two

Cause: servers that crash in waves hit the same task twice by chance. A suspect starts apart, so its second crash always looked like its own, and the window of half a second counted runs that had long been at work: a deadly task crashes its server 11 to 44 ms after the start.

Change: three crashes of which a task is suspected, or four in any case; suspected are runs received less than 0.25 s before the crash. The special case of a crash with one suspected workflow is gone.

The price is one more crash, about 15 runs, for each deadly task.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -31,10 +31,11 @@
 MAX_FAILED_ON = 8
 # Runs of a task that may work at the same time.
 MAX_COPIES = 2
-# Crashes of which a task is suspected when its workflow fails: if no other
-# workflow's task can have caused the last one, and in any case.
-MAX_CERTAIN_CRASHES = 2
-MAX_CRASHES = 3
+# Crashes soon after the start of a task after which its workflow fails: those
+# of which the task is suspected, and all, also if something else explains
+# them. Servers that crash in waves hit the same task twice by chance.
+MAX_SUSPICIONS = 3
+MAX_CRASHES = 4
 
 
 class EndHow:
@@ -408,10 +409,10 @@
 
 
 def record_crash(state, backend, suspects, at):
-    """Count a crash of a backend server for the tasks suspected of it.
+    """Count a crash of a backend server for the tasks started there last.
 
-    A workflow fails once a task of it has certainly crashed several servers.
-    To be called before the runs of the server are ended; a run that has ended
+    A workflow fails once several servers have crashed under a task of it. To
+    be called before the runs of the server are ended; a run that has ended
     isn't counted.
 
     Args:
@@ -421,41 +422,37 @@
         at: Unix time in seconds.
     """
     counted = []
-    # Runs of a workflow that has ended may be the cause as well.
-    suspected = set()
     for ref in suspects:
         row = state.workflows.find(ref.workflow)
-        if row is None:
+        if row is None or row.state != workflow.WorkflowState.ACTIVE:
             continue
         task = row.find_task(ref.task)
         known = any(
             run.number == ref.number and run.backend == backend
             for run in task.runs
         )
-        if not known:
-            continue
-        suspected.add(row.id)
-        if row.state == workflow.WorkflowState.ACTIVE and not task.done:
+        if known and not task.done:
             task.crashes += 1
             task.suspected_on = [*task.suspected_on, backend]
             state.workflows.update(row.id)
             counted.append((row, ref.task, task))
-    is_certain = len(suspected) == 1
-    limit = MAX_CERTAIN_CRASHES if is_certain else MAX_CRASHES
-    for row, key, task in counted:
-        if (
-            len(task.suspected_on) >= limit
-            and row.state == workflow.WorkflowState.ACTIVE
-        ):
-            _end_workflow(
-                state,
-                row,
-                workflow.WorkflowState.FAILED,
-                at,
-                f'{task.crashes} backend servers crashed under task {key}',
-            )
-            if is_certain:
-                _clear_suspects(state, task.suspected_on)
+    given_up = [
+        item
+        for item in counted
+        if len(item[2].suspected_on) >= MAX_SUSPICIONS
+        or item[2].crashes >= MAX_CRASHES
+    ]
+    for row, key, task in given_up:
+        if row.state != workflow.WorkflowState.ACTIVE:
+            continue
+        _end_workflow(
+            state,
+            row,
+            workflow.WorkflowState.FAILED,
+            at,
+            f'{task.crashes} backend servers crashed under task {key}',
+        )
+        _clear_suspects(state, task.suspected_on)
 
 
 def _clear_suspects(state, backends):
@@ -464,10 +461,7 @@
         if row.state != workflow.WorkflowState.ACTIVE or not row.started:
             continue
         for task in row.tasks.values():
-            suspected = any(key in backends for key in task.suspected_on)
-            # A task with more crashes stays suspected, since one crash may
-            # have had several causes.
-            if suspected and task.crashes < MAX_CRASHES:
+            if any(key in backends for key in task.suspected_on):
                 task.suspected_on = [
                     key for key in task.suspected_on if key not in backends
                 ]
--- a/bilberryhaven/workflow/probation.py
+++ b/bilberryhaven/workflow/probation.py
@@ -13,8 +13,9 @@
 # Time since its first listing after which a run is no longer kept apart from
 # the start of a suspected task.
 SETTLING_TIME = clocks.seconds(0.5)
-# Time from a start to a crash that it may have caused.
-SUSPICION_TIME = clocks.seconds(0.5)
+# Time from a start to a crash that it may have caused. A task that crashes its
+# server does so at once; the rest is for agents that notice it late.
+SUSPICION_TIME = clocks.seconds(0.25)
 MILLISECOND = clocks.seconds(0.001)
 
 
