Recognise outages by the other servers that crash with one

Cause: an outage was three servers in two seconds on which nothing had just started. Under load there is hardly such a server, so that six servers that crashed at one moment were six suspicions.

Change: a crash within half a second of another server's clears each suspect whose task was not on that server, too; a task that crashes one server after another explains its own crashes. The times are those of the first failed call, as the agents report them. The crashes still count for the limit of four, and from the second one on the task is started apart.

That a cleared crash no longer counted is replaced: it counts for the limit.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -22,6 +22,7 @@
     'StartRuns',
     'StopRuns',
     'SubmitWorkflow',
+    'Suspicion',
     'record_crash',
     'save_checkpoints',
 ]
@@ -70,6 +71,20 @@
     number: int
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """A task that may have crashed a backend server.
+
+    Attributes:
+        workflow: Id of the workflow.
+        task: Key of the task within it.
+        backend: Key of the backend server.
+    """
+
+    workflow: str
+    task: str
+    backend: str
+
+
 class RunStart(msgspec.Struct, frozen=True, array_like=True):
     """A run to be started on a backend server.
 
@@ -360,35 +375,51 @@
 
 
 class ClearSuspects(commands.Command):
-    """Takes back the suspicion of crashes that no task has caused.
+    """Takes back the suspicion of crashes that a task has not caused.
+
+    The crashes still count for ``MAX_CRASHES``.
 
     Attributes:
-        backends: Keys of the backend servers that crashed.
+        backends: Keys of backend servers of whose crash no task is suspected
+            any more; in entries of earlier versions only.
+        suspicions: The ``Suspicion`` rows that are taken back.
     """
 
-    backends: list[str]
+    backends: list[str] = []
+    suspicions: list[Suspicion] = []
 
     def apply(self, state):
-        """Drop these crashes; return the number of tasks cleared of them."""
+        """Drop the suspicions; return the number of tasks concerned."""
         cleared = 0
-        for row in list(state.workflows):
-            changed = False
-            for task in row.tasks.values():
-                kept = [
-                    key
-                    for key in task.suspected_on
-                    if key not in self.backends
-                ]
-                dropped = len(task.suspected_on) - len(kept)
-                if dropped:
-                    task.suspected_on = kept
-                    task.crashes -= dropped
-                    cleared += 1
-                    changed = True
-            if changed:
+        for row in self._list_rows(state):
+            found = [
+                task
+                for key, task in row.tasks.items()
+                if self._clear(row.id, key, task)
+            ]
+            if found:
+                cleared += len(found)
                 state.workflows.update(row.id)
         return cleared
 
+    def _list_rows(self, state):
+        if self.backends:
+            return list(state.workflows)
+        ids = sorted({item.workflow for item in self.suspicions})
+        rows = [state.workflows.find(workflow_id) for workflow_id in ids]
+        return [row for row in rows if row is not None]
+
+    def _clear(self, workflow_id, key, task):
+        kept = [
+            backend
+            for backend in task.suspected_on
+            if backend not in self.backends
+            and Suspicion(workflow_id, key, backend) not in self.suspicions
+        ]
+        changed = len(kept) < len(task.suspected_on)
+        task.suspected_on = kept
+        return changed
+
 
 def save_checkpoints(state, checkpoints):
     """Store the checkpoints of the runs that have not ended.
--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -19,6 +19,11 @@
 ]
 
 
+# Crashes of a task that another cause may explain without its being started
+# apart from other tasks.
+MAX_EXCUSED_CRASHES = 1
+
+
 class WorkflowState(enum.StrEnum):
     """State of a workflow; all but ``ACTIVE`` are final."""
 
@@ -144,8 +149,8 @@
             first.
         crashes: Number of backend servers that crashed soon after they had
             started it.
-        suspected_on: Keys of those among them for whose crash no other task
-            is known to be the cause.
+        suspected_on: Keys of those among them for whose crash no other cause
+            is known.
     """
 
     done: bool = False
@@ -157,6 +162,15 @@
     crashes: int = 0
     suspected_on: list[str] = dataclasses.field(default_factory=list)
 
+    @property
+    def is_suspect(self):
+        """Whether it is started apart from other tasks.
+
+        That a crash may have another cause no longer clears a task under
+        which several servers have crashed.
+        """
+        return bool(self.suspected_on) or self.crashes > MAX_EXCUSED_CRASHES
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Workflow:
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -1,5 +1,6 @@
 """Closing of backend servers whose runs have certainly ended."""
 
+from bilberryhaven import clock as clocks
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import log
@@ -10,6 +11,8 @@
 
 __all__ = ['BackendCloser']
 
+NO_TIME = clocks.seconds(0)
+
 _logger = log.get_logger('workflow')
 
 
@@ -79,7 +82,14 @@
             )
 
     def close_backend(
-        self, key, agent_session, reason, *, crashed=False, started=()
+        self,
+        key,
+        agent_session,
+        reason,
+        *,
+        crashed=False,
+        started=(),
+        crash_age=NO_TIME,
     ):
         """Close a backend server whose runs have certainly ended.
 
@@ -90,6 +100,7 @@
             crashed: Whether the server has certainly crashed.
             started: If so, ``StartedRun`` rows of the runs that it had
                 received shortly before.
+            crash_age: If so, time since then, a timedelta.
         """
         saved = []
         suspects = []
@@ -106,10 +117,8 @@
                 saved = checkpoints.list_checkpoints(agent_session)
             if crashed:
                 suspects = probation.list_suspects(started)
-                now = self._clock.monotonic()
-                if self._outages.record(key, suspects, now):
-                    suspects = []
-                    cleared = self._outages.take_suspected()
+                crashed_at = self._clock.monotonic() - crash_age
+                cleared = self._outages.record(key, suspects, crashed_at)
             self._closing[key] = row.epoch
         command = backend_commands.CloseBackend(
             key=key,
@@ -138,18 +147,18 @@
             self._clear_suspects(cleared)
         self._leader.wake()
 
-    def _clear_suspects(self, keys):
-        """Clear the tasks suspected of crashes that an outage explains."""
-        if not keys:
+    def _clear_suspects(self, suspicions):
+        """Clear tasks of crashes that an outage explains."""
+        if not suspicions:
             return
         count = self._leader.propose(
-            workflow_commands.ClearSuspects(backends=keys)
+            workflow_commands.ClearSuspects(suspicions=suspicions)
         )
         log.log_decision(
             _logger,
             'clear suspects',
-            reason='servers that had started nothing crashed at the same time',
-            crashes=len(keys),
+            reason='other servers crashed at the same time',
+            crashes=sorted({item.backend for item in suspicions}),
             tasks=count,
         )
 
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -210,7 +210,7 @@
         if probation.is_settled(seen, now):
             continue
         task = view.row.find_task(ref.task)
-        entry.server.add_fresh(ref.workflow, suspected=bool(task.suspected_on))
+        entry.server.add_fresh(ref.workflow, suspected=task.is_suspect)
         if seen is not None:
             settles_at = seen.first_at + probation.SETTLING_TIME
             entry.expires_at = min(entry.expires_at, settles_at)
--- a/bilberryhaven/workflow/outage.py
+++ b/bilberryhaven/workflow/outage.py
@@ -1,67 +1,83 @@
-"""Recognition of outages that crash many backend servers at once.
+"""Recognition of crashes that hit several backend servers at once.
 
-Answers the loss of power of a rack, an availability zone or all servers. Such
-a crash isn't caused by the tasks that a server has just started, but their
-suspicion would keep many servers for restarting them apart, when all tasks
-wait at the same time.
+Answers the loss of power of a rack, an availability zone or all servers, and
+other faults that servers share. A task can't crash a server that doesn't run
+it, so what crashes together has another cause than any task of one server.
 """
 
 import collections
+import dataclasses
+import datetime
 
 from bilberryhaven import clock as clocks
+from bilberryhaven.commands import workflow as workflow_commands
 
 __all__ = ['OutageDetector']
 
-# Crashes within this time may have the same cause.
-WINDOW = clocks.seconds(2)
-# Servers that crash within the window although they have started nothing
-# recently. A fault of single servers rarely hits as many at once.
-MIN_UNEXPLAINED = 3
+# Crashes within this time may have the same cause. Agents notice a closed
+# connection within some ms, and silence after one call's time limit.
+WINDOW = clocks.seconds(0.5)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Crash:
+    """Crash of a backend server.
+
+    Attributes:
+        key: Key of the backend server.
+        at: Monotonic time.
+        tasks: (workflow, task) pairs that are suspected of it.
+    """
+
+    key: str
+    at: datetime.timedelta
+    tasks: frozenset
 
 
 class OutageDetector:
-    """Tells outages from crashes that tasks may have caused.
+    """Distinguishes outages from crashes that a task may have caused.
 
     Not thread-safe.
     """
 
     def __init__(self):
         self._crashes = collections.deque()
-        self._suspected = collections.deque()
 
-    def record(self, key, suspects, now):
+    def record(self, key, suspects, at):
         """Record a crash.
 
+        Another crash at the same time clears each suspect, unless the
+        suspect's task was on that server, too: a task that crashes its server
+        may have crashed the next one within that time.
+
         Args:
             key: Key of the backend server.
-            suspects: The runs that may have caused it.
-            now: Monotonic time.
+            suspects: The ``RunRef`` rows of the runs suspected of it.
+            at: Monotonic time of the crash.
 
         Returns:
-            Whether it belongs to an outage.
+            The ``Suspicion`` rows that are cleared now, of this crash and of
+            earlier ones.
         """
-        for crashes in (self._crashes, self._suspected):
-            while crashes and now - crashes[0][0] > WINDOW:
-                crashes.popleft()
-        self._crashes.append((now, not suspects))
-        unexplained = sum(idle for _, idle in self._crashes)
-        if unexplained >= MIN_UNEXPLAINED:
-            return True
-        if suspects:
-            self._suspected.append((now, key))
-        return False
-
-    def take_suspected(self):
-        """Return the servers whose tasks were suspected before it was known.
-
-        Returns:
-            Their keys; each is returned once.
-        """
-        keys = [key for _, key in self._suspected]
-        self._suspected.clear()
-        return keys
+        while self._crashes and at - self._crashes[0].at > WINDOW:
+            self._crashes.popleft()
+        tasks = frozenset((ref.workflow, ref.task) for ref in suspects)
+        crash = Crash(key=key, at=at, tasks=tasks)
+        cleared = []
+        for other in self._crashes:
+            if abs(at - other.at) <= WINDOW:
+                cleared += _list_unshared(crash, other)
+                cleared += _list_unshared(other, crash)
+        self._crashes.append(crash)
+        return list(dict.fromkeys(cleared))
 
     def clear(self):
         """Forget all crashes."""
         self._crashes.clear()
-        self._suspected.clear()
+
+
+def _list_unshared(crash, other):
+    return [
+        workflow_commands.Suspicion(*task, crash.key)
+        for task in sorted(crash.tasks - other.tasks)
+    ]
--- a/bilberryhaven/workflow/planner.py
+++ b/bilberryhaven/workflow/planner.py
@@ -95,7 +95,7 @@
         return []
     tasks = group.row.tasks
     return [
-        key for key in group.keys if key in tasks and tasks[key].suspected_on
+        key for key in group.keys if key in tasks and tasks[key].is_suspect
     ]
 
 
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -1,5 +1,6 @@
 """Handles the reports of the agents."""
 
+from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven import log
@@ -8,6 +9,8 @@
 
 __all__ = ['ReportHandler']
 
+MILLISECOND = clocks.seconds(0.001)
+
 _logger = log.get_logger('workflow')
 
 
@@ -51,6 +54,7 @@
                 'its agent says it has lapsed',
                 crashed=request.crashed,
                 started=request.started,
+                crash_age=request.crash_age_ms * MILLISECOND,
             )
             return message.ReportReply()
         valid = agent_session is not None and not agent_session.closed
@@ -89,6 +93,7 @@
                 'its agent says it has lapsed',
                 crashed=request.crashed and not agent_session.draining,
                 started=request.started,
+                crash_age=request.crash_age_ms * MILLISECOND,
             )
         return message.ReportReply(acked=acked, effects=effects)
 
--- a/bilberryhaven/workflow/server_choice.py
+++ b/bilberryhaven/workflow/server_choice.py
@@ -48,7 +48,7 @@
             starved=self._starved,
             separates=self._separates,
         )
-        if task.suspected_on:
+        if task.is_suspect:
             self._ranking = None
             server = self._choose_apart(request)
         elif self._starved or task.failures:
@@ -99,7 +99,7 @@
 def _claim(server, request, effects):
     step = request.step
     server.claim(step, request.group)
-    suspected = bool(request.task.suspected_on)
+    suspected = request.task.is_suspect
     server.add_fresh(request.group[0], suspected=suspected)
     if step.best_effort and server.serving:
         server.probing |= not server.is_interference_known(step, effects)
--- a/bilberryhaven/workflow/server_cost.py
+++ b/bilberryhaven/workflow/server_cost.py
@@ -62,7 +62,7 @@
         task.
     """
     step, task = request.step, request.task
-    suspected = bool(task.suspected_on)
+    suspected = task.is_suspect
     if not server.has_capacity(step):
         return None
     if not server.accepts(request.group[0], suspected=suspected):
--- a/bilberryhaven/workflow/speculation.py
+++ b/bilberryhaven/workflow/speculation.py
@@ -107,7 +107,7 @@
         and len(task.runs) == 1
         and attempts_left
         and task.last_run < MAX_STARTS
-        and not task.suspected_on
+        and not task.is_suspect
     )
 
 
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -293,6 +293,15 @@
         self.crash('c', 3, 'w')
         self.assertEqual([ACTIVE, FAILED], self.list_states())
 
+    def test_crashes_with_other_causes_are_limited(self):
+        """A task that crashes its servers beside outages must be found."""
+        for number, server in enumerate('abcd', 1):
+            self.assertEqual([ACTIVE, ACTIVE], self.list_states())
+            self.crash(server, number, 'w')
+            row = workflow_commands.Suspicion('w', KEY, server)
+            self.world.apply(workflow_commands.ClearSuspects(suspicions=[row]))
+        self.assertEqual([ACTIVE, FAILED], self.list_states())
+
     def test_suspicion_ends_when_the_cause_is_found(self):
         """Tasks that ran beside a deadly one were kept apart for long."""
         self.crash('a', 1, 'v', 'w')
