Clear a task of crashes once it has been at work for a second

What callers would see: a long-running task that many servers were lost under is started apart each time, and fails in the end by chance.

Cause: a suspicion outlived its disproof.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -377,20 +377,22 @@
 class ClearSuspects(commands.Command):
     """Takes back the suspicion of crashes that a task has not caused.
 
-    The crashes still count for ``MAX_CRASHES``.
-
     Attributes:
         backends: Keys of backend servers of whose crash no task is suspected
             any more; in entries of earlier versions only.
-        suspicions: The ``Suspicion`` rows that are taken back.
+        suspicions: The ``Suspicion`` rows that are taken back; the crashes
+            still count for ``MAX_CRASHES``.
+        settled: Runs that have been at work for long, so that their tasks
+            don't crash servers; none of their crashes counts any more.
     """
 
     backends: list[str] = []
     suspicions: list[Suspicion] = []
+    settled: list[RunRef] = []
 
     def apply(self, state):
         """Drop the suspicions; return the number of tasks concerned."""
-        cleared = 0
+        cleared = self._clear_settled(state)
         for row in self._list_rows(state):
             found = [
                 task
@@ -402,6 +404,18 @@
                 state.workflows.update(row.id)
         return cleared
 
+    def _clear_settled(self, state):
+        cleared = 0
+        for ref in self.settled:
+            row = state.workflows.find(ref.workflow)
+            task = row.tasks.get(ref.task) if row else None
+            if task is not None and task.crashes:
+                task.crashes = 0
+                task.suspected_on = []
+                cleared += 1
+                state.workflows.update(row.id)
+        return cleared
+
     def _list_rows(self, state):
         if self.backends:
             return list(state.workflows)
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -5,6 +5,7 @@
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.workflow import message
+from bilberryhaven.workflow import probation
 from bilberryhaven.workflow import stops
 
 __all__ = ['ReportHandler']
@@ -84,6 +85,7 @@
         if request.listed:
             agent_session.record_presence(request.running, now)
             self._stop_unknown_runs(agent_session, request)
+            self._clear_settled_suspects(agent_session, now)
             effects = self._observe_interference(agent_session, now)
             self._watch.observe(agent_session)
         if request.lapsed:
@@ -169,6 +171,23 @@
             agent_session.interfering = [ref for _, ref in pairs]
             return self._memory.interference.list_present_effects(views)
 
+    def _clear_settled_suspects(self, agent_session, now):
+        with self._memory.lock:
+            views = self._memory.index.runs.get(agent_session.key, {})
+            settled = probation.list_settled_suspects(
+                views, agent_session.present, now
+            )
+        if not settled:
+            return
+        self._leader.propose(workflow_commands.ClearSuspects(settled=settled))
+        log.log_decision(
+            _logger,
+            'clear suspects',
+            reason='they have been at work for long',
+            backend=agent_session.key,
+            tasks=len(settled),
+        )
+
     def _stop_unknown_runs(self, agent_session, request):
         """Stop reported runs that the replicated tables don't contain."""
         with self._memory.lock:
