Keep workflows known at the address where they were accepted

What callers would see: once the operator has given a queue another name at the same host and prefix, a GET or DELETE of each workflow accepted before is answered 410, "no such workflow", while it goes on working, and the count of waiting workflows lacks it. A resend of the same submission is answered 200 at the same time, so the answers contradict each other.

Cause: the submission looks a workflow up by its id alone; the other requests also demanded that the name of the queue be the one of the submission, and took a difference as proof that the workflow doesn't exist. Callers never name a queue: they address a host and a path.

Change: a workflow stores the address of its queue as of its submission, and belongs to the queue that callers address there as well as to the queue of its name. Counts use the same rule, so the index by queue goes.

Workflows of another queue stay unknown, which a test now demands.

Evidence: before the change, test_workflow_stays_known_where_it_was_submitted failed with "GoneError: gone: queue ponds has no workflow w1 (at look-up)", and without that line with "1 != 0" waiting workflows. test_workflow_of_another_queue_raises_gone passes before and after.

--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -180,6 +180,8 @@
         reason: Why it ended, or empty.
         started: Whether any of its tasks has ever been started.
         zone: Availability zone of its caller, or empty if unknown.
+        address: Host and path prefix of its queue, or empty if it was
+            accepted by an earlier version.
     """
 
     id: str
@@ -199,6 +201,7 @@
     reason: str = ''
     started: bool = False
     zone: str = ''
+    address: str = ''
 
     @property
     def occurrences(self):
@@ -240,4 +243,4 @@
     name = 'workflows'
     row_class = Workflow
     key = 'id'
-    indexes = ('state', 'queue')
+    indexes = ('state',)
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -76,6 +76,7 @@
             latency_ms=queue.latency_ms,
             submitted_at=self._clock.wall().timestamp(),
             zone=request.zone,
+            address=_build_address(queue),
         )
 
     def _accept(self, row, decision):
@@ -114,9 +115,10 @@
                 return message.StateReply(state=describe_state(row))
             waiting = sum(
                 1
-                for row in state.workflows.iterate('queue', queue.name)
-                if row.state == workflow.WorkflowState.ACTIVE
-                and not row.started
+                for row in state.workflows.iterate(
+                    'state', workflow.WorkflowState.ACTIVE
+                )
+                if not row.started and _belongs(row, queue)
             )
             return message.CountReply(waiting=waiting)
 
@@ -251,10 +253,22 @@
 
 def _find(state, queue, workflow_id):
     row = state.workflows.find(workflow_id)
-    if row is None or row.queue != queue.name:
+    if row is None or not _belongs(row, queue):
         raise errors.GoneError(
             f'queue {queue.name} has no workflow {workflow_id}',
             step='look-up',
             request_id=workflow_id,
         )
     return row
+
+
+def _build_address(queue):
+    return f'{queue.host}{queue.prefix}'
+
+
+def _belongs(row, queue):
+    """Return whether callers address a workflow at a queue.
+
+    The queue may have been renamed or moved since the submission.
+    """
+    return row.queue == queue.name or row.address == _build_address(queue)
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -48,9 +48,9 @@
             reply = reply.result()
         return message.decode_reply(reply.body)
 
-    def replace(self, version=1, prefix=PREFIX):
+    def replace(self, version=1, prefix=PREFIX, name='surveys', others=()):
         queue = catalog.Queue(
-            name='surveys',
+            name=name,
             host=HOST,
             prefix=prefix,
             pool=fakes.POOL,
@@ -60,7 +60,7 @@
         return self.ask(
             message.Replace(
                 version=version,
-                queues=[queue],
+                queues=[queue, *others],
                 pools=[catalog.Pool(name=fakes.POOL)],
                 document=b'v%d' % version,
             )
@@ -175,6 +175,36 @@
         inquire = message.Inquire(host=HOST, path=PREFIX + 'w9')
         self.assertRaises(errors.GoneError, self.ask, inquire)
 
+    def test_workflow_of_another_queue_raises_gone(self):
+        """A caller sees and cancels workflows of its own queue only."""
+        other = catalog.Queue(
+            name='polls',
+            host=HOST,
+            prefix='/polls/',
+            pool=fakes.POOL,
+            timeout_ms=3000,
+        )
+        self.replace(others=[other])
+        self.submit('w1')
+        for kind in (message.Inquire, message.Cancel):
+            request = kind(host=HOST, path='/polls/w1')
+            self.assertRaises(errors.GoneError, self.ask, request)
+        count = message.Inquire(host=HOST, path='/polls/')
+        self.assertEqual(0, self.ask(count).waiting)
+
+    def test_workflow_stays_known_where_it_was_submitted(self):
+        """Renaming a queue must not make its workflows unknown."""
+        self.replace()
+        self.submit('w1')
+        self.replace(version=2, name='ponds')
+        self.assertEqual('queued', self.submit('w1').state)
+        inquire = message.Inquire(host=HOST, path=PREFIX + 'w1')
+        self.assertEqual('queued', self.ask(inquire).state)
+        count = message.Inquire(host=HOST, path=PREFIX)
+        self.assertEqual(1, self.ask(count).waiting)
+        self.ask(message.Cancel(host=HOST, path=PREFIX + 'w1'))
+        self.assertEqual('cancelled', self.ask(inquire).state)
+
     def test_waiting_workflows_are_counted(self):
         self.replace()
         for name in ('w1', 'w2'):
