Report a job's start as failed only once it doesn't run

What callers would see: a job of a workload that must not be repeated ends as "failed" for good while its task runs on the backend server, or a repeatable job is started on a second instance beside it.

Cause: when a backend server answers a start with an error whose outcome is unknown ("internal", "storage", "deadline"), the agent took the outcome for known: any error but a lost answer counted as "ran, and isn't running". The protocol states the outcome in each error; the agent read the class of the error instead.

Change: after such an error, the job stays as it is until the next status. If the server lists it, it has been started. If not, it is stopped, which by the protocol keeps the epoch from ever starting, and is reported as failed after that. So a server that fails all starts is still found by its failures.

Evidence: before the change, test_start_with_an_unknown_outcome_is_no_failure failed with "'started' != 'failed'", and test_job_that_an_unknown_start_has_not_started_fails with "['j1'] != []": the failure was reported without the stop. test_start_of_an_invalid_job_fails passes before and after.

--- a/bilberryhaven/agent/job.py
+++ b/bilberryhaven/agent/job.py
@@ -39,6 +39,7 @@
         order: The start order.
         stage: Current stage.
         stop_reason: Reason of a stop order, or None.
+        start_error: Error of a start whose outcome is unknown, or empty.
         command_pending: Whether a command for the job is in progress.
         share: Share of full speed that is in force.
         desired_share: Share that control orders.
@@ -51,6 +52,7 @@
     order: message.StartOrder
     stage: JobStage
     stop_reason: str | None = None
+    start_error: str = ''
     command_pending: bool = False
     share: float = 1.0
     desired_share: float = 1.0
--- a/bilberryhaven/agent/jobs.py
+++ b/bilberryhaven/agent/jobs.py
@@ -207,6 +207,17 @@
         if not_running:
             self._end(row, 'failed' if ran else 'refused', reason)
 
+    def record_doubtful_start(self, job_id, epoch, reason):
+        """Record that a start failed and that the job may run nevertheless.
+
+        Unless the backend server lists the job, it is stopped, after which it
+        certainly doesn't run.
+        """
+        row = self._find(job_id, epoch)
+        if row is not None:
+            row.command_pending = False
+            row.start_error = reason
+
     def record_error(self, job_id, epoch):
         """Record that a command failed; it is repeated if still needed."""
         row = self._find(job_id, epoch)
@@ -259,6 +270,8 @@
     def _reconcile(self, row, task, now):
         if task is None or task.epoch != row.epoch:
             if row.stage is job.JobStage.STARTING:
+                if row.start_error:
+                    return self._stop(row)
                 row.command_pending = True
                 return [job.StartTask(order=row.order)]
             self._end(row, 'stopped', 'the backend server lost it')
@@ -276,6 +289,9 @@
     def _apply_status(self, row, task):
         if row.stage not in ACTIVE_STAGES or task.epoch != row.epoch:
             return
+        if task.state == 'absent' and row.start_error and not row.stop_reason:
+            self._end(row, 'failed', row.start_error)
+            return
         if task.state in END_KINDS:
             self._end(row, END_KINDS[task.state], task.reason, _get_body(task))
             return
--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -325,6 +325,12 @@
         if not isinstance(command, job.StartTask):
             self._jobs.record_error(command.job_id, command.epoch)
             return
+        known = error.outcome != errors.Outcome.UNKNOWN
+        if not known and not isinstance(error, errors.PeerError):
+            self._jobs.record_doubtful_start(
+                command.order.job_id, command.order.epoch, str(error)
+            )
+            return
         lapsed = isinstance(
             error, errors.LeaseLapsedError | errors.FencedError
         )
--- a/tests/test_agent_faults.py
+++ b/tests/test_agent_faults.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from bilberryhaven import errors
 from bilberryhaven import util
 from tests import agent_fakes
 
@@ -184,6 +185,51 @@
         former.stop()
 
 
+class TestFailedStarts(agent_fakes.AgentTestCase):
+    """Errors with which a backend server answers the start of a job."""
+
+    def start_with_error(self, error, *, ran):
+        start = self.backend._tasks.start
+        raised = []
+
+        def start_or_raise(order):
+            task = start(order) if ran or raised else None
+            if raised:
+                return task
+            raised.append(error)
+            raise error
+
+        self.backend._tasks.start = start_or_raise
+        self.control.order_start('j1', 1)
+        self.wait_for(lambda: self.control.list_kinds('j1'))
+        return self.control.list_kinds('j1')[0]
+
+    def test_start_with_an_unknown_outcome_is_no_failure(self):
+        """The job may run: reported as failed, it would end for good."""
+        error = errors.StorageError('disk is full', step='start task')
+        self.assertEqual('started', self.start_with_error(error, ran=True))
+
+    def test_job_that_an_unknown_start_has_not_started_fails(self):
+        """Repeated without end, the start would hide a faulty server."""
+        stopped = []
+        stop = self.backend._tasks.stop
+
+        def record_stop(task_id, epoch):
+            stopped.append(task_id)
+            return stop(task_id, epoch)
+
+        self.backend._tasks.stop = record_stop
+        error = errors.InternalError('fault', step='start task')
+        self.assertEqual('failed', self.start_with_error(error, ran=False))
+        self.assertIn('fault', self.control.find_event('j1', 'failed').reason)
+        # The backend server can't start it late any more.
+        self.assertEqual(['j1'], stopped)
+
+    def test_start_of_an_invalid_job_fails(self):
+        error = errors.BadInputError('no payload', step='start task')
+        self.assertEqual('failed', self.start_with_error(error, ran=False))
+
+
 class TestLostControl(agent_fakes.AgentTestCase):
     lease_ms = 1500
 
