Count the retention of ended workflows by one steady clock

What callers would see: just after their workflows have ended, 410 instead of "completed", for all ended workflows at once, when the wall clock of the leader steps ahead by more than the retention (180 s by default), or when an instance whose clock is ahead by as much becomes the leader. After a step back, ended workflows would stay in memory for as long as the step.

Cause: the time of the end, from the wall clock of the leader of that moment, was compared with the wall clock of the present leader, later. Their difference was taken for elapsed time.

Change: the leader counts the retention on its monotonic clock from when it first sees the end. What an instance has seen stays valid over its later terms, so frequent elections don't keep ended workflows for longer than one retention per instance. The price is a retention that a new leader begins again.

Evidence: before the change, two tests of RetentionTest failed with "GoneError: gone: queue surveys has no workflow w1", that of the step back with "returned 'cancelled'" instead of raising. The other two, which limit the change, pass before and after.

--- a/bilberryhaven/clock.py
+++ b/bilberryhaven/clock.py
@@ -56,6 +56,10 @@
         """Advance the clock by ``duration`` of true time."""
         self._elapsed += duration * self._rate
 
+    def step_wall(self, duration):
+        """Set the wall time ahead by ``duration``, or back if negative."""
+        self._start += duration
+
     def monotonic(self):
         """Return the time advanced so far."""
         return self._elapsed
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -23,7 +23,7 @@
         max_poll_wait: Longest time for which the leader holds a poll.
         report_interval: Longest time between two reports of an agent.
         ended_retention: How long the state of an ended workflow can be
-            queried.
+            queried at least; a new leader counts it from its first look.
         voters: Largest number of control instances that vote.
         start_validity: How long after an agent's newest poll ordered starts
             may be sent; None for as long as the lease lasts.
--- a/bilberryhaven/workflow/upkeep.py
+++ b/bilberryhaven/workflow/upkeep.py
@@ -35,6 +35,9 @@
         self._options = options
         self._checkpoints = checkpoints.CheckpointCollector(clock=clock)
         self._expired_at = clock.monotonic()
+        # When each end was first seen here, by (id, time of the end). The
+        # time of the end is another instance's wall clock, which may differ.
+        self._ends_seen = {}
 
     def begin_term(self):
         """Forget which checkpoints were saved."""
@@ -54,14 +57,18 @@
             return
         self._expired_at = now
         self._log_effects()
-        limit = self._clock.wall() - self._options.ended_retention
         with self._memory.lock:
-            ended = [
-                row.id
+            ends = [
+                (row.id, row.ended_at)
                 for row in self._memory.state.workflows
                 if row.state != workflow.WorkflowState.ACTIVE
-                and row.ended_at < limit.timestamp()
             ]
+        self._ends_seen = {end: self._ends_seen.get(end, now) for end in ends}
+        ended = [
+            workflow_id
+            for (workflow_id, _), seen_at in self._ends_seen.items()
+            if now - seen_at >= self._options.ended_retention
+        ]
         if ended:
             self._leader.propose(workflow_commands.ExpireWorkflows(ids=ended))
 
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -28,14 +28,18 @@
         self.clock = clocks.ManualClock()
         self.machine = machine.TableStateMachine()
         self.replica = workflow_replica.FakeReplica(self.machine)
-        self.leader = dispatcher.Dispatcher(
+        self.leader = self.build_leader()
+        self.feeds = {}
+
+    def build_leader(self):
+        leader = dispatcher.Dispatcher(
             replica=self.replica,
             machine=self.machine,
             clock=self.clock,
             options=options.Options(max_poll_wait=clocks.seconds(0.01)),
         )
-        self.addCleanup(self.leader.stop)
-        self.feeds = {}
+        self.addCleanup(leader.stop)
+        return leader
 
     @property
     def state(self):
@@ -236,6 +240,63 @@
         )
 
 
+class RetentionTest(DispatcherTest):
+    """Ended workflows stay known for a time that no clock step shortens."""
+
+    def setUp(self):
+        super().setUp()
+        self.replace()
+        self.submit('w1')
+        self.ask(message.Cancel(host=HOST, path=PREFIX + 'w1'))
+        self.pass_time(11)
+
+    def pass_time(self, seconds):
+        self.advance(seconds)
+        self.schedule()
+
+    def inquire(self):
+        return self.ask(message.Inquire(host=HOST, path=PREFIX + 'w1')).state
+
+    def check_retention(self):
+        self.pass_time(11)
+        self.assertEqual('cancelled', self.inquire())
+        self.pass_time(options.Options().ended_retention.total_seconds())
+        self.assertRaises(errors.GoneError, self.inquire)
+
+    def test_clock_that_steps_ahead_expires_no_workflow(self):
+        """Callers would be answered 410 just after the end."""
+        self.clock.step_wall(clocks.seconds(3600))
+        self.check_retention()
+
+    def test_clock_that_steps_back_does_not_prolong_the_retention(self):
+        """Ended workflows would fill the memory for as long as the step."""
+        self.clock.step_wall(-clocks.seconds(3600))
+        self.check_retention()
+
+    def test_new_leader_whose_clock_is_ahead_expires_no_workflow(self):
+        """The end has the time of the former leader's clock."""
+        self.leader.stop()
+        self.replica.term += 1
+        self.clock = clocks.ManualClock()
+        self.clock.step_wall(clocks.seconds(3600))
+        self.leader = self.build_leader()
+        self.check_retention()
+
+    def test_new_term_of_a_leader_does_not_prolong_the_retention(self):
+        """Frequent elections would keep ended workflows for ever."""
+        for _ in range(9):
+            self.replica.term += 1
+            self.pass_time(20)
+        self.assertRaises(errors.GoneError, self.inquire)
+
+    def test_workflow_submitted_again_after_it_expired_is_kept(self):
+        """It must not expire by the end of the former one."""
+        self.check_retention()
+        self.submit('w1')
+        self.ask(message.Cancel(host=HOST, path=PREFIX + 'w1'))
+        self.check_retention()
+
+
 class CatalogTest(DispatcherTest):
     def test_only_a_higher_version_replaces(self):
         self.replace(version=5)
