Test which ends and changes use up attempts

No fault: these paths were read for the incident of workflows given up without cause, and were right, but no test demanded it. Ends other than "failed", the failures of different tasks, one failure of a gang that all members report, a failure that arrives after its server was closed, a copy beside the last attempt, and a catalog that allows fewer attempts than at the submission must not fail a workflow.

--- a/tests/test_workflow_commands.py
+++ b/tests/test_workflow_commands.py
@@ -49,6 +49,76 @@
         )
 
 
+class AttemptTest(testtools.TestCase):
+    """Ends that use up attempts; others must not fail a workflow."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = fakes.World('a', 'b')
+
+    def run_task(self, number, how, *, server='a', task='0.0.0'):
+        self.assertEqual(1, self.world.start('w', task, number, server))
+        self.world.end(server, number, 'w', task, number, how)
+
+    @property
+    def workflow_state(self):
+        return self.world.find('w').state
+
+    def test_only_failed_runs_use_up_attempts(self):
+        """A workflow must not fail by runs that others have ended."""
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+        hows = ('stopped', 'lapsed', 'rejected', 'broken', 'alone', 'other')
+        for number, how in enumerate((*hows, *hows), 1):
+            self.run_task(number, how)
+        self.assertEqual(0, self.world.find('w').find_task('0.0.0').failures)
+        self.run_task(13, FAILED)
+        self.assertEqual(workflow.WorkflowState.ACTIVE, self.workflow_state)
+        self.run_task(14, FAILED)
+        self.assertEqual(workflow.WorkflowState.FAILED, self.workflow_state)
+
+    def test_failures_of_different_tasks_are_not_added_up(self):
+        """A wide step must not fail by one failure of several tasks."""
+        step = fakes.build_step(tasks=4)
+        self.world.submit(fakes.build_workflow('w', step))
+        for index in range(4):
+            key = f'0.0.{index}'
+            self.world.start('w', key, 1, 'a')
+            self.world.end('a', index + 1, 'w', key, 1, FAILED)
+        self.assertEqual(workflow.WorkflowState.ACTIVE, self.workflow_state)
+
+    def test_failure_of_a_gang_counts_once_for_each_member(self):
+        """A gang must not fail by one run that all its members report."""
+        step = fakes.build_step(tasks=3, gang=True)
+        self.world.submit(fakes.build_workflow('w', step))
+        for index in range(3):
+            self.world.start('w', f'0.0.{index}', 1, 'a')
+        for index in range(3):
+            self.world.end('a', index + 1, 'w', f'0.0.{index}', 1, FAILED)
+        self.assertEqual(workflow.WorkflowState.ACTIVE, self.workflow_state)
+
+    def test_failure_on_a_server_closed_since_is_ignored(self):
+        """The run had ended as lapsed, and its task was started again."""
+        self.world.submit(fakes.build_workflow('w', fakes.build_step()))
+        self.run_task(1, FAILED)
+        self.world.start('w', '0.0.0', 2, 'a')
+        self.world.close('a')
+        self.world.start('w', '0.0.0', 3, 'b')
+        self.world.open('a')
+        self.world.end('a', 2, 'w', '0.0.0', 2, FAILED)
+        self.assertEqual(workflow.WorkflowState.ACTIVE, self.workflow_state)
+
+    def test_no_copy_starts_beside_the_last_attempt(self):
+        step = fakes.build_step(speculative=True)
+        later = fakes.build_step(after=[0])
+        self.world.submit(fakes.build_workflow('w', step, later))
+        self.run_task(1, FAILED)
+        # The next run is the last attempt, so no copy may start beside it.
+        self.world.start('w', '0.0.0', 2, 'a')
+        self.assertEqual(0, self.world.start('w', '0.0.0', 3, 'b'))
+        self.world.end('a', 2, 'w', '0.0.0', 2, DONE)
+        self.assertEqual(workflow.WorkflowState.ACTIVE, self.workflow_state)
+
+
 class EndTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -52,14 +52,22 @@
             reply = reply.result()
         return message.decode_reply(reply.body)
 
-    def replace(self, version=1, prefix=PREFIX, name='surveys', others=()):
+    def replace(
+        self,
+        version=1,
+        prefix=PREFIX,
+        *,
+        name='surveys',
+        max_attempts=2,
+        others=(),
+    ):
         queue = catalog.Queue(
             name=name,
             host=HOST,
             prefix=prefix,
             pool=fakes.POOL,
             timeout_ms=3000,
-            max_attempts=2,
+            max_attempts=max_attempts,
         )
         return self.ask(
             message.Replace(
@@ -209,6 +217,19 @@
         self.ask(message.Cancel(host=HOST, path=PREFIX + 'w1'))
         self.assertEqual('cancelled', self.ask(inquire).state)
 
+    def test_catalog_that_allows_fewer_attempts_fails_no_workflow(self):
+        """Accepted workflows keep the attempts of their submission."""
+        self.replace()
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        (order,) = self.poll(epoch=first.epoch).orders
+        self.replace(version=2, max_attempts=1)
+        end = workflow_commands.RunEnd(1, order.run, 'failed')
+        self.report(first, end)
+        inquire = message.Inquire(host=HOST, path=PREFIX + 'w1')
+        self.assertEqual('running', self.ask(inquire).state)
+
     def test_waiting_workflows_are_counted(self):
         self.replace()
         for name in ('w1', 'w2'):
