--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -194,6 +194,8 @@
         reason: Why it ended, or empty.
         started: Whether any of its tasks has ever been started.
         zone: Availability zone of its caller, or empty if unknown.
+        address: Host and path prefix of its queue, or empty if it was
+            accepted by an earlier version.
     """
 
     id: str
@@ -213,6 +215,7 @@
     reason: str = ''
     started: bool = False
     zone: str = ''
+    address: str = ''
 
     @property
     def occurrences(self):
@@ -254,4 +257,4 @@
     name = 'workflows'
     row_class = Workflow
     key = 'id'
-    indexes = ('state', 'queue')
+    indexes = ('state',)
