Ignore the draining state in a poll that was held up

Callers see: starts that are rejected and repeated elsewhere some hundred ms later. A server that left as planned may be taken for crashed, and what it had just started for suspects.

Cause: a poll from before a server began to drain, which the network had held up, replaced the newer state. Its capacity was already compared by the number of the heartbeat, draining was not: evidence of an earlier time was taken for that of now.

Change: Session.is_delayed, for both.

Evidence: on the code before, the test finds run 1 of w1 assigned to the draining server (expected []).

--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -176,7 +176,8 @@
             check_open(agent_session)
             now = self._clock.monotonic()
             agent_session.lease_end = now + self._options.lease_expiry_delay
-            agent_session.draining = server.draining
+            if not agent_session.is_delayed(request):
+                agent_session.draining = server.draining
             if server.draining:
                 remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
                 agent_session.set_departure(now + remaining)
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -199,6 +199,14 @@
             orders = [order for number, order in self._orders if number > seen]
             return self._last_number, orders
 
+    def is_delayed(self, poll):
+        """Return whether a poll's state of the server is out of date.
+
+        Args:
+            poll: The ``Poll``; one that was delayed may arrive late.
+        """
+        return poll.sequence < self._sequence
+
     def update_capacity(self, poll):
         """Store the capacity in a poll unless a newer one is known.
 
@@ -208,7 +216,7 @@
         Returns:
             Whether the capacity has changed.
         """
-        if poll.sequence < self._sequence:
+        if self.is_delayed(poll):
             return False
         self._sequence = poll.sequence
         former, self.capacity = self.capacity, _read_capacity(poll.server)
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -403,6 +403,16 @@
         row = self.state.workflows.find('w1')
         self.assertFalse(row.started)
 
+    def test_delayed_poll_from_before_draining_is_ignored(self):
+        """A draining server gets starts again after an older poll."""
+        self.replace()
+        first = self.poll(sequence=1)
+        self.poll(epoch=first.epoch, draining=True, sequence=2)
+        self.poll(epoch=first.epoch, sequence=1)
+        self.submit('w1')
+        self.schedule()
+        self.assertEqual([], self.state.workflows.find('w1').list_runs())
+
     def test_unknown_run_is_stopped(self):
         first = self.poll()
         ref = workflow_commands.RunRef('gone', '0.0.0', 3)
