Ignore the measurements in a report that was held up

Callers see: nothing by itself. With a crash within half a second of it, a task at work for seconds is suspected, or resumes from an older checkpoint.

Cause: the leader took the report that arrived last for the newest one. An agent gives a report up after 1.5 s and sends the next; the first may be handled later, since its ends are committed first or the network held it up. Its listing then replaced the newer one: runs vanished and were listed as new (progress, stalls, suspects, older checkpoints).

Change: each report has the number of its listing. An older one's ends count as before; its listing, trouble and paused runs don't. 0, from agents of earlier versions, is taken as it arrives.

Evidence: with the field but without the comparison, the checkpoint test gets 'c1' for 'c2', the suspect test 1 crash for 0.

--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -250,6 +250,8 @@
         crashed: Whether ``lapsed`` is known from a crash of the server.
         started: If so, the runs that the server had received shortly before.
         crash_age_ms: If so, ms since the first call to the server failed.
+        number: Number of the listing within the session; higher ones are
+            newer. 0 from agents of earlier versions.
     """
 
     agent: str
@@ -266,6 +268,7 @@
     crashed: bool = False
     started: list[StartedRun] = []
     crash_age_ms: int = 0
+    number: int = 0
 
 
 class ReportReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -71,23 +71,10 @@
         agent_session.deadline_ms = max(
             agent_session.deadline_ms, request.deadline_ms
         )
-        agent_session.paused = request.paused
-        if request.trouble and self._memory.health.quarantine(
-            request.key, now
-        ):
-            log.log_decision(
-                _logger,
-                'set backend server aside',
-                reason=request.trouble,
-                backend=request.key,
-            )
         effects = []
-        if request.listed:
-            agent_session.record_presence(request.running, now)
-            self._stop_unknown_runs(agent_session, request)
-            self._clear_settled_suspects(agent_session, now)
-            effects = self._observe_interference(agent_session, now)
-            self._watch.observe(agent_session)
+        # Of a report that was held up, the rest is out of date.
+        if agent_session.take_report(request.number):
+            effects = self._take_measurements(agent_session, request, now)
         if request.lapsed:
             self._closer.close_backend(
                 request.key,
@@ -99,6 +86,27 @@
             )
         return message.ReportReply(acked=acked, effects=effects)
 
+    def _take_measurements(self, agent_session, request, now):
+        """Take in what a report shows of the present; return the effects."""
+        agent_session.paused = request.paused
+        if request.trouble and self._memory.health.quarantine(
+            request.key, now
+        ):
+            log.log_decision(
+                _logger,
+                'set backend server aside',
+                reason=request.trouble,
+                backend=request.key,
+            )
+        if not request.listed:
+            return []
+        agent_session.record_presence(request.running, now)
+        self._stop_unknown_runs(agent_session, request)
+        self._clear_settled_suspects(agent_session, now)
+        effects = self._observe_interference(agent_session, now)
+        self._watch.observe(agent_session)
+        return effects
+
     def _is_lapse_of_row(self, request):
         # An agent that reports a lapse doesn't poll, so that a new leader has
         # no session of it.
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -105,6 +105,7 @@
         self._last_number = 0
         self._orders = []
         self._ordered_kinds = {}
+        self._report_number = 0
         self._notify = None
         self._lock = threading.RLock()
 
@@ -267,6 +268,18 @@
         if notify is not None:
             notify()
 
+    def take_report(self, number):
+        """Return whether a report is not older than those taken before.
+
+        Args:
+            number: Number of the report's listing.
+        """
+        with self._lock:
+            if number < self._report_number:
+                return False
+            self._report_number = number
+            return True
+
     def record_presence(self, running, now):
         """Store the listed runs.
 
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -101,6 +101,7 @@
         self._trouble = ''
         self._listed = set()
         self._listing_sent_at = None
+        self._listing_count = 0
         self._effects = {}
         self._pacer = pacing.Pacer()
         self.evidence = crash_evidence.CrashEvidence()
@@ -362,6 +363,7 @@
             now: Monotonic time at which the listing arrived.
         """
         self.evidence.record_listing(now)
+        self._listing_count += 1
         if not self._lease.handle_listing(listing, now):
             return self._build_report(listing)
         ends = [end for end in listing.ends if end.number > self.acked]
@@ -389,6 +391,7 @@
             epoch=self.epoch,
             running=listing.running,
             deadline_ms=self._lease.deadline_ms,
+            number=self._listing_count,
             **fields,
         )
 
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -745,6 +745,58 @@
         task = self.state.workflows.find('w1').find_task('0.0.0')
         self.assertEqual('c7', task.checkpoint)
 
+    def report_listing(self, poll, number, *running):
+        self.ask(
+            message.Report(
+                agent='i',
+                key=poll.key,
+                epoch=poll.epoch,
+                running=list(running),
+                listed=True,
+                number=number,
+            )
+        )
+
+    def test_checkpoint_in_a_delayed_report_replaces_no_newer_one(self):
+        """A lost run resumes from an older checkpoint than was reported."""
+        self.submit('w1', fakes.build_step(saves_progress=True))
+        first = self.poll()
+        self.schedule()
+        ref = workflow_commands.RunRef('w1', '0.0.0', 1)
+        for number, checkpoint in ((2, 'c2'), (1, 'c1')):
+            running = message.Running(ref, checkpoint=checkpoint)
+            self.report_listing(first, number, running)
+        self.poll(born_ms=2)
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual('c2', task.checkpoint)
+
+    def test_delayed_report_makes_no_run_a_suspect(self):
+        """A run at work for long is suspected of a crash as a new one."""
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        running = message.Running(workflow_commands.RunRef('w1', '0.0.0', 1))
+        self.report_listing(first, 2, running)
+        self.advance(2)
+        self.report_listing(first, 1)
+        self.report_listing(first, 3, running)
+        self.poll(born_ms=2)
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual(0, task.crashes)
+
+    def test_numbers_of_reports_begin_again_with_a_new_agent(self):
+        """The reports of a restarted agent are taken for delayed ones."""
+        self.submit('w1', fakes.build_step(saves_progress=True))
+        first = self.poll()
+        self.schedule()
+        ref = workflow_commands.RunRef('w1', '0.0.0', 1)
+        self.report_listing(first, 9, message.Running(ref, checkpoint='c1'))
+        second = self.poll()
+        self.report_listing(second, 1, message.Running(ref, checkpoint='c2'))
+        self.poll(born_ms=2)
+        task = self.state.workflows.find('w1').find_task('0.0.0')
+        self.assertEqual('c2', task.checkpoint)
+
     def test_follower_refuses_requests(self):
         self.replica.leading = False
         self.assertRaises(errors.NotLeaderError, self.poll)
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -499,3 +499,14 @@
         self.clock.advance(clocks.seconds(1))
         self.list()
         self.assertEqual([2], self.list_fitting(2))
+
+
+class ReportOrderTest(RunSupervisorTest):
+    """The leader can't recognise a report that was held up."""
+
+    def test_later_listings_have_higher_numbers(self):
+        """Two listings of a session get the same number."""
+        self.poll()
+        first, second = self.list(), self.list(clock_ms=1100)
+        self.assertLess(0, first.number)
+        self.assertLess(first.number, second.number)
