Take no run time from an end that was heard of late

Callers see: tasks at work on a sound server are stopped and begin again, after the server's agent was cut off from the leader, or there was no leader, for some seconds.

Cause: the run time of a task was the time from its order to the arrival of the report that lists its end. After a silence it includes the silence. Two such ends make a server slow, and the run times outlast the leader's term.

Change: an end counts only if the server was listed within the 1.5 s before.

The forecasts of room and the shares still take such ends as they are, since they count work.

--- a/bilberryhaven/workflow/run_monitor.py
+++ b/bilberryhaven/workflow/run_monitor.py
@@ -13,6 +13,10 @@
 # Least time between two measurements of a server's speed. Servers list their
 # runs at each end, too.
 MIN_INTERVAL = clocks.seconds(0.4)
+# Time between two listings of a server from which on it isn't known when the
+# runs that the later one lists as ended did end. Agents report each end at
+# once, and else at half a second.
+MAX_SILENCE = clocks.seconds(1.5)
 
 
 class RunMonitor:
@@ -37,6 +41,7 @@
         self.copies = copy_outcomes.CopyOutcomes()
         self._slow = {}
         self._due_at = {}
+        self._listed_at = {}
 
     def clear(self):
         """Forget what was measured in an earlier term, but run times."""
@@ -45,6 +50,7 @@
         self.copies.clear()
         self._slow.clear()
         self._due_at.clear()
+        self._listed_at.clear()
 
     def remove(self, backend):
         """Forget a backend server that was closed."""
@@ -52,10 +58,13 @@
         self.speeds.remove(backend)
         self._slow.pop(backend, None)
         self._due_at.pop(backend, None)
+        self._listed_at.pop(backend, None)
 
     def record_ends(self, views, ends, now, wall, *, rack=''):
         """Include runs that have ended.
 
+        A run time is taken only if the server's listings show when it ended.
+
         Args:
             views: ``RunView`` by run, all that the log assigns to the server.
             ends: The ``RunEnd`` rows.
@@ -68,6 +77,8 @@
             if view is None or end.how != workflow_commands.DONE:
                 continue
             self.copies.record_end(end.run, now)
+            if self._was_silent(view.backend, now):
+                continue
             if view.step.saves_progress and end.run.number > 1:
                 # It may have resumed from a checkpoint.
                 continue
@@ -75,6 +86,11 @@
             self.times.record(view.row.queue, seconds, image=view.step.image)
             self.speeds.record_end(view, seconds, now, rack=rack)
 
+    def _was_silent(self, backend, now):
+        """Return whether a server's newest listing is too long ago."""
+        listed_at = self._listed_at.get(backend)
+        return listed_at is None or now - listed_at > MAX_SILENCE
+
     def observe(self, backend, views, present, now, *, rack=''):
         """Take the newest listing of a server into account.
 
@@ -89,6 +105,7 @@
             The ``RunRef`` rows of runs that stand still while others don't;
             none between two measurements.
         """
+        self._listed_at[backend] = now
         runs = self.progress.observe(backend, present, now)
         if now < self._due_at.get(backend, now):
             return []
--- a/tests/test_workflow_server_speed.py
+++ b/tests/test_workflow_server_speed.py
@@ -85,6 +85,37 @@
         self.fleet.run(1)
         self.assertTrue(self.is_slow(SLOW))
 
+    def end_in_silence(self):
+        """End two runs while nothing is heard of their server."""
+        for _ in range(3):
+            self.fleet.add_step('quick', SERVERS, 1.0)
+            self.fleet.run(1.5)
+        for name in ('v1', 'v2'):
+            self.fleet.add(name, SLOW, 1.0)
+        self.fleet.list()
+        self.fleet.run(4, skip=(SLOW,))
+
+    def test_silent_server_is_not_slow(self):
+        """The time at which an end was heard of counts as that of the end.
+
+        The runs of a server that was cut off from the leader are then moved
+        for its slowness, and lose their work.
+        """
+        self.end_in_silence()
+        self.fleet.list()
+        self.assertFalse(self.is_slow(SLOW), self.find(SLOW))
+
+    def test_ends_from_before_the_first_listing_give_no_run_time(self):
+        """The time without a leader counts as run time of the tasks."""
+        self.end_in_silence()
+        times = self.fleet.monitor.times
+        count, mean_s = times.count('surveys'), times.find('surveys')
+        self.fleet.monitor.clear()
+        self.fleet.list()
+        self.assertEqual(
+            (count, mean_s), (times.count('surveys'), times.find('surveys'))
+        )
+
     def test_speed_is_forgotten_without_work(self):
         self.test_slow_server_is_found_from_a_few_listings()
         self.fleet.now += server_speed.SPEED_AGE.total_seconds() + 1
