Measure the pace of runs on leaving servers from two listings

Callers see: a task that ends with its server and begins again, though there was time to start it elsewhere before.

Cause: the remaining time was computed from the progress and the time since the run was listed first, which isn't that of its start: a new leader, or a restarted agent, lists runs that have been at work for long. A run at 50 percent seemed to end within the time since the change of leaders.

Change: the progress since the first listing counts; until there is any, the typical run time of the queue, by the share that is left.

The expected results are as before.

--- a/bilberryhaven/workflow/evacuation.py
+++ b/bilberryhaven/workflow/evacuation.py
@@ -11,9 +11,10 @@
 # Time before a server leaves at which its runs are stopped: until then they
 # make progress, after it a stop might not be confirmed in time.
 LEAD_TIME = clocks.seconds(1.5)
-# A run with less progress than this, in percent, gives no estimate of its
-# remaining time.
+# A run with less progress than this since its first listing, in percent, gives
+# no estimate of its remaining time.
 MIN_PERCENT = 1
+FULL_PERCENT = 100
 # Share of the runs that the typical remaining time covers.
 TYPICAL_SHARE = 0.5
 
@@ -55,9 +56,12 @@
 def _estimate_remaining_s(view, seen, times, now):
     """Return the remaining time of a run in s, or None if unknown."""
     age_s = (now - seen.first_at).total_seconds() if seen is not None else 0.0
-    if seen is not None and seen.running.percent >= MIN_PERCENT:
-        completed = seen.running.percent / 100
-        return age_s * (1 - completed) / completed
-    return times.remaining(
-        view.row.queue, age_s, TYPICAL_SHARE, image=view.step.image
-    )
+    queue, image = view.row.queue, view.step.image
+    if seen is None or not seen.running.percent:
+        return times.remaining(queue, age_s, TYPICAL_SHARE, image=image)
+    left = FULL_PERCENT - seen.running.percent
+    gained = seen.running.percent - seen.first_percent
+    if gained >= MIN_PERCENT:
+        return age_s * left / gained
+    typical_s = times.quantile(queue, TYPICAL_SHARE, image=image)
+    return None if typical_s is None else typical_s * left / FULL_PERCENT
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -21,11 +21,14 @@
         running: The ``Running`` row.
         first_at: Monotonic time at which the run was listed first.
         progressed_at: Monotonic time at which its progress last changed.
+        first_percent: Its progress when it was listed first; it may have been
+            at work before the session began.
     """
 
     running: message.Running
     first_at: datetime.timedelta
     progressed_at: datetime.timedelta
+    first_percent: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -291,11 +294,15 @@
         for row in running:
             old = self.present.get(row.run)
             first_at = old.first_at if old else now
+            first_percent = old.first_percent if old else row.percent
             progressed_at = now
             if old and old.running.percent == row.percent:
                 progressed_at = old.progressed_at
             present[row.run] = Presence(
-                running=row, first_at=first_at, progressed_at=progressed_at
+                running=row,
+                first_at=first_at,
+                progressed_at=progressed_at,
+                first_percent=first_percent,
             )
         self.present = present
         self.listed_at = now
--- a/tests/test_workflow_evacuation.py
+++ b/tests/test_workflow_evacuation.py
@@ -28,7 +28,9 @@
         super().setUp()
         self.times = run_times.RunTimes()
 
-    def list_evacuations(self, step, *, leaves_in, percent=50, age=2):
+    def list_evacuations(
+        self, step, *, leaves_in, percent=50, age=2, first_percent=0
+    ):
         world = fakes.World('a')
         world.submit(fakes.build_workflow('w', step))
         world.start('w', '0.0.0', 1, 'a')
@@ -37,8 +39,12 @@
         agent_session = session.Session(
             key='a', epoch=1, lease_end=NOW, poll=POLL
         )
-        running = [message.Running(ref, percent=percent)]
-        agent_session.record_presence(running, NOW - clocks.seconds(age))
+        for at, listed in (
+            (NOW - clocks.seconds(age), first_percent),
+            (NOW, percent),
+        ):
+            running = [message.Running(ref, percent=listed)]
+            agent_session.record_presence(running, at)
         if leaves_in is not None:
             agent_session.leaves_at = NOW + clocks.seconds(leaves_in)
         refs = evacuation.list_evacuations(
@@ -68,6 +74,32 @@
             found = self.list_evacuations(step, leaves_in=3, percent=percent)
             self.assertEqual(expected, found, percent)
 
+    def test_run_that_was_at_work_before_its_first_listing_moves(self):
+        """A new leader takes a run for one that began at its first listing.
+
+        Of 55 percent, only the last 5 were done in the second since then.
+        """
+        step = fakes.build_step()
+        for percent, expected in ((75, False), (55, True)):
+            found = self.list_evacuations(
+                step, leaves_in=3, percent=percent, age=1, first_percent=50
+            )
+            self.assertEqual(expected, found, percent)
+
+    def test_typical_run_time_counts_until_the_pace_is_known(self):
+        """A run that was just listed first seems to end at once."""
+        step = fakes.build_step()
+        self.times.record('surveys', 10.0)
+        for percent, expected in ((90, False), (50, True)):
+            found = self.list_evacuations(
+                step,
+                leaves_in=3,
+                percent=percent,
+                age=0,
+                first_percent=percent,
+            )
+            self.assertEqual(expected, found, percent)
+
     def test_known_run_times_are_used_before_there_is_progress(self):
         step = fakes.build_step()
         self.assertFalse(self.list_evacuations(step, leaves_in=3, percent=0))
