Exclude an unanswered start of a job before it is given back

Callers see: a job that runs on two instances.

Cause: the agent repeats a start request that got no answer. It took the answer to the repetition (no free slot, no lease, bad input) for the outcome of both and reported the job as refused, so that it was started elsewhere. The first request may be executed later.

Change: after a start without an answer, a refusal makes the agent stop the job; the stop is answered 'absent', which bars the start for good, or with the end of the job. A job that is to stop isn't started again any more.

--- a/bilberryhaven/agent/job.py
+++ b/bilberryhaven/agent/job.py
@@ -40,6 +40,8 @@
         stage: Current stage.
         stop_reason: Reason of a stop order, or None.
         start_error: Error of a start whose outcome is unknown, or empty.
+        start_unknown: Whether a start request got no answer, so that it may
+            still be executed.
         command_pending: Whether a command for the job is in progress.
         share: Share of full speed that is in force.
         desired_share: Share that control orders.
@@ -53,6 +55,7 @@
     stage: JobStage
     stop_reason: str | None = None
     start_error: str = ''
+    start_unknown: bool = False
     command_pending: bool = False
     share: float = 1.0
     desired_share: float = 1.0
--- a/bilberryhaven/agent/jobs.py
+++ b/bilberryhaven/agent/jobs.py
@@ -192,19 +192,26 @@
     def record_start_error(self, job_id, epoch, reason, *, ran, not_running):
         """Record that a start failed.
 
+        After a start without an answer, only a stop excludes that the job
+        runs, whatever a later start is answered.
+
         Args:
             job_id: Id of the job.
             epoch: Epoch of its grant.
             reason: Readable reason.
             ran: Whether the backend server tried to run it.
-            not_running: Whether it certainly isn't running; otherwise the
-                start is repeated.
+            not_running: Whether this start certainly isn't executed;
+                otherwise it is repeated.
         """
         row = self._find(job_id, epoch)
         if row is None:
             return
         row.command_pending = False
-        if not_running:
+        if not not_running:
+            row.start_unknown = True
+        elif row.start_unknown:
+            row.stop_reason = row.stop_reason or reason
+        else:
             self._end(row, 'failed' if ran else 'refused', reason)
 
     def record_doubtful_start(self, job_id, epoch, reason):
@@ -270,7 +277,7 @@
     def _reconcile(self, row, task, now):
         if task is None or task.epoch != row.epoch:
             if row.stage is job.JobStage.STARTING:
-                if row.start_error:
+                if row.stop_reason or row.start_error:
                     return self._stop(row)
                 row.command_pending = True
                 return [job.StartTask(order=row.order)]
