Count a resumed lease from the answer that contains it

Callers see: a job that runs on two instances, if its backend server answered the attachment of a restarted agent late and then went silent.

Cause: the agent counted the rest of the lease from the time at which it had sent the request; the server measured it later. So jobs were reported as stopped up to a call's time limit (1 s) before their lease had ended, which is more than the margin of 0.5 s.

Change: it counts from the arrival of the answer.

--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -224,11 +224,10 @@
         return status
 
     def _attach(self):
-        requested_at = self._clock.monotonic()
         status = self._backend.attach()
         self._admission.adopt.defer([row.id for row in status.requests])
         if not self._boot:
-            self._resume(status, requested_at)
+            self._resume(status)
         self._boot = status.boot
         return status
 
@@ -238,7 +237,7 @@
         self._admission.drop_lease.defer()
         self._on_replaced()
 
-    def _resume(self, status, requested_at):
+    def _resume(self, status):
         """Resume the session of an earlier incarnation if its lease is valid.
 
         Only an agent at the same address is an earlier incarnation.
@@ -252,7 +251,8 @@
         )
         self._session.resume(status.session)
         self._jobs.resume()
-        self._backend_lease_until = requested_at + lease
+        # The rest of the lease was measured before the answer arrived.
+        self._backend_lease_until = self._clock.monotonic() + lease
 
     def _handle_backend_error(self, error):
         _logger.warning('the backend server does not answer: {}', error)
