Take a stopped job for no evidence on its instance

Callers see: jobs that fail again on an instance that was known to be faulty.

Cause: a job that was evicted, or whose session ended, was counted as a try that didn't fail. A stopped probe lifted the quarantine ('a probe succeeded'), and stopped jobs diluted the share of failures: an unknown outcome was taken for a success.

Change: only jobs that finished or failed count.

--- a/bilberryhaven/systems/health.py
+++ b/bilberryhaven/systems/health.py
@@ -44,6 +44,9 @@
                 until = world.now + REFUSAL_DELAY
                 self.memory.backlog.delay(outcome.job_id, until)
                 continue
+            if outcome.kind == outcomes.OutcomeKind.STOPPED:
+                # It was evicted, or its session ended: no evidence.
+                continue
             batch += self._assess_instance(world, outcome)
             if outcome.kind == outcomes.OutcomeKind.FAILED:
                 self._assess_job(world, outcome, holds)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -170,6 +170,42 @@
         self.tick(2)
         self.assertEqual('', self.state.instances.get('a').quarantined)
 
+    def test_probe_that_is_stopped_lifts_no_quarantine(self):
+        """An evicted probe shows nothing, but counts as a success."""
+        self.declare('silt')
+        self.open('a')
+        self.apply_command(session.QuarantineInstance(name='a', reason='bad'))
+        self.submit('silt', 'j', 'k')
+        self.tick(2)
+        self.tick(31, step=SECOND)
+        for row in list(self.state.jobs):
+            if row.instance:
+                self.report('stopped', row.id)
+        self.tick(2)
+        self.assertEqual('bad', self.state.instances.get('a').quarantined)
+        self.assertEqual(1, self.count_on('a'))
+        self.end_jobs(lambda row: False)
+        self.tick(2)
+        self.assertEqual('', self.state.instances.get('a').quarantined)
+
+    def test_stopped_jobs_do_not_hide_a_faulty_instance(self):
+        """Each evicted job counts as one that succeeded there."""
+        self.declare('silt')
+        self.declare('farm')
+        for name in 'abc':
+            self.open(name)
+        names = [f'j{i}' for i in range(90)]
+        self.submit('silt', *names[:45])
+        self.submit('farm', *names[45:])
+        for number in range(40):
+            self.tick(step=SECOND)
+            for row in list(self.state.jobs):
+                if row.instance == 'b' and number % 3 < 2:
+                    self.report('stopped', row.id)
+            self.end_jobs(lambda row: row.instance == 'b')
+        row = self.state.instances.get('b')
+        self.assertIn('failed here', row.quarantined)
+
     def test_jobs_that_fail_everywhere_are_held_without_quarantine(self):
         self.declare('bad')
         self.declare('good')
