Judge a server's health by each end once

Callers see: tasks that fail on a server that had just been set aside.

Cause: each report of an end counted as a new end. A report that was held up brings ends from before those that the leader has: an old success lifted the quarantine, and the log has 'record end' twice.

Change: ends that are acknowledged already aren't judged or measured again.

Evidence: on the code before, the test finds run 2 of w2 ordered on the server that two failures had set aside.

--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -128,14 +128,26 @@
             at=self._clock.wall().timestamp(),
             epoch=request.epoch,
         )
-        self._watch.record_ends(request.key, request.ends)
+        new_ends = self._list_new_ends(request)
+        self._watch.record_ends(request.key, new_ends)
         recorded = self._leader.propose(command)
         ignored = set(recorded.ignored)
-        for end in request.ends:
+        for end in new_ends:
             self._handle_end(request.key, end, ignored=end.run in ignored)
         self._leader.wake()
         return recorded.acked
 
+    def _list_new_ends(self, request):
+        """Return the ends that no earlier report has brought."""
+        with self._memory.lock:
+            row = self._memory.state.backends.find(request.key)
+            acked = row.acked if row is not None else 0
+        return [
+            end
+            for end in request.ends
+            if end.number == 0 or end.number > acked
+        ]
+
     def _handle_end(self, key, end, *, ignored):
         log.log_decision(
             _logger,
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -996,6 +996,25 @@
         task = self.state.workflows.find('w1').find_task('0.0.0')
         self.assertEqual(2, task.last_run)
 
+    def test_repeated_report_of_a_success_lifts_no_quarantine(self):
+        """An end that counted before counts as the newest one.
+
+        A report that was held up contains ends from before the failures.
+        """
+        self.replace()
+        first = self.poll()
+        ends = []
+        for number, how in enumerate(('done', 'failed', 'failed'), 1):
+            self.submit(f'w{number}')
+            ref = workflow_commands.RunRef(f'w{number}', '0.0.0', 1)
+            ends.append(workflow_commands.RunEnd(number, ref, how))
+        self.schedule()
+        self.report(first, *ends)
+        self.report(first, ends[0])
+        self.schedule()
+        task = self.state.workflows.find('w2').find_task('0.0.0')
+        self.assertEqual(1, task.last_run)
+
 
 class InterferenceTest(DispatcherTest):
     """Best-effort tasks of an unmeasured image beside a serving task.
