Take only crashes within 0.15 s for an outage

Change: the window is 0.15 s; notices of one outage lie within some ms, 0.1 s with an agent that is sending a report.

--- a/bilberryhaven/workflow/outage.py
+++ b/bilberryhaven/workflow/outage.py
@@ -15,8 +15,9 @@
 __all__ = ['OutageDetector']
 
 # Crashes within this time may have the same cause. Agents notice a closed
-# connection within some ms, and silence after one call's time limit.
-WINDOW = clocks.seconds(0.5)
+# connection within some ms, but not while they send a report. A task that is
+# started again at once takes longer to crash its next server.
+WINDOW = clocks.seconds(0.15)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
