Confirm a crash at once when the server closes the connection

Cause: an agent waited its usual pause before it tried the closed connection again.

Change: after the first cut it tries again at once; a refused connection then shows the crash. Further failures are retried after the pause.

Evidence: test_connection_is_tried_again_at_once_after_a_cut failed before ([] != [0.1]).

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -391,6 +391,7 @@
             self._stopping.wait(RETRY_DELAY_S)
             return
         except errors.BilberryhavenError as error:
+            was_reachable = self._server_reachable
             self._update_server_reachable(error)
             with self._lock:
                 if _is_same_incarnation(self._supervisor.target, target):
@@ -398,6 +399,9 @@
                     self._supervisor.evidence.record_failure(now)
             gone = isinstance(error, errors.GoneError)
             self._report_lapse(target, gone)
+            if isinstance(error, errors.CutOffError) and was_reachable:
+                # The next connection shows at once whether it has crashed.
+                return
             self._stopping.wait(RETRY_DELAY_S)
             return
         self._update_server_reachable(None)
--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -19,23 +19,28 @@
     Attributes:
         crashed: Whether it is down.
         running: Runs that it has started.
-        on_start: Called with each start request.
     """
 
     def __init__(self, clock):
         self._clock = clock
         self.crashed = False
         self.running = []
-        self.on_start = lambda run: None
+        self._cut = False
+
+    def cut(self):
+        """Close the connection of the next call."""
+        self._cut = True
 
     def _check(self):
+        if self._cut:
+            self._cut = False
+            raise errors.CutOffError('closed', step='test', peer='s')
         if self.crashed:
             raise errors.GoneError('refused', step='test', peer='s')
 
     def start_run(self, target, order, *, deadline_ms, epoch):
         self._check()
         self.running.append(order.run)
-        self.on_start(order.run)
         return server_client.StartResult.STARTED
 
     def stop_run(self, target, run, *, epoch):
@@ -257,3 +262,19 @@
             node.restart()
             node.open()
         self.assertEqual(ACTIVE, self.state.workflows.find('w1').state)
+
+
+class CutOffTest(test_workflow_dispatcher.DispatcherTest):
+    def test_connection_is_tried_again_at_once_after_a_cut(self):
+        """Guards against work sent to a crashed server for 0.1 s more."""
+        self.replace()
+        node = Node(self, 'i')
+        node.open()
+        waits = []
+        node.agent._stopping.wait = waits.append
+        node.server.cut()
+        node.list_runs()
+        self.assertEqual([], waits)
+        node.crash()
+        node.list_runs()
+        self.assertEqual([agent.RETRY_DELAY_S], waits)
