Excuse a crash of a known outage before the verdict

Callers would see: a workflow fails at the third suspicion of a task, although the leader knows at that moment that another server crashed with this one.

Cause: the outage detector is asked before `CloseBackend` is proposed, but its answer was applied by a second command, `ClearSuspects`, after the commit. `record_crash` counted the suspicion in between and gave the workflow up.

Change: `CloseBackend.excused` names the runs of this crash for which another cause is known. They count for `MAX_CRASHES` only. Earlier crashes are still cleared by `ClearSuspects`. An instance of an earlier version ignores the field and counts nothing for them.

Evidence: test_known_outage_does_not_fail_a_workflow failed before the change ('active' != 'failed') and passes with it.

--- a/bilberryhaven/commands/backend.py
+++ b/bilberryhaven/commands/backend.py
@@ -42,6 +42,8 @@
             has registered since, the server may run tasks again and stays.
             0 in entries of earlier versions, which applies to any.
         suspects: If it has crashed, the runs that may have caused that.
+        excused: If it has crashed, further runs that it had just started, but
+            for whose tasks another cause is known.
     """
 
     key: str
@@ -50,6 +52,7 @@
     checkpoints: list[workflow_commands.RunCheckpoint] = []
     epoch: int = 0
     suspects: list[workflow_commands.RunRef] = []
+    excused: list[workflow_commands.RunRef] = []
 
     def apply(self, state):
         """Remove the backend server and end its runs as lapsed.
@@ -62,6 +65,8 @@
             return False
         state.backends.remove(self.key)
         workflow_commands.save_checkpoints(state, self.checkpoints)
-        workflow_commands.record_crash(state, self.key, self.suspects, self.at)
+        workflow_commands.record_crash(
+            state, self.key, self.suspects, self.at, excused=self.excused
+        )
         workflow_commands.end_all_runs(state, self.key, self.at)
         return True
--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -453,7 +453,7 @@
             task.checkpoint = row.checkpoint
 
 
-def record_crash(state, backend, suspects, at):
+def record_crash(state, backend, suspects, at, *, excused=()):
     """Count a crash of a backend server for the tasks started there last.
 
     A workflow fails once several servers have crashed under a task of it. To
@@ -465,9 +465,12 @@
         backend: Key of the backend server.
         suspects: The ``RunRef`` rows of the runs that may have caused it.
         at: Unix time in seconds.
+        excused: The ``RunRef`` rows of further runs that it had just started,
+            but for whose tasks another cause is known; their crashes count
+            for ``MAX_CRASHES`` only.
     """
     counted = []
-    for ref in suspects:
+    for ref in [*suspects, *excused]:
         row = state.workflows.find(ref.workflow)
         if row is None or row.state != workflow.WorkflowState.ACTIVE:
             continue
@@ -478,7 +481,8 @@
         )
         if known and not task.done:
             task.crashes += 1
-            task.suspected_on = [*task.suspected_on, backend]
+            if ref not in excused:
+                task.suspected_on = [*task.suspected_on, backend]
             state.workflows.update(row.id)
             counted.append((row, ref.task, task))
     given_up = [
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -104,6 +104,7 @@
         """
         saved = []
         suspects = []
+        excused = []
         cleared = []
         with self._memory.lock:
             row = self._memory.state.backends.find(key)
@@ -116,9 +117,17 @@
                 agent_session.close()
                 saved = checkpoints.list_checkpoints(agent_session)
             if crashed:
-                suspects = probation.list_suspects(started)
+                fresh = probation.list_suspects(started)
                 crashed_at = self._clock.monotonic() - crash_age
-                cleared = self._outages.record(key, suspects, crashed_at)
+                found = self._outages.record(key, fresh, crashed_at)
+                # What is known by now must not count towards the verdict.
+                for ref in fresh:
+                    suspicion = workflow_commands.Suspicion(
+                        ref.workflow, ref.task, key
+                    )
+                    runs = excused if suspicion in found else suspects
+                    runs.append(ref)
+                cleared = [item for item in found if item.backend != key]
             self._closing[key] = row.epoch
         command = backend_commands.CloseBackend(
             key=key,
@@ -127,6 +136,7 @@
             checkpoints=saved,
             epoch=row.epoch,
             suspects=suspects,
+            excused=excused,
         )
         closed = self._leader.propose(command)
         with self._memory.lock:
@@ -143,7 +153,7 @@
             _logger, 'close backend server', reason=reason, backend=key
         )
         if crashed:
-            self._log_crash(key, suspects, command.at)
+            self._log_crash(key, suspects, excused, command.at)
             self._clear_suspects(cleared)
         self._leader.wake()
 
@@ -162,11 +172,11 @@
             tasks=count,
         )
 
-    def _log_crash(self, key, suspects, at):
+    def _log_crash(self, key, suspects, excused, at):
         with self._memory.lock:
             rows = [
                 (ref, self._memory.state.workflows.find(ref.workflow))
-                for ref in suspects
+                for ref in [*suspects, *excused]
             ]
             counts = [
                 (
@@ -190,7 +200,8 @@
             'record crash',
             reason='runs that had just been started are suspected',
             backend=key,
-            suspects=len(counts),
+            suspects=len(suspects),
+            excused=len(excused),
             crashes=counts,
         )
         for workflow_id, reason in failed.items():
--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -263,6 +263,28 @@
             node.open()
         self.assertEqual(ACTIVE, self.state.workflows.find('w1').state)
 
+    def test_known_outage_does_not_fail_a_workflow(self):
+        """Guards against a verdict that a known outage had to prevent."""
+        node = self.add_node('i')
+        self.submit('w1')
+        for _ in range(2):
+            self.start_everything(node)
+            node.crash()
+            node.list_runs()
+            self.advance(10)
+            node.restart()
+            node.open()
+        self.start_everything(node)
+        other = self.add_node('j')
+        for crashed in (other, node):
+            crashed.crash()
+        for crashed in (other, node):
+            crashed.list_runs()
+        row = self.state.workflows.find('w1')
+        task = row.find_task(KEY)
+        self.assertEqual(ACTIVE, row.state)
+        self.assertEqual((3, 2), (task.crashes, len(task.suspected_on)))
+
 
 class CutOffTest(test_workflow_dispatcher.DispatcherTest):
     def test_connection_is_tried_again_at_once_after_a_cut(self):
