Send the age that a crash has when it is reported

Callers would see: tasks stay suspected of crashes in an outage during which no leader was in reach; three of these fail their workflow.

Cause: `crash_age_ms` was measured once, when the session ended. A report that is sent again later said the same, so that the leader took the crash to be as much younger. Crashes of one moment no longer lay within 0.15 s of each other.

Change: the agent adds the time since the report was built at each attempt.

Evidence: test_report_that_was_held_up_tells_the_time_of_the_crash failed before the change ((1, []) != (1, ['s-i@1'])) and passes with it.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -4,6 +4,8 @@
 import threading
 import zlib
 
+import msgspec
+
 from bilberryhaven import actor
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
@@ -25,6 +27,7 @@
 HOLD_WAIT_MS = 400
 # Pause after a failed call before it is retried.
 RETRY_DELAY_S = 0.1
+MILLISECOND = clocks.seconds(0.001)
 IDLE_DELAY_S = 0.05
 # Orders are executed concurrently, so that one that gets no answer does not
 # delay the others.
@@ -88,6 +91,7 @@
         self._server_reachable = None
         # Report on the session that ended last, until the leader has it.
         self._lapse_report = None
+        self._lapsed_at = None
         self._stopping = threading.Event()
         self._actors = []
         self._stop_tickers = []
@@ -501,8 +505,9 @@
             self._send_lapse_report(report)
 
     def _send_lapse_report(self, report):
+        request = self._update_crash_age(report)
         try:
-            self._gateway.send(report, timeout=REPORT_TIMEOUT, step='report')
+            self._gateway.send(request, timeout=REPORT_TIMEOUT, step='report')
         except errors.FencedError as error:
             _logger.debug('session had ended at the leader before: {}', error)
         except errors.BilberryhavenError as error:
@@ -512,6 +517,15 @@
             if self._lapse_report is report:
                 self._lapse_report = None
 
+    def _update_crash_age(self, report):
+        """Return a lapse report with the age that the crash has now."""
+        with self._lock:
+            if self._lapse_report is not report or not report.crashed:
+                return report
+            delay = self._clock.monotonic() - self._lapsed_at
+        age_ms = report.crash_age_ms + delay // MILLISECOND
+        return msgspec.structs.replace(report, crash_age_ms=age_ms)
+
     def _end_lapsed_session(self, target, gone, now):
         supervisor = self._supervisor
         if not supervisor.epoch or not _is_same_incarnation(
@@ -527,6 +541,7 @@
         started = supervisor.evidence.list_started(now) if crashed else []
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
+        self._lapsed_at = now
         self._lapse_report = message.Report(
             agent=target.state.id,
             key=supervisor.key,
--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -1,5 +1,7 @@
 """Crashes of backend servers that no task has caused, as agents see them."""
 
+import contextlib
+
 from bilberryhaven import errors
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import agent
@@ -75,6 +77,7 @@
         self._test = test
         self._life = 0
         self._orders = []
+        self._cut_off = False
         self.server = FakeServer(test.clock)
         self.agent = agent.WorkflowAgent(
             name=name,
@@ -106,8 +109,17 @@
             )
         )
 
+    @contextlib.contextmanager
+    def cut_from_leader(self):
+        """Let requests to the leader fail."""
+        self._cut_off = True
+        yield
+        self._cut_off = False
+
     def send(self, request, *, timeout, step):
         """Send a request to the leader, as a ``Gateway`` does."""
+        if self._cut_off:
+            raise errors.PeerError('no answer', step=step, peer='leader')
         return self._test.ask(request)
 
     def tell(self, execute):
@@ -285,6 +297,24 @@
         self.assertEqual(ACTIVE, row.state)
         self.assertEqual((3, 2), (task.crashes, len(task.suspected_on)))
 
+    def test_report_that_was_held_up_tells_the_time_of_the_crash(self):
+        """Guards against outages that aren't recognised while none leads."""
+        nodes = [self.add_node(name) for name in 'ij']
+        self.submit('w1')
+        self.schedule()
+        for node in nodes:
+            node.take_orders()
+            node.execute_orders()
+        for node in nodes:
+            node.crash()
+            with node.cut_from_leader():
+                node.list_runs()
+        for node in nodes:
+            self.advance(1)
+            node.list_runs()
+        task = self.state.workflows.find('w1').find_task(KEY)
+        self.assertEqual((1, []), (task.crashes, task.suspected_on))
+
 
 class CutOffTest(test_workflow_dispatcher.DispatcherTest):
     def test_connection_is_tried_again_at_once_after_a_cut(self):
