Compare crashes whose reports were held up

Callers would see: tasks stay suspected of crashes in an outage if the report of one of the servers arrives after the report of a later crash elsewhere.

Cause: the outage detector dropped all crashes older than 0.15 s at each report, counted from that report's crash. A report that arrives late found none of its own time.

Change: crashes are kept for 10 s; the window of 0.15 s stays.

Evidence: the new row of TestDetector.test_crashes failed before the change (['', '', 'x@c v@a'] != ['', '', '']) and passes with it.

--- a/bilberryhaven/workflow/outage.py
+++ b/bilberryhaven/workflow/outage.py
@@ -5,7 +5,6 @@
 it, so what crashes together has another cause than any task of one server.
 """
 
-import collections
 import dataclasses
 import datetime
 
@@ -18,6 +17,8 @@
 # connection within some ms, but not while they send a report. A task that is
 # started again at once takes longer to crash its next server.
 WINDOW = clocks.seconds(0.15)
+# Crashes are kept for longer, since their reports may be held up.
+RETENTION = clocks.seconds(10)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,7 +43,7 @@
     """
 
     def __init__(self):
-        self._crashes = collections.deque()
+        self._crashes = []
 
     def record(self, key, suspects, at):
         """Record a crash.
@@ -60,8 +61,9 @@
             The ``Suspicion`` rows that are cleared now, of this crash and of
             earlier ones.
         """
-        while self._crashes and at - self._crashes[0].at > WINDOW:
-            self._crashes.popleft()
+        self._crashes = [
+            crash for crash in self._crashes if at - crash.at <= RETENTION
+        ]
         tasks = frozenset((ref.workflow, ref.task) for ref in suspects)
         crash = Crash(key=key, at=at, tasks=tasks)
         cleared = []
--- a/tests/test_workflow_outage.py
+++ b/tests/test_workflow_outage.py
@@ -48,6 +48,8 @@
             (['', '', 'w@a w@b'], [(0, 'w'), (0.1, 'w'), (0.15, '')]),
             # The first report of an outage may be the last one to arrive.
             (['', 'v@b'], [(0.1, ''), (0, 'v')]),
+            # A later crash elsewhere may be reported in between.
+            (['', '', 'x@c v@a'], [(0, 'v'), (2, 'w'), (0.1, 'x')]),
         ):
             self.assertEqual(expected, self.list_cleared(*crashes))
 
