Take a start that was never sent for no cut-off start

Callers would see: a task can be suspected of a crash of a server that never received its start.

Cause: a new connection to a server is first checked with a call of its own, before the start is sent on it. If the server closed the connection during the check, the start failed with `CutOffError`, which the agent takes for a start that the server had received.

Change: a check without an answer raises a plain `PeerError`.

Evidence: test_start_that_was_never_sent_is_not_cut_off failed before the change (CutOffError after a single request, `/hold`) and passes with it.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -1,6 +1,7 @@
 """The infrastructure's workers: their heartbeats and a client for them."""
 
 import functools
+import http.client
 import threading
 import typing
 
@@ -296,13 +297,20 @@
 
     Raises:
         GoneError: It leads to another incarnation.
-        PeerError: The answer can't be decoded.
+        PeerError: There is no answer, or it can't be decoded. The call for
+            which the connection was opened isn't sent.
     """
     # Neither acknowledges ends nor extends the lease: another incarnation
     # numbers its ends and counts its clock from the start again.
     body = msgspec.json.encode({'fencing_token': epoch, 'ack_cursor': 0})
-    conn.request('POST', '/hold', body=body, headers=_build_headers(target))
-    response = conn.getresponse()
+    headers = _build_headers(target)
+    try:
+        conn.request('POST', '/hold', body=body, headers=headers)
+        response = conn.getresponse()
+    except (OSError, http.client.HTTPException) as error:
+        raise errors.PeerError(
+            f'no answer: {error}', step='connect', peer=target.address
+        ) from error
     try:
         born_ms = msgspec.json.decode(response.data, type=_Identity).born
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -4,6 +4,8 @@
 """
 
 import json
+import socket
+import threading
 
 import testtools
 
@@ -104,3 +106,29 @@
         self.assertRaises(errors.GoneError, self.hold, target)
         self.start_incarnation(1)
         self.assertEqual(1, self.hold(target).born_ms)
+
+    def start_closing_server(self):
+        """Start a server that closes each connection after one request."""
+        host, port = self.address.split(':')
+        listener = socket.create_server((host, int(port)))
+        self.addCleanup(listener.close)
+        self.requests = []
+
+        def serve():
+            conn, _ = listener.accept()
+            with conn:
+                self.requests.append(conn.recv(65536).split(b' ')[1])
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        return thread
+
+    def test_start_that_was_never_sent_is_not_cut_off(self):
+        """Guards against tasks suspected of a crash before their start."""
+        thread = self.start_closing_server()
+        error = self.assertRaises(
+            errors.PeerError, self.start, self.build_target(1)
+        )
+        thread.join(5)
+        self.assertEqual([b'/hold'], self.requests)
+        self.assertNotIsInstance(error, errors.CutOffError)
