--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -134,6 +134,15 @@
         self.assertEqual(3, self.starts['w1', KEY])
         self.assertEqual(FAILED, self.find_state('w1'))
 
+    def test_deadly_gang_is_given_up(self):
+        """Its members crash several servers at the same time."""
+        self.deadly = {('w1', f'0.0.{index}') for index in range(3)}
+        self.submit('w1', fakes.build_step(tasks=3, cpu=40_000, gang=True))
+        self.play(60)
+        self.assertEqual(FAILED, self.find_state('w1'))
+        for task in self.deadly:
+            self.assertLessEqual(self.starts[task], 5)
+
     def test_tasks_that_ran_beside_deadly_ones_complete(self):
         """Innocent tasks were lost with each server that crashed."""
         self.deadly = {('w3', '0.0.1'), ('w7', KEY), ('w8', '0.0.2')}
