Report a crash before the next session is asked for

Callers would see: a task that crashes each server may be started more often than the limit if reports get lost while polls arrive.

Cause: the agent sends the report of a crash and then its poll for the next incarnation, also if the report got no answer. The leader then closes the former incarnation for the poll, without the evidence.

Change: for up to 2 s, the poll waits until the report is delivered.

Evidence: test_report_of_a_crash_precedes_the_next_session failed before the change (1 != 0) and passes with it.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -27,6 +27,8 @@
 HOLD_WAIT_MS = 400
 # Pause after a failed call before it is retried.
 RETRY_DELAY_S = 0.1
+# Longest time for which the report of a crash delays the next session.
+MAX_REPORT_DELAY = clocks.seconds(2)
 MILLISECOND = clocks.seconds(0.001)
 IDLE_DELAY_S = 0.05
 # Orders are executed concurrently, so that one that gets no answer does not
@@ -162,6 +164,9 @@
             # The poll of a later incarnation closes the former one, too, but
             # without the evidence of its crash.
             self._send_lapse_report(lapse_report)
+            if self._must_report_first():
+                self._stopping.wait(RETRY_DELAY_S)
+                return
         sent_at = self._clock.monotonic()
         try:
             reply = self._gateway.send(poll, timeout=POLL_TIMEOUT, step='poll')
@@ -517,6 +522,17 @@
             if self._lapse_report is report:
                 self._lapse_report = None
 
+    def _must_report_first(self):
+        """Return whether a crash has to be reported before the next poll."""
+        now = self._clock.monotonic()
+        with self._lock:
+            report = self._lapse_report
+            return (
+                report is not None
+                and report.crashed
+                and now - self._lapsed_at < MAX_REPORT_DELAY
+            )
+
     def _update_crash_age(self, report):
         """Return a lapse report with the age that the crash has now."""
         with self._lock:
--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -78,6 +78,7 @@
         self._life = 0
         self._orders = []
         self._cut_off = False
+        self._lost_reports = 0
         self.server = FakeServer(test.clock)
         self.agent = agent.WorkflowAgent(
             name=name,
@@ -116,8 +117,15 @@
         yield
         self._cut_off = False
 
+    def lose_reports(self, count):
+        """Let the next reports to the leader fail."""
+        self._lost_reports = count
+
     def send(self, request, *, timeout, step):
         """Send a request to the leader, as a ``Gateway`` does."""
+        if self._lost_reports and isinstance(request, message.Report):
+            self._lost_reports -= 1
+            raise errors.PeerError('no answer', step=step, peer='leader')
         if self._cut_off:
             raise errors.PeerError('no answer', step=step, peer='leader')
         return self._test.ask(request)
@@ -297,6 +305,34 @@
         self.assertEqual(ACTIVE, row.state)
         self.assertEqual((3, 2), (task.crashes, len(task.suspected_on)))
 
+    def test_report_of_a_crash_precedes_the_next_session(self):
+        """Guards against deadly tasks whose crashes no leader hears of."""
+        node = self.add_node('i')
+        self.submit('w1')
+        self.start_everything(node)
+        node.crash()
+        with node.cut_from_leader():
+            node.list_runs()
+        node.restart()
+        node.list_runs()
+        node.lose_reports(1)
+        for _ in range(2):
+            node.take_orders()
+        self.assertEqual(1, self.count_crashes())
+
+    def test_lost_reports_do_not_keep_a_server_away(self):
+        """Guards against servers without a session while reports fail."""
+        node = self.add_node('i')
+        node.crash()
+        node.lose_reports(100)
+        node.list_runs()
+        node.restart()
+        node.list_runs()
+        self.advance(2)
+        node.take_orders()
+        keys = [row.key for row in self.state.backends]
+        self.assertEqual(['s-i@2'], keys)
+
     def test_report_that_was_held_up_tells_the_time_of_the_crash(self):
         """Guards against outages that aren't recognised while none leads."""
         nodes = [self.add_node(name) for name in 'ij']
