--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -1,5 +1,7 @@
 """Crashes of backend servers that no task has caused, as agents see them."""
 
+import contextlib
+
 from bilberryhaven import errors
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import agent
@@ -75,6 +77,8 @@
         self._test = test
         self._life = 0
         self._orders = []
+        self._cut_off = False
+        self._lost_reports = 0
         self.server = FakeServer(test.clock)
         self.agent = agent.WorkflowAgent(
             name=name,
@@ -106,8 +110,24 @@
             )
         )
 
+    @contextlib.contextmanager
+    def cut_from_leader(self):
+        """Let requests to the leader fail."""
+        self._cut_off = True
+        yield
+        self._cut_off = False
+
+    def lose_reports(self, count):
+        """Let the next reports to the leader fail."""
+        self._lost_reports = count
+
     def send(self, request, *, timeout, step):
         """Send a request to the leader, as a ``Gateway`` does."""
+        if self._lost_reports and isinstance(request, message.Report):
+            self._lost_reports -= 1
+            raise errors.PeerError('no answer', step=step, peer='leader')
+        if self._cut_off:
+            raise errors.PeerError('no answer', step=step, peer='leader')
         return self._test.ask(request)
 
     def tell(self, execute):
@@ -263,6 +283,74 @@
             node.open()
         self.assertEqual(ACTIVE, self.state.workflows.find('w1').state)
 
+    def test_known_outage_does_not_fail_a_workflow(self):
+        """Guards against a verdict that a known outage had to prevent."""
+        node = self.add_node('i')
+        self.submit('w1')
+        for _ in range(2):
+            self.start_everything(node)
+            node.crash()
+            node.list_runs()
+            self.advance(10)
+            node.restart()
+            node.open()
+        self.start_everything(node)
+        other = self.add_node('j')
+        for crashed in (other, node):
+            crashed.crash()
+        for crashed in (other, node):
+            crashed.list_runs()
+        row = self.state.workflows.find('w1')
+        task = row.find_task(KEY)
+        self.assertEqual(ACTIVE, row.state)
+        self.assertEqual((3, 2), (task.crashes, len(task.suspected_on)))
+
+    def test_report_of_a_crash_precedes_the_next_session(self):
+        """Guards against deadly tasks whose crashes no leader hears of."""
+        node = self.add_node('i')
+        self.submit('w1')
+        self.start_everything(node)
+        node.crash()
+        with node.cut_from_leader():
+            node.list_runs()
+        node.restart()
+        node.list_runs()
+        node.lose_reports(1)
+        for _ in range(2):
+            node.take_orders()
+        self.assertEqual(1, self.count_crashes())
+
+    def test_lost_reports_do_not_keep_a_server_away(self):
+        """Guards against servers without a session while reports fail."""
+        node = self.add_node('i')
+        node.crash()
+        node.lose_reports(100)
+        node.list_runs()
+        node.restart()
+        node.list_runs()
+        self.advance(2)
+        node.take_orders()
+        keys = [row.key for row in self.state.backends]
+        self.assertEqual(['s-i@2'], keys)
+
+    def test_report_that_was_held_up_tells_the_time_of_the_crash(self):
+        """Guards against outages that aren't recognised while none leads."""
+        nodes = [self.add_node(name) for name in 'ij']
+        self.submit('w1')
+        self.schedule()
+        for node in nodes:
+            node.take_orders()
+            node.execute_orders()
+        for node in nodes:
+            node.crash()
+            with node.cut_from_leader():
+                node.list_runs()
+        for node in nodes:
+            self.advance(1)
+            node.list_runs()
+        task = self.state.workflows.find('w1').find_task(KEY)
+        self.assertEqual((1, []), (task.crashes, task.suspected_on))
+
 
 class CutOffTest(test_workflow_dispatcher.DispatcherTest):
     def test_connection_is_tried_again_at_once_after_a_cut(self):
