Split the assessment of a crash from the closing of its server

No change of behaviour: the closing had grown to three lists and a loop. Two doc comments of tests and one of probation are reworded.

Checked: tests of outages, crash evidence and server speeds pass.

--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -103,9 +103,7 @@
             crash_age: If so, time since then, a timedelta.
         """
         saved = []
-        suspects = []
-        excused = []
-        cleared = []
+        suspects, excused, cleared = [], [], []
         with self._memory.lock:
             row = self._memory.state.backends.find(key)
             replaced = self._memory.sessions.find(key) is not agent_session
@@ -117,17 +115,9 @@
                 agent_session.close()
                 saved = checkpoints.list_checkpoints(agent_session)
             if crashed:
-                fresh = probation.list_suspects(started)
-                crashed_at = self._clock.monotonic() - crash_age
-                found = self._outages.record(key, fresh, crashed_at)
-                # What is known by now must not count towards the verdict.
-                for ref in fresh:
-                    suspicion = workflow_commands.Suspicion(
-                        ref.workflow, ref.task, key
-                    )
-                    runs = excused if suspicion in found else suspects
-                    runs.append(ref)
-                cleared = [item for item in found if item.backend != key]
+                suspects, excused, cleared = self._assess_crash(
+                    key, started, crash_age
+                )
             self._closing[key] = row.epoch
         command = backend_commands.CloseBackend(
             key=key,
@@ -157,6 +147,27 @@
             self._clear_suspects(cleared)
         self._leader.wake()
 
+    def _assess_crash(self, key, started, crash_age):
+        """Determine which runs may have caused a crash.
+
+        Returns:
+            The ``RunRef`` rows of the suspects, those of the runs that an
+            outage excuses, and the ``Suspicion`` rows of earlier crashes that
+            it clears as well.
+        """
+        fresh = probation.list_suspects(started)
+        crashed_at = self._clock.monotonic() - crash_age
+        cleared = self._outages.record(key, fresh, crashed_at)
+        suspects, excused = [], []
+        for ref in fresh:
+            suspicion = workflow_commands.Suspicion(
+                ref.workflow, ref.task, key
+            )
+            runs = excused if suspicion in cleared else suspects
+            runs.append(ref)
+        earlier = [item for item in cleared if item.backend != key]
+        return suspects, excused, earlier
+
     def _clear_suspects(self, suspicions):
         """Clear tasks of crashes that an outage explains."""
         if not suspicions:
--- a/bilberryhaven/workflow/probation.py
+++ b/bilberryhaven/workflow/probation.py
@@ -2,8 +2,8 @@
 
 Such a task crashes its server soon after its start. So the runs started last
 are suspected of a crash, and a suspected task is started again apart from the
-newly started runs of other workflows: if that server crashes too, the task is
-known to be the cause.
+newly started runs of other workflows, so that further crashes show which task
+is the cause.
 """
 
 from bilberryhaven import clock as clocks
--- a/tests/test_workflow_server_speed.py
+++ b/tests/test_workflow_server_speed.py
@@ -86,7 +86,7 @@
         self.assertTrue(self.is_slow(SLOW))
 
     def end_in_silence(self):
-        """End two runs while nothing is heard of their server."""
+        """End two runs while their server sends no listing."""
         for _ in range(3):
             self.fleet.add_step('quick', SERVERS, 1.0)
             self.fleet.run(1.5)
@@ -96,7 +96,7 @@
         self.fleet.run(4, skip=(SLOW,))
 
     def test_silent_server_is_not_slow(self):
-        """The time at which an end was heard of counts as that of the end.
+        """The time of the report counts as the time of the end.
 
         The runs of a server that was cut off from the leader are then moved
         for its slowness, and lose their work.
