--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -270,10 +270,7 @@
         task = self.state.workflows.find('w1').find_task(KEY)
         self.assertEqual((0, []), (task.crashes, task.suspected_on))
 
-    def test_single_crashes_far_apart_fail_no_workflow(self):
-        """Guards against a verdict after two crashes by chance."""
-        node = self.add_node('i')
-        self.submit('w1')
+    def crash_alone_twice(self, node):
         for _ in range(2):
             self.start_everything(node)
             node.crash()
@@ -281,19 +278,19 @@
             self.advance(10)
             node.restart()
             node.open()
+
+    def test_single_crashes_far_apart_fail_no_workflow(self):
+        """Guards against a verdict after two crashes by chance."""
+        node = self.add_node('i')
+        self.submit('w1')
+        self.crash_alone_twice(node)
         self.assertEqual(ACTIVE, self.state.workflows.find('w1').state)
 
     def test_known_outage_does_not_fail_a_workflow(self):
         """Guards against a verdict that a known outage had to prevent."""
         node = self.add_node('i')
         self.submit('w1')
-        for _ in range(2):
-            self.start_everything(node)
-            node.crash()
-            node.list_runs()
-            self.advance(10)
-            node.restart()
-            node.open()
+        self.crash_alone_twice(node)
         self.start_everything(node)
         other = self.add_node('j')
         for crashed in (other, node):
