--- a/review/deployment.py
+++ b/review/deployment.py
@@ -278,6 +278,8 @@
             self.find_address(name, 'control'),
             '--events',
             str(self.folder / f'{name}.events'),
+            '--gangs',
+            str(self.folder / 'gangs'),
             *self.machines[name].worker,
         ]
         self._spawn((name, 'worker'), command, dict(os.environ))
@@ -317,6 +319,13 @@
         process.wait()
         self.record.write(f'killed {name} {role}')
 
+    def crash_worker(self, name):
+        """Kill a worker; the gangs of which it had a member are broken."""
+        self.kill(name, 'worker')
+        for path in (self.folder / 'gangs').glob(f'*/member-*@i-{name}'):
+            if not (path.parent / 'done').exists():
+                (path.parent / 'broken').touch()
+
     def terminate(self, name, role):
         """Stop a process by SIGTERM, and by SIGKILL after the grace time."""
         process = self.processes.pop((name, role))
--- a/review/worker.py
+++ b/review/worker.py
@@ -8,6 +8,7 @@
 import http.server
 import json
 import math
+import pathlib
 import re
 import socketserver
 import threading
@@ -17,6 +18,7 @@
 MAX_WAIT_MS = 2_000
 MAX_LEASE_MS = 10_000
 MAX_ENDS = 500
+GANG_TIMEOUT_S = 3.0
 CALL_TIMEOUT_S = 1.0
 
 
@@ -25,14 +27,17 @@
 
     Args:
         events: Path of the file for starts and ends.
+        gangs: Path of the folder in which the workers tell each other which
+            members of a gang are present, and that one has ended.
         worker_id: Id of the worker.
     """
 
-    def __init__(self, *, events, worker_id):
+    def __init__(self, *, events, gangs, worker_id):
         self.born = int(time.time() * 1000)
         self.condition = threading.Condition()
         self._id = worker_id
         self._events = events
+        self._gangs = pathlib.Path(gangs)
         self._origin = time.monotonic()
         self._runs = {}
         self._ends = []
@@ -64,14 +69,38 @@
             for task in list(self._runs):
                 self._end(task, 'lapsed')
         for task, run in list(self._runs.items()):
-            if now >= run['ends_at']:
+            if run['gang']:
+                self._advance_member(task, run, now)
+            elif now >= run['began_at'] + run['length']:
                 self._end(task, 'done')
 
+    def _advance_member(self, task, run, now):
+        """End or begin the run of a member of a gang."""
+        folder = self._find_gang(task, run['run'])
+        if (folder / 'done').exists():
+            self._end(task, 'done')
+        elif (folder / 'broken').exists():
+            self._end(task, 'broken')
+        elif run['began_at'] is None:
+            if len(list(folder.glob('member-*'))) == run['gang']:
+                run['began_at'] = now
+            elif now >= run['came_at'] + GANG_TIMEOUT_S:
+                self._end(task, 'alone')
+        elif now >= run['began_at'] + run['length']:
+            self._end(task, 'done')
+
+    def _find_gang(self, task, number):
+        step = task.rpartition('.')[0]
+        return self._gangs / f'{step}.{number}'
+
     def _end(self, task, how):
         run = self._runs.pop(task)
         self._number += 1
         self._ends.append([self._number, task, run['run'], how, ''])
         self.write('end', task=task, run=run['run'], how=how)
+        if run['gang']:
+            mark = 'done' if how == 'done' else 'broken'
+            (self._find_gang(task, run['run']) / mark).touch()
         self.condition.notify_all()
 
     def _admit(self, fields):
@@ -101,11 +130,20 @@
             return 409, {'reason': 'late'}
         self._extend(fields['deadline_ms'])
         self._newest_run[task] = number
+        length, gang = _read_spec(fields['spec'])
+        now = time.monotonic()
         self._runs[task] = {
             'run': number,
-            'began_at': time.monotonic(),
-            'ends_at': time.monotonic() + _read_duration(fields['spec']),
+            'came_at': now,
+            'began_at': None if gang else now,
+            'length': length,
+            'gang': gang,
         }
+        if gang:
+            folder = self._find_gang(task, number)
+            folder.mkdir(parents=True, exist_ok=True)
+            index = task.rpartition('.')[2]
+            (folder / f'member-{index}@{self._id}').touch()
         self.write('start', task=task, run=number, spec=fields['spec'])
         return 200, {}
 
@@ -139,16 +177,22 @@
 
     def _list_run(self, task):
         run = self._runs[task]
-        passed = time.monotonic() - run['began_at']
-        length = run['ends_at'] - run['began_at']
-        percent = 100 if length == math.inf else int(100 * passed / length)
-        return [task, run['run'], '', min(percent, 100), 0]
-
-
-def _read_duration(spec):
-    """Return how long a task with this spec runs, in seconds."""
-    match = re.match(r'runs ([0-9.]+) s', spec)
-    return float(match[1]) if match else math.inf
+        percent = 0
+        if run['began_at'] is not None:
+            passed = time.monotonic() - run['began_at']
+            share = 1 if run['length'] == math.inf else passed / run['length']
+            percent = min(int(100 * share), 100)
+        return [task, run['run'], '', percent, 0]
+
+
+def _read_spec(spec):
+    """Return how long a task runs in seconds, and the size of its gang."""
+    length = re.match(r'runs ([0-9.]+) s', spec)
+    gang = re.search(r'([0-9]+) together', spec)
+    return (
+        float(length[1]) if length else math.inf,
+        int(gang[1]) if gang else 0,
+    )
 
 
 class _Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
@@ -253,14 +297,22 @@
 def main():
     """Run one life of a worker until the process is ended."""
     parser = argparse.ArgumentParser()
-    for name in ('id', 'zone', 'service', 'listen', 'agent', 'events'):
+    for name in (
+        'id',
+        'zone',
+        'service',
+        'listen',
+        'agent',
+        'events',
+        'gangs',
+    ):
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--cpu', type=int, default=16_000)
     parser.add_argument('--memory-mb', type=int, default=64_000)
     parser.add_argument('--labels', default='a,r1-1')
     parser.add_argument('--heartbeat-ms', type=int, default=1_500)
     args = parser.parse_args()
-    model = Model(events=args.events, worker_id=args.id)
+    model = Model(events=args.events, gangs=args.gangs, worker_id=args.id)
     host, _, port = args.listen.partition(':')
     server = _Server((host, int(port)), _build_handler(model, args.id))
     threading.Thread(target=server.serve_forever, daemon=True).start()
