--- a/review/worker.py
+++ b/review/worker.py
@@ -130,7 +130,7 @@
             return 409, {'reason': 'late'}
         self._extend(fields['deadline_ms'])
         self._newest_run[task] = number
-        length, gang = _read_spec(fields['spec'])
+        length, gang, tail_ms = _read_spec(fields['spec'])
         now = time.monotonic()
         self._runs[task] = {
             'run': number,
@@ -138,6 +138,7 @@
             'began_at': None if gang else now,
             'length': length,
             'gang': gang,
+            'tail_ms': tail_ms,
         }
         if gang:
             folder = self._find_gang(task, number)
@@ -182,16 +183,23 @@
             passed = time.monotonic() - run['began_at']
             share = 1 if run['length'] == math.inf else passed / run['length']
             percent = min(int(100 * share), 100)
-        return [task, run['run'], '', percent, 0]
+        return [task, run['run'], '', percent, run['tail_ms']]
 
 
 def _read_spec(spec):
-    """Return how long a task runs in seconds, and the size of its gang."""
+    """Return what a spec says of its task.
+
+    Returns:
+        How long it runs in seconds, the size of its gang, and its tail
+        latency in ms.
+    """
     length = re.match(r'runs ([0-9.]+) s', spec)
     gang = re.search(r'([0-9]+) together', spec)
+    tail = re.search(r'tail ([0-9]+) ms', spec)
     return (
         float(length[1]) if length else math.inf,
         int(gang[1]) if gang else 0,
+        int(tail[1]) if tail else 0,
     )
 
 
