--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,8 +9,6 @@
 FIRST = ('frontend-a-1', 'frontend-b-1', 'frontend-c-1')
 OTHER = ('frontend-a-2', 'frontend-b-2', 'frontend-c-2')
 JOB = '5c0e7a21d94b36f8'
-SECOND_JOB = '5c0e7a21d94b36f9'
-STEPS = [{'task_count': 2, 'cpu': 500, 'mem_mb': 256, 'estimate_ms': 900}]
 LASTING = [
     {
         'task_count': 1,
@@ -82,10 +80,6 @@
         breaks.append(f'LOST: no answer for the accepted job {JOB}')
     if not any(fleet.read_config().values()):
         breaks.append('CONFIG: the configuration is not read back')
-    body = {'spec': 'runs 0.5 s', 'steps': STEPS}
-    status, _ = fleet.ask('POST', SECOND_JOB, body)
-    if status != 200:
-        fleet.record.write('no entry takes a job any more')
     exited = fleet.list_exited()
     if exited:
         fleet.record.write(f'ended by themselves: {exited}')
