Learn the members of the quorum in one way in all processes

Cause: each kind of process learned the members in another way, and each way had a gap. The logs of a run show a leader of the voters all the time, and an agent that lost it 2 s after its own restart, before any control instance was restarted: instances that are no members have no log to name the leader from, dropped the members' announcements, and asked their own seeds in a circle; a reload of the settings replaced the list that an agent had from its polls; entries and operators' handlers had the seeds alone.

Change: members that follow a leader confirm the members in their log. All other processes exchange the most recent confirmation, by its age, with any process that they know; seeds are contacts to ask. Control instances with a disk store the members; those that are no member redirect to one.

--- a/bilberryhaven/agent/leader_client.py
+++ b/bilberryhaven/agent/leader_client.py
@@ -31,18 +31,20 @@
     Args:
         client: The ``wire.client.Client``.
         entries: Addresses of entries.
-        control: Addresses of control instances.
+        list_control: Function that returns the addresses of the control
+            instances to ask.
         name: Name of the agent; its hash picks the first entry, which
             spreads agents over the entries.
         clock: Source of the monotonic time.
     """
 
-    def __init__(self, *, client, entries, control, name, clock):
+    def __init__(self, *, client, entries, list_control, name, clock):
         self._client = client
         self._clock = clock
         first = zlib.crc32(name.encode()) % max(len(entries), 1)
         self._entries = [*entries[first:], *entries[:first]]
-        self._control = list(control)
+        self._list_control = list_control
+        self._control = []
         self._leader = ''
 
     def send(self, heartbeat):
@@ -66,6 +68,12 @@
         )
 
     def _list_targets(self):
+        # Addresses that failed stay at the end.
+        listed = self._list_control()
+        self._control = [
+            *[known for known in self._control if known in listed],
+            *[new for new in listed if new not in self._control],
+        ]
         leader = [self._leader] if self._leader else []
         others = [target for target in self._control if target != self._leader]
         return [*self._entries[:2], *leader, *others][:MAX_TARGETS]
--- a/bilberryhaven/agent/service.py
+++ b/bilberryhaven/agent/service.py
@@ -16,6 +16,8 @@
 from bilberryhaven import log
 from bilberryhaven import ticker
 from bilberryhaven.wire import client
+from bilberryhaven.wire import directory
+from bilberryhaven.wire import discovery
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
 
@@ -62,7 +64,6 @@
         self._announcement = announcement
         self._backend_address = backend_address
         self._entries = entries
-        self._control = control
         self._clock = clock
         self._drain_notice = drain_notice
         self._on_replaced = on_replaced
@@ -83,6 +84,10 @@
             threads=threads,
         )
         self._client = client.Client()
+        self._directory = directory.MemberDirectory(clock=clock, seeds=control)
+        self._discovery = discovery.Discovery(
+            directory=self._directory, client=self._client, clock=clock
+        )
         self._requests = None
         self._admission_ref = None
         self._stopped = threading.Event()
@@ -98,12 +103,19 @@
         if not self._announcement.address:
             self._announcement.address = self._server.address
         self._start_actors()
-        self._stop_ticker = ticker.Ticker.launch(
-            name='heartbeat',
-            func=self._send_heartbeat,
-            interval=reporter.HEARTBEAT_INTERVAL,
-            clock=self._clock,
-        )
+        self._stop_tickers = [
+            ticker.Ticker.launch(
+                name=name, func=func, interval=interval, clock=self._clock
+            )
+            for name, func, interval in (
+                (
+                    'heartbeat',
+                    self._send_heartbeat,
+                    reporter.HEARTBEAT_INTERVAL,
+                ),
+                ('discovery', self._discovery.tick, discovery.INTERVAL),
+            )
+        ]
 
     def stop(self):
         """Drain and stop: finish requests and return jobs to control.
@@ -123,13 +135,17 @@
             and self._clock.monotonic() < drain_deadline
         ):
             self._stopped.wait(DRAIN_POLL_SECONDS)
-        self._stop_ticker()
+        self._stop_all_tickers()
         self._server.stop()
         self._close()
 
+    def _stop_all_tickers(self):
+        for stop in self._stop_tickers:
+            stop()
+
     def kill(self):
         """Stop immediately, like a crash of the process; for tests."""
-        self._stop_ticker()
+        self._stop_all_tickers()
         self._close()
         threading.Thread(target=self._server.stop, daemon=True).start()
 
@@ -192,7 +208,7 @@
             leader_client=leader_client.LeaderClient(
                 client=self._client,
                 entries=self._entries,
-                control=self._control,
+                list_control=self._directory.list_addresses,
                 name=self._announcement.name,
                 clock=self._clock,
             ),
--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -72,6 +72,7 @@
         self._options = options or replica_options.Options()
         self._on_leadership = on_leadership
         self._leading_term = 0
+        self._logged_leader = ''
         self._leading_since = clock.monotonic()
         self._view = actor.View(status=status.ReplicaStatus(name=name))
         self._actor = None
@@ -277,6 +278,7 @@
         with self._changed:
             self._view = view
             self._changed.notify_all()
+        self._log_leader(view.status)
         if view.status.leader not in ('', self.name):
             self._follows_leader.set()
         else:
@@ -291,6 +293,22 @@
         if term:
             self._notify(True, term)
 
+    def _log_leader(self, current):
+        if current.leader == self._logged_leader:
+            return
+        self._logged_leader = current.leader
+        if current.leader:
+            _logger.info(
+                'leads' if current.leader == self.name else 'follows a leader',
+                extra={
+                    'leader': current.leader,
+                    'term': current.term,
+                    'members': [row.address for row in current.members],
+                },
+            )
+        else:
+            _logger.info('knows no leader', extra={'term': current.term})
+
     def _notify(self, leading, term):
         if self._on_leadership is not None:
             self._on_leadership(leading, term)
--- a/bilberryhaven/platform/control.py
+++ b/bilberryhaven/platform/control.py
@@ -15,8 +15,6 @@
 __all__ = ['ControlRole']
 
 JOIN_INTERVAL = clocks.seconds(0.5)
-# A seed without a replica learns the members within a second of its start.
-ANNOUNCE_INTERVAL = clocks.seconds(1)
 OPERATOR_THREADS = 12
 # Many round trips between the zones of a region, which are a few ms apart, and
 # several heartbeats.
@@ -32,20 +30,18 @@
     """Serves operators, and runs a replica of the log if it has a disk.
 
     Without a disk, acknowledged entries would be lost on a restart, so such
-    an instance only forwards operators' requests and tells other instances
-    the voters' addresses.
+    an instance only forwards operators' requests and redirects other
+    processes to the voters.
     """
 
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
-        self._stop_tickers = []
-        self._control = self._relay = None
-        if self._deployment.has_disk:
-            self._control = self._build_control()
-        else:
+        self._stop_join = None
+        self._relay = None
+        if self._control is None:
             self._relay = redirector.LeaderRedirector(
                 address=self._deployment.settings.listen,
-                on_members=self._update_addresses,
+                directory=self._directory,
             )
         self._serve(
             self._deployment.control_address,
@@ -53,6 +49,14 @@
             OPERATOR_THREADS,
         )
 
+    def _build_directory(self):
+        # A replica's process keeps the directory itself.
+        self._control = None
+        if not self._deployment.has_disk:
+            return super()._build_directory()
+        self._control = self._build_control()
+        return self._control.directory
+
     def _build_control(self):
         return control.ControlRole(
             settings=msgspec.structs.replace(
@@ -66,7 +70,7 @@
         )
 
     def start(self):
-        """Join the quorum, or follow its members' announcements."""
+        """Join the quorum, or redirect to its members."""
         if self._control is None:
             self._relay.start()
             super().start()
@@ -78,33 +82,18 @@
             gateway=self._gateway,
             clock=self._clock,
         )
-        announcer = redirector.MemberAnnouncer(
-            replica=self._control.replica,
-            client=self._client,
-            list_seeds=lambda: self.seeds,
+        self._stop_join = ticker.Ticker.launch(
+            name='join',
+            func=join_requester.tick,
+            interval=JOIN_INTERVAL,
+            clock=self._clock,
         )
-        self._stop_tickers = [
-            ticker.Ticker.launch(
-                name=name,
-                func=func,
-                interval=interval,
-                clock=self._clock,
-            )
-            for name, func, interval in (
-                ('join', join_requester.tick, JOIN_INTERVAL),
-                ('announce', announcer.tick, ANNOUNCE_INTERVAL),
-            )
-        ]
 
     def stop(self):
         """Transfer leadership and stop."""
-        for stop in self._stop_tickers:
-            stop()
+        if self._stop_join is not None:
+            self._stop_join()
         for component in (self._control, self._relay):
             if component is not None:
                 component.stop()
         super().stop()
-
-    def _update_addresses(self, addresses):
-        known = self._relay.members if self._relay is not None else []
-        super()._update_addresses([*known, *addresses])
--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -13,6 +13,8 @@
 from bilberryhaven.roles import process
 from bilberryhaven import ticker
 from bilberryhaven.wire import client
+from bilberryhaven.wire import directory
+from bilberryhaven.wire import discovery
 from bilberryhaven.wire import leader
 from bilberryhaven.wire import server
 from bilberryhaven.workflow import agent
@@ -42,25 +44,34 @@
     Args:
         deployment: The ``Deployment``.
         clock: The ``Clock``.
-
-    Attributes:
-        seeds: Addresses of control instances in the current settings.
     """
 
     def __init__(self, *, deployment, clock):
         self._deployment = deployment
         self._clock = clock
-        self.seeds = deployment.settings.control
         self._client = client.Client()
+        self._discovery = None
+        self._directory = self._build_directory()
         self._leader = leader.LeaderClient(
-            addresses=deployment.settings.control,
+            list_addresses=self._directory.list_addresses,
             client=self._client,
             clock=clock,
             attempt_timeout=ATTEMPT_TIMEOUT,
         )
         self._gateway = gateway.Gateway(leader=self._leader)
         self._servers = []
-        self._stop_ticker = None
+        self._stop_tickers = []
+
+    def _build_directory(self):
+        """Return the ``MemberDirectory``, which discovery keeps up to date."""
+        settings = self._deployment.settings
+        members = directory.MemberDirectory(
+            clock=self._clock, seeds=settings.control, local=settings.listen
+        )
+        self._discovery = discovery.Discovery(
+            directory=members, client=self._client, clock=self._clock
+        )
+        return members
 
     @property
     def address(self):
@@ -77,17 +88,22 @@
         """Start listening and reload the seeds periodically."""
         for item in self._servers:
             item.start()
-        self._stop_ticker = ticker.Ticker.launch(
-            name='seeds',
-            func=self.reload,
-            interval=SEED_INTERVAL,
-            clock=self._clock,
-        )
+        tickers = [('seeds', self.reload, SEED_INTERVAL)]
+        if self._discovery is not None:
+            tickers.append(
+                ('discovery', self._discovery.tick, discovery.INTERVAL)
+            )
+        self._stop_tickers = [
+            ticker.Ticker.launch(
+                name=name, func=func, interval=interval, clock=self._clock
+            )
+            for name, func, interval in tickers
+        ]
 
     def stop(self):
         """Stop listening and wait for requests in progress."""
-        if self._stop_ticker is not None:
-            self._stop_ticker()
+        for stop in self._stop_tickers:
+            stop()
         for item in self._servers:
             item.stop()
         self._leader.close()
@@ -100,12 +116,7 @@
         except errors.SettingsError as error:
             _logger.warning('could not reload the settings: {}', error)
             return
-        self.seeds = deployment.settings.control
-        self._update_addresses(self.seeds)
-
-    def _update_addresses(self, addresses):
-        seeds = self._deployment.settings.control
-        self._leader.set_addresses([*dict.fromkeys([*addresses, *seeds])])
+        self._directory.set_seeds(deployment.settings.control)
 
 
 @register('entry')
@@ -153,7 +164,6 @@
             client=workers.WorkerClient(),
             clock=self._clock,
             options=self._deployment.options,
-            on_control_addresses=self._update_addresses,
         )
         self._serve(
             self._deployment.control_address,
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -10,13 +10,17 @@
 from bilberryhaven.control import heartbeat
 from bilberryhaven.control import leader
 from bilberryhaven.control import machine
+from bilberryhaven.control import member_store
 from bilberryhaven.control import membership
+from bilberryhaven.control import redirector
 from bilberryhaven.control import sync
 from bilberryhaven import errors
 from bilberryhaven import metrics
 from bilberryhaven.roles import process
 from bilberryhaven import ticker
 from bilberryhaven.wire import client
+from bilberryhaven.wire import directory
+from bilberryhaven.wire import discovery
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
 from bilberryhaven.workflow import dispatcher
@@ -46,6 +50,9 @@
             instead of founding its own.
         replica_options: The ``Options`` of the replica, or None for the
             defaults.
+
+    Attributes:
+        directory: The ``MemberDirectory`` of the process.
     """
 
     def __init__(
@@ -59,6 +66,14 @@
     ):
         self._settings = settings
         self._client = client.Client()
+        address = settings.advertise or settings.listen
+        self._member_store = member_store.MemberStore(folder=settings.data)
+        self.directory = directory.MemberDirectory(
+            clock=clock,
+            seeds=settings.control,
+            local=address,
+            on_changed=self._member_store.save,
+        )
         self.metrics = metrics.Metrics()
         self.server = server.Server(
             address=settings.listen,
@@ -75,7 +90,7 @@
             voters = {settings.name: settings.listen}
         self.replica = replica.Replica(
             name=settings.name,
-            address=settings.advertise or settings.listen,
+            address=address,
             voters=voters,
             folder=pathlib.Path(settings.data),
             machine=self._machine,
@@ -103,8 +118,14 @@
         )
         self._heartbeats = heartbeat.HeartbeatHandler(leader=self.leader)
         self._sync = sync.SyncHandler(leader=self.leader)
+        self._discovery = discovery.Discovery(
+            directory=self.directory,
+            client=self._client,
+            clock=clock,
+            replica=self.replica,
+        )
         self._clock = clock
-        self._stop_ticker = None
+        self._stop_tickers = []
 
     @property
     def address(self):
@@ -114,19 +135,24 @@
     def start(self):
         """Load the data folder, start listening and join the quorum."""
         self.replica.start()
+        logged = [row.address for row in self.replica.status().members]
+        self.directory.set_stored([*logged, *self._member_store.load()])
         self.server.start()
         self.workflows.start()
-        self._stop_ticker = ticker.Ticker.launch(
-            name='systems',
-            func=self.leader.tick,
-            interval=TICK_INTERVAL,
-            clock=self._clock,
-        )
+        self._stop_tickers = [
+            ticker.Ticker.launch(
+                name=name, func=func, interval=interval, clock=self._clock
+            )
+            for name, func, interval in (
+                ('systems', self.leader.tick, TICK_INTERVAL),
+                ('discovery', self._discovery.tick, discovery.INTERVAL),
+            )
+        ]
 
     def stop(self):
         """Transfer leadership, finish requests, sync the log and stop."""
-        if self._stop_ticker is not None:
-            self._stop_ticker()
+        for stop in self._stop_tickers:
+            stop()
         self.workflows.stop()
         self.replica.stop()
         self.server.stop()
@@ -136,14 +162,21 @@
         self.leader.record_applied(command)
 
     def _list_handlers(self):
-        return {
+        for_leader = {
             message.HeartbeatBatch: lambda m: self._heartbeats.handle_batch(m),
             message.Heartbeat: lambda m: self._heartbeats.handle(m),
             message.SyncRequest: lambda m: self._sync.handle(m),
             message.ClaimRequest: self._claim,
             message.CallRequest: self._call,
             message.WorkRequest: lambda m: self.workflows.handle(m),
+        }
+        return {
+            **{
+                kind: redirector.redirect(handle, self.directory)
+                for kind, handle in for_leader.items()
+            },
             message.ConsensusBatch: self._handle_consensus,
+            message.MembersRequest: lambda m: self._discovery.handle(m),
         }
 
     def _handle_consensus(self, batch):
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -19,6 +19,8 @@
 from bilberryhaven import ticker
 from bilberryhaven import util
 from bilberryhaven.wire import client
+from bilberryhaven.wire import directory
+from bilberryhaven.wire import discovery
 from bilberryhaven.wire import leader
 from bilberryhaven.wire import message
 from bilberryhaven.wire import server
@@ -58,8 +60,16 @@
         delays = {zone.name: zone.delay_ms for zone in settings.zones}
         self._view = view.View(zone=settings.zone, delays=delays)
         self._client = client.Client()
+        members = directory.MemberDirectory(
+            clock=clock, seeds=settings.control
+        )
+        self._discovery = discovery.Discovery(
+            directory=members, client=self._client, clock=clock
+        )
         self._leader = leader.LeaderClient(
-            addresses=settings.control, client=self._client, clock=clock
+            list_addresses=members.list_addresses,
+            client=self._client,
+            clock=clock,
         )
         rng = random.Random()
         self._core = request.RequestCore(
@@ -172,6 +182,7 @@
             for name, func, interval in (
                 ('sync', self._tick, SYNC_INTERVAL),
                 ('relay', self._flush, relay.FLUSH_INTERVAL),
+                ('discovery', self._discovery.tick, discovery.INTERVAL),
             )
         ]
 
--- a/bilberryhaven/wire/leader.py
+++ b/bilberryhaven/wire/leader.py
@@ -18,16 +18,22 @@
     """Sends messages to the current leader.
 
     Args:
-        addresses: HOST:PORT of the control instances.
+        list_addresses: Function that returns the HOST:PORT of each control
+            instance to ask, the most promising ones first.
         client: A ``wire.client.Client``.
         clock: Source of time.
         attempt_timeout: Longest wait for one control instance, a timedelta.
     """
 
     def __init__(
-        self, *, addresses, client, clock, attempt_timeout=ATTEMPT_TIMEOUT
+        self,
+        *,
+        list_addresses,
+        client,
+        clock,
+        attempt_timeout=ATTEMPT_TIMEOUT,
     ):
-        self._addresses = list(addresses)
+        self._list_addresses = list_addresses
         self._attempt_timeout = attempt_timeout
         self._client = client
         self._clock = clock
@@ -88,12 +94,6 @@
             backoff = min(2 * backoff, MAX_BACKOFF)
         raise _build_unavailable(last_error, outcome, step)
 
-    def set_addresses(self, addresses):
-        """Replace the addresses of control instances, unless empty."""
-        with self._lock:
-            if addresses:
-                self._addresses = list(addresses)
-
     def close(self):
         """Stop all attempts."""
         self._closed.set()
@@ -109,12 +109,13 @@
         with self._lock:
             if self._leader:
                 return self._leader
-            if not self._addresses:
+            addresses = self._list_addresses()
+            if not addresses:
                 raise errors.UnavailableError(
                     'no control instance is configured', step='find leader'
                 )
             self._next_index += 1
-            return self._addresses[self._next_index % len(self._addresses)]
+            return addresses[self._next_index % len(addresses)]
 
     def _set_leader(self, asked, named):
         """Store the leader named by ``asked``; return whether it is new."""
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -372,3 +372,19 @@
 
     sender: str
     messages: list[bytes]
+
+
+@_declare_message
+class MembersRequest:
+    """Asks for the members of the quorum; carries the sender's knowledge."""
+
+    members: list[str] = _make_list()
+    age_ms: int = 0
+
+
+@_declare_message
+class MembersReply:
+    """Members of the quorum, and ms since they were confirmed."""
+
+    members: list[str] = _make_list()
+    age_ms: int = 0
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -266,6 +266,19 @@
   messages @1 :List(Data);
 }
 
+# Asks a process for the members of the quorum and carries those that the sender
+# knows, none if it knows none. ageMs is the time since they were confirmed.
+struct MembersRequest {
+  members @0 :List(Text);
+  ageMs @1 :UInt32;
+}
+
+# The members that the asked process knows, none if it knows none.
+struct MembersReply {
+  members @0 :List(Text);
+  ageMs @1 :UInt32;
+}
+
 struct Envelope {
   union {
     none @0 :Void;
@@ -287,5 +300,7 @@
     consensusBatch @16 :ConsensusBatch;
     workRequest @17 :WorkRequest;
     workReply @18 :WorkReply;
+    membersRequest @19 :MembersRequest;
+    membersReply @20 :MembersReply;
   }
 }
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -62,8 +62,6 @@
         client: The ``ServerClient``.
         clock: The ``Clock``.
         options: The ``Options`` of workflows.
-        on_control_addresses: Called with the addresses of the control
-            instances after each poll.
     """
 
     def __init__(
@@ -74,13 +72,11 @@
         client,
         clock,
         options,
-        on_control_addresses=None,
     ):
         self._gateway = gateway
         self._client = client
         self._clock = clock
         self._options = options
-        self._on_control = on_control_addresses or (lambda addresses: None)
         self._supervisor = supervision.RunSupervisor(agent=name)
         self._permit = start_permit.StartPermit(
             validity=options.start_validity
@@ -193,7 +189,6 @@
             orders = self._supervisor.handle_poll_reply(reply, sent_at, now)
             target = self._supervisor.target
             epoch = reply.epoch
-        self._on_control(reply.control)
         for order in orders:
             execute = self._start_run
             if order.kind == message.OrderKind.STOP:
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -82,7 +82,6 @@
                 clock=clock,
                 options=options,
             ),
-            list_addresses=self._list_control_addresses,
             clock=clock,
             options=options,
         )
@@ -132,9 +131,6 @@
             message.Withdraw: zone_requests.withdraw,
             message.Restore: zone_requests.restore,
             message.Join: self._join,
-            # Nothing to do: a replica takes the members from its log, or
-            # requests to join.
-            message.Announce: lambda msg: message.AnnounceReply(),
         }
 
     def start(self):
@@ -222,9 +218,6 @@
         member = self._membership.admit(request)
         return message.JoinReply(member=member)
 
-    def _list_control_addresses(self):
-        return [row.address for row in self._replica.status().members]
-
     def _run(self):
         while not self._stopping.is_set():
             self._wake.wait(IDLE_SECONDS)
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -13,8 +13,6 @@
 from bilberryhaven.tables import workflow
 
 __all__ = [
-    'Announce',
-    'AnnounceReply',
     'Cancel',
     'CatalogReply',
     'CountReply',
@@ -208,7 +206,6 @@
         last: Number of the newest order.
         orders: Orders that the agent has not received yet.
         acked: Number of the newest end that the leader has acknowledged.
-        control: Addresses of the control instances.
         former_deadline_ms: Deadline in ms on the server's clock until which
             an earlier agent is known to have kept runs alive; 0 if none is
             known.
@@ -225,7 +222,6 @@
     last: int
     orders: list[Order] = []
     acked: int = 0
-    control: list[str] = []
     former_deadline_ms: int = 0
     doubt_ms: int = 0
     withdrawn: bool = False
@@ -374,20 +370,6 @@
     address: str
 
 
-class Announce(Request, kw_only=True):
-    """Notice of a member to an instance without a replica.
-
-    Attributes:
-        members: Addresses of the members of the quorum.
-    """
-
-    members: list[str]
-
-
-class AnnounceReply(Reply, kw_only=True):
-    """Acknowledgement of an ``Announce`` request."""
-
-
 class JoinReply(Reply, kw_only=True):
     """Reply that says whether the control instance is a member now."""
 
@@ -405,7 +387,6 @@
     | Withdraw
     | Restore
     | Join
-    | Announce
 )
 _REPLIES = msgspec.msgpack.Decoder(
     PollReply
@@ -415,7 +396,6 @@
     | CatalogReply
     | ZoneReply
     | JoinReply
-    | AnnounceReply
 )
 
 
--- a/bilberryhaven/workflow/poll_requests.py
+++ b/bilberryhaven/workflow/poll_requests.py
@@ -18,19 +18,14 @@
         leader: The ``Dispatcher``.
         memory: The ``LeaderMemory``.
         keeper: The ``SessionKeeper``.
-        list_addresses: Function without arguments that returns the addresses
-            of the control instances.
         clock: The ``Clock``.
         options: The workflow ``Options``.
     """
 
-    def __init__(
-        self, *, leader, memory, keeper, list_addresses, clock, options
-    ):
+    def __init__(self, *, leader, memory, keeper, clock, options):
         self._leader = leader
         self._memory = memory
         self._keeper = keeper
-        self._list_addresses = list_addresses
         self._clock = clock
         self._options = options
         self._held = polls.HeldPolls(max_wait=options.max_poll_wait)
@@ -73,7 +68,6 @@
             last=last,
             orders=orders,
             acked=row.acked if row else 0,
-            control=self._list_addresses(),
             former_deadline_ms=agent_session.deadline_ms,
             doubt_ms=self._compute_former_lease_ms(agent_session),
             withdrawn=row is not None
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -22,17 +22,26 @@
 
     Args:
         worker_host_count: Number of worker hosts.
+        frontend_host_count: Number of frontend hosts.
+
+    Attributes:
+        seeds: Frontend hosts whose control addresses the settings contain.
+        diskless: Frontend hosts whose control instance has no disk.
     """
 
-    def __init__(self, *, worker_host_count):
+    def __init__(
+        self, *, worker_host_count, frontend_host_count=FRONTEND_HOST_COUNT
+    ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         self.ports = processes.find_ports(5)
         self.processes = {}
         self._paused = set()
         self._bootstrapped = set()
         self.frontend_hosts = [
-            f'front-{n}' for n in range(1, FRONTEND_HOST_COUNT + 1)
+            f'front-{n}' for n in range(1, frontend_host_count + 1)
         ]
+        self.seeds = self.frontend_hosts[:FRONTEND_HOST_COUNT]
+        self.diskless = set()
         self.worker_hosts = [
             f'side-{n}' for n in range(1, worker_host_count + 1)
         ]
@@ -55,8 +64,7 @@
 
     def start(self, name):
         """Start a process; the first start of each one bootstraps the log."""
-        settings = self.folder / f'{name.replace("/", "-")}.conf'
-        settings.write_text(self._build_settings(name))
+        settings = self._write_settings(name)
         self._bootstrapped.add(name)
         log_path = self.folder / f'{name.replace("/", "-")}.log'
         with log_path.open('a') as log:
@@ -74,11 +82,23 @@
                 start_new_session=True,
             )
 
+    def change_seeds(self, seeds):
+        """Write other seeds to the settings of all running processes."""
+        self.seeds = list(seeds)
+        for name in self.processes:
+            self._write_settings(name)
+
+    def _write_settings(self, name):
+        path = self.folder / f'{name.replace("/", "-")}.conf'
+        draft = path.with_suffix('.new')
+        draft.write_text(self._build_settings(name))
+        draft.replace(path)
+        return path
+
     def _build_settings(self, name):
         role, _, machine = name.partition('/')
         controls = [
-            self.find_address(item, CONTROL_PORT)
-            for item in self.frontend_hosts
+            self.find_address(item, CONTROL_PORT) for item in self.seeds
         ]
         internal = self.ports[INTERNAL_PORT]
         fields = {
@@ -98,7 +118,7 @@
         }
         for item in self.worker_hosts:
             fields[f'zones.{self.find_zone(item)}'] = 'r'
-        if role == 'control':
+        if role == 'control' and machine not in self.diskless:
             fields['data_dir'] = str(self._build_data_path(name))
         return ''.join(f'{key}={value}\n' for key, value in fields.items())
 
--- a/tests/test_control_redirector.py
+++ b/tests/test_control_redirector.py
@@ -13,6 +13,8 @@
 from bilberryhaven.control import redirector
 from bilberryhaven import errors
 from bilberryhaven.wire import client
+from bilberryhaven.wire import directory
+from bilberryhaven.wire import discovery
 from bilberryhaven.wire import leader
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.wire import server
@@ -31,17 +33,23 @@
 
     def status(self):
         row = types.SimpleNamespace(address=self.address)
-        return types.SimpleNamespace(members=[row])
+        return types.SimpleNamespace(members=[row], leader='voter')
 
 
 class LeaderRedirectorTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
+        self.clock = clocks.SystemClock()
         ports = processes.find_ports(2)
         self.seed, self.voter = (f'127.0.0.1:{port}' for port in ports)
         self.announced = []
         self.redirector = redirector.LeaderRedirector(
-            address=self.seed, on_members=self.announced.append
+            address=self.seed,
+            directory=directory.MemberDirectory(
+                clock=self.clock,
+                local=self.seed,
+                on_changed=self.announced.append,
+            ),
         )
         self.redirector.start()
         self.addCleanup(self.redirector.stop)
@@ -49,19 +57,24 @@
         self.addCleanup(self.client.close)
 
     def announce(self, *, seeds=None):
-        announcer = redirector.MemberAnnouncer(
-            replica=FakeReplica(self.voter),
+        announcer = discovery.Discovery(
+            directory=directory.MemberDirectory(
+                clock=self.clock,
+                seeds=seeds or [self.seed],
+                local=self.voter,
+            ),
             client=self.client,
-            list_seeds=lambda: seeds or [self.seed],
+            clock=self.clock,
+            replica=FakeReplica(self.voter),
         )
         announcer.tick()
 
     def build_gateway(self):
         return gateway.Gateway(
             leader=leader.LeaderClient(
-                addresses=[self.seed],
+                list_addresses=lambda: [self.seed],
                 client=self.client,
-                clock=clocks.SystemClock(),
+                clock=self.clock,
             )
         )
 
--- a/tests/test_wire_leader.py
+++ b/tests/test_wire_leader.py
@@ -29,7 +29,7 @@
 class LeaderClientTest(testtools.TestCase):
     def send(self, *failures):
         tested = leader.LeaderClient(
-            addresses=['127.0.0.1:1', '127.0.0.1:2'],
+            list_addresses=lambda: ['127.0.0.1:1', '127.0.0.1:2'],
             client=FakeClient(*failures),
             clock=clock.SystemClock(),
         )
