--- a/bilberryhaven/log.py
+++ b/bilberryhaven/log.py
@@ -1,6 +1,8 @@
 """Logging as JSON lines, with one line per scheduling decision."""
 
 import atexit
+import collections
+import datetime
 import json
 import queue
 import sys
@@ -10,9 +12,11 @@
 
 __all__ = [
     'BackgroundStream',
+    'BoundedLog',
     'JsonHandler',
     'get_logger',
     'log_decision',
+    'silence',
     'start_logging',
 ]
 
@@ -20,6 +24,8 @@
 # busy leader.
 MAX_QUEUED_LINES = 5_000
 FLUSH_TIMEOUT_SECONDS = 1.0
+# Interval between two lines on one topic of a ``BoundedLog``.
+BOUNDED_INTERVAL = datetime.timedelta(seconds=1)
 
 
 def get_logger(name):
@@ -111,6 +117,62 @@
         return json.dumps(line) + '\n'
 
 
+class BoundedLog:
+    """Writes at most one line per topic and interval, and counts the rest.
+
+    For what other processes can cause as often as they like.
+
+    Args:
+        logger: The logger to write to.
+        clock: The ``Clock``.
+        interval: Shortest time between two lines on one topic, a timedelta.
+    """
+
+    def __init__(self, *, logger, clock, interval=BOUNDED_INTERVAL):
+        self._logger = logger
+        self._clock = clock
+        self._interval = interval
+        self._written_at = {}
+        self._left_out = collections.Counter()
+        self._lock = threading.Lock()
+
+    def warning(self, topic, text, **fields):
+        """Log a warning, unless the topic's last line is too recent.
+
+        Args:
+            topic: What is counted together; one of a fixed number.
+            text: The message.
+            **fields: Further fields of the line.
+        """
+        if self._count(topic, fields):
+            self._logger.warning('{}', text, extra=fields)
+
+    def exception(self, topic, text):
+        """Log the exception that is being handled, within the same bound.
+
+        Args:
+            topic: As for ``warning``.
+            text: The message.
+        """
+        fields = {}
+        if self._count(topic, fields):
+            self._logger.exception('{}', text, extra=fields)
+
+    def _count(self, topic, fields):
+        """Return whether to write; add the number of lines left out."""
+        now = self._clock.monotonic()
+        with self._lock:
+            written_at = self._written_at.get(topic)
+            if written_at is not None and now - written_at < self._interval:
+                self._left_out[topic] += 1
+                return False
+            self._written_at[topic] = now
+            left_out = self._left_out.pop(topic, 0)
+        if left_out:
+            fields['left_out'] = left_out
+        return True
+
+
 def start_logging(*, level='info', stream=None, background=False):
     """Start writing log lines to ``stream``.
 
@@ -130,6 +192,11 @@
     return handler
 
 
+def silence():
+    """Return a context manager within which nothing is logged."""
+    return logbook.NullHandler().applicationbound()
+
+
 def log_decision(logger, decision, *, reason, **fields):
     """Log one routing or placement decision.
 
--- a/bilberryhaven/ticker.py
+++ b/bilberryhaven/ticker.py
@@ -9,6 +9,9 @@
 
 __all__ = ['Ticker']
 
+# Pause after a call that failed, also if calls otherwise follow at once.
+RETRY_DELAY_S = 0.1
+
 _logger = log.get_logger('ticker')
 
 
@@ -37,6 +40,7 @@
         self._interval = interval
         self._clock = clock
         self._stopping = threading.Event()
+        self._log = log.BoundedLog(logger=_logger, clock=clock)
 
     @classmethod
     def launch(cls, **kwargs):
@@ -58,13 +62,15 @@
     def on_receive(self, message):
         """Call the function once and schedule the next call."""
         start = self._clock.monotonic()
+        shortest_wait_s = 0.0
         try:
             self._func()
         except Exception:  # noqa: BLE001
+            shortest_wait_s = RETRY_DELAY_S
             if not self._stopping.is_set():
-                _logger.exception('{} failed', self._name)
+                self._log.exception(self._name, f'{self._name} failed')
         elapsed = self._clock.monotonic() - start
-        remaining = (self._interval - elapsed).total_seconds()
-        if not self._stopping.wait(max(remaining, 0.0)):
+        remaining_s = (self._interval - elapsed).total_seconds()
+        if not self._stopping.wait(max(remaining_s, shortest_wait_s)):
             with contextlib.suppress(pykka.ActorDeadError):
                 self.actor_ref.tell(None)
--- a/bilberryhaven/util.py
+++ b/bilberryhaven/util.py
@@ -5,10 +5,12 @@
 
 from bilberryhaven import errors
 
-__all__ = ['compute_digest', 'create_id', 'parse_address']
+__all__ = ['compute_digest', 'create_id', 'parse_address', 'shorten']
 
 ID_BYTES = 10
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_CHARS = 200
 
 
 def create_id(prefix):
@@ -28,10 +30,20 @@
         OptionError: The text has no port, or one out of range.
     """
     host, sep, port = text.rpartition(':')
-    if not sep or not host or not port.isdigit() or int(port) > MAX_PORT:
+    # Digits of other scripts are no port, nor is a number of any length.
+    is_number = port.isascii() and port.isdigit()
+    valid = is_number and len(port) <= MAX_PORT_DIGITS
+    if not sep or not host or not valid or int(port) > MAX_PORT:
         raise errors.OptionError(
-            f'{text!r} is not an address; expected IP:PORT, such as '
-            '127.0.0.1:7000',
+            f'{shorten(repr(text))} is not an address; expected IP:PORT, such '
+            'as 127.0.0.1:7000',
             step='parse address',
         )
     return host, int(port)
+
+
+def shorten(text):
+    """Return ``text`` cut off at a length that fits into a log line."""
+    if len(text) <= MAX_SHOWN_CHARS:
+        return text
+    return f'{text[:MAX_SHOWN_CHARS]}...'
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -6,9 +6,11 @@
 import select
 import socket
 import threading
+import traceback
 
 from cheroot import errors as cheroot_errors
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.wire import client
@@ -46,6 +48,7 @@
 }
 
 _logger = log.get_logger('wire')
+_log = log.BoundedLog(logger=_logger, clock=clocks.SystemClock())
 
 
 class Response:
@@ -173,9 +176,12 @@
             self._listener.guard.end()
         if environ['PATH_INFO'] == client.MESSAGE_PATH:
             return self._answer_message(body)
-        if self._fallback is not None:
+        if self._fallback is None:
+            return Response(status=404)
+        try:
             return self._fallback(environ, body)
-        return Response(status=404)
+        except Exception as error:  # noqa: BLE001
+            return build_error_response(_convert_exception(error))
 
     def _answer_message(self, body):
         """Return the ``Response``, or a future of the reply message."""
@@ -215,10 +221,18 @@
 
 def _convert_error(error):
     """Return the reply that reports an exception to a peer."""
-    if not isinstance(error, errors.BilberryhavenError):
-        _logger.error('a message handler failed: {!r}', error, exc_info=error)
-        error = errors.InternalError(repr(error), step='dispatch')
-    return build_error_reply(error)
+    return build_error_reply(_convert_exception(error))
+
+
+def _convert_exception(error):
+    if isinstance(error, errors.BilberryhavenError):
+        return error
+    _log.warning(
+        'handler',
+        f'a handler failed: {error!r}',
+        exception=''.join(traceback.format_exception(error)),
+    )
+    return errors.InternalError(repr(error), step='dispatch')
 
 
 def _build_message_response(reply):
