Reject odd heartbeats, and odd rows of a worker's lists one by one

What callers saw: after a heartbeat with a number past 64 bits the agent never polled again, since the poll could not be encoded; after one odd row in a worker's list no end there was taken note of as long as the row stood; after an end with a number far too large all later ends were ignored; a run with a name that no task has was stopped for ever, and starts behind it on the same thread never came.

Cause: the models had no bounds, the lists were decoded as a whole, and a stop that the worker refuses was repeated as if no answer had come.

Change: bounds and the border for heartbeats and answers. An odd row is left out, a run whose measurement alone is odd stays present, and what is nested too deeply is cut off first. A refusal ends a call.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -2,19 +2,21 @@
 
 import functools
 import http.client
+import re
 import threading
 import typing
 
 import msgspec
 import urllib3
 
+from bilberryhaven import border
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven import util
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import server_client
 
-__all__ = ['WorkerClient', 'decode_heartbeat']
+__all__ = ['WorkerClient', 'decode_heartbeat', 'decode_lists']
 
 # A worker answers a start within a few milliseconds. A call that takes longer
 # is retried; a worker that has already carried it out answers the retry as it
@@ -23,63 +25,108 @@
 CONNECT_TIMEOUT_S = 0.4
 MAX_CONNECTIONS = 8
 INSTANCE_HEADER = 'X-Expected-Instance'
-MAX_AMOUNT = 10**12
+MAX_LABELS = 64
+MAX_CHECKPOINT_CHARS = 65_536
+# Ends that a worker may list beyond those that have been acknowledged; it
+# lists up to 500 at a time.
+MAX_UNACKNOWLEDGED_ENDS = 1_000_000
+TASK_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9_-]{0,99}(\.[0-9]{1,9}){3}')
 REASON_LATE = 'late'
 REASON_FENCE = 'fence'
 STATUS_OTHER_INSTANCE = 421
+# With these, a call may succeed if it is sent again.
+RETRIED_STATUSES = (408, 429)
 StartResult = server_client.StartResult
 
+_HEARTBEAT_GUARD = border.Guard(what='heartbeat', step='decode heartbeat')
+# Its callers log the errors of a call.
+_ANSWER_GUARD = border.Guard(
+    what='answer', step='read answer', kind=errors.PeerError, logs=False
+)
+_ROW_GUARD = border.Guard(what='row', step='read list')
 
-_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
-_Duration = typing.Annotated[float, msgspec.Meta(le=MAX_AMOUNT)]
+# Time left until the worker is warm, which may be a fraction.
+_Warming = typing.Annotated[
+    float,
+    msgspec.Meta(ge=-border.MAX_MILLISECONDS, le=border.MAX_MILLISECONDS),
+]
+_Measurement = typing.Annotated[float, msgspec.Meta(ge=0, le=border.MAX_COUNT)]
+_Checkpoint = typing.Annotated[
+    str, msgspec.Meta(max_length=MAX_CHECKPOINT_CHARS)
+]
 
 
 class _Capacity(msgspec.Struct):
     """Capacity of a worker; one without accelerators may leave them out."""
 
-    cpu: _Amount  # thousandths of a core
-    mem_mb: _Amount
-    gpu: _Amount = 0
+    cpu: border.Amount  # thousandths of a core
+    mem_mb: border.Amount
+    gpu: border.Amount = 0
 
 
 class _Heartbeat(msgspec.Struct):
     """A worker's heartbeat."""
 
-    service: str
-    address: str
-    state: str
-    sequence: int
+    service: border.Text
+    address: border.Text
+    state: border.Text
+    sequence: border.Number
     capacity: _Capacity
-    zone: str = ''
-    labels: list[str] = []  # its kind, then its rack
-    remaining_ms: int = 0
-    cold_remaining_ms: _Duration = 0
-    born: int = 0  # Unix milliseconds
+    zone: border.Text = ''
+    # Its kind, then its rack.
+    labels: typing.Annotated[
+        list[border.Text], msgspec.Meta(max_length=MAX_LABELS)
+    ] = []
+    remaining_ms: border.Milliseconds = 0
+    cold_remaining_ms: _Warming = 0
+    born: border.UnixTime = 0  # milliseconds
 
 
-class _Lists(msgspec.Struct):
-    """A worker's lists of running and finished runs.
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A run that is present."""
 
-    ``running`` has rows of task, run, checkpoint, percent and a gauge;
-    ``finished`` has rows of number, task, run, how and checkpoint.
-    """
+    task: str
+    run: border.Number
+    checkpoint: _Checkpoint = ''
+    percent: _Measurement = 0
+    gauge: _Measurement = 0
+
+
+class _RunRow(msgspec.Struct, array_like=True):
+    """What identifies the run in a row whose other values are odd."""
+
+    task: str
+    run: border.Number
 
-    clock_ms: int
-    running: list[list] = []
-    finished: list[list] = []
-    born: int = 0
+
+class _EndRow(msgspec.Struct, array_like=True):
+    """The end of a run."""
+
+    number: border.Number
+    task: str
+    run: border.Number
+    how: border.Text
+    checkpoint: _Checkpoint
+
+
+class _Lists(msgspec.Struct):
+    """A worker's lists of running and finished runs."""
+
+    clock_ms: border.Milliseconds
+    running: list[msgspec.Raw] = []
+    finished: list[msgspec.Raw] = []
+    born: border.UnixTime = 0
 
 
 class _Identity(msgspec.Struct):
     """What distinguishes one incarnation from another; 0 if not given."""
 
-    born: int = 0  # Unix milliseconds
+    born: border.UnixTime = 0  # milliseconds
 
 
 class _Answer(msgspec.Struct):
     """Any other answer of a worker."""
 
-    clock_ms: int = 0
     reason: str = ''
 
 
@@ -89,17 +136,15 @@
     Raises:
         BadInputError: It can't be decoded, or its state is unknown.
     """
-    try:
+    with _HEARTBEAT_GUARD:
+        border.check_printable(worker_id, what='id')
         heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-        util.parse_address(heartbeat.address)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.BadInputError(
-            f'invalid heartbeat: {error}', step='decode heartbeat'
-        ) from error
-    if heartbeat.state not in ('ready', 'draining'):
-        raise errors.BadInputError(
-            f'unknown state {heartbeat.state!r}', step='decode heartbeat'
-        )
+        border.parse_peer(heartbeat.address)
+        if heartbeat.state not in ('ready', 'draining'):
+            raise errors.BadInputError(
+                f'unknown state {util.shorten(repr(heartbeat.state))}',
+                step='decode heartbeat',
+            )
     return server_client.Announcement(
         state=message.ServerState(
             id=worker_id,
@@ -200,18 +245,7 @@
             target, '/hold', fields, timeout_s=CALL_TIMEOUT_S + wait_ms / 1000
         )
         self._check(target, 'hold', status, body)
-        try:
-            lists = msgspec.json.decode(body, type=_Lists)
-            return server_client.Listing(
-                clock_ms=lists.clock_ms,
-                born_ms=lists.born,
-                running=[_decode_running(*row) for row in lists.running],
-                ends=[_decode_end(*row) for row in lists.finished],
-            )
-        except (msgspec.MsgspecError, ValueError, TypeError) as error:
-            raise errors.PeerError(
-                f'invalid answer: {error}', step='hold', peer=target.address
-            ) from error
+        return decode_lists(body, acked=acked)
 
     def close(self):
         """Close idle connections."""
@@ -254,9 +288,10 @@
                 step=step,
                 peer=target.address,
             )
-        raise errors.PeerError(
-            f'HTTP status {status}', step=step, peer=target.address
-        )
+        kind = errors.PeerError
+        if 400 <= status < 500 and status not in RETRIED_STATUSES:
+            kind = errors.RefusedError
+        raise kind(f'HTTP status {status}', step=step, peer=target.address)
 
     def _post(self, target, path, fields, *, timeout_s=CALL_TIMEOUT_S):
         pool = self._get_pool(target, fields['fencing_token'])
@@ -311,12 +346,8 @@
         raise errors.PeerError(
             f'no answer: {error}', step='connect', peer=target.address
         ) from error
-    try:
-        born_ms = msgspec.json.decode(response.data, type=_Identity).born
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.PeerError(
-            f'invalid answer: {error}', step='connect', peer=target.address
-        ) from error
+    with _ANSWER_GUARD:
+        born_ms = _decode_answer(response.data, _Identity).born
     identified = response.status == STATUS_OTHER_INSTANCE or born_ms
     if identified and born_ms != target.state.born_ms:
         raise errors.GoneError(
@@ -335,8 +366,9 @@
 
 def _read_reason(body):
     try:
-        return msgspec.json.decode(body, type=_Answer).reason
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        with _ANSWER_GUARD:
+            return _decode_answer(body, _Answer).reason
+    except errors.PeerError:
         # Answers without a body contain no reason.
         return ''
 
@@ -345,18 +377,72 @@
     return {'task': f'{run.workflow}.{run.task}', 'run': run.number}
 
 
-def _decode_run(name, number):
-    workflow_id, _, task = name.partition('.')
-    return workflow_commands.RunRef(workflow_id, task, int(number))
+def decode_lists(body, *, acked):
+    """Return the ``Listing`` in a worker's answer; its odd rows are left out.
+
+    Args:
+        body: JSON of the answer, as bytes.
+        acked: Number of the newest end that has been acknowledged.
+
+    Raises:
+        PeerError: It can't be decoded.
+    """
+    with _ANSWER_GUARD:
+        lists = _decode_answer(body, _Lists)
+        max_number = acked + MAX_UNACKNOWLEDGED_ENDS
+        return server_client.Listing(
+            clock_ms=lists.clock_ms,
+            born_ms=lists.born,
+            running=_decode_rows(lists.running, _decode_running),
+            ends=_decode_rows(
+                lists.finished,
+                functools.partial(_decode_end, max_number=max_number),
+            ),
+        )
+
+
+def _decode_answer(body, kind):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except RecursionError:
+        return msgspec.json.decode(border.prune_json(body), type=kind)
 
 
-def _decode_running(name, number, checkpoint, percent, gauge=0):
+def _decode_rows(rows, decode):
+    decoded = []
+    for row in rows:
+        try:
+            with _ROW_GUARD:
+                decoded.append(decode(row))
+        except errors.BadInputError:
+            # It was logged; the other rows hold.
+            continue
+    return decoded
+
+
+def _decode_run(row):
+    if not TASK_NAME.fullmatch(row.task):
+        raise ValueError(f'no name of a task: {row.task!r}')
+    workflow_id, _, task = row.task.partition('.')
+    return workflow_commands.RunRef(workflow_id, task, row.run)
+
+
+def _decode_running(raw):
+    try:
+        row = msgspec.json.decode(raw, type=_RunningRow)
+    except msgspec.ValidationError:
+        # The run is present, whatever else is said of it.
+        run_row = msgspec.json.decode(raw, type=_RunRow)
+        row = _RunningRow(task=run_row.task, run=run_row.run)
     return message.Running(
-        _decode_run(name, number), checkpoint, percent, gauge
+        _decode_run(row), row.checkpoint, row.percent, row.gauge
     )
 
 
-def _decode_end(number, name, run, how, checkpoint):
+def _decode_end(raw, *, max_number):
+    row = msgspec.json.decode(raw, type=_EndRow)
+    if row.number > max_number:
+        raise ValueError(f'no number of an end: {row.number}')
     return workflow_commands.RunEnd(
-        int(number), _decode_run(name, run), how, checkpoint
+        row.number, _decode_run(row), row.how, row.checkpoint
     )
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -81,6 +81,7 @@
         self._permit = start_permit.StartPermit(
             validity=options.start_validity
         )
+        self._log = log.BoundedLog(logger=_logger, clock=clock)
         self._lock = threading.Lock()
         self._reported_at = clock.monotonic()
         self._listed_runs = None
@@ -389,8 +390,9 @@
             )
         except errors.FencedError as error:
             self._answered_at = self._clock.monotonic()
-            _logger.warning(
-                'backend server is controlled by a newer agent: {}', error
+            self._log.warning(
+                'fenced',
+                f'backend server is controlled by a newer agent: {error}',
             )
             self._stopping.wait(RETRY_DELAY_S)
             return
@@ -459,7 +461,7 @@
         try:
             self._client.pace_run(target, run, percent=percent, epoch=epoch)
         except errors.BilberryhavenError as error:
-            _logger.warning('pace of a run could not be set: {}', error)
+            self._log.warning('pace', f'pace of a run was not set: {error}')
             return
         with self._lock:
             self._supervisor.record_pace(run, percent)
