Reject odd bodies and headers of callers and operators with a code

What callers saw: HTTP status 500 without a code for a job that was nested deeply or had a number past 64 bits, and for any job with a deadline header of hundreds of digits. A configuration with unreadable text in a part that is not used was acknowledged, and read back unreadable.

Cause: no bounds, a decoder that doesn't check what a model leaves out, and isdigit(), which is also true for digits that int() rejects.

Change: the border's bounds and guard for both bodies; the whole of a configuration has to be readable. Values that the check of a catalog calls contradictory, such as a negative latency, are accepted as before.

--- a/bilberryhaven/cmdline/check.py
+++ b/bilberryhaven/cmdline/check.py
@@ -10,6 +10,7 @@
 from bilberryhaven.cmdline import _output
 from bilberryhaven.cmdline import apply
 from bilberryhaven import errors
+from bilberryhaven import log
 from bilberryhaven import settings
 from bilberryhaven import yamlfile
 
@@ -42,6 +43,12 @@
 
     def run(self, opts):
         """Check the file; errors of settings and workloads are raised."""
+        # What is odd about the file is printed as a finding.
+        with log.silence():
+            return self._check(opts)
+
+    @staticmethod
+    def _check(opts):
         from bilberryhaven.platform import catalogs
 
         body = _read_file(opts.file)
--- a/bilberryhaven/entry/api.py
+++ b/bilberryhaven/entry/api.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.entry import effect
 from bilberryhaven import errors
 from bilberryhaven import log
@@ -28,6 +29,11 @@
 )
 IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'DELETE'})
 
+_REQUEST_GUARD = border.Guard(what='request', step='read request')
+# What follows an odd body of these is decided by the leader, or by the caller.
+_CALL_GUARD = border.Guard(what='call', step='read call', logs=False)
+_ANSWER_GUARD = border.Guard(what='answer', step='read answer', logs=False)
+
 _logger = log.get_logger('api')
 
 
@@ -180,10 +186,8 @@
     Raises:
         BadInputError: The key or the body is invalid.
     """
-    try:
+    with _REQUEST_GUARD:
         fields = msgspec.json.decode(body, type=RequestBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.BadInputError(str(error), step='read request') from error
     if not 0 < fields.deadline_ms <= MAX_TIMEOUT_MS:
         raise errors.BadInputError(
             f'deadline_ms must be from 1 to {MAX_TIMEOUT_MS}',
@@ -211,8 +215,9 @@
     if method in IDEMPOTENT_METHODS:
         return True
     try:
-        keys = msgspec.json.decode(body, type=WriteIds)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        with _CALL_GUARD:
+            keys = msgspec.json.decode(body, type=WriteIds)
+    except errors.BadInputError:
         return False
     return bool(keys.change_id or keys.id)
 
@@ -245,8 +250,9 @@
     """Encode a response as JSON; a body that isn't JSON becomes a string."""
     fields = {'request_id': response.request_id, 'instance': response.instance}
     try:
-        msgspec.json.decode(response.body)
+        with _ANSWER_GUARD:
+            msgspec.json.decode(response.body)
         fields['body'] = msgspec.Raw(response.body)
-    except msgspec.MsgspecError:
+    except errors.BadInputError:
         fields['body'] = response.body.decode('utf-8', 'replace')
     return msgspec.json.encode(fields)
--- a/bilberryhaven/platform/catalogs.py
+++ b/bilberryhaven/platform/catalogs.py
@@ -1,9 +1,11 @@
 """The operator's configuration in the infrastructure's JSON format."""
 
 import re
+import typing
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven import errors
 from bilberryhaven.tables import catalog
 from bilberryhaven.workflow import message
@@ -27,27 +29,39 @@
     'latency_ms': 'target_latency_ms',
     'guards_capacity': 'enforces_capacity',
 }
+MAX_FACTOR = 10**9
+
+# What is contradictory, such as a negative value, is found by the check of the
+# catalog; these bounds are those of what can be stored and added.
+_Level = typing.Annotated[
+    int, msgspec.Meta(ge=-border.MAX_COUNT, le=border.MAX_COUNT)
+]
+
+_GUARD = border.Guard(what='configuration', step='decode configuration')
 
 
 class _Route(msgspec.Struct):
     """A route; the rest of the project calls it a queue."""
 
-    name: str
-    host: str
-    path_prefix: str
-    service: str  # the pool
-    timeout_ms: int
-    kind: str = ''
-    target_latency_ms: int = 0  # allowed waiting time, not a tail latency
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
+    name: border.Text
+    host: border.Text
+    path_prefix: border.Text
+    service: border.Text  # the pool
+    timeout_ms: border.Milliseconds
+    kind: border.Text = ''
+    # Allowed waiting time, not a tail latency.
+    target_latency_ms: border.Milliseconds = 0
+    priority: _Level = 0
+    max_attempts: _Level = 1
+    slack_factor: typing.Annotated[
+        float, msgspec.Meta(ge=-MAX_FACTOR, le=MAX_FACTOR)
+    ] = 1.0
 
 
 class _Service(msgspec.Struct):
     """A service; the rest of the project calls it a pool."""
 
-    name: str
+    name: border.Text
     enforces_capacity: bool = False
     standby: bool = False
 
@@ -55,7 +69,7 @@
 class _Configuration(msgspec.Struct):
     """A complete configuration."""
 
-    version: int
+    version: border.Integer
     routes: list[_Route]
     services: list[_Service]
 
@@ -66,12 +80,10 @@
     Raises:
         BadInputError: The body is incomplete or invalid.
     """
-    try:
+    with _GUARD:
+        # Also what isn't used has to be readable: it is read back later.
+        decode_tree(body)
         configuration = msgspec.json.decode(body, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.BadInputError(
-            f'invalid configuration: {error}', step='decode configuration'
-        ) from error
     return message.Replace(
         version=configuration.version,
         queues=[_convert_route(route) for route in configuration.routes],
@@ -90,8 +102,9 @@
 def is_configuration(body):
     """Return whether a file's bytes are a configuration, perhaps cut off."""
     try:
-        tree = msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        with _GUARD:
+            tree = decode_tree(body)
+    except errors.BadInputError:
         return body.lstrip().startswith(b'{') and any(
             f'"{field}"'.encode() in body for field in MAIN_FIELDS
         )
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -1,5 +1,6 @@
 """HTTP handlers for callers, operators and the worker beside an agent."""
 
+from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven.platform import catalogs
@@ -19,6 +20,7 @@
 # For requests without a deadline header; about the waiting time that the
 # sites' specifications give.
 DEFAULT_DEADLINE_MS = 3_000
+MAX_DEADLINE_MS = 600_000
 # Share of a caller's deadline that may be spent on reaching a leader; the
 # rest leaves time for the answer to arrive.
 LEADER_TIMEOUT_SHARE = 0.6
@@ -160,7 +162,7 @@
 
 def _read_deadline(environ):
     text = environ.get(DEADLINE_HEADER, '')
-    requested_ms = int(text) if text.isdigit() else 0
+    requested_ms = border.parse_number(text, maximum=MAX_DEADLINE_MS)
     return (requested_ms or DEFAULT_DEADLINE_MS) * MILLISECOND
 
 
--- a/bilberryhaven/platform/jobs.py
+++ b/bilberryhaven/platform/jobs.py
@@ -1,7 +1,10 @@
 """Callers' jobs in the infrastructure's JSON format."""
 
+import typing
+
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven import errors
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import message
@@ -9,29 +12,37 @@
 __all__ = ['decode_job', 'encode_count', 'encode_state']
 
 MAX_SPEC_BYTES = 4_000
+# Three years; the last of a hundred thousand occurrences is a valid time.
+MAX_INTERVAL_MS = 10**11
+MAX_AFTER = 1_000
+
+_GUARD = border.Guard(what='job', step='decode job')
 
 
 class _Step(msgspec.Struct):
     """A step; fields that are 0, false or empty are omitted on the wire."""
 
-    task_count: int
-    cpu: int = 0  # thousandths of a core
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = []
+    task_count: border.Count
+    cpu: border.Amount = 0  # thousandths of a core
+    mem_mb: border.Amount = 0
+    gpu: border.Amount = 0
+    estimate_ms: border.Duration = 0
+    after: typing.Annotated[
+        list[border.Count], msgspec.Meta(max_length=MAX_AFTER)
+    ] = []
     gang: bool = False
     rack_local: bool = False
-    requirements: str = ''  # one label, not a list
-    data_rack: str = ''
-    anti_affinity: int = 0  # most tasks of the step on one backend server
+    requirements: border.Text = ''  # one label, not a list
+    data_rack: border.Text = ''
+    # Most tasks of the step on one backend server.
+    anti_affinity: border.Count = 0
     saves_progress: bool = False
     speculative: bool = False
     long_running: bool = False
-    image: str = ''
-    target_ms: int = 0
+    image: border.Text = ''
+    target_ms: border.Duration = 0
     fill_count: bool | int = False  # flag: uses only capacity left over
-    miss_tolerance: int | None = None
+    miss_tolerance: border.Count | None = None
 
 
 class _Job(msgspec.Struct):
@@ -39,9 +50,11 @@
 
     spec: str
     steps: list[_Step]
-    start_at_ms: int = 0
-    interval_ms: int = 0
-    repeat_count: int = 0  # 0: run once, immediately
+    start_at_ms: border.UnixTime = 0
+    interval_ms: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=MAX_INTERVAL_MS)
+    ] = 0
+    repeat_count: border.Count = 0  # 0: run once, immediately
 
 
 def decode_job(body, *, host, path, zone=''):
@@ -56,12 +69,8 @@
     Raises:
         BadInputError: The body is not a valid job.
     """
-    try:
+    with _GUARD:
         job = msgspec.json.decode(body, type=_Job)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.BadInputError(
-            f'invalid job: {error}', step='decode job'
-        ) from error
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise errors.BadInputError(
             f'the spec exceeds {MAX_SPEC_BYTES} bytes',
