Read settings with odd fields as one coded error; leave odd seeds out

What operators saw: a settings file with unreadable bytes or a number too large ended a starting process with a traceback, and was logged with one each second by a running one; one odd seed among sound ones did the same.

Cause: only missing fields and some invalid ones were expected.

Change: the whole file is read inside the border's guard, numbers have bounds, and odd seeds are left out one by one with a bounded log line.

--- a/bilberryhaven/platform/settings.py
+++ b/bilberryhaven/platform/settings.py
@@ -4,8 +4,10 @@
 import os
 import pathlib
 
+from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
+from bilberryhaven import log
 from bilberryhaven import settings
 from bilberryhaven.workflow import options
 
@@ -14,6 +16,8 @@
 PATH_VARIABLE = 'BILBERRYHAVEN_BOOT'
 DEFAULT_PATH = '/etc/bilberryhaven/local.conf'
 MILLISECOND = clocks.seconds(0.001)
+MAX_RETENTION_S = 10**6
+MAX_TOLERATED_FAILURES = 100
 # Upper bound on the lease on a backend server, also where the deployment
 # allows a longer one: it limits how long the work of a lost server is stalled.
 MAX_LEASE = clocks.seconds(5)
@@ -23,6 +27,10 @@
 # take long.
 START_VALIDITY_SHARE = 0.5
 
+_log = log.BoundedLog(
+    logger=log.get_logger('platform'), clock=clocks.SystemClock()
+)
+
 
 @dataclasses.dataclass(kw_only=True, frozen=True)
 class Deployment:
@@ -60,18 +68,19 @@
     """
     path = path or find_path()
     try:
-        text = path.read_text()
+        data = path.read_bytes()
     except OSError as error:
         raise errors.SettingsError(
             f'{path}: {error.strerror}', step='load settings'
         ) from error
-    fields = _parse_lines(text)
-    try:
-        return _build_deployment(fields)
-    except (KeyError, ValueError) as error:
-        raise errors.SettingsError(
-            f'{path}: missing or invalid field: {error}', step='load settings'
-        ) from error
+    # Who loads the settings logs the error.
+    with border.Guard(
+        what=f'settings file {path}',
+        step='load settings',
+        kind=errors.SettingsError,
+        logs=False,
+    ):
+        return _build_deployment(_parse_lines(data.decode()))
 
 
 def _parse_lines(text):
@@ -88,8 +97,9 @@
     # Seeds are given as operators' addresses. The members of the quorum use
     # the first internal port of the same hosts among themselves.
     port = fields['internal_port_range'].split(',')[0]
-    seeds = [_replace_port(seed, port) for seed in _split(fields.get('seeds'))]
+    seeds = _list_seeds(fields, port)
     own_address = f'{fields["ip"]}:{port}'
+    border.parse_peer(own_address)
     is_bootstrapping = (
         fields.get('bootstrap') == 'true' and own_address in seeds
     )
@@ -138,20 +148,62 @@
 
 def _build_options(fields):
     defaults = options.Options()
-    max_lease = int(fields.get('bounds.max_lease_ms', 0)) * MILLISECOND
-    withdrawal = int(fields.get('bounds.evacuate_ms', 0)) * MILLISECOND
-    tolerated_failures = int(fields.get('fault_tolerance.machines', 1))
+    max_lease = _read_duration(fields, 'bounds.max_lease_ms')
+    withdrawal = _read_duration(fields, 'bounds.evacuate_ms')
+    tolerated_failures = _read_number(
+        fields,
+        'fault_tolerance.machines',
+        1,
+        maximum=MAX_TOLERATED_FAILURES,
+        kind=int,
+    )
     return dataclasses.replace(
         defaults,
         lease=min(max_lease, MAX_LEASE) if max_lease else defaults.lease,
         ended_retention=clocks.seconds(
-            1.5 * float(fields.get('bounds.status_s', 120))
+            1.5
+            * _read_number(
+                fields, 'bounds.status_s', 120, maximum=MAX_RETENTION_S
+            )
         ),
         voters=2 * tolerated_failures + 1,
         start_validity=withdrawal * START_VALIDITY_SHARE or None,
     )
 
 
+def _read_number(fields, name, default, *, maximum, kind=float):
+    """Return the number in a field.
+
+    Raises:
+        ValueError: It is no number from 0 to ``maximum``.
+    """
+    text = fields.get(name) or str(default)
+    number = kind(text)
+    if not 0 <= number <= maximum:
+        raise ValueError(f'{name}={text} is not from 0 to {maximum}')
+    return number
+
+
+def _read_duration(fields, name):
+    number = _read_number(
+        fields, name, 0, maximum=border.MAX_MILLISECONDS, kind=int
+    )
+    return number * MILLISECOND
+
+
+def _list_seeds(fields, port):
+    """Return the seeds' internal addresses; odd seeds are left out."""
+    seeds = []
+    for seed in _split(fields.get('seeds')):
+        try:
+            border.parse_peer(seed)
+        except errors.OptionError as error:
+            _log.warning('seed', f'a seed is not used: {error.message}')
+            continue
+        seeds.append(_replace_port(seed, port))
+    return seeds
+
+
 def _split(value):
     return [item for item in (value or '').split(',') if item]
 
