Keep a replica in the quorum whatever other processes send it

What callers saw: after one odd message at its internal port, nested deeply or with text that is no UTF-8, a replica failed and stayed out of the quorum in a process that went on; three such messages ended the quorum for good. A term near the largest integer was taken and stored, and no message of the next election could be encoded.

Cause: only msgspec's own errors were expected; member lists in entries were decoded after the message had been taken; terms had no bound.

Numbers have bounds, and a term that no sequence of elections reaches is dropped.

--- a/bilberryhaven/commands/__init__.py
+++ b/bilberryhaven/commands/__init__.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven import errors
 
 __all__ = ['Command', 'apply', 'decode', 'encode', 'list_commands']
@@ -44,6 +45,9 @@
         yield from _list_leaves(sub)
 
 
+_GUARD = border.Guard(what='command', step='decode command')
+
+
 @functools.lru_cache(maxsize=1)
 def _build_decoder():
     union = typing.Union[tuple(list_commands())]  # noqa: UP007
@@ -61,12 +65,8 @@
     Raises:
         BadInputError: The bytes do not encode a known command.
     """
-    try:
+    with _GUARD:
         return _build_decoder().decode(data)
-    except msgspec.MsgspecError as error:
-        raise errors.BadInputError(
-            f'invalid command: {error}', step='decode command'
-        ) from error
 
 
 def apply(state, command):
--- a/bilberryhaven/consensus/actor.py
+++ b/bilberryhaven/consensus/actor.py
@@ -126,6 +126,7 @@
         self._flush_queued = False
         self._reply_callbacks = {}
         self._outbox = collections.defaultdict(list)
+        self._log = log.BoundedLog(logger=_logger, clock=clock)
         self._driver = replica_driver.Driver(
             name=name,
             send=self._queue_message,
@@ -177,8 +178,10 @@
             try:
                 self._driver.step(message.decode(data), now)
             except errors.BadInputError as error:
-                _logger.warning(
-                    'dropped invalid message from {}: {}', msg.sender, error
+                self._log.warning(
+                    'message',
+                    f'dropped invalid message: {error}',
+                    sender=msg.sender,
                 )
         self._queue_flush()
 
--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -26,6 +26,9 @@
     message.SnapshotReply: snapshot_transfer.handle_snapshot_reply,
 }
 KEPT_SNAPSHOTS = 2
+# More elections than a replica misses while it is down. Terms that other
+# replicas can't decode any more would end the quorum.
+MAX_TERM_JUMP = 2**32
 
 
 class Core:
@@ -117,7 +120,17 @@
             self.election_at = now
 
     def step(self, msg, now):
-        """Process a message from another replica, or from itself."""
+        """Process a message from another replica, or from itself.
+
+        Raises:
+            BadInputError: No sequence of elections leads to its term.
+        """
+        if msg.term > self.term + MAX_TERM_JUMP:
+            raise errors.BadInputError(
+                f'term {msg.term} is too far from term {self.term}',
+                step='consensus',
+                peer=msg.sender,
+            )
         _HANDLERS[type(msg)](self, msg, now)
 
     def tick(self, now):
--- a/bilberryhaven/consensus/driver.py
+++ b/bilberryhaven/consensus/driver.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from bilberryhaven import border
 from bilberryhaven.consensus import core as consensus_core
 from bilberryhaven.consensus import effects
 from bilberryhaven.consensus import message
@@ -12,6 +13,12 @@
 
 __all__ = ['Driver']
 
+_SNAPSHOT_GUARD = border.Guard(
+    what='snapshot',
+    step='load snapshot',
+    kind=errors.DamagedFileError,
+    logs=False,
+)
 _logger = log.get_logger('consensus')
 
 
@@ -193,7 +200,7 @@
             self._take_snapshot()
 
     def _load_snapshot(self, meta, data):
-        with self._lock:
+        with _SNAPSHOT_GUARD, self._lock:
             self._machine.load(data)
         self.applied = meta.index
         self._schedule_snapshot()
--- a/bilberryhaven/consensus/message.py
+++ b/bilberryhaven/consensus/message.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.consensus import members as replica_members
-from bilberryhaven import errors
 
 __all__ = [
     'AppendReply',
@@ -37,7 +37,7 @@
 class Entry(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One log entry."""
 
-    term: int
+    term: border.Number
     kind: int = EntryKind.DATA
     data: bytes = b''
 
@@ -53,11 +53,11 @@
         crc: CRC-32 of its data.
     """
 
-    index: int
-    term: int
+    index: border.Number
+    term: border.Number
     members: replica_members.Members
-    size: int = 0
-    crc: int = 0
+    size: border.Number = 0
+    crc: border.Number = 0
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -69,20 +69,20 @@
     """
 
     sender: str
-    term: int
+    term: border.Number
 
 
 class PreVoteRequest(Message, frozen=True, kw_only=True, tag=1):
     """Asks whether a campaign in ``term`` + 1 could succeed."""
 
-    last_index: int
-    last_term: int
+    last_index: border.Number
+    last_term: border.Number
 
 
 class PreVoteReply(Message, frozen=True, kw_only=True, tag=2):
     """Whether the sender would grant its vote in ``campaign_term``."""
 
-    campaign_term: int
+    campaign_term: border.Number
     granted: bool
     joined: bool
 
@@ -90,8 +90,8 @@
 class VoteRequest(Message, frozen=True, kw_only=True, tag=3):
     """Requests a vote in ``term``; ``transfer`` if the leader asked for it."""
 
-    last_index: int
-    last_term: int
+    last_index: border.Number
+    last_term: border.Number
     transfer: bool = False
 
 
@@ -113,10 +113,10 @@
         round: Number of the leader's heartbeat round.
     """
 
-    prev_index: int
-    prev_term: int
-    commit: int
-    round: int
+    prev_index: border.Number
+    prev_term: border.Number
+    commit: border.Number
+    round: border.Number
     entries: list[Entry] = []
 
 
@@ -133,32 +133,33 @@
     """
 
     ok: bool
-    index: int
-    round: int
+    index: border.Number
+    round: border.Number
     joined: bool = False
 
 
 class SnapshotRequest(Message, frozen=True, kw_only=True, tag=7):
     """One part of a snapshot, at ``offset`` of its data."""
 
-    round: int
+    round: border.Number
     meta: SnapshotMeta
-    offset: int
+    offset: border.Number
     data: bytes = b''
 
 
 class SnapshotReply(Message, frozen=True, kw_only=True, tag=8):
     """How many bytes of the snapshot at ``index`` were received."""
 
-    round: int
-    index: int
-    offset: int
+    round: border.Number
+    index: border.Number
+    offset: border.Number
 
 
 class TransferRequest(Message, frozen=True, kw_only=True, tag=9):
     """Tells a follower to campaign at once."""
 
 
+_GUARD = border.Guard(what='consensus message', step='decode message')
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(
     PreVoteRequest
@@ -184,9 +185,10 @@
     Raises:
         BadInputError: The bytes are not a known message.
     """
-    try:
-        return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise errors.BadInputError(
-            f'invalid consensus message: {error}', step='decode message'
-        ) from error
+    with _GUARD:
+        msg = _decoder.decode(data)
+        if isinstance(msg, AppendRequest):
+            for entry in msg.entries:
+                if entry.kind == EntryKind.MEMBERS:
+                    replica_members.Members.decode(entry.data)
+        return msg
--- a/bilberryhaven/consensus/segment.py
+++ b/bilberryhaven/consensus/segment.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.consensus import effects
 from bilberryhaven.consensus import frame
 from bilberryhaven.consensus import log as entry_log
@@ -135,12 +136,13 @@
         self._size = len(data)
 
     def _replay(self, payload, recovered, path, offset):
-        try:
+        with border.Guard(
+            what=f'record at offset {offset} of {path}',
+            step='read file',
+            kind=errors.DamagedFileError,
+            logs=False,
+        ):
             record = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
-            raise _build_damaged_file_error(
-                path, offset, str(error)
-            ) from error
         if isinstance(record, _Begin):
             return self._replay_begin(record, recovered, path, offset)
         log = recovered.log if recovered else None
--- a/bilberryhaven/consensus/snapshot.py
+++ b/bilberryhaven/consensus/snapshot.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.consensus import frame
 from bilberryhaven.consensus import message
 from bilberryhaven import errors
@@ -94,10 +95,15 @@
         return b''
 
     def _decode_header(self, frames, path):
-        try:
+        if not frames:
+            raise _build_damaged_file_error(path, 0)
+        with border.Guard(
+            what=f'header of {path}',
+            step='read snapshot',
+            kind=errors.DamagedFileError,
+            logs=False,
+        ):
             return msgspec.msgpack.decode(frames[0], type=_Header)
-        except (IndexError, msgspec.MsgspecError) as error:
-            raise _build_damaged_file_error(path, 0) from error
 
     def _list_names(self):
         names = self._folder.list_names()
