Reject odd messages between processes; never take one for "not run"

What callers saw: an unreadable answer of the leader was passed on as status 400 with the outcome not_run, although the request may have been carried out; so was a leader's address that can't be dialled. Odd requests got the code "internal".

Cause: an odd reply raised the error that is meant for odd requests, and addresses in replies were not checked.

Change: requests, replies, members and addresses to join with pass the border; an odd reply is a PeerError of unknown outcome, and an odd address names no leader.

--- a/bilberryhaven/agent/backend.py
+++ b/bilberryhaven/agent/backend.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from bilberryhaven.agent import protocol
+from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import util
@@ -20,6 +21,7 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 MIN_TIMEOUT = clocks.seconds(0.001)
 READ_CHUNK_BYTES = 64 * 1024
+_ERROR_GUARD = border.Guard(what='error', step='read error')
 
 _NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
@@ -271,8 +273,9 @@
 
     def _parse_error(self, status, data, step):
         try:
-            fields = msgspec.json.decode(data, type=dict[str, str])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            with _ERROR_GUARD:
+                fields = msgspec.json.decode(data, type=dict[str, str])
+        except errors.BadInputError:
             fields = {}
         if 'code' not in fields:
             return errors.PeerError(
--- a/bilberryhaven/agent/protocol.py
+++ b/bilberryhaven/agent/protocol.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberryhaven import errors
+from bilberryhaven import border
 
 __all__ = [
     'Answer',
@@ -168,7 +168,5 @@
     Raises:
         BadInputError: The bytes aren't a valid ``cls``.
     """
-    try:
+    with border.Guard(what=cls.__name__, step=step):
         return msgspec.json.decode(data, type=cls)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise errors.BadInputError(str(error), step=step) from error
--- a/bilberryhaven/control/member_store.py
+++ b/bilberryhaven/control/member_store.py
@@ -6,15 +6,16 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.consensus import files
 from bilberryhaven import errors
 from bilberryhaven import log
-from bilberryhaven import util
 
 __all__ = ['MemberStore']
 
 FILE_NAME = 'members.json'
 
+_GUARD = border.Guard(what='file of members', step='read members', logs=False)
 _logger = log.get_logger('discovery')
 
 
@@ -39,15 +40,11 @@
             return []
         try:
             data = self._folder.read(FILE_NAME)
-            addresses = msgspec.json.decode(data, type=list[str])
-            for address in addresses:
-                util.parse_address(address)
-        except (
-            msgspec.MsgspecError,
-            UnicodeDecodeError,
-            RecursionError,
-            errors.BilberryhavenError,
-        ) as error:
+            with _GUARD:
+                addresses = msgspec.json.decode(data, type=list[str])
+                for address in addresses:
+                    border.parse_peer(address)
+        except errors.BilberryhavenError as error:
             _logger.warning('stored members are not used: {}', error)
             return []
         return addresses
--- a/bilberryhaven/wire/client.py
+++ b/bilberryhaven/wire/client.py
@@ -2,6 +2,7 @@
 
 import urllib3
 
+from bilberryhaven import border
 from bilberryhaven import errors
 from bilberryhaven import util
 from bilberryhaven.wire import codec
@@ -15,6 +16,10 @@
 MAX_PEERS = 8192
 CONNECT_SECONDS = 0.5
 MS_PER_S = 1000
+# Whatever was asked for may have been done. The caller logs the error.
+_REPLY_GUARD = border.Guard(
+    what='reply', step='read reply', kind=errors.PeerError, logs=False
+)
 
 
 class Client:
@@ -41,8 +46,9 @@
             step: Purpose of the message, named in errors.
 
         Raises:
-            PeerError: No complete answer arrived. The outcome is not_run if
-                no connection was made, else unknown.
+            PeerError: No complete answer arrived, or one that can't be read.
+                The outcome is not_run if no connection was made, else
+                unknown.
             BilberryhavenError: The peer answered with an error.
         """
         host, port = util.parse_address(address)
@@ -67,9 +73,11 @@
             raise errors.PeerError(
                 f'HTTP status {response.status}', step=step, peer=address
             )
-        reply = codec.decode(response.data)
-        if isinstance(reply, message.ErrorReply):
-            raise _rebuild_error(reply, address)
+        with _REPLY_GUARD:
+            reply = codec.decode(response.data)
+            error = _rebuild_error(reply, address)
+        if error is not None:
+            raise error
         return reply
 
     def close(self):
@@ -91,6 +99,9 @@
 
 
 def _rebuild_error(reply, address):
+    """Return the error that a reply reports, or None."""
+    if not isinstance(reply, message.ErrorReply):
+        return None
     error = errors.build_error(
         {
             'code': reply.code,
--- a/bilberryhaven/wire/codec.py
+++ b/bilberryhaven/wire/codec.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import functools
+import math
 import pathlib
 import typing
 
 import capnp
 
-from bilberryhaven import errors
+from bilberryhaven import border
 from bilberryhaven.wire import message
 
 __all__ = ['decode', 'encode']
@@ -15,6 +16,10 @@
 SCHEMA = pathlib.Path(__file__).with_name('schema.capnp')
 MAX_MESSAGE_WORDS = 64 * 1024 * 1024 // 8
 
+_GUARD = border.Guard(
+    what='message', step='decode message', catches=(capnp.KjException,)
+)
+
 
 @functools.lru_cache(maxsize=1)
 def _load_schema():
@@ -71,6 +76,8 @@
             convert = functools.partial(_read_list, _build_reader(item))
         elif item is not None:
             convert = list
+        elif hint is float:
+            convert = _read_finite
         else:
             convert = None
         converters.append((name, camel, convert))
@@ -85,6 +92,12 @@
     return read
 
 
+def _read_finite(value):
+    if not math.isfinite(value):
+        raise ValueError(f'{value} is no finite number')
+    return value
+
+
 def _read_list(read, items):
     return [read(item) for item in items]
 
@@ -108,14 +121,13 @@
     Raises:
         BadInputError: The bytes do not encode a known message.
     """
-    try:
-        with _load_schema().Envelope.from_bytes(
+    schema = _load_schema()
+    with (
+        _GUARD,
+        schema.Envelope.from_bytes(
             data, traversal_limit_in_words=MAX_MESSAGE_WORDS
-        ) as envelope:
-            field = str(envelope.which())
-            cls = message.get_messages()[field]
-            return _build_reader(cls)(getattr(envelope, field))
-    except (capnp.KjException, KeyError, ValueError, TypeError) as error:
-        raise errors.BadInputError(
-            f'invalid message: {error}', step='decode message'
-        ) from error
+        ) as envelope,
+    ):
+        field = str(envelope.which())
+        cls = message.get_messages()[field]
+        return _build_reader(cls)(getattr(envelope, field))
--- a/bilberryhaven/wire/directory.py
+++ b/bilberryhaven/wire/directory.py
@@ -3,10 +3,10 @@
 import itertools
 import threading
 
+from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
-from bilberryhaven import util
 from bilberryhaven.wire import message
 
 __all__ = ['MemberDirectory']
@@ -127,7 +127,7 @@
                 step='read members',
             )
         for address in msg.members:
-            util.parse_address(address)
+            border.parse_peer(address)
         self.confirm(msg.members, reference - msg.age_ms * MILLISECOND)
 
     def describe(self):
--- a/bilberryhaven/wire/leader.py
+++ b/bilberryhaven/wire/leader.py
@@ -3,6 +3,7 @@
 import datetime
 import threading
 
+from bilberryhaven import border
 from bilberryhaven import errors
 
 __all__ = ['LeaderClient']
@@ -120,7 +121,7 @@
     def _set_leader(self, asked, named):
         """Store the leader named by ``asked``; return whether it is new."""
         with self._lock:
-            known = bool(named) and named != asked
+            known = _is_address(named) and named != asked
             self._leader = named if known else ''
             return known
 
@@ -130,6 +131,14 @@
                 self._leader = ''
 
 
+def _is_address(text):
+    try:
+        border.parse_peer(text)
+    except errors.OptionError:
+        return False
+    return True
+
+
 def _build_unavailable(last_error, outcome, step):
     text = 'no leader was reached'
     if last_error is not None:
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -4,6 +4,7 @@
 import contextlib
 import threading
 
+from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import commands
 from bilberryhaven.commands import workflow as workflow_commands
@@ -215,6 +216,8 @@
 
     def _join(self, request):
         self.ensure_ready()
+        border.check_printable(request.name, what='name')
+        border.parse_peer(request.address)
         member = self._membership.admit(request)
         return message.JoinReply(member=member)
 
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven.tables import catalog
@@ -74,17 +75,17 @@
     """
 
     id: str
-    born_ms: int
+    born_ms: border.UnixTime
     pool: str
     zone: str = ''
     labels: list[str] = []
     rack: str = ''
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
+    cpu: border.Amount = 0
+    memory_mb: border.Amount = 0
+    gpu: border.Amount = 0
     draining: bool = False
-    remaining_ms: int = 0
-    warming_ms: int = 0
+    remaining_ms: border.Milliseconds = 0
+    warming_ms: border.Milliseconds = 0
 
 
 class OrderKind:
@@ -170,7 +171,7 @@
     """
 
     run: workflow_commands.RunRef
-    age_ms: int
+    age_ms: border.Duration
 
 
 class Poll(Request, kw_only=True):
@@ -188,10 +189,10 @@
 
     agent: str
     server: ServerState
-    epoch: int = 0
+    epoch: border.Number = 0
     feed: str = ''
-    seen: int = 0
-    sequence: int = 0
+    seen: border.Number = 0
+    sequence: border.Number = 0
 
 
 class PollReply(Reply, kw_only=True):
@@ -216,14 +217,14 @@
     """
 
     key: str
-    epoch: int
-    lease_ms: int
+    epoch: border.Number
+    lease_ms: border.Duration
     feed: str
-    last: int
+    last: border.Number
     orders: list[Order] = []
-    acked: int = 0
-    former_deadline_ms: int = 0
-    doubt_ms: int = 0
+    acked: border.Number = 0
+    former_deadline_ms: border.Milliseconds = 0
+    doubt_ms: border.Duration = 0
     withdrawn: bool = False
 
 
@@ -252,19 +253,19 @@
 
     agent: str
     key: str
-    epoch: int
+    epoch: border.Number
     ends: list[workflow_commands.RunEnd] = []
-    upto: int = 0
+    upto: border.Number = 0
     running: list[Running] = []
     listed: bool = False
     paused: list[workflow_commands.RunRef] = []
     lapsed: bool = False
     trouble: str = ''
-    deadline_ms: int = 0
+    deadline_ms: border.Milliseconds = 0
     crashed: bool = False
     started: list[StartedRun] = []
-    crash_age_ms: int = 0
-    number: int = 0
+    crash_age_ms: border.Duration = 0
+    number: border.Number = 0
 
 
 class ReportReply(Reply, kw_only=True):
@@ -275,7 +276,7 @@
         effects: Learned effects of the images that are present there.
     """
 
-    acked: int = 0
+    acked: border.Number = 0
     effects: list[Effect] = []
 
 
@@ -328,7 +329,7 @@
 class Replace(Request, kw_only=True):
     """Request of an operator to replace the catalog."""
 
-    version: int
+    version: border.Integer
     queues: list[catalog.Queue]
     pools: list[catalog.Pool]
     document: bytes
@@ -376,6 +377,11 @@
     member: bool
 
 
+_GUARD = border.Guard(what='workflow message', step='decode message')
+_REPLY_GUARD = border.Guard(
+    what='workflow reply', step='decode reply', kind=errors.PeerError
+)
+
 _REQUESTS = msgspec.msgpack.Decoder(
     Poll
     | Report
@@ -410,22 +416,16 @@
     Raises:
         BadInputError: The bytes are not a known request.
     """
-    return _decode(_REQUESTS, data)
+    with _GUARD:
+        return _REQUESTS.decode(data)
 
 
 def decode_reply(data):
     """Decode a reply.
 
     Raises:
-        BadInputError: The bytes are not a known reply.
+        PeerError: The bytes are not a known reply; what was requested may
+            have been done.
     """
-    return _decode(_REPLIES, data)
-
-
-def _decode(decoder, data):
-    try:
-        return decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise errors.BadInputError(
-            f'not a workflow message: {error}', step='decode message'
-        ) from error
+    with _REPLY_GUARD:
+        return _REPLIES.decode(data)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 import testtools
 
 from bilberryhaven import clock as clocks
-from bilberryhaven.consensus import files
+from bilberryhaven.consensus import memory
 from bilberryhaven.control import member_store
 from bilberryhaven.control import redirector
 from bilberryhaven import errors
@@ -254,50 +254,16 @@
         self.assertEqual('', self.find_peer(local=FIRST, known=FIRST))
 
 
-class MemoryFolder(files.Folder):
-    """Files in memory."""
-
-    def __init__(self, **contents):
-        self.contents = contents
-        self.full = False
-
-    def list_names(self):
-        return sorted(self.contents)
-
-    def read(self, name):
-        return self.contents[name]
-
-    def read_part(self, name, offset, size):
-        raise NotImplementedError
-
-    def replace(self, name, data):
-        if self.full:
-            raise errors.StorageError('disk full', step='write file')
-        self.contents[name] = data
-
-    def open_appender(self, name):
-        raise NotImplementedError
-
-    def remove(self, name):
-        raise NotImplementedError
-
-    def lock(self):
-        raise NotImplementedError
-
-    def unlock(self):
-        raise NotImplementedError
-
-
 class MemberStoreTest(testtools.TestCase):
     def test_members_are_kept_over_a_restart(self):
-        folder = MemoryFolder()
+        folder = memory.MemoryFolder()
         member_store.MemberStore(folder=folder).save(MEMBERS)
         loaded = member_store.MemberStore(folder=folder).load()
         self.assertEqual(MEMBERS, loaded)
 
     def test_missing_or_damaged_file_names_no_contact(self):
         self.assertEqual(
-            [], member_store.MemberStore(folder=MemoryFolder()).load()
+            [], member_store.MemberStore(folder=memory.MemoryFolder()).load()
         )
         damaged = (
             b'',
@@ -309,13 +275,13 @@
             b'[' * 100_000,
         )
         for data in damaged:
-            folder = MemoryFolder()
-            folder.contents[member_store.FILE_NAME] = data
+            folder = memory.MemoryFolder()
+            folder.replace(member_store.FILE_NAME, data)
             store = member_store.MemberStore(folder=folder)
             self.assertEqual([], store.load(), data[:20])
 
     def test_full_disk_is_no_error(self):
-        folder = MemoryFolder()
-        folder.full = True
+        folder = memory.MemoryFolder()
+        folder.capacity = 0
         member_store.MemberStore(folder=folder).save(MEMBERS)
-        self.assertEqual({}, folder.contents)
+        self.assertEqual([], folder.list_names())
