--- a/bilberryhaven/border.py
+++ b/bilberryhaven/border.py
@@ -42,7 +42,6 @@
 MAX_MILLISECONDS = 10**12
 MAX_UNIX_MS = 4_102_444_800_000  # the year 2100
 MAX_TEXT_CHARS = 1_000
-MAX_ITEMS = 1_000
 # Nothing that is read here is nested deeper than a few levels.
 MAX_DEPTH = 32
 
