Keep asking the member that answers for the members

Cause: the requests went to the members in turn, so that each process of a fleet kept a connection to each member, and the listener's limit of 2,000 idle connections would have held for followers as it does for the leader.

Change: each process starts at a member chosen at random, and goes on to the next only if it doesn't answer. docs/CAPACITY.md has the cost of exchanges.

Measured: test_member_that_answers_is_asked_again failed before (all three members were asked); test_discovery passes three times of three.

--- a/bilberryhaven/wire/directory.py
+++ b/bilberryhaven/wire/directory.py
@@ -1,6 +1,7 @@
 """Addresses of the quorum's members, as far as a process knows them."""
 
 import itertools
+import random
 import threading
 
 from bilberryhaven import border
@@ -49,6 +50,9 @@
         self._stored = []
         self._members = []
         self._confirmed_at = None
+        # Spreads the processes over the members, each of which then has the
+        # connections of its share only.
+        self._first_asked = random.randrange(MAX_MEMBERS)
         self._rotation = itertools.count()
         self._lock = threading.Lock()
 
@@ -152,7 +156,7 @@
         """Return the addresses to ask for the members, best ones first."""
         members = self.members
         if members:
-            shift = next(self._rotation) % len(members)
+            shift = self._first_asked % len(members)
             members = [*members[shift:], *members[:shift]]
         local = [self._local] if self._local else []
         return _list_unique(members, self._seeds, self._stored, local)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -210,6 +210,18 @@
             self.tick(*voters, entry)
         self.assertTrue(len(self.network.asked) <= 5, self.network.asked)
 
+    def test_member_that_answers_is_asked_again(self):
+        voters = self.add_voters([])
+        entry = self.network.add(OTHER, seeds=[FIRST])
+        for _ in range(20):
+            self.tick(*voters, entry)
+        asked = self.network.asked[1:]
+        self.assertEqual(1, len(set(asked)), asked)
+        del self.network.processes[asked[0]]
+        for _ in range(20):
+            self.tick(*voters, entry)
+        self.assertEqual(MEMBERS, entry.directory.list_addresses())
+
     def test_odd_members_are_rejected(self):
         tested = self.network.add(OTHER)
         odd_lists = (
