Remove drafts of interrupted writes only when the folder is locked

What could be seen: a write of a segment fails as on a faulty disk, and the replica stays out of the quorum. Shown by a test only.

Cause: each listing of the data folder removed all drafts.

Change: drafts are removed by lock(), before any write of this process. The stored members are read before the replica starts.

Evidence: DraftTest in tests/test_consensus_storage: 2 of 2 failed before, pass now; with test_consensus_replica, test_platform_control and test_control_role 27 passed.

--- a/bilberryhaven/consensus/files.py
+++ b/bilberryhaven/consensus/files.py
@@ -84,21 +84,17 @@
             self._path.mkdir(parents=True, exist_ok=True)
 
     def list_names(self):
-        """Return the sorted names of complete files.
-
-        Removes the temporary files of interrupted writes.
-        """
-        with _translate('list folder', self._path):
-            names = sorted(os.listdir(self._path))
-        for name in names:
-            if name.endswith(TEMP_SUFFIX):
-                self.remove(name)
+        """Return the sorted names of complete files."""
         return [
             name
-            for name in names
+            for name in self._list_all()
             if name != LOCK_NAME and not name.endswith(TEMP_SUFFIX)
         ]
 
+    def _list_all(self):
+        with _translate('list folder', self._path):
+            return sorted(os.listdir(self._path))
+
     def read(self, name):
         """Return the bytes of a file."""
         with _translate('read file', self._path / name):
@@ -143,6 +139,9 @@
     def lock(self):
         """Lock the folder against use by other processes.
 
+        Removes the temporary files of interrupted writes: no other process
+        writes any more, and this one doesn't yet.
+
         Raises:
             StorageError: Another process holds the lock.
         """
@@ -155,6 +154,9 @@
                 lock_file.close()
                 raise
             self._lock_file = lock_file
+        for name in self._list_all():
+            if name.endswith(TEMP_SUFFIX):
+                self.remove(name)
 
     def unlock(self):
         """Release the lock."""
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -134,9 +134,10 @@
 
     def start(self):
         """Load the data folder, start listening and join the quorum."""
+        stored = self._member_store.load()
         self.replica.start()
         logged = [row.address for row in self.replica.status().members]
-        self.directory.set_stored([*logged, *self._member_store.load()])
+        self.directory.set_stored([*logged, *stored])
         self.server.start()
         self.workflows.start()
         self._stop_tickers = [
--- a/tests/odd_leader.py
+++ b/tests/odd_leader.py
@@ -125,7 +125,7 @@
     def submit(self, path, body, **headers):
         return self.call(self.callers, 'POST', path, body, **headers)
 
-    def check_works(self, supervisor=None):
+    def check_works(self):
         """Check that a sound server is used and its runs are ordered."""
         self.clock.advance(clocks.seconds(1))
         self.dispatcher._schedule()
--- a/tests/test_consensus_storage.py
+++ b/tests/test_consensus_storage.py
@@ -182,3 +182,31 @@
         self.storage.close()
         self.assertEqual(60, self.found.log.last_index)
         self.assertEqual(40, self.found.meta.index)
+
+
+class DraftTest(testtools.TestCase):
+    """Guards against a listing that removes what another thread writes.
+
+    Snapshots are stored, and the folder is listed, while segments are begun.
+    """
+
+    def setUp(self):
+        super().setUp()
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.path = pathlib.Path(temporary.name)
+        self.folder = files.DiskFolder(path=self.path)
+        self.draft = self.path / f'log-1{files.TEMP_SUFFIX}'
+
+    def test_draft_of_a_write_in_progress_is_kept(self):
+        self.folder.lock()
+        self.addCleanup(self.folder.unlock)
+        self.draft.write_bytes(b'x')
+        self.assertEqual([], self.folder.list_names())
+        self.assertTrue(self.draft.exists())
+
+    def test_draft_of_an_interrupted_write_is_removed(self):
+        self.draft.write_bytes(b'x')
+        self.folder.lock()
+        self.addCleanup(self.folder.unlock)
+        self.assertFalse(self.draft.exists())
