Reject half of a surrogate pair in a settings file with a code

What operators saw: a traceback from `check`, `apply` and the start of a process instead of an error with a code.

Cause: YAML allows the escape, the models that show the value don't.

Change: texts in YAML files have to be valid Unicode.

Evidence: OwnSettingsTest in tests/test_odd_settings failed before (UnicodeEncodeError), passes now; test_settings and test_cmdline pass.

--- a/bilberryhaven/yamlfile.py
+++ b/bilberryhaven/yamlfile.py
@@ -14,6 +14,12 @@
 class _Loader(yaml.SafeLoader):
     """Safe loader that rejects duplicate keys."""
 
+    def construct_scalar(self, node):
+        """Return the text of ``node``, which must be valid Unicode."""
+        text = super().construct_scalar(node)
+        text.encode()
+        return text
+
     def construct_mapping(self, node, deep=False):
         """Return the mapping of ``node``, whose keys must be unique."""
         seen = set()
--- a/tests/test_odd_settings.py
+++ b/tests/test_odd_settings.py
@@ -9,10 +9,12 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import testtools
 
 from bilberryhaven import errors
 from bilberryhaven.platform import settings as platform_settings
+from bilberryhaven import settings
 from bilberryhaven import util
 
 SETTINGS = hypothesis.settings(
@@ -53,6 +55,56 @@
 )
 
 
+YAML_VALUES = (
+    '1' + '0' * 400,
+    '-1',
+    '.nan',
+    '.inf',
+    '1e400',
+    '2023-01-01',
+    '!!binary "/w=="',
+    '[' * 300 + ']' * 300,
+    '"\\ud800"',
+    '"127.0.0.1:\xb2"',
+    '"127.0.0.1:99999"',
+    '~',
+    '{}',
+    'yes',
+    '"\\0"',
+    '&a [*a]',
+    '9' * 5000,
+)
+YAML_FIELDS = (
+    'name: {}',
+    'listen: {}',
+    'control: {}',
+    'control: [{}]',
+    'voters: {{a: {}}}',
+    'labels: {{a: {}}}',
+    'capacity: {{cpu: {}}}',
+    'capacity: {{slots: {}}}',
+    'zones: [{{name: a, delay_ms: {}}}]',
+    'workflows: {{zone_weights: {}}}',
+    'log_level: {}',
+)
+
+
+class OwnSettingsTest(testtools.TestCase):
+    def test_odd_field_is_one_coded_error_or_can_be_used(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / 's.yaml'
+        for field in YAML_FIELDS:
+            for value in YAML_VALUES:
+                path.write_text(field.format(value) + '\n')
+                try:
+                    loaded = settings.load_settings(path)
+                except errors.SettingsError as error:
+                    self.assertTrue(str(error))
+                else:
+                    msgspec.json.encode(loaded)
+
+
 class SettingsTest(testtools.TestCase):
     def load(self, fields):
         with tempfile.TemporaryDirectory() as folder:
