Reject odd bodies of the project's own API with a code

What callers saw: HTTP status 500 with the outcome unknown, for an expected version past 64 bits and for a payload with a number out of range.

Cause: the one had no upper bound and failed when the command was encoded; the other was decoded a second time without a guard.

Change: the bodies pass the border; an added control instance must have an address that can be dialled.

--- a/bilberryhaven/cmdline/_client.py
+++ b/bilberryhaven/cmdline/_client.py
@@ -189,7 +189,7 @@
 def _decode_answer(response, server, step):
     try:
         answer = json.loads(response.data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.PeerError(
             f'HTTP status {response.status} without a JSON body',
             step=step,
--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven import registry
@@ -29,6 +30,10 @@
 MAX_INTEGER = 2**53
 MAX_DIGITS = 18
 
+_BODY_GUARD = border.Guard(what='body', step='read body')
+# For bodies that were rejected already.
+_VALUE_GUARD = border.Guard(what='body', step='read body', logs=False)
+
 _registry = registry.Registry(family='route')
 _logger = log.get_logger('api')
 
@@ -65,9 +70,10 @@
                 the message has the path of each invalid field.
         """
         try:
-            return msgspec.json.decode(self.body or b'{}', type=kind)
-        except (msgspec.MsgspecError, RecursionError) as error:
-            problems = _list_problems(self.body, kind) or [error]
+            with _BODY_GUARD:
+                return msgspec.json.decode(self.body or b'{}', type=kind)
+        except errors.BadInputError as error:
+            problems = _list_problems(self.body, kind) or [error.__cause__]
             listed = '; '.join(str(problem) for problem in problems)
             raise errors.BadInputError(
                 f'invalid body of {self.method} {self.path}: {listed}',
@@ -115,8 +121,9 @@
 def _list_problems(body, kind):
     """Return all validation errors of a body; none if it isn't JSON."""
     try:
-        decoded = msgspec.json.decode(body or b'{}')
-    except (msgspec.MsgspecError, RecursionError):
+        with _VALUE_GUARD:
+            decoded = msgspec.json.decode(body or b'{}')
+    except errors.BadInputError:
         return []
     return validation.convert(decoded, kind)[1]
 
--- a/bilberryhaven/control/api/jobs.py
+++ b/bilberryhaven/control/api/jobs.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.control import api
 from bilberryhaven.control.api import models
@@ -18,6 +19,8 @@
 MAX_LIMIT = 5000
 MAX_PAYLOAD_BYTES = 256 * 1024
 
+_PAYLOAD_GUARD = border.Guard(what='payload', step='read body')
+
 
 @api.route('POST', '/v1/jobs')
 def submit_job(request):
@@ -45,7 +48,8 @@
 
 
 def _convert_payload(raw):
-    value = msgspec.json.decode(raw)
+    with _PAYLOAD_GUARD:
+        value = msgspec.json.decode(raw)
     data = value.encode() if isinstance(value, str) else bytes(raw)
     if len(data) > MAX_PAYLOAD_BYTES:
         raise errors.BadInputError(
--- a/bilberryhaven/control/api/members.py
+++ b/bilberryhaven/control/api/members.py
@@ -1,10 +1,10 @@
 """Endpoints of control instances: read, add and remove."""
 
+from bilberryhaven import border
 from bilberryhaven import clock
 from bilberryhaven.control import api
 from bilberryhaven.control.api import models
 from bilberryhaven.control.api import serializers
-from bilberryhaven import util
 
 __all__ = []
 
@@ -36,7 +36,7 @@
 def add_member(request):
     """Add a control instance as a learner; it votes once caught up."""
     body = request.decode(models.MemberBody)
-    util.parse_address(body.address)
+    border.parse_peer(body.address)
     request.ctx.change_members(add=(body.name, body.address))
     return list_members(request)
 
--- a/bilberryhaven/control/api/models.py
+++ b/bilberryhaven/control/api/models.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bilberryhaven import border
 from bilberryhaven.commands import change
 from bilberryhaven.control import api
 from bilberryhaven import errors
@@ -71,7 +72,9 @@
 
     by: typing.Annotated[str, msgspec.Meta(max_length=MAX_ID_LENGTH)] = ''
     change_id: Id | None = None
-    expect: typing.Annotated[int, msgspec.Meta(ge=-1)] = change.ANY_VERSION
+    expect: typing.Annotated[
+        int, msgspec.Meta(ge=-1, le=border.MAX_INTEGER)
+    ] = change.ANY_VERSION
 
 
 class Resources(Body, kw_only=True, frozen=True):
--- a/bilberryhaven/control/api/serializers.py
+++ b/bilberryhaven/control/api/serializers.py
@@ -1,9 +1,13 @@
 """Conversion of table rows to JSON values."""
 
 import base64
+import contextlib
 
 import msgspec
 
+from bilberryhaven import border
+from bilberryhaven import errors
+
 __all__ = [
     'serialize_bytes',
     'serialize_instance',
@@ -11,6 +15,9 @@
     'serialize_row',
 ]
 
+# Bytes that are no JSON are shown in another way.
+_GUARD = border.Guard(what='value', step='serialize', logs=False)
+
 
 def serialize_row(row):
     """Return a row as a JSON value."""
@@ -37,10 +44,8 @@
 
 def serialize_bytes(data):
     """Return ``data`` decoded as JSON, else as text, else in base64."""
-    try:
+    with contextlib.suppress(errors.BadInputError), _GUARD:
         return msgspec.json.decode(data)
-    except (msgspec.MsgspecError, RecursionError):
-        pass
     try:
         return data.decode()
     except UnicodeDecodeError:
