Let a replica recover in the same process after a failed write

Cause: the first failed write put a replica into the role "failed" until a restart, and its process went on.

Change: after a StorageError the replica takes no part and reads all of its files again, first after 0.1 s, then at most once a second. The last segment is written to a new file and synced, the core starts as after a restart; what a sync had confirmed must be there, or the replica stays failed. So nothing of its memory or of the page cache counts until a later sync. Also at the start of the process, unless another process uses the folder (new code folder_in_use).

Why it works: a recovery in the process does what a restart does, which is tested for power loss, and adds a check of what the process knows.

--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -315,6 +315,15 @@
         self.leadership_transfer = None
         self.reset_election_timer(now)
 
+    def fail(self):
+        """Take no part in the quorum any more.
+
+        Discards all effects that were queued.
+        """
+        self.take_effects()
+        self.role = status.Role.FAILED
+        self.leader = ''
+
     def become_leader(self, now):
         """Become the leader and append a no-op entry.
 
--- a/bilberryhaven/consensus/driver.py
+++ b/bilberryhaven/consensus/driver.py
@@ -2,12 +2,14 @@
 
 import contextlib
 
+from bilberryhaven import backoff
 from bilberryhaven import border
 from bilberryhaven.consensus import core as consensus_core
 from bilberryhaven.consensus import effects
 from bilberryhaven.consensus import message
 from bilberryhaven.consensus import pending
 from bilberryhaven.consensus import status
+from bilberryhaven.consensus import storage
 from bilberryhaven import errors
 from bilberryhaven import log
 
@@ -19,6 +21,7 @@
     kind=errors.DamagedFileError,
     logs=False,
 )
+_PERMANENT_FAULTS = (errors.DamagedFileError, errors.FolderInUseError)
 _logger = log.get_logger('consensus')
 
 
@@ -43,6 +46,8 @@
         core: The ``Core``, once started.
         applied: Index of the newest applied entry.
         fault: Error that ended its participation in the quorum, or None.
+            After a ``StorageError`` it takes part again once its folder
+            could be recovered.
     """
 
     def __init__(
@@ -65,6 +70,13 @@
         self._storage = storage
         self._machine = machine
         self._options = options
+        self._voters = {}
+        self._storage_faults = 0
+        self._recovery_attempts = 0
+        self._backoff = backoff.Backoff(
+            first=options.recovery_delay,
+            longest=options.max_recovery_delay,
+        )
         self._random = random
         self._send = send
         self._save = save or self._save_now
@@ -78,29 +90,45 @@
     def start(self, voters, now):
         """Recover from storage and start the core.
 
+        If the folder cannot be read or written, this is attempted again
+        until it succeeds.
+
         Args:
             voters: Addresses of the initial voters by name, used if the
                 folder is empty.
             now: Current monotonic time as a timedelta.
 
         Raises:
-            StorageError: A file is corrupt or cannot be read or written.
+            DamagedFileError: A file is corrupt or missing.
+            FolderInUseError: Another process uses the folder.
         """
-        recovery = self._storage.recover(voters)
-        snapshots = ()
-        if recovery.meta is not None:
-            snapshots = (recovery.meta,)
-            self._load_snapshot(recovery.meta, recovery.data)
-        self.core = consensus_core.Core(
+        self._voters = voters
+        try:
+            self._recover(now)
+        except _PERMANENT_FAULTS:
+            raise
+        except errors.StorageError as error:
+            self.core = self._build_core(storage.Recovery())
+            self.fail(error)
+
+    def _recover(self, now):
+        recovery = self._storage.recover(self._voters, applied=self.applied)
+        meta = recovery.meta
+        if meta is not None and meta.index > self.applied:
+            self._load_snapshot(meta, recovery.data)
+        self.core = self._build_core(recovery)
+        self.core.start(now)
+
+    def _build_core(self, recovery):
+        return consensus_core.Core(
             name=self.name,
             options=self._options,
             random=self._random,
             hard_state=recovery.hard_state,
             log=recovery.log,
             history=recovery.history,
-            snapshots=snapshots,
+            snapshots=() if recovery.meta is None else (recovery.meta,),
         )
-        self.core.start(now)
 
     def step(self, msg, now):
         """Process a message; must be followed by ``flush``."""
@@ -111,6 +139,41 @@
         """Run the timers that are due; must be followed by ``flush``."""
         if self.fault is None:
             self._run_or_fail(self.core.tick, now)
+        elif self._may_recover() and self._backoff.is_due(now):
+            self._attempt_recovery(now)
+
+    def _may_recover(self):
+        return isinstance(self.fault, errors.StorageError) and not isinstance(
+            self.fault, _PERMANENT_FAULTS
+        )
+
+    def _attempt_recovery(self, now):
+        self._recovery_attempts += 1
+        # Until a write succeeds, the delay grows from fault to fault.
+        self._backoff.postpone(now)
+        try:
+            self._recover(now)
+        except _PERMANENT_FAULTS as error:
+            self._log_permanent_fault(error)
+            self.fault = error
+        except errors.StorageError as error:
+            _logger.warning(
+                'replica {} cannot recover from its folder: {}; next attempt '
+                'in {} s',
+                self.name,
+                error,
+                self._backoff.delay.total_seconds(),
+            )
+        else:
+            self.fault = None
+            _logger.warning(
+                'replica {} takes part again: recovered term {} and entries '
+                'up to {} after {} attempts',
+                self.name,
+                self.core.term,
+                self.core.log.last_index,
+                self._recovery_attempts,
+            )
 
     def propose(self, items, now):
         """Append a batch of proposals; must be followed by ``flush``.
@@ -222,6 +285,7 @@
             log=core.log,
             history=core.history,
         )
+        self._backoff.reset()
 
     def _send_message(self, to, msg):
         if isinstance(msg, message.SnapshotRequest):
@@ -313,6 +377,8 @@
         if isinstance(result, errors.BilberryhavenError):
             _logger.error('cannot store snapshot: {}', result)
             return
+        if self.fault is not None:
+            return
         self.core.record_snapshot(result)
         self._run_or_fail(self._storage.compact, self.core.log.base_index)
 
@@ -340,6 +406,9 @@
             members=tuple(members),
             last_index=core.log.last_index,
             snapshot_index=core.snapshot.index if core.snapshot else 0,
+            fault='' if self.fault is None else str(self.fault),
+            storage_faults=self._storage_faults,
+            recovery_attempts=self._recovery_attempts,
         )
 
     def _build_member_status(self, name):
@@ -354,12 +423,30 @@
         )
 
     def fail(self, error):
-        """Stop participating in the quorum after a fault, until a restart."""
-        _logger.critical('replica {} has failed: {}', self.name, error)
+        """Stop participating in the quorum after a fault.
+
+        After a failed write or sync the replica takes part again once
+        ``tick`` could recover it from its folder, after any other fault once
+        it is restarted.
+        """
         self.fault = error
-        self.core.role = status.Role.FAILED
+        if self._may_recover():
+            self._storage_faults += 1
+            _logger.error(
+                'replica {} takes no part until its folder can be written: '
+                '{}; next attempt in {} s',
+                self.name,
+                error,
+                self._backoff.delay.total_seconds(),
+            )
+        else:
+            self._log_permanent_fault(error)
+        self.core.fail()
         self._fail_lost()
 
+    def _log_permanent_fault(self, error):
+        _logger.critical('replica {} has failed: {}', self.name, error)
+
     def close(self):
         """Fail pending proposals and close the files."""
         if self.fault is None:
--- a/bilberryhaven/consensus/files.py
+++ b/bilberryhaven/consensus/files.py
@@ -2,6 +2,7 @@
 
 import abc
 import contextlib
+import errno
 import fcntl
 import os
 import pathlib
@@ -63,7 +64,10 @@
 
     @abc.abstractmethod
     def lock(self):
-        """Lock the folder against use by other processes."""
+        """Lock the folder against use by other processes.
+
+        Does nothing if it is locked already.
+        """
 
     @abc.abstractmethod
     def unlock(self):
@@ -71,7 +75,7 @@
 
 
 class DiskFolder(Folder):
-    """A folder on disk, created if missing.
+    """A folder on disk, created by ``lock`` if missing.
 
     Args:
         path: Its path.
@@ -80,8 +84,6 @@
     def __init__(self, *, path):
         self._path = pathlib.Path(path)
         self._lock_file = None
-        with _translate('create folder', self._path):
-            self._path.mkdir(parents=True, exist_ok=True)
 
     def list_names(self):
         """Return the sorted names of complete files."""
@@ -93,7 +95,10 @@
 
     def _list_all(self):
         with _translate('list folder', self._path):
-            return sorted(os.listdir(self._path))
+            try:
+                return sorted(os.listdir(self._path))
+            except FileNotFoundError:
+                return []
 
     def read(self, name):
         """Return the bytes of a file."""
@@ -139,24 +144,38 @@
     def lock(self):
         """Lock the folder against use by other processes.
 
-        Removes the temporary files of interrupted writes: no other process
-        writes any more, and this one doesn't yet.
+        Creates a missing folder. Removes the temporary files of interrupted
+        writes: no other process writes any more, and this one doesn't yet.
 
         Raises:
-            StorageError: Another process holds the lock.
+            FolderInUseError: Another process holds the lock.
+            StorageError: The folder cannot be created or written.
         """
+        if self._lock_file is not None:
+            return
         path = self._path / LOCK_NAME
         with _translate('lock folder', path):
-            lock_file = open(path, 'wb')  # noqa: SIM115
+            self._path.mkdir(parents=True, exist_ok=True)
+            lock_file = open(path, 'ab')  # noqa: SIM115
             try:
                 fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError as error:
+                lock_file.close()
+                raise errors.FolderInUseError(
+                    f'{path}: another process holds the lock',
+                    step='lock folder',
+                ) from error
             except OSError:
                 lock_file.close()
                 raise
             self._lock_file = lock_file
-        for name in self._list_all():
-            if name.endswith(TEMP_SUFFIX):
-                self.remove(name)
+        try:
+            for name in self._list_all():
+                if name.endswith(TEMP_SUFFIX):
+                    self.remove(name)
+        except errors.StorageError:
+            self.unlock()
+            raise
 
     def unlock(self):
         """Release the lock."""
@@ -182,7 +201,10 @@
         with _translate('write file', self._path):
             view = memoryview(data)
             while view:
-                view = view[self._file.write(view) :]
+                count = self._file.write(view)
+                if not count:
+                    raise OSError(errno.EIO, 'the file takes no bytes')
+                view = view[count:]
 
     def sync(self):
         with _translate('sync file', self._path):
--- a/bilberryhaven/consensus/options.py
+++ b/bilberryhaven/consensus/options.py
@@ -23,6 +23,9 @@
             lease ends; covers the drift between two clocks.
         tick_interval: Time between ticks of the core.
         transfer_timeout: Maximum duration of a leadership transfer.
+        recovery_delay: Time from a failed write to the first attempt to
+            recover from the folder; doubles with each failed attempt.
+        max_recovery_delay: Maximum time between two such attempts.
         snapshot_entries: Applied entries after which a snapshot is taken.
         kept_entries: Entries kept in the log before a snapshot, so that a
             replica slightly behind needs no snapshot.
@@ -43,6 +46,8 @@
     lease_margin: datetime.timedelta = clock.seconds(0.1)
     tick_interval: datetime.timedelta = clock.seconds(0.025)
     transfer_timeout: datetime.timedelta = clock.seconds(1.0)
+    recovery_delay: datetime.timedelta = clock.seconds(0.1)
+    max_recovery_delay: datetime.timedelta = clock.seconds(1.0)
     snapshot_entries: int = 10_000
     kept_entries: int = 2_000
     max_kept_entries: int = 50_000
--- a/bilberryhaven/consensus/segment.py
+++ b/bilberryhaven/consensus/segment.py
@@ -264,9 +264,9 @@
 
     def close(self):
         """Close the newest segment."""
-        if self._appender is not None:
-            self._appender.close()
-            self._appender = None
+        appender, self._appender = self._appender, None
+        if appender is not None:
+            appender.close()
 
 
 def _build_damaged_file_error(path, offset, reason):
--- a/bilberryhaven/consensus/status.py
+++ b/bilberryhaven/consensus/status.py
@@ -55,6 +55,9 @@
         snapshot_index: Index of the newest entry that the snapshot covers;
             0 without a snapshot.
         lease_valid: Whether it may serve linearizable reads.
+        fault: Why it takes no part in the quorum, or empty.
+        storage_faults: Number of failed writes and syncs since its start.
+        recovery_attempts: Number of attempts to take part again.
     """
 
     name: str
@@ -68,3 +71,6 @@
     last_index: int = 0
     snapshot_index: int = 0
     lease_valid: bool = False
+    fault: str = ''
+    storage_faults: int = 0
+    recovery_attempts: int = 0
--- a/bilberryhaven/consensus/storage.py
+++ b/bilberryhaven/consensus/storage.py
@@ -10,9 +10,12 @@
 from bilberryhaven.consensus import segment
 from bilberryhaven.consensus import snapshot
 from bilberryhaven import errors
+from bilberryhaven import log as logs
 
 __all__ = ['Recovery', 'Storage']
 
+_logger = logs.get_logger('consensus')
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Recovery:
@@ -26,9 +29,15 @@
         data: The snapshot's data.
     """
 
-    hard_state: effects.HardState
-    log: entry_log.EntryLog
-    history: replica_members.MemberHistory
+    hard_state: effects.HardState = effects.HardState()
+    log: entry_log.EntryLog = dataclasses.field(
+        default_factory=entry_log.EntryLog
+    )
+    history: replica_members.MemberHistory = dataclasses.field(
+        default_factory=lambda: replica_members.MemberHistory(
+            index=0, members=replica_members.Members()
+        )
+    )
     meta: message.SnapshotMeta | None = None
     data: bytes = b''
 
@@ -36,8 +45,9 @@
 class Storage:
     """All files of one replica.
 
-    After a failed write or sync nothing more is written, since a later sync
-    that succeeds does not prove that the bytes of the failed one are durable.
+    After a failed write or sync nothing more is written until ``recover``
+    has read the files again, since a later sync that succeeds does not prove
+    that the bytes of the failed one are durable.
 
     Args:
         folder: The ``Folder``.
@@ -46,27 +56,64 @@
 
     def __init__(self, *, folder, options):
         self._folder = folder
-        self._segments = segment.SegmentStore(
-            folder=folder, segment_bytes=options.segment_bytes
-        )
+        self._options = options
+        self._segments = self._build_segments()
         self._snapshots = snapshot.SnapshotStore(
             folder=folder, part_bytes=options.chunk_bytes
         )
+        self._confirmed = effects.HardState()
         self._fault = None
 
-    def recover(self, voters):
+    def _build_segments(self):
+        return segment.SegmentStore(
+            folder=self._folder, segment_bytes=self._options.segment_bytes
+        )
+
+    def recover(self, voters, *, applied=0):
         """Return the ``Recovery``; an empty folder starts with ``voters``.
 
+        May be called again after an error, also of a write. The newest
+        segment, whose bytes may be in the page cache only, is written again
+        and synced.
+
+        Args:
+            voters: Addresses of the initial voters by name.
+            applied: Index of an entry known to be in the folder.
+
         Raises:
-            DamagedFileError: A file is corrupt or missing.
-            StorageError: A file cannot be read, or the folder is in use.
+            DamagedFileError: A file is corrupt or missing, or lacks what a
+                sync has confirmed. The folder is no longer in use.
+            FolderInUseError: Another process uses the folder.
+            StorageError: A file cannot be read or written.
         """
         self._folder.lock()
+        self._close_segments()
+        self._segments = self._build_segments()
         try:
-            return self._recover(voters)
-        except errors.StorageError:
+            recovery = self._recover(voters)
+            self._check_confirmed(recovery, applied)
+        except errors.DamagedFileError:
             self.close()
             raise
+        self._confirmed = recovery.hard_state
+        self._fault = None
+        return recovery
+
+    def _check_confirmed(self, recovery, applied):
+        known, found = self._confirmed, recovery.hard_state
+        has_vote = found.term > known.term or known.vote in ('', found.vote)
+        if (
+            recovery.log.last_index >= applied
+            and found.term >= known.term
+            and has_vote
+        ):
+            return
+        raise errors.DamagedFileError(
+            f'{self._folder.describe("")}: entries up to {applied} and '
+            f'term {known.term} were stored, but only entries up to '
+            f'{recovery.log.last_index} and term {found.term} were found',
+            step='recover',
+        )
 
     def _recover(self, voters):
         saved = self._snapshots.recover()
@@ -90,9 +137,7 @@
     def _create(self, members):
         self._segments.begin(index=0, index_term=0, members=members)
         return Recovery(
-            hard_state=effects.HardState(),
-            log=entry_log.EntryLog(),
-            history=replica_members.MemberHistory(index=0, members=members),
+            history=replica_members.MemberHistory(index=0, members=members)
         )
 
     def _raise_missing_files(self, index):
@@ -146,6 +191,8 @@
                     index_term=log.last_term,
                     members=history.find_at(log.last_index),
                 )
+            if hard_state is not None:
+                self._confirmed = hard_state
 
     def install(self, received, hard_state):
         """Store a received snapshot and restart the log after it."""
@@ -160,6 +207,8 @@
                 data=received.data,
             )
             self._restart_log(meta)
+            if hard_state is not None:
+                self._confirmed = hard_state
 
     def save_snapshot(self, *, index, term, members, data):
         """Store a snapshot and return its ``SnapshotMeta``.
@@ -181,9 +230,15 @@
 
     def close(self):
         """Close all files."""
-        self._segments.close()
+        self._close_segments()
         self._folder.unlock()
 
+    def _close_segments(self):
+        try:
+            self._segments.close()
+        except errors.StorageError as error:
+            _logger.warning('cannot close the log: {}', error)
+
     @contextlib.contextmanager
     def _refuse_after_error(self):
         if self._fault is not None:
--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -10,6 +10,7 @@
     'DeadlineError',
     'DrainingError',
     'FencedError',
+    'FolderInUseError',
     'GoneError',
     'InternalError',
     'LeaseLapsedError',
@@ -242,6 +243,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class FolderInUseError(StorageError):
+    """Another process uses the data folder."""
+
+    code = 'folder_in_use'
+
+
 class DamagedFileError(StorageError):
     """A file has contents that fail an integrity check."""
 
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -263,6 +263,21 @@
             'Whether this instance leads.',
             int(status.leader == self._settings.name),
         )
+        registry.set(
+            'replica_failed',
+            'Whether the replica takes no part in the quorum after a fault.',
+            int(bool(status.fault)),
+        )
+        registry.set(
+            'storage_faults',
+            'Failed writes and syncs of the log since the start.',
+            status.storage_faults,
+        )
+        registry.set(
+            'recovery_attempts',
+            'Attempts to take part again after a failed write or sync.',
+            status.recovery_attempts,
+        )
         state = self.leader.state
         registry.set('revision', 'Newest accepted change.', state.revision)
         registry.set(
--- a/tests/fuzz/cluster.py
+++ b/tests/fuzz/cluster.py
@@ -268,7 +268,6 @@
             node.paused = False
             node.folder.operations_until_power_loss = None
             node.folder.fail_sync = False
-            if node.is_up and node.driver.fault is not None:
-                self.crash(name)
+            node.folder.fault = None
             if not node.is_up:
                 self.start(name)
--- a/tests/fuzz/consensus.py
+++ b/tests/fuzz/consensus.py
@@ -11,6 +11,7 @@
 from bilberryhaven.commands import claim as claim_commands
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
+from bilberryhaven.consensus import memory
 from bilberryhaven import errors
 from bilberryhaven.tables import instance
 from bilberryhaven.tables import workload
@@ -261,6 +262,23 @@
         if node is not None:
             node.folder.fail_sync = True
 
+    @stateful.rule(
+        choice=PICK,
+        fault=strategies.sampled_from(memory.DiskFault),
+        prefix=strategies.sampled_from(['', '', 'log-', 'snapshot-']),
+    )
+    def break_disk(self, choice, fault, prefix):
+        """Let the writes to some files fail, also over restarts."""
+        node = self.pick(choice)
+        node.folder.fault = fault
+        node.folder.fault_prefix = prefix
+
+    @stateful.rule(choice=PICK)
+    def repair_disk(self, choice):
+        node = self.pick(choice, lambda node: node.folder.fault is not None)
+        if node is not None:
+            node.folder.fault = None
+
     @stateful.rule(choice=PICK, other=PICK, both=strategies.booleans())
     def cut_link(self, choice, other, both):
         one, two = self.pick(choice).name, self.pick(other).name
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -170,18 +170,22 @@
         leader = self.cluster.find_leader()
         self.assertEqual(5, leader.machine.state.revision)
 
-    def test_failed_sync_fails_the_replica_until_restart(self):
+    def test_failed_sync_fails_the_replica_until_it_has_recovered(self):
         self.build()
         self.commit_change()
         self.leader.folder.fail_sync = True
         result = self.commit_change()
         self.assertEqual(errors.Outcome.UNKNOWN, result.outcome)
         self.assertIsInstance(self.leader.driver.fault, errors.StorageError)
-        self.leader.folder.fail_sync = False
         self.cluster.run(3)
         self.assertEqual('failed', self.leader.driver.core.role)
         self.assertIsNot(self.leader, self.cluster.find_leader())
         self.assertGreaterEqual(self.commit_change().revision, 2)
+        self.leader.folder.fail_sync = False
+        self.cluster.run(3)
+        self.assertIsNone(self.leader.driver.fault)
+        self.assertEqual('follower', self.leader.driver.core.role)
+        self.cluster.wait_until_applied(self.cluster.find_leader())
 
     def test_full_disk_makes_the_leader_step_down(self):
         self.build()
--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -8,6 +8,7 @@
 import testtools
 
 from bilberryhaven import clock
+from bilberryhaven.consensus import files
 from bilberryhaven.consensus import machine
 from bilberryhaven.consensus import options
 from bilberryhaven.consensus import replica
@@ -88,12 +89,32 @@
         self.items = msgspec.msgpack.decode(data, type=list[bytes])
 
 
+class StallingFolder(files.DiskFolder):
+    """A folder on a disk whose syncs wait while ``is_running`` is clear."""
+
+    def __init__(self, *, path):
+        super().__init__(path=path)
+        self.is_running = threading.Event()
+        self.is_running.set()
+
+    def open_appender(self, name):
+        appender = super().open_appender(name)
+        sync = appender.sync
+
+        def sync_later():
+            self.is_running.wait(TIMEOUT.total_seconds())
+            sync()
+
+        appender.sync = sync_later
+        return appender
+
+
 class Node:
     """A replica behind a server on the loopback interface."""
 
     def __init__(self, *, name, folder, clock):
         self.name = name
-        self.folder = folder
+        self.folder = StallingFolder(path=folder / name)
         self.clock = clock
         self.replica = None
         self.leading_event = threading.Event()
@@ -111,7 +132,7 @@
             name=self.name,
             address=self.server.address,
             voters=voters,
-            folder=self.folder / self.name,
+            folder=self.folder,
             machine=self.machine,
             clock=self.clock,
             transport=transport.WireTransport(client=PatientClient()),
@@ -254,6 +275,31 @@
         self.assertEqual(leader.server.address, error.peer)
         leader.replica.check_read()
 
+    def test_stalled_disk_of_the_leader(self):
+        """Guards against entries of a leader that was deposed meanwhile."""
+        self.build('abc')
+        stalled = self.find_leader()
+        stalled.replica.propose(b'before', timeout=TIMEOUT)
+        stalled.folder.is_running.clear()
+        self.addCleanup(stalled.folder.is_running.set)
+        self.clock.addresses.remove(stalled.server.address)
+        pending = stalled.replica.propose_future(b'stalled')
+        self.nodes.remove(stalled)
+        successor = self.find_leader()
+        successor.replica.propose(b'during', timeout=TIMEOUT)
+        self.assertRaises(errors.NotLeaderError, stalled.replica.check_read)
+        stalled.folder.is_running.set()
+        self.clock.addresses.append(stalled.server.address)
+        stalled.following_event.wait(TIMEOUT.total_seconds())
+        successor.replica.propose(b'after', timeout=TIMEOUT)
+        waiter = threading.Event()
+        while stalled.machine.items != successor.machine.items:
+            waiter.wait(0.05)
+        items = successor.machine.items
+        acknowledged = pending.exception(TIMEOUT.total_seconds()) is None
+        self.assertLessEqual({b'before', b'during', b'after'}, {*items})
+        self.assertTrue(not acknowledged or b'stalled' in items)
+
     def test_quorum_is_restored_from_one_folder(self):
         self.build('abc')
         leader = self.find_leader()
