Hand leadership over when a leader can't write

Seen: after a leader's write failed, nothing was served until the others' election timeout had passed. Cause: a failed leader only went silent. Change: it asks the most up-to-date voter that answered last to campaign, after its lease was given up and published.

--- a/bilberryhaven/consensus/core.py
+++ b/bilberryhaven/consensus/core.py
@@ -316,13 +316,19 @@
         self.reset_election_timer(now)
 
     def fail(self):
-        """Take no part in the quorum any more.
+        """Take no part in the quorum any more; a leader hands over.
 
         Discards all effects that were queued.
+
+        Returns:
+            (receiver's name, message) pairs to send without a sync.
         """
         self.take_effects()
+        if self.is_leader:
+            membership.hand_over(self)
         self.role = status.Role.FAILED
         self.leader = ''
+        return self.take_effects().messages
 
     def become_leader(self, now):
         """Become the leader and append a no-op entry.
--- a/bilberryhaven/consensus/driver.py
+++ b/bilberryhaven/consensus/driver.py
@@ -425,9 +425,9 @@
     def fail(self, error):
         """Stop participating in the quorum after a fault.
 
-        After a failed write or sync the replica takes part again once
-        ``tick`` could recover it from its folder, after any other fault once
-        it is restarted.
+        A leader hands over. After a failed write or sync the replica takes
+        part again once ``tick`` could recover it from its folder, after any
+        other fault once it is restarted.
         """
         self.fault = error
         if self._may_recover():
@@ -441,8 +441,11 @@
             )
         else:
             self._log_permanent_fault(error)
-        self.core.fail()
+        messages = self.core.fail()
         self._fail_lost()
+        self._publish()
+        for to, msg in messages:
+            self._send_message(to, msg)
 
     def _log_permanent_fault(self, error):
         _logger.critical('replica {} has failed: {}', self.name, error)
--- a/bilberryhaven/consensus/membership.py
+++ b/bilberryhaven/consensus/membership.py
@@ -12,6 +12,7 @@
     'change_members',
     'advance_leadership_transfer',
     'finish_change',
+    'hand_over',
     'promote_learners',
     'start_leadership_transfer',
 ]
@@ -144,6 +145,12 @@
         core.become_follower(core.term, now)
 
 
+def hand_over(core):
+    """Ask the most up-to-date voter to campaign, without waiting for it."""
+    target = _find_transfer_target(core)
+    _send_transfer(core, target)
+
+
 def start_leadership_transfer(core, now, to=None):
     """Reject proposals until ``to`` has caught up and campaigns.
 
@@ -195,9 +202,9 @@
 
 def _find_transfer_target(core):
     others = [name for name in core.members.voters if name != core.name]
-    ranked = sorted(
-        others,
-        key=lambda name: (core.peers[name].match, name),
-        reverse=True,
-    )
-    return ranked[0] if ranked else ''
+    return max(others, key=lambda name: _rank_target(core, name), default='')
+
+
+def _rank_target(core, name):
+    peer = core.peers[name]
+    return peer.match, peer.answered_at or datetime.timedelta.min, name
--- a/tests/test_consensus_disk.py
+++ b/tests/test_consensus_disk.py
@@ -302,6 +302,33 @@
         self.assertEqual('failed', node.driver.core.role)
 
 
+class TestHandover(DiskTestCase):
+    """Guards against a leader that keeps the quorum waiting for its disk."""
+
+    def test_another_replica_leads_before_an_election_timeout(self):
+        for fault in FAULTS[:-1]:
+            for seed in range(5):
+                self.build(seed=seed)
+                self.break_disk(self.leader, fault)
+                self.commit_change()
+                start = self.cluster.now
+                self.wait_for_other_leader()
+                self.assertLess(
+                    self.cluster.now - start,
+                    self.cluster.options.election_timeout / 2,
+                    f'{fault}, seed {seed}',
+                )
+
+    def wait_for_other_leader(self):
+        others = [
+            node
+            for node in self.cluster.nodes.values()
+            if node is not self.leader
+        ]
+        while not any(self.cluster.can_read(node) for node in others):
+            self.cluster.run(0.025)
+
+
 class TestRetries(DiskTestCase):
     """Guards against a failing disk that is read over and over."""
 
