Ask to join the quorum only with a working disk

An instance whose disk fails would be added as a learner that never answers, removed after 3 s and added again, and no other instance can be added in the meantime.

--- a/bilberryhaven/control/membership.py
+++ b/bilberryhaven/control/membership.py
@@ -121,6 +121,10 @@
         now = self._clock.monotonic()
         if status.leader:
             self._leader_seen_at = now
+        if status.fault:
+            # Without a working disk it would be removed again as a learner
+            # that does not answer, and keep others from being added.
+            return
         member = self._replica.name in {row.name for row in status.members}
         if member and now - self._leader_seen_at < NO_LEADER_TIMEOUT:
             return
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,7 @@
 
 class FakeReplica:
     name = 'r1'
+    fault = ''
 
     def __init__(self, clock):
         self._clock = clock
@@ -26,7 +27,9 @@
 
     def status(self):
         return status.ReplicaStatus(
-            name=self.name, members=tuple(self.rows.values())
+            name=self.name,
+            members=tuple(self.rows.values()),
+            fault=self.fault,
         )
 
     def leadership_duration(self):
@@ -94,3 +97,34 @@
         self.replica.put_member('r4', voter=False, age=3.1)
         self.controller.tick()
         self.assertEqual([{'remove': 'r4'}], self.replica.changes)
+
+
+class FakeGateway:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, msg, *, timeout, step):
+        self.sent.append(msg)
+
+
+class JoinRequesterTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.replica = FakeReplica(clocks.ManualClock())
+        self.replica.address = 'a:1'
+        self.gateway = FakeGateway()
+        self.requester = membership.JoinRequester(
+            replica=self.replica,
+            gateway=self.gateway,
+            clock=clocks.ManualClock(),
+        )
+
+    def test_instance_that_is_no_member_asks_to_join(self):
+        self.requester.tick()
+        self.assertEqual(1, len(self.gateway.sent))
+
+    def test_instance_does_not_ask_while_its_disk_fails(self):
+        """Guards against learners that never answer."""
+        self.replica.fault = 'storage: no space left'
+        self.requester.tick()
+        self.assertEqual([], self.gateway.sent)
