Store the members again after a failed write

The file of members was written once; if the disk was full at that moment, the members of before were the contacts after a restart. Cause: the failure was only logged. Change: a ticker writes the newest members until it succeeds, with a delay that doubles to 5 s, and nothing waits for the disk any more. Before, on: nothing was stored after the fault had ended (the store's save with a full MemoryFolder, then load: []); the new test covers each fault.

--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -67,7 +67,9 @@
         self._settings = settings
         self._client = client.Client()
         address = settings.advertise or settings.listen
-        self._member_store = member_store.MemberStore(folder=settings.data)
+        self._member_store = member_store.MemberStore(
+            folder=settings.data, clock=clock
+        )
         self.directory = directory.MemberDirectory(
             clock=clock,
             seeds=settings.control,
@@ -147,6 +149,11 @@
             for name, func, interval in (
                 ('systems', self.leader.tick, TICK_INTERVAL),
                 ('discovery', self._discovery.tick, discovery.INTERVAL),
+                (
+                    'member store',
+                    self._member_store.tick,
+                    member_store.INTERVAL,
+                ),
             )
         ]
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 against members that were replaced being used again.
 """
 
+import random
 import types
 
 import testtools
@@ -267,16 +268,23 @@
 
 
 class MemberStoreTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock()
+
+    def build_store(self, folder):
+        return member_store.MemberStore(folder=folder, clock=self.clock)
+
     def test_members_are_kept_over_a_restart(self):
         folder = memory.MemoryFolder()
-        member_store.MemberStore(folder=folder).save(MEMBERS)
-        loaded = member_store.MemberStore(folder=folder).load()
-        self.assertEqual(MEMBERS, loaded)
+        store = self.build_store(folder)
+        store.save(MEMBERS)
+        store.tick()
+        self.assertEqual(MEMBERS, self.build_store(folder).load())
 
     def test_missing_or_damaged_file_names_no_contact(self):
-        self.assertEqual(
-            [], member_store.MemberStore(folder=memory.MemoryFolder()).load()
-        )
+        empty = self.build_store(memory.MemoryFolder())
+        self.assertEqual([], empty.load())
         damaged = (
             b'',
             b'\xff\xfe',
@@ -289,11 +297,35 @@
         for data in damaged:
             folder = memory.MemoryFolder()
             folder.replace(member_store.FILE_NAME, data)
-            store = member_store.MemberStore(folder=folder)
+            store = self.build_store(folder)
             self.assertEqual([], store.load(), data[:20])
 
     def test_full_disk_is_no_error(self):
         folder = memory.MemoryFolder()
         folder.capacity = 0
-        member_store.MemberStore(folder=folder).save(MEMBERS)
+        store = self.build_store(folder)
+        store.save(MEMBERS)
+        store.tick()
         self.assertEqual([], folder.list_names())
+
+    def test_members_are_stored_once_the_disk_works_again(self):
+        """Guards against old members after a restart, for a short fault."""
+        for fault in memory.DiskFault:
+            folder = memory.MemoryFolder()
+            store = self.build_store(folder)
+            folder.fault = fault
+            store.save(MEMBERS[:1])
+            self.pass_time(store, seconds=60)
+            store.save(MEMBERS)
+            self.assertLessEqual(folder.fault_count, 20, fault)
+            self.assertGreater(folder.fault_count, 5, fault)
+            folder.fault = None
+            self.pass_time(store, seconds=6)
+            folder.crash(random.Random(0))
+            self.assertEqual(MEMBERS, self.build_store(folder).load())
+
+    def pass_time(self, store, seconds):
+        end = self.clock.monotonic() + clocks.seconds(seconds)
+        while self.clock.monotonic() < end:
+            store.tick()
+            self.clock.advance(member_store.INTERVAL)
