Sync the removal of each log segment before the next

Seen by operators: a control instance may refuse to start after a power loss ("a segment is missing"). Cause: removed names that were not synced may come back one by one, and leave a gap. Change: the folder is synced after each removal. Before: the new test fails with DamagedFileError; the fuzzer's folder now loses such removals, too.

--- a/bilberryhaven/consensus/files.py
+++ b/bilberryhaven/consensus/files.py
@@ -56,7 +56,11 @@
 
     @abc.abstractmethod
     def remove(self, name):
-        """Remove a file if it exists."""
+        """Remove a file if it exists; durable only after ``sync_names``."""
+
+    @abc.abstractmethod
+    def sync_names(self):
+        """Return once all created, renamed and removed names are durable."""
 
     def describe(self, name):
         """Return the location of a file, for messages."""
@@ -123,8 +127,8 @@
                     file.flush()
                     os.fsync(file.fileno())
                 os.replace(temp, path)
-                self._sync_folder()
-            except OSError:
+                self.sync_names()
+            except (OSError, errors.StorageError):
                 temp.unlink(missing_ok=True)
                 raise
 
@@ -183,12 +187,14 @@
             self._lock_file.close()
             self._lock_file = None
 
-    def _sync_folder(self):
-        handle = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+    def sync_names(self):
+        """Return once all created, renamed and removed names are durable."""
+        with _translate('sync folder', self._path):
+            handle = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
+            try:
+                os.fsync(handle)
+            finally:
+                os.close(handle)
 
 
 class _DiskAppender(Appender):
--- a/bilberryhaven/consensus/memory.py
+++ b/bilberryhaven/consensus/memory.py
@@ -92,9 +92,17 @@
         """Remove a file if it exists."""
         self._count_operation()
         self._check_fault(name, DiskFault.REFUSES)
-        self._files.pop(name, None)
-        self._synced.pop(name, None)
-        self._renamed.pop(name, None)
+        if name in self._files:
+            removed = (self._files.pop(name), self._synced.pop(name))
+            self._renamed.setdefault(name, removed)
+            self._unwritten.discard(name)
+
+    def sync_names(self):
+        """Make the names of all files durable."""
+        self._count_operation()
+        self.check_sync()
+        self._check_fault('', DiskFault.REFUSES, DiskFault.FOLDER_SYNC)
+        self._renamed.clear()
 
     def lock(self):
         """Do nothing; the folder belongs to this process."""
@@ -175,7 +183,8 @@
         for name, (content, synced) in self._renamed.items():
             if random.random() < 0.5:
                 continue
-            del self._files[name], self._synced[name]
+            self._files.pop(name, None)
+            self._synced.pop(name, None)
             if content is not None:
                 self._files[name] = content
                 self._synced[name] = synced
--- a/bilberryhaven/consensus/segment.py
+++ b/bilberryhaven/consensus/segment.py
@@ -255,12 +255,19 @@
     def compact(self, index):
         """Remove segments that hold only entries up to ``index``."""
         while len(self._segments) > 1 and self._segments[1].index <= index:
-            self._folder.remove(self._segments.pop(0).name)
+            self._remove_oldest()
 
     def remove_old(self):
         """Remove all segments but the newest."""
         while len(self._segments) > 1:
-            self._folder.remove(self._segments.pop(0).name)
+            self._remove_oldest()
+
+    def _remove_oldest(self):
+        # Each removal is durable before the next: if only a later one were,
+        # a segment would be missing after a power loss.
+        self._folder.remove(self._segments[0].name)
+        self._folder.sync_names()
+        del self._segments[0]
 
     def close(self):
         """Close the newest segment."""
--- a/tests/test_consensus_storage.py
+++ b/tests/test_consensus_storage.py
@@ -106,6 +106,18 @@
             self.open()
             self.assertIn(self.found.log.last_index, (20, 21))
 
+    def test_power_loss_may_bring_removed_segments_back(self):
+        """Guards against a gap between segments, taken for a missing one."""
+        for seed in range(20):
+            self.folder = memory.MemoryFolder()
+            self.open()
+            self.write(300)
+            self.save_snapshot(290)
+            self.storage.compact(280)
+            self.folder.crash(random.Random(seed))
+            self.open()
+            self.assertEqual(300, self.found.log.last_index)
+
 
 class TestDamage(StorageTestCase):
     def test_any_damaged_byte_before_the_tail_is_refused(self):
