Believe a refusal of a leaving server only after it has deregistered

Cause: an agent took a refused connection for the end of its server. A server that leaves as planned closes its listener first and goes on with its tasks; the leader closed it and started them elsewhere.

Change: deregistrations reach the agent. A refusal proves the end of a server that isn't leaving, or that deregistered 0.5 s ago; otherwise the lease has to lapse, and no deadline is granted that can't have arrived. It works since the lease ends all runs, whatever the server's listener does.

That this is what the users saw is only suspected.

--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -17,6 +17,7 @@
     'MethodError',
     'NotFoundError',
     'NotLeaderError',
+    'NotListeningError',
     'OptionError',
     'Outcome',
     'OverloadError',
@@ -138,6 +139,12 @@
     status = 410
 
 
+class NotListeningError(GoneError):
+    """A connection to the address was refused."""
+
+    code = 'not_listening'
+
+
 class MethodError(BilberryhavenError):
     """The path exists but does not support this HTTP method."""
 
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -150,6 +150,10 @@
                 agent.handle_announcement(announcement)
                 return server.Response(body=b'{}')
             if path.startswith(DEREGISTER_PATH):
+                worker_id = path[len(DEREGISTER_PATH) :]
+                agent.handle_deregistration(
+                    *workers.decode_deregistration(worker_id, body)
+                )
                 return server.Response(body=b'{}')
         except errors.BilberryhavenError as error:
             return _build_error_response(error)
--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -16,7 +16,12 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import server_client
 
-__all__ = ['WorkerClient', 'decode_heartbeat', 'decode_lists']
+__all__ = [
+    'WorkerClient',
+    'decode_deregistration',
+    'decode_heartbeat',
+    'decode_lists',
+]
 
 # A worker answers a start within a few milliseconds. A call that takes longer
 # is retried; a worker that has already carried it out answers the retry as it
@@ -39,6 +44,9 @@
 StartResult = server_client.StartResult
 
 _HEARTBEAT_GUARD = border.Guard(what='heartbeat', step='decode heartbeat')
+_DEREGISTRATION_GUARD = border.Guard(
+    what='deregistration', step='decode deregistration'
+)
 # Its callers log the errors of a call.
 _ANSWER_GUARD = border.Guard(
     what='answer', step='read answer', kind=errors.PeerError, logs=False
@@ -165,6 +173,20 @@
     )
 
 
+def decode_deregistration(worker_id, body):
+    """Return the id and the start in Unix ms of a worker that deregisters.
+
+    The start is 0 if it isn't given.
+
+    Raises:
+        BadInputError: It can't be decoded.
+    """
+    with _DEREGISTRATION_GUARD:
+        border.check_printable(worker_id, what='id')
+        born_ms = _decode_answer(body, _Identity).born if body else 0
+    return worker_id, born_ms
+
+
 class _IncarnationPool(urllib3.HTTPConnectionPool):
     """Connections to one incarnation of a worker.
 
@@ -309,7 +331,7 @@
             )
         except urllib3.exceptions.NewConnectionError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
-                raise errors.GoneError(
+                raise errors.NotListeningError(
                     'connection refused: no worker listens at this address',
                     step=path,
                     peer=target.address,
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -11,6 +11,7 @@
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven import ticker
+from bilberryhaven.workflow import departure
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import server_client
@@ -81,6 +82,7 @@
         self._permit = start_permit.StartPermit(
             validity=options.start_validity
         )
+        self._departure = departure.Departure(margin=options.lease_margin)
         self._log = log.BoundedLog(logger=_logger, clock=clock)
         self._lock = threading.Lock()
         self._reported_at = clock.monotonic()
@@ -132,6 +134,7 @@
                 now = self._clock.monotonic()
                 self._end_lapsed_session(known, True, now)
             is_new = self._supervisor.handle_announcement(announcement)
+            self._departure.follow(self._supervisor.target)
             starts_draining = announcement.state.draining and not (
                 known and known.state.draining
             )
@@ -147,6 +150,20 @@
                 sequence=announcement.sequence,
             )
 
+    def handle_deregistration(self, server_id, born_ms):
+        """Process the deregistration of a backend server that leaves.
+
+        Args:
+            server_id: Its id.
+            born_ms: Start of its incarnation, or 0 if unknown.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            self._departure.record_deregistration(server_id, born_ms, now)
+        _logger.info(
+            'backend server has deregistered', extra={'backend': server_id}
+        )
+
     def _poll(self):
         with self._lock:
             ready = self._supervisor.target is not None and (
@@ -376,7 +393,11 @@
             epoch = self._supervisor.epoch
             acked = self._supervisor.acked
             sent_at = self._clock.monotonic()
-            deadline = self._supervisor.grant_deadline(sent_at)
+            # A server that refuses connections must not be taken to have
+            # received a later deadline, or its lease would never lapse.
+            deadline = None
+            if not self._departure.is_refusing:
+                deadline = self._supervisor.grant_deadline(sent_at)
         if target is None:
             self._stopping.wait(IDLE_DELAY_S)
             return
@@ -399,11 +420,14 @@
         except errors.BilberryhavenError as error:
             was_reachable = self._server_reachable
             self._update_server_reachable(error)
+            gone = False
             with self._lock:
                 if _is_same_incarnation(self._supervisor.target, target):
                     now = self._clock.monotonic()
                     self._supervisor.evidence.record_failure(now)
-            gone = isinstance(error, errors.GoneError)
+                    gone = self._departure.proves_end(
+                        error, self._supervisor.target, now
+                    )
             self._report_lapse(target, gone)
             if isinstance(error, errors.CutOffError) and was_reachable:
                 # The next connection shows at once whether it has crashed.
@@ -433,6 +457,7 @@
         with self._lock:
             if self._supervisor.target.state.born_ms != target.state.born_ms:
                 return
+            self._departure.record_answer()
             report = self._supervisor.handle_listing(
                 listing, epoch, sent_at, now
             )
@@ -549,8 +574,8 @@
             now, self._options.lease_margin
         ):
             return
-        # A server that leaves as planned is draining before.
-        crashed = gone and not supervisor.draining
+        leaving = self._departure.is_leaving(supervisor.target)
+        crashed = gone and not leaving
         started = supervisor.evidence.list_started(now) if crashed else []
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -227,6 +227,37 @@
         )
 
 
+class DeregistrationTest(testtools.TestCase):
+    """Guards against a lost or foreign word of a worker's end."""
+
+    def setUp(self):
+        super().setUp()
+        self.calls = []
+        self.handle = handlers.build_worker_handler(self)
+
+    def handle_deregistration(self, server_id, born_ms):
+        self.calls.append((server_id, born_ms))
+
+    def deregister(self, body):
+        path = '/Instances.Deregister/i-1'
+        environ = {'REQUEST_METHOD': 'POST', 'PATH_INFO': path}
+        return self.handle(environ, body).status
+
+    def test_start_is_optional(self):
+        for body, born_ms in (
+            (b'', 0),
+            (b'{}', 0),
+            (b'{"born": 5, "sequence": 9}', 5),
+        ):
+            self.assertEqual(200, self.deregister(body))
+            self.assertEqual(('i-1', born_ms), self.calls.pop())
+
+    def test_odd_body_is_rejected(self):
+        for body in (b'[', b'{"born": "x"}', b'{"born": -1}', b'\xff'):
+            self.assertEqual(400, self.deregister(body), body)
+        self.assertEqual([], self.calls)
+
+
 class StubGateway:
     def __init__(self, answer):
         self.answer = answer
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -103,7 +103,7 @@
         # that only refused connections for a while would be taken for ended.
         target = self.build_target(1)
         self.start_incarnation(1).server.stop()
-        self.assertRaises(errors.GoneError, self.hold, target)
+        self.assertRaises(errors.NotListeningError, self.hold, target)
         self.start_incarnation(1)
         self.assertEqual(1, self.hold(target).born_ms)
 
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -399,3 +399,80 @@
         self.renew(self.gone)
         self.renew(self.gone)
         self.assertEqual(['s@1'], self.list_lapsed())
+
+
+class DepartureTest(LapseReportTest):
+    """Guards against runs taken for ended while their server lingers.
+
+    A server that leaves as planned may close its listener while it still
+    runs tasks. If they are started elsewhere as well, they run twice.
+    """
+
+    refused = errors.NotListeningError('refused', step='hold')
+
+    def leave(self):
+        self.agent.handle_announcement(
+            server_client.Announcement(
+                state=message.ServerState(
+                    id='s', born_ms=1, pool='p', draining=True
+                ),
+                address='127.0.0.1:1',
+                sequence=9,
+            )
+        )
+
+    def renew_for(self, seconds):
+        """Renew as the agent does, while the leader answers its polls."""
+        for _ in range(int(seconds / 0.1)):
+            if self.list_lapsed():
+                return
+            self.poll(epoch=1)
+            self.renew(self.refused)
+            self.clock.advance(clocks.seconds(0.1))
+
+    def test_refusal_proves_the_crash_of_a_server_that_stays(self):
+        self.renew(self.refused)
+        self.assertEqual(['s@1'], self.list_lapsed())
+        self.assertTrue(self.gateway.reports[0].crashed)
+
+    def test_refusal_of_a_server_that_leaves_proves_no_end(self):
+        self.leave()
+        self.renew_for(3)
+        self.assertEqual([], self.list_lapsed())
+        self.assertEqual(1, self.supervisor.epoch)
+
+    def test_server_that_leaves_and_refuses_lapses(self):
+        self.leave()
+        self.renew()
+        self.renew_for(3)
+        self.assertEqual([], self.list_lapsed())
+        self.renew_for(4)
+        self.assertEqual(['s@1'], self.list_lapsed())
+        self.assertFalse(self.gateway.reports[-1].crashed)
+
+    def check_deregistration(self, born_ms):
+        self.leave()
+        self.agent.handle_deregistration('s', born_ms)
+        self.renew_for(0.4)
+        self.assertEqual([], self.list_lapsed())
+        self.renew_for(0.4)
+        self.assertEqual(['s@1'], self.list_lapsed())
+        self.assertFalse(self.gateway.reports[-1].crashed)
+
+    def test_refusal_after_the_deregistration_proves_the_end(self):
+        self.check_deregistration(born_ms=1)
+
+    def test_deregistration_may_lack_the_start(self):
+        self.check_deregistration(born_ms=0)
+
+    def test_deregistration_of_another_server_proves_nothing(self):
+        self.leave()
+        self.agent.handle_deregistration('other', 0)
+        self.agent.handle_deregistration('s', 2)
+        self.renew_for(3)
+        self.assertEqual([], self.list_lapsed())
+
+    def test_another_incarnation_proves_the_end(self):
+        self.leave()
+        self.renew(self.gone)
+        self.assertEqual(['s@1'], self.list_lapsed())
