Add a rig that plays a sheet with real processes and looks for TWICE

The soak's workers live in its own process and never leave as planned, so it couldn't show the operators' TWICE.

--- /dev/null
+++ b/soak/rig_worker.py
@@ -0,0 +1,336 @@
+"""Worker of the rig: a process of its own that records all that it does.
+
+Times are of the steady clock of the host, which all processes share. Lines on
+the standard input set how it treats calls: ``MODE SHARE SECONDS``, with the
+modes ``late`` (orders are carried out seconds later), ``hang``, ``mute`` (no
+answer), ``busy``, ``reset`` and ``slow``; ``cut 1 0`` closes all connections,
+and ``drain HOW SECONDS`` lets the worker leave.
+"""
+
+import argparse
+import contextlib
+import http.server
+import json
+import os
+import random
+import sys
+import threading
+import time
+
+from review import worker as stand_in
+
+LATE_RANGE_S = (2.0, 12.0)
+HANG_S = 20.0
+SLOW_S = 0.35
+ORDERS = ('/run-start', '/run-stop')
+DEREGISTER_TIMEOUT_S = 3.0
+
+
+class Model(stand_in.Model):
+    """Runs, ends and lease of one life of a worker.
+
+    Args:
+        clock_rate: Speed of its own clock relative to the host's.
+        **kwargs: Those of the base class.
+    """
+
+    def __init__(self, *, clock_rate, **kwargs):
+        super().__init__(**kwargs)
+        self._rate = clock_rate
+        self._acked = 0
+        self._lapse_noted = 0
+
+    def read_clock_ms(self):
+        """Return the worker's own steady clock in milliseconds."""
+        return int((time.monotonic() - self._origin) * 1000 * self._rate)
+
+    def find_lapse_at(self):
+        """Return the time of the host's clock at which the lease expires."""
+        return self._origin + self._deadline_ms / 1000 / self._rate
+
+    def write(self, what, **fields):
+        """Write an event down."""
+        event = {
+            'at': time.monotonic(),
+            'worker': self._id,
+            'born': self.born,
+            'what': what,
+            **fields,
+        }
+        with open(self._events, 'a') as file:
+            file.write(json.dumps(event) + '\n')
+
+    def advance(self):
+        """End the runs that are done, or whose lease has expired."""
+        expired = 0 < self._deadline_ms <= self.read_clock_ms()
+        if expired and self._lapse_noted < self._deadline_ms:
+            self._lapse_noted = self._deadline_ms
+            self.write('lapse', at=self.find_lapse_at())
+        super().advance()
+
+    def _end(self, task, how):
+        run = self._runs[task]['run']
+        super()._end(task, how)
+        fields = {'at': self.find_lapse_at()} if how == 'lapsed' else {}
+        self.write(
+            'ended', task=task, run=run, how=how, number=self._number, **fields
+        )
+
+    def hold(self, fields):
+        """Handle ``/hold`` and record which ends it acknowledges."""
+        upto = fields.get('ack_cursor', 0)
+        status, answer = super().hold(fields)
+        if status == 200 and upto > self._acked:
+            self._acked = upto
+            self.write('acked', upto=upto, fence=fields['fencing_token'])
+        return status, answer
+
+
+class Worker:
+    """The calls to a ``Model`` and its heartbeats.
+
+    Args:
+        args: The options of the command line.
+    """
+
+    def __init__(self, args):
+        self.args = args
+        self.model = Model(
+            events=args.events,
+            gangs=args.gangs,
+            worker_id=args.id,
+            clock_rate=args.clock_rate,
+        )
+        self.mode, self.share, self.mode_until = 'pass', 0.0, 0.0
+        self.draining_at = None
+        self.random = random.Random(args.seed)
+        host, _, port = args.listen.partition(':')
+        self.server = stand_in._Server(
+            (host, int(port)), type('Handler', (_Handler,), {'worker': self})
+        )
+        self.connections = set()
+
+    def run(self):
+        """Serve until the process ends."""
+        for target in (
+            self.server.serve_forever,
+            self._send_heartbeats,
+            self._read_modes,
+        ):
+            threading.Thread(target=target, daemon=True).start()
+        while True:
+            time.sleep(stand_in.CHECK_INTERVAL_S)
+            with self.model.condition:
+                self.model.advance()
+
+    def _read_modes(self):
+        for line in sys.stdin:
+            mode, share, seconds = line.split()
+            self.model.write('mode', mode=mode, share=share, seconds=seconds)
+            if mode == 'drain':
+                threading.Thread(
+                    target=self._drain,
+                    args=(share, float(seconds)),
+                    daemon=True,
+                ).start()
+            elif mode == 'cut':
+                self.close_connections()
+            else:
+                self.mode, self.share = mode, float(share)
+                self.mode_until = time.monotonic() + float(seconds)
+
+    def close_connections(self):
+        """Reset all connections; new ones are taken."""
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(2)
+
+    def _drain(self, how, linger_s):
+        """Leave as planned: drain, linger, deregister and end.
+
+        Args:
+            how: ``open`` if it listens to the end, ``closed`` if it takes no
+                new connections while it lingers, ``cut`` if it also closes
+                the open ones.
+            linger_s: Time between the end of the drain and its own.
+        """
+        self.draining_at = time.monotonic()
+        time.sleep(self.args.drain_ms / 1000)
+        if how != 'open':
+            self.model.write('stopped listening')
+            self.server.shutdown()
+            self.server.server_close()
+        if how == 'cut':
+            self.close_connections()
+        time.sleep(linger_s)
+        self.model.write('deregister')
+        stand_in._post(
+            self.args.agent, f'/Instances.Deregister/{self.args.id}', {}
+        )
+        self.model.write('exit')
+        os._exit(0)
+
+    def _send_heartbeats(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            draining = self.draining_at is not None
+            body = {
+                'service': self.args.service,
+                'address': self.args.listen,
+                'zone': self.args.zone,
+                'version': 'v1',
+                'slots': 8,
+                'state': 'draining' if draining else 'ready',
+                'cold_remaining_ms': 0,
+                'capacity': {
+                    'cpu': self.args.cpu,
+                    'mem_mb': self.args.memory_mb,
+                    'gpu': 0,
+                },
+                'labels': ['a', self.args.rack],
+                'clock_ms': self.model.read_clock_ms(),
+                'sequence': sequence,
+                'born': self.model.born,
+            }
+            if draining:
+                body['remaining_ms'] = self.args.drain_ms
+            self.model.write('heartbeat', body=body)
+            acked = stand_in._post(
+                self.args.agent, f'/Instances.Heartbeat/{self.args.id}', body
+            )
+            time.sleep(self.args.heartbeat_ms / 1000 if acked else 0.2)
+
+    def choose_mode(self, path):
+        """Return how to treat a call."""
+        if time.monotonic() >= self.mode_until:
+            return 'pass'
+        if self.mode == 'late' and path not in ORDERS:
+            return 'pass'
+        return self.mode if self.random.random() < self.share else 'pass'
+
+    def handle(self, path, fields, *, late=False):
+        """Carry a call out; return (status, fields)."""
+        calls = {
+            '/run-start': self.model.start,
+            '/run-stop': self.model.stop,
+            '/hold': self.model.hold,
+            '/pace': lambda fields: (200, {}),
+        }
+        with self.model.condition:
+            self.model.advance()
+            status, answer = calls[path](fields)
+            if path in ORDERS:
+                self.model.write(
+                    'order',
+                    path=path,
+                    late=late,
+                    status=status,
+                    reason=answer.get('reason', ''),
+                    **{k: v for k, v in fields.items() if k != 'spec'},
+                )
+        return status, answer
+
+    def handle_late(self, path, fields):
+        """Carry an order out some seconds later."""
+        delay_s = self.random.uniform(*LATE_RANGE_S)
+        timer = threading.Timer(
+            delay_s, self.handle, (path, fields), {'late': True}
+        )
+        timer.daemon = True
+        timer.start()
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """Handler of a worker's calls; subclasses set ``worker``."""
+
+    worker = None
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def setup(self):
+        super().setup()
+        self.worker.connections.add(self.connection)
+
+    def finish(self):
+        self.worker.connections.discard(self.connection)
+        with contextlib.suppress(OSError):
+            super().finish()
+
+    def do_POST(self):  # noqa: N802
+        length = int(self.headers.get('Content-Length', 0))
+        fields = json.loads(self.rfile.read(length))
+        worker_id = self.worker.args.id
+        expected = self.headers.get('X-Expected-Instance', worker_id)
+        if expected != worker_id:
+            self._answer(421, {})
+            return
+        mode = self.worker.choose_mode(self.path)
+        if mode == 'busy':
+            self._answer(503, {})
+        elif mode in ('late', 'hang'):
+            if mode == 'late':
+                self.worker.handle_late(self.path, fields)
+            self._give_no_answer(HANG_S)
+        else:
+            self._carry_out(mode, fields)
+
+    def _carry_out(self, mode, fields):
+        if mode == 'slow':
+            time.sleep(SLOW_S)
+        status, answer = self.worker.handle(self.path, fields)
+        if mode == 'mute':
+            self._give_no_answer(HANG_S)
+        elif mode == 'reset':
+            self._give_no_answer(0)
+        else:
+            self._answer(status, answer)
+
+    def _give_no_answer(self, seconds):
+        time.sleep(seconds)
+        self.close_connection = True
+
+    def _answer(self, status, fields):
+        model = self.worker.model
+        fields = {
+            'clock_ms': model.read_clock_ms(),
+            'born': model.born,
+            **fields,
+        }
+        data = json.dumps(fields).encode()
+        with contextlib.suppress(OSError):
+            self.send_response(status)
+            self.send_header('Content-Type', 'application/json')
+            self.send_header('Content-Length', str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+    def log_message(self, *args):
+        pass
+
+
+def main():
+    """Run one life of a worker until the process is ended."""
+    parser = argparse.ArgumentParser()
+    for name in (
+        'id',
+        'zone',
+        'service',
+        'listen',
+        'agent',
+        'events',
+        'gangs',
+        'rack',
+    ):
+        parser.add_argument(f'--{name}', required=True)
+    parser.add_argument('--cpu', type=int, required=True)
+    parser.add_argument('--memory-mb', type=int, required=True)
+    parser.add_argument('--heartbeat-ms', type=int, required=True)
+    parser.add_argument('--drain-ms', type=int, default=2_000)
+    parser.add_argument('--clock-rate', type=float, default=1.0)
+    parser.add_argument('--seed', type=int, default=0)
+    Worker(parser.parse_args()).run()
+
+
+if __name__ == '__main__':
+    main()
