--- a/soak/rig_faults.py
+++ b/soak/rig_faults.py
@@ -261,3 +261,28 @@
             connection.request('POST', path, data)
             connection.getresponse().read()
         connection.close()
+
+
+@register('overlap')
+def overlap(rig, random):
+    """SIGTERM of an agent whose successor starts before it has ended."""
+    key = _choose_key(rig, random, 'agent')
+    if key is None:
+        return
+    with rig.lock:
+        former = rig.processes.pop(key, None)
+        if former is None:
+            return
+        if random.random() < 0.5:
+            former.send_signal(signal.SIGSTOP)
+            former.send_signal(signal.SIGTERM)
+        else:
+            former.terminate()
+        rig.start(*key)
+    time.sleep(random.uniform(0.2, 2.0))
+    former.send_signal(signal.SIGCONT)
+    try:
+        former.wait(LEAVE_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        former.kill()
+        former.wait()
