--- a/soak/rig_faults.py
+++ b/soak/rig_faults.py
@@ -183,6 +183,12 @@
     _scale_in(rig, random, 'closed')
 
 
+@register('scale in, some connections closed')
+def scale_in_some(rig, random):
+    """A worker that leaves closes its open connections one by one."""
+    _scale_in(rig, random, 'some')
+
+
 @register('scale in, connections closed')
 def scale_in_cut(rig, random):
     """A worker that leaves also closes its open connections."""
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -13,6 +13,7 @@
 import json
 import os
 import random
+import socket
 import sys
 import threading
 import time
@@ -23,7 +24,7 @@
 HANG_S = 20.0
 SLOW_S = 0.35
 ORDERS = ('/run-start', '/run-stop')
-DEREGISTER_TIMEOUT_S = 3.0
+CLOSE_INTERVAL_S = 0.15
 
 
 class Model(stand_in.Model):
@@ -142,16 +143,19 @@
     def close_connections(self):
         """Reset all connections; new ones are taken."""
         for connection in list(self.connections):
-            with contextlib.suppress(OSError):
-                connection.shutdown(2)
+            self._close(connection)
+
+    def _close(self, connection):
+        with contextlib.suppress(OSError):
+            connection.shutdown(socket.SHUT_RDWR)
 
     def _drain(self, how, linger_s):
         """Leave as planned: drain, linger, deregister and end.
 
         Args:
             how: ``open`` if it listens to the end, ``closed`` if it takes no
-                new connections while it lingers, ``cut`` if it also closes
-                the open ones.
+                new connections while it lingers, ``some`` if it also closes
+                the open ones one by one, ``cut`` if all at once.
             linger_s: Time between the end of the drain and its own.
         """
         self.draining_at = time.monotonic()
@@ -162,7 +166,11 @@
             self.server.server_close()
         if how == 'cut':
             self.close_connections()
-        time.sleep(linger_s)
+        end = time.monotonic() + linger_s
+        while time.monotonic() < end:
+            time.sleep(min(CLOSE_INTERVAL_S, linger_s))
+            if how == 'some' and self.connections:
+                self._close(self.random.choice(list(self.connections)))
         self.model.write('deregister')
         stand_in._post(
             self.args.agent, f'/Instances.Deregister/{self.args.id}', {}
