--- a/tests/test_control_role.py
+++ b/tests/test_control_role.py
@@ -60,7 +60,9 @@
 
     def read_metric(self, role, name):
         lines = role._report_metrics().body.decode().splitlines()
-        return next(line for line in lines if line.startswith(f'bilberryhaven_{name}'))
+        return next(
+            line for line in lines if line.startswith(f'bilberryhaven_{name}')
+        )
 
     def test_instance_leads_once_its_folder_can_be_created(self):
         folder = pathlib.Path(self.make_folder()) / 'data'
