--- a/bilberryhaven/workflow/departure.py
+++ b/bilberryhaven/workflow/departure.py
@@ -69,11 +69,10 @@
         refused = isinstance(error, errors.NotListeningError)
         if not refused or not self.is_leaving(announcement):
             return True
-        if self._deregistered_at is not None:
-            if now - self._deregistered_at >= self._margin:
-                return True
-        self.is_refusing = True
-        return False
+        at = self._deregistered_at
+        has_ended = at is not None and now - at >= self._margin
+        self.is_refusing = not has_ended
+        return has_ended
 
     def record_answer(self):
         """Record that the server has answered a call."""
