Give a test of the soak's worker no race against its timer

Traced: the test ended the incarnation by a timer after 0.1 s, within a call that waits 0.4 s; with a timer that fires before the call, or 0.6 s after, the test fails in these very words (a trial), and nothing else is concerned. Now the incarnation ends within the call, at its second step, and the call waits until then. As strict: with the check taken out of the worker it fails as before (200 instead of 502).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,12 +140,21 @@
         self.assertIn('withdrawn zone z1', self.checker.violations[0])
 
     def test_waiting_call_ends_with_its_incarnation(self):
+        self.patch(worker, 'MAX_WAIT_S', GUARD_S)
         target = self.workers[0]
-        fields = {'fencing_token': 1, 'ack_cursor': 0, 'wait_ms': 400}
-        timer = threading.Timer(0.1, target.start_incarnation)
-        timer.start()
-        status, _ = target._hold({**fields, 'deadline_ms': 60_000})
-        timer.join()
+        advance, steps = target.advance, []
+
+        def end_incarnation_at_second_step():
+            steps.append(None)
+            if len(steps) == 2:
+                target.start_incarnation()
+            advance()
+
+        target.advance = end_incarnation_at_second_step
+        fields = {'fencing_token': 1, 'ack_cursor': 0}
+        status, _ = target._hold(
+            {**fields, 'wait_ms': GUARD_S * 1000, 'deadline_ms': 60_000}
+        )
         self.assertEqual(502, status)
         self.assertEqual(0, target._incarnation.deadline_ms)
 
