--- a/tests/test_consensus_disk.py
+++ b/tests/test_consensus_disk.py
@@ -129,7 +129,7 @@
             self.cluster.crash(self.cluster.find_leader().name)
             self.cluster.run(OUTAGE_SECONDS)
             self.assertGreater(voter.folder.fault_count, 0, fault)
-            self.assertEqual('', self.find_durable_vote(voter), fault)
+            self.assertEqual('', self.find_other_leader(voter), fault)
             self.repair_disk(voter)
             self.cluster.run(RETURN_SECONDS)
             self.commit(3)
@@ -137,8 +137,8 @@
             self.lose_power_of_all()
             self.assert_nothing_lost(fault)
 
-    def find_durable_vote(self, node):
-        """Return the vote of a new term, as far as it is on disk."""
+    def find_other_leader(self, node):
+        """Return the name of a leader; no vote that is not on disk elects one."""
         others = [n for n in self.cluster.nodes.values() if n is not node]
         return next((n.name for n in others if n.is_leading), '')
 
