--- a/tests/test_consensus_disk.py
+++ b/tests/test_consensus_disk.py
@@ -138,7 +138,7 @@
             self.assert_nothing_lost(fault)
 
     def find_other_leader(self, node):
-        """Return the name of a leader; no vote that is not on disk elects one."""
+        """Return a leader; only votes that are on disk elect one."""
         others = [n for n in self.cluster.nodes.values() if n is not node]
         return next((n.name for n in others if n.is_leading), '')
 
