Log each run given up with its id, the evidence and its age

Each run of a server that is closed gets a line `give run up` with the evidence, its age, agent, epoch, session and term.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -132,7 +132,9 @@
             known = self._supervisor.target
             if self._supervisor.is_replaced_by(announcement):
                 now = self._clock.monotonic()
-                self._end_lapsed_session(known, True, now)
+                self._end_lapsed_session(
+                    known, 'another incarnation was announced', now
+                )
             is_new = self._supervisor.handle_announcement(announcement)
             self._departure.follow(self._supervisor.target)
             starts_draining = announcement.state.draining and not (
@@ -148,6 +150,10 @@
                 backend=announcement.state.id,
                 born_ms=announcement.state.born_ms,
                 sequence=announcement.sequence,
+                address=announcement.address,
+                pool=announcement.state.pool,
+                replaced=known
+                and (known.state.id, known.state.born_ms, known.address),
             )
 
     def handle_deregistration(self, server_id, born_ms):
@@ -420,15 +426,16 @@
         except errors.BilberryhavenError as error:
             was_reachable = self._server_reachable
             self._update_server_reachable(error)
-            gone = False
+            proof = ''
             with self._lock:
                 if _is_same_incarnation(self._supervisor.target, target):
                     now = self._clock.monotonic()
                     self._supervisor.evidence.record_failure(now)
-                    gone = self._departure.proves_end(
+                    if self._departure.proves_end(
                         error, self._supervisor.target, now
-                    )
-            self._report_lapse(target, gone)
+                    ):
+                        proof = error.message
+            self._report_lapse(target, proof)
             if isinstance(error, errors.CutOffError) and was_reachable:
                 # The next connection shows at once whether it has crashed.
                 return
@@ -515,16 +522,16 @@
             if self._supervisor.epoch == report.epoch:
                 self._supervisor.handle_report_reply(report, reply)
 
-    def _report_lapse(self, target, gone):
+    def _report_lapse(self, target, proof):
         """Report to the leader once all runs have certainly lapsed.
 
         Args:
             target: The ``Announcement`` of the incarnation concerned.
-            gone: Whether that incarnation has certainly ended.
+            proof: How that incarnation is known to have ended, or empty.
         """
         now = self._clock.monotonic()
         with self._lock:
-            self._end_lapsed_session(target, gone, now)
+            self._end_lapsed_session(target, proof, now)
             if self._supervisor.epoch:
                 self._lapse_report = None
             report = self._lapse_report
@@ -564,18 +571,20 @@
         age_ms = report.crash_age_ms + delay // MILLISECOND
         return msgspec.structs.replace(report, crash_age_ms=age_ms)
 
-    def _end_lapsed_session(self, target, gone, now):
+    def _end_lapsed_session(self, target, proof, now):
         supervisor = self._supervisor
         if not supervisor.epoch or not _is_same_incarnation(
             supervisor.target, target
         ):
             return
-        if not gone and not supervisor.has_lapsed(
+        if not proof and not supervisor.has_lapsed(
             now, self._options.lease_margin
         ):
             return
+        evidence = proof or 'the granted lease has expired'
+        answer_age = self._answered_at and now - self._answered_at
         leaving = self._departure.is_leaving(supervisor.target)
-        crashed = gone and not leaving
+        crashed = bool(proof) and not leaving
         started = supervisor.evidence.list_started(now) if crashed else []
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
@@ -588,20 +597,19 @@
             crashed=crashed,
             started=started,
             crash_age_ms=supervisor.evidence.get_failure_age_ms(now),
+            evidence=evidence,
+            evidence_age_ms=answer_age // MILLISECOND if answer_age else 0,
         )
         log.log_decision(
             _logger,
             'report lapse',
-            reason=(
-                'another incarnation or none answers'
-                if gone
-                else 'the granted lease has expired'
-            ),
+            reason=evidence,
             backend=supervisor.key,
             epoch=supervisor.epoch,
             crashed=crashed,
-            answer_age_s=self._answered_at
-            and round((now - self._answered_at).total_seconds(), 3),
+            answer_age_s=answer_age and round(answer_age.total_seconds(), 3),
+            address=supervisor.target.address,
+            runs=supervisor.list_runs(),
             listed=supervisor.listed_epoch == supervisor.epoch,
             unlisted=supervisor.list_unlisted(),
             started=[
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -77,8 +77,19 @@
                         # long the closing of other servers takes.
                         agent_session.close()
         for key, agent_session in lapsed:
+            polled_at = self.ready_at
+            if agent_session is not None:
+                polled_at = (
+                    agent_session.lease_end - self._options.lease_expiry_delay
+                )
             self.close_backend(
-                key, agent_session, 'its agent let the lease run out'
+                key,
+                agent_session,
+                'its agent let the lease run out',
+                evidence='no poll of its agent'
+                if agent_session is not None
+                else 'no poll of its agent since the term began',
+                evidence_age=now - polled_at,
             )
 
     def close_backend(
@@ -87,6 +98,8 @@
         agent_session,
         reason,
         *,
+        evidence,
+        evidence_age=None,
         crashed=False,
         started=(),
         crash_age=NO_TIME,
@@ -97,6 +110,9 @@
             key: Its key.
             agent_session: Its ``Session`` as of that decision, or None.
             reason: Why its runs have ended.
+            evidence: What shows that, for logs.
+            evidence_age: Time since the server, or its agent, was last heard
+                of, a timedelta; None if unknown.
             crashed: Whether the server has certainly crashed.
             started: If so, ``StartedRun`` rows of the runs that it had
                 received shortly before.
@@ -104,11 +120,14 @@
         """
         saved = []
         suspects, excused, cleared = [], [], []
+        now = self._clock.wall().timestamp()
         with self._memory.lock:
             row = self._memory.state.backends.find(key)
             replaced = self._memory.sessions.find(key) is not agent_session
             if row is None or replaced:
                 return
+            self._memory.index.refresh(now)
+            given_up = list(self._memory.index.runs.get(key, {}))
             if agent_session is not None:
                 # Stays in the table until the commit, so that no poll opens
                 # another session in between.
@@ -121,7 +140,7 @@
             self._closing[key] = row.epoch
         command = backend_commands.CloseBackend(
             key=key,
-            at=self._clock.wall().timestamp(),
+            at=now,
             reason=reason,
             checkpoints=saved,
             epoch=row.epoch,
@@ -142,6 +161,23 @@
         log.log_decision(
             _logger, 'close backend server', reason=reason, backend=key
         )
+        for ref in given_up:
+            log.log_decision(
+                _logger,
+                'give run up',
+                reason=reason,
+                workflow=ref.workflow,
+                task=ref.task,
+                run=ref.number,
+                backend=key,
+                agent=row.instance,
+                evidence=evidence,
+                evidence_age_s=evidence_age
+                and round(evidence_age.total_seconds(), 3),
+                epoch=row.epoch,
+                session=agent_session and agent_session.feed,
+                term=self._leader.term,
+            )
         if crashed:
             self._log_crash(key, suspects, excused, command.at)
             self._clear_suspects(cleared)
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -134,6 +134,11 @@
             message.Join: self._join,
         }
 
+    @property
+    def term(self):
+        """The term for which sessions are kept; 0 before the first one."""
+        return self._ready_term
+
     def start(self):
         """Start the thread that schedules while this instance leads."""
         threading.Thread(
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -249,6 +249,9 @@
         crash_age_ms: If so, ms since the first call to the server failed.
         number: Number of the listing within the session; higher ones are
             newer. 0 from agents of earlier versions.
+        evidence: If ``lapsed``, how the agent knows; for logs.
+        evidence_age_ms: If ``lapsed``, ms since the server's last answer;
+            for logs.
     """
 
     agent: str
@@ -266,6 +269,8 @@
     started: list[StartedRun] = []
     crash_age_ms: border.Duration = 0
     number: border.Number = 0
+    evidence: border.Text = ''
+    evidence_age_ms: border.Duration = 0
 
 
 class ReportReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -119,7 +119,10 @@
         for former_key, agent_session in former:
             # An agent that saw the crash has reported it before it polls.
             self._closer.close_backend(
-                former_key, agent_session, 'a later life has begun there'
+                former_key,
+                agent_session,
+                'a later life has begun there',
+                evidence=f'poll for {key}',
             )
 
     def _open_session(self, row, request, *, inherit=False):
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -53,6 +53,8 @@
                 request.key,
                 None,
                 'its agent says it has lapsed',
+                evidence=request.evidence,
+                evidence_age=request.evidence_age_ms * MILLISECOND,
                 crashed=request.crashed,
                 started=request.started,
                 crash_age=request.crash_age_ms * MILLISECOND,
@@ -80,6 +82,8 @@
                 request.key,
                 agent_session,
                 'its agent says it has lapsed',
+                evidence=request.evidence,
+                evidence_age=request.evidence_age_ms * MILLISECOND,
                 crashed=request.crashed and not agent_session.draining,
                 started=request.started,
                 crash_age=request.crash_age_ms * MILLISECOND,
@@ -158,6 +162,7 @@
             run=end.run.number,
             backend=key,
             number=end.number,
+            **(self._describe_task(end.run) if ignored else {}),
         )
         if end.how not in (workflow_commands.DONE, workflow_commands.FAILED):
             return
@@ -175,6 +180,22 @@
                 backend=key,
             )
 
+    def _describe_task(self, run):
+        """Return what superseded a run, for logs."""
+        with self._memory.lock:
+            row = self._memory.state.workflows.find(run.workflow)
+            task = row and row.find_task(run.task)
+            if task is None:
+                return {'superseded_by': 'the workflow was removed'}
+            return {
+                'superseded_by': [
+                    (other.number, other.backend) for other in task.runs
+                ],
+                'task_done': task.done,
+                'last_run': task.last_run,
+                'state': row.state,
+            }
+
     def _observe_interference(self, agent_session, now):
         with self._memory.lock:
             row = self._memory.state.backends.find(agent_session.key)
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -294,6 +294,10 @@
             known.requests += 1
             self.evidence.record_request(run, now)
 
+    def list_runs(self):
+        """Return (workflow, task, run number) of the ordered runs."""
+        return [(ref.workflow, ref.task, ref.number) for ref in self.runs]
+
     def list_unlisted(self):
         """Return what is known of ordered runs that were never listed.
 
