Follow a server only once it has answered at its address

Cause: an agent took a heartbeat for a later incarnation if its id differed or its start was later, whoever had sent it, reported that all runs of its server had ended, and called the address in it. The server went on.

Change: heartbeats that differ in id, start, address or pool are kept apart. While a server has a session, or answers, no other one is followed. An announced server is followed after it has answered at its address; the leader's `unknown_pool` makes the agent try the next one. Runs end with the answer of another incarnation at the address at which their server has answered, or with the lease. What names no server to use changes no target, address, capacity, sequence or drain.

Replaced as strictly, since they asserted the fault: test_late_heartbeat_of_an_earlier_incarnation_is_ignored (now: no other incarnation changes anything), the follow-up of a new one by its heartbeat (now by `follow`), test_stop_of_a_former_incarnation_ends_with_it (by the answer of another incarnation; the heartbeat alone doesn't end it).

--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -215,6 +215,13 @@
     status = 503
 
 
+class UnknownPoolError(BilberryhavenError):
+    """The catalog in force doesn't contain the pool of a backend server."""
+
+    code = 'unknown_pool'
+    status = 503
+
+
 class DeadlineError(BilberryhavenError):
     """The deadline passed before an answer arrived."""
 
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -11,6 +11,7 @@
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven import ticker
+from bilberryhaven.workflow import announced
 from bilberryhaven.workflow import departure
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
@@ -32,6 +33,9 @@
 MAX_REPORT_DELAY = clocks.seconds(2)
 MILLISECOND = clocks.seconds(0.001)
 IDLE_DELAY_S = 0.05
+# Time after which an announced server that didn't answer, or whose pool is
+# unknown to the leader, is asked again.
+CANDIDATE_INTERVAL = clocks.seconds(0.5)
 # Orders are executed concurrently, so that one that gets no answer does not
 # delay the others.
 ORDER_ACTOR_COUNT = 6
@@ -82,6 +86,7 @@
         self._permit = start_permit.StartPermit(
             validity=options.start_validity
         )
+        self._announced = announced.AnnouncedServers()
         self._departure = departure.Departure(margin=options.lease_margin)
         self._log = log.BoundedLog(logger=_logger, clock=clock)
         self._lock = threading.Lock()
@@ -130,32 +135,88 @@
         """
         with self._lock:
             known = self._supervisor.target
-            if self._supervisor.is_replaced_by(announcement):
+            was_draining = self._supervisor.draining
+            is_followed = self._supervisor.handle_announcement(announcement)
+            if not is_followed:
                 now = self._clock.monotonic()
-                self._end_lapsed_session(
-                    known, 'another incarnation was announced', now
-                )
-            is_new = self._supervisor.handle_announcement(announcement)
-            self._departure.follow(self._supervisor.target)
-            starts_draining = announcement.state.draining and not (
-                known and known.state.draining
-            )
-        if is_new or starts_draining:
-            log.log_decision(
-                _logger,
-                'follow backend server',
-                reason='backend server is draining'
-                if starts_draining
-                else 'new incarnation announced',
-                backend=announcement.state.id,
-                born_ms=announcement.state.born_ms,
-                sequence=announcement.sequence,
-                address=announcement.address,
-                pool=announcement.state.pool,
-                replaced=known
-                and (known.state.id, known.state.born_ms, known.address),
+                self._announced.record(announcement, now)
+            starts_draining = self._supervisor.draining and not was_draining
+        if starts_draining:
+            self._log_follow(announcement, known, 'backend server is draining')
+        if known is not None and not is_followed:
+            self._log.warning(
+                'announcement',
+                'announced server is not followed: another one is',
+                announced=announcement.identity,
+                followed=known.identity,
             )
 
+    def _log_follow(self, announcement, replaced, reason):
+        log.log_decision(
+            _logger,
+            'follow backend server',
+            reason=reason,
+            backend=announcement.state.id,
+            born_ms=announcement.state.born_ms,
+            sequence=announcement.sequence,
+            address=announcement.address,
+            pool=announcement.state.pool,
+            replaced=replaced and replaced.identity,
+        )
+
+    def _find_server(self):
+        """Follow an announced server that answers at its address.
+
+        Unless the followed one answers, or runs may be there.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            answers = self._supervisor.target and self._answered_at is not None
+            if self._supervisor.epoch or answers:
+                return
+            due = self._announced.take_due(now, now + CANDIDATE_INTERVAL)
+        for announcement in due:
+            try:
+                self._client.identify(announcement)
+            except errors.BilberryhavenError as error:
+                self._log.warning(
+                    'identify',
+                    f'announced server is not followed: {error}',
+                    announced=announcement.identity,
+                )
+                continue
+            self._follow(announcement)
+            return
+
+    def _follow(self, announcement):
+        now = self._clock.monotonic()
+        with self._lock:
+            known = self._supervisor.target
+            if self._supervisor.epoch:
+                return
+            if known is not None:
+                self._announced.record(known, now)
+            self._announced.remove(announcement)
+            self._supervisor.follow(announcement)
+            self._departure.follow(announcement)
+            self._answered_at = now
+        self._log_follow(announcement, known, 'it answers at its address')
+
+    def _leave_server(self, target, error):
+        """Follow another announced server, if any, than ``target``."""
+        now = self._clock.monotonic()
+        with self._lock:
+            supervisor = self._supervisor
+            if supervisor.epoch or not supervisor.is_followed(target):
+                return
+            supervisor.follow(None)
+            self._answered_at = None
+            self._announced.record(target, now)
+            self._announced.put_off(target, now + CANDIDATE_INTERVAL)
+        self._log.warning(
+            'pool', f'leader takes no server of this pool: {error}'
+        )
+
     def handle_deregistration(self, server_id, born_ms):
         """Process the deregistration of a backend server that leaves.
 
@@ -172,7 +233,8 @@
 
     def _poll(self):
         with self._lock:
-            ready = self._supervisor.target is not None and (
+            target = self._supervisor.target
+            ready = target is not None and (
                 self._supervisor.epoch or self._answered_at is not None
             )
             poll = self._supervisor.build_poll() if ready else None
@@ -193,6 +255,10 @@
         except errors.FencedError as error:
             self._reset_session(poll, error)
             return
+        except errors.UnknownPoolError as error:
+            self._update_connected(None)
+            self._leave_server(target, error)
+            return
         except errors.BilberryhavenError as error:
             self._update_connected(error)
             self._stopping.wait(RETRY_DELAY_S)
@@ -202,8 +268,11 @@
 
     def _dispatch_orders(self, poll, reply, sent_at):
         with self._lock:
-            if self._supervisor.target.state.id != poll.server.id or (
-                self._supervisor.target.state.born_ms != poll.server.born_ms
+            target = self._supervisor.target
+            if (
+                target is None
+                or target.state.id != poll.server.id
+                or (target.state.born_ms != poll.server.born_ms)
             ):
                 return
             if self._supervisor.epoch not in (poll.epoch, reply.epoch):
@@ -394,6 +463,7 @@
                 self._supervisor.set_phase(run, phase, now, trouble=trouble)
 
     def _renew_lease(self):
+        self._find_server()
         with self._lock:
             target = self._supervisor.target
             epoch = self._supervisor.epoch
@@ -428,13 +498,15 @@
             self._update_server_reachable(error)
             proof = ''
             with self._lock:
-                if _is_same_incarnation(self._supervisor.target, target):
+                if self._supervisor.is_followed(target):
                     now = self._clock.monotonic()
                     self._supervisor.evidence.record_failure(now)
                     if self._departure.proves_end(
                         error, self._supervisor.target, now
                     ):
                         proof = error.message
+                    if not self._supervisor.epoch:
+                        self._answered_at = None
             self._report_lapse(target, proof)
             if isinstance(error, errors.CutOffError) and was_reachable:
                 # The next connection shows at once whether it has crashed.
@@ -462,7 +534,7 @@
             return
         now = self._clock.monotonic()
         with self._lock:
-            if self._supervisor.target.state.born_ms != target.state.born_ms:
+            if not self._supervisor.is_followed(target):
                 return
             self._departure.record_answer()
             report = self._supervisor.handle_listing(
@@ -573,9 +645,7 @@
 
     def _end_lapsed_session(self, target, proof, now):
         supervisor = self._supervisor
-        if not supervisor.epoch or not _is_same_incarnation(
-            supervisor.target, target
-        ):
+        if not supervisor.epoch or not supervisor.is_followed(target):
             return
         if not proof and not supervisor.has_lapsed(
             now, self._options.lease_margin
@@ -584,7 +654,7 @@
         evidence = proof or 'the granted lease has expired'
         answer_age = self._answered_at and now - self._answered_at
         leaving = self._departure.is_leaving(supervisor.target)
-        crashed = bool(proof) and not leaving
+        crashed = proof and not leaving
         started = supervisor.evidence.list_started(now) if crashed else []
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
@@ -594,7 +664,7 @@
             key=supervisor.key,
             epoch=supervisor.epoch,
             lapsed=True,
-            crashed=crashed,
+            crashed=bool(crashed),
             started=started,
             crash_age_ms=supervisor.evidence.get_failure_age_ms(now),
             evidence=evidence,
@@ -606,7 +676,7 @@
             reason=evidence,
             backend=supervisor.key,
             epoch=supervisor.epoch,
-            crashed=crashed,
+            crashed=bool(crashed),
             answer_age_s=answer_age and round(answer_age.total_seconds(), 3),
             address=supervisor.target.address,
             runs=supervisor.list_runs(),
@@ -619,8 +689,3 @@
         )
         self._answered_at = None
         supervisor.reset_session()
-
-
-def _is_same_incarnation(announcement, other):
-    first, second = announcement.state, other.state
-    return (first.id, first.born_ms) == (second.id, second.born_ms)
--- a/bilberryhaven/workflow/server_client.py
+++ b/bilberryhaven/workflow/server_client.py
@@ -5,6 +5,7 @@
 import enum
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
 from bilberryhaven.workflow import message
 
 __all__ = ['Announcement', 'Listing', 'ServerClient', 'StartResult']
@@ -43,6 +44,12 @@
     address: str
     sequence: int
 
+    @property
+    def identity(self):
+        """What stays the same during the life of a server, a tuple."""
+        state = self.state
+        return state.id, state.born_ms, self.address, state.pool
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Listing:
@@ -71,6 +78,30 @@
     has taken over, and ``GoneError`` if another incarnation answers.
     """
 
+    def identify(self, target):
+        """Check that the announced server answers at its address.
+
+        Args:
+            target: The ``Announcement``; it may be of another writer.
+
+        Raises:
+            GoneError: Another server answers there, or none listens.
+            BilberryhavenError: There was no answer, or not a usable one.
+        """
+        try:
+            listing = self.hold(
+                target, deadline_ms=None, epoch=0, acked=0, wait_ms=0
+            )
+        except errors.FencedError:
+            # The server answers; an earlier agent has used a higher token.
+            return
+        if listing.born_ms and listing.born_ms != target.state.born_ms:
+            raise errors.GoneError(
+                'another incarnation answered',
+                step='identify',
+                peer=target.address,
+            )
+
     @abc.abstractmethod
     def start_run(self, target, order, *, deadline_ms, epoch):
         """Start a run and return a ``StartResult``.
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -67,7 +67,8 @@
         agent: Name of the agent.
 
     Attributes:
-        target: Newest ``Announcement`` of the backend server, or None.
+        target: Newest ``Announcement`` of the followed backend server, or
+            None.
         epoch: Fencing token, 0 until the leader has issued one.
         key: Key of the incarnation for which the token was issued.
         acked: Number of the newest end that the leader has acknowledged.
@@ -106,34 +107,40 @@
         self._pacer = pacing.Pacer()
         self.evidence = crash_evidence.CrashEvidence()
 
+    def follow(self, announcement):
+        """Begin with a server that has answered at its address.
+
+        Args:
+            announcement: Its ``Announcement``; None to follow no server.
+        """
+        self._reset()
+        self.target = announcement
+
+    def is_followed(self, announcement):
+        """Return whether an ``Announcement`` is of the followed server."""
+        return (
+            self.target is not None
+            and announcement is not None
+            and announcement.identity == self.target.identity
+        )
+
     def handle_announcement(self, announcement):
-        """Store a heartbeat unless it is older than the stored one.
+        """Store a heartbeat of the followed server unless it is outdated.
 
         Args:
             announcement: The ``Announcement``.
 
         Returns:
-            Whether it is the first one of a new incarnation.
+            Whether it is of the followed server.
         """
-        known = self.target
-        if known is None or self.is_replaced_by(announcement):
-            self._reset()
-            self.target = announcement
-            return True
-        if announcement.state.born_ms < known.state.born_ms:
+        if not self.is_followed(announcement):
             return False
-        same = announcement.state.id == known.state.id
-        if same and announcement.sequence > known.sequence:
+        known = self.target
+        if announcement.sequence > known.sequence:
             self.target = announcement
             if announcement.state.cpu != known.state.cpu:
                 self._update_tenths()
-        return False
-
-    def is_replaced_by(self, announcement):
-        """Return whether an ``Announcement`` is of a later incarnation."""
-        return self.target is not None and _is_later_incarnation(
-            announcement, self.target
-        )
+        return True
 
     @property
     def draining(self):
@@ -492,10 +499,3 @@
                 self._pacer.remove(end.run)
         if report.trouble == self._trouble:
             self._trouble = ''
-
-
-def _is_later_incarnation(announcement, known):
-    if announcement.state.born_ms > known.state.born_ms:
-        return True
-    older = announcement.state.born_ms < known.state.born_ms
-    return not older and announcement.state.id != known.state.id
--- a/tests/fuzz/workflow.py
+++ b/tests/fuzz/workflow.py
@@ -103,20 +103,21 @@
             self._execute_orders()
 
     def _announce(self):
-        self.supervisor.handle_announcement(
-            server_client.Announcement(
-                state=message.ServerState(
-                    id=self.server.key,
-                    born_ms=self.server.born_ms,
-                    pool=fakes.POOL,
-                    zone=self.zone,
-                    cpu=CAPACITY * 1000,
-                    memory_mb=256_000,
-                ),
-                address='127.0.0.1:1',
-                sequence=int(self.world.now * 1000),
-            )
+        announcement = server_client.Announcement(
+            state=message.ServerState(
+                id=self.server.key,
+                born_ms=self.server.born_ms,
+                pool=fakes.POOL,
+                zone=self.zone,
+                cpu=CAPACITY * 1000,
+                memory_mb=256_000,
+            ),
+            address='127.0.0.1:1',
+            sequence=int(self.world.now * 1000),
         )
+        if not self.supervisor.handle_announcement(announcement):
+            # A later incarnation, the only one that answers.
+            self.supervisor.follow(announcement)
 
     def _poll(self):
         now = self.world.clock.monotonic()
--- a/tests/test_odd_workers.py
+++ b/tests/test_odd_workers.py
@@ -44,9 +44,14 @@
         self.leader = odd_leader.Leader()
         self.supervisor = supervision.RunSupervisor(agent='a')
         agent = type('Agent', (), {})()
-        agent.handle_announcement = self.supervisor.handle_announcement
+        agent.handle_announcement = self.handle_announcement
         self.handle = handlers.build_worker_handler(agent)
 
+    def handle_announcement(self, announcement):
+        if self.supervisor.target is None:
+            self.supervisor.follow(announcement)
+        self.supervisor.handle_announcement(announcement)
+
     def beat(self, body, *, worker=odd_leader.WORKER):
         environ = {'PATH_INFO': f'/Instances.Heartbeat/{worker}'}
         return self.handle(environ, body)
@@ -124,7 +129,7 @@
         self.announcement = workers.decode_heartbeat(
             odd_leader.WORKER, json.dumps(odd_leader.HEARTBEAT).encode()
         )
-        self.supervisor.handle_announcement(self.announcement)
+        self.supervisor.follow(self.announcement)
         reply = self.leader.gateway.send(
             self.supervisor.build_poll(),
             timeout=clocks.seconds(1),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,7 +203,7 @@
 
     def test_odd_heartbeat_keeps_the_last_good_capacity(self):
         supervisor = supervision.RunSupervisor(agent='a')
-        supervisor.handle_announcement(self.decode())
+        supervisor.follow(self.decode())
         bad = {**HEARTBEAT, 'sequence': 5, 'capacity': {'cpu': 1}}
         handle = handlers.build_worker_handler(supervisor)
         response = handle(
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -208,6 +208,14 @@
     )
 
 
+def build_announcement(*, born_ms):
+    return server_client.Announcement(
+        state=message.ServerState(id='s', born_ms=born_ms, pool='p'),
+        address='127.0.0.1:1',
+        sequence=1,
+    )
+
+
 class OneOrderTest(testtools.TestCase):
     """An agent without threads, in a session with one start order.
 
@@ -231,16 +239,13 @@
         self.supervisor = self.agent._supervisor
         self.order = message.Order(message.OrderKind.START, build_ref(0))
         self.announce(born_ms=1)
+        self.agent._find_server()
+        self.client.calls.clear()
         self.target = self.supervisor.target
         self.poll(epoch=1)
 
     def announce(self, *, born_ms):
-        state = message.ServerState(id='s', born_ms=born_ms, pool='p')
-        self.agent.handle_announcement(
-            server_client.Announcement(
-                state=state, address='127.0.0.1:1', sequence=1
-            )
-        )
+        self.agent.handle_announcement(build_announcement(born_ms=born_ms))
 
     def poll(self, *, epoch):
         now = self.clock.monotonic()
@@ -313,10 +318,18 @@
 
     def test_stop_of_a_former_incarnation_ends_with_it(self):
         self.client.stops = [errors.GoneError('refused', step='stop')]
-        self.client.before_answer['stop'] = lambda: self.announce(born_ms=2)
+        self.client.before_answer['stop'] = lambda: self.agent._report_lapse(
+            self.target, 'another incarnation answered'
+        )
         self.stop()
         self.assertEqual(['stop'], self.client.calls)
 
+    def test_announcement_of_another_incarnation_is_no_answer_to_a_stop(self):
+        self.client.stops = [errors.PeerError('no answer', step='stop')]
+        self.client.before_answer['stop'] = lambda: self.announce(born_ms=2)
+        self.stop()
+        self.assertEqual(['stop', 'stop'], self.client.calls)
+
 
 class OutdatedOrderTest(OneOrderTest):
     """An order's outcome must not be applied to a later session's order.
@@ -363,7 +376,7 @@
 
     def test_next_incarnation_is_not_reported_as_lapsed(self):
         def begin_incarnation():
-            self.announce(born_ms=2)
+            self.supervisor.follow(build_announcement(born_ms=2))
             self.poll(epoch=2)
 
         self.client.before_answer['hold'] = begin_incarnation
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -556,10 +556,9 @@
         ref = workflow_commands.RunRef('w', KEY, 1)
         gateway, client = OrderingGateway(ref), CrashingClient()
         tested = fakes.build_agent(gateway, client, draining=draining)
+        tested._find_server()
         if draining:
             client._crashed.set()
-        # A poll needs an answer of the server, or a session.
-        tested._answered_at = clocks.seconds(0)
         tested.start()
         self.addCleanup(tested.stop)
         deadline = time.monotonic() + 10
--- a/tests/test_workflow_hearsay.py
+++ b/tests/test_workflow_hearsay.py
@@ -77,6 +77,7 @@
     def __init__(self):
         self.polled = []
         self.lapsed = []
+        self.unknown_pools = set()
 
     def send(self, request, *, timeout, step):
         if isinstance(request, message.Report):
@@ -84,6 +85,8 @@
                 self.lapsed.append(request.key)
             return message.ReportReply()
         key = f'{request.server.id}@{request.server.born_ms}'
+        if request.server.pool in self.unknown_pools:
+            raise errors.UnknownPoolError('no such pool', step='poll')
         self.polled.append(key)
         return message.PollReply(
             key=key, epoch=1, lease_ms=5000, feed='f', last=0
@@ -251,3 +254,23 @@
             self.announce(sequence=2)
             self.work(1)
             self.check_server_is_kept()
+
+    def test_pool_without_a_name_is_not_served(self):
+        self.leader.unknown_pools.add('unnamed')
+        self.restart()
+        self.announce(pool='unnamed', sequence=1000)
+        self.work(1)
+        self.assertEqual([], self.leader.polled)
+        self.announce(sequence=2)
+        self.work(2)
+        self.check_server_is_kept()
+
+    def test_pool_that_a_later_catalog_names_is_served(self):
+        self.leader.unknown_pools.add('p')
+        self.restart()
+        self.announce(sequence=2)
+        self.work(2)
+        self.assertEqual([], self.leader.polled)
+        self.leader.unknown_pools.clear()
+        self.work(2)
+        self.check_server_is_kept()
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -57,7 +57,7 @@
         super().setUp()
         self.clock = clocks.ManualClock()
         self.supervisor = supervision.RunSupervisor(agent='i')
-        self.supervisor.handle_announcement(build_announcement())
+        self.supervisor.follow(build_announcement())
 
     def now(self):
         return self.clock.monotonic()
@@ -375,22 +375,21 @@
 
 
 class IncarnationTest(RunSupervisorTest):
-    def test_late_heartbeat_of_an_earlier_incarnation_is_ignored(self):
-        self.supervisor.handle_announcement(
-            build_announcement(born_ms=5, sequence=1)
-        )
-        self.supervisor.handle_announcement(
-            build_announcement(born_ms=1, sequence=99)
-        )
-        self.assertEqual(5, self.supervisor.target.state.born_ms)
+    def test_heartbeat_of_another_incarnation_changes_nothing(self):
+        """Guards against runs that are taken for ended on its word."""
+        self.poll(message.Order(START, build_ref()))
+        for born_ms in (0, 5):
+            announcement = build_announcement(born_ms=born_ms, sequence=99)
+            self.assertFalse(self.supervisor.handle_announcement(announcement))
+            self.assertEqual(1, self.supervisor.target.state.born_ms)
+            self.assertEqual(1, self.supervisor.target.sequence)
+            self.assertEqual(7, self.supervisor.epoch)
+            self.assertIn(build_ref(), self.supervisor.runs)
 
     def test_new_incarnation_with_the_same_id_resets_the_state(self):
         self.poll(message.Order(START, build_ref()))
-        self.assertTrue(
-            self.supervisor.handle_announcement(
-                build_announcement(born_ms=5, sequence=1)
-            )
-        )
+        self.supervisor.follow(build_announcement(born_ms=5, sequence=1))
+        self.assertEqual(5, self.supervisor.target.state.born_ms)
         self.assertEqual(0, self.supervisor.epoch)
         self.assertEqual({}, self.supervisor.runs)
 
