Wait for the lease of a server that refuses connections

What callers saw: a task on two servers at once.

Cause: a refused connection counted as the end of a server unless its agent had received that it leaves, or half a second after a deregistration, which any process can send. A server that leaves closes its listener while its tasks run, and an agent that was stopped meanwhile has received nothing of it.

Change: only the answer of another incarnation proves an end. While connections are refused no further deadline is granted, and the runs end with the last one; if the server wasn't leaving, that is reported as a crash.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -87,7 +87,7 @@
             validity=options.start_validity
         )
         self._announced = announced.AnnouncedServers()
-        self._departure = departure.Departure(margin=options.lease_margin)
+        self._departure = departure.Departure()
         self._log = log.BoundedLog(logger=_logger, clock=clock)
         self._lock = threading.Lock()
         self._reported_at = clock.monotonic()
@@ -224,9 +224,8 @@
             server_id: Its id.
             born_ms: Start of its incarnation, or 0 if unknown.
         """
-        now = self._clock.monotonic()
         with self._lock:
-            self._departure.record_deregistration(server_id, born_ms, now)
+            self._departure.record_deregistration(server_id, born_ms)
         _logger.info(
             'backend server has deregistered', extra={'backend': server_id}
         )
@@ -501,9 +500,7 @@
                 if self._supervisor.is_followed(target):
                     now = self._clock.monotonic()
                     self._supervisor.evidence.record_failure(now)
-                    if self._departure.proves_end(
-                        error, self._supervisor.target, now
-                    ):
+                    if self._departure.proves_end(error):
                         proof = error.message
                     if not self._supervisor.epoch:
                         self._answered_at = None
@@ -654,7 +651,7 @@
         evidence = proof or 'the granted lease has expired'
         answer_age = self._answered_at and now - self._answered_at
         leaving = self._departure.is_leaving(supervisor.target)
-        crashed = proof and not leaving
+        crashed = (proof or self._departure.is_refusing) and not leaving
         started = supervisor.evidence.list_started(now) if crashed else []
         # The leader may act on the report later than the server answers
         # again, so nothing may run there under this token from here on.
