End no runs by a poll for another server of the instance

What callers see: a task runs on two servers at once, or starts again after its end. The leader closed a server, and ended its runs, as soon as the agent of its instance polled for another one. That is hearsay: the former may still work, after a heartbeat of another writer, while a second server registers beside a draining one, or with an agent of an earlier version.

A poll now ends no run. The runs of the former end by the lapse report of its agent or by their lease. Meanwhile nothing is started there: the session table records which server the instance's newest poll was for, and only that one is open for starts. A poll of the former under its valid epoch still renews its lease and makes it the followed one again.

The fence "was replaced by" holds against held-up polls while the server born later is followed and its lease runs, so that a strange one blocks for one lease at most.

--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -40,6 +40,11 @@
         self._closing = {}
         self._outages = outage.OutageDetector()
 
+    @property
+    def earliest_end(self):
+        """Monotonic time at which leases of former terms have expired."""
+        return self.ready_at + self._options.lease_expiry_delay
+
     def begin_term(self):
         """Discard the sessions and measurements of the former term."""
         with self._memory.lock:
@@ -62,13 +67,14 @@
     def close_lapsed(self):
         """Close the servers whose leases have expired."""
         now = self._clock.monotonic()
-        earliest_end = self.ready_at + self._options.lease_expiry_delay
         with self._memory.lock:
             lapsed = []
             for row in self._memory.state.backends:
                 agent_session = self._memory.sessions.find(row.key)
                 end = (
-                    agent_session.lease_end if agent_session else earliest_end
+                    agent_session.lease_end
+                    if agent_session
+                    else self.earliest_end
                 )
                 if now >= end:
                     lapsed.append((row.key, agent_session))
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -134,6 +134,7 @@
         server.open = (
             agent_session is not None
             and not agent_session.closed
+            and self._sessions.is_followed(agent_session)
             and not _awaits_former_lease(agent_session)
             and not agent_session.draining
             and not self._state.zones.is_withdrawn(server.zone)
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -65,7 +65,7 @@
         return self._open_session(row, request, inherit=known)
 
     def _open_backend(self, key, request):
-        self._close_former_incarnations(key, request)
+        self._check_not_replaced(key, request)
         server = request.server
         row = backend.Backend(
             key=key,
@@ -93,38 +93,46 @@
         )
         return row
 
-    def _close_former_incarnations(self, key, request):
-        """Close the earlier incarnations of the server on an instance.
+    def _check_not_replaced(self, key, request):
+        """Check that the agent follows no server that started later.
+
+        The runs of the other servers of the instance aren't ended: a poll
+        doesn't show that they have. Their agent's lapse reports or their
+        leases do.
 
         Raises:
             FencedError: A later incarnation is registered: the poll was
-                held up by the network.
+                held up by the network, or somebody else's server is
+                registered, which lasts for one lease at most.
         """
         born_ms = request.server.born_ms
+        now = self._clock.monotonic()
         with self._memory.lock:
-            former = [
-                (row.key, self._memory.sessions.find(row.key))
+            later = [
+                row.key
                 for row in self._memory.state.backends.select(
                     'instance', request.agent
                 )
                 if row.key != key
+                and backend.get_born_ms(row.key) > born_ms
+                and self._may_be_followed(row.key, now)
             ]
-        for other_key, _ in former:
-            if backend.get_born_ms(other_key) > born_ms:
-                raise errors.FencedError(
-                    f'{key} was replaced by {other_key}',
-                    step='poll',
-                    peer=request.agent,
-                )
-        for former_key, agent_session in former:
-            # An agent that saw the crash has reported it before it polls.
-            self._closer.close_backend(
-                former_key,
-                agent_session,
-                'a later life has begun there',
-                evidence=f'poll for {key}',
+        if later:
+            raise errors.FencedError(
+                f'{key} was replaced by {later[0]}',
+                step='poll',
+                peer=request.agent,
             )
 
+    def _may_be_followed(self, key, now):
+        agent_session = self._memory.sessions.find(key)
+        if agent_session is None:
+            return now < self._closer.earliest_end
+        return (
+            now < agent_session.lease_end
+            and self._memory.sessions.is_followed(agent_session)
+        )
+
     def _open_session(self, row, request, *, inherit=False):
         """Open the session of a backend server and order its runs.
 
@@ -180,6 +188,7 @@
             now = self._clock.monotonic()
             agent_session.lease_end = now + self._options.lease_expiry_delay
             if not agent_session.is_delayed(request):
+                self._memory.sessions.follow(agent_session)
                 agent_session.draining = server.draining
             if server.draining:
                 remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -64,6 +64,7 @@
         poll: The ``Poll`` that opens it.
 
     Attributes:
+        instance: Name of the agent's instance.
         feed: Unique id of the session's sequence of orders, within which
             orders are numbered.
         lease_end: Monotonic time at which the runs there have certainly
@@ -90,6 +91,7 @@
     def __init__(self, *, key, epoch, lease_end, poll):
         self.key = key
         self.epoch = epoch
+        self.instance = poll.agent
         self.feed = util.create_id('orders')
         self.lease_end = lease_end
         self.capacity = _read_capacity(poll.server)
@@ -309,10 +311,16 @@
 
 
 class SessionTable:
-    """Sessions by key of the backend server."""
+    """Sessions by key of the backend server.
+
+    An agent follows one server at a time: that of its instance's newest poll.
+    A poll for another one doesn't show that the former has ended.
+    """
 
     def __init__(self):
         self._rows = {}
+        # Key of the server that the agent follows, by instance.
+        self._followed = {}
 
     def __iter__(self):
         return iter(list(self._rows.values()))
@@ -325,13 +333,24 @@
         """Store the session of a backend server and close the old one."""
         old = self._rows.get(session.key)
         self._rows[session.key] = session
+        self.follow(session)
         if old is not None:
             old.close()
 
+    def follow(self, session):
+        """Record that an instance's newest poll was for this session."""
+        self._followed[session.instance] = session.key
+
+    def is_followed(self, session):
+        """Return whether the newest poll of the instance was for it."""
+        return self._followed.get(session.instance) == session.key
+
     def remove(self, key, session):
         """Close a session and remove it unless it was replaced."""
         if self._rows.get(key) is session:
             del self._rows[key]
+            if self.is_followed(session):
+                del self._followed[session.instance]
         session.close()
 
     def close(self):
--- a/tests/test_workflow_speculation.py
+++ b/tests/test_workflow_speculation.py
@@ -492,6 +492,7 @@
     def test_other_run_goes_on_after_a_crash_of_the_copys_server(self):
         self.start_copy()
         agent = self.find_agent(2)
+        self.report(self.polls[agent], lapsed=True)
         self.poll(agent, born_ms=2)
         del self.polls[agent]
         self.schedule()
