Register no backend server whose pool no catalog names

What callers see: a task runs on two servers at once. The registered one took the place of the real one.

A poll that would open such a server is now answered with `unknown_pool` (503, not_run); nothing is committed and no session opens. A server that is registered with the pool that it names keeps its session and runs whatever a later catalog says, also with a restarted agent and at a new leader. One that names another pool of the catalog is registered with that.

Tests of odd data polled without a catalog that names the pool: their set-up puts the pool of each poll into the catalog, also names that no configuration can have, so that the odd servers are still opened. Their checks are the same.

--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -29,6 +29,7 @@
     'StorageError',
     'TruncatedAnswerError',
     'UnavailableError',
+    'UnknownPoolError',
     'build_error',
     'get_codes',
 ]
@@ -215,6 +216,13 @@
     status = 503
 
 
+class UnknownPoolError(BilberryhavenError):
+    """The catalog in force doesn't name the backend server's pool."""
+
+    code = 'unknown_pool'
+    status = 503
+
+
 class DeadlineError(BilberryhavenError):
     """The deadline passed before an answer arrived."""
 
--- a/bilberryhaven/tables/catalog.py
+++ b/bilberryhaven/tables/catalog.py
@@ -74,6 +74,10 @@
     document: bytes
     name: str = CURRENT
 
+    def names_pool(self, name):
+        """Return whether there is a pool of this name."""
+        return any(pool.name == name for pool in self.pools)
+
 
 @tables.register('catalogs')
 class CatalogTable(table.Table):
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -45,6 +45,8 @@
         Raises:
             FencedError: Another agent or a later incarnation is registered.
             UnavailableError: The backend server is being closed.
+            UnknownPoolError: The server isn't registered, and the catalog
+                in force doesn't name its pool.
         """
         with self._memory.lock:
             row = self._memory.state.backends.find(key)
@@ -65,6 +67,7 @@
         return self._open_session(row, request, inherit=known)
 
     def _open_backend(self, key, request):
+        self._check_pool(key, request)
         self._check_not_replaced(key, request)
         server = request.server
         row = backend.Backend(
@@ -93,6 +96,26 @@
         )
         return row
 
+    def _check_pool(self, key, request):
+        """Check that the server is one to use, or is in use already.
+
+        Raises:
+            UnknownPoolError: The catalog in force doesn't name its pool, or
+                there is none yet.
+        """
+        pool = request.server.pool
+        with self._memory.lock:
+            row = self._memory.state.backends.find(key)
+            current = self._memory.state.catalogs.find_current()
+        if row is not None and row.pool == pool:
+            return
+        if current is None or not current.names_pool(pool):
+            raise errors.UnknownPoolError(
+                f'no catalog in force names pool {pool!r} of {key}',
+                step='poll',
+                peer=request.agent,
+            )
+
     def _check_not_replaced(self, key, request):
         """Check that the agent follows no server that started later.
 
--- a/tests/odd_leader.py
+++ b/tests/odd_leader.py
@@ -8,6 +8,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.control import machine
 from bilberryhaven.platform import handlers
+from bilberryhaven.tables import catalog
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import dispatcher
 from bilberryhaven.workflow import message
@@ -122,6 +123,24 @@
     def configure(self, body):
         return self.call(self.operators, 'POST', '/Config.Replace', body)
 
+    def name_pool(self, name):
+        """Add a pool to the catalog, so that its servers are registered.
+
+        The name may be one that no configuration can have.
+        """
+        current = self.machine.state.catalogs.find_current()
+        self.machine.state.catalogs.put(
+            catalog.Catalog(
+                version=current.version if current else 1,
+                queues=current.queues if current else [],
+                pools=[
+                    *(current.pools if current else ()),
+                    catalog.Pool(name=name),
+                ],
+                document=b'',
+            )
+        )
+
     def submit(self, path, body, **headers):
         return self.call(self.callers, 'POST', path, body, **headers)
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -101,6 +101,9 @@
         leader.configure(json.dumps(odd_leader.CONFIGURATION).encode())
 
         def handle():
+            msg = message.decode_request(body)
+            if isinstance(msg, message.Poll):
+                leader.name_pool(msg.server.pool)
             reply = leader.dispatcher.handle(
                 wire_message.WorkRequest(body=body)
             )
--- a/tests/test_odd_workers.py
+++ b/tests/test_odd_workers.py
@@ -53,6 +53,7 @@
 
     def poll(self):
         poll = self.supervisor.build_poll()
+        self.leader.name_pool(poll.server.pool)
         reply = self.leader.gateway.send(
             poll, timeout=clocks.seconds(1), step='poll'
         )
@@ -125,6 +126,7 @@
             odd_leader.WORKER, json.dumps(odd_leader.HEARTBEAT).encode()
         )
         self.supervisor.handle_announcement(self.announcement)
+        self.leader.name_pool(self.announcement.state.pool)
         reply = self.leader.gateway.send(
             self.supervisor.build_poll(),
             timeout=clocks.seconds(1),
--- a/tests/test_workflow_registration.py
+++ b/tests/test_workflow_registration.py
@@ -8,9 +8,13 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven.control import machine
 from bilberryhaven import errors
+from bilberryhaven.tables import catalog
+from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from tests import test_workflow_dispatcher
+from tests import workflow_replica
 
 LEASE_S = options.Options().lease_expiry_delay.total_seconds()
 STEP_S = 0.4
@@ -157,3 +161,129 @@
         third = self.poll()
         self.schedule()
         self.assertEqual([(2, third.key)], self.list_runs())
+
+
+class PoolTest(test_workflow_dispatcher.DispatcherTest):
+    """Servers of pools that no catalog names aren't used.
+
+    Guards against strange servers that an agent polls for after a heartbeat
+    of another writer: registered, they took the place of the real one.
+    """
+
+    def name_pools(self, version, *names):
+        self.ask(
+            message.Replace(
+                version=version,
+                queues=[],
+                pools=[catalog.Pool(name=name) for name in names],
+                document=b'',
+            )
+        )
+
+    def poll_pool(self, pool, **fields):
+        server = message.ServerState(
+            id='s-i', born_ms=1, pool=pool, cpu=64_000, memory_mb=256_000
+        )
+        return self.ask(message.Poll(agent='i', server=server, **fields))
+
+    def check_refused(self, pool, **fields):
+        before = self.machine.dump()
+        error = self.assertRaises(
+            errors.UnknownPoolError, self.poll_pool, pool, **fields
+        )
+        self.assertEqual('not_run', str(error.outcome))
+        self.assertEqual(before, self.machine.dump())
+        self.assertEqual([], list(self.leader._memory.sessions))
+
+    def test_only_servers_of_named_pools_are_opened(self):
+        for names, pool, allowed in (
+            (None, 'desk', False),
+            ([], 'desk', False),
+            (['other'], 'desk', False),
+            (['other', 'desk'], 'desk', True),
+            (['desk'], '', False),
+            (['desk'], 'Desk', False),
+            (['desk2'], 'desk', False),
+        ):
+            self.machine = machine.TableStateMachine()
+            self.replica = workflow_replica.FakeReplica(self.machine)
+            self.leader = self.build_leader()
+            if names is not None:
+                self.name_pools(1, *names)
+            if allowed:
+                self.assertEqual('s-i@1', self.poll_pool(pool).key)
+            else:
+                self.check_refused(pool)
+
+    def test_token_of_a_server_that_is_gone_opens_nothing(self):
+        self.name_pools(1, 'other')
+        self.check_refused('desk', epoch=4)
+
+    def test_pool_that_a_later_catalog_names(self):
+        self.check_refused('desk')
+        self.name_pools(1, 'other')
+        self.check_refused('desk')
+        self.name_pools(2, 'desk')
+        self.assertEqual('desk', self.open_row('desk').pool)
+
+    def open_row(self, pool):
+        return self.state.backends.find(self.poll_pool(pool).key)
+
+    def test_server_with_another_named_pool_is_registered_again(self):
+        self.name_pools(1, 'desk', 'lab')
+        first = self.open_row('desk')
+        second = self.open_row('lab')
+        self.assertEqual('lab', second.pool)
+        self.assertTrue(second.epoch > first.epoch)
+
+    def test_server_with_another_unnamed_pool_keeps_its_registration(self):
+        self.name_pools(1, 'desk')
+        first = self.poll_pool('desk')
+        self.assertRaises(errors.UnknownPoolError, self.poll_pool, 'lab')
+        row = self.state.backends.find(first.key)
+        self.assertEqual(('desk', first.epoch), (row.pool, row.epoch))
+        self.assertEqual(
+            first.epoch, self.poll_pool('desk', epoch=first.epoch).epoch
+        )
+
+    def restart_nothing(self, first):
+        return self.poll_pool('desk', epoch=first.epoch)
+
+    def restart_agent(self, first):
+        return self.poll_pool('desk')
+
+    def change_leader(self, first):
+        self.leader.stop()
+        self.replica.term += 1
+        self.leader = self.build_leader()
+        return self.poll_pool('desk', epoch=first.epoch)
+
+    def change_leader_and_restart_agent(self, first):
+        self.change_leader(first)
+        return self.poll_pool('desk')
+
+    def test_pool_that_a_later_catalog_drops(self):
+        """The session and its runs stay."""
+        for number, event in enumerate(
+            (
+                self.restart_nothing,
+                self.restart_agent,
+                self.change_leader,
+                self.change_leader_and_restart_agent,
+            )
+        ):
+            self.replace(version=2 * number + 1)
+            name = f'w{number}'
+            first = self.poll_pool('desk')
+            self.report(first)
+            self.submit(name)
+            self.schedule()
+            self.name_pools(2 * number + 2, 'other')
+            again = event(first)
+            self.schedule()
+            runs = self.state.workflows.find(name).list_runs()
+            self.assertEqual(
+                [(1, first.key)],
+                [(run.number, run.backend) for _, run in runs],
+            )
+            self.assertIn(name, [order.run.workflow for order in again.orders])
