--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -29,6 +29,7 @@
     'StorageError',
     'TruncatedAnswerError',
     'UnavailableError',
+    'UnknownPoolError',
     'build_error',
     'get_codes',
 ]
@@ -216,7 +217,7 @@
 
 
 class UnknownPoolError(BilberryhavenError):
-    """The catalog in force doesn't contain the pool of a backend server."""
+    """The catalog in force doesn't name the backend server's pool."""
 
     code = 'unknown_pool'
     status = 503
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -202,12 +202,20 @@
             self._answered_at = now
         self._log_follow(announcement, known, 'it answers at its address')
 
-    def _leave_server(self, target, error):
-        """Follow another announced server, if any, than ``target``."""
+    def _leave_server(self, target, epoch, error):
+        """Follow another announced server, if any.
+
+        The leader has no registration of the server, thus no runs there.
+
+        Args:
+            target: The ``Announcement`` of the server.
+            epoch: Fencing token of the poll that the leader has refused.
+            error: The error that it has replied with.
+        """
         now = self._clock.monotonic()
         with self._lock:
             supervisor = self._supervisor
-            if supervisor.epoch or not supervisor.is_followed(target):
+            if supervisor.epoch != epoch or not supervisor.is_followed(target):
                 return
             supervisor.follow(None)
             self._answered_at = None
@@ -256,7 +264,7 @@
             return
         except errors.UnknownPoolError as error:
             self._update_connected(None)
-            self._leave_server(target, error)
+            self._leave_server(target, poll.epoch, error)
             return
         except errors.BilberryhavenError as error:
             self._update_connected(error)
--- a/tests/test_odd_workers.py
+++ b/tests/test_odd_workers.py
@@ -58,6 +58,7 @@
 
     def poll(self):
         poll = self.supervisor.build_poll()
+        self.leader.name_pool(poll.server.pool)
         reply = self.leader.gateway.send(
             poll, timeout=clocks.seconds(1), step='poll'
         )
@@ -130,6 +131,7 @@
             odd_leader.WORKER, json.dumps(odd_leader.HEARTBEAT).encode()
         )
         self.supervisor.follow(self.announcement)
+        self.leader.name_pool(self.announcement.state.pool)
         reply = self.leader.gateway.send(
             self.supervisor.build_poll(),
             timeout=clocks.seconds(1),
--- a/tests/test_workflow_hearsay.py
+++ b/tests/test_workflow_hearsay.py
@@ -274,3 +274,12 @@
         self.leader.unknown_pools.clear()
         self.work(2)
         self.check_server_is_kept()
+
+    def test_pool_that_is_dropped_after_its_server_was_closed(self):
+        """Guards against an agent that repeats a refused poll at once."""
+        self.leader.unknown_pools.add('p')
+        self.work(1)
+        self.assertEqual(0, self.agent._supervisor.epoch)
+        self.leader.unknown_pools.clear()
+        self.work(1)
+        self.check_server_is_kept()
