--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -327,6 +327,12 @@
         node.list_runs()
         self.advance(2)
         node.take_orders()
+        self.assertIsNotNone(self.leader._memory.sessions.find('s-i@2'))
+        # Without the report, the former one's runs end with their lease.
+        for _ in range(4):
+            self.advance(1)
+            node.take_orders()
+        self.schedule()
         keys = [row.key for row in self.state.backends]
         self.assertEqual(['s-i@2'], keys)
 
