Bind the closing of a lapsed server to the term in which it lapsed

What callers would see: a task that runs on two servers at once, after a starved leader lost leadership and got it back. A round that had found a lease expired in its former term proposed the closing in the later one, although another leader had renewed that lease in between; the epoch of the row is the same, so nothing refused it.

A proposal may now name its only term; the replica refuses it in any other with not_leader, before it is appended. The closer names the term whose sessions it has judged, and lets the agent poll again if the closing was refused.

Tests of the new leader's wait for the leases of an older one were missing: the runs of a poll that the older leader answers last, with a slow clock of their server, end before the new leader closes it; a poll held over the change gets no answer; the leader's lease with the platform's options ends before another leads, for rates 5% apart.

--- a/bilberryhaven/consensus/actor.py
+++ b/bilberryhaven/consensus/actor.py
@@ -45,10 +45,15 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Propose:
-    """Propose ``data``; ``callback`` receives the result or an error."""
+    """Propose ``data``; ``callback`` receives the result or an error.
+
+    Attributes:
+        term: The only term in which it may be proposed; 0 for any.
+    """
 
     data: bytes
     callback: object
+    term: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -166,7 +171,7 @@
             self.actor_ref.tell(Flush())
 
     def _propose(self, msg):
-        self._proposals.append((msg.data, msg.callback))
+        self._proposals.append(msg)
         self._queue_flush()
 
     def _deliver(self, msg):
@@ -214,7 +219,7 @@
         now = self._clock.monotonic()
         if self._proposals and not self._must_hold_proposals(now):
             proposals, self._proposals = self._proposals, []
-            self._driver.propose(proposals, now)
+            self._driver.propose(self._select_current(proposals), now)
         self._driver.flush(now)
         for sender in list(self._reply_callbacks):
             self._send_replies(sender)
@@ -224,6 +229,21 @@
                 self._transport.send(address, messages)
         self._outbox.clear()
 
+    def _select_current(self, proposals):
+        """Return (data, callback) pairs; refuse those of other terms."""
+        current = []
+        for msg in proposals:
+            if msg.term in (0, self._driver.core.term):
+                current.append((msg.data, msg.callback))
+            else:
+                msg.callback(
+                    errors.NotLeaderError(
+                        f'term {msg.term} of the proposal has ended',
+                        step='propose',
+                    )
+                )
+        return current
+
     def _must_hold_proposals(self, now):
         # A rejected proposal is told the leader's address, so proposals wait
         # until the next leader is known.
--- a/bilberryhaven/consensus/replica.py
+++ b/bilberryhaven/consensus/replica.py
@@ -135,20 +135,27 @@
         if self._transport is not None:
             self._transport.close()
 
-    def propose_future(self, data):
-        """Propose ``data``; return a ``concurrent.futures.Future``."""
+    def propose_future(self, data, *, term=0):
+        """Propose ``data``; return a ``concurrent.futures.Future``.
+
+        Args:
+            data: Bytes of the entry.
+            term: The only term in which it may be proposed; 0 for any.
+        """
         future = concurrent.futures.Future()
         callback = functools.partial(_complete_future, future)
-        if not self._tell(actor.Propose(data=data, callback=callback)):
+        msg = actor.Propose(data=data, callback=callback, term=term)
+        if not self._tell(msg):
             future.set_exception(self._build_not_leader_error())
         return future
 
-    def propose(self, data, *, timeout):
+    def propose(self, data, *, timeout, term=0):
         """Commit ``data`` and return the state machine's result.
 
         Args:
             data: Bytes of the entry.
             timeout: Maximum wait as a timedelta.
+            term: The only term in which it may be proposed; 0 for any.
 
         Raises:
             NotLeaderError: Not proposed; ``peer`` is the leader's address.
@@ -157,7 +164,8 @@
             DeadlineError: Not committed in time; the outcome is unknown.
             BilberryhavenError: The state machine rejected the entry.
         """
-        return _wait_result(self.propose_future(data), timeout, step='commit')
+        future = self.propose_future(data, term=term)
+        return _wait_result(future, timeout, step='commit')
 
     def check_read(self):
         """Check that a read of the state machine is linearizable.
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -3,6 +3,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import checkpoints
@@ -66,6 +67,9 @@
 
     def close_lapsed(self):
         """Close the servers whose leases have expired."""
+        # Read before the sessions: another leader may renew their leases from
+        # the end of that term on.
+        term = self._leader.term
         now = self._clock.monotonic()
         with self._memory.lock:
             lapsed = []
@@ -96,6 +100,7 @@
                 if agent_session is not None
                 else 'no poll of its agent since the term began',
                 evidence_age=now - polled_at,
+                term=term,
             )
 
     def close_backend(
@@ -109,6 +114,7 @@
         crashed=False,
         started=(),
         crash_age=NO_TIME,
+        term=0,
     ):
         """Close a backend server whose runs have certainly ended.
 
@@ -123,6 +129,10 @@
             started: If so, ``StartedRun`` rows of the runs that it had
                 received shortly before.
             crash_age: If so, time since then, a timedelta.
+            term: The only term in which the evidence holds; 0 for any.
+
+        Raises:
+            NotLeaderError: That term has ended; the server isn't closed.
         """
         saved = []
         suspects, excused, cleared = [], [], []
@@ -153,14 +163,17 @@
             suspects=suspects,
             excused=excused,
         )
-        closed = self._leader.propose(command)
-        with self._memory.lock:
-            if self._closing.get(key) == row.epoch:
-                del self._closing[key]
-            if closed:
-                self._memory.monitor.remove(key)
+        try:
+            closed = self._leader.propose(command, term=term)
+        except errors.NotLeaderError:
+            # It wasn't proposed, so its agent may poll again.
+            self._end_closing(row)
+            raise
+        self._end_closing(row)
         if not closed:
             return
+        with self._memory.lock:
+            self._memory.monitor.remove(key)
         if agent_session is not None:
             self._memory.sessions.remove(key, agent_session)
         self._memory.health.remove(key)
@@ -189,6 +202,11 @@
             self._clear_suspects(cleared)
         self._leader.wake()
 
+    def _end_closing(self, row):
+        with self._memory.lock:
+            if self.is_closing(row):
+                del self._closing[row.key]
+
     def _assess_crash(self, key, started, crash_age):
         """Determine which runs may have caused a crash.
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -206,17 +206,18 @@
         with self._replica.machine_lock:
             yield self._state
 
-    def propose(self, command):
+    def propose(self, command, *, term=0):
         """Commit a command.
 
         Args:
             command: The ``Command``.
+            term: The only term in which it may be proposed; 0 for any.
 
         Returns:
             The result of its ``apply``.
         """
         return self._replica.propose(
-            commands.encode(command), timeout=COMMIT_TIMEOUT
+            commands.encode(command), timeout=COMMIT_TIMEOUT, term=term
         )
 
     def _join(self, request):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -14,6 +14,7 @@
 from bilberryhaven.consensus import members
 from bilberryhaven.consensus import message
 from bilberryhaven import errors
+from bilberryhaven.platform import control
 from bilberryhaven.tables import workload
 from tests.fuzz import cluster
 
@@ -76,9 +77,11 @@
 
 
 class TestLease(ClusterTestCase):
+    options = LOW_JITTER_OPTIONS
+
     def build_with_fine_steps(self, **arguments):
         step = clock.seconds(STEP_SECONDS)
-        self.build(options=LOW_JITTER_OPTIONS, step=step, **arguments)
+        self.build(options=self.options, step=step, **arguments)
         self.make_leader('a')
         self.cluster.run(0.5)
 
@@ -87,6 +90,16 @@
         self.cluster.partition('a')
         self.write_to_other_leader(2)
 
+    def test_lease_of_the_platform_ends_before_others_elect(self):
+        """A former leader that answered polls could extend their leases."""
+        self.options = dataclasses.replace(
+            control.REPLICA_OPTIONS, election_jitter=clock.seconds(0.05)
+        )
+        for rate in (0.95, 1.0, 1.05):
+            self.build_with_fine_steps(clock_rates=(rate, 1.0, 1.0))
+            self.cluster.partition('a')
+            self.write_to_other_leader(2)
+
     def test_leadership_transfer_revokes_the_lease(self):
         self.build_with_fine_steps()
         self.cluster.blocked |= {('b', 'a'), ('c', 'a')}
--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -198,6 +198,23 @@
 
 
 class TestSingleReplica(ReplicaTestCase):
+    def test_entry_of_another_term_is_not_proposed(self):
+        """A decision of a former term could undo one made in between."""
+        self.build('a')
+        leader = self.find_leader()
+        term = leader.replica.status().term
+        for other in (term - 1, term + 1):
+            self.assertRaises(
+                errors.NotLeaderError,
+                leader.replica.propose,
+                b'x',
+                timeout=TIMEOUT,
+                term=other or 99,
+            )
+        leader.replica.propose(b'y', timeout=TIMEOUT, term=term)
+        leader.replica.propose(b'z', timeout=TIMEOUT)
+        self.assertEqual([b'y', b'z'], leader.machine.items)
+
     def test_entries_survive_a_restart(self):
         self.build('a')
         leader = self.find_leader()
--- a/tests/test_workflow_acceptance.py
+++ b/tests/test_workflow_acceptance.py
@@ -32,11 +32,11 @@
 
     lost = None
 
-    def propose(self, data, *, timeout):
+    def propose(self, data, *, timeout, **fields):
         if self.lost is None:
-            return super().propose(data, timeout=timeout)
+            return super().propose(data, timeout=timeout, **fields)
         if self.lost:
-            super().propose(data, timeout=timeout)
+            super().propose(data, timeout=timeout, **fields)
         raise errors.DeadlineError('no majority answered', step='commit')
 
 
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -450,12 +450,12 @@
         first = self.poll()
         propose = self.replica.propose
 
-        def register_first(data, *, timeout):
+        def register_first(data, *, timeout, **fields):
             self.replica.propose = propose
             self.second = self.poll()
             self.report(self.second)
             self.schedule()
-            return propose(data, timeout=timeout)
+            return propose(data, timeout=timeout, **fields)
 
         self.replica.propose = register_first
         self.report(first, lapsed=True)
@@ -482,13 +482,13 @@
         propose = self.replica.propose
         decided, answered = threading.Event(), threading.Event()
 
-        def close_late(data, *, timeout):
+        def close_late(data, *, timeout, **fields):
             decided.set()
             answered.wait(10)
-            return propose(data, timeout=timeout)
+            return propose(data, timeout=timeout, **fields)
 
-        def register(data, *, timeout):
-            row = propose(data, timeout=timeout)
+        def register(data, *, timeout, **fields):
+            row = propose(data, timeout=timeout, **fields)
             self.replica.propose = close_late
             closing.start()
             decided.wait(1)
@@ -579,13 +579,13 @@
         propose = self.replica.propose
         orders = []
 
-        def poll_first(data, *, timeout):
+        def poll_first(data, *, timeout, **fields):
             self.replica.propose = propose
             try:
                 orders.extend(self.poll(epoch=first.epoch).orders)
             except errors.UnavailableError:
                 pass
-            return propose(data, timeout=timeout)
+            return propose(data, timeout=timeout, **fields)
 
         self.replica.propose = poll_first
         self.leader._closer.close_lapsed()
@@ -597,13 +597,13 @@
         first = self.poll()
         propose = self.replica.propose
 
-        def poll_first(data, *, timeout):
+        def poll_first(data, *, timeout, **fields):
             self.replica.propose = propose
             self.assertRaises(
                 errors.UnavailableError, self.poll, epoch=first.epoch
             )
             self.assertRaises(errors.FencedError, self.report, first)
-            return propose(data, timeout=timeout)
+            return propose(data, timeout=timeout, **fields)
 
         self.replica.propose = poll_first
         self.report(first, lapsed=True)
@@ -620,10 +620,10 @@
         (order,) = self.poll(epoch=first.epoch).orders
         propose = self.replica.propose
 
-        def register_first(data, *, timeout):
+        def register_first(data, *, timeout, **fields):
             self.replica.propose = propose
             self.assertEqual([order.run], [o.run for o in self.poll().orders])
-            return propose(data, timeout=timeout)
+            return propose(data, timeout=timeout, **fields)
 
         self.replica.propose = register_first
         end = workflow_commands.RunEnd(0, order.run, 'rejected')
@@ -640,14 +640,14 @@
         propose = self.replica.propose
         refused = []
 
-        def poll_other(data, *, timeout):
+        def poll_other(data, *, timeout, **fields):
             if not refused:
                 for name, reply in first.items():
                     try:
                         self.poll(name, epoch=reply.epoch)
                     except errors.UnavailableError:
                         refused.append(name)
-            return propose(data, timeout=timeout)
+            return propose(data, timeout=timeout, **fields)
 
         self.replica.propose = poll_other
         self.schedule()
--- a/tests/test_workflow_registration.py
+++ b/tests/test_workflow_registration.py
@@ -4,6 +4,8 @@
 has ended: ended on it, its runs were started again beside themselves.
 """
 
+import contextlib
+
 import msgspec
 
 from bilberryhaven import clock as clocks
@@ -13,6 +15,8 @@
 from bilberryhaven.tables import catalog
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
+from bilberryhaven.workflow import run_lease
+from bilberryhaven.workflow import server_client
 from tests import test_workflow_dispatcher
 from tests import workflow_replica
 
@@ -287,3 +291,111 @@
                 [(run.number, run.backend) for _, run in runs],
             )
             self.assertIn(name, [order.run.workflow for order in again.orders])
+
+
+class OlderLeaderTest(test_workflow_dispatcher.DispatcherTest):
+    """A poll that the former leader answers just before the term begins.
+
+    If its lease outlasted the wait of the new leader, the runs would be
+    started again while they work.
+    """
+
+    HOLD_S = 0.4
+
+    def setUp(self):
+        super().setUp()
+        self.begin()
+
+    def begin(self):
+        self.machine = machine.TableStateMachine()
+        self.replica = workflow_replica.FakeReplica(self.machine)
+        self.leader = self.build_leader()
+        self.feeds = {}
+        self.replace()
+        self.submit('w1')
+        self.first = self.poll()
+        self.schedule()
+        self.older_replica = self.replica
+
+    def begin_term(self):
+        """Let another replica lead; its tables are the same."""
+        self.older_replica.leading = False
+        self.replica = workflow_replica.FakeReplica(self.machine)
+        self.replica.term = 2
+        self.leader = self.build_leader()
+        self.leader.ensure_ready()
+
+    def grant(self, held_for):
+        """Return until when the runs last by a poll to the older leader.
+
+        Args:
+            held_for: Time until the reply to it is built, a timedelta.
+        """
+        lease = run_lease.RunLease()
+        sent_at = self.clock.monotonic()
+        listing = server_client.Listing(
+            clock_ms=0, born_ms=1, running=[], ends=[]
+        )
+        lease.handle_listing(listing, sent_at)
+        reply = self.poll(epoch=self.first.epoch)
+        self.clock.advance(held_for)
+        lease.renew(reply, sent_at)
+        deadline = lease.grant(self.clock.monotonic())
+        # The server's clock may be slow.
+        drift = 1 + options.MAX_DRIFT
+        return sent_at + clocks.seconds(deadline / 1000 * drift)
+
+    def test_new_leader_waits_for_each_lease_of_the_older_one(self):
+        for hold_s in (0, self.HOLD_S):
+            self.begin()
+            ends_at = self.grant(clocks.seconds(hold_s))
+            self.begin_term()
+            while self.first.key in self.state.backends:
+                self.schedule()
+                self.advance(0.01)
+            closed_at = self.clock.monotonic() - clocks.seconds(0.01)
+            margin = options.Options().lease_margin
+            self.assertTrue(ends_at + margin <= closed_at, hold_s)
+
+    def test_poll_held_over_the_change_is_not_answered(self):
+        """Its lease would be of the time at which it came."""
+        check_read = self.older_replica.check_read
+        passed = []
+
+        def lose_after_the_poll_came():
+            check_read()
+            passed.append(None)
+            self.older_replica.leading = False
+
+        self.older_replica.check_read = lose_after_the_poll_came
+        self.assertRaises(
+            errors.NotLeaderError, self.poll, epoch=self.first.epoch
+        )
+        self.assertEqual(1, len(passed))
+
+    def test_decision_of_an_older_term_closes_no_server(self):
+        """Leadership comes back while a round of the former term runs.
+
+        Another leader may have renewed the lease in between.
+        """
+        for lost_sessions in (False, True):
+            self.begin()
+            if lost_sessions:
+                self.replica.term = 2
+                self.leader.ensure_ready()
+            self.advance(LEASE_S + 1)
+            propose = self.replica.propose
+
+            def lead_again(data, propose=propose, **fields):
+                self.replica.propose = propose
+                self.replica.term += 2
+                self.leader.ensure_ready()
+                return propose(data, **fields)
+
+            self.replica.propose = lead_again
+            with contextlib.suppress(errors.NotLeaderError):
+                self.leader._closer.close_lapsed()
+            (run,) = self.state.workflows.find('w1').find_task('0.0.0').runs
+            self.assertEqual((1, self.first.key), (run.number, run.backend))
+            orders = self.poll(epoch=self.first.epoch).orders
+            self.assertEqual([1], [order.run.number for order in orders])
--- a/tests/workflow_replica.py
+++ b/tests/workflow_replica.py
@@ -24,8 +24,12 @@
     def status(self):
         return status.ReplicaStatus(name='r', term=self.term)
 
-    def propose(self, data, *, timeout):
+    def propose(self, data, *, timeout, term=0):
         self.check_read()
+        if term not in (0, self.term):
+            raise errors.NotLeaderError(
+                f'term {term} has ended', step='test', peer='x:1'
+            )
         with self.machine_lock:
             result = self._machine.apply(0, data)
         if isinstance(result, Exception):
