Test a leader that is restarted with strange servers in its tables

A leader that loads them must start nothing there, must not end their runs before a whole lease of its term has passed, and must leave the real server of the same instance in use.

Measured: both tests pass without a further change: rows without a session are closed for starts, and only their leases close them.

--- a/tests/test_workflow_registration.py
+++ b/tests/test_workflow_registration.py
@@ -9,15 +9,19 @@
 import msgspec
 
 from bilberryhaven import clock as clocks
+from bilberryhaven import commands
+from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.control import machine
 from bilberryhaven import errors
+from bilberryhaven.tables import backend
 from bilberryhaven.tables import catalog
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from bilberryhaven.workflow import run_lease
 from bilberryhaven.workflow import server_client
 from tests import test_workflow_dispatcher
+from tests import workflow_fakes as fakes
 from tests import workflow_replica
 
 LEASE_S = options.Options().lease_expiry_delay.total_seconds()
@@ -399,3 +403,92 @@
             self.assertEqual((1, self.first.key), (run.number, run.backend))
             orders = self.poll(epoch=self.first.epoch).orders
             self.assertEqual([1], [order.run.number for order in orders])
+
+
+class RestoredRowTest(test_workflow_dispatcher.DispatcherTest):
+    """Strange servers that an earlier version has registered.
+
+    A leader that is restarted with them must take neither their runs nor
+    those of the real server for ended.
+    """
+
+    STRANGE = (
+        ('other@9', 'i', 'unnamed'),
+        ('other@1', 'i', fakes.POOL),
+        ('s-i@0', 'i', fakes.POOL),
+        ('elsewhere@5', 'j', fakes.POOL),
+    )
+
+    def setUp(self):
+        super().setUp()
+        self.replace()
+        self.first = self.poll()
+        for key, instance, pool in self.STRANGE:
+            row = backend.Backend(
+                key=key,
+                id=key.partition('@')[0],
+                instance=instance,
+                pool=pool,
+                cpu=64_000,
+                memory_mb=256_000,
+            )
+            self.apply(backend_commands.OpenBackend(backend=row, at=0))
+        keys = [self.first.key, *(row[0] for row in self.STRANGE)]
+        for key in keys:
+            self.submit(f'on-{key[:-2]}-{key[-1]}')
+            start = workflow_commands.RunStart(
+                f'on-{key[:-2]}-{key[-1]}', '0.0.0', 1, key
+            )
+            self.apply(workflow_commands.StartRuns(starts=[start], at=0))
+        self.restart()
+
+    def apply(self, command):
+        commands.apply(self.state, commands.decode(commands.encode(command)))
+
+    def restart(self):
+        """Restart the leader from a snapshot."""
+        self.leader.stop()
+        snapshot = self.machine.dump()
+        self.machine = machine.TableStateMachine()
+        self.machine.load(snapshot)
+        self.replica = workflow_replica.FakeReplica(self.machine)
+        self.replica.term = 2
+        self.leader = self.build_leader()
+        self.leader.ensure_ready()
+
+    def list_runs(self):
+        return {
+            row.id: [(run.number, run.backend) for _, run in row.list_runs()]
+            for row in self.state.workflows
+        }
+
+    def test_they_are_closed_by_their_leases_only(self):
+        before = self.list_runs()
+        self.assertEqual(5, len(before))
+        end = self.clock.monotonic() + clocks.seconds(LEASE_S)
+        number = 0
+        while self.clock.monotonic() < end - clocks.seconds(STEP_S):
+            self.poll(epoch=self.first.epoch)
+            number += 1
+            self.submit(f'new{number}')
+            self.schedule()
+            runs = self.list_runs()
+            for name, expected in before.items():
+                self.assertEqual(expected, runs.pop(name))
+            for found in runs.values():
+                self.assertEqual([(1, self.first.key)], found)
+            self.advance(STEP_S)
+        self.advance(STEP_S)
+        self.poll(epoch=self.first.epoch)
+        self.schedule()
+        self.assertEqual(
+            [self.first.key], [r.key for r in self.state.backends]
+        )
+        runs = self.list_runs()
+        self.assertEqual([(1, self.first.key)], runs['on-s-i-1'])
+        self.assertEqual([(2, self.first.key)], runs['on-other-9'])
+
+    def test_nothing_starts_there_without_the_real_server(self):
+        self.submit('new')
+        self.schedule()
+        self.assertEqual([], self.list_runs()['new'])
