Match the replies to relayed heartbeats by position

What callers see: a job runs on two backend servers after an instance was replaced while its former agent is still up. The newcomer takes over the former's session, its lease and its start orders without opening one.

Cause: a relay looked the reply to a heartbeat up by the instance's name. Two agents of one name hash to the same entry, so their heartbeats share batches, and each got whichever reply came last.

Change: replies are matched by position, in which the leader sends them; a reply that is missing or names another instance fails the heartbeat.

--- a/bilberryhaven/control/heartbeat.py
+++ b/bilberryhaven/control/heartbeat.py
@@ -31,7 +31,11 @@
         self._leader = leader
 
     def handle_batch(self, batch):
-        """Return the ``HeartbeatBatchReply`` to a ``HeartbeatBatch``."""
+        """Return the ``HeartbeatBatchReply`` to a ``HeartbeatBatch``.
+
+        The replies are in the order of the heartbeats, by which the sender
+        matches them.
+        """
         return message.HeartbeatBatchReply(
             replies=self._process(batch.heartbeats)
         )
--- a/bilberryhaven/entry/relay.py
+++ b/bilberryhaven/entry/relay.py
@@ -35,6 +35,9 @@
 class HeartbeatActor(actor.ResilientActor):
     """Queues heartbeats briefly and sends them as one batch.
 
+    Replies are matched by their position: an instance that was replaced may
+    have two agents, each with a session or a refusal of its own.
+
     Args:
         name: Name of the entry.
         leader: A ``LeaderClient``.
@@ -80,15 +83,13 @@
             for item in batch_items:
                 item.future.set_exception(error)
             return
-        for item in batch_items:
-            reply = replies.get(item.heartbeat.instance)
-            if reply is None:
-                error = errors.PeerError(
-                    'the batch has no reply to this heartbeat', step='relay'
-                )
-                item.future.set_exception(error)
-            else:
+        for item, reply in zip(batch_items, replies, strict=True):
+            if reply.instance == item.heartbeat.instance:
                 item.future.set_result(reply)
+            else:
+                item.future.set_exception(
+                    _build_mismatch('the reply is to another heartbeat')
+                )
 
     def _exchange(self, batch):
         batch_reply = self._leader.send(batch, timeout=TIMEOUT, step='relay')
@@ -96,4 +97,12 @@
             (reply.revision for reply in batch_reply.replies), default=0
         )
         self._on_revision(newest)
-        return {reply.instance: reply for reply in batch_reply.replies}
+        if len(batch_reply.replies) != len(batch.heartbeats):
+            raise _build_mismatch(
+                'the batch has not a reply to each heartbeat'
+            )
+        return batch_reply.replies
+
+
+def _build_mismatch(text):
+    return errors.PeerError(text, step='relay')
