Believe an agent's "not run" only while it keeps records

What callers see: a request that ran is answered with `not_run`, or runs a second time on another instance, though it must not run twice.

Cause: an entry waits for an answer for up to 120 s and revokes the request then. The agent keeps its record until 20 s after a deadline of 30 s at most, so a revocation after 50 s finds none, as does one at an agent that was started again 50 s before. Either answers `not_run`.

Change: both sides share these times (wire/limits). An entry believes `not_run` only as long as the record is certainly kept, and awaits a dispatch no longer than the agent may take, so that a lost one can still be resolved.

--- a/bilberryhaven/agent/limits.py
+++ b/bilberryhaven/agent/limits.py
@@ -4,6 +4,7 @@
 import datetime
 
 from bilberryhaven import clock
+from bilberryhaven.wire import limits
 
 __all__ = ['Limits']
 
@@ -30,8 +31,8 @@
     connections: int = 64
     control_connections: int = 4
     queue: int = 24
-    max_deadline: datetime.timedelta = clock.seconds(30)
-    result_retention: datetime.timedelta = clock.seconds(20)
+    max_deadline: datetime.timedelta = limits.MAX_DEADLINE
+    result_retention: datetime.timedelta = limits.RESULT_RETENTION
     max_records: int = 8192
     max_stored_bytes: int = 1024 * 1024
     job_slot_timeout: datetime.timedelta = clock.seconds(2)
--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -16,12 +16,15 @@
 from bilberryhaven.entry import revocation
 from bilberryhaven.entry import routing
 from bilberryhaven import errors
+from bilberryhaven.wire import limits as wire_limits
 
 __all__ = ['RequestCore']
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 HOP_MARGIN = 2 * MILLISECOND
 MAX_RESYNC = 500 * MILLISECOND
+# From an agent's deadline to the arrival of its reply at the latest.
+REPLY_MARGIN = 1000 * MILLISECOND
 
 
 class RequestCore:
@@ -170,7 +173,7 @@
             return []
         error = pending.last_error
         now = self._clock.monotonic()
-        if state == 'not_run':
+        if state == 'not_run' and revocation.is_recorded(revoke.dispatch, now):
             error.outcome = errors.Outcome.NOT_RUN
             return self._handle_error(pending, error, now)
         if state == 'finished':
@@ -287,7 +290,9 @@
         pending.step = request_state.Step.DISPATCH
         pending.last_error = None
         network_time = target.round_trip_ms * MILLISECOND + HOP_MARGIN
-        deadline_ms = max(int((remaining - network_time) / MILLISECOND), 1)
+        deadline = min(remaining - network_time, wire_limits.MAX_DEADLINE)
+        deadline_ms = max(int(deadline / MILLISECOND), 1)
+        latest_reply = wire_limits.MAX_DEADLINE + network_time + REPLY_MARGIN
         pending.dispatch = effect.Dispatch(
             request_id=request.id,
             target=target,
@@ -300,7 +305,7 @@
                 incarnation=target.incarnation,
                 revision=self._view.revision,
             ),
-            timeout=remaining,
+            timeout=min(remaining, latest_reply),
             sent_at=now,
         )
         target.in_flight += 1
--- a/bilberryhaven/entry/revocation.py
+++ b/bilberryhaven/entry/revocation.py
@@ -2,12 +2,16 @@
 
 import datetime
 
+from bilberryhaven import clock
 from bilberryhaven.entry import effect
+from bilberryhaven.wire import limits
 
-__all__ = ['build_revoke']
+__all__ = ['build_revoke', 'is_recorded']
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 REVOKE_TIMEOUT = 500 * MILLISECOND
+# Covers the difference between the clock rates of entry and agent.
+RECORD_MARGIN = clock.seconds(2)
 
 
 def build_revoke(pending, now, *, awaited):
@@ -26,3 +30,17 @@
         dispatch=pending.dispatch,
         awaited=awaited,
     )
+
+
+def is_recorded(dispatch, now):
+    """Return whether the agent still knows what became of a dispatch.
+
+    Later, that it has no record of the request proves nothing.
+
+    Args:
+        dispatch: The ``Dispatch``.
+        now: Monotonic time at which the agent's reply arrived.
+    """
+    deadline = dispatch.message.deadline_ms * MILLISECOND
+    kept = min(deadline, limits.MAX_DEADLINE) + limits.RESULT_RETENTION
+    return now < dispatch.sent_at + kept - RECORD_MARGIN
