Believe "not run" only of the agent that was addressed

What callers see: a request that must not run twice runs on a second instance after its first one's address was given to another agent.

Cause: an entry sends the revocation to the address of the dispatch and believes whoever answers. An agent that has listened long enough has complete records of its own, and none of a request that it was never sent.

Change: the reply's load names the incarnation that answers. If the dispatch named another, the outcome stays unknown. A dispatch to an agent that hadn't reported its incarnation yet is judged as before.

--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -160,19 +160,22 @@
             return self._handle_error(pending, error, now, not_accepted=True)
         return self._handle_unknown_outcome(pending, error, now)
 
-    def handle_revoked(self, revoke, state):
+    def handle_revoked(self, revoke, state, *, incarnation=0):
         """Handle the result of a ``Revoke``.
 
         Args:
             revoke: The ``Revoke``.
             state: State that the agent reported: ``not_run``, ``started``
                 or ``finished``; empty if there was no reply.
+            incarnation: Incarnation of the agent that replied, 0 if unknown.
         """
         pending = self._find(revoke.request_id, request_state.Step.REVOKE)
         if pending is None or pending.dispatch is not revoke.dispatch:
             return []
         error = pending.last_error
         now = self._clock.monotonic()
+        if not revocation.is_addressee(revoke.dispatch, incarnation):
+            state = ''
         if state == 'not_run' and revocation.is_recorded(revoke.dispatch, now):
             error.outcome = errors.Outcome.NOT_RUN
             return self._handle_error(pending, error, now)
--- a/bilberryhaven/entry/revocation.py
+++ b/bilberryhaven/entry/revocation.py
@@ -6,7 +6,7 @@
 from bilberryhaven.entry import effect
 from bilberryhaven.wire import limits
 
-__all__ = ['build_revoke', 'is_recorded']
+__all__ = ['build_revoke', 'is_addressee', 'is_recorded']
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 REVOKE_TIMEOUT = 500 * MILLISECOND
@@ -32,6 +32,18 @@
     )
 
 
+def is_addressee(dispatch, incarnation):
+    """Return whether an agent is the one that a dispatch was sent to.
+
+    Another one may listen at the address by now, and knows nothing of it.
+
+    Args:
+        dispatch: The ``Dispatch``.
+        incarnation: Incarnation of the agent, 0 if unknown.
+    """
+    return dispatch.message.incarnation in (0, incarnation)
+
+
 def is_recorded(dispatch, now):
     """Return whether the agent still knows what became of a dispatch.
 
--- a/bilberryhaven/entry/service.py
+++ b/bilberryhaven/entry/service.py
@@ -185,11 +185,14 @@
             return self._core.handle_reply(item, reply)
 
     def _await_revoke(self, item):
-        state = self._revoke(item)
+        state, incarnation = self._revoke(item)
         with self._lock:
-            return self._core.handle_revoked(item, state)
+            return self._core.handle_revoked(
+                item, state, incarnation=incarnation
+            )
 
     def _revoke(self, item):
+        """Return the state and the incarnation of the agent that says so."""
         request = message.RevokeRequest(
             request_ids=[item.request_id], entry=self._name
         )
@@ -197,9 +200,9 @@
             reply = self._client.send(
                 item.address, request, timeout=item.timeout, step='revoke'
             )
-            return reply.states[0]
+            return reply.states[0], reply.load.incarnation
         except (errors.BilberryhavenError, AttributeError, IndexError):
-            return ''
+            return '', 0
 
     def _claim(self, item):
         request = message.ClaimRequest(
--- a/tests/test_hearsay_requests.py
+++ b/tests/test_hearsay_requests.py
@@ -5,10 +5,13 @@
 request, or never have been sent it.
 """
 
+import threading
+
 from bilberryhaven.agent import admission
 from bilberryhaven.agent import effects
 from bilberryhaven import clock as clocks
 from bilberryhaven.entry import effect
+from bilberryhaven.entry import service
 from bilberryhaven import errors
 from bilberryhaven.wire import message
 from tests import entry_fakes
@@ -18,6 +21,16 @@
 FIRST, SECOND = 11, 12
 
 
+class Connection:
+    """Client to an agent that has answered."""
+
+    def __init__(self, reply):
+        self._reply = reply
+
+    def send(self, address, msg, *, timeout, step):
+        return self._reply
+
+
 class RequestTestCase(test_entry_core.CoreTestCase):
     """An entry that dispatches to agents by name."""
 
@@ -97,7 +110,22 @@
 
     def revoke(self, core, revoke):
         states, _ = core.revoke([revoke.request_id], self.clock.monotonic())
-        return self.core.handle_revoked(revoke, str(states[0]))
+        reply = message.RevokeReply(
+            states=[str(state) for state in states], load=core.build_load()
+        )
+        shell = service.EntryService(
+            name='e',
+            core=self.core,
+            view=self.view,
+            lock=threading.Lock(),
+            client=Connection(reply),
+            leader=None,
+            syncer=None,
+            clock=self.clock,
+            metrics=None,
+        )
+        self.addCleanup(shell.close)
+        return shell._run_effect(revoke)
 
 
 class LateRevocationTest(AgentHostTestCase):
@@ -159,6 +187,36 @@
         self.check_outcome(self.revoke(self.agent, revoke), errors.Outcome.RAN)
 
 
+class OtherAgentTest(AgentHostTestCase):
+    """An agent answers at the address of the one that got the dispatch."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = self.start_agent(FIRST)
+        self.second = self.start_agent(SECOND)
+        self.advance(100)
+
+    def revoke_at_second(self):
+        dispatch = self.dispatch(workload='recipe')
+        self.run_request(self.first, dispatch)
+        self.advance(1)
+        [revoke] = self.lose(dispatch)
+        return self.revoke(self.second, revoke)
+
+    def test_its_word_is_no_proof(self):
+        self.check_outcome(self.revoke_at_second(), errors.Outcome.UNKNOWN)
+
+    def test_nor_if_the_address_is_announced_for_it(self):
+        self.sync_agents('a', 'b', incarnation=FIRST)
+        dispatch = self.dispatch(workload='recipe')
+        self.run_request(self.first, dispatch)
+        self.sync_agents('a', 'b', incarnation=SECOND)
+        [revoke] = self.lose(dispatch)
+        self.check_outcome(
+            self.revoke(self.second, revoke), errors.Outcome.UNKNOWN
+        )
+
+
 class RefusedConnectionTest(RequestTestCase):
     """A refused connection is proof for its own dispatch only."""
 
