Keep a request's record until the last of its dispatches may ask

What callers see: an entry answers `not_run`, or runs the request again on another instance, though its dispatch had joined a run that was done.

Cause: an agent removes the record 20 s after the deadline of the first dispatch. A repeat by another entry joins the run, or gets the stored answer, and may have a later deadline, until which it revokes.

Change: the record is kept by the latest deadline of all dispatches of the request. An extended record moves to the end of the table, so that it delays the removal of no other.

--- a/bilberryhaven/agent/active.py
+++ b/bilberryhaven/agent/active.py
@@ -31,12 +31,14 @@
         stage: Current stage.
         tickets: Tickets of the dispatches that wait for the answer.
         entered_at: Monotonic time at which it entered its stage.
+        awaited_until: Latest deadline of all dispatches of the request.
     """
 
     request: effects.Request
     stage: Stage
     tickets: list[int]
     entered_at: datetime.timedelta
+    awaited_until: datetime.timedelta
 
 
 class ActiveTable:
@@ -80,6 +82,7 @@
             stage=Stage.QUEUED,
             tickets=[request.ticket],
             entered_at=now,
+            awaited_until=request.deadline_at,
         )
         self._rows[request.request_id] = row
         self._queue.put(request)
@@ -88,7 +91,11 @@
     def adopt(self, request, now):
         """Add a request that an earlier incarnation of the agent started."""
         self._rows[request.request_id] = ActiveRequest(
-            request=request, stage=Stage.LINGERING, tickets=[], entered_at=now
+            request=request,
+            stage=Stage.LINGERING,
+            tickets=[],
+            entered_at=now,
+            awaited_until=request.deadline_at,
         )
         self._lingering += 1
 
--- a/bilberryhaven/agent/admission.py
+++ b/bilberryhaven/agent/admission.py
@@ -225,6 +225,11 @@
             return None
         if record.fingerprint not in ('', request.fingerprint):
             return [self._refuse(request, fence.ID_REUSED, now)]
+        if record.ran:
+            self._dedup.extend(
+                request.request_id,
+                request.deadline_at + self._limits.result_retention,
+            )
         if record.ran and record.retryable:
             return None
         self._log(request, 'repeat', record.result.code or 'already answered')
@@ -233,6 +238,7 @@
     def _join(self, row, request, now):
         if row.request.fingerprint not in ('', request.fingerprint):
             return [self._refuse(request, fence.ID_REUSED, now)]
+        row.awaited_until = max(row.awaited_until, request.deadline_at)
         if row.stage is active.Stage.LINGERING:
             return [self._refuse(request, fence.MAY_RUN, now)]
         row.tickets.append(request.ticket)
@@ -310,7 +316,8 @@
         row = self._active.remove(request_id)
         if result.outcome != errors.Outcome.NOT_RUN:
             request = row.request
-            retained_from = max(now, request.deadline_at)
+            # Until then, an entry may ask what became of its dispatch.
+            retained_from = max(now, row.awaited_until)
             record = dedup.Record(
                 fingerprint=request.fingerprint,
                 ran=True,
--- a/bilberryhaven/agent/dedup.py
+++ b/bilberryhaven/agent/dedup.py
@@ -89,6 +89,14 @@
         while self._answer_bytes > self._limits.max_stored_bytes:
             self._drop_answer(next(iter(self._answers)))
 
+    def extend(self, request_id, expires_at):
+        """Keep a record until ``expires_at`` at least."""
+        record = self._records[request_id]
+        if expires_at > record.expires_at:
+            record.expires_at = expires_at
+            # So that it delays the removal of no other record.
+            self._records.move_to_end(request_id)
+
     def remove(self, request_id):
         """Remove a record and its answer."""
         if self._records.pop(request_id, None) is not None:
--- a/tests/test_hearsay_requests.py
+++ b/tests/test_hearsay_requests.py
@@ -7,6 +7,8 @@
 
 import threading
 
+import testtools
+
 from bilberryhaven.agent import admission
 from bilberryhaven.agent import effects
 from bilberryhaven import clock as clocks
@@ -187,6 +189,100 @@
         self.check_outcome(self.revoke(self.agent, revoke), errors.Outcome.RAN)
 
 
+class RepeatedRequestTest(testtools.TestCase):
+    """An agent keeps a record for all entries that may ask for it.
+
+    A repeat that joins the request, or gets its stored answer, has a deadline
+    of its own, until which its entry may revoke it.
+    """
+
+    ID = 'r'
+
+    def setUp(self):
+        super().setUp()
+        self.now_s = 100.0
+        self.tickets = 0
+        self.agent = admission.AdmissionCore(incarnation=FIRST)
+        self.agent.renew_lease(clocks.seconds(10_000), 1)
+
+    @property
+    def now(self):
+        return clocks.seconds(self.now_s)
+
+    def admit(self, wait_s, request_id=ID):
+        self.tickets += 1
+        request = effects.Request(
+            ticket=self.tickets,
+            request_id=request_id,
+            fingerprint=request_id,
+            deadline_at=self.now + clocks.seconds(wait_s),
+            revision=1,
+            incarnation=FIRST,
+        )
+        return self.agent.admit(request, self.now)
+
+    def run_request(self, wait_s, request_id=ID):
+        self.admit(wait_s, request_id)
+        self.agent.complete(request_id, b'', self.now)
+
+    def check_known(self, seconds):
+        """Check that the run is known for so long, and then forgotten."""
+        self.now_s += seconds - 0.5
+        states, _ = self.agent.revoke([self.ID], self.now)
+        self.assertEqual([effects.RunState.FINISHED], states)
+        self.now_s += 1
+        states, _ = self.agent.revoke([self.ID], self.now)
+        self.assertEqual([effects.RunState.NOT_RUN], states)
+
+    def test_request_alone(self):
+        self.run_request(1)
+        self.check_known(1 + 20)
+
+    def test_longer_deadline_than_an_agent_grants(self):
+        self.run_request(100)
+        self.check_known(30 + 20)
+
+    def test_repeat_that_joins_it(self):
+        self.admit(1)
+        self.admit(25)
+        self.agent.complete(self.ID, b'', self.now)
+        self.check_known(25 + 20)
+
+    def test_repeat_with_an_earlier_deadline(self):
+        self.admit(25)
+        self.admit(1)
+        self.agent.complete(self.ID, b'', self.now)
+        self.check_known(25 + 20)
+
+    def test_repeat_that_gets_the_stored_answer(self):
+        self.run_request(1)
+        self.now_s += 15
+        [reply] = self.admit(25)
+        self.assertEqual('', reply.result.code)
+        self.check_known(25 + 20)
+
+    def test_repeat_that_is_refused_while_it_may_run(self):
+        self.admit(1)
+        unknown = errors.Outcome.UNKNOWN
+        self.agent.fail(self.ID, 'peer', 'lost', unknown, self.now)
+        [reply] = self.admit(25)
+        self.assertEqual(unknown, reply.result.outcome)
+        state = effects.RunState.FINISHED
+        self.agent.resolve(self.ID, state, self.now)
+        self.now_s += 40
+        states, _ = self.agent.revoke([self.ID], self.now)
+        self.assertEqual([effects.RunState.STARTED], states)
+
+    def test_repeats_delay_the_removal_of_no_other_record(self):
+        """Otherwise one caller could fill the table."""
+        self.run_request(1)
+        self.run_request(1, 'other')
+        for _ in range(5):
+            self.now_s += 15
+            self.admit(1)
+        self.assertEqual(1, len(self.agent._dedup))
+
+
 class OtherAgentTest(AgentHostTestCase):
     """An agent answers at the address of the one that got the dispatch."""
 
