Keep leases of agents and entries of one name apart

What callers see: the jobs of an instance that is gone stay with it, or a change is shown as in force too early, if an entry has the instance's name.

Cause: the leader keeps one lease for each name. The entry's renewal displaced the agent's lease, the end of which then wasn't noticed.

Change: leases are kept by role and name.

--- a/bilberryhaven/control/leases.py
+++ b/bilberryhaven/control/leases.py
@@ -14,6 +14,8 @@
     'LeaseTable',
 ]
 
+AGENT = 'agent'
+ENTRY = 'entry'
 LEASE_DURATION = clocks.seconds(4)
 # Covers clock-rate drift over the duration of a lease, and the time that a
 # backend server needs to stop its work when the lease expires.
@@ -107,16 +109,14 @@
                 self._add(
                     LeaseHolder(
                         name=row.name,
-                        role='agent',
+                        role=AGENT,
                         zone=row.zone,
                         epoch=row.epoch,
                         leases={0: end},
                     )
                 )
             self._add(
-                LeaseHolder(
-                    name=UNKNOWN_ENTRIES, role='entry', leases={0: end}
-                )
+                LeaseHolder(name=UNKNOWN_ENTRIES, role=ENTRY, leases={0: end})
             )
 
     def renew(self, name, *, role, zone, revision, granted, epoch=0):
@@ -137,7 +137,7 @@
         with self._lock:
             if (name, epoch) in self._closing:
                 return False
-            holder = self._holders.get(name)
+            holder = self._holders.get((role, name))
             if holder is not None and holder.epoch > epoch:
                 return False
             if holder is None or holder.epoch != epoch:
@@ -156,7 +156,7 @@
             Whether the lease has expired, so the session may be closed.
         """
         with self._lock:
-            holder = self._holders.get(name)
+            holder = self._holders.get((AGENT, name))
             known = holder is not None and holder.epoch == epoch
             if known and holder.lease_end > self._clock.monotonic():
                 return False
@@ -172,17 +172,17 @@
         """Remove a session that is closed."""
         with self._lock:
             self._closing.discard((name, epoch))
-            holder = self._holders.get(name)
+            holder = self._holders.get((AGENT, name))
             if holder is not None and holder.epoch == epoch:
-                del self._holders[name]
+                del self._holders[AGENT, name]
 
     def list_rows(self):
         """Return the ``NodeStatus`` of each holder; drop expired entries."""
         now = self._clock.monotonic()
         with self._lock:
-            for name, holder in list(self._holders.items()):
-                if holder.role == 'entry' and holder.lease_end <= now:
-                    del self._holders[name]
+            for key, holder in list(self._holders.items()):
+                if holder.role == ENTRY and holder.lease_end <= now:
+                    del self._holders[key]
             return [
                 holder.build_status(now) for holder in self._holders.values()
             ]
@@ -194,8 +194,8 @@
             return [
                 (holder.name, holder.epoch)
                 for holder in self._holders.values()
-                if holder.role == 'agent' and holder.lease_end <= now
+                if holder.role == AGENT and holder.lease_end <= now
             ]
 
     def _add(self, holder):
-        self._holders[holder.name] = holder
+        self._holders[holder.role, holder.name] = holder
--- a/tests/test_hearsay_sessions.py
+++ b/tests/test_hearsay_sessions.py
@@ -205,6 +205,30 @@
         self.check_lease_is_waited_for()
 
 
+class EntryOfTheSameNameTest(SessionTestCase):
+    """A process of another role renews no session, and hides none."""
+
+    def sync_entry(self):
+        return self.sync.handle(message.SyncRequest(entry='i', zone='z'))
+
+    def test_end_of_the_session_is_noticed(self):
+        self.sync_entry()
+        self.check_lease_is_waited_for()
+
+    def test_entry_extends_no_session(self):
+        for _ in range(4):
+            self.advance(1)
+            self.sync_entry()
+        self.check_runs()
+        self.advance(FULL_S - 3.9)
+        self.assertEqual(job.JobState.PENDING, self.find_job().state)
+
+    def test_both_are_listed(self):
+        self.sync_entry()
+        rows = {(row.name, row.role) for row in self.leader.list_nodes()}
+        self.assertLessEqual({('i', 'agent'), ('i', 'entry')}, rows)
+
+
 class ReportedTest(SessionTestCase):
     """A report counts for the grant that it names."""
 
