--- a/bilberryhaven/entry/request.py
+++ b/bilberryhaven/entry/request.py
@@ -16,12 +16,15 @@
 from bilberryhaven.entry import revocation
 from bilberryhaven.entry import routing
 from bilberryhaven import errors
+from bilberryhaven.wire import limits as wire_limits
 
 __all__ = ['RequestCore']
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 HOP_MARGIN = 2 * MILLISECOND
 MAX_RESYNC = 500 * MILLISECOND
+# From an agent's deadline to the arrival of its reply at the latest.
+REPLY_MARGIN = 1000 * MILLISECOND
 
 
 class RequestCore:
@@ -157,20 +160,23 @@
             return self._handle_error(pending, error, now, not_accepted=True)
         return self._handle_unknown_outcome(pending, error, now)
 
-    def handle_revoked(self, revoke, state):
+    def handle_revoked(self, revoke, state, *, incarnation=0):
         """Handle the result of a ``Revoke``.
 
         Args:
             revoke: The ``Revoke``.
             state: State that the agent reported: ``not_run``, ``started``
                 or ``finished``; empty if there was no reply.
+            incarnation: Incarnation of the agent that replied, 0 if unknown.
         """
         pending = self._find(revoke.request_id, request_state.Step.REVOKE)
         if pending is None or pending.dispatch is not revoke.dispatch:
             return []
         error = pending.last_error
         now = self._clock.monotonic()
-        if state == 'not_run':
+        if not revocation.is_addressee(revoke.dispatch, incarnation):
+            state = ''
+        if state == 'not_run' and revocation.is_recorded(revoke.dispatch, now):
             error.outcome = errors.Outcome.NOT_RUN
             return self._handle_error(pending, error, now)
         if state == 'finished':
@@ -287,7 +293,9 @@
         pending.step = request_state.Step.DISPATCH
         pending.last_error = None
         network_time = target.round_trip_ms * MILLISECOND + HOP_MARGIN
-        deadline_ms = max(int((remaining - network_time) / MILLISECOND), 1)
+        deadline = min(remaining - network_time, wire_limits.MAX_DEADLINE)
+        deadline_ms = max(int(deadline / MILLISECOND), 1)
+        latest_reply = wire_limits.MAX_DEADLINE + network_time + REPLY_MARGIN
         pending.dispatch = effect.Dispatch(
             request_id=request.id,
             target=target,
@@ -300,7 +308,7 @@
                 incarnation=target.incarnation,
                 revision=self._view.revision,
             ),
-            timeout=remaining,
+            timeout=min(remaining, latest_reply),
             sent_at=now,
         )
         target.in_flight += 1
