End a killed worker's runs with its signal in the rig

What was seen: two pairs of runs in which the later start preceded the `exit` event of a killed worker by 14 to 23 ms. The rig writes that event after it has collected the process, so the time between the signal and that counted as work.

Change: the event also has the moments before and after SIGKILL was sent. A run ends at the latter, unless its worker wrote an event after it, which shows that it still worked; then it ends with the event, as before.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -284,16 +284,23 @@
             process = self.processes.pop(key, None)
         if process is None:
             return
+        signalled_at = time.monotonic()
         process.kill()
+        killed_at = time.monotonic()
         process.wait()
         if key[1] == 'worker':
-            self._note_exit(key[0])
+            self._note_exit(key[0], signalled_at, killed_at)
 
-    def _note_exit(self, name):
-        # Written after the process has ended, so that its runs are counted
-        # until then.
+    def _note_exit(self, name, signalled_at, killed_at):
+        # No thread of the process executes anything once the signal has been
+        # sent, but the process is collected some milliseconds later.
         path = self.folder / f'{name}.events'
-        event = {'at': time.monotonic(), 'what': 'exit'}
+        event = {
+            'at': time.monotonic(),
+            'what': 'exit',
+            'signalled_at': signalled_at,
+            'killed_at': killed_at,
+        }
         with open(path, 'a') as file:
             file.write(json.dumps(event) + '\n')
 
--- a/soak/rig_oracle.py
+++ b/soak/rig_oracle.py
@@ -60,12 +60,14 @@
         self._current = {}
         self._ended = {}
         self._late = {}
+        self._newest_at = 0.0
 
     def record(self, event):
         """Record an event; those without meaning for a run are left out."""
         record = getattr(self, f'_record_{event["what"]}', None)
         if record is not None:
             record(event)
+        self._newest_at = max(self._newest_at, event['at'])
 
     def _record_start(self, event):
         run = Run(
@@ -100,8 +102,14 @@
                 run.acked_at = event['at']
 
     def _record_exit(self, event):
+        # A process executes nothing after it was sent SIGKILL, but is gone,
+        # and known to be, some milliseconds later. An event that its worker
+        # wrote after that shows that it was still at work.
+        ended_at = event.get('killed_at', event['at'])
+        if self._newest_at > ended_at:
+            ended_at = event['at']
         for run in self._current.values():
-            run.ended_at, run.how = event['at'], 'exit'
+            run.ended_at, run.how = ended_at, 'exit'
         self._current, self._ended = {}, {}
 
 
--- a/tests/test_soak_rig.py
+++ b/tests/test_soak_rig.py
@@ -1,9 +1,31 @@
 """Tests of the rig's verdict; each case is one that it must tell apart."""
 
+import mmap
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+
 import testtools
 
 from soak import rig_oracle
 
+# Four threads write the time until the process ends.
+SPINNER = """
+import mmap, struct, sys, threading, time
+
+def spin(number):
+    while True:
+        struct.pack_into('d', data, 8 * number, time.monotonic())
+
+with open(sys.argv[1], 'r+b') as file:
+    data = mmap.mmap(file.fileno(), 32)
+for number in (1, 2, 3):
+    threading.Thread(target=spin, args=(number,), daemon=True).start()
+spin(0)
+"""
+
 
 def build_events(*rows):
     """Return events of (time, what, run number or end's number, how) rows."""
@@ -57,3 +79,62 @@
     def test_failed_run_may_be_started_again(self):
         first = [(1, 'start', 1), (2, 'ended', 5, 'failed'), (3, 'acked', 5)]
         self.assertEqual([], self.find(first, [(4, 'start', 2)]))
+
+
+class KilledWorkerTest(testtools.TestCase):
+    """Guards against pairs of runs that only a late ``exit`` event shows."""
+
+    def find(self, *events, later_at):
+        rows = [
+            {'worker': 'i-1', 'task': 't', 'run': 1, **event}
+            for event in events
+        ]
+        later = {'at': later_at, 'what': 'start', 'worker': 'i-2'}
+        return rig_oracle.find_breaks(
+            {'a': rows, 'b': [{**later, 'task': 't', 'run': 2}]}
+        )
+
+    def test_ends_when_the_signal_has_been_sent(self):
+        start = {'at': 1, 'what': 'start'}
+        end = {'at': 3, 'what': 'exit', 'killed_at': 2}
+        for later_at, count in ((1.9, 1), (2.1, 0), (3.1, 0)):
+            self.assertEqual(
+                count, len(self.find(start, end, later_at=later_at))
+            )
+
+    def test_goes_on_if_its_worker_wrote_an_event_later(self):
+        start = {'at': 1, 'what': 'start'}
+        heartbeat = {'at': 2.5, 'what': 'heartbeat'}
+        end = {'at': 3, 'what': 'exit', 'killed_at': 2}
+        for later_at, count in ((2.2, 1), (2.7, 1), (3.1, 0)):
+            broken = self.find(start, heartbeat, end, later_at=later_at)
+            self.assertEqual(count, len(broken))
+
+    def test_ends_with_the_event_if_it_ended_by_itself(self):
+        start = {'at': 1, 'what': 'start'}
+        end = {'at': 3, 'what': 'exit'}
+        for later_at, count in ((2.9, 1), (3.1, 0)):
+            self.assertEqual(
+                count, len(self.find(start, end, later_at=later_at))
+            )
+
+    def test_killed_process_executes_nothing(self):
+        for _ in range(5):
+            newest, killed_at = self.kill_spinner()
+            self.assertGreater(newest, 0)
+            self.assertLessEqual(newest, killed_at)
+
+    def kill_spinner(self):
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(bytes(32))
+            file.flush()
+            process = subprocess.Popen(
+                [sys.executable, '-c', SPINNER, file.name]
+            )
+            with mmap.mmap(file.fileno(), 32) as data:
+                while not all(struct.unpack('4d', data[:])):
+                    time.sleep(0.01)
+                process.kill()
+                killed_at = time.monotonic()
+                process.wait()
+                return max(struct.unpack('4d', data[:])), killed_at
