Let the rig attack each belief on hearsay

What callers see: tasks run twice on the users' machines, and the rig's kinds don't show it, since its strange heartbeats have the worker's own id and address.

The calls are kept in calls.jsonl for traces, and a kind that fails shows among the faults.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -28,20 +28,38 @@
 
 from review import deployment as review_deployment
 from soak import rig_faults
+from soak import rig_hearsay  # noqa: F401
 from soak import rig_oracle
 from tests import processes
 
 __all__ = ['Rig']
 
 HERE = pathlib.Path(__file__).resolve().parent.parent
-PORTS = ('frontend', 'ready', 'control', 'internal', 'app')
+PORTS = (
+    'frontend',
+    'ready',
+    'control',
+    'internal',
+    'app',
+    'second app',
+    'second control',
+    'second internal',
+    # Nothing listens there.
+    'closed',
+)
 HOST = 'rig.example'
 START_TIMEOUT_S = 40
 SETTLE_S = 12
 CALL_TIMEOUT_S = 3
 RESTART_DELAY_S = 0.3
 CALLERS = 12
-SERVES = {'entry': 'frontend', 'control': 'control_plane', 'agent': 'side'}
+SERVES = {
+    'entry': 'frontend',
+    'control': 'control_plane',
+    'agent': 'side',
+    'second agent': 'side',
+}
+WORKERS = ('worker', 'second worker')
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -160,16 +178,18 @@
     def _write_settings(self, name, role):
         host = self.hosts[name]
         timing = self.sheet['timing']
-        internal = self.ports['internal']
+        # A second process of an instance needs ports of its own.
+        second = 'second ' if role.startswith('second') else ''
+        internal = self.ports[f'{second}internal']
         fields = {
             'node_name': name,
-            'role': role,
+            'role': role.removeprefix('second '),
             'serves': SERVES[role],
             'ip': host.address,
             'zone': host.zone,
             'listen.frontend': self.find_address(name, 'frontend'),
             'listen.ready': self.find_address(name, 'ready'),
-            'listen.control': self.find_address(name, 'control'),
+            'listen.control': self.find_address(name, f'{second}control'),
             'internal_port_range': f'{internal},{internal}',
             'seeds': ','.join(
                 self.find_address(seed, 'control') for seed in self.seeds
@@ -184,7 +204,7 @@
             fields[f'zones.{zone["name"]}'] = zone['region']
         if role == 'control' and host.has_disk:
             fields['data_dir'] = str(self.folder / f'{name}.data')
-        if role == 'agent':
+        if role.endswith('agent'):
             fields['app'] = self.find_address(name, 'app')
         path = self.folder / f'{name}-{role}.conf'
         draft = path.with_suffix('.new')
@@ -205,12 +225,13 @@
                 'PYTHONPATH': str(self.root / 'target' / 'deps'),
                 'BILBERRYHAVEN_BOOT': str(path),
             }
-            self._spawn((name, role), self.commands[role], self.root, env)
+            command = self.commands[role.removeprefix('second ')]
+            self._spawn((name, role), command, self.root, env)
 
-    def start_worker(self, name, *, same_id=False):
+    def start_worker(self, name, *, same_id=False, role='worker'):
         """Start a worker on a side machine; returns its id."""
         with self.lock:
-            if (name, 'worker') in self.processes or self.stopping.is_set():
+            if (name, role) in self.processes or self.stopping.is_set():
                 return
             host = self.hosts[name]
             host.lives += 1
@@ -228,11 +249,13 @@
                 '--service',
                 'desk',
                 '--listen',
-                self.find_address(name, 'app'),
+                self.find_address(
+                    name, 'app' if role == 'worker' else 'second app'
+                ),
                 '--agent',
                 self.find_address(name, 'control'),
                 '--events',
-                str(self.folder / f'{name}.events'),
+                str(self._find_events(name, role)),
                 '--gangs',
                 str(self.folder / 'gangs'),
                 '--rack',
@@ -249,7 +272,13 @@
                 str(self.random.getrandbits(30)),
             ]
             env = {**os.environ, 'PYTHONPATH': str(HERE)}
-            self._spawn((name, 'worker'), command, HERE, env)
+            self._spawn((name, role), command, HERE, env)
+
+    def _find_events(self, name, role):
+        # A file for each port, so that one has the events of one life at a
+        # time.
+        suffix = '' if role == 'worker' else '+2'
+        return self.folder / f'{name}{suffix}.events'
 
     def _spawn(self, key, command, folder, env):
         with open(self.folder / f'{"-".join(key)}.log', 'a') as log:
@@ -263,9 +292,9 @@
                 start_new_session=True,
             )
 
-    def write_mode(self, name, mode, share, seconds):
+    def write_mode(self, name, mode, share, seconds, *, role='worker'):
         """Set how a worker treats calls."""
-        process = self.processes.get((name, 'worker'))
+        process = self.processes.get((name, role))
         if process is None:
             return
         with contextlib.suppress(OSError):
@@ -288,22 +317,34 @@
         process.kill()
         killed_at = time.monotonic()
         process.wait()
-        if key[1] == 'worker':
-            self._note_exit(key[0], signalled_at, killed_at)
+        if key[1] in WORKERS:
+            self._note_exit(key, signalled_at, killed_at)
 
-    def _note_exit(self, name, signalled_at, killed_at):
+    def _note_exit(self, key, signalled_at, killed_at):
         # No thread of the process executes anything once the signal has been
         # sent, but the process is collected some milliseconds later.
-        path = self.folder / f'{name}.events'
         event = {
             'at': time.monotonic(),
             'what': 'exit',
             'signalled_at': signalled_at,
             'killed_at': killed_at,
         }
-        with open(path, 'a') as file:
+        with open(self._find_events(*key), 'a') as file:
             file.write(json.dumps(event) + '\n')
 
+    def note_call(self, name, path, fields, status):
+        """Record a call of another writer, for traces."""
+        row = {
+            'at': time.monotonic(),
+            'wall': time.time(),
+            'name': name,
+            'path': path,
+            'fields': fields,
+            'status': status,
+        }
+        with open(self.folder / 'calls.jsonl', 'a') as file:
+            file.write(json.dumps(row) + '\n')
+
     def terminate(self, key):
         """Stop a process by SIGTERM, by SIGKILL after the grace time."""
         with self.lock:
@@ -410,13 +451,16 @@
             time.sleep(self.random.uniform(0.4, 2.0))
             self._restart_ended()
         concurrent.futures.wait(pending)
+        for future in pending:
+            if future.exception() is not None:
+                self.injected[f'failed: {future.exception()!r}'] += 1
 
     def _restart_ended(self):
         for key, process in list(self.processes.items()):
             if process.poll() is not None:
                 with self.lock:
                     self.processes.pop(key, None)
-                if key[1] != 'worker':
+                if key[1] in self.commands:
                     self.start(*key)
 
     def _call_for(self, number, seconds):
--- a/soak/rig_faults.py
+++ b/soak/rig_faults.py
@@ -9,7 +9,17 @@
 
 from bilberryhaven import registry
 
-__all__ = ['choose', 'inject']
+__all__ = [
+    'await_leave',
+    'choose',
+    'choose_workers',
+    'inject',
+    'leave',
+    'list_kinds',
+    'overlap_agents',
+    'read_heartbeat',
+    'register',
+]
 
 LEAVE_TIMEOUT_S = 15
 
@@ -19,8 +29,14 @@
 
 def choose(random, kinds=None):
     """Return the name of a kind of fault."""
-    names = sorted(name for name, _ in _registry.items())
-    return random.choice([n for n in names if kinds is None or n in kinds])
+    return random.choice(
+        [name for name in list_kinds() if kinds is None or name in kinds]
+    )
+
+
+def list_kinds():
+    """Return the names of all kinds."""
+    return _registry.names()
 
 
 def inject(name, rig):
@@ -33,7 +49,8 @@
     return random.choice(keys) if keys else None
 
 
-def _choose_workers(rig, random, share):
+def choose_workers(rig, random, share):
+    """Return the machines of a share of the workers, one at least."""
     names = [name for name, _ in rig.list_keys('worker')]
     count = max(1, round(share * len(names)))
     return random.sample(names, min(count, len(names)))
@@ -104,7 +121,7 @@
 @register('freeze side')
 def freeze_side(rig, random):
     """SIGSTOP of an agent and its worker."""
-    names = _choose_workers(rig, random, 0.1)
+    names = choose_workers(rig, random, 0.1)
     keys = [(n, role) for n in names for role in ('agent', 'worker')]
     _freeze(rig, keys, random.uniform(0.5, 8.0))
 
@@ -128,7 +145,7 @@
 @register('crash')
 def crash(rig, random):
     """Crash of workers; they start again, with or without the id of before."""
-    names = _choose_workers(rig, random, 0.14)
+    names = choose_workers(rig, random, 0.14)
     for name in names:
         rig.kill((name, 'worker'))
     time.sleep(random.choice([0.05, 0.3, 4.5]))
@@ -136,23 +153,28 @@
         rig.start_worker(name, same_id=random.random() < 0.3)
 
 
-def _leave(rig, random, name, how, linger_s):
+def leave(rig, random, name, how, linger_s):
     """Let a worker leave as planned; returns once its process has ended."""
     process = rig.processes.get((name, 'worker'))
     if process is None:
         return
     rig.write_mode(name, 'drain', how, linger_s)
+    await_leave(rig, name, process)
+
+
+def await_leave(rig, name, process, *, role='worker'):
+    """Wait until a worker that leaves has ended; end it if that lasts."""
     with contextlib.suppress(subprocess.TimeoutExpired):
         process.wait(LEAVE_TIMEOUT_S)
     with rig.lock:
-        if rig.processes.get((name, 'worker')) is process:
-            rig.kill((name, 'worker'))
+        if rig.processes.get((name, role)) is process:
+            rig.kill((name, role))
 
 
 @register('release')
 def release(rig, random):
     """Replacement of workers by ones on other machines, which start first."""
-    for name in _choose_workers(rig, random, 0.3):
+    for name in choose_workers(rig, random, 0.3):
         spares = [
             h.name
             for h in rig.hosts.values()
@@ -161,12 +183,12 @@
         if spares:
             rig.start_worker(random.choice(spares))
             time.sleep(0.5)
-        _leave(rig, random, name, 'open', random.choice([0.2, 1.5, 4.0]))
+        leave(rig, random, name, 'open', random.choice([0.2, 1.5, 4.0]))
 
 
 def _scale_in(rig, random, how):
-    for name in _choose_workers(rig, random, 0.07):
-        _leave(rig, random, name, how, random.choice([0.2, 1.5, 4.0]))
+    for name in choose_workers(rig, random, 0.07):
+        leave(rig, random, name, how, random.choice([0.2, 1.5, 4.0]))
         time.sleep(random.uniform(0.0, 2.0))
         rig.start_worker(name)
 
@@ -201,7 +223,7 @@
     mode = random.choice(['late', 'late', 'hang', 'mute', 'busy', 'reset'])
     share = random.choice([0.055, 0.3, 1.0])
     seconds = random.uniform(1.0, 6.5)
-    for name in _choose_workers(rig, random, random.choice([0.1, 0.4])):
+    for name in choose_workers(rig, random, random.choice([0.1, 0.4])):
         rig.write_mode(name, mode, share, seconds)
     time.sleep(seconds)
 
@@ -209,7 +231,7 @@
 @register('reset connections')
 def reset_connections(rig, random):
     """Connections to workers are closed."""
-    for name in _choose_workers(rig, random, 0.35):
+    for name in choose_workers(rig, random, 0.35):
         rig.write_mode(name, 'cut', 1.0, 0.0)
 
 
@@ -229,8 +251,8 @@
         rig.signal(key, signal.SIGHUP)
 
 
-def _build_heartbeat(rig, name):
-    """Return (worker's id, sound heartbeat), or None before the first one."""
+def read_heartbeat(rig, name):
+    """Return (worker's id, its newest heartbeat), or None before the first."""
     events = rig.folder / f'{name}.events'
     if (name, 'worker') not in rig.processes or not events.exists():
         return None
@@ -243,8 +265,8 @@
 @register('odd heartbeat')
 def send_odd_heartbeat(rig, random):
     """Heartbeats of another writer: odd fields, or bytes that are no JSON."""
-    for name in _choose_workers(rig, random, 0.3):
-        known = _build_heartbeat(rig, name)
+    for name in choose_workers(rig, random, 0.3):
+        known = read_heartbeat(rig, name)
         if known is None:
             continue
         worker_id, body = known
@@ -273,8 +295,12 @@
 def overlap(rig, random):
     """SIGTERM of an agent whose successor starts before it has ended."""
     key = _choose_key(rig, random, 'agent')
-    if key is None:
-        return
+    if key is not None:
+        overlap_agents(rig, random, key)
+
+
+def overlap_agents(rig, random, key):
+    """End an agent by SIGTERM and start its successor before it has ended."""
     with rig.lock:
         former = rig.processes.pop(key, None)
         if former is None:
