--- a/soak/rig.py
+++ b/soak/rig.py
@@ -235,15 +235,16 @@
                 return
             host = self.hosts[name]
             host.lives += 1
-            if not same_id or name not in self._lives:
-                self._lives[name] = f'i-{self.random.getrandbits(32):08x}'
+            key = (name, role)
+            if not same_id or key not in self._lives:
+                self._lives[key] = f'i-{self.random.getrandbits(32):08x}'
             node = self.sheet['services'][0]['node']
             command = [
                 sys.executable,
                 '-m',
                 'soak.rig_worker',
                 '--id',
-                self._lives[name],
+                self._lives[key],
                 '--zone',
                 host.zone,
                 '--service',
@@ -272,7 +273,7 @@
                 str(self.random.getrandbits(30)),
             ]
             env = {**os.environ, 'PYTHONPATH': str(HERE)}
-            self._spawn((name, role), command, HERE, env)
+            self._spawn(key, command, HERE, env)
 
     def _find_events(self, name, role):
         # A file for each port, so that one has the events of one life at a
