Let the rig play late grants, lost answers and starved processors

The rig held back orders alone. A `/hold` may also be carried out seconds after it got no answer, or its answer be lost, that of one which takes note of ends too (PROTOCOL.md: a call without answer may be executed seconds later).

New kinds: `grants late`, `calls late`, `grant answers lost`, `acknowledgement answers lost`, `answers lost`; `starved processors` runs up to 8 busy loops, which end by themselves and are ended by id. The workers write `late grant` and `answer lost` down.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -28,6 +28,7 @@
 
 from review import deployment as review_deployment
 from soak import rig_faults
+from soak import rig_machine_faults  # noqa: F401 (registers its kinds)
 from soak import rig_oracle
 from tests import processes
 
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -4,7 +4,8 @@
 the standard input set how it treats calls: ``MODE SHARE SECONDS``, with the
 modes ``late`` (orders are carried out seconds later), ``hang``, ``mute`` (no
 answer), ``busy``, ``reset`` and ``slow``; ``cut 1 0`` closes all connections,
-and ``drain HOW SECONDS`` lets the worker leave.
+and ``drain HOW SECONDS`` lets the worker leave. ``MODES`` has those that treat
+other calls as well, or only some.
 """
 
 import argparse
@@ -24,6 +25,19 @@
 HANG_S = 20.0
 SLOW_S = 0.35
 ORDERS = ('/run-start', '/run-stop')
+GRANTS = ('/hold',)
+# How long grants come late: about as long as a lease, so that some of them
+# still extend one.
+LATE_GRANT_RANGE_S = (0.2, 7.0)
+# Mode: (treatment, paths of the calls that it applies to).
+MODES = {
+    'late': ('late', ORDERS),
+    'late-grants': ('late', GRANTS),
+    'late-all': ('late', ORDERS + GRANTS),
+    'lost-grants': ('lose', GRANTS),
+    'lost-acks': ('lose', GRANTS),
+    'lost-all': ('lose', ORDERS + GRANTS),
+}
 CLOSE_INTERVAL_S = 0.15
 
 
@@ -86,6 +100,11 @@
             self.write('acked', upto=upto, fence=fields['fencing_token'])
         return status, answer
 
+    def acknowledges(self, fields):
+        """Return whether a ``/hold`` takes note of an end."""
+        first = self._ends[0][0] if self._ends else float('inf')
+        return fields.get('ack_cursor', 0) >= first
+
 
 class Worker:
     """The calls to a ``Model`` and its heartbeats.
@@ -209,13 +228,20 @@
             )
             time.sleep(self.args.heartbeat_ms / 1000 if acked else 0.2)
 
-    def choose_mode(self, path):
+    def choose_mode(self, path, fields):
         """Return how to treat a call."""
         if time.monotonic() >= self.mode_until:
             return 'pass'
-        if self.mode == 'late' and path not in ORDERS:
+        treatment, paths = MODES.get(self.mode, (self.mode, (path,)))
+        if path not in paths:
+            return 'pass'
+        if self.mode == 'lost-acks' and not self.model.acknowledges(fields):
+            return 'pass'
+        if self.random.random() >= self.share:
             return 'pass'
-        return self.mode if self.random.random() < self.share else 'pass'
+        if treatment == 'lose':
+            return self.random.choice(['mute', 'reset'])
+        return treatment
 
     def handle(self, path, fields, *, late=False):
         """Carry a call out; return (status, fields)."""
@@ -237,11 +263,16 @@
                     reason=answer.get('reason', ''),
                     **{k: v for k, v in fields.items() if k != 'spec'},
                 )
+            elif late:
+                self.model.write('late grant', status=status, fields=fields)
         return status, answer
 
     def handle_late(self, path, fields):
-        """Carry an order out some seconds later."""
-        delay_s = self.random.uniform(*LATE_RANGE_S)
+        """Carry a call out some seconds later."""
+        is_grant = path in GRANTS
+        delay_s = self.random.uniform(
+            *(LATE_GRANT_RANGE_S if is_grant else LATE_RANGE_S)
+        )
         timer = threading.Timer(
             delay_s, self.handle, (path, fields), {'late': True}
         )
@@ -273,13 +304,14 @@
         if expected != worker_id:
             self._answer(421, {})
             return
-        mode = self.worker.choose_mode(self.path)
+        mode = self.worker.choose_mode(self.path, fields)
         if mode == 'busy':
             self._answer(503, {})
         elif mode in ('late', 'hang'):
             if mode == 'late':
                 self.worker.handle_late(self.path, fields)
-            self._give_no_answer(HANG_S)
+            is_closed = mode == 'late' and self.path in GRANTS
+            self._give_no_answer(0 if is_closed else HANG_S)
         else:
             self._carry_out(mode, fields)
 
@@ -287,6 +319,13 @@
         if mode == 'slow':
             time.sleep(SLOW_S)
         status, answer = self.worker.handle(self.path, fields)
+        if mode in ('mute', 'reset'):
+            self.worker.model.write(
+                'answer lost',
+                path=self.path,
+                status=status,
+                ack_cursor=fields.get('ack_cursor', 0),
+            )
         if mode == 'mute':
             self._give_no_answer(HANG_S)
         elif mode == 'reset':
