Let the rig give processes clocks of another base and step them

The rig puts a `sitecustomize` on the module path of the processes that it starts, which shifts what the interpreter's clocks return; the programs stay as they are, and the workers' events stay on the host's steady clock. Kinds: `clock base` (a restart with a steady clock of another base), `clock step` (the time of day of some processes, there and back).

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -28,6 +28,7 @@
 
 from review import deployment as review_deployment
 from soak import rig_faults
+from soak import rig_hooks
 from soak import rig_machine_faults  # noqa: F401 (registers its kinds)
 from soak import rig_oracle
 from tests import processes
@@ -102,6 +103,7 @@
         self.processes = {}
         self.down = set()
         self.lock = threading.RLock()
+        self.hooks = rig_hooks.Hooks(folder=self.folder)
         self.stopping = threading.Event()
         self.injected = collections.Counter()
         self.statuses = collections.Counter()
@@ -203,8 +205,14 @@
             env = {
                 'PATH': os.environ['PATH'],
                 'HOME': os.environ['HOME'],
-                'PYTHONPATH': str(self.root / 'target' / 'deps'),
+                'PYTHONPATH': os.pathsep.join(
+                    [
+                        str(rig_hooks.MODULES),
+                        str(self.root / 'target' / 'deps'),
+                    ]
+                ),
                 'BILBERRYHAVEN_BOOT': str(path),
+                **self.hooks.build_environment((name, role)),
             }
             self._spawn((name, role), self.commands[role], self.root, env)
 
--- a/soak/rig_machine_faults.py
+++ b/soak/rig_machine_faults.py
@@ -1,4 +1,4 @@
-"""Faults of late answers and processors, for the rig.
+"""Faults of late answers, processors and clocks, for the rig.
 
 Each function returns once its fault has ended.
 """
@@ -12,6 +12,9 @@
 __all__ = []
 
 MAX_BUSY_LOOPS = 8
+MAX_BASE_S = 1e7
+STEPS_S = (0.3, 2.0, 20.0, 3_600.0)
+ALL_ROLES = ('entry', 'control', 'agent')
 BUSY_LOOP = (
     'import sys, time\n'
     'end = time.monotonic() + float(sys.argv[1])\n'
@@ -75,3 +78,28 @@
         for loop in loops:
             loop.kill()
             loop.wait()
+
+
+@register('clock base')
+def change_base(rig, random):
+    """A process starts again with a steady clock of another base."""
+    key = rig_faults._choose_key(rig, random, 'control', 'agent', 'agent')
+    if key is None:
+        return
+    rig.hooks.bases[key] = random.choice([0.0, random.uniform(0, MAX_BASE_S)])
+    rig.kill(key)
+    time.sleep(random.uniform(0.1, 3.5))
+    rig.start(*key)
+
+
+@register('clock step')
+def step_clocks(rig, random):
+    """The time of day of some processes steps, and back after seconds."""
+    keys = rig.list_keys(*ALL_ROLES)
+    keys = random.sample(keys, min(len(keys), random.choice([1, 3, 8])))
+    for key in keys:
+        seconds = random.choice(STEPS_S) * random.choice([-1, 1])
+        rig.hooks.step_time(key, seconds)
+    time.sleep(random.uniform(0.5, 6.0))
+    for key in keys:
+        rig.hooks.step_time(key, 0)
--- /dev/null
+++ b/soak/rig_process/sitecustomize.py
@@ -0,0 +1,101 @@
+"""Clocks of a process of the rig, loaded before its program.
+
+The rig puts this folder on the module path of the processes that it starts.
+The program stays as it is: the interpreter loads this module first. The
+environment says what changes:
+
+- ``RIG_CLOCK_BASE_S``: added to the steady clocks, fixed for the process.
+- ``RIG_CLOCK_STEP``: a file; while it exists, its number of seconds is added
+  to the time of day.
+"""
+
+import datetime
+import os
+import time
+
+# The file is read at most this often.
+READ_INTERVAL_S = 0.02
+NS_PER_S = 1_000_000_000
+
+_datetime = datetime.datetime
+_monotonic = time.monotonic
+
+
+class Step:
+    """Seconds by which the time of day is off.
+
+    Args:
+        path: File with the number; 0 while there is none.
+        monotonic: Steady clock of the host.
+    """
+
+    def __init__(self, path, *, monotonic=_monotonic):
+        self._path = path
+        self._monotonic = monotonic
+        self._read_at = None
+        self._seconds = 0.0
+
+    def read(self):
+        """Return the seconds."""
+        now = self._monotonic()
+        if self._read_at is None or now >= self._read_at + READ_INTERVAL_S:
+            self._read_at = now
+            self._seconds = self._load()
+        return self._seconds
+
+    def _load(self):
+        try:
+            with open(self._path) as file:
+                return float(file.read())
+        except (OSError, ValueError):
+            return 0.0
+
+
+def _shift(module, name, seconds, *, unit=1):
+    """Add ``seconds()`` to what a function of a module returns."""
+    function = getattr(module, name)
+    setattr(
+        module, name, lambda: function() + type(function())(seconds() * unit)
+    )
+
+
+def _install_clocks(base_s, step):
+    shifts = {
+        time.CLOCK_BOOTTIME: lambda: base_s,
+        time.CLOCK_MONOTONIC: lambda: base_s,
+        time.CLOCK_REALTIME: step.read,
+    }
+    read, read_ns = time.clock_gettime, time.clock_gettime_ns
+
+    def find_shift(clock):
+        return shifts[clock]() if clock in shifts else 0
+
+    time.clock_gettime = lambda clock: read(clock) + find_shift(clock)
+    time.clock_gettime_ns = lambda clock: (
+        read_ns(clock) + int(find_shift(clock) * NS_PER_S)
+    )
+    for name, seconds in (('monotonic', lambda: base_s), ('time', step.read)):
+        _shift(time, name, seconds)
+        _shift(time, f'{name}_ns', seconds, unit=NS_PER_S)
+    datetime.datetime = _build_datetime(step)
+
+
+def _build_datetime(step):
+    class Type(type(_datetime)):
+        def __instancecheck__(cls, instance):
+            return isinstance(instance, _datetime)
+
+    class Datetime(_datetime, metaclass=Type):
+        @classmethod
+        def now(cls, tz=None):
+            seconds = datetime.timedelta(seconds=step.read())
+            return _datetime.now(tz) + seconds
+
+    return Datetime
+
+
+if 'RIG_CLOCK_STEP' in os.environ:
+    _install_clocks(
+        float(os.environ.get('RIG_CLOCK_BASE_S', '0')),
+        Step(os.environ['RIG_CLOCK_STEP']),
+    )
--- a/tests/test_soak_rig_machines.py
+++ b/tests/test_soak_rig_machines.py
@@ -1,7 +1,10 @@
-"""Tests of the rig's late answers and busy loops."""
+"""Tests of the rig's late answers, busy loops and clocks."""
 
 import argparse
+import datetime
+import importlib.util
 import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -10,10 +13,35 @@
 
 import testtools
 
+from soak import rig_hooks
 from soak import rig_machine_faults
 from soak import rig_worker
 
 GUARD_S = 60
+BASE_S = 5_000.0
+STEP_S = 3_600.0
+AGENT = ('side-a-1', 'agent')
+CONTROL = ('front-a-1', 'control')
+# Prints how far the clocks are from those of the host.
+PRINT_CLOCKS = (
+    'import datetime, sys, time\n'
+    'steady, day = map(float, sys.argv[1:])\n'
+    'utc = datetime.timezone.utc\n'
+    'print(time.monotonic() - steady)\n'
+    'print(time.clock_gettime(time.CLOCK_MONOTONIC) - steady)\n'
+    'print(time.monotonic_ns() / 1e9 - steady)\n'
+    'print(time.time() - day)\n'
+    'print(datetime.datetime.now(utc).timestamp() - day)\n'
+)
+
+
+def load_process_module():
+    """Return the module that the rig's processes load first."""
+    path = rig_hooks.MODULES / 'sitecustomize.py'
+    spec = importlib.util.spec_from_file_location('rig_process', path)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
 
 
 class FolderCase(testtools.TestCase):
@@ -113,6 +141,61 @@
         self.assertIn('late grant', [row['what'] for row in rows])
 
 
+class ClockTest(FolderCase):
+    def setUp(self):
+        super().setUp()
+        self.hooks = rig_hooks.Hooks(folder=self.folder)
+        self.module = load_process_module()
+
+    def test_step_lasts_while_its_file_exists(self):
+        env = self.hooks.build_environment(AGENT)
+        now = [0.0]
+        step = self.module.Step(
+            env['RIG_CLOCK_STEP'], monotonic=lambda: now[0]
+        )
+        seen = []
+        for seconds in (None, STEP_S, -STEP_S, 0):
+            if seconds is not None:
+                self.hooks.step_time(AGENT, seconds)
+            now[0] += 1
+            seen.append(step.read())
+        self.assertEqual([0.0, STEP_S, -STEP_S, 0.0], seen)
+
+    def test_stepping_back_twice_is_allowed(self):
+        self.hooks.step_time(AGENT, 0)
+        self.hooks.step_time(AGENT, 0)
+
+    def test_one_process_alone_is_stepped(self):
+        env = self.hooks.build_environment(CONTROL)
+        self.hooks.step_time(AGENT, STEP_S)
+        step = self.module.Step(env['RIG_CLOCK_STEP'])
+        self.assertEqual(0.0, step.read())
+
+    def test_clocks_of_a_process(self):
+        self.hooks.bases[AGENT] = BASE_S
+        env = {
+            **os.environ,
+            **self.hooks.build_environment(AGENT),
+            'PYTHONPATH': str(rig_hooks.MODULES),
+        }
+        self.hooks.step_time(AGENT, STEP_S)
+        command = [sys.executable, '-c', PRINT_CLOCKS]
+        command += [str(time.monotonic()), str(time.time())]
+        output = subprocess.run(
+            command, env=env, capture_output=True, check=True, timeout=GUARD_S
+        )
+        shifts = [float(line) for line in output.stdout.split()]
+        expected = [BASE_S] * 3 + [STEP_S] * 2
+        for shift, seconds in zip(shifts, expected, strict=True):
+            self.assertTrue(0 <= shift - seconds < GUARD_S, shifts)
+
+    def test_other_times_are_still_times(self):
+        step = self.module.Step(self.folder / 'none')
+        shifted = self.module._build_datetime(step)
+        self.assertIsInstance(datetime.datetime(2026, 1, 1), shifted)
+        self.assertIsInstance(shifted(2026, 1, 1), datetime.datetime)
+
+
 class BusyLoopTest(testtools.TestCase):
     def test_loops_end_by_themselves_and_are_few(self):
         self.assertTrue(rig_machine_faults.MAX_BUSY_LOOPS <= 8)
