Let the rig replace a core machine by an empty one, and wipe a disk

Machines of the rig came back at their address with their disk.

Kinds: `replace core` (the machine with its roles is gone for good, the seeds name the new one, `bootstrap` is false), `wipe core`. Only one at a time and only while all others run; the next is taken no sooner than 4 s after the instance knows a leader. A machine that is gone is not started again.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -42,6 +42,8 @@
 SETTLE_S = 12
 CALL_TIMEOUT_S = 3
 RESTART_DELAY_S = 0.3
+# Machines that take the place of others have higher numbers.
+NEW_HOST_NUMBER = 100
 CALLERS = 12
 SERVES = {'entry': 'frontend', 'control': 'control_plane', 'agent': 'side'}
 
@@ -103,12 +105,14 @@
         self.processes = {}
         self.down = set()
         self.lock = threading.RLock()
+        self.core_lock = threading.Lock()
         self.hooks = rig_hooks.Hooks(folder=self.folder)
         self.stopping = threading.Event()
         self.injected = collections.Counter()
         self.statuses = collections.Counter()
         self.version = 0
         self._started = set()
+        self._new_hosts = 0
         self._lives = {}
 
     def _build_hosts(self, most_sides):
@@ -200,6 +204,9 @@
         with self.lock:
             if (name, role) in self.processes or self.stopping.is_set():
                 return
+            if role not in self.hosts[name].roles:
+                # The machine is gone for good.
+                return
             path = self._write_settings(name, role)
             self._started.add((name, role))
             env = {
@@ -216,6 +223,39 @@
             }
             self._spawn((name, role), self.commands[role], self.root, env)
 
+    def add_empty_host(self, gone):
+        """Replace a machine by an empty one; returns the new one's name."""
+        with self.lock:
+            former = self.hosts[gone]
+            roles, former.roles = former.roles, ()
+            network, _, _ = former.address.rpartition('.')
+            self._new_hosts += 1
+            host = dataclasses.replace(
+                former,
+                name=f'front-{former.zone}-new-{self._new_hosts}',
+                address=f'{network}.{NEW_HOST_NUMBER + self._new_hosts}',
+                roles=roles,
+            )
+            # Other threads iterate over the mapping.
+            self.hosts = {**self.hosts, host.name: host}
+            # The settings of a later machine don't found a quorum.
+            self._started.update((host.name, role) for role in roles)
+        return host.name
+
+    def write_seeds(self, seeds):
+        """Write other seeds to all settings; the processes read them."""
+        self.seeds = list(seeds)
+        for key in self.list_keys('entry', 'control', 'agent'):
+            self._write_settings(*key)
+            self.signal(key, signal.SIGHUP)
+
+    def find_status(self, name):
+        """Return what a control instance reports, or None."""
+        status, body = _call(
+            self.find_address(name, 'internal'), 'GET', '/readyz', 0.3
+        )
+        return json.loads(body) if status == 200 else None
+
     def start_worker(self, name, *, same_id=False):
         """Start a worker on a side machine; returns its id."""
         with self.lock:
@@ -332,10 +372,8 @@
         for name, _ in self.list_keys('control'):
             if not self.hosts[name].has_disk:
                 continue
-            status, body = _call(
-                self.find_address(name, 'internal'), 'GET', '/readyz', 0.3
-            )
-            if status == 200 and json.loads(body)['role'] == 'leader':
+            status = self.find_status(name)
+            if status is not None and status['role'] == 'leader':
                 return name
         return None
 
--- a/soak/rig_machine_faults.py
+++ b/soak/rig_machine_faults.py
@@ -1,8 +1,9 @@
-"""Faults of late answers, processors and clocks, for the rig.
+"""Faults of late answers, processors, clocks and disks, for the rig.
 
 Each function returns once its fault has ended.
 """
 
+import shutil
 import subprocess
 import sys
 import time
@@ -12,6 +13,9 @@
 __all__ = []
 
 MAX_BUSY_LOOPS = 8
+CORE_TIMEOUT_S = 15
+# A machine that is back counts as lost for this long.
+CATCH_UP_S = 4.0
 MAX_BASE_S = 1e7
 STEPS_S = (0.3, 2.0, 20.0, 3_600.0)
 ALL_ROLES = ('entry', 'control', 'agent')
@@ -103,3 +107,61 @@
     time.sleep(random.uniform(0.5, 6.0))
     for key in keys:
         rig.hooks.step_time(key, 0)
+
+
+def _list_core(rig):
+    return [
+        name
+        for name, _ in rig.list_keys('control')
+        if rig.hosts[name].has_disk
+    ]
+
+
+def _wait_for_core(rig, name):
+    """Wait until an instance has a leader and has caught up."""
+    end = time.monotonic() + CORE_TIMEOUT_S
+    while time.monotonic() < end and rig.find_status(name) is None:
+        time.sleep(0.2)
+    time.sleep(CATCH_UP_S)
+
+
+@register('replace core')
+def replace_core(rig, random):
+    """A control machine with a disk is gone; an empty one takes its place."""
+    if not rig.core_lock.acquire(blocking=False):
+        return
+    try:
+        core = _list_core(rig)
+        if len(core) < len(rig.seeds):
+            return
+        gone = random.choice(core)
+        name = rig.add_empty_host(gone)
+        for role in rig.hosts[name].roles:
+            rig.kill((gone, role))
+        time.sleep(random.uniform(0.1, 3.0))
+        for role in rig.hosts[name].roles:
+            rig.start(name, role)
+        rig.write_seeds([name if s == gone else s for s in rig.seeds])
+        _wait_for_core(rig, name)
+    finally:
+        rig.core_lock.release()
+
+
+@register('wipe core')
+def wipe_core(rig, random):
+    """A control instance comes back with an empty data folder."""
+    if not rig.core_lock.acquire(blocking=False):
+        return
+    try:
+        core = _list_core(rig)
+        if len(core) < len(rig.seeds):
+            return
+        name = random.choice(core)
+        with rig.lock:
+            rig.kill((name, 'control'))
+            shutil.rmtree(rig.folder / f'{name}.data', ignore_errors=True)
+        time.sleep(random.uniform(0.1, 3.0))
+        rig.start(name, 'control')
+        _wait_for_core(rig, name)
+    finally:
+        rig.core_lock.release()
--- a/tests/test_soak_rig_machines.py
+++ b/tests/test_soak_rig_machines.py
@@ -1,4 +1,4 @@
-"""Tests of the rig's late answers, busy loops and clocks."""
+"""Tests of the rig's late answers, busy loops, clocks and disks."""
 
 import argparse
 import datetime
@@ -13,15 +13,26 @@
 
 import testtools
 
+from soak import rig
+from soak import rig_faults
 from soak import rig_hooks
 from soak import rig_machine_faults
 from soak import rig_worker
 
+HERE = pathlib.Path(__file__).resolve().parent.parent
 GUARD_S = 60
 BASE_S = 5_000.0
 STEP_S = 3_600.0
 AGENT = ('side-a-1', 'agent')
 CONTROL = ('front-a-1', 'control')
+SHEET = {
+    'zones': [{'name': 'a', 'region': 'r'}],
+    'machines': [
+        {'class': 'front', 'zone': 'a', 'count': 3, 'disk': {}},
+        {'class': 'side', 'zone': 'a', 'count': 1},
+    ],
+    'timing': {'hold_max_ms': 10_000},
+}
 # Prints how far the clocks are from those of the host.
 PRINT_CLOCKS = (
     'import datetime, sys, time\n'
@@ -196,6 +207,55 @@
         self.assertIsInstance(shifted(2026, 1, 1), datetime.datetime)
 
 
+class CoreTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.rig = rig.Rig(sheet=SHEET, root=HERE, seed=1, most_sides=1)
+        self.addCleanup(self.rig.close)
+
+    def read_settings(self, name):
+        text = self.rig._write_settings(name, 'control').read_text()
+        return dict(line.split('=', 1) for line in text.splitlines())
+
+    def test_a_new_machine_has_an_address_and_a_folder_of_its_own(self):
+        gone = self.rig.seeds[0]
+        former = self.read_settings(gone)
+        self.rig.write_seeds(self.rig.seeds)
+        name = self.rig.add_empty_host(gone)
+        fields = self.read_settings(name)
+        for field in ('ip', 'data_dir', 'node_name'):
+            self.assertNotEqual(former[field], fields[field], field)
+        self.assertEqual('true', former['bootstrap'])
+        self.assertEqual('false', fields['bootstrap'])
+
+    def test_a_machine_may_be_replaced_again_and_again(self):
+        names = [self.rig.seeds[0]]
+        for _ in range(8):
+            names.append(self.rig.add_empty_host(names[-1]))
+        addresses = {self.rig.hosts[name].address for name in names}
+        self.assertEqual(len(names), len(addresses))
+
+    def test_a_machine_that_is_gone_is_not_started_again(self):
+        gone = self.rig.seeds[0]
+        self.rig.add_empty_host(gone)
+        self.rig.start(gone, 'control')
+        self.assertEqual({}, self.rig.processes)
+
+    def test_one_machine_of_the_core_is_lost_at_a_time(self):
+        self.rig.core_lock.acquire()
+        for kind in ('replace core', 'wipe core'):
+            rig_faults.inject(kind, self.rig)
+        self.assertEqual({}, self.rig.processes)
+
+    def test_no_machine_is_taken_while_another_is_down(self):
+        # None runs, so that a further loss would be one too many.
+        hosts = dict(self.rig.hosts)
+        for kind in ('replace core', 'wipe core'):
+            rig_faults.inject(kind, self.rig)
+        self.assertEqual(hosts, self.rig.hosts)
+        self.assertFalse(self.rig.core_lock.locked())
+
+
 class BusyLoopTest(testtools.TestCase):
     def test_loops_end_by_themselves_and_are_few(self):
         self.assertTrue(rig_machine_faults.MAX_BUSY_LOOPS <= 8)
