End a stopped worker's runs with its lease in the rig's verdict

The worker was killed before it went on, so that it didn't write the lapse down, and the verdict let its runs last until the kill.

The verdict was wrong: such runs end when the lease does, as they do for a worker that goes on and then writes the lapse down. Workers now write each extension of their lease, and a life's runs end at its end or at that of its lease, whichever is earlier. It is no weaker: a lease that holds ends nothing before the worker does, one of another life neither.

--- a/soak/rig_oracle.py
+++ b/soak/rig_oracle.py
@@ -60,6 +60,7 @@
         self._current = {}
         self._ended = {}
         self._late = {}
+        self._lease_until = float('inf')
 
     def record(self, event):
         """Record an event; those without meaning for a run are left out."""
@@ -99,10 +100,18 @@
             if number <= event['upto'] and run.acked_at is None:
                 run.acked_at = event['at']
 
+    def _record_lease(self, event):
+        self._lease_until = event['until']
+
     def _record_exit(self, event):
+        # A worker that is stopped when its lease expires, and killed before
+        # it goes on, doesn't write that down.
+        has_lapsed = self._lease_until < event['at']
         for run in self._current.values():
-            run.ended_at, run.how = event['at'], 'exit'
+            run.ended_at = min(event['at'], self._lease_until)
+            run.how = 'lapsed' if has_lapsed else 'exit'
         self._current, self._ended = {}, {}
+        self._lease_until = float('inf')
 
 
 def list_runs(host, events):
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -75,6 +75,12 @@
         with open(self._events, 'a') as file:
             file.write(json.dumps(event) + '\n')
 
+    def _extend(self, deadline_ms):
+        known_ms = self._deadline_ms
+        super()._extend(deadline_ms)
+        if self._deadline_ms > known_ms:
+            self.write('lease', until=self.find_lapse_at())
+
     def advance(self):
         """End the runs that are done, or whose lease has expired."""
         expired = 0 < self._deadline_ms <= self.read_clock_ms()
