--- a/soak/rig_oracle.py
+++ b/soak/rig_oracle.py
@@ -61,6 +61,7 @@
         self._ended = {}
         self._late = {}
         self._newest_at = 0.0
+        self._lease_until = float('inf')
 
     def record(self, event):
         """Record an event; those without meaning for a run are left out."""
@@ -101,6 +102,9 @@
             if number <= event['upto'] and run.acked_at is None:
                 run.acked_at = event['at']
 
+    def _record_lease(self, event):
+        self._lease_until = event['until']
+
     def _record_exit(self, event):
         # A process executes nothing after it was sent SIGKILL, but is gone,
         # and known to be, some milliseconds later. An event that its worker
@@ -108,9 +112,14 @@
         ended_at = event.get('killed_at', event['at'])
         if self._newest_at > ended_at:
             ended_at = event['at']
+        # A worker that is stopped when its lease expires, and killed before
+        # it goes on, doesn't write that down.
+        has_lapsed = self._lease_until < ended_at
         for run in self._current.values():
-            run.ended_at, run.how = ended_at, 'exit'
+            run.ended_at = min(ended_at, self._lease_until)
+            run.how = 'lapsed' if has_lapsed else 'exit'
         self._current, self._ended = {}, {}
+        self._lease_until = float('inf')
 
 
 def list_runs(host, events):
