Conclude from whole listings only that a run isn't there

What callers see: a task starts again although its run is done or at work.

Cause: a listing that is cut at 500 ends passed for a whole one if a row of it couldn't be decoded; so did one with the run's own end in such a row, and one that doesn't name the incarnation that was called.

Change: the decoder marks a listing as whole if it has fewer than 500 ends and every row could be decoded. A run is taken for absent only by a whole listing of the followed incarnation.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -412,14 +412,18 @@
     with _ANSWER_GUARD:
         lists = _decode_answer(body, _Lists)
         max_number = acked + MAX_UNACKNOWLEDGED_ENDS
+        running = _decode_rows(lists.running, _decode_running)
+        ends = _decode_rows(
+            lists.finished,
+            functools.partial(_decode_end, max_number=max_number),
+        )
         return server_client.Listing(
             clock_ms=lists.clock_ms,
             born_ms=lists.born,
-            running=_decode_rows(lists.running, _decode_running),
-            ends=_decode_rows(
-                lists.finished,
-                functools.partial(_decode_end, max_number=max_number),
-            ),
+            running=running,
+            ends=ends,
+            is_whole=len(ends) == len(lists.finished) < server_client.MAX_ENDS
+            and len(running) == len(lists.running),
         )
 
 
--- a/bilberryhaven/workflow/server_client.py
+++ b/bilberryhaven/workflow/server_client.py
@@ -61,12 +61,15 @@
         running: The ``Running`` rows of the runs that are present.
         ends: The oldest ``RunEnd`` rows that have not been acknowledged, at
             most ``MAX_ENDS``.
+        is_whole: Whether a run that it lacks is neither present nor ended:
+            it isn't cut at ``MAX_ENDS``, and no row was left out.
     """
 
     clock_ms: int
     born_ms: int
     running: list[message.Running]
     ends: list[workflow_commands.RunEnd]
+    is_whole: bool = True
 
 
 class ServerClient(abc.ABC):
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -9,7 +9,6 @@
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import run_lease
-from bilberryhaven.workflow import server_client
 
 __all__ = ['RunPhase', 'RunSupervisor']
 
@@ -382,7 +381,8 @@
         self._listed = {row.run for row in listing.running}
         self._listing_sent_at = sent_at
         self.listed_epoch = epoch
-        if len(listing.ends) < server_client.MAX_ENDS:
+        names_target = listing.born_ms == self.target.state.born_ms
+        if listing.is_whole and names_target:
             self._resolve_doubtful_runs({end.run for end in ends}, sent_at)
         self._add_allowed_paces(listing.running)
         self._update_paces(listing.running, now)
--- a/tests/test_workflow_absence.py
+++ b/tests/test_workflow_absence.py
@@ -153,7 +153,9 @@
     """The heartbeat lacks the start that the listing names."""
 
     def announce(self, *, born_ms):
-        super().announce(born_ms=0)
+        self.supervisor.follow(
+            test_workflow_agent.build_announcement(born_ms=0)
+        )
 
     def test_listing_that_names_an_incarnation(self):
         self.stop()
--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -49,6 +49,7 @@
         born_ms=1,
         running=[message.Running(ref) for ref in running],
         ends=list(ends),
+        is_whole=len(ends) < server_client.MAX_ENDS,
     )
 
 
