Start nothing on a server that refuses connections

Cause: with the runs of a crashed server held until their lease has expired, its session stays open, and the leader would go on to start runs there.

Change: the agent's polls say that the server refuses connections; the leader starts nothing there until it answers again.

Measured: test_server_that_refuses_connections_gets_no_start; a poll had no such field before, so that the run was started there.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -244,7 +244,11 @@
             ready = target is not None and (
                 self._supervisor.epoch or self._answered_at is not None
             )
-            poll = self._supervisor.build_poll() if ready else None
+            poll = None
+            if ready:
+                poll = self._supervisor.build_poll(
+                    refusing=self._departure.is_refusing
+                )
             lapse_report = self._lapse_report
         if poll is None:
             self._stopping.wait(IDLE_DELAY_S)
--- a/bilberryhaven/workflow/fleet.py
+++ b/bilberryhaven/workflow/fleet.py
@@ -137,6 +137,7 @@
             and self._sessions.is_followed(agent_session)
             and not _awaits_former_lease(agent_session)
             and not agent_session.draining
+            and not agent_session.refusing
             and not self._state.zones.is_withdrawn(server.zone)
             and self._is_fresh(agent_session, now)
             and self._health.accepts_work(server.key, now)
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -185,6 +185,8 @@
         seen: Number of the newest order that the agent has received.
         sequence: Number of the heartbeat that ``server`` is from; higher
             ones are newer.
+        refusing: Whether the server refuses connections: it has crashed or
+            is leaving, and its runs end with their lease.
     """
 
     agent: str
@@ -193,6 +195,7 @@
     feed: str = ''
     seen: border.Number = 0
     sequence: border.Number = 0
+    refusing: bool = False
 
 
 class PollReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -213,6 +213,7 @@
             if not agent_session.is_delayed(request):
                 self._memory.sessions.follow(agent_session)
                 agent_session.draining = server.draining
+                agent_session.refusing = request.refusing
             if server.draining:
                 remaining = clocks.seconds(server.remaining_ms / MS_PER_S)
                 agent_session.set_departure(now + remaining)
--- a/bilberryhaven/workflow/session.py
+++ b/bilberryhaven/workflow/session.py
@@ -72,6 +72,7 @@
         capacity: Newest ``Capacity`` of the backend server. The row has that
             of the registration.
         draining: Whether the backend server is draining.
+        refusing: Whether the backend server refuses connections.
         leaves_at: Earliest monotonic time at which the backend server
             leaves, or None.
         warm_at: Monotonic time from which the backend server is no longer
@@ -97,6 +98,7 @@
         self.capacity = _read_capacity(poll.server)
         self._sequence = poll.sequence
         self.draining = False
+        self.refusing = False
         self.leaves_at = None
         self.warm_at = datetime.timedelta()
         self._warm_sequence = -1
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -156,8 +156,12 @@
         self._reset()
         self.target = target
 
-    def build_poll(self):
-        """Return the next ``Poll``."""
+    def build_poll(self, *, refusing=False):
+        """Return the next ``Poll``.
+
+        Args:
+            refusing: Whether the server refuses connections.
+        """
         self._settled = set(self._rejected)
         return message.Poll(
             agent=self._agent,
@@ -166,6 +170,7 @@
             feed=self._feed,
             seen=self._seen,
             sequence=self.target.sequence,
+            refusing=refusing,
         )
 
     def handle_poll_reply(self, reply, sent_at, now):
--- a/tests/test_workflow_dispatcher.py
+++ b/tests/test_workflow_dispatcher.py
@@ -403,6 +403,19 @@
         row = self.state.workflows.find('w1')
         self.assertFalse(row.started)
 
+    def test_server_that_refuses_connections_gets_no_start(self):
+        """Its runs end with the lease, and so would those started now."""
+        first = self.poll()
+        self.poll(epoch=first.epoch, refusing=True)
+        self.submit('w1')
+        self.schedule()
+        self.assertEqual(
+            [], self.poll(epoch=first.epoch, refusing=True).orders
+        )
+        self.poll(epoch=first.epoch)
+        self.schedule()
+        self.assertEqual(1, len(self.poll(epoch=first.epoch).orders))
+
     def test_delayed_poll_from_before_draining_is_ignored(self):
         """A draining server gets starts again after an older poll."""
         self.replace()
--- a/tests/test_workflow_hearsay.py
+++ b/tests/test_workflow_hearsay.py
@@ -88,6 +88,7 @@
         if request.server.pool in self.unknown_pools:
             raise errors.UnknownPoolError('no such pool', step='poll')
         self.polled.append(key)
+        self.refusing = request.refusing
         return message.PollReply(
             key=key, epoch=1, lease_ms=5000, feed='f', last=0
         )
@@ -143,6 +144,7 @@
         self.assertEqual([], self.leader.lapsed)
         self.assertEqual({'s@1'}, set(self.leader.polled))
         self.assertIn((ADDRESS, 'hold'), self.hosts.calls)
+        self.assertFalse(self.leader.refusing)
 
 
 class HeartbeatTest(HearsayTest):
@@ -204,6 +206,7 @@
         self.refuse()
         self.work(4)
         self.assertEqual([], self.leader.lapsed)
+        self.assertTrue(self.leader.refusing)
         self.work(3)
         self.assertEqual(['s@1'], self.leader.lapsed)
 
