Let a server remember jobs with an unanswered start for longer

What callers see: a job that has ended, or that was refused and placed elsewhere, runs again: its first start, which got no answer, is executed late.

Cause: a stop, or the answer to the repeated start, makes the backend server know the grant, so that the late start does nothing. Once the end was acknowledged, the agent made the server forget the grant.

Change: a grant with an unanswered start is forgotten ten minutes after that.

--- a/bilberryhaven/agent/job.py
+++ b/bilberryhaven/agent/job.py
@@ -49,6 +49,8 @@
         checkpoint: Last checkpoint that was reported to control.
         next_checkpoint_at: Monotonic time at which the next one is due.
         event: The final event, once the job has ended.
+        forget_at: Monotonic time until which the backend server has to
+            remember the ended job, or None.
     """
 
     order: message.StartOrder
@@ -63,6 +65,7 @@
     checkpoint: bytes = b''
     next_checkpoint_at: datetime.timedelta
     event: message.JobEvent | None = None
+    forget_at: datetime.timedelta | None = None
 
     @property
     def id(self):
--- a/bilberryhaven/agent/jobs.py
+++ b/bilberryhaven/agent/jobs.py
@@ -12,6 +12,8 @@
 __all__ = ['Jobs']
 
 CHECKPOINT_INTERVAL = clock.seconds(10)
+# Longer than a network or a stalled server holds a call back.
+LATE_START_WINDOW = clock.seconds(600)
 ACTIVE_STAGES = (
     job.JobStage.STARTING,
     job.JobStage.RUNNING,
@@ -251,13 +253,21 @@
             if row.stage in ACTIVE_STAGES:
                 self._end(row, 'stopped', reason)
 
-    def forget_acknowledged(self, pending_events):
-        """Return commands that remove ended jobs with acknowledged events."""
+    def forget_acknowledged(self, pending_events, now):
+        """Return commands that remove ended jobs with acknowledged events.
+
+        The backend server has to remember a job with an unanswered start for
+        longer: it would execute that start otherwise.
+        """
         pending = {id(event) for event in pending_events}
         commands = []
         for row in self._jobs.values():
             ended = row.stage is job.JobStage.ENDED and not row.command_pending
-            if ended and id(row.event) not in pending:
+            if not ended or id(row.event) in pending:
+                continue
+            if row.start_unknown and row.forget_at is None:
+                row.forget_at = now + LATE_START_WINDOW
+            if row.forget_at is None or now >= row.forget_at:
                 row.command_pending = True
                 commands.append(job.ForgetTask(job_id=row.id, epoch=row.epoch))
         return commands
--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -169,7 +169,9 @@
         if status is not None:
             self._apply_orders(reply)
         self._execute(
-            self._jobs.forget_acknowledged(self._session.pending_events)
+            self._jobs.forget_acknowledged(
+                self._session.pending_events, self._clock.monotonic()
+            )
         )
 
     def _forward_lease(self, sent_at, status):
