Renew no lease after a lapse before unanswered starts are ruled out

What callers see: a job runs on two instances after its backend server was silent for longer than its lease.

Cause: when the lease has ended, the agent reports all jobs as stopped. That holds for running ones. One whose start got no answer hasn't been started at all, perhaps; once the lease was renewed in the same session, its late start was executed, while the job had been placed elsewhere.

Change: such a job is stopped once the server answers, which rules its start out, and until then the lease isn't renewed, so that the server refuses it. The answer to a start in progress gives a job no second end.

Measured: 8 of the 10 new tests failed before: in seven the late start ran ("['j'] matches Contains('j')"), in one the job ended twice ("['stopped'] != ['stopped', 'refused']"). All 21 of the module pass, and test_agent_jobs (4), test_agent_reporter (1), test_agent_service (7), test_agent_faults (19) do.

--- a/bilberryhaven/agent/job.py
+++ b/bilberryhaven/agent/job.py
@@ -42,6 +42,8 @@
         start_error: Error of a start whose outcome is unknown, or empty.
         start_unknown: Whether a start request got no answer, so that it may
             still be executed.
+        known_there: Whether the backend server has shown that it knows the
+            grant, so that a late start of it does nothing.
         command_pending: Whether a command for the job is in progress.
         share: Share of full speed that is in force.
         desired_share: Share that control orders.
@@ -58,6 +60,7 @@
     stop_reason: str | None = None
     start_error: str = ''
     start_unknown: bool = False
+    known_there: bool = False
     command_pending: bool = False
     share: float = 1.0
     desired_share: float = 1.0
@@ -77,6 +80,12 @@
         """The epoch of the grant."""
         return self.order.epoch
 
+    @property
+    def may_start_late(self):
+        """Whether a start may be executed although the job has ended."""
+        ended = self.stage is JobStage.ENDED
+        return ended and self.start_unknown and not self.known_there
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
 class StartTask:
--- a/bilberryhaven/agent/jobs.py
+++ b/bilberryhaven/agent/jobs.py
@@ -189,6 +189,7 @@
             self._report_unknown(task, epoch, now)
             return
         row.command_pending = False
+        row.known_there = True
         self._apply_status(row, task)
 
     def record_start_error(self, job_id, epoch, reason, *, ran, not_running):
@@ -240,8 +241,13 @@
         tasks = {task.id: task for task in status.tasks}
         commands = []
         for row in list(self._jobs.values()):
-            if row.stage in ACTIVE_STAGES and not row.command_pending:
+            if row.command_pending:
+                continue
+            if row.stage in ACTIVE_STAGES:
                 commands += self._reconcile(row, tasks.get(row.id), now)
+            elif row.may_start_late:
+                row.command_pending = True
+                commands.append(job.StopTask(job_id=row.id, epoch=row.epoch))
         for task in tasks.values():
             if task.id not in self._jobs:
                 commands += self._adopt(task, session, now)
@@ -250,8 +256,15 @@
     def end_active_jobs(self, reason):
         """Report all jobs that may have been running as stopped."""
         for row in list(self._jobs.values()):
-            if row.stage in ACTIVE_STAGES:
-                self._end(row, 'stopped', reason)
+            if row.stage not in ACTIVE_STAGES:
+                continue
+            if row.stage is job.JobStage.STARTING and row.command_pending:
+                row.start_unknown = True
+            self._end(row, 'stopped', reason)
+
+    def may_start_late(self):
+        """Return whether a start of an ended job may still be executed."""
+        return any(row.may_start_late for row in self._jobs.values())
 
     def forget_acknowledged(self, pending_events, now):
         """Return commands that remove ended jobs with acknowledged events.
@@ -304,7 +317,10 @@
         return []
 
     def _apply_status(self, row, task):
-        if row.stage not in ACTIVE_STAGES or task.epoch != row.epoch:
+        if task.epoch != row.epoch:
+            return
+        row.known_there = True
+        if row.stage not in ACTIVE_STAGES:
             return
         if task.state == 'absent' and row.start_error and not row.stop_reason:
             self._end(row, 'failed', row.start_error)
--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -161,6 +161,11 @@
                 self._admission.drop_lease.defer()
                 self._has_left = self._leaving
             return
+        if status is not None and self._jobs.may_start_late():
+            # Without a lease the server refuses the start, until the stop
+            # that was sent rules it out.
+            _logger.info('no lease is forwarded before a stop is answered')
+            return
         if status is not None and not self._forward_lease(sent_at, status):
             return
         self._admission.renew_lease.defer(
--- a/tests/test_hearsay_jobs.py
+++ b/tests/test_hearsay_jobs.py
@@ -304,6 +304,90 @@
         self.assertEqual(['j'], self.server.list_running())
 
 
+class LapseTest(ReporterTestCase):
+    """The lease ends while a start has no answer.
+
+    Guards against a start that is executed after the lease was renewed in
+    the same session.
+    """
+
+    def lapse(self, command):
+        self.server.silent = True
+        if command is not None:
+            self.lose(command)
+        self.advance(LEASE_MS / 1000 + 0.6)
+        self.beat()
+        self.beat()
+        self.server.silent = False
+
+    def check(self, *steps):
+        late = self.order()
+        self.lapse(late)
+        self.assertEqual(['stopped'], self.leader.kinds['j'])
+        for step in steps:
+            step()
+        self.check_never_runs(late)
+        # The server is used again.
+        self.play()
+        self.assertTrue(self.server.runner.get_lease_remaining())
+        self.execute(self.order(job_id='k'))
+        self.assertEqual(['k'], self.server.list_running())
+        self.check_never_runs(late)
+        self.assertEqual(['stopped'], self.leader.kinds['j'])
+
+    def test_start_arrives_at_once(self):
+        self.check()
+
+    def test_start_arrives_before_the_commands_are_executed(self):
+        self.check(self.beat)
+
+    def test_start_arrives_before_they_are_executed_for_long(self):
+        self.check(self.beat, self.beat, self.beat)
+
+    def test_start_arrives_once_they_are_executed(self):
+        self.check(self.beat, self.execute_all)
+
+    def test_start_arrives_once_the_lease_is_renewed(self):
+        self.check(self.beat, self.execute_all, self.beat)
+
+    def test_start_arrives_once_all_is_acknowledged(self):
+        self.check(self.play)
+
+    def test_start_is_in_progress_when_the_lease_ends(self):
+        late = self.order()
+        self.lapse(None)
+        self.assertEqual(['stopped'], self.leader.kinds['j'])
+        self.beat()
+        self.check_never_runs(late)
+        self.lose(late)
+        self.play()
+        self.check_never_runs(late)
+        self.assertEqual(['stopped'], self.leader.kinds['j'])
+
+    def test_start_in_progress_is_refused_after_the_lease(self):
+        """A job gets a second end."""
+        late = self.order()
+        self.lapse(None)
+        self.lose(late, errors.LeaseLapsedError('no lease', step='start'))
+        self.play()
+        self.assertEqual(['stopped'], self.leader.kinds['j'])
+
+    def test_running_job_needs_no_stop(self):
+        self.execute(self.order())
+        self.lapse(None)
+        self.beat()
+        self.assertTrue(self.server.runner.get_lease_remaining())
+        self.assertEqual(['started', 'stopped'], self.leader.kinds['j'])
+
+    def test_silence_within_the_lease_ends_nothing(self):
+        self.execute(self.order())
+        self.server.silent = True
+        for _ in range(5):
+            self.advance(LEASE_MS / 1000 / 6)
+            self.beat()
+        self.assertEqual(['started'], self.leader.kinds['j'])
+
+
 class AbsenceTest(ReporterTestCase):
     """The server's list lacks a job."""
 
