--- a/bilberryhaven/agent/job.py
+++ b/bilberryhaven/agent/job.py
@@ -42,6 +42,8 @@
         start_error: Error of a start whose outcome is unknown, or empty.
         start_unknown: Whether a start request got no answer, so that it may
             still be executed.
+        known_there: Whether the backend server has shown that it knows the
+            grant, so that a late start of it does nothing.
         command_pending: Whether a command for the job is in progress.
         share: Share of full speed that is in force.
         desired_share: Share that control orders.
@@ -49,6 +51,8 @@
         checkpoint: Last checkpoint that was reported to control.
         next_checkpoint_at: Monotonic time at which the next one is due.
         event: The final event, once the job has ended.
+        forget_at: Monotonic time until which the backend server has to
+            remember the ended job, or None.
     """
 
     order: message.StartOrder
@@ -56,6 +60,7 @@
     stop_reason: str | None = None
     start_error: str = ''
     start_unknown: bool = False
+    known_there: bool = False
     command_pending: bool = False
     share: float = 1.0
     desired_share: float = 1.0
@@ -63,6 +68,7 @@
     checkpoint: bytes = b''
     next_checkpoint_at: datetime.timedelta
     event: message.JobEvent | None = None
+    forget_at: datetime.timedelta | None = None
 
     @property
     def id(self):
@@ -74,6 +80,12 @@
         """The epoch of the grant."""
         return self.order.epoch
 
+    @property
+    def may_start_late(self):
+        """Whether a start may be executed although the job has ended."""
+        ended = self.stage is JobStage.ENDED
+        return ended and self.start_unknown and not self.known_there
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
 class StartTask:
