--- a/tests/test_workflow_crash_evidence.py
+++ b/tests/test_workflow_crash_evidence.py
@@ -328,6 +328,17 @@
         self.advance(2)
         node.take_orders()
         keys = [row.key for row in self.state.backends]
+        self.assertEqual(['s-i@1', 's-i@2'], keys)
+        self.submit('w1')
+        self.schedule()
+        runs = self.state.workflows.find('w1').list_runs()
+        self.assertEqual(['s-i@2'], [run.backend for _, run in runs])
+        # Nothing but its lease shows the leader that the former has ended.
+        for _ in range(4):
+            self.advance(1)
+            node.take_orders()
+            self.schedule()
+        keys = [row.key for row in self.state.backends]
         self.assertEqual(['s-i@2'], keys)
 
     def test_report_that_was_held_up_has_the_time_of_the_crash(self):
