Wait before a poll that was fenced is repeated

A poll for a server that is born earlier than the one registered is fenced until that one's lease has run out, so that an agent would repeat it without a pause. test_lost_reports_do_not_keep_a_server_away, changed on two sides, now asserts both.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -254,8 +254,7 @@
             self._stopping.wait(IDLE_DELAY_S)
             return
         if lapse_report is not None and not poll.epoch:
-            # The poll of a later incarnation closes the former one, too, but
-            # without the evidence of its crash.
+            # Without the report, the runs there end with their lease only.
             self._send_lapse_report(lapse_report)
             if self._must_report_first():
                 self._stopping.wait(RETRY_DELAY_S)
@@ -265,6 +264,7 @@
             reply = self._gateway.send(poll, timeout=POLL_TIMEOUT, step='poll')
         except errors.FencedError as error:
             self._reset_session(poll, error)
+            self._stopping.wait(RETRY_DELAY_S)
             return
         except errors.UnknownPoolError as error:
             self._update_connected(None)
