Resume a session only of the same instance

What callers see: a job runs on two backend servers after the names of two instances were exchanged. Each agent resumes the session that its predecessor had under the other name, and gets the other instance's start orders.

Cause: an agent that finds a session at its backend server resumes it if the former agent had the same address. Sessions are numbered by instance, so that the number may be that of another agent's open session under the new name.

Change: the name that an agent attaches with contains the instance. Without a match the tasks are stopped, and a new session is opened. An agent that was updated while its server ran on doesn't resume, once.

Measured: test_another_instance_at_the_same_address failed before ("0 != 1", the epoch of the first heartbeat); all 3 pass, and test_agent_service (7), test_agent_faults (19) and test_standin (9) do.

--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -43,7 +43,7 @@
         backend: The ``BackendClient``.
         leader_client: The ``LeaderClient``.
         clock: Source of the monotonic time.
-        owner: Name of this incarnation, as ADDRESS/INCARNATION.
+        owner: Name of this incarnation, as ADDRESS/INSTANCE/INCARNATION.
         on_replaced: Called once another agent is attached to the backend
             server.
     """
@@ -247,11 +247,12 @@
     def _resume(self, status):
         """Resume the session of an earlier incarnation if its lease is valid.
 
-        Only an agent at the same address is an earlier incarnation.
+        Only an agent of the same instance at the same address is an earlier
+        incarnation. Sessions of other instances have the same numbers.
         """
         lease = status.lease_remaining_ms * MILLISECOND
-        former_address = status.former_owner.partition('/')[0]
-        if not lease or former_address != self._owner.partition('/')[0]:
+        former = status.former_owner.rpartition('/')[0]
+        if not lease or former != self._owner.rpartition('/')[0]:
             return
         _logger.info(
             'resuming session {} of an earlier incarnation', status.session
--- a/bilberryhaven/agent/service.py
+++ b/bilberryhaven/agent/service.py
@@ -177,7 +177,10 @@
             )
 
     def _start_actors(self):
-        owner = f'{self._announcement.address}/{self._incarnation}'
+        owner = (
+            f'{self._announcement.address}/{self._announcement.name}'
+            f'/{self._incarnation}'
+        )
         backend_client = backend.BackendClient(
             address=self._backend_address,
             owner=owner,
