Take status 421 for another incarnation also without a body

Cause: the check of a new connection reads `born` from the answer's body. The infrastructure's workers answer 421 without a body, so that the check failed as if there had been no answer. Until now the next incarnation's heartbeat hid it.

Change: the status alone identifies another incarnation.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -368,10 +368,13 @@
         raise errors.PeerError(
             f'no answer: {error}', step='connect', peer=target.address
         ) from error
-    with _ANSWER_GUARD:
-        born_ms = _decode_answer(response.data, _Identity).born
-    identified = response.status == STATUS_OTHER_INSTANCE or born_ms
-    if identified and born_ms != target.state.born_ms:
+    # This status identifies another incarnation, with or without a body.
+    is_other = response.status == STATUS_OTHER_INSTANCE
+    if not is_other:
+        with _ANSWER_GUARD:
+            born_ms = _decode_answer(response.data, _Identity).born
+        is_other = born_ms not in (0, target.state.born_ms)
+    if is_other:
         raise errors.GoneError(
             'another incarnation of the worker answered',
             step='connect',
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -107,6 +107,24 @@
         self.start_incarnation(1)
         self.assertEqual(1, self.hold(target).born_ms)
 
+    def test_status_of_another_incarnation_needs_no_body(self):
+        """Guards against a server that is followed long after its end."""
+        for body in (b'', b'{}', b'{"born": 2}', b'{"born": 1}', b'x'):
+            response = server.Response(status=421, body=body)
+            later = server.Server(
+                address=self.address,
+                handlers={},
+                fallback=lambda environ, data, response=response: response,
+                threads=2,
+            )
+            later.start()
+            target = self.build_target(1)
+            try:
+                for call in (self.start, self.hold, self.client.identify):
+                    self.assertRaises(errors.GoneError, call, target)
+            finally:
+                later.stop()
+
     def start_closing_server(self):
         """Start a server that closes each connection after one request."""
         host, port = self.address.split(':')
