Report jobs that a restarted server may have run as stopped

What callers see: a job that must not run twice runs again after its backend server was started again.

Cause: the next incarnation knows nothing of the former one's jobs. A start that got no answer was sent again to it, and a stop that it answered with `absent` was reported as `refused`, though the former incarnation may have run the job, or certainly had.

Change: once another incarnation answers, all jobs that may have been running are reported as stopped, so that control decides whether they may run again. A start in progress meanwhile is ruled out before the next lease.

Measured: 4 of 6 new tests failed before ("['stopped'] != ['started']" twice, "['stopped'] != ['refused']", "['started', 'stopped'] != ['started', 'refused']"). All 27 of the module pass, and test_agent_jobs (4), test_agent_reporter (1), test_agent_service (7), test_agent_faults (19) and test_hearsay_resume (3) do.

--- a/bilberryhaven/agent/jobs.py
+++ b/bilberryhaven/agent/jobs.py
@@ -319,9 +319,10 @@
     def _apply_status(self, row, task):
         if task.epoch != row.epoch:
             return
-        row.known_there = True
         if row.stage not in ACTIVE_STAGES:
+            row.known_there = task.state != 'running'
             return
+        row.known_there = True
         if task.state == 'absent' and row.start_error and not row.stop_reason:
             self._end(row, 'failed', row.start_error)
             return
--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -232,6 +232,9 @@
 
     def _attach(self):
         status = self._backend.attach()
+        if self._boot not in ('', status.boot):
+            # It may have run any of them before, and doesn't know that.
+            self._jobs.end_active_jobs('the backend server was started again')
         self._admission.adopt.defer([row.id for row in status.requests])
         if not self._boot:
             self._resume(status)
--- a/tests/test_hearsay_jobs.py
+++ b/tests/test_hearsay_jobs.py
@@ -388,6 +388,75 @@
         self.assertEqual(['started'], self.leader.kinds['j'])
 
 
+class RestartedServerTest(ReporterTestCase):
+    """The server was started again, and knows nothing of before.
+
+    Guards against a job that must not run twice, and is reported as never
+    started, or started again, though the former incarnation ran it.
+    """
+
+    def restart(self):
+        self.server.restart('second')
+
+    def check_ended_once(self, *kinds):
+        self.play()
+        self.assertEqual(list(kinds), self.leader.kinds['j'])
+        self.assertEqual(0, self.server.runner.starts['j'])
+        # The server is used again.
+        self.execute(self.order(job_id='k'))
+        self.assertEqual(['k'], self.server.list_running())
+
+    def test_start_without_an_answer_was_executed(self):
+        late = self.order()
+        self.server.execute(late)
+        self.lose(late)
+        self.restart()
+        self.check_ended_once('stopped')
+
+    def test_start_without_an_answer_is_to_be_stopped(self):
+        late = self.order()
+        self.server.execute(late)
+        self.leader.stops = [message.StopOrder(job_id='j', epoch=1)]
+        self.beat()
+        self.leader.stops = []
+        self.lose(late)
+        self.restart()
+        self.check_ended_once('stopped')
+
+    def test_start_is_in_progress(self):
+        late = self.order()
+        self.restart()
+        self.beat()
+        self.execute(late)
+        self.check_ended_once('stopped')
+
+    def test_stop_is_in_progress(self):
+        self.execute(self.order())
+        self.leader.stops = [message.StopOrder(job_id='j', epoch=1)]
+        self.beat()
+        self.leader.stops = []
+        self.assertEqual(1, len(self.commands.waiting))
+        self.restart()
+        self.check_ended_once('started', 'stopped')
+
+    def test_running_job(self):
+        self.execute(self.order())
+        self.restart()
+        self.check_ended_once('started', 'stopped')
+
+    def test_job_that_waits_for_its_slots(self):
+        self.leader.starts = [build_order()]
+        self.beat()
+        self.leader.starts = []
+        self.restart()
+        self.beat()
+        self.beat()
+        self.reporter.handle(effects.RunJob(job_id='j', epoch=1))
+        self.execute_all()
+        self.assertEqual(['j'], self.server.list_running())
+        self.assertEqual({}, self.leader.kinds)
+
+
 class AbsenceTest(ReporterTestCase):
     """The server's list lacks a job."""
 
