End a session that has granted no lease, too

What callers saw: tasks that were assigned to a server which crashed before its agent had granted a lease (while its first poll was held, or while a former agent's lease was in doubt) were started nowhere else, and the agent followed no other server, until one listened at the same address.

Cause: without a grant, the lease never counted as lapsed. Since a refused connection is no proof, nothing else ended the session, and the agent's polls kept it open at the leader.

Change: without a grant, all runs have lapsed once a former agent's lease and one lease of this session are over.

--- a/bilberryhaven/workflow/run_lease.py
+++ b/bilberryhaven/workflow/run_lease.py
@@ -26,6 +26,8 @@
         self._server_clock_read_at = None
         self._void_upto = 0
         self._granted_until = None
+        # Until then, runs may be there although nothing was granted here.
+        self._inherited_until = None
         self._former_deadline_ms = 0
         self._former_lease_end = None
         self._uncertain_until = None
@@ -48,6 +50,8 @@
             reply: The ``PollReply`` that issues the fencing token.
             now: Monotonic time.
         """
+        inherited_ms = max(reply.doubt_ms, reply.lease_ms)
+        self._inherited_until = now + inherited_ms * MILLISECOND
         if reply.doubt_ms:
             self._former_deadline_ms = reply.former_deadline_ms
             self._former_lease_end = now + reply.doubt_ms * MILLISECOND
@@ -95,9 +99,12 @@
             margin: Time that the backend server may take to stop lapsed
                 runs, as a timedelta.
         """
-        if self._granted_until is None:
-            return False
-        return now >= self._granted_until + margin
+        ends = [
+            end
+            for end in (self._granted_until, self._inherited_until)
+            if end is not None
+        ]
+        return bool(ends) and now >= max(ends) + margin
 
     def handle_listing(self, listing, now):
         """Read the server's clock and detect a lapse.
