Drop a followed server that is another incarnation than announced

What callers saw: after the restart of its agent a sound server ran nothing any more, and tasks that were assigned to it waited for ever.

Cause: the agent asks an announced server with no token. One that knows a token refuses that, and the protocol shows that answer without the start of its incarnation, so a heartbeat with the server's id and address and another start, or none, was followed. Each listing then named another start and was ignored, and nothing ended the session.

Change: until a server has shown its start, a listing that names another one is the answer of another incarnation, so that the session ends and the next announced server is asked.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -93,6 +93,8 @@
         self._reported_at = clock.monotonic()
         self._listed_runs = None
         self._answered_at = None
+        # Whether the followed server has shown the start that was announced.
+        self._is_confirmed = False
         self._connected = None
         self._server_reachable = None
         # Report on the session that ended last, until the leader has it.
@@ -177,7 +179,7 @@
             due = self._announced.take_due(now, now + CANDIDATE_INTERVAL)
         for announcement in due:
             try:
-                self._client.identify(announcement)
+                is_confirmed = self._client.identify(announcement)
             except errors.BilberryhavenError as error:
                 self._log.warning(
                     'identify',
@@ -185,10 +187,10 @@
                     announced=announcement.identity,
                 )
                 continue
-            self._follow(announcement)
+            self._follow(announcement, is_confirmed)
             return
 
-    def _follow(self, announcement):
+    def _follow(self, announcement, is_confirmed):
         now = self._clock.monotonic()
         with self._lock:
             known = self._supervisor.target
@@ -200,6 +202,7 @@
             self._supervisor.follow(announcement)
             self._departure.follow(announcement)
             self._answered_at = now
+            self._is_confirmed = is_confirmed
         self._log_follow(announcement, known, 'it answers at its address')
 
     def _leave_server(self, target, epoch, error):
@@ -489,13 +492,7 @@
             self._stopping.wait(IDLE_DELAY_S)
             return
         try:
-            listing = self._client.hold(
-                target,
-                deadline_ms=deadline,
-                epoch=epoch,
-                acked=acked,
-                wait_ms=HOLD_WAIT_MS if deadline is not None else 0,
-            )
+            listing = self._hold(target, deadline, epoch, acked)
         except errors.FencedError as error:
             self._answered_at = self._clock.monotonic()
             self._log.warning(
@@ -528,6 +525,18 @@
         if deadline is None:
             self._stopping.wait(IDLE_DELAY_S)
 
+    def _hold(self, target, deadline, epoch, acked):
+        listing = self._client.hold(
+            target,
+            deadline_ms=deadline,
+            epoch=epoch,
+            acked=acked,
+            wait_ms=HOLD_WAIT_MS if deadline is not None else 0,
+        )
+        if not self._is_confirmed:
+            self._is_confirmed = server_client.check_listing(target, listing)
+        return listing
+
     def _update_server_reachable(self, error):
         reachable = error is None
         if reachable == self._server_reachable:
--- a/bilberryhaven/workflow/server_client.py
+++ b/bilberryhaven/workflow/server_client.py
@@ -8,7 +8,13 @@
 from bilberryhaven import errors
 from bilberryhaven.workflow import message
 
-__all__ = ['Announcement', 'Listing', 'ServerClient', 'StartResult']
+__all__ = [
+    'Announcement',
+    'Listing',
+    'ServerClient',
+    'StartResult',
+    'check_listing',
+]
 
 # Largest number of ends in a listing.
 MAX_ENDS = 500
@@ -72,6 +78,26 @@
     is_whole: bool = True
 
 
+def check_listing(target, listing):
+    """Check that a listing is of the target's incarnation.
+
+    Args:
+        target: The ``Announcement`` of the addressed incarnation.
+        listing: The ``Listing`` that was answered at its address.
+
+    Returns:
+        Whether the listing names its incarnation.
+
+    Raises:
+        GoneError: It names another one.
+    """
+    if listing.born_ms and listing.born_ms != target.state.born_ms:
+        raise errors.GoneError(
+            'another incarnation answered', step='hold', peer=target.address
+        )
+    return bool(listing.born_ms)
+
+
 class ServerClient(abc.ABC):
     """Calls to one backend server.
 
@@ -87,6 +113,10 @@
         Args:
             target: The ``Announcement``; it may be of another writer.
 
+        Returns:
+            Whether it has shown the start of its incarnation. A server that
+            an earlier agent has given a higher token may refuse without it.
+
         Raises:
             GoneError: Another server answers there, or none listens.
             BilberryhavenError: There was no answer, or not a usable one.
@@ -96,14 +126,8 @@
                 target, deadline_ms=None, epoch=0, acked=0, wait_ms=0
             )
         except errors.FencedError:
-            # The server answers; an earlier agent has used a higher token.
-            return
-        if listing.born_ms and listing.born_ms != target.state.born_ms:
-            raise errors.GoneError(
-                'another incarnation answered',
-                step='identify',
-                peer=target.address,
-            )
+            return False
+        return check_listing(target, listing)
 
     @abc.abstractmethod
     def start_run(self, target, order, *, deadline_ms, epoch):
