Let the rig cut links and bring workers forth behind their agents

The rig had no cuts between instances, and its crashes of workers were seen by their agents at once.

Connections to control instances go through a proxy for each link, if a chosen kind needs that: the process's `connect` leads there. Kinds: `cut agent` and `cut leader` (out, in or both; held bytes come when the cut ends), `slow links`, `lossy links`, `silent links`; `silent connections` for those to workers; `reborn, agent stopped` and `reborn, agent cut off` (a worker crashes and starts again, with the same id or another, before its agent goes on), `reborn, clock stepped back` (the later life has an earlier `born`); `suspend` (a stop that the steady clock doesn't count, DEPLOY.md).

A dead instance behind a proxy resets a connection instead of refusing it. A loss is a pause of the link, as TCP sends lost bytes again.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -23,6 +23,7 @@
     DELAY = 'delay'
     MUTE_REQUESTS = 'mute requests'
     MUTE_ANSWERS = 'mute answers'
+    MUTE = 'mute'
 
 
 class Proxy:
@@ -42,6 +43,7 @@
         self._target = target
         self._pairs = set()
         self._to_reset = set()
+        self._silent = set()
         self._closed = threading.Event()
         self._listener = socket.create_server(listen, backlog=128)
         self.address = '{}:{}'.format(*self._listener.getsockname())
@@ -55,6 +57,11 @@
                 # Wakes the reading thread, which closes the socket with RST.
                 _shut_down(sock, socket.SHUT_RD)
 
+    def silence(self):
+        """Forward nothing more on the open connections; new ones work."""
+        for pair in list(self._pairs):
+            self._silent.update(pair)
+
     def close(self):
         """Stop listening and reset the open connections."""
         self._closed.set()
@@ -93,14 +100,21 @@
         reply_thread.join()
         self._pairs.discard(pair)
         self._to_reset.difference_update(pair)
+        self._silent.difference_update(pair)
 
     def _forward(self, source, sink, mute):
         try:
             while data := source.recv(CHUNK_BYTES):
                 if self.mode == Mode.DELAY:
                     time.sleep(DELAY_S)
-                while self.mode == mute and not self._closed.is_set():
+                while (
+                    self.mode in (mute, Mode.MUTE)
+                    and not self._closed.is_set()
+                ):
                     time.sleep(POLL_INTERVAL_S)
+                if source in self._silent:
+                    self._closed.wait()
+                    break
                 sink.sendall(data)
         except OSError:
             # One side was reset; closing both tells the other side.
--- a/soak/rig.py
+++ b/soak/rig.py
@@ -29,7 +29,7 @@
 from review import deployment as review_deployment
 from soak import rig_faults
 from soak import rig_hooks
-from soak import rig_machine_faults  # noqa: F401 (registers its kinds)
+from soak import rig_machine_faults
 from soak import rig_oracle
 from tests import processes
 
@@ -106,7 +106,10 @@
         self.down = set()
         self.lock = threading.RLock()
         self.core_lock = threading.Lock()
-        self.hooks = rig_hooks.Hooks(folder=self.folder)
+        self.hooks = rig_hooks.Hooks(
+            folder=self.folder,
+            has_links=rig_machine_faults.needs_links(kinds),
+        )
         self.stopping = threading.Event()
         self.injected = collections.Counter()
         self.statuses = collections.Counter()
@@ -240,6 +243,9 @@
             self.hosts = {**self.hosts, host.name: host}
             # The settings of a later machine don't found a quorum.
             self._started.update((host.name, role) for role in roles)
+            self.hooks.add_target(
+                host.name, self.find_address(host.name, 'internal')
+            )
         return host.name
 
     def write_seeds(self, seeds):
@@ -297,7 +303,12 @@
                 '--seed',
                 str(self.random.getrandbits(30)),
             ]
-            env = {**os.environ, 'PYTHONPATH': str(HERE)}
+            path = os.pathsep.join([str(rig_hooks.MODULES), str(HERE)])
+            env = {
+                **os.environ,
+                'PYTHONPATH': path,
+                **self.hooks.build_clock_environment((name, 'worker')),
+            }
             self._spawn((name, 'worker'), command, HERE, env)
 
     def _spawn(self, key, command, folder, env):
@@ -395,6 +406,10 @@
         return rig_oracle.find_breaks(self.read_events())
 
     def _start_all(self):
+        for host in self._list('control'):
+            self.hooks.add_target(
+                host.name, self.find_address(host.name, 'internal')
+            )
         for host in self.hosts.values():
             for role in host.roles:
                 self.start(host.name, role)
@@ -508,6 +523,7 @@
         """End all processes."""
         for key in list(self.processes):
             self.kill(key)
+        self.hooks.close()
 
 
 def _weigh_classes(sheet):
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -4,8 +4,9 @@
 the standard input set how it treats calls: ``MODE SHARE SECONDS``, with the
 modes ``late`` (orders are carried out seconds later), ``hang``, ``mute`` (no
 answer), ``busy``, ``reset`` and ``slow``; ``cut 1 0`` closes all connections,
-and ``drain HOW SECONDS`` lets the worker leave. ``MODES`` has those that treat
-other calls as well, or only some.
+``silence 1 0`` leaves them open and silent for good, and ``drain HOW SECONDS``
+lets the worker leave. ``MODES`` has those that treat other calls as well, or
+only some.
 """
 
 import argparse
@@ -135,6 +136,7 @@
             (host, int(port)), type('Handler', (_Handler,), {'worker': self})
         )
         self.connections = set()
+        self.silent = set()
 
     def run(self):
         """Serve until the process ends."""
@@ -161,6 +163,8 @@
                 ).start()
             elif mode == 'cut':
                 self.close_connections()
+            elif mode == 'silence':
+                self.silent.update(self.connections)
             else:
                 self.mode, self.share = mode, float(share)
                 self.mode_until = time.monotonic() + float(seconds)
@@ -299,6 +303,7 @@
 
     def finish(self):
         self.worker.connections.discard(self.connection)
+        self.worker.silent.discard(self.connection)
         with contextlib.suppress(OSError):
             super().finish()
 
@@ -310,6 +315,9 @@
         if expected != worker_id:
             self._answer(421, {})
             return
+        if self.connection in self.worker.silent:
+            self._give_no_answer(HANG_S)
+            return
         mode = self.worker.choose_mode(self.path, fields)
         if mode == 'busy':
             self._answer(503, {})
@@ -344,6 +352,9 @@
         self.close_connection = True
 
     def _answer(self, status, fields):
+        if self.connection in self.worker.silent:
+            self._give_no_answer(HANG_S)
+            return
         model = self.worker.model
         fields = {
             'clock_ms': model.read_clock_ms(),
--- a/tests/test_soak_rig_machines.py
+++ b/tests/test_soak_rig_machines.py
@@ -1,4 +1,4 @@
-"""Tests of the rig's late answers, busy loops, clocks and disks."""
+"""Tests of the rig's late answers, clocks, disks and links."""
 
 import argparse
 import datetime
@@ -6,6 +6,8 @@
 import json
 import os
 import pathlib
+import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -13,6 +15,7 @@
 
 import testtools
 
+from soak import proxy
 from soak import rig
 from soak import rig_faults
 from soak import rig_hooks
@@ -20,8 +23,11 @@
 from soak import rig_worker
 
 HERE = pathlib.Path(__file__).resolve().parent.parent
+REPLY_TIMEOUT_S = 5
+MUTED_TIMEOUT_S = 0.3
 GUARD_S = 60
 BASE_S = 5_000.0
+SUSPENDED_S = 700.0
 STEP_S = 3_600.0
 AGENT = ('side-a-1', 'agent')
 CONTROL = ('front-a-1', 'control')
@@ -36,11 +42,13 @@
 # Prints how far the clocks are from those of the host.
 PRINT_CLOCKS = (
     'import datetime, sys, time\n'
-    'steady, day = map(float, sys.argv[1:])\n'
+    'steady, day = map(float, sys.argv[1:3])\n'
     'utc = datetime.timezone.utc\n'
     'print(time.monotonic() - steady)\n'
     'print(time.clock_gettime(time.CLOCK_MONOTONIC) - steady)\n'
     'print(time.monotonic_ns() / 1e9 - steady)\n'
+    'boot = time.clock_gettime(time.CLOCK_BOOTTIME)\n'
+    'print(boot - float(sys.argv[3]) - 700)\n'
     'print(time.time() - day)\n'
     'print(datetime.datetime.now(utc).timestamp() - day)\n'
 )
@@ -176,6 +184,13 @@
         self.hooks.step_time(AGENT, 0)
         self.hooks.step_time(AGENT, 0)
 
+    def test_suspensions_add_up(self):
+        env = self.hooks.build_environment(AGENT)
+        for _ in range(2):
+            self.hooks.add_suspension(AGENT, 1.5)
+        suspended = self.module.Step(env['RIG_SUSPENDED'])
+        self.assertEqual(3.0, suspended.read())
+
     def test_one_process_alone_is_stepped(self):
         env = self.hooks.build_environment(CONTROL)
         self.hooks.step_time(AGENT, STEP_S)
@@ -183,7 +198,8 @@
         self.assertEqual(0.0, step.read())
 
     def test_clocks_of_a_process(self):
-        self.hooks.bases[AGENT] = BASE_S
+        self.hooks.bases[AGENT] = BASE_S + SUSPENDED_S
+        self.hooks.add_suspension(AGENT, SUSPENDED_S)
         env = {
             **os.environ,
             **self.hooks.build_environment(AGENT),
@@ -192,11 +208,12 @@
         self.hooks.step_time(AGENT, STEP_S)
         command = [sys.executable, '-c', PRINT_CLOCKS]
         command += [str(time.monotonic()), str(time.time())]
+        command.append(str(time.clock_gettime(time.CLOCK_BOOTTIME)))
         output = subprocess.run(
             command, env=env, capture_output=True, check=True, timeout=GUARD_S
         )
         shifts = [float(line) for line in output.stdout.split()]
-        expected = [BASE_S] * 3 + [STEP_S] * 2
+        expected = [BASE_S] * 4 + [STEP_S] * 2
         for shift, seconds in zip(shifts, expected, strict=True):
             self.assertTrue(0 <= shift - seconds < GUARD_S, shifts)
 
@@ -207,6 +224,145 @@
         self.assertIsInstance(shifted(2026, 1, 1), datetime.datetime)
 
 
+class LinkTest(FolderCase):
+    def setUp(self):
+        super().setUp()
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        self.address = '{}:{}'.format(*self.listener.getsockname())
+        self.hooks = rig_hooks.Hooks(folder=self.folder, has_links=True)
+        self.addCleanup(self.hooks.close)
+        self.module = load_process_module()
+
+    def find_proxy(self, env):
+        return self.module.find_proxy(
+            env['RIG_LINKS'], self.listener.getsockname()
+        )
+
+    def test_connections_are_made_to_the_proxy(self):
+        self.hooks.add_target(CONTROL[0], self.address)
+        env = self.hooks.build_environment(AGENT)
+        found = self.find_proxy(env)
+        self.assertNotEqual(self.listener.getsockname(), found)
+        other = ('127.0.0.1', 1)
+        self.assertEqual(
+            other, self.module.find_proxy(env['RIG_LINKS'], other)
+        )
+
+    def test_a_later_machine_is_added_to_the_links_of_the_others(self):
+        env = self.hooks.build_environment(AGENT)
+        self.assertEqual(self.listener.getsockname(), self.find_proxy(env))
+        self.hooks.add_target(CONTROL[0], self.address)
+        self.assertNotEqual(self.listener.getsockname(), self.find_proxy(env))
+
+    def test_a_machine_reaches_itself_without_a_proxy(self):
+        self.hooks.add_target(CONTROL[0], self.address)
+        env = self.hooks.build_environment(CONTROL)
+        self.assertEqual(self.listener.getsockname(), self.find_proxy(env))
+
+    def test_there_are_none_unless_a_kind_needs_them(self):
+        hooks = rig_hooks.Hooks(folder=self.folder)
+        hooks.add_target(CONTROL[0], self.address)
+        self.assertNotIn('RIG_LINKS', hooks.build_environment(AGENT))
+        needs = rig_machine_faults.needs_links
+        self.assertTrue(needs(None))
+        self.assertTrue(needs(['kill', 'cut agent']))
+        self.assertFalse(needs(['kill', 'clock step']))
+
+    def test_bytes_that_a_cut_holds_back_come_when_it_ends(self):
+        self.hooks.add_target(CONTROL[0], self.address)
+        env = self.hooks.build_environment(AGENT)
+        client = socket.create_connection(
+            self.find_proxy(env), REPLY_TIMEOUT_S
+        )
+        self.addCleanup(client.close)
+        server, _ = self.listener.accept()
+        self.addCleanup(server.close)
+        rows = [
+            (proxy.Mode.MUTE, client, server),
+            (proxy.Mode.MUTE, server, client),
+            (proxy.Mode.MUTE_REQUESTS, client, server),
+            (proxy.Mode.MUTE_ANSWERS, server, client),
+        ]
+        for mode, source, sink in rows:
+            self.hooks.set_mode(self.hooks.list_links(), mode)
+            source.sendall(b'x')
+            sink.settimeout(MUTED_TIMEOUT_S)
+            self.assertRaises(TimeoutError, sink.recv, 1)
+            self.hooks.set_mode(self.hooks.list_links(), proxy.Mode.PASS)
+            sink.settimeout(REPLY_TIMEOUT_S)
+            self.assertEqual(b'x', sink.recv(1), mode)
+
+    def test_silence_is_for_good_and_for_open_connections_only(self):
+        self.hooks.add_target(CONTROL[0], self.address)
+        env = self.hooks.build_environment(AGENT)
+        pairs = []
+        for position in range(2):
+            client = socket.create_connection(
+                self.find_proxy(env), REPLY_TIMEOUT_S
+            )
+            self.addCleanup(client.close)
+            server, _ = self.listener.accept()
+            self.addCleanup(server.close)
+            pairs.append((client, server))
+            client.sendall(b'x')
+            server.settimeout(REPLY_TIMEOUT_S)
+            server.recv(1)
+            if not position:
+                self.hooks.silence(self.hooks.list_links())
+        for client, _ in pairs:
+            client.sendall(b'x')
+        self.assertEqual(b'x', pairs[1][1].recv(1))
+        pairs[0][1].settimeout(MUTED_TIMEOUT_S)
+        self.assertRaises(TimeoutError, pairs[0][1].recv, 1)
+
+
+class _CutRig:
+    """Records the modes of the links of two agents and two instances."""
+
+    def __init__(self):
+        self.hooks = self
+        self.modes = {}
+
+    def list_links(self):
+        keys = [('a', 'agent'), ('b', 'agent')]
+        keys += [('c', 'control'), ('d', 'control')]
+        return [(k, t) for k in keys for t in ('c', 'd') if t != k[0]]
+
+    def set_mode(self, links, mode):
+        self.modes.update(dict.fromkeys(links, mode))
+
+
+class CutTest(testtools.TestCase):
+    def cut(self, key, direction):
+        fake = _CutRig()
+        rig_machine_faults._cut(fake, key, direction)
+        return fake.modes
+
+    def test_links_of_an_agent(self):
+        mode = proxy.Mode.MUTE_REQUESTS
+        agent = ('a', 'agent')
+        self.assertEqual(
+            {(agent, 'c'): mode, (agent, 'd'): mode}, self.cut(agent, 'out')
+        )
+
+    def test_links_of_an_instance(self):
+        # What it sends is held back on its own links and, as answers, on
+        # those of the others; what it is sent passes.
+        modes = self.cut(('c', 'control'), 'out')
+        requests = proxy.Mode.MUTE_REQUESTS
+        answers = proxy.Mode.MUTE_ANSWERS
+        self.assertEqual(
+            {
+                (('c', 'control'), 'd'): requests,
+                (('a', 'agent'), 'c'): answers,
+                (('b', 'agent'), 'c'): answers,
+                (('d', 'control'), 'c'): answers,
+            },
+            modes,
+        )
+
+
 class CoreTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -262,3 +418,12 @@
         command = [sys.executable, '-c', rig_machine_faults.BUSY_LOOP, '0.05']
         loop = subprocess.Popen(command)
         self.assertEqual(0, loop.wait(GUARD_S))
+
+
+class KindTest(testtools.TestCase):
+    def test_all_kinds_are_registered(self):
+        names = {
+            rig_faults.choose(random.Random(seed)) for seed in range(2_000)
+        }
+        self.assertTrue(names >= rig_machine_faults.LINK_KINDS)
+        self.assertTrue(names >= {'grants late', 'replace core'})
