--- a/bilberryhaven/agent/reporter.py
+++ b/bilberryhaven/agent/reporter.py
@@ -43,7 +43,7 @@
         backend: The ``BackendClient``.
         leader_client: The ``LeaderClient``.
         clock: Source of the monotonic time.
-        owner: Name of this incarnation, as ADDRESS/INCARNATION.
+        owner: Name of this incarnation, as ADDRESS/INSTANCE/INCARNATION.
         on_replaced: Called once another agent is attached to the backend
             server.
     """
@@ -161,6 +161,11 @@
                 self._admission.drop_lease.defer()
                 self._has_left = self._leaving
             return
+        if status is not None and self._jobs.may_start_late():
+            # Without a lease the server refuses the start, until the stop
+            # that was sent rules it out.
+            _logger.info('no lease is forwarded before a stop is answered')
+            return
         if status is not None and not self._forward_lease(sent_at, status):
             return
         self._admission.renew_lease.defer(
@@ -169,7 +174,9 @@
         if status is not None:
             self._apply_orders(reply)
         self._execute(
-            self._jobs.forget_acknowledged(self._session.pending_events)
+            self._jobs.forget_acknowledged(
+                self._session.pending_events, self._clock.monotonic()
+            )
         )
 
     def _forward_lease(self, sent_at, status):
@@ -240,11 +247,12 @@
     def _resume(self, status):
         """Resume the session of an earlier incarnation if its lease is valid.
 
-        Only an agent at the same address is an earlier incarnation.
+        Only an agent of the same instance at the same address is an earlier
+        incarnation. Sessions of other instances have the same numbers.
         """
         lease = status.lease_remaining_ms * MILLISECOND
-        former_address = status.former_owner.partition('/')[0]
-        if not lease or former_address != self._owner.partition('/')[0]:
+        former = status.former_owner.rpartition('/')[0]
+        if not lease or former != self._owner.rpartition('/')[0]:
             return
         _logger.info(
             'resuming session {} of an earlier incarnation', status.session
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -3,6 +3,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.tables import workflow
 from bilberryhaven.workflow import checkpoints
@@ -40,6 +41,11 @@
         self._closing = {}
         self._outages = outage.OutageDetector()
 
+    @property
+    def earliest_end(self):
+        """Monotonic time at which leases of former terms have expired."""
+        return self.ready_at + self._options.lease_expiry_delay
+
     def begin_term(self):
         """Discard the sessions and measurements of the former term."""
         with self._memory.lock:
@@ -61,14 +67,18 @@
 
     def close_lapsed(self):
         """Close the servers whose leases have expired."""
+        # Read before the sessions: another leader may renew their leases from
+        # the end of that term on.
+        term = self._leader.term
         now = self._clock.monotonic()
-        earliest_end = self.ready_at + self._options.lease_expiry_delay
         with self._memory.lock:
             lapsed = []
             for row in self._memory.state.backends:
                 agent_session = self._memory.sessions.find(row.key)
                 end = (
-                    agent_session.lease_end if agent_session else earliest_end
+                    agent_session.lease_end
+                    if agent_session
+                    else self.earliest_end
                 )
                 if now >= end:
                     lapsed.append((row.key, agent_session))
@@ -90,6 +100,7 @@
                 if agent_session is not None
                 else 'no poll of its agent since the term began',
                 evidence_age=now - polled_at,
+                term=term,
             )
 
     def close_backend(
@@ -103,6 +114,7 @@
         crashed=False,
         started=(),
         crash_age=NO_TIME,
+        term=0,
     ):
         """Close a backend server whose runs have certainly ended.
 
@@ -117,6 +129,10 @@
             started: If so, ``StartedRun`` rows of the runs that it had
                 received shortly before.
             crash_age: If so, time since then, a timedelta.
+            term: The only term in which the evidence holds; 0 for any.
+
+        Raises:
+            NotLeaderError: That term has ended; the server isn't closed.
         """
         saved = []
         suspects, excused, cleared = [], [], []
@@ -147,14 +163,17 @@
             suspects=suspects,
             excused=excused,
         )
-        closed = self._leader.propose(command)
-        with self._memory.lock:
-            if self._closing.get(key) == row.epoch:
-                del self._closing[key]
-            if closed:
-                self._memory.monitor.remove(key)
+        try:
+            closed = self._leader.propose(command, term=term)
+        except errors.NotLeaderError:
+            # It wasn't proposed, so its agent may poll again.
+            self._end_closing(row)
+            raise
+        self._end_closing(row)
         if not closed:
             return
+        with self._memory.lock:
+            self._memory.monitor.remove(key)
         if agent_session is not None:
             self._memory.sessions.remove(key, agent_session)
         self._memory.health.remove(key)
@@ -183,6 +202,11 @@
             self._clear_suspects(cleared)
         self._leader.wake()
 
+    def _end_closing(self, row):
+        with self._memory.lock:
+            if self.is_closing(row):
+                del self._closing[row.key]
+
     def _assess_crash(self, key, started, crash_age):
         """Determine which runs may have caused a crash.
 
--- a/soak/rig_oracle.py
+++ b/soak/rig_oracle.py
@@ -60,6 +60,7 @@
         self._current = {}
         self._ended = {}
         self._late = {}
+        self._newest_at = 0.0
         self._lease_until = float('inf')
 
     def record(self, event):
@@ -67,6 +68,7 @@
         record = getattr(self, f'_record_{event["what"]}', None)
         if record is not None:
             record(event)
+        self._newest_at = max(self._newest_at, event['at'])
 
     def _record_start(self, event):
         run = Run(
@@ -104,11 +106,17 @@
         self._lease_until = event['until']
 
     def _record_exit(self, event):
+        # A process executes nothing after it was sent SIGKILL, but is gone,
+        # and known to be, some milliseconds later. An event that its worker
+        # wrote after that shows that it was still at work.
+        ended_at = event.get('killed_at', event['at'])
+        if self._newest_at > ended_at:
+            ended_at = event['at']
         # A worker that is stopped when its lease expires, and killed before
         # it goes on, doesn't write that down.
-        has_lapsed = self._lease_until < event['at']
+        has_lapsed = self._lease_until < ended_at
         for run in self._current.values():
-            run.ended_at = min(event['at'], self._lease_until)
+            run.ended_at = min(ended_at, self._lease_until)
             run.how = 'lapsed' if has_lapsed else 'exit'
         self._current, self._ended = {}, {}
         self._lease_until = float('inf')
