Start second agents although they are no role of a machine

What was seen: in the merged rig no second agent started, so that the kinds on two agents of a machine played nothing. `start` refuses a role that its machine hasn't, which is how machines are gone for good, and a second agent isn't among the roles.

test_a_second_agent_is_started_on_a_machine_that_is_there failed before: only the first agent was started.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -227,7 +227,7 @@
         with self.lock:
             if (name, role) in self.processes or self.stopping.is_set():
                 return
-            if role not in self.hosts[name].roles:
+            if role.removeprefix('second ') not in self.hosts[name].roles:
                 # The machine is gone for good.
                 return
             path = self._write_settings(name, role)
--- a/tests/test_soak_rig_machines.py
+++ b/tests/test_soak_rig_machines.py
@@ -399,6 +399,14 @@
         self.rig.start(gone, 'control')
         self.assertEqual({}, self.rig.processes)
 
+    def test_a_second_agent_is_started_on_a_machine_that_is_there(self):
+        # Guards against kinds with a second agent that don't start it.
+        started = []
+        self.rig._spawn = lambda key, *args: started.append(key)
+        for role in ('agent', 'second agent', 'control'):
+            self.rig.start(AGENT[0], role)
+        self.assertEqual([AGENT, (AGENT[0], 'second agent')], started)
+
     def test_one_machine_of_the_core_is_lost_at_a_time(self):
         self.rig.core_lock.acquire()
         for kind in ('replace core', 'wipe core'):
