Add leaves without heartbeats and a second pair to the rig

A leave that the agent doesn't hear of depended on a race: a restarted agent heard the next heartbeat, and one that was stopped had them in its backlog.

Change: 'hearsay: leave, heartbeats lost' loses the heartbeats and the deregistration of a worker that leaves; 'second worker, second agent' lets the second worker register at a second agent. Each run names the running workers whose lease nobody renewed in its last 6 s: a heartbeat of another writer mustn't keep a worker from being used. That is no part of the verdict.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -52,6 +52,7 @@
 HOST = 'rig.example'
 START_TIMEOUT_S = 40
 SETTLE_S = 12
+HELD_TIMEOUT_S = 6
 CALL_TIMEOUT_S = 3
 RESTART_DELAY_S = 0.3
 # Machines that take the place of others have higher numbers.
@@ -129,6 +130,7 @@
         self.injected = collections.Counter()
         self.statuses = collections.Counter()
         self.version = 0
+        self.unheld = []
         self._started = set()
         self._new_hosts = 0
         self._lives = {}
@@ -277,8 +279,10 @@
         )
         return json.loads(body) if status == 200 else None
 
-    def start_worker(self, name, *, same_id=False, role='worker'):
-        """Start a worker on a side machine; returns its id."""
+    def start_worker(
+        self, name, *, same_id=False, role='worker', agent='control'
+    ):
+        """Start a worker on a side machine, for the agent at a port."""
         with self.lock:
             if (name, role) in self.processes or self.stopping.is_set():
                 return
@@ -303,7 +307,7 @@
                     name, 'app' if role == 'worker' else 'second app'
                 ),
                 '--agent',
-                self.find_address(name, 'control'),
+                self.find_address(name, agent),
                 '--events',
                 str(self._find_events(name, role)),
                 '--gangs',
@@ -438,11 +442,23 @@
                 self._inject(pool, seconds)
                 concurrent.futures.wait(futures)
                 time.sleep(SETTLE_S)
+            self.unheld = self._find_unheld()
         finally:
             self.stopping.set()
             self.close()
         return rig_oracle.find_breaks(self.read_events())
 
+    def _find_unheld(self):
+        """Return the running workers whose lease nobody renews any more."""
+        events = self.read_events()
+        since = time.monotonic() - HELD_TIMEOUT_S
+        unheld = []
+        for key in self.list_keys(*WORKERS):
+            rows = events.get(self._find_events(*key).stem, [])
+            if not rig_oracle.is_held(rows, since):
+                unheld.append(' '.join(key))
+        return unheld
+
     def _start_all(self):
         for host in self.hosts.values():
             for role in host.roles:
@@ -651,7 +667,7 @@
         print(
             f'{sheet["name"]} seed {seed}: {starts} starts, answers '
             f'{dict(rig.statuses)}, faults {dict(rig.injected)}, '
-            f'{len(breaks)} breaks',
+            f'{len(breaks)} breaks, not held at the end {rig.unheld}',
             flush=True,
         )
         if breaks:
--- a/soak/rig_hearsay.py
+++ b/soak/rig_hearsay.py
@@ -238,6 +238,17 @@
         rig.start(name, 'agent')
 
 
+@rig_faults.register('hearsay: leave, heartbeats lost')
+def lose_leave(rig, random):
+    """A worker leaves while its heartbeats and deregistration are lost."""
+    name = _choose_worker(rig, random)
+    if name is None:
+        return
+    rig.write_mode(name, 'silent', 1.0, DRAIN_S + LINGER_S + 1)
+    with _leaving(rig, random, name):
+        time.sleep(DRAIN_S + LINGER_S)
+
+
 @rig_faults.register('second worker')
 def start_second_worker(rig, random):
     """A worker registers from another port while the first one leaves."""
@@ -254,17 +265,35 @@
         rig.start_worker(name)
 
 
-def _exchange(rig, random, name, role, other):
+def _exchange(rig, random, name, role, other, *, agent='control'):
     process = rig.processes.get((name, role))
     if process is None:
         return
     how = random.choice(['open', 'closed', 'some', 'cut'])
     rig.write_mode(name, 'drain', how, LINGER_S, role=role)
     time.sleep(random.uniform(0.0, DRAIN_S + LINGER_S / 2))
-    rig.start_worker(name, role=other)
+    rig.start_worker(name, role=other, agent=agent)
     rig_faults.await_leave(rig, name, process, role=role)
 
 
+@rig_faults.register('second worker, second agent')
+def start_second_pair(rig, random):
+    """A second worker registers at a second agent while the first leaves."""
+    name = _choose_worker(rig, random)
+    keys = {(name, 'second worker'), (name, 'second agent')}
+    if name is None or keys & set(rig.processes):
+        return
+    rig.start(name, 'second agent')
+    try:
+        port = 'second control'
+        _exchange(rig, random, name, 'worker', 'second worker', agent=port)
+        time.sleep(random.uniform(1.0, 3.0))
+        _exchange(rig, random, name, 'second worker', 'worker')
+    finally:
+        _end_second_agent(rig, random, name)
+        rig.start_worker(name)
+
+
 @rig_faults.register('late poll')
 def hold_poll_up(rig, random):
     """SIGSTOP of an agent just after a strange heartbeat; it goes on later."""
@@ -299,15 +328,18 @@
         changes = _draw_strange(rig, random, name)
         _send(rig, random, name, port=strange, **changes)
         time.sleep(random.uniform(0.1, 0.8))
-    process = rig.processes.pop(key, None)
-    if process is not None:
-        process.send_signal(
-            random.choice([signal.SIGTERM, signal.SIGKILL, signal.SIGKILL])
-        )
-        with contextlib.suppress(subprocess.TimeoutExpired):
-            process.wait(rig_faults.LEAVE_TIMEOUT_S)
-        process.kill()
-        process.wait()
+    _end_second_agent(rig, random, name)
+
+
+def _end_second_agent(rig, random, name):
+    process = rig.processes.pop((name, 'second agent'), None)
+    if process is None:
+        return
+    process.send_signal(random.choice([signal.SIGTERM, signal.SIGKILL]))
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        process.wait(rig_faults.LEAVE_TIMEOUT_S)
+    process.kill()
+    process.wait()
 
 
 def _repeat_heartbeat(rig, name):
--- a/soak/rig_oracle.py
+++ b/soak/rig_oracle.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-__all__ = ['find_breaks']
+__all__ = ['find_breaks', 'is_held']
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -157,3 +157,19 @@
                         f'{run.describe()}'
                     )
     return breaks
+
+
+def is_held(rows, since):
+    """Return whether the lease of a machine's newest worker was renewed.
+
+    Args:
+        rows: Events of its workers.
+        since: Time of the host's clock after which that counts.
+    """
+    worker = rows[-1].get('worker') if rows else None
+    return any(
+        row['what'] == 'lease'
+        and row['worker'] == worker
+        and row['at'] > since
+        for row in rows
+    )
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -4,8 +4,9 @@
 the standard input set how it treats calls: ``MODE SHARE SECONDS``, with the
 modes ``late`` (orders are carried out seconds later), ``hang``, ``mute`` (no
 answer), ``busy``, ``reset`` and ``slow``; ``cut 1 0`` closes all connections,
-and ``drain HOW SECONDS`` lets the worker leave. ``MODES`` has those that treat
-other calls as well, or only some.
+``silent 1 SECONDS`` loses its heartbeats and deregistration, and ``drain HOW
+SECONDS`` lets the worker leave. ``MODES`` has those that treat other calls as
+well, or only some.
 """
 
 import argparse
@@ -129,6 +130,7 @@
         )
         self.mode, self.share, self.mode_until = 'pass', 0.0, 0.0
         self.draining_at = None
+        self.silent_until = 0.0
         self.random = random.Random(args.seed)
         host, _, port = args.listen.partition(':')
         self.server = stand_in._Server(
@@ -161,6 +163,8 @@
                 ).start()
             elif mode == 'cut':
                 self.close_connections()
+            elif mode == 'silent':
+                self.silent_until = time.monotonic() + float(seconds)
             else:
                 self.mode, self.share = mode, float(share)
                 self.mode_until = time.monotonic() + float(seconds)
@@ -197,9 +201,7 @@
             if how == 'some' and self.connections:
                 self._close(self.random.choice(list(self.connections)))
         self.model.write('deregister')
-        stand_in._post(
-            self.args.agent, f'/Instances.Deregister/{self.args.id}', {}
-        )
+        self._post('/Instances.Deregister', {})
         self.model.write('exit')
         os._exit(0)
 
@@ -229,11 +231,15 @@
             if draining:
                 body['remaining_ms'] = self.args.drain_ms
             self.model.write('heartbeat', body=body)
-            acked = stand_in._post(
-                self.args.agent, f'/Instances.Heartbeat/{self.args.id}', body
-            )
+            acked = self._post('/Instances.Heartbeat', body)
             time.sleep(self.args.heartbeat_ms / 1000 if acked else 0.2)
 
+    def _post(self, path, body):
+        """Call the agent; return whether it acknowledged the call."""
+        if time.monotonic() < self.silent_until:
+            return False
+        return stand_in._post(self.args.agent, f'{path}/{self.args.id}', body)
+
     def choose_mode(self, path, fields):
         """Return how to treat a call."""
         if time.monotonic() >= self.mode_until:
--- a/tests/test_soak_rig.py
+++ b/tests/test_soak_rig.py
@@ -161,3 +161,22 @@
                 killed_at = time.monotonic()
                 process.wait()
                 return max(struct.unpack('4d', data[:])), killed_at
+
+
+class HeldWorkerTest(testtools.TestCase):
+    """Guards against a worker that nobody uses after a strange heartbeat."""
+
+    def test_is_held(self):
+        rows = [
+            {'at': 1, 'what': 'lease', 'worker': 'i-1'},
+            {'at': 3, 'what': 'lease', 'worker': 'i-2'},
+            {'at': 4, 'what': 'heartbeat', 'worker': 'i-2'},
+        ]
+        other = {'at': 5, 'what': 'heartbeat', 'worker': 'i-3'}
+        for events, since, held in (
+            (rows, 2, True),
+            (rows, 3, False),
+            ([*rows, other], 2, False),
+            ([], 0, False),
+        ):
+            self.assertEqual(held, rig_oracle.is_held(events, since))
--- a/tests/test_soak_rig_hearsay.py
+++ b/tests/test_soak_rig_hearsay.py
@@ -24,11 +24,13 @@
     'hearsay: later born',
     'hearsay: leave, agent restarted',
     'hearsay: leave, agent stopped',
+    'hearsay: leave, heartbeats lost',
     'hearsay: own id, unnamed service',
     'late poll',
     'leader restart, strange heartbeats',
     'second agent',
     'second worker',
+    'second worker, second agent',
 )
 
 
