--- a/soak/rig_hearsay.py
+++ b/soak/rig_hearsay.py
@@ -244,7 +244,7 @@
     name = _choose_worker(rig, random)
     if name is None:
         return
-    rig.write_mode(name, 'silent', 1.0, DRAIN_S + LINGER_S + 1)
+    rig.write_mode(name, 'unheard', 1.0, DRAIN_S + LINGER_S + 1)
     with _leaving(rig, random, name):
         time.sleep(DRAIN_S + LINGER_S)
 
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -4,9 +4,9 @@
 the standard input set how it treats calls: ``MODE SHARE SECONDS``, with the
 modes ``late`` (orders are carried out seconds later), ``hang``, ``mute`` (no
 answer), ``busy``, ``reset`` and ``slow``; ``cut 1 0`` closes all connections,
-``silent 1 SECONDS`` loses its heartbeats and deregistration, and ``drain HOW
-SECONDS`` lets the worker leave. ``MODES`` has those that treat other calls as
-well, or only some.
+``silence 1 0`` leaves them open and silent for good, ``unheard 1 SECONDS``
+loses its heartbeats and deregistration, and ``drain HOW SECONDS`` lets the
+worker leave. ``MODES`` has those that treat other calls as well, or only some.
 """
 
 import argparse
@@ -130,13 +130,14 @@
         )
         self.mode, self.share, self.mode_until = 'pass', 0.0, 0.0
         self.draining_at = None
-        self.silent_until = 0.0
+        self.unheard_until = 0.0
         self.random = random.Random(args.seed)
         host, _, port = args.listen.partition(':')
         self.server = stand_in._Server(
             (host, int(port)), type('Handler', (_Handler,), {'worker': self})
         )
         self.connections = set()
+        self.silent = set()
 
     def run(self):
         """Serve until the process ends."""
@@ -163,8 +164,10 @@
                 ).start()
             elif mode == 'cut':
                 self.close_connections()
-            elif mode == 'silent':
-                self.silent_until = time.monotonic() + float(seconds)
+            elif mode == 'silence':
+                self.silent.update(self.connections)
+            elif mode == 'unheard':
+                self.unheard_until = time.monotonic() + float(seconds)
             else:
                 self.mode, self.share = mode, float(share)
                 self.mode_until = time.monotonic() + float(seconds)
@@ -236,7 +239,7 @@
 
     def _post(self, path, body):
         """Call the agent; return whether it acknowledged the call."""
-        if time.monotonic() < self.silent_until:
+        if time.monotonic() < self.unheard_until:
             return False
         return stand_in._post(self.args.agent, f'{path}/{self.args.id}', body)
 
@@ -305,6 +308,7 @@
 
     def finish(self):
         self.worker.connections.discard(self.connection)
+        self.worker.silent.discard(self.connection)
         with contextlib.suppress(OSError):
             super().finish()
 
@@ -316,6 +320,9 @@
         if expected != worker_id:
             self._answer(421, {})
             return
+        if self.connection in self.worker.silent:
+            self._give_no_answer(HANG_S)
+            return
         mode = self.worker.choose_mode(self.path, fields)
         if mode == 'busy':
             self._answer(503, {})
@@ -350,6 +357,9 @@
         self.close_connection = True
 
     def _answer(self, status, fields):
+        if self.connection in self.worker.silent:
+            self._give_no_answer(HANG_S)
+            return
         model = self.worker.model
         fields = {
             'clock_ms': model.read_clock_ms(),
