Send the address of another worker in the rig

A heartbeat with the worker's id may name an address at which another worker answers 421 and another born; no kind sent that. 'hearsay: address of another worker' does.

--- a/soak/rig_hearsay.py
+++ b/soak/rig_hearsay.py
@@ -134,6 +134,17 @@
         _send(rig, random, name, id='worker', address=address, **service)
 
 
+@rig_faults.register('hearsay: address of another worker')
+def send_address_of_another(rig, random):
+    """A heartbeat with the worker's id and the address of another worker."""
+    for name in rig_faults.choose_workers(rig, random, SHARE):
+        others = set(rig_faults.choose_workers(rig, random, 1)) - {name}
+        if others:
+            address = rig.find_address(random.choice(sorted(others)), 'app')
+            service = _choose_service(random)
+            _send(rig, random, name, id='worker', address=address, **service)
+
+
 @rig_faults.register('hearsay: later born')
 def send_later_born(rig, random):
     """A heartbeat with an id of its own, or the worker's, born later."""
--- a/tests/test_soak_rig_hearsay.py
+++ b/tests/test_soak_rig_hearsay.py
@@ -16,6 +16,7 @@
 }
 KINDS = (
     'agent restart, strange first',
+    'hearsay: address of another worker',
     'hearsay: born missing',
     'hearsay: closed address',
     'hearsay: deregistration',
