--- a/tests/test_soak_rig_hearsay.py
+++ b/tests/test_soak_rig_hearsay.py
@@ -16,6 +16,7 @@
 }
 KINDS = (
     'agent restart, strange first',
+    'hearsay: address of another worker',
     'hearsay: born missing',
     'hearsay: closed address',
     'hearsay: deregistration',
@@ -24,11 +25,13 @@
     'hearsay: later born',
     'hearsay: leave, agent restarted',
     'hearsay: leave, agent stopped',
+    'hearsay: leave, heartbeats lost',
     'hearsay: own id, unnamed service',
     'late poll',
     'leader restart, strange heartbeats',
     'second agent',
     'second worker',
+    'second worker, second agent',
 )
 
 
