Let an odd row in a listing keep open only the run that it names

The protocol lets the other rows hold.

Change: a listing is whole if it isn't cut at 500 ends. A run that an odd end names isn't taken for absent.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -107,6 +107,14 @@
     run: border.Number
 
 
+class _EndedRunRow(msgspec.Struct, array_like=True):
+    """What identifies the run in the row of an end."""
+
+    number: msgspec.Raw
+    task: str
+    run: border.Number
+
+
 class _EndRow(msgspec.Struct, array_like=True):
     """The end of a run."""
 
@@ -415,18 +423,21 @@
     with _ANSWER_GUARD:
         lists = _decode_answer(body, _Lists)
         max_number = acked + MAX_UNACKNOWLEDGED_ENDS
-        running = _decode_rows(lists.running, _decode_running)
         ends = _decode_rows(
             lists.finished,
             functools.partial(_decode_end, max_number=max_number),
         )
+        odd_ends = set()
+        if len(ends) < len(lists.finished):
+            named = {_find_run(row) for row in lists.finished}
+            odd_ends = named - {None} - {end.run for end in ends}
         return server_client.Listing(
             clock_ms=lists.clock_ms,
             born_ms=lists.born,
-            running=running,
+            running=_decode_rows(lists.running, _decode_running),
             ends=ends,
-            is_whole=len(ends) == len(lists.finished) < server_client.MAX_ENDS
-            and len(running) == len(lists.running),
+            is_whole=len(lists.finished) < server_client.MAX_ENDS,
+            odd_ends=odd_ends,
         )
 
 
@@ -449,6 +460,15 @@
     return decoded
 
 
+def _find_run(raw):
+    """Return the run that a row of an end names, or None."""
+    try:
+        row = msgspec.json.decode(raw, type=_EndedRunRow)
+        return _decode_run(row)
+    except (msgspec.MsgspecError, RecursionError, ValueError):
+        return None
+
+
 def _decode_run(row):
     if not TASK_NAME.fullmatch(row.task):
         raise ValueError(f'no name of a task: {row.task!r}')
--- a/bilberryhaven/workflow/server_client.py
+++ b/bilberryhaven/workflow/server_client.py
@@ -67,8 +67,8 @@
         running: The ``Running`` rows of the runs that are present.
         ends: The oldest ``RunEnd`` rows that have not been acknowledged, at
             most ``MAX_ENDS``.
-        is_whole: Whether a run that it lacks is neither present nor ended:
-            it isn't cut at ``MAX_ENDS``, and no row was left out.
+        is_whole: Whether it contains all ends: it isn't cut at ``MAX_ENDS``.
+        odd_ends: Runs that rows of ends name whose other values are odd.
     """
 
     clock_ms: int
@@ -76,6 +76,9 @@
     running: list[message.Running]
     ends: list[workflow_commands.RunEnd]
     is_whole: bool = True
+    odd_ends: set[workflow_commands.RunRef] = dataclasses.field(
+        default_factory=set
+    )
 
 
 def check_listing(target, listing):
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -388,7 +388,8 @@
         self.listed_epoch = epoch
         names_target = listing.born_ms == self.target.state.born_ms
         if listing.is_whole and names_target:
-            self._resolve_doubtful_runs({end.run for end in ends}, sent_at)
+            ended = listing.odd_ends.union(end.run for end in ends)
+            self._resolve_doubtful_runs(ended, sent_at)
         self._add_allowed_paces(listing.running)
         self._update_paces(listing.running, now)
         return self._build_report(
