Grant no further lease to a server that is silent or refuses

Change: starts and renewals share one rule; after a refused connection, or a whole lease without an answer, nothing more is granted.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -345,22 +345,10 @@
         # one is answered.
         refused = RunPhase.DOUBTFUL
         for _ in range(START_ATTEMPTS):
-            with self._lock:
-                now = self._clock.monotonic()
-                deadline = self._supervisor.grant_deadline(now)
-                allowed = self._supervisor.may_start(order.run)
-                listed = self._supervisor.is_listed(order.run)
-                refusal = self._find_refusal(order.run, now)
-            if listed:
-                return RunPhase.STARTED, ''
-            if refusal:
-                self._log_start_given_up(
-                    target, order, refusal, outcome='unknown'
-                )
-                # No trouble of the server: it isn't set aside for it. An
-                # earlier attempt may still be executed, hence the stop.
-                return None, ''
-            if deadline is None or not allowed:
+            deadline, outcome = self._prepare_start(target, order, refused)
+            if outcome is not None:
+                return outcome
+            if deadline is None:
                 break
             try:
                 result = self._send_start(target, epoch, order, deadline)
@@ -381,6 +369,50 @@
             trouble = 'start request arrived after its deadline'
         return None, trouble
 
+    def _prepare_start(self, target, order, refused):
+        """Return a deadline for a start, and its outcome if none is sent.
+
+        Args:
+            target: The ``Announcement`` of the server.
+            order: The ``Order``.
+            refused: The phase if a start is refused.
+
+        Returns:
+            The deadline or None, and the (phase, trouble) pair or None.
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            deadline = self._grant_deadline(now)
+            allowed = self._supervisor.may_start(order.run)
+            listed = self._supervisor.is_listed(order.run)
+            refusal = self._find_refusal(order.run, now)
+            is_refusing = self._departure.is_refusing
+        if listed:
+            return None, (RunPhase.STARTED, '')
+        if refusal:
+            self._log_start_given_up(target, order, refusal, outcome='unknown')
+            # No trouble of the server: it isn't set aside for it. An
+            # earlier attempt may still be executed, hence the stop.
+            return None, (None, '')
+        if is_refusing:
+            return None, (refused, 'backend server refuses connections')
+        return (deadline if allowed else None), None
+
+    def _grant_deadline(self, now):
+        """Grant all runs a deadline; the lock must be held.
+
+        A server that refuses connections, or has been silent for a whole
+        lease, must not be taken to have received a later one, or its lease
+        would never expire.
+        """
+        answered_at = self._answered_at
+        is_silent = (
+            answered_at is not None and now - answered_at > self._options.lease
+        )
+        if self._departure.is_refusing or is_silent:
+            return None
+        return self._supervisor.grant_deadline(now)
+
     def _find_refusal(self, run, now):
         """Return why a start must not be sent, or an empty string."""
         if not self._supervisor.fits(run):
@@ -483,11 +515,7 @@
             epoch = self._supervisor.epoch
             acked = self._supervisor.acked
             sent_at = self._clock.monotonic()
-            # A server that refuses connections must not be taken to have
-            # received a later deadline, or its lease would never lapse.
-            deadline = None
-            if not self._departure.is_refusing:
-                deadline = self._supervisor.grant_deadline(sent_at)
+            deadline = self._grant_deadline(sent_at)
         if target is None:
             self._stopping.wait(IDLE_DELAY_S)
             return
--- a/tests/test_workflow_hearsay.py
+++ b/tests/test_workflow_hearsay.py
@@ -217,6 +217,20 @@
         self.announce(sequence=2, draining=True)
         self.check_lease_is_waited_for()
 
+    def test_silent_server_lapses(self):
+        """Guards against runs that wait for ever for a server that is gone."""
+        self.hosts.silent.add(ADDRESS)
+        self.work(5)
+        self.assertEqual([], self.leader.lapsed)
+        self.work(7)
+        self.assertEqual(['s@1'], self.leader.lapsed)
+
+    def test_server_that_answers_again_in_time_is_kept(self):
+        self.hosts.silent.add(ADDRESS)
+        self.work(4)
+        self.hosts.silent.clear()
+        self.check_server_is_kept()
+
     def test_deregistration(self):
         self.agent.handle_deregistration('s', 1)
         self.check_lease_is_waited_for()
