Resolve refused starts at a server that never names its incarnation

Cause: a run was taken for absent only by listings that name the followed incarnation, so that at a server without `born` in its lists a refused start was never reported as rejected (found by the review, by reading).

Change: a listing without `born` counts unless an earlier one of the session had it.

Measured: test_absent_run_is_rejected of UnnamingServerTest failed before ([] instead of ['rejected']).

--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -102,6 +102,7 @@
         self._listed = set()
         self._listing_sent_at = None
         self._listing_count = 0
+        self._names_incarnation = False
         self._effects = {}
         self._pacer = pacing.Pacer()
         self.evidence = crash_evidence.CrashEvidence()
@@ -386,8 +387,7 @@
         self._listed = {row.run for row in listing.running}
         self._listing_sent_at = sent_at
         self.listed_epoch = epoch
-        names_target = listing.born_ms == self.target.state.born_ms
-        if listing.is_whole and names_target:
+        if listing.is_whole and self._is_of_target(listing):
             ended = listing.odd_ends.union(end.run for end in ends)
             self._resolve_doubtful_runs(ended, sent_at)
         self._add_allowed_paces(listing.running)
@@ -401,6 +401,15 @@
             trouble=self._trouble,
         )
 
+    def _is_of_target(self, listing):
+        """Return whether a listing is of the followed incarnation.
+
+        Servers that name their incarnation do so in each listing.
+        """
+        self._names_incarnation |= listing.born_ms > 0
+        born_ms = self.target.state.born_ms if self._names_incarnation else 0
+        return listing.born_ms == born_ms
+
     def _build_report(self, listing, **fields):
         return message.Report(
             agent=self._agent,
--- a/tests/test_workflow_absence.py
+++ b/tests/test_workflow_absence.py
@@ -149,6 +149,23 @@
         self.check(born=None)
 
 
+class UnnamingServerTest(AbsenceTest):
+    """A server that names its incarnation in no listing.
+
+    Guards against refused starts that are never reported as rejected.
+    """
+
+    def list(self, *, epoch=1, clock_ms=1000):
+        now = self.clock.monotonic()
+        listing = test_workflow_agent.build_listing(clock_ms)
+        listing.born_ms = 0
+        return self.supervisor.handle_listing(listing, epoch, now, now)
+
+    def test_absent_run_is_rejected(self):
+        self.stop()
+        self.assertEqual(['rejected'], self.hold(born=None))
+
+
 class UnnamedTargetTest(AbsenceTest):
     """The heartbeat lacks the start that the listing names."""
 
