End runs of a former server once the next one answers at its address

Cause: an agent that was started again doesn't know its former server, so that nobody reported its end.

Change: a registration holds the address at which the server has shown its start to its agent. A poll for a later incarnation that has shown its own at the same address is the answer of another incarnation from an address that was the former one's, and ends it. A poll without that ends nothing.

Measured: test_answer_of_a_later_incarnation_at_its_address_ends_it fails without the change; two tests pin that another or an unknown address, and a late poll, end nothing.

--- a/bilberryhaven/commands/backend.py
+++ b/bilberryhaven/commands/backend.py
@@ -25,6 +25,8 @@
         row = self.backend
         known = state.backends.find(row.key)
         row.acked = known.acked if known else 0
+        if known and not row.address:
+            row.address = known.address
         row.epoch = state.counters.advance(EPOCH_COUNTER)
         state.backends.put(row)
         return row
--- a/bilberryhaven/tables/backend.py
+++ b/bilberryhaven/tables/backend.py
@@ -52,6 +52,8 @@
         gpu: Its accelerators.
         epoch: Fencing token of the agent that may give it orders.
         acked: Number of its newest run end that has been recorded.
+        address: HOST:PORT at which it has shown its start to its agent; empty
+            if unknown.
     """
 
     key: str
@@ -66,6 +68,7 @@
     gpu: int = 0
     epoch: int = 0
     acked: int = 0
+    address: str = ''
 
 
 @tables.register('backends')
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -250,7 +250,8 @@
             poll = None
             if ready:
                 poll = self._supervisor.build_poll(
-                    refusing=self._departure.is_refusing
+                    refusing=self._departure.is_refusing,
+                    address=target.address if self._is_confirmed else '',
                 )
             lapse_report = self._lapse_report
         if poll is None:
--- a/bilberryhaven/workflow/message.py
+++ b/bilberryhaven/workflow/message.py
@@ -187,6 +187,8 @@
             ones are newer.
         refusing: Whether the server refuses connections: it has crashed or
             is leaving, and its runs end with their lease.
+        address: HOST:PORT at which the server has shown its start; empty if
+            it hasn't.
     """
 
     agent: str
@@ -196,6 +198,7 @@
     seen: border.Number = 0
     sequence: border.Number = 0
     refusing: bool = False
+    address: border.Text = ''
 
 
 class PollReply(Reply, kw_only=True):
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -69,6 +69,7 @@
     def _open_backend(self, key, request):
         self._check_pool(key, request)
         self._check_not_replaced(key, request)
+        self._close_replaced(key, request)
         server = request.server
         row = backend.Backend(
             key=key,
@@ -81,6 +82,7 @@
             cpu=server.cpu,
             memory_mb=server.memory_mb,
             gpu=server.gpu,
+            address=request.address,
         )
         command = backend_commands.OpenBackend(
             backend=row, at=self._clock.wall().timestamp()
@@ -147,6 +149,32 @@
                 peer=request.agent,
             )
 
+    def _close_replaced(self, key, request):
+        """Close the earlier servers at whose address this one has answered.
+
+        An agent that was started again doesn't know its former server, but the
+        answer of another incarnation at that one's own address shows its end.
+        """
+        if not request.address:
+            return
+        born_ms = request.server.born_ms
+        with self._memory.lock:
+            replaced = [
+                (row.key, self._memory.sessions.find(row.key))
+                for row in self._memory.state.backends.select(
+                    'instance', request.agent
+                )
+                if row.address == request.address
+                and backend.get_born_ms(row.key) < born_ms
+            ]
+        for replaced_key, agent_session in replaced:
+            self._closer.close_backend(
+                replaced_key,
+                agent_session,
+                'another incarnation has answered at its address',
+                evidence=f'{key} answers at {request.address}',
+            )
+
     def _may_be_followed(self, key, now):
         agent_session = self._memory.sessions.find(key)
         if agent_session is None:
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -157,11 +157,12 @@
         self._reset()
         self.target = target
 
-    def build_poll(self, *, refusing=False):
+    def build_poll(self, *, refusing=False, address=''):
         """Return the next ``Poll``.
 
         Args:
             refusing: Whether the server refuses connections.
+            address: Where it has shown its start, or empty.
         """
         self._settled = set(self._rejected)
         return message.Poll(
@@ -172,6 +173,7 @@
             seen=self._seen,
             sequence=self.target.sequence,
             refusing=refusing,
+            address=address,
         )
 
     def handle_poll_reply(self, reply, sent_at, now):
--- a/tests/test_workflow_registration.py
+++ b/tests/test_workflow_registration.py
@@ -60,6 +60,45 @@
             self.advance(STEP_S)
 
 
+class AddressTest(test_workflow_dispatcher.DispatcherTest):
+    """The agent was started again together with its server.
+
+    Guards against tasks that wait for a lease although the next incarnation
+    answers at the address of the former, and against an end on less evidence.
+    """
+
+    def register(self, first_address, second_address, *, born_ms=2):
+        self.replace()
+        self.submit('w1')
+        self.poll(address=first_address)
+        self.schedule()
+        # An agent that was started again hasn't seen the start yet.
+        self.poll(address='')
+        self.poll(born_ms=born_ms, address=second_address)
+        return self.list_runs()
+
+    def list_runs(self):
+        row = self.state.workflows.find('w1')
+        return [run.backend for _, run in row.list_runs()]
+
+    def test_answer_of_a_later_incarnation_at_its_address_ends_it(self):
+        self.assertEqual([], self.register('h:1', 'h:1'))
+
+    def test_answer_at_another_or_an_unknown_address_ends_nothing(self):
+        for addresses in (('h:1', 'h:2'), ('h:1', ''), ('', 'h:1'), ('', '')):
+            self.machine = machine.TableStateMachine()
+            self.replica = workflow_replica.FakeReplica(self.machine)
+            self.leader = self.build_leader()
+            self.feeds = {}
+            self.assertEqual(['s-i@1'], self.register(*addresses), addresses)
+
+    def test_late_poll_of_an_earlier_incarnation_ends_nothing(self):
+        self.assertRaises(
+            errors.FencedError, self.register, 'h:1', 'h:1', born_ms=0
+        )
+        self.assertEqual(['s-i@1'], self.list_runs())
+
+
 class FollowedServerTest(SecondServerTest):
     def test_poll_for_another_server_ends_no_run(self):
         self.schedule()
