--- a/bilberryhaven/workflow/announced.py
+++ b/bilberryhaven/workflow/announced.py
@@ -1,6 +1,10 @@
 """Backend servers that were announced to an agent; no I/O."""
 
+import dataclasses
+import datetime
+
 from bilberryhaven import clock as clocks
+from bilberryhaven.workflow import server_client
 
 __all__ = ['AnnouncedServers']
 
@@ -9,6 +13,21 @@
 MAX_AGE = clocks.seconds(30)
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Candidate:
+    """An announced server.
+
+    Attributes:
+        announcement: Its newest ``Announcement``.
+        heard_at: Monotonic time of the newest heartbeat.
+        due_at: Monotonic time from which on it may be asked.
+    """
+
+    announcement: server_client.Announcement
+    heard_at: datetime.timedelta
+    due_at: datetime.timedelta
+
+
 class AnnouncedServers:
     """Newest announcements of the servers that an agent doesn't follow.
 
@@ -18,7 +37,8 @@
     """
 
     def __init__(self):
-        self._rows = {}
+        # By identity, in the order in which they were heard of last.
+        self._candidates = {}
 
     def record(self, announcement, now):
         """Store an announcement unless a newer one of the server is known.
@@ -27,15 +47,17 @@
             announcement: The ``Announcement``.
             now: Monotonic time.
         """
-        known = self._rows.pop(announcement.identity, None)
-        not_before = now
-        if known is not None:
-            not_before = known[2]
-            if known[0].sequence > announcement.sequence:
-                announcement = known[0]
-        self._rows[announcement.identity] = (announcement, now, not_before)
-        if len(self._rows) > MAX_SERVERS:
-            del self._rows[next(iter(self._rows))]
+        known = self._candidates.pop(announcement.identity, None)
+        if known is None:
+            known = _Candidate(
+                announcement=announcement, heard_at=now, due_at=now
+            )
+        elif announcement.sequence > known.announcement.sequence:
+            known.announcement = announcement
+        known.heard_at = now
+        self._candidates[announcement.identity] = known
+        if len(self._candidates) > MAX_SERVERS:
+            del self._candidates[next(iter(self._candidates))]
 
     def take_due(self, now, retry_at):
         """Return the servers to be asked now, those heard of last first.
@@ -47,22 +69,22 @@
         Returns:
             The ``Announcement`` rows.
         """
-        self._rows = {
+        self._candidates = {
             identity: row
-            for identity, row in self._rows.items()
-            if now - row[1] < MAX_AGE
+            for identity, row in self._candidates.items()
+            if now - row.heard_at < MAX_AGE
         }
-        due = [row[0] for row in self._rows.values() if row[2] <= now]
-        for announcement in due:
-            self.put_off(announcement, retry_at)
-        return due[::-1]
+        due = [row for row in self._candidates.values() if row.due_at <= now]
+        for row in due:
+            row.due_at = retry_at
+        return [row.announcement for row in reversed(due)]
 
     def put_off(self, announcement, until):
-        """Let a server not be due before ``until``."""
-        row = self._rows.get(announcement.identity)
+        """Let a server not be due before ``until``, a monotonic time."""
+        row = self._candidates.get(announcement.identity)
         if row is not None:
-            self._rows[announcement.identity] = (*row[:2], until)
+            row.due_at = until
 
     def remove(self, announcement):
         """Remove a server."""
-        self._rows.pop(announcement.identity, None)
+        self._candidates.pop(announcement.identity, None)
