Test that a stopping agent rejects no unresolved start

An agent that is stopped gives up repeating an unanswered stop, and takes that for its answer. Its last listing then reports the run as rejected, although a start without an answer may be executed later.

--- a/tests/test_workflow_absence.py
+++ b/tests/test_workflow_absence.py
@@ -233,3 +233,32 @@
         self.start()
         self.assertEqual([], self.hold(running=[[TASK, 1]]))
         self.assertEqual([], self.hold())
+
+
+class StoppingAgentTest(AbsenceTest):
+    """An agent that stops gives up asking, which is no answer to a stop.
+
+    It may request one more listing, and a start without an answer may be
+    executed after that.
+    """
+
+    lost = errors.PeerError('no answer', step='call')
+
+    def test_stop_without_an_answer_proves_nothing(self):
+        self.client.stops = [self.lost]
+        self.client.before_answer['stop'] = self.agent.stop
+        self.stop()
+        self.assertEqual(['stop'], self.client.calls)
+        self.assertEqual([], self.hold())
+
+    def test_start_of_unknown_outcome_is_not_rejected(self):
+        self.client.starts = [self.lost] * 3
+        self.client.before_answer['start'] = self.agent.stop
+        self.start()
+        self.assertEqual([], self.hold())
+
+    def test_start_after_a_lost_one_is_not_rejected(self):
+        self.client.starts = [self.lost, BUSY]
+        self.client.before_answer['start'] = self.agent.stop
+        self.start()
+        self.assertEqual([], self.hold())
