Take no unanswered stop for answered when an agent stops

What callers saw, or would see: a task runs on two backend servers at once, after the agent of the first one was stopped as planned.

Cause: a start without an answer may be executed later, so the agent repeats a stop until it is answered, which rules the start out. When the agent itself is stopped, it left that loop and marked the run as if the stop had been answered. A listing that it requested after that reported the run as rejected. Orders that were still queued took the same way. It needs an agent that is stopped while starts are left unanswered, and the thread that stops it to be preempted between its first and its last statement.

Change: only the answer to a stop marks the run. Otherwise it stays assigned to its server until the next agent of the instance, whose token excludes former starts, has listed the runs, or the lease has run out.

The other places where a loop ends with the process (the wait for a listing, the renewal of the lease) draw no conclusion from it.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -488,19 +488,20 @@
                     return
             try:
                 self._client.stop_run(target, order.run, epoch=epoch)
-                break
             except (errors.PeerError, errors.GoneError):
                 # If that incarnation has ended, the token changes soon.
                 self._stopping.wait(RETRY_DELAY_S)
+                continue
             except errors.BilberryhavenError as error:
                 _logger.warning(
                     'backend server refused to stop a run: {}', error
                 )
-                break
             except Exception:  # noqa: BLE001
                 _logger.exception('stop of run {} failed', order.run)
                 self._stopping.wait(RETRY_DELAY_S)
-        self._set_phase(epoch, order.run, RunPhase.DOUBTFUL)
+                continue
+            self._set_phase(epoch, order.run, RunPhase.DOUBTFUL)
+            return
 
     def _set_phase(self, epoch, run, phase, *, trouble=''):
         with self._lock:
