Test a new agent's deadline that passes before its predecessor's

A new agent that reads the server's clock late may grant less than its predecessor did. Once that has passed it takes the lease for expired and voids ends as done, although the server still holds the longer lease.

--- a/tests/test_workflow_supervision.py
+++ b/tests/test_workflow_supervision.py
@@ -140,6 +140,36 @@
         self.clock.advance(clocks.seconds(1.1))
         self.assertEqual([self.done], self.list_done(4100).ends)
 
+    def grant_less_than_predecessor(self):
+        """Grant a deadline on a listing that was read late, then freeze.
+
+        The predecessor's last one, 7950, was never reported.
+        """
+        self.clock.advance(clocks.seconds(0.8))
+        self.list(clock_ms=3100)
+        self.assertEqual(7300, self.supervisor.grant_deadline(self.now()))
+        self.clock.advance(clocks.seconds(3.7))
+
+    def test_own_deadline_passes_within_the_predecessors_lease(self):
+        """Guards against a task started again after its noted end."""
+        self.take_over(deadline_ms=7000, doubt_ms=5600)
+        self.grant_less_than_predecessor()
+        report = self.list_done(7500)
+        self.assertEqual(([], 0), (report.ends, report.upto))
+        self.assertIsNone(self.supervisor.grant_deadline(self.now()))
+        self.clock.advance(clocks.seconds(1.2))
+        self.poll(epoch=8)
+        report = self.list_done(8700)
+        self.assertEqual(['lapsed'], [end.how for end in report.ends])
+        self.assertIsNotNone(self.supervisor.grant_deadline(self.now()))
+
+    def test_own_deadline_passes_within_a_lease_of_unknown_length(self):
+        """Guards against a task started again after its noted end."""
+        self.take_over(deadline_ms=0, doubt_ms=5600)
+        self.grant_less_than_predecessor()
+        report = self.list_done(7500, running=[build_ref(2)])
+        self.assertEqual([self.done], report.ends)
+
     def test_nothing_is_granted_or_reported_while_a_lapse_is_uncertain(self):
         self.take_over(deadline_ms=4000, doubt_ms=2000)
         report = self.list_done(4500, running=[build_ref(2)])
