Doubt a lapse while the predecessor's lease may last

What callers would see: a task is started again after its end as done was acknowledged to its server.

Cause: a deadline never gets shorter on the server, but a new agent judged the lease by its own deadline as soon as that was later than the one its predecessor had reported. Its own is earlier than the predecessor's last, unreported one if the agent read the server's clock late, e.g. since it was paused with the listing in hand. Paused again until that has passed, it took the lease for expired and voided ends as done.

Change: until the predecessor's lease has certainly ended (at most 5.6 s after the token was issued), a deadline that has passed is a doubt, whoever granted it: nothing is reported or granted until a present run or that time shows which it was. It costs that wait, in that case only.

Evidence: two tests of AgentTakeoverTest that failed before. Not seen with real processes: it takes two pauses of one agent within 5 s of its start.

--- a/bilberryhaven/workflow/run_lease.py
+++ b/bilberryhaven/workflow/run_lease.py
@@ -116,7 +116,7 @@
         Returns:
             Whether it is known which of the listed ends count.
         """
-        self._doubt_former_lease(listing)
+        self._doubt_former_lease(listing, now)
         if not self._resolve_uncertain_lease(listing, now):
             return False
         if 0 < self.deadline_ms <= listing.clock_ms:
@@ -135,16 +135,18 @@
         """
         return _void_lapsed_ends(ends, self._void_upto)
 
-    def _doubt_former_lease(self, listing):
-        """Doubt the former lease again once its known deadline has passed.
+    def _doubt_former_lease(self, listing, now):
+        """Doubt the former lease again once the known deadline has passed.
 
-        Unless a later deadline was granted here in time: an earlier agent may
-        have granted one that it did not report.
+        An earlier agent may have granted a later one that it did not report;
+        the deadline granted here is earlier than that one if it was computed
+        from a clock that was read late.
         """
-        former = self._former_deadline_ms
-        if self.deadline_ms == former and (0 < former <= listing.clock_ms):
+        former_end = self._former_lease_end
+        may_last = former_end is not None and now < former_end
+        if may_last and 0 < self.deadline_ms <= listing.clock_ms:
             self.deadline_ms = 0
-            self._uncertain_until = self._former_lease_end
+            self._uncertain_until = former_end
 
     def _resolve_uncertain_lease(self, listing, now):
         """Determine whether the lease expired under an earlier agent.
