Test that a session is closed in no later term

The end of an instance's session, whose lease was found expired in one term, can be proposed in a later one, though another leader has renewed the lease in between.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -46,11 +46,14 @@
     def status(self):
         return self
 
-    def propose_future(self, data):
+    def propose_future(self, data, *, term=0):
+        if term not in (0, self.term):
+            error = errors.NotLeaderError('term has ended', step='propose')
+            return FakeFuture(error)
         return FakeFuture(self.machine.apply(0, data))
 
-    def propose(self, data, *, timeout):
-        return self.propose_future(data).result()
+    def propose(self, data, *, timeout, term=0):
+        return self.propose_future(data, term=term).result()
 
 
 class ControlTestCase(testtools.TestCase):
--- a/tests/test_hearsay_sessions.py
+++ b/tests/test_hearsay_sessions.py
@@ -4,10 +4,13 @@
 given to another instance, or a session that is over gets a lease again.
 """
 
+import contextlib
+
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import job as job_commands
 from bilberryhaven.commands import session
 from bilberryhaven.control import leases
+from bilberryhaven import errors
 from bilberryhaven.tables import job
 from bilberryhaven.tables import workload
 from bilberryhaven.wire import message
@@ -205,6 +208,53 @@
         self.check_lease_is_waited_for()
 
 
+class FormerTermTest(SessionTestCase):
+    """Leadership comes back while a tick of the former term runs.
+
+    Guards against jobs that run twice: another leader may have renewed the
+    lease in between.
+    """
+
+    def lead_again(self):
+        self.replica.term += 2
+        self.leader.ensure_ready()
+
+    def tick(self):
+        with contextlib.suppress(errors.NotLeaderError):
+            self.leader.tick()
+
+    def call_before(self, owner, name, event):
+        """Call ``event`` once, before a method."""
+        method = getattr(owner, name)
+
+        def call_late(*args, **fields):
+            setattr(owner, name, method)
+            event()
+            return method(*args, **fields)
+
+        setattr(owner, name, call_late)
+
+    def test_session_found_expired_in_a_former_term(self):
+        self.clock.advance(clocks.seconds(FULL_S + 0.1))
+        self.call_before(self.replica, 'propose', self.lead_again)
+        self.tick()
+        self.check_runs()
+        self.assertEqual('', self.renew(running=RUNNING).code)
+
+    def test_leases_listed_in_a_former_term(self):
+        self.clock.advance(clocks.seconds(FULL_S + 0.1))
+        self.call_before(self.leader.leases, 'begin_close', self.lead_again)
+        self.tick()
+        self.check_runs()
+        self.assertEqual('', self.renew(running=RUNNING).code)
+
+    def test_session_is_closed_in_the_next_term(self):
+        self.clock.advance(clocks.seconds(FULL_S + 0.1))
+        self.call_before(self.replica, 'propose', self.lead_again)
+        self.tick()
+        self.check_lease_is_waited_for()
+
+
 class EntryOfTheSameNameTest(SessionTestCase):
     """A process of another role renews no session, and hides none."""
 
