--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -60,6 +60,8 @@
                 decision = self._acceptance.check(row)
         if known is None:
             known = self._accept(row, decision)
+        else:
+            self._log_known(known, queue.name)
         return message.StateReply(state=describe_state(known))
 
     def _build_row(self, request, queue, workflow_id):
@@ -83,6 +85,10 @@
         command = workflow_commands.SubmitWorkflow(workflow=row)
         stored = self._leader.propose(command)
         self._leader.wake()
+        if stored.submitted_at != row.submitted_at:
+            # Another submission of the id was committed before this one.
+            self._log_known(stored, row.queue)
+            return stored
         log.log_decision(
             _logger,
             'accept workflow',
@@ -91,10 +97,27 @@
             queue=row.queue,
             zone=row.zone,
             tasks=sum(step.tasks for step in row.steps),
+            submitted_at=row.submitted_at,
+            term=self._leader.term,
             **acceptances.describe_decision(decision),
         )
         return stored
 
+    def _log_known(self, known, queue):
+        age_s = self._clock.wall().timestamp() - known.submitted_at
+        log.log_decision(
+            _logger,
+            'find stored workflow',
+            reason='submitted before',
+            workflow=known.id,
+            queue=queue,
+            stored_queue=known.queue,
+            state=known.state,
+            submitted_at=known.submitted_at,
+            age_s=round(age_s, 3),
+            term=self._leader.term,
+        )
+
     def inquire(self, request):
         """Return the state of a workflow or the length of a queue.
 
--- a/bilberryhaven/workflow/upkeep.py
+++ b/bilberryhaven/workflow/upkeep.py
@@ -71,6 +71,20 @@
         ]
         if ended:
             self._leader.propose(workflow_commands.ExpireWorkflows(ids=ended))
+            self._log_removed(ended)
+
+    def _log_removed(self, ended):
+        with self._memory.lock:
+            workflows = self._memory.state.workflows
+            removed = [item for item in ended if item not in workflows]
+        if removed:
+            log.log_decision(
+                _logger,
+                'remove workflows',
+                reason='their retention has passed',
+                retention_s=self._options.ended_retention.total_seconds(),
+                workflows=removed,
+            )
 
     def _log_effects(self):
         effects = self._memory.interference.list_effects()
