Log what a term, its sessions and its starts rest on

An age of zero was written as "0:00:00".

Change: `schedules workflows` with the position in the log, the number of servers and the time left of former leases; `open session`; `start run` only for what was recorded, with epoch, term and the runs beside it; `refuse start`; `leave starts open`; further fields of the two others. No decision changes.

--- a/bilberryhaven/log.py
+++ b/bilberryhaven/log.py
@@ -16,6 +16,7 @@
     'JsonHandler',
     'get_logger',
     'log_decision',
+    'round_seconds',
     'silence',
     'start_logging',
 ]
@@ -208,3 +209,12 @@
     """
     extra = {'decision': decision, 'reason': reason, **fields}
     logger.info('{}: {}', decision, reason, extra=extra)
+
+
+def round_seconds(duration):
+    """Return a duration in s as log lines have it, or None for None.
+
+    Args:
+        duration: A timedelta, or None.
+    """
+    return None if duration is None else round(duration.total_seconds(), 3)
--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -724,7 +724,7 @@
             backend=supervisor.key,
             epoch=supervisor.epoch,
             crashed=bool(crashed),
-            answer_age_s=answer_age and round(answer_age.total_seconds(), 3),
+            answer_age_s=log.round_seconds(answer_age),
             address=supervisor.target.address,
             runs=supervisor.list_runs(),
             listed=supervisor.listed_epoch == supervisor.epoch,
--- a/bilberryhaven/workflow/closing.py
+++ b/bilberryhaven/workflow/closing.py
@@ -191,8 +191,7 @@
                 backend=key,
                 agent=row.instance,
                 evidence=evidence,
-                evidence_age_s=evidence_age
-                and round(evidence_age.total_seconds(), 3),
+                evidence_age_s=log.round_seconds(evidence_age),
                 epoch=row.epoch,
                 session=agent_session and agent_session.feed,
                 term=self._leader.term,
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -10,6 +10,7 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven import log
+from bilberryhaven.tables import workflow
 from bilberryhaven.wire import message as wire_message
 from bilberryhaven.workflow import callers
 from bilberryhaven.workflow import closing
@@ -190,7 +191,26 @@
                     self._memory.begin_term()
                 self._upkeep.begin_term()
                 self._ready_term = term
-                _logger.info('schedules workflows', extra={'term': term})
+                self._log_term(term)
+
+    def _log_term(self, term):
+        with self._memory.lock:
+            servers = len(self._state.backends)
+            active = self._state.workflows.count(
+                'state', workflow.WorkflowState.ACTIVE
+            )
+        now = self._clock.monotonic()
+        leases_end_in = self._closer.earliest_end - now
+        _logger.info(
+            'schedules workflows',
+            extra={
+                'term': term,
+                'applied': self._replica.status().applied,
+                'servers': servers,
+                'active': active,
+                'leases_end_in_s': log.round_seconds(leases_end_in),
+            },
+        )
 
     @contextlib.contextmanager
     def read(self):
@@ -255,11 +275,56 @@
             command = workflow_commands.StartRuns(
                 starts=starts, at=self._clock.wall().timestamp()
             )
-            self.propose(command)
-            for start in starts:
-                self._log_start(start, servers[start.backend])
+            try:
+                self.propose(command)
+            except errors.NotLeaderError:
+                raise
+            except errors.BilberryhavenError as error:
+                self._log_unknown_starts(starts, error)
+                raise
+            for start, task in self._list_tasks(starts):
+                if task is None or task.last_run < start.number:
+                    self._log_refused_start(start)
+                else:
+                    self._log_start(start, servers[start.backend], task)
+
+    def _list_tasks(self, starts):
+        """Return (start, its ``Task`` or None) pairs, as committed."""
+        with self._memory.lock:
+            rows = [
+                (start, self._state.workflows.find(start.workflow))
+                for start in starts
+            ]
+            return [
+                (start, row and row.find_task(start.task))
+                for start, row in rows
+            ]
+
+    def _log_unknown_starts(self, starts, error):
+        log.log_decision(
+            _logger,
+            'leave starts open',
+            reason=f'their commit has no known outcome: {error}',
+            term=self.term,
+            starts=[
+                (start.workflow, start.task, start.number, start.backend)
+                for start in starts
+            ],
+        )
+
+    def _log_refused_start(self, start):
+        log.log_decision(
+            _logger,
+            'refuse start',
+            reason='the tables had changed since it was planned',
+            workflow=start.workflow,
+            task=start.task,
+            run=start.number,
+            backend=start.backend,
+            term=self.term,
+        )
 
-    def _log_start(self, start, server):
+    def _log_start(self, start, server, task):
         agent_session = self._memory.sessions.find(start.backend)
         now = self._clock.monotonic()
         age = (
@@ -275,10 +340,17 @@
             task=start.task,
             run=start.number,
             backend=start.backend,
+            epoch=agent_session and agent_session.epoch,
+            term=self.term,
+            beside=[
+                (run.number, run.backend)
+                for run in task.runs
+                if run.number < start.number
+            ],
             unclaimed_cpu=server.unclaimed,
             satisfaction=round(server.satisfaction, 2),
             worst_tail=round(max((t for _, t in server.tails), default=0), 2),
-            report_age_s=age and round(age.total_seconds(), 3),
+            report_age_s=log.round_seconds(age),
         )
 
     def _plan(self):
--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -220,9 +220,29 @@
             self._memory.sessions.put(agent_session)
             self._memory.index.refresh(self._clock.wall().timestamp())
             self._memory.order_runs(agent_session)
+        self._log_session(agent_session, inherit=inherit)
         self._leader.wake()
         return agent_session
 
+    def _log_session(self, agent_session, *, inherit):
+        doubt = agent_session.uncertain_until
+        if doubt is not None:
+            doubt -= self._clock.monotonic()
+        log.log_decision(
+            _logger,
+            'open session',
+            reason='polled by another agent process'
+            if inherit
+            else 'first poll of its agent',
+            backend=agent_session.key,
+            agent=agent_session.instance,
+            epoch=agent_session.epoch,
+            session=agent_session.feed,
+            term=self._leader.term,
+            doubt_s=log.round_seconds(doubt),
+            former_deadline_ms=agent_session.deadline_ms,
+        )
+
     def renew_lease(self, agent_session, request):
         """Renew the lease of a server and record what its poll announces.
 
--- a/bilberryhaven/workflow/reports.py
+++ b/bilberryhaven/workflow/reports.py
@@ -137,7 +137,7 @@
         recorded = self._leader.propose(command)
         ignored = set(recorded.ignored)
         for end in new_ends:
-            self._handle_end(request.key, end, ignored=end.run in ignored)
+            self._handle_end(request, end, ignored=end.run in ignored)
         self._leader.wake()
         return recorded.acked
 
@@ -152,7 +152,8 @@
             if end.number == 0 or end.number > acked
         ]
 
-    def _handle_end(self, key, end, *, ignored):
+    def _handle_end(self, request, end, *, ignored):
+        key = request.key
         log.log_decision(
             _logger,
             'ignore end' if ignored else 'record end',
@@ -162,6 +163,8 @@
             run=end.run.number,
             backend=key,
             number=end.number,
+            epoch=request.epoch,
+            term=self._leader.term,
             **(self._describe_task(end.run) if ignored else {}),
         )
         if end.how not in (workflow_commands.DONE, workflow_commands.FAILED):
@@ -196,6 +199,18 @@
                 'state': row.state,
             }
 
+    def _describe_unknown(self, run, agent_session):
+        """Return log fields of a run that isn't assigned to its server."""
+        seen = agent_session.present.get(run)
+        listed = self._clock.monotonic() - seen.first_at if seen else None
+        return {
+            'backend': agent_session.key,
+            'epoch': agent_session.epoch,
+            'term': self._leader.term,
+            'listed_s': log.round_seconds(listed),
+            **self._describe_task(run),
+        }
+
     def _observe_interference(self, agent_session, now):
         with self._memory.lock:
             row = self._memory.state.backends.find(agent_session.key)
@@ -239,7 +254,7 @@
             ]
             self._memory.order_runs(agent_session)
         ordered = [
-            (ref, {'backend': request.key})
+            (ref, self._describe_unknown(ref, agent_session))
             for ref in unknown
             if agent_session.order_stop(ref)
         ]
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,5 +1,6 @@
 """Tests of background logging: bounded queue, non-blocking writes."""
 
+import datetime
 import io
 import json
 import threading
@@ -59,3 +60,12 @@
         ]
         self.assertEqual(100, text.count('line\n') + sum(counts))
         self.assertTrue(sum(counts) >= 88)
+
+
+class RoundSecondsTest(testtools.TestCase):
+    def test_no_time_and_none_differ(self):
+        durations = (datetime.timedelta(), datetime.timedelta(seconds=1.2345))
+        self.assertEqual(
+            [0.0, 1.234], [log.round_seconds(item) for item in durations]
+        )
+        self.assertIsNone(log.round_seconds(None))
--- a/tests/test_workflow_leader_lines.py
+++ b/tests/test_workflow_leader_lines.py
@@ -1,9 +1,12 @@
-"""Log lines of the leader that distinguish the causes of two runs."""
+"""Log lines of the leader by which causes of two runs of a task differ."""
 
+from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import errors
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
 from tests import log_lines
 from tests import test_workflow_dispatcher as dispatcher_tests
+from tests import workflow_fakes as fakes
 
 
 class LeaderLinesTest(dispatcher_tests.DispatcherTest):
@@ -69,3 +72,130 @@
                 host=dispatcher_tests.HOST, path=dispatcher_tests.PREFIX + name
             )
         )
+
+
+class StartTest(LeaderLinesTest):
+    """A start has a line only if it was committed."""
+
+    def setUp(self):
+        super().setUp()
+        self.submit('w1')
+        self.first = self.poll()
+
+    def interpose(self, function):
+        """Call a function before the next start is committed."""
+        propose = self.replica.propose
+
+        def wait(data, **kwargs):
+            if b'StartRuns' not in data:
+                return propose(data, **kwargs)
+            self.replica.propose = propose
+            function()
+            return propose(data, **kwargs)
+
+        self.replica.propose = wait
+
+    def test_committed_start(self):
+        self.schedule()
+        (line,) = self.lines.list('start run')
+        self.check(
+            line,
+            workflow='w1',
+            run=1,
+            backend=self.first.key,
+            epoch=self.first.epoch,
+            term=self.leader.term,
+            beside=[],
+        )
+
+    def test_start_of_a_workflow_that_was_cancelled_meanwhile(self):
+        cancel = message.Cancel(
+            host=dispatcher_tests.HOST, path=dispatcher_tests.PREFIX + 'w1'
+        )
+        self.interpose(lambda: self.ask(cancel))
+        self.schedule()
+        self.assertEqual([], self.lines.list('start run'))
+        (line,) = self.lines.list('refuse start')
+        self.check(line, workflow='w1', task='0.0.0', run=1)
+
+    def test_start_whose_commit_has_no_known_outcome(self):
+        def lose():
+            raise errors.DeadlineError('no result', step='commit')
+
+        self.interpose(lose)
+        self.assertRaises(errors.DeadlineError, self.schedule)
+        self.assertEqual([], self.lines.list('start run'))
+        (line,) = self.lines.list('leave starts open')
+        self.check(line, starts=[('w1', '0.0.0', 1, self.first.key)])
+
+    def test_copy_names_the_run_beside_it(self):
+        step = fakes.build_step(speculative=True)
+        self.submit('w2', step)
+        self.schedule()
+        other = self.poll('j')
+        start = workflow_commands.RunStart('w2', '0.0.0', 2, other.key)
+        self.leader.propose(
+            workflow_commands.StartRuns(starts=[start], at=0.0)
+        )
+        ((_, task),) = self.leader._list_tasks([start])
+        server = fakes.build_server(other.key)
+        self.leader._log_start(start, server, task)
+        line = self.lines.list('start run')[-1]
+        self.check(line, run=2, beside=[(1, self.first.key)])
+
+
+class TermTest(LeaderLinesTest):
+    """What a new leader takes former leases to end at."""
+
+    def test_term_and_sessions(self):
+        self.submit('w1')
+        first = self.poll()
+        self.replica.term = 5
+        self.schedule()
+        line = self.lines.list_messages('schedules workflows')[-1]
+        self.check(
+            line, term=5, applied=0, servers=1, active=1, leases_end_in_s=5.6
+        )
+        self.poll(epoch=first.epoch)
+        line = self.lines.list('open session')[-1]
+        self.check(
+            line,
+            backend=first.key,
+            agent='i',
+            epoch=first.epoch,
+            term=5,
+            doubt_s=None,
+        )
+
+    def test_session_of_another_agent_process_has_a_doubt(self):
+        first = self.poll()
+        self.advance(1)
+        self.poll()
+        line = self.lines.list('open session')[-1]
+        self.check(line, backend=first.key, doubt_s=4.6, reason=line['reason'])
+        self.assertEqual('polled by another agent process', line['reason'])
+
+
+class ListedRunTest(LeaderLinesTest):
+    """A run that was given up and is listed later."""
+
+    def test_unknown_run_with_what_superseded_it(self):
+        self.submit('w1')
+        first = self.poll()
+        self.schedule()
+        ref = workflow_commands.RunRef('w1', '0.0.0', 1)
+        self.report(first, workflow_commands.RunEnd(0, ref, 'rejected'))
+        self.schedule()
+        self.advance(3)
+        self.report(first, running=[ref])
+        (ended,) = self.lines.list('record end')
+        self.check(ended, run=1, number=0, epoch=first.epoch, term=1)
+        (line,) = self.lines.list('stop unknown run')
+        self.check(
+            line,
+            run=1,
+            backend=first.key,
+            listed_s=0.0,
+            superseded_by=[(2, first.key)],
+            last_run=2,
+        )
