Log how an agent carried out orders and what ended runs there

Change: one line for each start and stop, `carry out start` and `carry out stop`, with the times and answers of the calls (four at most) and the session of the order and of now; `find run absent`, `find lapse`, `begin session`; the runs in the line of a rejected token. No decision changes. A test calls _try_start, which takes the calls as a further argument.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -14,6 +14,7 @@
 from bilberryhaven.workflow import announced
 from bilberryhaven.workflow import departure
 from bilberryhaven.workflow import message
+from bilberryhaven.workflow import order_calls
 from bilberryhaven.workflow import pacing
 from bilberryhaven.workflow import server_client
 from bilberryhaven.workflow import start_permit
@@ -294,9 +295,13 @@
                 return
             now = self._clock.monotonic()
             self._permit.update(reply, sent_at)
+            former_epoch = self._supervisor.epoch
+            former_runs = self._supervisor.list_runs()
             orders = self._supervisor.handle_poll_reply(reply, sent_at, now)
             target = self._supervisor.target
             epoch = reply.epoch
+        if epoch != former_epoch:
+            self._log_session(reply, former_epoch, former_runs)
         for order in orders:
             execute = self._start_run
             if order.kind == message.OrderKind.STOP:
@@ -306,11 +311,33 @@
                 functools.partial(execute, target, epoch, order)
             )
 
+    def _log_session(self, reply, former_epoch, former_runs):
+        log.log_decision(
+            _logger,
+            'begin session',
+            reason='the leader has ended the former one'
+            if former_epoch
+            else 'none before',
+            backend=reply.key,
+            epoch=reply.epoch,
+            session=reply.feed,
+            former_epoch=former_epoch,
+            former_runs=former_runs,
+            lease_ms=reply.lease_ms,
+            doubt_ms=reply.doubt_ms,
+            former_deadline_ms=reply.former_deadline_ms,
+        )
+
     def _reset_session(self, poll, error):
         with self._lock:
+            runs = self._supervisor.list_runs()
             if self._supervisor.epoch == poll.epoch:
                 self._supervisor.reset_session()
-        _logger.warning('fencing token rejected, resetting session: {}', error)
+        _logger.warning(
+            'fencing token rejected, resetting session: {}',
+            error,
+            extra={'epoch': poll.epoch, 'runs': runs},
+        )
 
     def _update_connected(self, error):
         connected = error is None
@@ -323,21 +350,47 @@
             _logger.warning('leader lost: {}', error)
 
     def _start_run(self, target, epoch, order):
+        calls = order_calls.OrderCalls(began_at=self._clock.monotonic())
         try:
-            phase, trouble = self._try_start(target, epoch, order)
+            phase, trouble = self._try_start(target, epoch, order, calls)
         except Exception:  # noqa: BLE001
             _logger.exception('start of run {} failed', order.run)
             phase, trouble = None, 'unexpected error'
         if trouble:
             outcome = 'unknown' if phase is None else 'not_run'
             self._log_start_given_up(target, order, trouble, outcome=outcome)
+        self._log_calls(
+            'carry out start',
+            phase.value if phase else 'outcome unknown, to be stopped',
+            calls,
+            target,
+            epoch,
+            order,
+        )
         if phase is None:
             # A stop makes the backend server reject the start.
             self._stop_run(target, epoch, order)
             return
         self._set_phase(epoch, order.run, phase, trouble=trouble)
 
-    def _try_start(self, target, epoch, order):
+    def _log_calls(self, decision, reason, calls, target, epoch, order):
+        with self._lock:
+            current_epoch = self._supervisor.epoch
+        log.log_decision(
+            _logger,
+            decision,
+            reason=reason,
+            workflow=order.run.workflow,
+            task=order.run.task,
+            run=order.run.number,
+            backend=target.state.id,
+            born_ms=target.state.born_ms,
+            epoch=epoch,
+            current_epoch=current_epoch,
+            **calls.describe(self._clock.monotonic()),
+        )
+
+    def _try_start(self, target, epoch, order, calls):
         """Return the (phase, trouble) pair; phase is None if unknown."""
         if not self._wait_for_listing(epoch):
             return None, 'runs of the backend server were not listed'
@@ -352,7 +405,9 @@
             if deadline is None:
                 break
             try:
-                result = self._send_start(target, epoch, order, deadline)
+                result = self._send_start(
+                    target, epoch, order, deadline, calls
+                )
             except errors.PeerError as error:
                 trouble = f'no answer to the start request: {error.message}'
                 refused = None
@@ -432,23 +487,32 @@
             backend=target.state.id,
         )
 
-    def _send_start(self, target, epoch, order, deadline_ms):
+    def _send_start(self, target, epoch, order, deadline_ms, calls):
         run = order.run
+        sent_at = self._clock.monotonic()
+
+        def add_call(answer):
+            now = self._clock.monotonic()
+            calls.add(sent_at, now, answer, deadline_ms=deadline_ms)
+
         with self._lock:
             evidence = self._supervisor.evidence
-            self._supervisor.record_request(run, self._clock.monotonic())
+            self._supervisor.record_request(run, sent_at)
         try:
             result = self._client.start_run(
                 target, order, deadline_ms=deadline_ms, epoch=epoch
             )
-        except errors.CutOffError:
+        except errors.CutOffError as error:
+            add_call(error)
             with self._lock:
                 evidence.record_cut(run, self._clock.monotonic())
             raise
-        except errors.BilberryhavenError:
+        except errors.BilberryhavenError as error:
+            add_call(error)
             with self._lock:
                 evidence.discard_request(run)
             raise
+        add_call(result.value)
         with self._lock:
             if result == StartResult.STARTED:
                 evidence.record_start(run, self._clock.monotonic())
@@ -482,25 +546,39 @@
         return False
 
     def _stop_run(self, target, epoch, order):
+        calls = order_calls.OrderCalls(began_at=self._clock.monotonic())
+        reason = self._repeat_stop(target, epoch, order, calls)
+        self._set_phase(epoch, order.run, RunPhase.DOUBTFUL)
+        self._log_calls('carry out stop', reason, calls, target, epoch, order)
+
+    def _repeat_stop(self, target, epoch, order, calls):
+        """Send a stop until it is answered; return how that ended."""
         while not self._stopping.is_set():
             with self._lock:
                 if self._supervisor.epoch != epoch:
-                    return
-            try:
-                self._client.stop_run(target, order.run, epoch=epoch)
-                break
-            except (errors.PeerError, errors.GoneError):
-                # If that incarnation has ended, the token changes soon.
-                self._stopping.wait(RETRY_DELAY_S)
-            except errors.BilberryhavenError as error:
-                _logger.warning(
-                    'backend server refused to stop a run: {}', error
-                )
-                break
-            except Exception:  # noqa: BLE001
-                _logger.exception('stop of run {} failed', order.run)
-                self._stopping.wait(RETRY_DELAY_S)
-        self._set_phase(epoch, order.run, RunPhase.DOUBTFUL)
+                    return 'session has ended'
+            sent_at = self._clock.monotonic()
+            answer, is_final = self._send_stop(target, epoch, order)
+            calls.add(sent_at, self._clock.monotonic(), answer)
+            if is_final:
+                return 'answered'
+            self._stopping.wait(RETRY_DELAY_S)
+        return 'agent is stopping'
+
+    def _send_stop(self, target, epoch, order):
+        """Return the answer, and whether no other stop needs to be sent."""
+        try:
+            self._client.stop_run(target, order.run, epoch=epoch)
+        except (errors.PeerError, errors.GoneError) as error:
+            # If that incarnation has ended, the token changes soon.
+            return error, False
+        except errors.BilberryhavenError as error:
+            _logger.warning('backend server refused to stop a run: {}', error)
+            return error, True
+        except Exception as error:  # noqa: BLE001
+            _logger.exception('stop of run {} failed', order.run)
+            return repr(error), False
+        return 'stopped', True
 
     def _set_phase(self, epoch, run, phase, *, trouble=''):
         with self._lock:
@@ -587,9 +665,14 @@
             report = self._supervisor.handle_listing(
                 listing, epoch, sent_at, now
             )
+            findings = self._supervisor.take_findings()
             paces = self._supervisor.list_paces()
             tails = self._supervisor.list_tail_latencies(listing.running)
             changed = self._supervisor.paces_changed
+        for finding in findings:
+            log.log_decision(
+                _logger, **finding, backend=target.state.id, epoch=epoch
+            )
         if changed:
             log.log_decision(
                 _logger,
--- a/bilberryhaven/workflow/run_lease.py
+++ b/bilberryhaven/workflow/run_lease.py
@@ -1,5 +1,7 @@
 """Lease under which the runs of one backend server are kept alive; no I/O."""
 
+import dataclasses
+
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.workflow import options as workflow_options
@@ -11,6 +13,23 @@
 LAPSED = workflow_commands.EndHow.LAPSED
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lapse:
+    """A lapse of the lease that a listing has shown.
+
+    Attributes:
+        reason: What shows it.
+        deadline_ms: The deadline, on the server's clock in ms.
+        clock_ms: The server's clock at the listing, in ms.
+        void_upto: Number up to which ends don't count.
+    """
+
+    reason: str
+    deadline_ms: int
+    clock_ms: int
+    void_upto: int
+
+
 class RunLease:
     """Tracks the lease of one fencing token, and lapses of it.
 
@@ -25,6 +44,7 @@
         self._server_clock_ms = None
         self._server_clock_read_at = None
         self._void_upto = 0
+        self._lapse = None
         self._granted_until = None
         # Until then, runs may be there although nothing was granted here.
         self._inherited_until = None
@@ -121,12 +141,28 @@
             return False
         if 0 < self.deadline_ms <= listing.clock_ms:
             # The lease expired: ends listed before that never count.
+            self._void_ends(
+                listing, "the server's clock has passed the deadline"
+            )
             self.deadline_ms = 0
-            self._void_upto = _find_newest_end(listing)
         self._server_clock_ms = listing.clock_ms
         self._server_clock_read_at = now
         return True
 
+    def _void_ends(self, listing, reason):
+        self._void_upto = _find_newest_end(listing)
+        self._lapse = Lapse(
+            reason=reason,
+            deadline_ms=self.deadline_ms or self._former_deadline_ms,
+            clock_ms=listing.clock_ms,
+            void_upto=self._void_upto,
+        )
+
+    def take_lapse(self):
+        """Return the ``Lapse`` found since the last call, or None."""
+        lapse, self._lapse = self._lapse, None
+        return lapse
+
     def void_lapsed_ends(self, ends):
         """Return the ends, with those that a lapse has voided marked so.
 
@@ -161,7 +197,9 @@
         if listing.clock_ms < self._former_deadline_ms:
             self.deadline_ms = self._former_deadline_ms
         elif now >= self._uncertain_until:
-            self._void_upto = _find_newest_end(listing)
+            self._void_ends(
+                listing, "an earlier agent's lease has certainly expired"
+            )
         elif not self._is_lapse_harmless(listing):
             return False
         self._uncertain_until = None
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -5,6 +5,7 @@
 import enum
 
 from bilberryhaven.commands import workflow as workflow_commands
+from bilberryhaven import log
 from bilberryhaven.workflow import crash_evidence
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import pacing
@@ -104,6 +105,7 @@
         self._listing_count = 0
         self._names_incarnation = False
         self._effects = {}
+        self._findings = []
         self._pacer = pacing.Pacer()
         self.evidence = crash_evidence.CrashEvidence()
 
@@ -385,13 +387,15 @@
         if not self._lease.handle_listing(listing, now):
             return self._build_report(listing)
         ends = [end for end in listing.ends if end.number > self.acked]
+        self._note_lapse(self._lease.take_lapse(), ends)
         ends = self._lease.void_lapsed_ends(ends)
         self._listed = {row.run for row in listing.running}
         self._listing_sent_at = sent_at
         self.listed_epoch = epoch
         if listing.is_whole and self._is_of_target(listing):
             ended = listing.odd_ends.union(end.run for end in ends)
-            self._resolve_doubtful_runs(ended, sent_at)
+            absent = self._resolve_doubtful_runs(ended, sent_at)
+            self._note_absent(absent, listing, sent_at, now)
         self._add_allowed_paces(listing.running)
         self._update_paces(listing.running, now)
         return self._build_report(
@@ -424,11 +428,68 @@
         )
 
     def _resolve_doubtful_runs(self, ended, sent_at):
+        """Return the runs that a listing shows never to be there."""
+        absent = []
         for ref, known in self.runs.items():
             if known.phase != RunPhase.DOUBTFUL or sent_at < known.since:
                 continue
             if ref not in self._listed and ref not in ended:
                 known.phase = RunPhase.ABSENT
+                absent.append(ref)
+        return absent
+
+    def _note_absent(self, absent, listing, sent_at, now):
+        for ref in absent:
+            known = self.runs[ref]
+            self._findings.append(
+                {
+                    'decision': 'find run absent',
+                    'reason': 'listing after the answer to its start or stop',
+                    'workflow': ref.workflow,
+                    'task': ref.task,
+                    'run': ref.number,
+                    'starts': known.requests,
+                    'stopping': known.stopping,
+                    'answered_before_s': log.round_seconds(
+                        sent_at - known.since
+                    ),
+                    'listing_took_s': log.round_seconds(now - sent_at),
+                    'clock_ms': listing.clock_ms,
+                    'born_ms': listing.born_ms,
+                    'running': len(listing.running),
+                    'ends': len(listing.ends),
+                }
+            )
+
+    def _note_lapse(self, lapse, ends):
+        if lapse is None:
+            return
+        void = [
+            (end.run.workflow, end.run.task, end.run.number, end.number)
+            for end in ends
+            if end.how == workflow_commands.DONE
+            and end.number <= lapse.void_upto
+        ]
+        self._findings.append(
+            {
+                'decision': 'find lapse',
+                'reason': lapse.reason,
+                'deadline_ms': lapse.deadline_ms,
+                'clock_ms': lapse.clock_ms,
+                'void_upto': lapse.void_upto,
+                'void': void,
+            }
+        )
+
+    def take_findings(self):
+        """Return what listings have shown since the last call.
+
+        Returns:
+            Fields of log lines: runs that were found absent, and lapses of
+            the lease with the ends that don't count.
+        """
+        findings, self._findings = self._findings, []
+        return findings
 
     def _list_absent(self):
         return [
--- a/tests/log_lines.py
+++ b/tests/log_lines.py
@@ -26,9 +26,9 @@
         ]
 
     def list_messages(self, text):
-        """Return the fields of the lines with a message."""
+        """Return the fields of the lines whose message begins so."""
         return [
             record.extra
             for record in self._handler.records
-            if record.message == text
+            if record.message.startswith(text)
         ]
--- a/tests/test_workflow_absence.py
+++ b/tests/test_workflow_absence.py
@@ -9,6 +9,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven.platform import workers
+from bilberryhaven.workflow import order_calls
 from bilberryhaven.workflow import server_client
 from tests import test_workflow_agent
 
@@ -209,7 +210,8 @@
         def lose_start():
             self.client.starts = [errors.PeerError('lost', step='start')] * 3
             self.clock.advance(STEP)
-            phase, _ = self.agent._try_start(self.target, 1, self.order)
+            calls = order_calls.OrderCalls(began_at=self.clock.monotonic())
+            phase, _ = self.agent._try_start(self.target, 1, self.order, calls)
             self.assertIsNone(phase)
 
         lose_start()
