--- a/bilberryhaven/consensus/driver.py
+++ b/bilberryhaven/consensus/driver.py
@@ -83,6 +83,10 @@
         self._publish = publish or _do_nothing
         self._lock = lock or contextlib.nullcontext()
         self._addresses = {}
+        # The last term in which it was elected, and whether it had joined,
+        # as logged.
+        self._elected_term = 0
+        self._logged_joined = False
         self._pending = pending.PendingTable()
         self._saving = False
         self._next_snapshot_index = options.snapshot_entries
@@ -117,8 +121,31 @@
         if meta is not None and meta.index > self.applied:
             self._load_snapshot(meta, recovery.data)
         self.core = self._build_core(recovery)
+        self._log_recovery(recovery)
         self.core.start(now)
 
+    def _log_recovery(self, recovery):
+        entries = recovery.log
+        state = recovery.hard_state
+        self._logged_joined = state.joined
+        is_empty = not (state.term or entries.last_index)
+        log.log_decision(
+            _logger,
+            'recover log',
+            reason='the folder was empty'
+            if is_empty
+            else 'found in the folder',
+            replica=self.name,
+            term=state.term,
+            vote=state.vote,
+            joined=state.joined,
+            base_index=entries.base_index,
+            last_index=entries.last_index,
+            last_term=entries.last_term,
+            snapshot_index=recovery.meta.index if recovery.meta else 0,
+            members=self.core.members.list_names(),
+        )
+
     def _build_core(self, recovery):
         return consensus_core.Core(
             name=self.name,
@@ -236,9 +263,38 @@
             if queued.is_empty() and self.applied >= self.core.commit:
                 break
             self._run_or_fail(self._execute, queued, now)
+        if self.fault is None:
+            self._log_changes()
         self._fail_lost()
         self._publish()
 
+    def _log_changes(self):
+        """Log an election that it has won, and that it has joined."""
+        core = self.core
+        if core.is_leader and core.term != self._elected_term:
+            self._elected_term = core.term
+            log.log_decision(
+                _logger,
+                'win election',
+                reason='voters, with whether each has joined',
+                replica=self.name,
+                term=core.term,
+                votes=dict(core.votes),
+                last_index=core.log.last_index,
+                commit=core.commit,
+            )
+        if core.joined and not self._logged_joined:
+            self._logged_joined = True
+            log.log_decision(
+                _logger,
+                'join quorum',
+                reason='it holds all committed entries; its vote counts',
+                replica=self.name,
+                term=core.term,
+                leader=core.leader,
+                last_index=core.log.last_index,
+            )
+
     def _execute(self, queued, now):
         self._publish()
         to_self = []
@@ -272,6 +328,17 @@
         core = self.core
         hard_state = queued.hard_state
         if queued.install is not None:
+            meta = queued.install.meta
+            log.log_decision(
+                _logger,
+                'install snapshot',
+                reason="received from the leader, in place of the log's start",
+                replica=self.name,
+                applied=self.applied,
+                index=meta.index,
+                term=meta.term,
+                leader=core.leader,
+            )
             self._storage.install(queued.install, hard_state)
             hard_state = None
             self._load_snapshot(queued.install.meta, queued.install.data)
