Run a test module alone after the pool

Cause: tests whose clients overload a process slow the other modules, and their load would change what such tests show. Change: the runner takes modules of RUN_ALONE out of the pool and runs them one at a time after it; their results and known failures count as before. The fleet of tests/processes.py builds its command in a method of its own.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -59,14 +59,7 @@
         role = 'standin' if role == 'backend' else role
         with (self.folder / f'{name}.log').open('a') as log:
             self.processes[name] = subprocess.Popen(
-                [
-                    sys.executable,
-                    '-m',
-                    'bilberryhaven',
-                    '--settings',
-                    path,
-                    role,
-                ],
+                self.build_command(path, role),
                 stderr=log,
                 stdout=log,
                 # Without a session of its own, a suspended process would
@@ -74,6 +67,11 @@
                 start_new_session=True,
             )
 
+    def build_command(self, path, role):
+        """Return the command of a role with the settings file ``path``."""
+        module = [sys.executable, '-m', 'bilberryhaven']
+        return [*module, '--settings', str(path), role]
+
     def _build_settings(self, name, role):
         controls = {n: self.addresses[n] for n in self.list_names('control')}
         fields = {'name': name, 'listen': self.addresses[name], 'zone': 'z'}
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -20,6 +20,9 @@
 KNOWN_RED_PATH = ROOT / 'KNOWN-RED.txt'
 # The slowest modules start first, so that none runs alone at the end.
 SLOW_FIRST = ('test_consensus', 'test_processes', 'test_cmdline', 'test_fuzz')
+# They run one at a time once the pool has ended: their crowds would slow the
+# other tests, and the others' load would change what they show.
+RUN_ALONE = ('test_clients',)
 
 
 def list_modules():
@@ -32,6 +35,17 @@
     return sorted(names, key=rank)
 
 
+def split_modules(names, jobs):
+    """Return the (modules, processes) pairs that run one after the other.
+
+    A module may be named with a class or a test of it.
+    """
+    alone = [name for name in names if name.split('.')[0] in RUN_ALONE]
+    pooled = [name for name in names if name not in alone]
+    groups = [(pooled, jobs), *(([name], 1) for name in alone)]
+    return [group for group in groups if group[0]]
+
+
 def read_known_red():
     text = KNOWN_RED_PATH.read_text() if KNOWN_RED_PATH.exists() else ''
     return set(re.findall(r'^test: (\S+)', text, re.MULTILINE))
@@ -99,9 +113,11 @@
     opts = parser.parse_args(args)
     names = opts.modules or list_modules()
     context = multiprocessing.get_context('spawn')
-    with concurrent.futures.ProcessPoolExecutor(
-        max_workers=min(opts.jobs, len(names)), mp_context=context
-    ) as pool:
-        results = list(pool.map(run_module, names))
+    results = []
+    for group, jobs in split_modules(names, opts.jobs):
+        with concurrent.futures.ProcessPoolExecutor(
+            max_workers=min(jobs, len(group)), mp_context=context
+        ) as pool:
+            results += pool.map(run_module, group)
     known_red = set() if opts.modules else read_known_red()
     return report(results, known_red)
