--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -6,15 +6,21 @@
 answer), ``busy``, ``reset`` and ``slow``; ``cut 1 0`` closes all connections,
 ``silence 1 0`` leaves them open and silent for good, ``unheard 1 SECONDS``
 loses its heartbeats and deregistration, and ``drain HOW SECONDS`` lets the
-worker leave. ``MODES`` has those that treat other calls as well, or only some.
+worker leave. ``MODES`` has those that treat other calls as well, or only some:
+``shed`` rejects starts, ``fail`` lets the runs that it starts fail.
+
+Besides what the stand-in reads, a spec may say ``saves`` (its runs have
+checkpoints) and ``fails SHARE`` (that share of its runs fails).
 """
 
 import argparse
 import contextlib
 import http.server
 import json
+import math
 import os
 import random
+import re
 import socket
 import sys
 import threading
@@ -25,6 +31,8 @@
 LATE_RANGE_S = (2.0, 12.0)
 HANG_S = 20.0
 SLOW_S = 0.35
+FAIL_S = 0.5
+MS_PER_S = 1000
 ORDERS = ('/run-start', '/run-stop')
 GRANTS = ('/hold',)
 # How long grants come late: about as long as a lease, so that some of them
@@ -38,6 +46,8 @@
     'lost-grants': ('lose', GRANTS),
     'lost-acks': ('lose', GRANTS),
     'lost-all': ('lose', ORDERS + GRANTS),
+    'shed': ('shed', ('/run-start',)),
+    'fail': ('fail', ('/run-start',)),
 }
 CLOSE_INTERVAL_S = 0.15
 
@@ -47,12 +57,29 @@
 
     Args:
         clock_rate: Speed of its own clock relative to the host's.
+        stop_s: Longest time that a stop takes, in seconds.
+        save_s: Seconds of work between two checkpoints.
+        restore_s: Seconds until a run goes on from a checkpoint.
+        choices: Source of random choices.
         **kwargs: Those of the base class.
     """
 
-    def __init__(self, *, clock_rate, **kwargs):
+    def __init__(
+        self,
+        *,
+        clock_rate,
+        stop_s=0.0,
+        save_s=2.0,
+        restore_s=0.0,
+        choices=random,
+        **kwargs,
+    ):
         super().__init__(**kwargs)
         self._rate = clock_rate
+        self._stop_s = stop_s
+        self._save_s = save_s
+        self._restore_s = restore_s
+        self._choices = choices
         self._acked = 0
         self._lapse_noted = 0
 
@@ -88,11 +115,76 @@
         if expired and self._lapse_noted < self._deadline_ms:
             self._lapse_noted = self._deadline_ms
             self.write('lapse', at=self.find_lapse_at())
+        now = time.monotonic()
+        for task, run in list(self._runs.items()) if not expired else ():
+            if now >= run.get('stops_at', math.inf):
+                self._end(task, 'stopped')
+            elif now >= run.get('fails_at', math.inf):
+                self._end(task, 'failed')
         super().advance()
 
+    def start(self, fields, *, fails=False):
+        """Handle ``/run-start``; the run may go on from a checkpoint.
+
+        Args:
+            fields: The call.
+            fails: Whether the run fails soon.
+        """
+        task = fields['task']
+        known = self._runs.get(task)
+        status, answer = super().start(fields)
+        run = self._runs.get(task)
+        if status == 200 and run is not known:
+            self._prepare(run, fields, fails)
+        return status, answer
+
+    def _prepare(self, run, fields, fails):
+        run['saves'] = 'saves' in fields['spec']
+        run['given'] = fields.get('checkpoint', '')
+        run['restore_s'] = self._restore_s if run['given'] else 0.0
+        run['worked_s'] = int(run['given'] or '0', 16) / MS_PER_S
+        run['length'] -= run['worked_s'] - run['restore_s']
+        share = re.search(r'fails ([0-9.]+)', fields['spec'])
+        if fails or (share and self._choices.random() < float(share[1])):
+            longest = FAIL_S if fails else min(run['length'], FAIL_S)
+            run['fails_at'] = time.monotonic() + self._choices.uniform(
+                0.0, longest
+            )
+
+    def stop(self, fields):
+        """Handle ``/run-stop``, which takes a while."""
+        known = self._runs.get(fields['task'])
+        stops = known is not None and known['run'] <= fields['run']
+        if not stops or not self._stop_s or not self._admit(fields):
+            return super().stop(fields)
+        at = time.monotonic() + self._choices.uniform(0.0, self._stop_s)
+        known['stops_at'] = min(at, known.get('stops_at', math.inf))
+        task, number = fields['task'], fields['run']
+        self._newest_run[task] = max(self._newest_run.get(task, 0), number)
+        return 200, {}
+
+    def _save(self, run, *, exact=False):
+        """Return the newest checkpoint of a run."""
+        if not run.get('saves') or run['began_at'] is None:
+            return run.get('given', '')
+        work_s = time.monotonic() - run['began_at'] - run['restore_s']
+        if not exact:
+            work_s -= work_s % self._save_s
+        if work_s <= 0:
+            return run['given']
+        return f'{int((run["worked_s"] + work_s) * MS_PER_S):08x}'
+
+    def _list_run(self, task):
+        row = super()._list_run(task)
+        row[2] = self._save(self._runs[task])
+        return row
+
     def _end(self, task, how):
-        run = self._runs[task]['run']
+        run = self._runs[task]
+        saved = self._save(run, exact=how == 'stopped')
+        run = run['run']
         super()._end(task, how)
+        self._ends[-1][4] = '' if how == 'done' else saved
         fields = {'at': self.find_lapse_at()} if how == 'lapsed' else {}
         self.write(
             'ended', task=task, run=run, how=how, number=self._number, **fields
@@ -127,6 +219,10 @@
             gangs=args.gangs,
             worker_id=args.id,
             clock_rate=args.clock_rate,
+            stop_s=args.stop_ms / MS_PER_S,
+            save_s=args.save_ms / MS_PER_S,
+            restore_s=args.restore_ms / MS_PER_S,
+            choices=random.Random(args.seed + 1),
         )
         self.mode, self.share, self.mode_until = 'pass', 0.0, 0.0
         self.draining_at = None
@@ -258,7 +354,7 @@
             return self.random.choice(['mute', 'reset'])
         return treatment
 
-    def handle(self, path, fields, *, late=False):
+    def handle(self, path, fields, *, late=False, **options):
         """Carry a call out; return (status, fields)."""
         calls = {
             '/run-start': self.model.start,
@@ -268,7 +364,7 @@
         }
         with self.model.condition:
             self.model.advance()
-            status, answer = calls[path](fields)
+            status, answer = calls[path](fields, **options)
             if path in ORDERS:
                 self.model.write(
                     'order',
@@ -324,8 +420,9 @@
             self._give_no_answer(HANG_S)
             return
         mode = self.worker.choose_mode(self.path, fields)
-        if mode == 'busy':
-            self._answer(503, {})
+        if mode in ('busy', 'shed'):
+            status = self.worker.random.choice([429, 503])
+            self._answer(status if mode == 'shed' else 503, {})
         elif mode in ('late', 'hang'):
             if mode == 'late':
                 self.worker.handle_late(self.path, fields)
@@ -337,7 +434,9 @@
     def _carry_out(self, mode, fields):
         if mode == 'slow':
             time.sleep(SLOW_S)
-        status, answer = self.worker.handle(self.path, fields)
+        status, answer = self.worker.handle(
+            self.path, fields, **({'fails': True} if mode == 'fail' else {})
+        )
         if mode in ('mute', 'reset'):
             self.worker.model.write(
                 'answer lost',
@@ -396,6 +495,9 @@
     parser.add_argument('--memory-mb', type=int, required=True)
     parser.add_argument('--heartbeat-ms', type=int, required=True)
     parser.add_argument('--drain-ms', type=int, default=2_000)
+    parser.add_argument('--stop-ms', type=int, default=0)
+    parser.add_argument('--save-ms', type=int, default=2_000)
+    parser.add_argument('--restore-ms', type=int, default=0)
     parser.add_argument('--clock-rate', type=float, default=1.0)
     parser.add_argument('--seed', type=int, default=0)
     Worker(parser.parse_args()).run()
--- a/tests/test_soak_rig_machines.py
+++ b/tests/test_soak_rig_machines.py
@@ -85,6 +85,9 @@
                 clock_rate=1.0,
                 seed=1,
                 listen='127.0.0.1:0',
+                stop_ms=0,
+                save_ms=2_000,
+                restore_ms=0,
             )
         )
         self.addCleanup(self.worker.server.server_close)
