Play the troubles of a large sheet in the rig

It had no evacuations, jobs that are submitted twice beside a lost entry or leader, leaders that end in a drain, losses of power of all instances with a disk, of a zone, or of disks right after an acknowledgement. Up to the tolerated number of disks is lost at once; in the aimed kinds those that have what has just been acknowledged. Kinds that are left out as four others go on are no longer counted as played.

--- a/soak/rig.py
+++ b/soak/rig.py
@@ -32,6 +32,7 @@
 from soak import rig_hooks
 from soak import rig_machine_faults
 from soak import rig_oracle
+from soak import rig_sheet_faults  # noqa: F401
 from tests import processes
 
 __all__ = ['Rig']
@@ -57,6 +58,7 @@
 # Machines that take the place of others have higher numbers.
 NEW_HOST_NUMBER = 100
 CALLERS = 12
+MAX_FAULTS = 4
 SERVES = {
     'entry': 'frontend',
     'control': 'control_plane',
@@ -459,7 +461,9 @@
         """Play; return the sentences about broken rules."""
         try:
             self._start_all()
-            with concurrent.futures.ThreadPoolExecutor(CALLERS + 4) as pool:
+            with concurrent.futures.ThreadPoolExecutor(
+                CALLERS + MAX_FAULTS
+            ) as pool:
                 futures = [
                     pool.submit(self.callers.call_for, number, seconds)
                     for number in range(CALLERS)
@@ -540,12 +544,9 @@
         pending = []
         while time.monotonic() < end:
             chosen = rig_faults.choose(self.random, self.kinds)
-            self.injected[chosen] += 1
-            pending.append(
-                pool.submit(rig_faults.inject, chosen, self)
-                if len([f for f in pending if not f.done()]) < 4
-                else pool.submit(int)
-            )
+            if len([f for f in pending if not f.done()]) < MAX_FAULTS:
+                self.injected[chosen] += 1
+                pending.append(pool.submit(rig_faults.inject, chosen, self))
             time.sleep(self.random.uniform(0.4, 2.0))
             self._restart_ended()
         concurrent.futures.wait(pending)
--- /dev/null
+++ b/tests/test_soak_rig_sheet.py
@@ -0,0 +1,125 @@
+"""Tests of the rig's faults of a large sheet."""
+
+import json
+import pathlib
+import random
+import shutil
+
+import testtools
+
+from soak import rig
+from soak import rig_callers
+from soak import rig_faults
+from soak import rig_sheet_faults
+
+HERE = pathlib.Path(__file__).resolve().parent.parent
+MEAN = {'mean': 3.0}
+CLASS = {
+    'name': 'render',
+    'work_ms': {'mean': 1_000.0},
+    'jobs': {'steps': MEAN, 'width': MEAN, 'cpu': MEAN, 'mem_mb': MEAN},
+}
+SHEET = {
+    'zones': [{'name': 'a', 'region': 'r'}],
+    'machines': [
+        {'class': 'front', 'zone': 'a', 'count': 15, 'disk': {}},
+        {'class': 'side', 'zone': 'a', 'count': 1},
+    ],
+    'classes': [CLASS],
+    'traffic': [{'mix': {'render': 1.0}}],
+    'timing': {'hold_max_ms': 10_000},
+    'tolerate': {'machines': 2},
+}
+
+
+class RigCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.rig = rig.Rig(sheet=SHEET, root=HERE, seed=1, most_sides=1)
+        self.addCleanup(shutil.rmtree, self.rig.folder)
+        self.addCleanup(self.rig.close)
+        self.choices = random.Random(1)
+
+
+class WipeTest(RigCase):
+    def setUp(self):
+        super().setUp()
+        self.core = [h.name for h in self.rig._list('control')]
+        self.killed, self.started = [], []
+        self.rig.kill = self.killed.append
+        self.rig.start = lambda *key: self.started.append(key)
+        self.rig.list_keys = lambda *roles: [(n, roles[0]) for n in self.core]
+        self.rig.find_leader = lambda: self.core[0]
+        self.rig.find_status = lambda name: {'role': 'follower'}
+        self.patch(rig_sheet_faults.time, 'sleep', lambda seconds: None)
+        for name in self.core:
+            (self.rig.folder / f'{name}.data').mkdir()
+        members = [self.rig.find_address(n, 'internal') for n in self.core]
+        log = self.rig.folder / f'{self.core[0]}-control.log'
+        log.write_text('x\n' + json.dumps({'members': members}) + '\n')
+
+    def wipe(self, how):
+        """Return the machines whose disks were lost; others get theirs."""
+        rig_sheet_faults._wipe(self.rig, self.choices, self.await_none, how)
+        folders = {n: self.rig.folder / f'{n}.data' for n in self.core}
+        lost = [name for name in self.core if not folders[name].exists()]
+        for name in lost:
+            folders[name].mkdir()
+        return lost
+
+    def await_none(self, *args):
+        return None
+
+    def test_no_more_disks_are_lost_than_tolerated(self):
+        for how in rig_sheet_faults.WIPES:
+            lost = self.wipe(how)
+            self.assertTrue(1 <= len(lost) <= 2, lost)
+            self.assertEqual(sorted(self.killed), sorted(self.started))
+            count = len(self.core) if how else len(lost)
+            self.assertEqual(count, len(self.killed))
+            self.killed.clear()
+            self.started.clear()
+
+    def test_aimed_at_what_fewest_disks_have(self):
+        stopped = []
+        self.rig.signal = lambda key, number: stopped.append(key[0])
+        lost = self.wipe('aimed')
+        self.assertEqual(2, len(set(lost)))
+        self.assertEqual(2, len(set(stopped)))
+        self.assertEqual(set(), set(stopped) & {*lost, self.core[0]})
+
+    def test_none_is_lost_while_another_is(self):
+        self.rig.core_lock.acquire()
+        self.assertEqual([], self.wipe('aimed'))
+
+
+class KindTest(RigCase):
+    def test_all_kinds_can_be_played(self):
+        self.patch(rig_sheet_faults.time, 'sleep', lambda seconds: None)
+        self.patch(rig_sheet_faults, 'ORDER_TIMEOUT_S', 0)
+        names = [
+            name
+            for name, function in rig_faults._registry.items()
+            if function.__module__ == rig_sheet_faults.__name__
+        ]
+        self.assertEqual(30, len(names), names)
+        for name in names:
+            rig_faults.inject(name, self.rig)
+
+    def test_evacuation_is_sent_until_it_is_acknowledged(self):
+        answers = iter([(503, ''), ('TimeoutError', ''), (200, ''), (200, '')])
+        paths = []
+
+        def answer(address, method, path, timeout):
+            paths.append(path)
+            return next(answers)
+
+        self.patch(rig_callers, 'call', answer)
+        self.patch(rig_sheet_faults.time, 'sleep', lambda seconds: None)
+        self.rig.list_keys = lambda *roles: [(self.rig.seeds[0], 'control')]
+        rig_faults.inject('evacuate', self.rig)
+        self.assertEqual(
+            ['/Evacuation.Start/a'] * 3 + ['/Evacuation.End/a'], paths
+        )
+        rows = (self.rig.folder / 'calls.jsonl').read_text().splitlines()
+        self.assertEqual(200, json.loads(rows[-1])['status'])
