--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -4,6 +4,7 @@
 import threading
 
 from bilberryhaven import clock as clocks
+from bilberryhaven import clock_watch
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.platform import handlers
@@ -88,7 +89,11 @@
         """Start listening and reload the seeds periodically."""
         for item in self._servers:
             item.start()
-        tickers = [('seeds', self.reload, SEED_INTERVAL)]
+        watch = clock_watch.ClockWatch(clock=self._clock)
+        tickers = [
+            ('seeds', self.reload, SEED_INTERVAL),
+            ('clocks', watch.tick, clock_watch.INTERVAL),
+        ]
         if self._discovery is not None:
             tickers.append(
                 ('discovery', self._discovery.tick, discovery.INTERVAL)
--- a/bilberryhaven/roles/process.py
+++ b/bilberryhaven/roles/process.py
@@ -4,6 +4,8 @@
 import sys
 import threading
 
+import bilberryhaven
+from bilberryhaven import build
 from bilberryhaven import log
 
 __all__ = ['run_until_signal']
@@ -30,7 +32,13 @@
     _logger.info(
         '{} listens',
         settings.name,
-        extra={'name': settings.name, 'address': role.address},
+        extra={
+            'name': settings.name,
+            'address': role.address,
+            'role': type(role).__name__,
+            'version': bilberryhaven.__version__,
+            'build': build.compute_digest(),
+        },
     )
     stopping.wait()
     _logger.info('{} is stopping', settings.name)
