Bind the end of an instance's session to the term it was found in

What callers would see: a job of the product's own queue runs on two instances at once.

Cause: the leader found that a lease had expired and proposed the end of the session without saying in which term. If leadership was lost and regained in between, another leader may have renewed that lease, and its agent goes on.

Change: the proposal names the term that was read before the leases were listed, and the replica refuses it in any other. The next term finds the lease itself, after a whole lease and margin.

Evidence: two tests of FormerTermTest that failed before; a third, with the change of term before the renewals are refused, passed before, too. The other closing of a session, that of a leaving agent without jobs, rests on what the agent said of its own session and holds in any term.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -67,7 +67,7 @@
         self.log_bytes += len(data)
         return _CompletedFuture(self._machine.apply(0, data))
 
-    def propose(self, data, *, timeout):
+    def propose(self, data, *, timeout, term=0):
         """Apply ``data`` at once; return the result."""
         return self.propose_future(data).result()
 
--- a/bilberryhaven/control/leader.py
+++ b/bilberryhaven/control/leader.py
@@ -86,10 +86,15 @@
         with self.replica.machine_lock:
             yield self.state
 
-    def propose(self, command):
-        """Commit ``command`` and return its result."""
+    def propose(self, command, *, term=0):
+        """Commit ``command`` and return its result.
+
+        Args:
+            command: The ``Command``.
+            term: The only term in which it may be proposed; 0 for any.
+        """
         return self.replica.propose(
-            commands.encode(command), timeout=COMMIT_TIMEOUT
+            commands.encode(command), timeout=COMMIT_TIMEOUT, term=term
         )
 
     def propose_all(self, batch):
@@ -197,7 +202,8 @@
         batch = self._run_systems()
         if batch:
             self._log_refusals(batch, self.propose_all(batch))
-        self._close_expired_sessions()
+        with contextlib.suppress(errors.NotLeaderError):
+            self._close_expired_sessions()
 
     def _run_systems(self):
         usage, self._usage = self._usage, []
@@ -223,12 +229,25 @@
                 _logger.warning('command {} was rejected: {}', name, result)
 
     def _close_expired_sessions(self):
+        # Read before the leases: another leader may renew them from the end
+        # of that term on.
+        term = self._ready_term
         for name, epoch in self.leases.list_expired():
             if self.leases.begin_close(name, epoch):
-                self.close_session(name, epoch, 'its lease ran out')
+                self.close_session(name, epoch, 'its lease ran out', term=term)
+
+    def close_session(self, name, epoch, reason, *, term=0):
+        """Commit the end of a session whose renewals are already refused.
 
-    def close_session(self, name, epoch, reason):
-        """Commit the end of a session whose renewals are already refused."""
+        Args:
+            name: Name of the instance.
+            epoch: Epoch of the session.
+            reason: Why it ends.
+            term: The only term in which that holds; 0 for any.
+
+        Raises:
+            NotLeaderError: That term has ended; the session isn't closed.
+        """
         log.log_decision(
             _logger,
             'close session',
@@ -240,7 +259,7 @@
             name=name, epoch=epoch, at=self.clock.wall(), reason=reason
         )
         with contextlib.suppress(errors.FencedError):
-            self.propose(command)
+            self.propose(command, term=term)
         self.leases.end_close(name, epoch)
         self._loads.pop(name, None)
 
