Test starts whose status says nothing of their outcome

A start that is answered with a status like 500 or 504 may have been executed, but counts as refused.

--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -125,6 +125,32 @@
         self.start_incarnation(1)
         self.assertEqual(1, self.hold(target).born_ms)
 
+    def answer_with(self, status, body=b'{}'):
+        self.client._post = lambda *args, **fields: (status, body)
+
+    def test_start_without_a_known_answer_may_be_executed(self):
+        """Guards against a run that is at work while taken for rejected."""
+        target = self.build_target(1)
+        for status in (204, 302, 408, 500, 502, 504, 599):
+            self.answer_with(status)
+            self.assertRaises(errors.PeerError, self.start, target)
+
+    def test_start_that_was_refused(self):
+        target = self.build_target(1)
+        for status, body, expected in (
+            (400, b'{}', 'rejected'),
+            (409, b'{"reason":"room"}', 'rejected'),
+            (409, b'{"reason":"fence"}', 'rejected'),
+            (409, b'{"reason":"ticket"}', 'rejected'),
+            (409, b'{"reason":"late"}', 'late'),
+            (409, b'x', 'rejected'),
+            (429, b'', 'busy'),
+            (503, b'', 'busy'),
+            (421, b'', 'other_life'),
+        ):
+            self.answer_with(status, body)
+            self.assertEqual(expected, self.start(target).value)
+
     def test_status_of_another_incarnation_needs_no_body(self):
         """Guards against a server that is followed long after its end."""
         target = self.build_target(1)
