Repeat a start whose answer says nothing of its outcome

What callers would see: a task runs on two backend servers at once, after a server answered its start with a status like 500 or 504 and carried it out.

Cause: whatever status wasn't known counted as a refusal, which means that nothing was done. Other calls took the same statuses for no answer.

Change: a start counts as refused only by a status that means so; any other is an unknown outcome. It is repeated, and then stopped, which rules it out. It costs a server that answers so one stop for each start.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -244,6 +244,12 @@
             return StartResult.BUSY
         if status == STATUS_OTHER_INSTANCE:
             return StartResult.OTHER_INCARNATION
+        if not _is_refusal(status):
+            raise errors.PeerError(
+                f'HTTP status {status}; the run may have been started',
+                step='start run',
+                peer=target.address,
+            )
         if _read_reason(body) == REASON_LATE:
             return StartResult.LATE
         return StartResult.REJECTED
@@ -318,9 +324,7 @@
                 step=step,
                 peer=target.address,
             )
-        kind = errors.PeerError
-        if 400 <= status < 500 and status not in RETRIED_STATUSES:
-            kind = errors.RefusedError
+        kind = errors.RefusedError if _is_refusal(status) else errors.PeerError
         raise kind(f'HTTP status {status}', step=step, peer=target.address)
 
     def _post(self, target, path, fields, *, timeout_s=CALL_TIMEOUT_S):
@@ -350,6 +354,11 @@
         return response.status, response.data
 
 
+def _is_refusal(status):
+    """Return whether a status says that nothing was done, for good."""
+    return 400 <= status < 500 and status not in RETRIED_STATUSES
+
+
 def _build_headers(target):
     return {
         'Content-Type': 'application/json',
