Test the check of connections to an unhealthy next incarnation

A new connection counts as one to the followed incarnation unless an answer names another. A refusal names none, so that the next life of a worker, under the same id and address, gets the former one's calls.

--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -21,18 +21,32 @@
 
 
 class WorkerIncarnation:
-    """One incarnation of a worker; records the calls that it received."""
+    """One incarnation of a worker; records the calls that it received.
+
+    Attributes:
+        busy: Number of calls that it answers as unhealthy.
+        token: Highest fencing token that it has seen.
+    """
 
     def __init__(self, *, address, born_ms):
         self.born_ms = born_ms
         self.calls = []
+        self.busy = self.token = 0
         self.server = server.Server(
             address=address, handlers={}, fallback=self.answer, threads=2
         )
         self.server.start()
 
     def answer(self, environ, body):
-        self.calls.append((environ['PATH_INFO'], json.loads(body)))
+        call = json.loads(body)
+        self.calls.append((environ['PATH_INFO'], call))
+        if self.busy:
+            self.busy -= 1
+            return server.Response(status=503, body=b'{"clock_ms":5}')
+        if call['fencing_token'] < self.token:
+            body = b'{"clock_ms":5,"reason":"fence"}'
+            return server.Response(status=409, body=body)
+        self.token = call['fencing_token']
         fields = {'clock_ms': 5, 'running': [], 'finished': []}
         fields['born'] = self.born_ms
         return server.Response(body=json.dumps(fields).encode())
@@ -76,10 +90,10 @@
             sequence=1,
         )
 
-    def start(self, target):
+    def start(self, target, *, epoch=4):
         order = message.Order(message.OrderKind.START, RUN)
         return self.client.start_run(
-            target, order, deadline_ms=480_000, epoch=4
+            target, order, deadline_ms=480_000, epoch=epoch
         )
 
     def hold(self, target):
@@ -108,6 +122,59 @@
             self.assertEqual(0, fields['ack_cursor'])
             self.assertNotIn('deadline_ms', fields)
 
+    def test_calls_do_not_reach_a_next_incarnation_that_is_unhealthy(self):
+        """Guards against runs and ends of which the log knows nothing.
+
+        Its refusal names no start, which doesn't make it the former one.
+        """
+        former = self.start_incarnation(1)
+        target = self.build_target(1)
+        self.start(target)
+        former.server.stop()
+        later = self.start_incarnation(2)
+        for call in (self.start, self.hold):
+            later.busy = 1
+            self.assertRaises(errors.PeerError, call, target)
+            self.assertRaises(errors.GoneError, call, target)
+        for path, fields in later.calls:
+            self.assertEqual('/hold', path)
+            self.assertEqual(0, fields['ack_cursor'])
+            self.assertNotIn('deadline_ms', fields)
+
+    def test_answer_that_shows_no_incarnation(self):
+        """Guards against calls that reach another one than the followed."""
+        target = self.build_target(1)
+        for status in (204, 302, 400, 404, 429, 500, 503):
+            conn = FakeConnection(status=status, body=b'{"clock_ms":5}')
+            self.assertRaises(
+                errors.PeerError, workers._check_incarnation, target, 4, conn
+            )
+
+    def drop_connections(self):
+        for conn in list(self.client._pool.pool.queue):
+            if conn is not None:
+                conn.close()
+
+    def test_connection_is_checked_with_the_newest_token(self):
+        """Guards against a server that can't be used after a new token."""
+        incarnation = self.start_incarnation(1)
+        target = self.build_target(1)
+        for epoch in (4, 5, 5, 6, 6):
+            self.assertEqual('started', self.start(target, epoch=epoch).value)
+            self.drop_connections()
+        tokens = [
+            call['fencing_token']
+            for path, call in incarnation.calls
+            if path == '/hold'
+        ]
+        self.assertEqual([4, 5, 5, 6, 6], tokens)
+
+    def test_connection_of_a_replaced_agent(self):
+        """It is refused; nothing shows that the server has ended."""
+        self.start_incarnation(1).token = 5
+        target = self.build_target(1)
+        self.assertRaises(errors.FencedError, self.hold, target)
+
     def test_next_incarnation_is_called_once_announced(self):
         former = self.start_incarnation(1)
         self.start(self.build_target(1))
