Use a connection only once it has shown the incarnation

What callers would see: a task is started again after its end as done was acknowledged, or it runs though the log assigns it to a server that has ended; the server that is really there can't be used.

Cause: a worker that crashes may start again under its id and address, so each new connection is checked by a call that the incarnation answers with its start. An answer without one passed the check. A worker that is unhealthy answers 429 or 503 with its clock only, also a new one: the connection was then used as one to its former life. That one's starts were carried out under its key, and ack_cursor, in the former life's numbers, acknowledged ends of the next one that nobody had recorded. The agent ignored the listings, which name another start, but took them for answers, so that no lease lapsed.

Change: a connection is used only after an answer that names the start, or a list (the servers of some deployments name none). Another refusal is no answer; no call is sent. The check carries the newest token of the agent's calls instead of the first, as a refusal for an old token names no start either.

It costs an unhealthy worker's new connections one more call that may be refused.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -226,6 +226,8 @@
         self._lock = threading.Lock()
         self._incarnation = None
         self._pool = None
+        # Newest fencing token of calls to the incarnation.
+        self._epoch = 0
 
     def start_run(self, target, order, *, deadline_ms, epoch):
         """Start a run and return a ``StartResult``."""
@@ -304,11 +306,20 @@
                     port=port,
                     maxsize=MAX_CONNECTIONS,
                     retries=False,
-                    check=functools.partial(_check_incarnation, target, epoch),
+                    check=functools.partial(self._check_connection, target),
                 )
                 self._incarnation = incarnation
+                self._epoch = 0
+            self._epoch = max(self._epoch, epoch)
             return self._pool
 
+    def _check_connection(self, target, conn):
+        # With an older token than the server has seen, it would refuse
+        # without showing which incarnation it is.
+        with self._lock:
+            epoch = self._epoch
+        _check_incarnation(target, epoch, conn)
+
     def _check(self, target, step, status, body):
         if status == 200:
             return
@@ -371,8 +382,9 @@
 
     Raises:
         GoneError: It leads to another incarnation.
-        PeerError: There is no answer, or it can't be decoded. The call for
-            which the connection was opened isn't sent.
+        FencedError: The worker has seen a higher fencing token.
+        PeerError: There is no answer, or it shows no incarnation. The call
+            for which the connection was opened isn't sent.
     """
     # Neither acknowledges ends nor extends the lease: another incarnation
     # numbers its ends and counts its clock from the start again.
@@ -385,18 +397,42 @@
         raise errors.PeerError(
             f'no answer: {error}', step='connect', peer=target.address
         ) from error
+    status, data = response.status, response.data
+    born_ms = 0 if status == STATUS_OTHER_INSTANCE else _read_born(data)
     # This status identifies another incarnation, with or without a body.
-    is_other = response.status == STATUS_OTHER_INSTANCE
-    if not is_other:
-        with _ANSWER_GUARD:
-            born_ms = _decode_answer(response.data, _Identity).born
-        is_other = born_ms not in (0, target.state.born_ms)
-    if is_other:
+    if status == STATUS_OTHER_INSTANCE or born_ms not in (
+        0,
+        target.state.born_ms,
+    ):
         raise errors.GoneError(
             'another incarnation of the worker answered',
             step='connect',
             peer=target.address,
         )
+    if status == 200 or born_ms:
+        return
+    if _read_reason(data) == REASON_FENCE:
+        raise errors.FencedError(
+            'the worker has seen a higher fencing token',
+            step='connect',
+            peer=target.address,
+        )
+    # Any incarnation may refuse a call without naming its start.
+    raise errors.PeerError(
+        f'HTTP status {status} shows no incarnation',
+        step='connect',
+        peer=target.address,
+    )
+
+
+def _read_born(body):
+    """Return the start that an answer names, 0 if it names none.
+
+    Raises:
+        PeerError: It can't be decoded.
+    """
+    with _ANSWER_GUARD:
+        return _decode_answer(body, _Identity).born
 
 
 def _build_peer_error(error, target, path):
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -150,6 +150,15 @@
                 errors.PeerError, workers._check_incarnation, target, 4, conn
             )
 
+    def test_refusal_that_names_its_incarnation(self):
+        target = self.build_target(1)
+        conn = FakeConnection(status=503, body=b'{"born":1}')
+        workers._check_incarnation(target, 4, conn)
+        conn = FakeConnection(status=503, body=b'{"born":2}')
+        self.assertRaises(
+            errors.GoneError, workers._check_incarnation, target, 4, conn
+        )
+
     def drop_connections(self):
         for conn in list(self.client._pool.pool.queue):
             if conn is not None:
