Log open session only for a server that was registered before

Change: the line is written for the first poll in a term and for another agent process.

Result: test_workflow_leader_lines, test_workflow_registration and test_hearsay_sessions pass.

--- a/bilberryhaven/workflow/registration.py
+++ b/bilberryhaven/workflow/registration.py
@@ -61,10 +61,10 @@
                 )
             if agent_session is not None and agent_session.epoch == row.epoch:
                 return agent_session
-            return self._open_session(row, request)
+            return self._open_session(row, request, is_known=True)
         known = row is not None
         row = self._open_backend(key, request)
-        return self._open_session(row, request, inherit=known)
+        return self._open_session(row, request, is_known=known, inherit=known)
 
     def _open_backend(self, key, request):
         self._check_pool(key, request)
@@ -184,12 +184,13 @@
             and self._memory.sessions.is_followed(agent_session)
         )
 
-    def _open_session(self, row, request, *, inherit=False):
+    def _open_session(self, row, request, *, is_known, inherit=False):
         """Open the session of a backend server and order its runs.
 
         Args:
             row: The ``Backend``.
             request: The ``Poll`` of its agent.
+            is_known: Whether the server was registered before.
             inherit: Whether the agent is new to the server, so that leases
                 granted by an earlier agent may still be valid.
 
@@ -220,7 +221,8 @@
             self._memory.sessions.put(agent_session)
             self._memory.index.refresh(self._clock.wall().timestamp())
             self._memory.order_runs(agent_session)
-        self._log_session(agent_session, inherit=inherit)
+        if is_known:
+            self._log_session(agent_session, inherit=inherit)
         self._leader.wake()
         return agent_session
 
@@ -233,7 +235,7 @@
             'open session',
             reason='polled by another agent process'
             if inherit
-            else 'first poll of its agent',
+            else 'first poll in this term',
             backend=agent_session.key,
             agent=agent_session.instance,
             epoch=agent_session.epoch,
--- a/tests/test_workflow_leader_lines.py
+++ b/tests/test_workflow_leader_lines.py
@@ -157,7 +157,7 @@
             line, term=5, applied=0, servers=1, active=1, leases_end_in_s=5.6
         )
         self.poll(epoch=first.epoch)
-        line = self.lines.list('open session')[-1]
+        (line,) = self.lines.list('open session')
         self.check(
             line,
             backend=first.key,
