Log commits whose outcome is unknown

Cause: a command whose commit timed out, or whose leader was lost, may take effect, and an end, a closing or a submission then had no line of its own; only starts had one.

Change: one line, `leave commit open`, for any command of the dispatcher, in the place of `leave starts open`. No decision changes.

Result: test_workflow_leader_lines (14 tests), test_workflow_dispatcher (67), test_workflow_given_up_runs and test_hearsay_requests pass.

--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -4,6 +4,8 @@
 import contextlib
 import threading
 
+import msgspec
+
 from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import commands
@@ -30,6 +32,8 @@
 # Interval of the checks for due workflows, expired leases and ended
 # quarantines while no event wakes the scheduler.
 IDLE_SECONDS = 0.1
+# Characters of a command in a log line, some twenty starts or ends.
+MAX_COMMAND_CHARS = 2_000
 
 _logger = log.get_logger('workflow')
 
@@ -236,8 +240,24 @@
         Returns:
             The result of its ``apply``.
         """
-        return self._replica.propose(
-            commands.encode(command), timeout=COMMIT_TIMEOUT, term=term
+        try:
+            return self._replica.propose(
+                commands.encode(command), timeout=COMMIT_TIMEOUT, term=term
+            )
+        except errors.BilberryhavenError as error:
+            if error.outcome == errors.Outcome.UNKNOWN:
+                self._log_unknown_commit(command, error)
+            raise
+
+    def _log_unknown_commit(self, command, error):
+        # What it decided may take effect without a line of its own.
+        text = msgspec.json.encode(command).decode()
+        log.log_decision(
+            _logger,
+            'leave commit open',
+            reason=f'its outcome is unknown: {error}',
+            term=self.term,
+            command=text[:MAX_COMMAND_CHARS],
         )
 
     def _join(self, request):
@@ -275,13 +295,7 @@
             command = workflow_commands.StartRuns(
                 starts=starts, at=self._clock.wall().timestamp()
             )
-            try:
-                self.propose(command)
-            except errors.NotLeaderError:
-                raise
-            except errors.BilberryhavenError as error:
-                self._log_unknown_starts(starts, error)
-                raise
+            self.propose(command)
             for start, task in self._list_tasks(starts):
                 if task is None or task.last_run < start.number:
                     self._log_refused_start(start)
@@ -300,18 +314,6 @@
                 for start, row in rows
             ]
 
-    def _log_unknown_starts(self, starts, error):
-        log.log_decision(
-            _logger,
-            'leave starts open',
-            reason=f'their commit has no known outcome: {error}',
-            term=self.term,
-            starts=[
-                (start.workflow, start.task, start.number, start.backend)
-                for start in starts
-            ],
-        )
-
     def _log_refused_start(self, start):
         log.log_decision(
             _logger,
