Collect requests within bounds before a thread serves them

Cause: the HTTP library counts a line only after it has read it whole, and each connection occupied a thread from its start.

Change: one thread a listener receives on all connections; `RequestReader` bounds each line, head, body, trailers and framing before they are kept, and refuses what parsers read differently (400, 413, 414; connection closed). A request whose last byte is late is refused with 408. Threads serve complete requests only, so slow or silent connections occupy none, and chunked requests wait for deferred replies without a thread. Limits are the settings `input`; on the infrastructure, lines `input.NAME`.

--- a/bilberryhaven/platform/control.py
+++ b/bilberryhaven/platform/control.py
@@ -47,6 +47,7 @@
             self._deployment.control_address,
             handlers.build_operator_handler(self._gateway),
             OPERATOR_THREADS,
+            is_for_callers=False,
         )
 
     def _build_directory(self):
--- a/bilberryhaven/platform/roles.py
+++ b/bilberryhaven/platform/roles.py
@@ -78,9 +78,13 @@
         """The first address that it listens on."""
         return self._servers[0].address if self._servers else ''
 
-    def _serve(self, address, handle, threads):
+    def _serve(self, address, handle, threads, *, is_for_callers=True):
         new_server = server.Server(
-            address=address, handlers={}, fallback=handle, threads=threads
+            address=address,
+            handlers={},
+            fallback=handle,
+            threads=threads,
+            is_for_callers=is_for_callers,
         )
         self._servers.append(new_server)
 
--- a/bilberryhaven/platform/settings.py
+++ b/bilberryhaven/platform/settings.py
@@ -4,6 +4,8 @@
 import os
 import pathlib
 
+import msgspec
+
 from bilberryhaven import border
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
@@ -22,6 +24,7 @@
 # allows a longer one: it limits how long the work of a lost server is stalled.
 MAX_LEASE = clocks.seconds(5)
 ZONE_PREFIX = 'zones.'
+INPUT_PREFIX = 'input.'
 # Share of the time allowed for the withdrawal of a zone to take effect in
 # which an agent that is cut off may send starts; the rest is for calls that
 # take long.
@@ -116,6 +119,7 @@
         # The settings file calls the backend server beside an agent "app".
         backend=fields.get('app', ''),
         zones=_list_zones(fields),
+        input=_build_input(fields),
     )
     return Deployment(
         settings=loaded,
@@ -146,6 +150,16 @@
     ]
 
 
+def _build_input(fields):
+    """Return the ``InputLimits``, which the settings file may lower."""
+    given = {
+        name.removeprefix(INPUT_PREFIX): value
+        for name, value in fields.items()
+        if name.startswith(INPUT_PREFIX)
+    }
+    return msgspec.convert(given, type=settings.InputLimits, strict=False)
+
+
 def _build_options(fields):
     defaults = options.Options()
     max_lease = _read_duration(fields, 'bounds.max_lease_ms')
--- a/bilberryhaven/roles/process.py
+++ b/bilberryhaven/roles/process.py
@@ -5,6 +5,7 @@
 import threading
 
 from bilberryhaven import log
+from bilberryhaven.wire import intake
 
 __all__ = ['run_until_signal']
 
@@ -22,6 +23,7 @@
     log.start_logging(
         level=settings.log_level, stream=sys.stdout, background=True
     )
+    intake.PROCESS.configure(settings.input)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     'Capacity',
+    'InputLimits',
     'INSTANCE_LABELS',
     'Label',
     'NAME_PATTERN',
@@ -23,6 +24,8 @@
     'load_settings',
 ]
 
+KIB = 1024
+MIB = 1024 * KIB
 MAX_DELAY_MS = 10_000
 MAX_WEIGHT = 1_000_000
 MAX_SLOTS = 10_000
@@ -142,6 +145,33 @@
     ] = 3
 
 
+class InputLimits(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Limits on what peers send to a process, whoever they are.
+
+    Attributes:
+        line_bytes: Longest line: a request line, a header, the size of a
+            chunk with its extensions, or a trailer.
+        head_bytes: Largest request line with headers.
+        body_bytes: Largest body of an operator's or another process's
+            request.
+        caller_body_bytes: Largest body of a request at a listener that
+            serves callers only.
+        request_ms: Longest time from the first byte of a request to its
+            last, in milliseconds.
+        idle_ms: Longest time between two requests on a connection, in
+            milliseconds.
+    """
+
+    line_bytes: typing.Annotated[int, msgspec.Meta(ge=256)] = 32 * KIB
+    head_bytes: typing.Annotated[int, msgspec.Meta(ge=256)] = 64 * KIB
+    body_bytes: typing.Annotated[int, msgspec.Meta(ge=KIB)] = 8 * MIB
+    caller_body_bytes: typing.Annotated[int, msgspec.Meta(ge=KIB)] = MIB
+    request_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 5_000
+    idle_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 20_000
+
+
 class Settings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -167,6 +197,7 @@
         service_reserve: Slots of each instance that batch work leaves free.
         standalone: Options of the standalone role.
         workflows: Treatment of workflows under overload.
+        input: Limits on what peers send.
         log_level: Lowest level that is logged.
     """
 
@@ -189,6 +220,7 @@
     ] = 2
     standalone: StandaloneOptions = StandaloneOptions()
     workflows: WorkflowLimits = WorkflowLimits()
+    input: InputLimits = InputLimits()
     log_level: LogLevel = 'info'
 
     def __post_init__(self):
--- a/bilberryhaven/standin/http.py
+++ b/bilberryhaven/standin/http.py
@@ -95,10 +95,7 @@
     def _answer(self, environ):
         parts = environ['PATH_INFO'].strip('/').split('/')
         try:
-            try:
-                body = server.read_body(environ)
-            finally:
-                self._listener.guard.end()
+            body = server.read_body(environ)
             return self._handle(environ['REQUEST_METHOD'], parts, body)
         except errors.BilberryhavenError as error:
             return Reply(status=error.status, value=error.to_dict())
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -1,141 +1,157 @@
-"""Connections of the HTTP server: coded errors and a read time-out."""
+"""Connections of the HTTP server: whole requests and coded errors."""
 
-import contextlib
-import datetime
+import io
 import json
 import socket
-import threading
 
+from cheroot import makefile
 from cheroot import server as cheroot_server
 
-from bilberryhaven import clock
 from bilberryhaven import errors
+from bilberryhaven.wire import input as wire_input
 
-__all__ = ['ReadGuard', 'Request', 'build_connection_class']
+__all__ = ['Connection', 'Request']
 
-READ_TIMEOUT = datetime.timedelta(seconds=5)
-CHECK_INTERVAL_SECONDS = 0.5
 BAD_REQUEST = '400 Bad Request'
 CODES = {
     '404': errors.NotFoundError,
     '408': errors.DeadlineError,
+    '503': errors.OverloadError,
     '5': errors.InternalError,
 }
 
 
-class ReadGuard:
-    """Shuts down connections that send a request too slowly.
+class _HeaderReader(cheroot_server.HeaderReader):
+    """Reads the headers of a request that has been received completely."""
 
-    Without it, a client that sends its headers byte by byte could occupy a
-    thread indefinitely.
+    def __call__(self, rfile, hdict=None):
+        """Return the headers without the one that asks for the body."""
+        hdict = super().__call__(rfile, hdict)
+        hdict.pop(b'Expect', None)
+        return hdict
 
-    Args:
-        timeout: Longest time to receive a request's headers and body, a
-            timedelta.
-    """
-
-    def __init__(self, *, timeout=READ_TIMEOUT):
-        self._timeout = timeout
-        self._clock = clock.SystemClock()
-        self._started = {}
-        self._lock = threading.Lock()
-        self._stopped = threading.Event()
-
-    def start(self):
-        """Start the thread that checks the time-outs."""
-        threading.Thread(
-            target=self._monitor, name='read-guard', daemon=True
-        ).start()
-
-    def stop(self):
-        """Stop checking the time-outs."""
-        self._stopped.set()
-
-    def begin(self, sock):
-        """Start the time-out of the request read from ``sock``.
-
-        Each thread reads one request at a time.
-        """
-        at = self._clock.monotonic()
-        with self._lock:
-            self._started[threading.get_ident()] = (sock, at)
-
-    def end(self):
-        """End the time-out of the request that the current thread reads."""
-        with self._lock:
-            self._started.pop(threading.get_ident(), None)
-
-    def _monitor(self):
-        while not self._stopped.wait(CHECK_INTERVAL_SECONDS):
-            self._shut_down_slow()
-
-    def _shut_down_slow(self):
-        limit = self._clock.monotonic() - self._timeout
-        with self._lock:
-            slow = [sock for sock, at in self._started.values() if at < limit]
-            for sock in slow:
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RD)
+    def _allow_header(self, key_name):
+        # Applications would take it for the header with a hyphen.
+        return b'_' not in key_name
 
 
 class Request(cheroot_server.HTTPRequest):
-    """Request for which the server reports its errors as coded JSON."""
+    """Request that was read before its thread started to serve it.
+
+    The server reports its errors as coded JSON.
+    """
 
-    guard = None
+    header_reader = _HeaderReader()
 
     def parse_request(self):
-        """Read the headers within the guard's time-out."""
-        self.guard.begin(self.conn.socket)
-        super().parse_request()
-        if not self.ready:
-            self.guard.end()
+        """Parse the request line and the headers."""
+        self.rfile = self.conn.rfile
+        self.ready = self.read_request_line() and self.read_request_headers()
 
     def respond(self):
-        """Respond; the guard's time-out applies until the body is read."""
-        # Unread chunks would be parsed as the next request.
-        self.close_connection = self.close_connection or self.chunked_read
-        try:
-            if int(self.inheaders.get(b'Content-Length', 0)) < 0:
-                self.simple_response(BAD_REQUEST, 'negative Content-Length')
-                return
-            super().respond()
-        finally:
-            self.guard.end()
+        """Respond; the body is at hand without its transfer coding."""
+        self.rfile = io.BytesIO(self.conn.take_body())
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b'0\r\n\r\n')
 
     def simple_response(self, status, msg=''):
         """Write the response to an error detected by the HTTP library."""
         number = str(status)[:3]
-        if number == '100':
-            super().simple_response(status, msg)
-            return
         if not self.ready and number[0] == '5':
             # The HTTP library reports a server error for headers that it
             # can't parse, because they raise an exception in it.
             number, status = BAD_REQUEST[:3], BAD_REQUEST
         self.close_connection = True
-        body = json.dumps(_build_error(number, msg or str(status)).to_dict())
-        head = (
-            f'HTTP/1.1 {status}\r\nContent-Type: application/json\r\n'
-            f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+        error = _build_error(number, msg or str(status))
+        try:
+            self.conn.wfile.write(encode_refusal(status, error))
+        except OSError:
+            return
+
+
+class Connection(cheroot_server.HTTPConnection):
+    """A connection whose requests are collected before they are served.
+
+    Args:
+        server: The HTTP server.
+        sock: The connected socket.
+        makefile: Not used; the library passes it.
+
+    Attributes:
+        pending: The deferred response that it waits for, or None.
+        place: The queue of ``connections.Connections`` that it is in.
+        since: Monotonic time in seconds at which it was put there.
+        reader: The ``RequestReader`` of its requests.
+    """
+
+    RequestHandlerClass = Request
+
+    def __init__(self, server, sock, makefile=None):
+        limits = server.intake.limits
+        self.server = server
+        self.socket = sock
+        self.fd = sock.fileno()
+        self.rfile = io.BytesIO()
+        self.wfile = _open_writer(sock)
+        self.requests_seen = 0
+        self.pending = None
+        self.place = None
+        self.since = 0.0
+        self.discarded = 0
+        self.reader = wire_input.RequestReader(
+            line_bytes=limits.line_bytes,
+            head_bytes=limits.head_bytes,
+            body_bytes=server.body_bytes,
         )
+        self._body = b''
+
+    def take_body(self):
+        """Return the body of the request that is served, once."""
+        body, self._body = self._body, b''
+        return body
+
+    def communicate(self):
+        """Serve the request that is complete; return whether to go on."""
+        request = self.reader.take()
+        self.rfile = io.BytesIO(request.head)
+        self._body = request.body
+        del request
+        # A response that is pending decides about the connection later.
+        return super().communicate() or self.pending is not None
+
+    def refuse(self, refusal):
+        """Answer a request that can't be served, without waiting."""
+        data = encode_refusal(refusal.status, refusal.error)
         try:
-            self.conn.wfile.write((head + body).encode())
+            self.socket.send(data, socket.MSG_DONTWAIT)
+            self.socket.shutdown(socket.SHUT_WR)
         except OSError:
             return
 
 
-def build_connection_class(guard):
-    """Return a connection class whose requests ``guard`` times out.
+def _open_writer(sock):
+    return makefile.StreamWriter(sock, 'wb')
+
 
-    The attribute ``pending`` of a connection is the deferred response that
-    it waits for, or None.
+def encode_refusal(status, error):
+    """Return the bytes of the response that refuses a request.
+
+    Args:
+        status: Status line of the response.
+        error: The ``BilberryhavenError``.
     """
-    request_class = type('GuardedRequest', (Request,), {'guard': guard})
-    return type(
-        'GuardedConnection',
-        (cheroot_server.HTTPConnection,),
-        {'RequestHandlerClass': request_class, 'pending': None},
+    body = json.dumps(error.to_dict())
+    retry = ''
+    if error.retry_after is not None:
+        retry = f'Retry-After: {max(1, round(error.retry_after))}\r\n'
+    head = (
+        f'HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{retry}'
+        f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
     )
+    return (head + body).encode()
 
 
 def _build_error(number, text):
--- /dev/null
+++ b/bilberryhaven/wire/connections.py
@@ -0,0 +1,292 @@
+"""Open connections of an HTTP server that no thread serves at the moment.
+
+One thread accepts connections and receives requests on all of them, so that
+neither a connection without a request nor a slow one occupies a thread that
+serves requests.
+"""
+
+import contextlib
+import select
+import socket
+import threading
+import time
+
+from bilberryhaven import clock as clocks
+from bilberryhaven import errors
+from bilberryhaven import log
+from bilberryhaven.wire import input as wire_input
+
+__all__ = ['Connections']
+
+MS_PER_S = 1000
+# A refused sender reads the answer only once it has sent its request, or has
+# been stopped; what it sends meanwhile is discarded within these bounds.
+DISCARD_SECONDS = 1.0
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+ACCEPT_PAUSE_SECONDS = 0.2
+
+_log = log.BoundedLog(
+    logger=log.get_logger('wire'), clock=clocks.SystemClock()
+)
+
+
+class Connections:
+    """Receives requests and hands complete ones to the server's threads.
+
+    A connection belongs either to a thread that serves its request or to one
+    of the queues here, each of which is in the order of arrival.
+
+    Args:
+        server: The ``deferral.Server``, whose socket listens.
+    """
+
+    def __init__(self, server):
+        self._server = server
+        self._intake = server.intake
+        self._limits = server.intake.limits
+        self._poll = select.epoll()
+        self._listen_fd = server.socket.fileno()
+        server.socket.setblocking(False)
+        self._poll.register(self._listen_fd, select.EPOLLIN)
+        self._idle, self._reading, self._refused = {}, {}, {}
+        self._lock = threading.Lock()
+        self._serving = False
+        self._stop_requested = False
+
+    @property
+    def can_add_keepalive_connection(self):
+        """Whether one more connection may be kept open between requests."""
+        return len(self._idle) < self._server.keep_alive_conn_limit
+
+    def run(self, expiration_interval):
+        """Serve until ``stop`` is called.
+
+        Args:
+            expiration_interval: Time between two checks for connections that
+                have timed out, in seconds.
+        """
+        self._serving = True
+        try:
+            self._run(expiration_interval)
+        finally:
+            self._serving = False
+
+    def stop(self):
+        """Stop receiving; return once no request is being received."""
+        self._stop_requested = True
+        while self._serving:
+            time.sleep(0.01)
+
+    def close(self):
+        """Close all connections that no thread serves."""
+        with self._lock:
+            queues = (self._idle, self._reading, self._refused)
+            left = [conn for queue in queues for conn in queue.values()]
+        for conn in left:
+            self._drop(conn)
+        self._poll.close()
+
+    def put(self, conn):
+        """Wait for the next request, or hand over one that has arrived."""
+        try:
+            is_whole = conn.reader.advance()
+        except wire_input.RefusedInputError as refusal:
+            self._refuse(conn, refusal)
+            return
+        if is_whole:
+            self._server.process_conn(conn)
+            return
+        queue = self._reading if conn.reader.kept_bytes else self._idle
+        self._watch(conn, queue)
+
+    def _run(self, expiration_interval):
+        next_check = time.monotonic() + expiration_interval
+        while not self._stop_requested:
+            for fd, _ in self._poll.poll(expiration_interval):
+                self._handle(fd)
+            now = time.monotonic()
+            if now >= next_check:
+                self._expire(now)
+                next_check = now + expiration_interval
+
+    def _handle(self, fd):
+        if fd == self._listen_fd:
+            self._accept()
+            return
+        with self._lock:
+            conn = (
+                self._idle.get(fd)
+                or self._reading.get(fd)
+                or self._refused.get(fd)
+            )
+        if conn is None:
+            return
+        try:
+            if conn.place is self._refused:
+                self._discard(conn)
+            else:
+                self._receive(conn)
+        except Exception:  # noqa: BLE001
+            # One connection must not hold up the others.
+            _log.exception('receive', 'a connection failed')
+            self._drop(conn)
+
+    def _accept(self):
+        try:
+            sock, address = self._server.socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionError):
+            return
+        except OSError as error:
+            self._pause_accepting(error)
+            return
+        sock.settimeout(self._server.timeout)
+        conn = self._server.ConnectionClass(self._server, sock)
+        conn.remote_addr, conn.remote_port = address[:2]
+        self._watch(conn, self._idle)
+
+    def _pause_accepting(self, error):
+        """Wait before the next attempt to accept a connection.
+
+        Without descriptors, each attempt would fail at once.
+        """
+        _log.warning('accept', f'no connection can be accepted: {error}')
+        time.sleep(ACCEPT_PAUSE_SECONDS)
+
+    def _receive(self, conn):
+        try:
+            data = conn.socket.recv(conn.reader.wanted_bytes)
+        except (BlockingIOError, InterruptedError, TimeoutError):
+            return
+        except OSError:
+            self._drop(conn)
+            return
+        try:
+            if not data:
+                self._end_input(conn)
+                return
+            is_whole = conn.reader.feed(data)
+        except wire_input.RefusedInputError as refusal:
+            self._refuse(conn, refusal)
+            return
+        if is_whole:
+            self._forget(conn)
+            self._server.process_conn(conn)
+            return
+        if conn.place is self._idle:
+            self._move(conn, self._reading)
+        if conn.reader.wants_continue:
+            self._send_continue(conn)
+
+    def _end_input(self, conn):
+        if conn.reader.kept_bytes:
+            raise wire_input.RefusedInputError(
+                reason='incomplete',
+                status='400 Bad Request',
+                error=errors.BadInputError(
+                    'the request is incomplete', step='read request'
+                ),
+            )
+        self._drop(conn)
+
+    def _send_continue(self, conn):
+        conn.reader.wants_continue = False
+        try:
+            conn.socket.send(CONTINUE, socket.MSG_DONTWAIT)
+        except OSError:
+            self._drop(conn)
+
+    def _discard(self, conn):
+        try:
+            data = conn.socket.recv(wire_input.MAX_READ_BYTES)
+        except (BlockingIOError, InterruptedError, TimeoutError):
+            return
+        except OSError:
+            data = b''
+        conn.discarded += len(data)
+        if not data or conn.discarded > MAX_DISCARDED_BYTES:
+            self._drop(conn)
+
+    def _refuse(self, conn, refusal):
+        """Answer the request and close once the sender had time to read."""
+        self._intake.count_refusal(refusal.reason)
+        _log.warning(
+            f'refuse {refusal.reason}',
+            f'a request is refused: {refusal.error.message}',
+            code=refusal.error.code,
+            reason=refusal.reason,
+            peer=conn.remote_addr,
+        )
+        conn.reader.clear()
+        conn.refuse(refusal)
+        if conn.place is None:
+            self._watch(conn, self._refused)
+        else:
+            self._move(conn, self._refused)
+
+    def _expire(self, now):
+        limits = self._limits
+        for conn in self._list_older(
+            self._reading, now - limits.request_ms / MS_PER_S
+        ):
+            self._refuse(
+                conn,
+                wire_input.RefusedInputError(
+                    reason='slow',
+                    status='408 Request Timeout',
+                    error=errors.DeadlineError(
+                        f'no whole request within {limits.request_ms} ms',
+                        step='read request',
+                        outcome=errors.Outcome.NOT_RUN,
+                    ),
+                ),
+            )
+        for queue, seconds in (
+            (self._idle, limits.idle_ms / MS_PER_S),
+            (self._refused, DISCARD_SECONDS),
+        ):
+            for conn in self._list_older(queue, now - seconds):
+                self._drop(conn)
+
+    def _list_older(self, queue, limit):
+        found = []
+        with self._lock:
+            for conn in queue.values():
+                if conn.since > limit:
+                    break
+                found.append(conn)
+        return found
+
+    def _watch(self, conn, queue):
+        with self._lock:
+            conn.place = queue
+            conn.since = time.monotonic()
+            queue[conn.fd] = conn
+        try:
+            self._poll.register(conn.fd, select.EPOLLIN)
+        except (OSError, ValueError):
+            # The connection or the server has been closed meanwhile.
+            self._drop(conn)
+
+    def _move(self, conn, queue):
+        with self._lock:
+            conn.place.pop(conn.fd, None)
+            conn.place = queue
+            conn.since = time.monotonic()
+            queue[conn.fd] = conn
+
+    def _forget(self, conn):
+        with self._lock:
+            if conn.place is not None:
+                conn.place.pop(conn.fd, None)
+                conn.place = None
+        try:
+            self._poll.unregister(conn.fd)
+        except (OSError, ValueError):
+            return
+
+    def _drop(self, conn):
+        self._forget(conn)
+        conn.reader.clear()
+        with contextlib.suppress(OSError):
+            conn.close()
--- a/bilberryhaven/wire/deferral.py
+++ b/bilberryhaven/wire/deferral.py
@@ -8,6 +8,7 @@
 from cheroot import wsgi
 
 from bilberryhaven import log
+from bilberryhaven.wire import connections
 
 __all__ = ['Deferred', 'Gateway', 'SOCKET_KEY', 'Server']
 
@@ -45,13 +46,10 @@
         if not isinstance(result, Deferred):
             self.write_body(result)
             return
-        if self.req.close_connection:
-            # The library closes such a connection once this returns.
-            result.future.exception()
-            self.write_body(result.build_body())
-            return
         # Keeps the library from writing headers when this returns.
         self.req.ready = False
+        # The body of the request isn't needed any more.
+        self.env = self.req.rfile = None
         self.req.conn.pending = _PendingResponse(gateway=self, deferred=result)
 
     def write_body(self, chunks):
@@ -62,7 +60,21 @@
 
 
 class Server(wsgi.Server):
-    """WSGI server whose connections can wait for deferred responses."""
+    """WSGI server whose connections can wait for deferred responses.
+
+    Attributes:
+        intake: The ``Intake``, to be set before ``prepare``.
+        body_bytes: Largest body of a request, to be set likewise.
+    """
+
+    intake = None
+    body_bytes = 0
+
+    def prepare(self):
+        """Listen, and receive requests without a thread for each."""
+        super().prepare()
+        self._connections.close()
+        self._connections = connections.Connections(self)
 
     def put_conn(self, conn):
         """Wait for the next request, or for a response that is pending."""
--- a/bilberryhaven/wire/listener.py
+++ b/bilberryhaven/wire/listener.py
@@ -2,14 +2,16 @@
 
 import threading
 
+from bilberryhaven import settings
 from bilberryhaven import util
 from bilberryhaven.wire import connection
 from bilberryhaven.wire import deferral
+from bilberryhaven.wire import intake as wire_intake
 
 __all__ = ['Listener']
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = settings.InputLimits().body_bytes
+MAX_HEADER_BYTES = settings.InputLimits().head_bytes
 REQUEST_QUEUE_SIZE = 512
 STOP_TIMEOUT_SECONDS = 30
 # Idle connections that are kept open: those of all instances of a fleet.
@@ -27,10 +29,9 @@
         wrap_connection: Function from the connection class to the one to
             use, or None.
         gateway: WSGI gateway class, or None for ``deferral.Gateway``.
-
-    Attributes:
-        guard: Shuts down connections whose requests arrive too slowly; the
-            application calls its ``end`` once it has read the body.
+        intake: The ``Intake``, or None for that of the process.
+        is_for_callers: Whether it serves callers, whose bodies are smaller
+            than those of operators and of other processes.
     """
 
     def __init__(
@@ -42,8 +43,11 @@
         error_log,
         wrap_connection=None,
         gateway=None,
+        intake=None,
+        is_for_callers=False,
     ):
-        self.guard = connection.ReadGuard()
+        self._intake = intake or wire_intake.PROCESS
+        self._is_for_callers = is_for_callers
         self._server = deferral.Server(
             util.parse_address(address),
             application,
@@ -51,15 +55,12 @@
             request_queue_size=REQUEST_QUEUE_SIZE,
             shutdown_timeout=STOP_TIMEOUT_SECONDS,
         )
-        self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         self._server.error_log = error_log
-        connection_class = connection.build_connection_class(self.guard)
         self._server.ConnectionClass = (
-            wrap_connection(connection_class)
+            wrap_connection(connection.Connection)
             if wrap_connection
-            else connection_class
+            else connection.Connection
         )
         self._server.gateway = gateway or deferral.Gateway
         self._thread = None
@@ -72,16 +73,21 @@
 
     def start(self):
         """Listen and serve in a background thread."""
+        limits = self._intake.limits
+        self._server.intake = self._intake
+        self._server.body_bytes = (
+            limits.caller_body_bytes
+            if self._is_for_callers
+            else limits.body_bytes
+        )
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name='server', daemon=True
         )
         self._thread.start()
-        self.guard.start()
 
     def stop(self):
         """Stop listening and wait for the requests in progress."""
         self._server.stop()
-        self.guard.stop()
         if self._thread is not None:
             self._thread.join(STOP_TIMEOUT_SECONDS)
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -8,8 +8,6 @@
 import threading
 import traceback
 
-from cheroot import errors as cheroot_errors
-
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
@@ -117,6 +115,7 @@
             no class of messages starves another.
         wrap_connection: Function from the connection class to the one to
             use, or None.
+        is_for_callers: Whether it serves callers only; see ``Listener``.
     """
 
     def __init__(
@@ -128,6 +127,7 @@
         threads=16,
         limits=None,
         wrap_connection=None,
+        is_for_callers=False,
     ):
         self._handlers = dict(handlers)
         self._slots = {
@@ -141,6 +141,7 @@
             threads=threads,
             error_log=_log_server_error,
             wrap_connection=wrap_connection,
+            is_for_callers=is_for_callers,
         )
 
     @property
@@ -168,12 +169,7 @@
         )
 
     def _answer(self, environ):
-        try:
-            body = read_body(environ)
-        except errors.BilberryhavenError as error:
-            return build_error_response(error)
-        finally:
-            self._listener.guard.end()
+        body = read_body(environ)
         if environ['PATH_INFO'] == client.MESSAGE_PATH:
             return self._answer_message(body)
         if self._fallback is None:
@@ -288,30 +284,11 @@
 
 
 def read_body(environ):
-    """Return the complete body of a WSGI request.
-
-    A chunked body has no declared length.
+    """Return the body of a WSGI request.
 
-    Raises:
-        BadInputError: The body is shorter than declared or its chunks are
-            invalid.
+    It is complete: a request is served once it has been received.
     """
-    stream = environ['wsgi.input']
-    if environ.get('HTTP_TRANSFER_ENCODING'):
-        try:
-            return stream.read()
-        except (cheroot_errors.MaxSizeExceeded, ValueError) as error:
-            raise errors.BadInputError(
-                f'invalid chunked body: {error!r}', step='read request'
-            ) from error
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    body = stream.read(length) if length > 0 else b''
-    if len(body) != length:
-        raise errors.BadInputError(
-            f'body truncated: got {len(body)} of {length} bytes',
-            step='read request',
-        )
-    return body
+    return environ['wsgi.input'].read()
 
 
 def _log_server_error(msg='', level=20, traceback=False):
