Bound the memory of all requests that a process has at hand

Change: what a connection keeps is claimed from one budget of the process (`input.kept_bytes`, 48 MiB), with an estimate of the decoded form before it is decoded. Without room the newest request is refused (503, Retry-After, not run); one that could never fit gets 413.

Unit tests: the newest is refused, those at hand are served.

--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -158,6 +158,8 @@
             request.
         caller_body_bytes: Largest body of a request at a listener that
             serves callers only.
+        kept_bytes: Largest estimated memory of all requests of the process
+            that are being received or served.
         request_ms: Longest time from the first byte of a request to its
             last, in milliseconds.
         idle_ms: Longest time between two requests on a connection, in
@@ -168,6 +170,7 @@
     head_bytes: typing.Annotated[int, msgspec.Meta(ge=256)] = 64 * KIB
     body_bytes: typing.Annotated[int, msgspec.Meta(ge=KIB)] = 8 * MIB
     caller_body_bytes: typing.Annotated[int, msgspec.Meta(ge=KIB)] = MIB
+    kept_bytes: typing.Annotated[int, msgspec.Meta(ge=64 * KIB)] = 48 * MIB
     request_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 5_000
     idle_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 20_000
 
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -85,6 +85,7 @@
         place: The queue of ``connections.Connections`` that it is in.
         since: Monotonic time in seconds at which it was put there.
         reader: The ``RequestReader`` of its requests.
+        claimed_bytes: What it may keep of the process's memory for requests.
     """
 
     RequestHandlerClass = Request
@@ -101,6 +102,7 @@
         self.place = None
         self.since = 0.0
         self.discarded = 0
+        self.claimed_bytes = 0
         self.reader = wire_input.RequestReader(
             line_bytes=limits.line_bytes,
             head_bytes=limits.head_bytes,
@@ -113,6 +115,22 @@
         body, self._body = self._body, b''
         return body
 
+    def resize_claim(self, needed):
+        """Change what it may keep; return whether the process has room.
+
+        Args:
+            needed: Number of bytes.
+        """
+        if not self.server.intake.resize(self.claimed_bytes, needed):
+            return False
+        self.claimed_bytes = needed
+        return True
+
+    def close(self):
+        """Close the socket and release what it kept."""
+        self.resize_claim(0)
+        super().close()
+
     def communicate(self):
         """Serve the request that is complete; return whether to go on."""
         request = self.reader.take()
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -25,6 +25,7 @@
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 ACCEPT_PAUSE_SECONDS = 0.2
+RETRY_AFTER_S = 1
 
 _log = log.BoundedLog(
     logger=log.get_logger('wire'), clock=clocks.SystemClock()
@@ -89,8 +90,10 @@
 
     def put(self, conn):
         """Wait for the next request, or hand over one that has arrived."""
+        conn.resize_claim(0)
         try:
             is_whole = conn.reader.advance()
+            self._claim(conn)
         except wire_input.RefusedInputError as refusal:
             self._refuse(conn, refusal)
             return
@@ -166,6 +169,7 @@
                 self._end_input(conn)
                 return
             is_whole = conn.reader.feed(data)
+            self._claim(conn)
         except wire_input.RefusedInputError as refusal:
             self._refuse(conn, refusal)
             return
@@ -178,6 +182,33 @@
         if conn.reader.wants_continue:
             self._send_continue(conn)
 
+    def _claim(self, conn):
+        """Claim the memory for what a connection keeps of its request.
+
+        Raises:
+            RefusedInputError: The process has no room for it.
+        """
+        needed = conn.reader.estimate_cost()
+        if conn.resize_claim(needed):
+            return
+        if needed > self._intake.max_request_bytes:
+            raise wire_input.RefusedInputError(
+                reason='decoded',
+                status='413 Content Too Large',
+                error=errors.BadInputError(
+                    'the request has too many values', step='read request'
+                ),
+            )
+        raise wire_input.RefusedInputError(
+            reason='process',
+            status='503 Service Unavailable',
+            error=errors.OverloadError(
+                'requests occupy all memory that is meant for them',
+                step='read request',
+                retry_after=RETRY_AFTER_S,
+            ),
+        )
+
     def _end_input(self, conn):
         if conn.reader.kept_bytes:
             raise wire_input.RefusedInputError(
@@ -218,6 +249,7 @@
             peer=conn.remote_addr,
         )
         conn.reader.clear()
+        conn.resize_claim(0)
         conn.refuse(refusal)
         if conn.place is None:
             self._watch(conn, self._refused)
--- a/bilberryhaven/wire/input.py
+++ b/bilberryhaven/wire/input.py
@@ -21,6 +21,15 @@
 # A chunk of a single byte has five bytes of framing.
 FRAMING_PER_BYTE = 8
 SPACES = b' \t'
+# Estimates of the memory that a request occupies while it is served: its
+# bytes and their copy; the name and the value of a header; and the values of
+# a JSON body, by the marks that precede or follow each of them.
+COPIES = 2
+HEADER_COST_BYTES = 256
+VALUE_COST_BYTES = 64
+OBJECT_COST_BYTES = 512
+# Messages between processes are no text.
+MESSAGE_HEAD = b'POST /wire '
 
 _HEAD = re.compile(
     rb'[^\r\n\0]++\r\n'
@@ -155,6 +164,22 @@
         self._reset()
         return request
 
+    def estimate_cost(self):
+        """Return the memory that what is held needs, in bytes.
+
+        A body is not decoded before that is granted.
+        """
+        cost = COPIES * self.kept_bytes
+        head, body = self._head, self._body
+        if head is None:
+            return cost
+        cost += HEADER_COST_BYTES * head.count(b'\n')
+        if self._next is None and not head.startswith(MESSAGE_HEAD):
+            values = body.count(b',') + body.count(b':') + body.count(b'[')
+            cost += VALUE_COST_BYTES * values
+            cost += OBJECT_COST_BYTES * body.count(b'{')
+        return cost
+
     def clear(self):
         """Discard everything that is held."""
         self._buffer = bytearray()
--- /dev/null
+++ b/tests/test_wire_connections.py
@@ -0,0 +1,203 @@
+"""Tests of the connections of a listener, with limits that are lowered."""
+
+import json
+import socket
+import threading
+import time
+
+import testtools
+
+from bilberryhaven import errors
+from bilberryhaven import settings
+from bilberryhaven import util
+from bilberryhaven.wire import input as wire_input
+from bilberryhaven.wire import intake as wire_intake
+from bilberryhaven.wire import listener
+from bilberryhaven.wire import server
+
+KIB = 1024
+TIMEOUT = 20
+THREADS = 2
+
+
+def build_head(*headers):
+    lines = ['POST /q/1 HTTP/1.1', 'Host: x', *headers]
+    return ''.join(f'{line}\r\n' for line in lines).encode() + b'\r\n'
+
+
+def build_request(body=b''):
+    return build_head(f'Content-Length: {len(body)}') + body
+
+
+class ListenerTestCase(testtools.TestCase):
+    limits = {}
+
+    def setUp(self):
+        super().setUp()
+        self.release = threading.Event()
+        self.served = []
+        self.intake = wire_intake.Intake(
+            limits=settings.InputLimits(**self.limits)
+        )
+        self.listener = listener.Listener(
+            address='127.0.0.1:0',
+            application=self.serve,
+            threads=THREADS,
+            error_log=lambda *args, **kwargs: None,
+            intake=self.intake,
+        )
+        self.listener.start()
+        self.addCleanup(self.listener.stop)
+        self.addCleanup(self.release.set)
+
+    def serve(self, environ, start_response):
+        body = server.read_body(environ)
+        self.served.append(body)
+        if body == b'wait':
+            self.release.wait(TIMEOUT)
+        start_response('200 OK', [('Content-Length', str(len(body)))])
+        return [body]
+
+    def connect(self):
+        host, port = util.parse_address(self.listener.address)
+        sock = socket.create_connection((host, port), timeout=TIMEOUT)
+        self.addCleanup(sock.close)
+        return sock
+
+    def send(self, data):
+        sock = self.connect()
+        sock.sendall(data)
+        return sock
+
+    def read_answer(self, sock):
+        """Return the status, headers and body of an answer."""
+        reader = sock.makefile('rb')
+        status = int(reader.readline().split()[1])
+        headers = {}
+        while (line := reader.readline()) != b'\r\n':
+            name, _, value = line.decode().partition(':')
+            headers[name.lower()] = value.strip()
+        body = reader.read(int(headers.get('content-length', 0)))
+        return status, headers, body
+
+    def check_served(self, body=b'{}'):
+        status, _, answer = self.read_answer(self.send(build_request(body)))
+        self.assertEqual((200, body), (status, answer))
+
+    def check_refused(self, sock, status, code):
+        found, headers, body = self.read_answer(sock)
+        error = json.loads(body)
+        self.assertEqual((status, code), (found, error['code']), error)
+        self.assertEqual('not_run', error['outcome'])
+        self.assertEqual('close', headers['connection'])
+        self.assertEqual(b'', sock.recv(1))
+        return headers
+
+    def wait_until(self, condition):
+        end = time.monotonic() + TIMEOUT
+        while not condition():
+            self.assertTrue(time.monotonic() < end, 'not met in time')
+            time.sleep(0.01)
+
+
+class SlowTest(ListenerTestCase):
+    limits = {'request_ms': 300, 'idle_ms': 1_000}
+
+    def test_parts_of_requests_occupy_no_thread(self):
+        parts = [
+            self.send(data)
+            for data in (b'', b'POST', build_head('Content-Length: 9'))
+            for _ in range(4 * THREADS)
+        ]
+        self.check_served()
+        for sock in parts[4 * THREADS :]:
+            self.check_refused(sock, 408, errors.DeadlineError.code)
+        for sock in parts[: 4 * THREADS]:
+            self.assertEqual(b'', sock.recv(1))
+
+    def test_a_drip_does_not_extend_the_time(self):
+        sock = self.send(build_head('Transfer-Encoding: chunked'))
+        started = time.monotonic()
+        try:
+            while time.monotonic() - started < TIMEOUT:
+                sock.sendall(b'1\r\nx\r\n')
+                time.sleep(0.05)
+        except OSError:
+            pass
+        self.assertTrue(time.monotonic() - started < TIMEOUT / 2)
+        self.assertEqual([], self.served)
+
+    def test_interim_response_is_sent_once(self):
+        sock = self.send(
+            build_head('Content-Length: 2', 'Expect: 100-continue')
+        )
+        self.assertEqual(b'HTTP/1.1 100 Continue\r\n\r\n', sock.recv(100))
+        sock.sendall(b'{}')
+        self.assertEqual(200, self.read_answer(sock)[0])
+
+    def test_a_refused_sender_reads_the_answer(self):
+        large = settings.InputLimits().body_bytes + 1
+        sock = self.send(build_head(f'Content-Length: {large}'))
+        sock.sendall(b'x' * KIB * KIB)
+        self.check_refused(sock, 413, errors.BadInputError.code)
+        self.assertEqual({'body': 1}, self.intake.refusals)
+
+    def test_a_chunked_request_is_followed_by_another(self):
+        sock = self.send(build_head('Transfer-Encoding: chunked'))
+        sock.sendall(b'2\r\n{}\r\n0\r\nX: 1\r\n\r\n' + build_request(b'[]'))
+        self.assertEqual(200, self.read_answer(sock)[0])
+        self.wait_until(lambda: self.served == [b'{}', b'[]'])
+
+
+class BudgetTest(ListenerTestCase):
+    limits = {'kept_bytes': 256 * KIB}
+
+    def test_newest_is_refused_and_those_at_hand_are_served(self):
+        held = self.send(build_request(b'wait'))
+        self.wait_until(lambda: self.served)
+        body = b'x' * 80 * KIB
+        first = self.send(build_request(body)[:-1])
+        self.wait_until(lambda: self.intake.kept_bytes > 160 * KIB)
+        headers = self.check_refused(
+            self.send(build_request(body)), 503, errors.OverloadError.code
+        )
+        self.assertEqual('1', headers['retry-after'])
+        self.check_served()
+        first.sendall(b'x')
+        self.assertEqual(200, self.read_answer(first)[0])
+        self.release.set()
+        self.assertEqual(200, self.read_answer(held)[0])
+        self.wait_until(lambda: self.intake.kept_bytes == 0)
+
+    def test_what_grows_when_decoded_is_refused_before(self):
+        body = b'[' + b'{},' * 1_000 + b'{}]'
+        self.check_refused(
+            self.send(build_request(body)), 413, errors.BadInputError.code
+        )
+        self.assertEqual([], self.served)
+        self.assertEqual({'decoded': 1}, self.intake.refusals)
+        self.check_served(body[:100])
+
+    def test_closed_connections_release_what_they_kept(self):
+        for _ in range(3):
+            self.send(build_request(b'x' * 80 * KIB)[:-1]).close()
+            self.wait_until(lambda: self.intake.kept_bytes == 0)
+        self.check_served()
+
+    def test_defaults_let_every_single_request_of_the_pages_in(self):
+        intake = wire_intake.Intake()
+        body = b'{"steps":[' + b'{"task_count":1},' * 15_400
+        body += b'{"task_count":1,"after":[' + b'0,' * 100 + b'0]}]}'
+        self.assertTrue(260_000 < len(body) < 262_144)
+        for text in (body, b'0,' * 131_072):
+            limits = settings.InputLimits()
+            reader = wire_input.RequestReader(
+                line_bytes=limits.line_bytes,
+                head_bytes=limits.head_bytes,
+                body_bytes=limits.caller_body_bytes,
+            )
+            filler = [f'X-{n}: ' + 'y' * 100 for n in range(140)]
+            head = build_head(f'Content-Length: {len(text)}', *filler)
+            self.assertTrue(reader.feed(head + text))
+            self.assertTrue(intake.resize(0, reader.estimate_cost()))
+            intake.resize(reader.estimate_cost(), 0)
