--- a/bilberryhaven/roles/process.py
+++ b/bilberryhaven/roles/process.py
@@ -7,6 +7,7 @@
 import bilberryhaven
 from bilberryhaven import build
 from bilberryhaven import log
+from bilberryhaven.wire import intake
 
 __all__ = ['run_until_signal']
 
@@ -24,6 +25,7 @@
     log.start_logging(
         level=settings.log_level, stream=sys.stdout, background=True
     )
+    intake.PROCESS.configure(settings.input)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
