Bound open connections by the descriptors of the process

Cause: connections were accepted without a bound, and an accept without a free descriptor failed again at once, so that the listener's thread spun.

Change: all listeners of a process share three fifths of its descriptors (`input.descriptors`, RLIMIT_NOFILE or 4,096; `limits.max_fds` on the infrastructure). A new connection beyond closes the longest idle one; if requests are being received or served on all, it is refused (503). Each listener may have 16 in any case.

--- a/bilberryhaven/platform/settings.py
+++ b/bilberryhaven/platform/settings.py
@@ -157,6 +157,8 @@
         for name, value in fields.items()
         if name.startswith(INPUT_PREFIX)
     }
+    if fields.get('limits.max_fds'):
+        given.setdefault('descriptors', fields['limits.max_fds'])
     return msgspec.convert(given, type=settings.InputLimits, strict=False)
 
 
--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -160,6 +160,9 @@
             serves callers only.
         kept_bytes: Largest estimated memory of all requests of the process
             that are being received or served.
+        descriptors: Descriptors that the process may use if the operating
+            system's limit is higher; two fifths are left for files and
+            for its own connections to others.
         request_ms: Longest time from the first byte of a request to its
             last, in milliseconds.
         idle_ms: Longest time between two requests on a connection, in
@@ -171,6 +174,7 @@
     body_bytes: typing.Annotated[int, msgspec.Meta(ge=KIB)] = 8 * MIB
     caller_body_bytes: typing.Annotated[int, msgspec.Meta(ge=KIB)] = MIB
     kept_bytes: typing.Annotated[int, msgspec.Meta(ge=64 * KIB)] = 48 * MIB
+    descriptors: typing.Annotated[int, msgspec.Meta(ge=64)] = 4_096
     request_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 5_000
     idle_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 20_000
 
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -86,6 +86,7 @@
         since: Monotonic time in seconds at which it was put there.
         reader: The ``RequestReader`` of its requests.
         claimed_bytes: What it may keep of the process's memory for requests.
+        has_room: Whether the process has room for one more connection.
     """
 
     RequestHandlerClass = Request
@@ -109,6 +110,8 @@
             body_bytes=server.body_bytes,
         )
         self._body = b''
+        self._is_open = True
+        self.has_room = server.intake.open_connection(id(server))
 
     def take_body(self):
         """Return the body of the request that is served, once."""
@@ -129,6 +132,9 @@
     def close(self):
         """Close the socket and release what it kept."""
         self.resize_claim(0)
+        if self._is_open:
+            self._is_open = False
+            self.server.intake.close_connection(id(self.server))
         super().close()
 
     def communicate(self):
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -52,6 +52,7 @@
         self._poll.register(self._listen_fd, select.EPOLLIN)
         self._idle, self._reading, self._refused = {}, {}, {}
         self._lock = threading.Lock()
+        self._accept_at = None
         self._serving = False
         self._stop_requested = False
 
@@ -106,9 +107,13 @@
     def _run(self, expiration_interval):
         next_check = time.monotonic() + expiration_interval
         while not self._stop_requested:
-            for fd, _ in self._poll.poll(expiration_interval):
+            wait = expiration_interval
+            if self._accept_at is not None:
+                wait = min(wait, ACCEPT_PAUSE_SECONDS)
+            for fd, _ in self._poll.poll(wait):
                 self._handle(fd)
             now = time.monotonic()
+            self._resume_accepting(now)
             if now >= next_check:
                 self._expire(now)
                 next_check = now + expiration_interval
@@ -146,15 +151,48 @@
         sock.settimeout(self._server.timeout)
         conn = self._server.ConnectionClass(self._server, sock)
         conn.remote_addr, conn.remote_port = address[:2]
-        self._watch(conn, self._idle)
+        if conn.has_room or self._close_longest_idle():
+            self._watch(conn, self._idle)
+        else:
+            self._refuse_connection(conn)
+
+    def _close_longest_idle(self):
+        """Close the connection that is idle longest; return if there is one.
+
+        A connection whose request is being received or served stays open.
+        """
+        with self._lock:
+            longest = next(iter(self._idle.values()), None)
+        if longest is None:
+            return False
+        self._intake.count_refusal('idle')
+        self._drop(longest)
+        return True
+
+    def _refuse_connection(self, conn):
+        refusal = _build_overload(
+            'connections', 'no further connection can be kept open'
+        )
+        self._count_refusal(conn, refusal)
+        conn.refuse(refusal)
+        self._drop(conn)
 
     def _pause_accepting(self, error):
         """Wait before the next attempt to accept a connection.
 
-        Without descriptors, each attempt would fail at once.
+        Without descriptors, each attempt would fail at once. Requests on
+        open connections are received meanwhile.
         """
+        self._intake.count_refusal('accept')
         _log.warning('accept', f'no connection can be accepted: {error}')
-        time.sleep(ACCEPT_PAUSE_SECONDS)
+        self._close_longest_idle()
+        self._poll.unregister(self._listen_fd)
+        self._accept_at = time.monotonic() + ACCEPT_PAUSE_SECONDS
+
+    def _resume_accepting(self, now):
+        if self._accept_at is not None and now >= self._accept_at:
+            self._accept_at = None
+            self._poll.register(self._listen_fd, select.EPOLLIN)
 
     def _receive(self, conn):
         try:
@@ -199,14 +237,8 @@
                     'the request has too many values', step='read request'
                 ),
             )
-        raise wire_input.RefusedInputError(
-            reason='process',
-            status='503 Service Unavailable',
-            error=errors.OverloadError(
-                'requests occupy all memory that is meant for them',
-                step='read request',
-                retry_after=RETRY_AFTER_S,
-            ),
+        raise _build_overload(
+            'process', 'requests occupy all memory that is meant for them'
         )
 
     def _end_input(self, conn):
@@ -240,6 +272,16 @@
 
     def _refuse(self, conn, refusal):
         """Answer the request and close once the sender had time to read."""
+        self._count_refusal(conn, refusal)
+        conn.reader.clear()
+        conn.resize_claim(0)
+        conn.refuse(refusal)
+        if conn.place is None:
+            self._watch(conn, self._refused)
+        else:
+            self._move(conn, self._refused)
+
+    def _count_refusal(self, conn, refusal):
         self._intake.count_refusal(refusal.reason)
         _log.warning(
             f'refuse {refusal.reason}',
@@ -248,13 +290,6 @@
             reason=refusal.reason,
             peer=conn.remote_addr,
         )
-        conn.reader.clear()
-        conn.resize_claim(0)
-        conn.refuse(refusal)
-        if conn.place is None:
-            self._watch(conn, self._refused)
-        else:
-            self._move(conn, self._refused)
 
     def _expire(self, now):
         limits = self._limits
@@ -322,3 +357,13 @@
         conn.reader.clear()
         with contextlib.suppress(OSError):
             conn.close()
+
+
+def _build_overload(reason, text):
+    return wire_input.RefusedInputError(
+        reason=reason,
+        status='503 Service Unavailable',
+        error=errors.OverloadError(
+            text, step='read request', retry_after=RETRY_AFTER_S
+        ),
+    )
--- a/bilberryhaven/wire/intake.py
+++ b/bilberryhaven/wire/intake.py
@@ -1,6 +1,7 @@
 """What a process takes in from its peers, over all its listeners."""
 
 import collections
+import resource
 import threading
 
 from bilberryhaven import settings
@@ -11,6 +12,10 @@
 # large ones don't keep them from being served.
 SMALL_REQUEST_BYTES = 64 * 1024
 SHARE_OF_LARGE_REQUESTS = 0.75
+SHARE_OF_DESCRIPTORS = 0.6
+# Connections that a listener may have if the others have used up the rest, so
+# that a crowd at one of them leaves readiness checks and heartbeats alone.
+MIN_LISTENER_CONNECTIONS = 16
 
 
 class Intake:
@@ -21,10 +26,12 @@
     """
 
     def __init__(self, *, limits=None):
-        self._limits = limits or settings.InputLimits()
         self._kept_bytes = 0
+        self._connections = collections.Counter()
+        self._max_connections = 0
         self._refusals = collections.Counter()
         self._lock = threading.Lock()
+        self.configure(limits or settings.InputLimits())
 
     @property
     def limits(self):
@@ -50,6 +57,7 @@
     def configure(self, limits):
         """Set the limits; must be called before a listener is started."""
         self._limits = limits
+        self._max_connections = self._count_allowed()
 
     def resize(self, held, needed):
         """Change what a request may keep; return whether it is allowed.
@@ -72,6 +80,35 @@
             self._kept_bytes = kept
         return True
 
+    def _count_allowed(self):
+        """Return the largest number of open connections of all listeners."""
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        descriptors = self._limits.descriptors
+        if allowed != resource.RLIM_INFINITY:
+            descriptors = min(allowed, descriptors)
+        return int(descriptors * SHARE_OF_DESCRIPTORS)
+
+    def open_connection(self, listener):
+        """Count a new connection; return whether there is room for it.
+
+        It is counted even without room, until ``close_connection``.
+
+        Args:
+            listener: Any hashable value that identifies its listener.
+        """
+        with self._lock:
+            self._connections[listener] += 1
+            count = self._connections.total()
+            own = self._connections[listener]
+        return (
+            count <= self._max_connections or own <= MIN_LISTENER_CONNECTIONS
+        )
+
+    def close_connection(self, listener):
+        """Count a connection of a listener as closed."""
+        with self._lock:
+            self._connections[listener] -= 1
+
     def count_refusal(self, reason):
         """Count a refusal.
 
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -1,5 +1,6 @@
 """Tests of the connections of a listener, with limits that are lowered."""
 
+import errno
 import json
 import socket
 import threading
@@ -201,3 +202,67 @@
             self.assertTrue(reader.feed(head + text))
             self.assertTrue(intake.resize(0, reader.estimate_cost()))
             intake.resize(reader.estimate_cost(), 0)
+
+
+class CrowdTest(ListenerTestCase):
+    limits = {'descriptors': 64}
+    # What 64 descriptors leave to connections.
+    ROOM = 38
+
+    def test_longest_idle_connections_make_room(self):
+        idle = [self.connect() for _ in range(self.ROOM)]
+        self.check_served()
+        self.assertEqual(b'', idle[0].recv(1))
+        idle[-1].sendall(build_request(b'[]'))
+        self.assertEqual(200, self.read_answer(idle[-1])[0])
+
+    def test_newest_is_refused_if_requests_are_received_on_all(self):
+        parts = [
+            self.send(build_request(b'{}')[:-1]) for _ in range(self.ROOM)
+        ]
+        self.wait_until(lambda: self.intake.kept_bytes > 0)
+        time.sleep(0.5)
+        self.check_refused(self.connect(), 503, errors.OverloadError.code)
+        for sock in parts:
+            sock.sendall(b'}')
+            self.assertEqual(200, self.read_answer(sock)[0])
+
+    def test_another_listener_has_connections_left(self):
+        parts = [
+            self.send(build_request(b'{}')[:-1]) for _ in range(self.ROOM)
+        ]
+        other = listener.Listener(
+            address='127.0.0.1:0',
+            application=self.serve,
+            threads=THREADS,
+            error_log=lambda *args, **kwargs: None,
+            intake=self.intake,
+        )
+        other.start()
+        self.addCleanup(other.stop)
+        self.listener, crowded = other, self.listener
+        self.check_served()
+        self.listener = crowded
+        self.assertEqual(self.ROOM, len(parts))
+
+    def test_failing_accepts_stop_nothing(self):
+        kept = self.connect()
+        kept.sendall(build_request(b'{}'))
+        self.assertEqual(200, self.read_answer(kept)[0])
+        accepting = self.listener._server.socket
+
+        class FailingSocket:
+            def accept(self):
+                raise OSError(errno.EMFILE, 'too many open files')
+
+            def __getattr__(self, name):
+                return getattr(accepting, name)
+
+        self.listener._server.socket = FailingSocket()
+        waiting = self.send(build_request(b'[]'))
+        self.wait_until(lambda: self.intake.refusals.get('accept', 0) > 1)
+        started = time.process_time()
+        time.sleep(0.5)
+        self.assertTrue(time.process_time() - started < 0.4)
+        self.listener._server.socket = accepting
+        self.assertEqual(200, self.read_answer(waiting)[0])
