Bound the answers of peers and backend servers

Cause: the HTTP client reads the line of a chunk's size and trailers whole and without end, reserves the memory for any declared length, expands compressed answers, and starts its time-out again with each part, so that a drip never ends.

Change: `wire/answer.py` reads each answer from its socket with a largest line (64 KiB), a largest size with all framing (16 MiB) and one time by which it has to be complete. Messages, backend servers, the infrastructure's calls and the command line use it. Beyond a bound the answer is a `peer` error with outcome unknown; answers are never decompressed.

--- a/bilberryhaven/agent/backend.py
+++ b/bilberryhaven/agent/backend.py
@@ -11,6 +11,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import util
+from bilberryhaven.wire import answer
 
 __all__ = ['BackendClient']
 
@@ -296,7 +297,7 @@
 
 def _build_pool(address, size):
     host, port = util.parse_address(address)
-    return urllib3.HTTPConnectionPool(
+    return answer.Pool(
         host, port=port, maxsize=size, block=True, retries=False
     )
 
--- a/bilberryhaven/cmdline/_client.py
+++ b/bilberryhaven/cmdline/_client.py
@@ -11,6 +11,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import util
+from bilberryhaven.wire import answer
 
 __all__ = ['ApiClient']
 
@@ -49,7 +50,7 @@
             util.parse_address(server)
         self._clock = clock
         self._pause = pause or threading.Event().wait
-        self._pools = urllib3.PoolManager(retries=False)
+        self._pools = answer.PoolManager(retries=False)
 
     def call(self, method, path, body=None, *, query=None, retry=True):
         """Return the JSON answer to one call.
--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -13,6 +13,7 @@
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven import errors
 from bilberryhaven import util
+from bilberryhaven.wire import answer
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import server_client
 
@@ -195,7 +196,7 @@
     return worker_id, born_ms
 
 
-class _IncarnationPool(urllib3.HTTPConnectionPool):
+class _IncarnationPool(answer.Pool):
     """Connections to one incarnation of a worker.
 
     A worker that crashes may restart under the same id, and the header that
@@ -370,7 +371,13 @@
     body = msgspec.json.encode({'fencing_token': epoch, 'ack_cursor': 0})
     headers = _build_headers(target)
     try:
-        conn.request('POST', '/hold', body=body, headers=headers)
+        conn.request(
+            'POST',
+            '/hold',
+            body=body,
+            headers=headers,
+            decode_content=False,
+        )
         response = conn.getresponse()
     except (OSError, http.client.HTTPException) as error:
         raise errors.PeerError(
@@ -392,7 +399,8 @@
 
 def _build_peer_error(error, target, path):
     error_class = errors.PeerError
-    if isinstance(error, urllib3.exceptions.ProtocolError):
+    is_large = isinstance(error.__cause__, answer.AnswerTooLargeError)
+    if isinstance(error, urllib3.exceptions.ProtocolError) and not is_large:
         error_class = errors.CutOffError
     return error_class(f'no answer: {error}', step=path, peer=target.address)
 
--- /dev/null
+++ b/bilberryhaven/wire/answer.py
@@ -0,0 +1,126 @@
+"""Bounded reading of answers, between the socket and the HTTP client.
+
+The HTTP client reads lines, such as the size of a chunk and trailers, whole
+and without a bound, and its time-out starts again with each part. Here an
+answer has a largest line, a largest size with all its framing, and a time by
+which it has to be complete.
+"""
+
+import contextlib
+import http.client
+import io
+import time
+
+import urllib3
+
+__all__ = ['AnswerTooLargeError', 'Connection', 'Pool', 'PoolManager']
+
+MAX_LINE_BYTES = 64 * 1024
+# The largest lists that a leader sends to the entries of a large fleet have a
+# few MiB.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class AnswerTooLargeError(http.client.HTTPException):
+    """An answer, or a line of it, is over its bound."""
+
+
+class _BoundedSource(io.RawIOBase):
+    """Bytes of one answer, up to its largest size and its time."""
+
+    def __init__(self, sock, until):
+        super().__init__()
+        self._sock = sock
+        # Keeps the socket open until the answer is read.
+        self._file = sock.makefile('rb', buffering=0)
+        self._until = until
+        self._timeout = sock.gettimeout()
+        self._has_read = False
+        self.left_bytes = MAX_ANSWER_BYTES
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        if not self.left_bytes:
+            raise AnswerTooLargeError(f'over {MAX_ANSWER_BYTES} bytes')
+        # The first part has the time-out that the connection has set.
+        if self._has_read and self._until is not None:
+            left_s = self._until - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError('the answer is not complete in time')
+            self._sock.settimeout(left_s)
+        self._has_read = True
+        size = min(len(buffer), self.left_bytes)
+        count = self._sock.recv_into(memoryview(buffer)[:size])
+        self.left_bytes -= count
+        return count
+
+    def close(self):
+        if not self.closed:
+            # The next request on the connection is sent with it.
+            with contextlib.suppress(OSError):
+                self._sock.settimeout(self._timeout)
+            self._file.close()
+        super().close()
+
+
+class _BoundedFile(io.BufferedReader):
+    """Buffered bytes of one answer."""
+
+    def readline(self, size=-1):
+        if 0 <= size <= MAX_LINE_BYTES:
+            return super().readline(size)
+        line = super().readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise AnswerTooLargeError(f'a line over {MAX_LINE_BYTES} bytes')
+        return line
+
+    def read(self, size=-1):
+        # The library reserves the memory for all that is declared.
+        if size is not None and size > MAX_ANSWER_BYTES:
+            raise AnswerTooLargeError(f'a body of {size} bytes')
+        return super().read(size)
+
+
+class _Response(http.client.HTTPResponse):
+    """Response that is read within the bounds of its connection."""
+
+    def __init__(self, sock, *args, until=None, **kwargs):
+        super().__init__(sock, *args, **kwargs)
+        self.fp.close()
+        self.fp = _BoundedFile(_BoundedSource(sock, until))
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """Connection whose time-out is that of a whole answer."""
+
+    def getresponse(self):
+        """Return the response; its body is read within the same time."""
+        timeout = self.timeout
+        until = None
+        if isinstance(timeout, (int, float)):
+            until = time.monotonic() + timeout
+        # The library creates the response without a way to pass the time.
+        self.response_class = lambda *args, **kwargs: _Response(
+            *args, until=until, **kwargs
+        )
+        return super().getresponse()
+
+
+class Pool(urllib3.HTTPConnectionPool):
+    """Connections to one address, whose answers are bounded."""
+
+    ConnectionCls = Connection
+
+    def urlopen(self, *args, **kwargs):
+        """Return the response; its body is never decompressed."""
+        return super().urlopen(*args, **{**kwargs, 'decode_content': False})
+
+
+class PoolManager(urllib3.PoolManager):
+    """Pools to many addresses, whose answers are bounded."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.pool_classes_by_scheme = {'http': Pool}
--- a/bilberryhaven/wire/client.py
+++ b/bilberryhaven/wire/client.py
@@ -5,6 +5,7 @@
 from bilberryhaven import border
 from bilberryhaven import errors
 from bilberryhaven import util
+from bilberryhaven.wire import answer
 from bilberryhaven.wire import codec
 from bilberryhaven.wire import message
 
@@ -30,7 +31,7 @@
     """
 
     def __init__(self):
-        self._pools = urllib3.PoolManager(
+        self._pools = answer.PoolManager(
             num_pools=MAX_PEERS,
             maxsize=MAX_CONNECTIONS_PER_PEER,
             retries=False,
