--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -161,7 +161,7 @@
         kept_bytes: Largest estimated memory of all requests of the process
             that are being received or served.
         descriptors: Descriptors that the process may use if the operating
-            system's limit is higher; a quarter of them is left for files and
+            system's limit is higher; two fifths are left for files and
             for its own connections to others.
         request_ms: Longest time from the first byte of a request to its
             last, in milliseconds.
--- a/bilberryhaven/wire/intake.py
+++ b/bilberryhaven/wire/intake.py
@@ -12,7 +12,7 @@
 # large ones don't keep them from being served.
 SMALL_REQUEST_BYTES = 64 * 1024
 SHARE_OF_LARGE_REQUESTS = 0.75
-SHARE_OF_DESCRIPTORS = 0.75
+SHARE_OF_DESCRIPTORS = 0.6
 # Connections that a listener may have if the others have used up the rest, so
 # that a crowd at one of them leaves readiness checks and heartbeats alone.
 MIN_LISTENER_CONNECTIONS = 16
