Let a listener wait for no sender that reads no answer

Cause: sockets have a time-out for the threads that serve, so a send or receive by the thread of all connections waits for up to 10 s, also with MSG_DONTWAIT. A sender that fills the buffer of a refusal would hold up all others.

Change: that thread reads and writes by descriptor, which never waits.

--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import os
 import socket
 
 from cheroot import makefile
@@ -150,7 +151,8 @@
         """Answer a request that can't be served, without waiting."""
         data = encode_refusal(refusal.status, refusal.error)
         try:
-            self.socket.send(data, socket.MSG_DONTWAIT)
+            # The socket object would wait for a sender that doesn't read.
+            os.write(self.fd, data)
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
             return
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -6,8 +6,8 @@
 """
 
 import contextlib
+import os
 import select
-import socket
 import threading
 import time
 
@@ -36,7 +36,9 @@
     """Receives requests and hands complete ones to the server's threads.
 
     A connection belongs either to a thread that serves its request or to one
-    of the queues here, each of which is in the order of arrival.
+    of the queues here, each of which is in the order of arrival. Here it is
+    read and written by its descriptor, which doesn't block: a socket object
+    with a time-out would wait for that long.
 
     Args:
         server: The ``deferral.Server``, whose socket listens.
@@ -196,8 +198,8 @@
 
     def _receive(self, conn):
         try:
-            data = conn.socket.recv(conn.reader.wanted_bytes)
-        except (BlockingIOError, InterruptedError, TimeoutError):
+            data = os.read(conn.fd, conn.reader.wanted_bytes)
+        except BlockingIOError:
             return
         except OSError:
             self._drop(conn)
@@ -255,14 +257,14 @@
     def _send_continue(self, conn):
         conn.reader.wants_continue = False
         try:
-            conn.socket.send(CONTINUE, socket.MSG_DONTWAIT)
+            os.write(conn.fd, CONTINUE)
         except OSError:
             self._drop(conn)
 
     def _discard(self, conn):
         try:
-            data = conn.socket.recv(wire_input.MAX_READ_BYTES)
-        except (BlockingIOError, InterruptedError, TimeoutError):
+            data = os.read(conn.fd, wire_input.MAX_READ_BYTES)
+        except BlockingIOError:
             return
         except OSError:
             data = b''
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -1,5 +1,6 @@
 """Tests of the connections of a listener, with limits that are lowered."""
 
+import contextlib
 import errno
 import json
 import socket
@@ -11,6 +12,7 @@
 from bilberryhaven import errors
 from bilberryhaven import settings
 from bilberryhaven import util
+from bilberryhaven.wire import connection
 from bilberryhaven.wire import input as wire_input
 from bilberryhaven.wire import intake as wire_intake
 from bilberryhaven.wire import listener
@@ -150,6 +152,31 @@
         self.wait_until(lambda: self.served == [b'{}', b'[]'])
 
 
+class UnreadTest(ListenerTestCase):
+    # Guards against a sender that reads no answer and holds up all others.
+    def test_refusal_does_not_wait_for_a_full_buffer(self):
+        sock, peer = socket.socketpair()
+        self.addCleanup(peer.close)
+        sock.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                sock.send(bytes(KIB))
+        sock.settimeout(TIMEOUT)
+        conn = connection.Connection(self.listener._server, sock)
+        self.addCleanup(conn.close)
+        refusal = wire_input.RefusedInputError(
+            reason='malformed',
+            status='400 Bad Request',
+            error=errors.BadInputError('malformed', step='read request'),
+        )
+        thread = threading.Thread(
+            target=conn.refuse, args=(refusal,), daemon=True
+        )
+        thread.start()
+        thread.join(TIMEOUT / 2)
+        self.assertFalse(thread.is_alive())
+
+
 class BudgetTest(ListenerTestCase):
     limits = {'kept_bytes': 256 * KIB}
 
