Send answers without a thread that waits for their reader

Cause: a thread blocked for up to 10 s in each write to a peer that doesn't read, and a deferred reply was written by the thread that completed it, such as the dispatcher's. A deferred reply on a connection that is to be closed held its thread until it was known.

Change: `wire/output.py` sends what the peer takes; the rest is claimed from the process's budget and sent by the listener's thread. A connection whose peer takes nothing for `input.answer_ms` (10 s), or for whose answer there is no room, is closed. A listener that stops sends what is left for 2 s.

Result: 16 connections with 20 requests of 8 MiB each that are never read, two threads: the next request is answered, all are given up, no memory stays claimed (unit test).

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -371,13 +371,7 @@
     body = msgspec.json.encode({'fencing_token': epoch, 'ack_cursor': 0})
     headers = _build_headers(target)
     try:
-        conn.request(
-            'POST',
-            '/hold',
-            body=body,
-            headers=headers,
-            decode_content=False,
-        )
+        conn.request('POST', '/hold', body=body, headers=headers)
         response = conn.getresponse()
     except (OSError, http.client.HTTPException) as error:
         raise errors.PeerError(
--- a/bilberryhaven/settings.py
+++ b/bilberryhaven/settings.py
@@ -165,6 +165,8 @@
             for its own connections to others.
         request_ms: Longest time from the first byte of a request to its
             last, in milliseconds.
+        answer_ms: Longest time for which a peer takes nothing of an answer,
+            in milliseconds.
         idle_ms: Longest time between two requests on a connection, in
             milliseconds.
     """
@@ -176,6 +178,7 @@
     kept_bytes: typing.Annotated[int, msgspec.Meta(ge=64 * KIB)] = 48 * MIB
     descriptors: typing.Annotated[int, msgspec.Meta(ge=64)] = 4_096
     request_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 5_000
+    answer_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 10_000
     idle_ms: typing.Annotated[int, msgspec.Meta(ge=1)] = 20_000
 
 
--- a/bilberryhaven/wire/answer.py
+++ b/bilberryhaven/wire/answer.py
@@ -95,6 +95,10 @@
 class Connection(urllib3.connection.HTTPConnection):
     """Connection whose time-out is that of a whole answer."""
 
+    def request(self, *args, **kwargs):
+        """Send a request whose answer is never decompressed."""
+        super().request(*args, **{**kwargs, 'decode_content': False})
+
     def getresponse(self):
         """Return the response; its body is read within the same time."""
         timeout = self.timeout
@@ -113,10 +117,6 @@
 
     ConnectionCls = Connection
 
-    def urlopen(self, *args, **kwargs):
-        """Return the response; its body is never decompressed."""
-        return super().urlopen(*args, **{**kwargs, 'decode_content': False})
-
 
 class PoolManager(urllib3.PoolManager):
     """Pools to many addresses, whose answers are bounded."""
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -1,17 +1,21 @@
 """Connections of the HTTP server: whole requests and coded errors."""
 
+import contextlib
 import io
 import json
+import select
 import socket
+import time
 
-from cheroot import makefile
 from cheroot import server as cheroot_server
 
 from bilberryhaven import errors
 from bilberryhaven.wire import input as wire_input
+from bilberryhaven.wire import output
 
 __all__ = ['Connection', 'Request']
 
+MS_PER_S = 1000
 BAD_REQUEST = '400 Bad Request'
 CODES = {
     '404': errors.NotFoundError,
@@ -66,10 +70,7 @@
             number, status = BAD_REQUEST[:3], BAD_REQUEST
         self.close_connection = True
         error = _build_error(number, msg or str(status))
-        try:
-            self.conn.wfile.write(encode_refusal(status, error))
-        except OSError:
-            return
+        self.conn.wfile.write(encode_refusal(status, error))
 
 
 class Connection(cheroot_server.HTTPConnection):
@@ -86,6 +87,7 @@
         since: Monotonic time in seconds at which it was put there.
         reader: The ``RequestReader`` of its requests.
         claimed_bytes: What it may keep of the process's memory for requests.
+        closes: Whether it is closed once the response is sent.
         has_room: Whether the process has room for one more connection.
     """
 
@@ -97,9 +99,10 @@
         self.socket = sock
         self.fd = sock.fileno()
         self.rfile = io.BytesIO()
-        self.wfile = _open_writer(sock)
+        self.wfile = output.Writer(sock)
         self.requests_seen = 0
         self.pending = None
+        self.closes = False
         self.place = None
         self.since = 0.0
         self.discarded = 0
@@ -138,13 +141,32 @@
         super().close()
 
     def communicate(self):
-        """Serve the request that is complete; return whether to go on."""
+        """Serve the request that is complete; return True.
+
+        What follows is decided when the response has been sent.
+        """
         request = self.reader.take()
         self.rfile = io.BytesIO(request.head)
         self._body = request.body
         del request
-        # A response that is pending decides about the connection later.
-        return super().communicate() or self.pending is not None
+        self.closes = not super().communicate()
+        return True
+
+    def finish(self, seconds):
+        """Send the rest of the response and close.
+
+        Args:
+            seconds: Longest time to wait for the peer.
+        """
+        until = time.monotonic() + seconds
+        poller = select.poll()
+        poller.register(self.fd, select.POLLOUT)
+        with contextlib.suppress(OSError):
+            while not self.wfile.flush():
+                left_s = until - time.monotonic()
+                if left_s <= 0 or not poller.poll(left_s * MS_PER_S):
+                    break
+        self.close()
 
     def refuse(self, refusal):
         """Answer a request that can't be served, without waiting."""
@@ -156,10 +178,6 @@
             return
 
 
-def _open_writer(sock):
-    return makefile.StreamWriter(sock, 'wb')
-
-
 def encode_refusal(status, error):
     """Return the bytes of the response that refuses a request.
 
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -26,6 +26,8 @@
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 ACCEPT_PAUSE_SECONDS = 0.2
 RETRY_AFTER_S = 1
+# Longest wait for a peer to take an answer while the server stops.
+FINISH_SECONDS = 2.0
 
 _log = log.BoundedLog(
     logger=log.get_logger('wire'), clock=clocks.SystemClock()
@@ -50,7 +52,8 @@
         self._listen_fd = server.socket.fileno()
         server.socket.setblocking(False)
         self._poll.register(self._listen_fd, select.EPOLLIN)
-        self._idle, self._reading, self._refused = {}, {}, {}
+        self._idle, self._reading = {}, {}
+        self._writing, self._refused = {}, {}
         self._lock = threading.Lock()
         self._accept_at = None
         self._serving = False
@@ -85,11 +88,63 @@
         with self._lock:
             queues = (self._idle, self._reading, self._refused)
             left = [conn for queue in queues for conn in queue.values()]
+            unsent = list(self._writing.values())
         for conn in left:
             self._drop(conn)
+        until = time.monotonic() + FINISH_SECONDS
+        for conn in unsent:
+            self._forget(conn)
+            conn.finish(until - time.monotonic())
         self._poll.close()
 
     def put(self, conn):
+        """Send the response; then wait for the next request.
+
+        What the peer doesn't take at once is sent later, so that a peer that
+        doesn't read occupies no thread.
+        """
+        try:
+            is_sent = conn.wfile.flush()
+        except OSError:
+            self._drop(conn)
+            return
+        if not is_sent:
+            self._keep_answer(conn)
+        elif conn.closes:
+            self._drop(conn)
+        else:
+            self._await_request(conn)
+
+    def _keep_answer(self, conn):
+        """Keep the rest of an answer, or close if the process has no room."""
+        if conn.resize_claim(conn.wfile.kept_bytes):
+            self._watch(conn, self._writing, select.EPOLLOUT)
+        else:
+            self._give_up(conn)
+
+    def _give_up(self, conn):
+        """Close a connection whose peer doesn't read."""
+        self._intake.count_refusal('unread')
+        _log.warning(
+            'unread', 'a peer does not read an answer', peer=conn.remote_addr
+        )
+        self._drop(conn)
+
+    def _send(self, conn):
+        before = conn.wfile.kept_bytes
+        try:
+            is_sent = conn.wfile.flush()
+        except OSError:
+            self._drop(conn)
+            return
+        if is_sent:
+            self._forget(conn)
+            self.put(conn)
+        elif conn.wfile.kept_bytes < before:
+            conn.resize_claim(conn.wfile.kept_bytes)
+            self._move(conn, self._writing)
+
+    def _await_request(self, conn):
         """Wait for the next request, or hand over one that has arrived."""
         conn.resize_claim(0)
         try:
@@ -126,6 +181,7 @@
             conn = (
                 self._idle.get(fd)
                 or self._reading.get(fd)
+                or self._writing.get(fd)
                 or self._refused.get(fd)
             )
         if conn is None:
@@ -133,6 +189,8 @@
         try:
             if conn.place is self._refused:
                 self._discard(conn)
+            elif conn.place is self._writing:
+                self._send(conn)
             else:
                 self._receive(conn)
         except Exception:  # noqa: BLE001
@@ -148,7 +206,7 @@
         except OSError as error:
             self._pause_accepting(error)
             return
-        sock.settimeout(self._server.timeout)
+        sock.setblocking(False)
         conn = self._server.ConnectionClass(self._server, sock)
         conn.remote_addr, conn.remote_port = address[:2]
         if conn.has_room or self._close_longest_idle():
@@ -308,6 +366,10 @@
                     ),
                 ),
             )
+        for conn in self._list_older(
+            self._writing, now - limits.answer_ms / MS_PER_S
+        ):
+            self._give_up(conn)
         for queue, seconds in (
             (self._idle, limits.idle_ms / MS_PER_S),
             (self._refused, DISCARD_SECONDS),
@@ -324,13 +386,13 @@
                 found.append(conn)
         return found
 
-    def _watch(self, conn, queue):
+    def _watch(self, conn, queue, events=select.EPOLLIN):
         with self._lock:
             conn.place = queue
             conn.since = time.monotonic()
             queue[conn.fd] = conn
         try:
-            self._poll.register(conn.fd, select.EPOLLIN)
+            self._poll.register(conn.fd, events)
         except (OSError, ValueError):
             # The connection or the server has been closed meanwhile.
             self._drop(conn)
@@ -355,6 +417,7 @@
     def _drop(self, conn):
         self._forget(conn)
         conn.reader.clear()
+        conn.wfile.clear()
         with contextlib.suppress(OSError):
             conn.close()
 
--- a/bilberryhaven/wire/deferral.py
+++ b/bilberryhaven/wire/deferral.py
@@ -77,12 +77,14 @@
         self._connections = connections.Connections(self)
 
     def put_conn(self, conn):
-        """Wait for the next request, or for a response that is pending."""
+        """Send the response, or wait for one that is pending."""
         pending = conn.pending
-        if pending is None:
-            super().put_conn(conn)
-        else:
+        if pending is not None:
             pending.release()
+        elif self.ready:
+            self._connections.put(conn)
+        else:
+            conn.finish(connections.FINISH_SECONDS)
 
 
 class _PendingResponse:
@@ -114,7 +116,5 @@
             )
             connection.close()
             return
-        if request.close_connection:
-            connection.close()
-        else:
-            request.server.put_conn(connection)
+        connection.closes = request.close_connection
+        request.server.put_conn(connection)
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -266,3 +266,42 @@
         self.assertTrue(time.process_time() - started < 0.4)
         self.listener._server.socket = accepting
         self.assertEqual(200, self.read_answer(waiting)[0])
+
+
+class UnreadAnswerTest(ListenerTestCase):
+    limits = {'answer_ms': 1_000, 'kept_bytes': 64 * KIB * KIB}
+    ANSWER = b'x' * 8 * KIB * KIB
+
+    def serve(self, environ, start_response):
+        body = server.read_body(environ)
+        self.served.append(body)
+        answer = self.ANSWER if body == b'large' else body
+        start_response('200 OK', [('Content-Length', str(len(answer)))])
+        return [answer]
+
+    def test_unread_answers_occupy_no_thread_and_are_given_up(self):
+        unread = [
+            self.send(build_request(b'large') * 20) for _ in range(8 * THREADS)
+        ]
+        self.wait_until(lambda: len(self.served) >= len(unread))
+        self.check_served()
+        self.assertTrue(self.intake.kept_bytes <= 64 * KIB * KIB)
+        self.wait_until(
+            lambda: self.intake.refusals.get('unread') == len(unread)
+        )
+        self.wait_until(lambda: self.intake.kept_bytes == 0)
+
+    def test_a_slow_reader_gets_the_whole_answer(self):
+        sock = self.send(build_request(b'large') + build_request(b'{}'))
+        time.sleep(0.5)
+        self.assertEqual((200, self.ANSWER), self.read_answer(sock)[::2])
+        self.wait_until(lambda: self.served == [b'large', b'{}'])
+
+    def test_a_stop_sends_what_is_left(self):
+        sock = self.send(build_request(b'large'))
+        self.wait_until(lambda: self.served)
+        stopping = threading.Thread(target=self.listener.stop)
+        stopping.start()
+        self.assertEqual(200, self.read_answer(sock)[0])
+        stopping.join(TIMEOUT)
+        self.assertFalse(stopping.is_alive())
