--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -163,6 +163,43 @@
         sock.sendall(head.encode() + body)
         return sock
 
+    def open_chunked_request(self, name, *headers):
+        host, port = util.parse_address(self.server.address)
+        sock = socket.create_connection((host, port))
+        self.addCleanup(sock.close)
+        body = codec.encode(message.WorkRequest(body=name))
+        lines = [
+            f'POST {client.MESSAGE_PATH} HTTP/1.1',
+            'Host: x',
+            'Transfer-Encoding: chunked',
+            *headers,
+        ]
+        head = ''.join(f'{line}\r\n' for line in lines).encode()
+        chunk = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+        sock.sendall(head + b'\r\n' + chunk)
+        return sock
+
+    def test_chunked_and_closing_requests_occupy_no_thread(self):
+        socks = {}
+        for number in range(8 * self.THREADS):
+            name = b'%d' % number
+            headers = ['Connection: close'] if number % 2 else []
+            socks[name] = self.open_chunked_request(name, *headers)
+        self.wait_for_held(len(socks))
+        claim = message.ClaimRequest(request_id='r', workload='w', entry='e')
+        reply = self.client.send(
+            self.server.address,
+            claim,
+            timeout=clock.seconds(5),
+            step='claim',
+        )
+        self.assertEqual('r', reply.holder)
+        for name, future in self.held:
+            future.set_result(message.WorkReply(body=name))
+        for name, sock in socks.items():
+            _, reply = self.read_reply(sock)
+            self.assertEqual(name, reply.body)
+
     def wait_for_held(self, count):
         deadline = time.monotonic() + 20
         while len(self.held) < count and time.monotonic() < deadline:
