Change the leader as leases expire, wipe disks more often

No kind of the rig aimed at a lease that a new leader judges: agents are now stopped for about a lease and the leader ends as they go on.

--- a/soak/rig_machine_faults.py
+++ b/soak/rig_machine_faults.py
@@ -158,12 +158,12 @@
     ]
 
 
-def _wait_for_core(rig, name):
+def _wait_for_core(rig, name, catch_up_s=CATCH_UP_S):
     """Wait until an instance has a leader and has caught up."""
     end = time.monotonic() + CORE_TIMEOUT_S
     while time.monotonic() < end and rig.find_status(name) is None:
         time.sleep(0.2)
-    time.sleep(CATCH_UP_S)
+    time.sleep(catch_up_s)
 
 
 @register('replace core')
--- a/soak/rig_sheet_faults.py
+++ b/soak/rig_sheet_faults.py
@@ -25,6 +25,8 @@
 TROUBLE_RANGE_S = (4.0, 8.0)
 JOBS_AT_ONCE = 6
 LEAVING = 3
+# About the lease of an agent.
+LAPSE_RANGE_S = (4.2, 6.2)
 FLAPS = 3
 FLAP_INTERVAL_S = 1.4
 
@@ -359,7 +361,7 @@
         for name in random.sample(killed, len(killed)):
             rig.start(name, 'control')
         for name in lost:
-            rig_machine_faults._wait_for_core(rig, name)
+            rig_machine_faults._wait_for_core(rig, name, catch_up_s=0)
         time.sleep(rig.sheet['timing'].get('catch_up_s', 0.0))
     finally:
         rig.core_lock.release()
@@ -420,6 +422,32 @@
         time.sleep(FLAP_INTERVAL_S)
 
 
+@register('lapse, leader changes')
+def change_leader_at_lapse(rig, random):
+    """Agents are stopped for about a lease; the leader ends as they go on."""
+    key = _find_leader_key(rig)
+    keys = rig.list_keys('agent')
+    if key is None or not keys:
+        return
+    keys = random.sample(keys, max(1, len(keys) // 3))
+    for agent in keys:
+        rig.signal(agent, signal.SIGSTOP)
+    time.sleep(random.uniform(*LAPSE_RANGE_S))
+    freezes = random.random() < 0.5
+    if freezes:
+        rig.signal(key, signal.SIGSTOP)
+    else:
+        rig.kill(key)
+    time.sleep(random.uniform(0.0, 0.3))
+    for agent in keys:
+        rig.signal(agent, signal.SIGCONT)
+    time.sleep(random.uniform(0.3, 4.0))
+    if freezes:
+        rig.signal(key, signal.SIGCONT)
+    else:
+        rig.start(*key)
+
+
 @register('freeze leader, agents killed')
 def freeze_leader_kill_agents(rig, random):
     """The leader is stopped; agents are killed and start again meanwhile."""
--- a/tests/test_soak_rig_sheet.py
+++ b/tests/test_soak_rig_sheet.py
@@ -102,7 +102,7 @@
             for name, function in rig_faults._registry.items()
             if function.__module__ == rig_sheet_faults.__name__
         ]
-        self.assertEqual(30, len(names), names)
+        self.assertEqual(31, len(names), names)
         for name in names:
             rig_faults.inject(name, self.rig)
 
