Log until when the lease behind a lapse was granted

Change: `report lapse` has the deadline granted last and how long ago it had expired. The runs of a former session are listed only if there is another one, not at each poll. No decision changes.

Result: test_workflow_agent_lines (10 tests), test_workflow_supervision and test_workflow_absence pass.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -296,7 +296,9 @@
             now = self._clock.monotonic()
             self._permit.update(reply, sent_at)
             former_epoch = self._supervisor.epoch
-            former_runs = self._supervisor.list_runs()
+            former_runs = []
+            if reply.epoch != former_epoch:
+                former_runs = self._supervisor.list_runs()
             orders = self._supervisor.handle_poll_reply(reply, sent_at, now)
             target = self._supervisor.target
             epoch = reply.epoch
@@ -808,6 +810,7 @@
             epoch=supervisor.epoch,
             crashed=bool(crashed),
             answer_age_s=log.round_seconds(answer_age),
+            **supervisor.describe_lease(now),
             address=supervisor.target.address,
             runs=supervisor.list_runs(),
             listed=supervisor.listed_epoch == supervisor.epoch,
--- a/bilberryhaven/workflow/run_lease.py
+++ b/bilberryhaven/workflow/run_lease.py
@@ -119,12 +119,24 @@
             margin: Time that the backend server may take to stop lapsed
                 runs, as a timedelta.
         """
+        age = self.find_expiry_age(now)
+        return age is not None and age >= margin
+
+    def find_expiry_age(self, now):
+        """Return how long ago the lease has expired at the latest.
+
+        Args:
+            now: Monotonic time.
+
+        Returns:
+            A timedelta, negative before that; None if there is no lease.
+        """
         ends = [
             end
             for end in (self._granted_until, self._inherited_until)
             if end is not None
         ]
-        return bool(ends) and now >= max(ends) + margin
+        return now - max(ends) if ends else None
 
     def handle_listing(self, listing, now):
         """Read the server's clock and detect a lapse.
--- a/bilberryhaven/workflow/supervision.py
+++ b/bilberryhaven/workflow/supervision.py
@@ -369,6 +369,18 @@
         """
         return self._lease.has_lapsed(now, margin)
 
+    def describe_lease(self, now):
+        """Return log fields of the lease that was granted last.
+
+        Args:
+            now: Monotonic time.
+        """
+        age = self._lease.find_expiry_age(now)
+        return {
+            'deadline_ms': self._lease.deadline_ms,
+            'lease_expired_s': log.round_seconds(age),
+        }
+
     def is_listed(self, run):
         """Return whether the newest listing contains ``run``."""
         return run in self._listed
--- a/tests/test_workflow_agent_lines.py
+++ b/tests/test_workflow_agent_lines.py
@@ -181,3 +181,19 @@
             void_upto=3,
             void=[('w0', '0.0.0', 1, 3)],
         )
+
+    def test_report_of_a_lapse_has_the_granted_lease(self):
+        """The server may have answered since: only the lease has expired."""
+        self.agent._renew_lease()
+        self.clock.advance(clocks.seconds(4))
+        self.agent._renew_lease()
+        self.client.hold_error = errors.PeerError('no answer', step='hold')
+        self.clock.advance(clocks.seconds(2))
+        self.agent._renew_lease()
+        self.check(
+            self.find('report lapse'),
+            reason='the granted lease has expired',
+            answer_age_s=2.1,
+            deadline_ms=6000,
+            lease_expired_s=1.2,
+        )
