Test that a listing of another incarnation ends the session

The agent ignores such a listing, but counts it as an answer of the followed server. The test in ListedTest asserted that a later listing decides; the incarnation that the other one has replaced lists nothing any more, so it now asserts the end of the session.

--- a/tests/test_workflow_absence.py
+++ b/tests/test_workflow_absence.py
@@ -143,7 +143,13 @@
         self.check_odd_end(10**9, TASK, 1, 'done', '')
 
     def test_listing_of_another_incarnation(self):
-        self.check(born=BORN_MS + 1)
+        """It ends all runs, whatever it lacks; none of them is rejected."""
+        self.stop()
+        self.assertEqual([], self.hold(born=BORN_MS + 1))
+        self.assertEqual(
+            [True], [report.lapsed for report in self.gateway.reports]
+        )
+        self.assertEqual([], self.hold())
 
     def test_listing_that_does_not_name_its_incarnation(self):
         self.check(born=None)
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -374,6 +374,15 @@
         self.renew(self.gone)
         self.assertEqual(['s@1'], self.list_lapsed())
 
+    def test_listing_of_another_incarnation_proves_the_end(self):
+        """Guards against a lease that the next server is kept from losing."""
+        self.renew()
+        listing = build_listing()
+        listing.born_ms = 2
+        self.renew(listing)
+        self.assertEqual(['s@1'], self.list_lapsed())
+        self.assertEqual(0, self.supervisor.epoch)
+
     def test_next_incarnation_is_not_reported_as_lapsed(self):
         def begin_incarnation():
             self.supervisor.follow(build_announcement(born_ms=2))
