End a session by a listing of the next incarnation

What callers would see: a server that was started again under its id can't be used, and what runs there outlives the lease that the leader waits for.

Cause: an agent that had once seen the start of its server ignored listings that name another one, but counted them as answers. The session went on and granted deadlines of the former life's clock, which the next one takes for far later ones, up to the longest lease it allows.

Change: every listing is checked. One that names another start, from the address at which the server has answered, is its own proof of its end, as in the answer to a new connection. Nothing new is believed of others.

Since connections are used only once they have shown their incarnation, a connection that the HTTP library opens again after the check (Connection: close) is the only way there that is left.

--- a/bilberryhaven/workflow/agent.py
+++ b/bilberryhaven/workflow/agent.py
@@ -563,8 +563,8 @@
             acked=acked,
             wait_ms=HOLD_WAIT_MS if deadline is not None else 0,
         )
-        if not self._is_confirmed:
-            self._is_confirmed = server_client.check_listing(target, listing)
+        if server_client.check_listing(target, listing):
+            self._is_confirmed = True
         return listing
 
     def _update_server_reachable(self, error):
@@ -578,8 +578,6 @@
             _logger.warning('backend server does not answer: {}', error)
 
     def _handle_listing(self, target, epoch, listing, sent_at):
-        if listing.born_ms and listing.born_ms != target.state.born_ms:
-            return
         now = self._clock.monotonic()
         with self._lock:
             if not self._supervisor.is_followed(target):
