Decode no messages at listeners that handle none

Cause: the infrastructure's listeners for callers and operators have no messages, and yet decoded the body of a POST to /wire: a way past the estimate of the decoded form.

Change: such a listener passes the path on like any other (404).

--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -170,7 +170,8 @@
 
     def _answer(self, environ):
         body = read_body(environ)
-        if environ['PATH_INFO'] == client.MESSAGE_PATH:
+        # A listener for callers only decodes no messages.
+        if self._handlers and environ['PATH_INFO'] == client.MESSAGE_PATH:
             return self._answer_message(body)
         if self._fallback is None:
             return Response(status=404)
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -101,6 +101,28 @@
             time.sleep(0.01)
 
 
+class CallersTest(testtools.TestCase):
+    def test_a_listener_without_handlers_decodes_no_message(self):
+        paths = []
+
+        def answer(environ, body):
+            paths.append(environ['PATH_INFO'])
+            return server.Response(status=404)
+
+        callers = server.Server(
+            address='127.0.0.1:0', handlers={}, fallback=answer
+        )
+        callers.start()
+        self.addCleanup(callers.stop)
+        with socket.create_connection(
+            util.parse_address(callers.address), timeout=TIMEOUT
+        ) as sock:
+            head = b'POST /wire HTTP/1.1\r\nContent-Length: 1\r\n\r\nx'
+            sock.sendall(head)
+            self.assertIn(b' 404 ', sock.recv(KIB))
+        self.assertEqual(['/wire'], paths)
+
+
 class SlowTest(ListenerTestCase):
     limits = {'request_ms': 300, 'idle_ms': 1_000}
 
