Estimate bodies on the path of messages at callers' listeners

Cause: a body on the path of messages isn't estimated before it is decoded; a listener for callers takes it for a job.

Change: only listeners that take messages leave their path out.

--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -111,6 +111,7 @@
             line_bytes=limits.line_bytes,
             head_bytes=limits.head_bytes,
             body_bytes=server.body_bytes,
+            takes_messages=not server.is_for_callers,
         )
         self._body = b''
         self._is_open = True
--- a/bilberryhaven/wire/deferral.py
+++ b/bilberryhaven/wire/deferral.py
@@ -65,10 +65,12 @@
     Attributes:
         intake: The ``Intake``, to be set before ``prepare``.
         body_bytes: Largest body of a request, to be set likewise.
+        is_for_callers: Whether it serves callers only, to be set likewise.
     """
 
     intake = None
     body_bytes = 0
+    is_for_callers = False
 
     def prepare(self):
         """Listen, and receive requests without a thread for each."""
--- a/bilberryhaven/wire/input.py
+++ b/bilberryhaven/wire/input.py
@@ -92,6 +92,8 @@
         head_bytes: Largest request line with headers; also the largest sum
             of trailers.
         body_bytes: Largest body without its transfer coding.
+        takes_messages: Whether the path of messages carries them; elsewhere
+            its body may be text like any other.
 
     Attributes:
         wants_continue: Whether the sender waits for the interim response
@@ -109,11 +111,15 @@
         '_needed',
         '_next',
         '_scanned',
+        '_takes_messages',
         '_trailers',
         'wants_continue',
     )
 
-    def __init__(self, *, line_bytes, head_bytes, body_bytes):
+    def __init__(
+        self, *, line_bytes, head_bytes, body_bytes, takes_messages=False
+    ):
+        self._takes_messages = takes_messages
         self._line_bytes = line_bytes
         self._head_bytes = head_bytes
         self._body_bytes = body_bytes
@@ -174,7 +180,8 @@
         if head is None:
             return cost
         cost += HEADER_COST_BYTES * head.count(b'\n')
-        if self._next is None and not head.startswith(MESSAGE_HEAD):
+        is_message = self._takes_messages and head.startswith(MESSAGE_HEAD)
+        if self._next is None and not is_message:
             values = body.count(b',') + body.count(b':') + body.count(b'[')
             cost += VALUE_COST_BYTES * values
             cost += OBJECT_COST_BYTES * body.count(b'{')
--- a/bilberryhaven/wire/listener.py
+++ b/bilberryhaven/wire/listener.py
@@ -75,6 +75,7 @@
         """Listen and serve in a background thread."""
         limits = self._intake.limits
         self._server.intake = self._intake
+        self._server.is_for_callers = self._is_for_callers
         self._server.body_bytes = (
             limits.caller_body_bytes
             if self._is_for_callers
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -201,6 +201,21 @@
         self.assertEqual({'decoded': 1}, self.intake.refusals)
         self.check_served(body[:100])
 
+    def test_path_of_messages_is_no_exception_for_callers(self):
+        text = b'{},' * 1_000
+        head = b'POST /wire HTTP/1.1\r\nContent-Length: %d\r\n\r\n'
+        costs = []
+        for takes_messages in (False, True):
+            reader = wire_input.RequestReader(
+                line_bytes=KIB,
+                head_bytes=KIB,
+                body_bytes=8 * KIB,
+                takes_messages=takes_messages,
+            )
+            self.assertTrue(reader.feed(head % len(text) + text))
+            costs.append(reader.estimate_cost())
+        self.assertTrue(costs[0] > 500_000 > costs[1])
+
     def test_closed_connections_release_what_they_kept(self):
         for _ in range(3):
             self.send(build_request(b'x' * 80 * KIB)[:-1]).close()
