--- a/bilberryhaven/metrics.py
+++ b/bilberryhaven/metrics.py
@@ -4,6 +4,8 @@
 
 import aioprometheus
 
+from bilberryhaven.wire import intake
+
 __all__ = ['Metrics']
 
 PREFIX = 'bilberryhaven_'
@@ -41,9 +43,24 @@
 
     def render(self):
         """Return the exposition page as a (body bytes, headers) pair."""
+        self._set_intake(intake.PROCESS)
         with self._lock:
             return aioprometheus.render(self._registry, ACCEPTED)
 
+    def _set_intake(self, process):
+        self.set(
+            'input_kept_bytes',
+            'Estimated memory of the requests that are at hand.',
+            process.kept_bytes,
+        )
+        for reason, count in process.refusals.items():
+            self.set(
+                'input_refusals',
+                'Requests and connections refused or closed since the start.',
+                count,
+                reason=reason,
+            )
+
     def _get_collector(self, cls, name, doc):
         collector = self._collectors.get(name)
         if collector is None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -18,4 +18,5 @@
         self.assertIn(b'bilberryhaven_requests_total{code="ok"} 3', body)
         self.assertIn(b'bilberryhaven_queue 4', body)
         self.assertIn(b'bilberryhaven_seconds_count 1', body)
+        self.assertIn(b'bilberryhaven_input_kept_bytes', body)
         self.assertIn('text/plain', headers['Content-Type'])
