Test peers that answer without end, and unread bytes

Change: ten kinds of answers to five callers of peers; 1,000 connections whose bytes no thread reads, counted from the kernel's queues of the port.

--- a/tests/client_rigs.py
+++ b/tests/client_rigs.py
@@ -29,6 +29,16 @@
 get_listener_by_name = _registry.get
 
 
+_caller_registry = registry.Registry(family='caller')
+register_caller = _caller_registry.register
+get_caller_by_name = _caller_registry.get
+
+
+def list_callers():
+    """Return the (name, class) pairs of the processes that call peers."""
+    return _caller_registry.items()
+
+
 def list_listeners():
     """Return the (name, class) pairs of the listeners."""
     return _registry.items()
@@ -58,10 +68,14 @@
             fields['standalone'] = {'instances': 1}
         return fields
 
-    def restart(self, name):
-        """End a process, if it runs, and start it again."""
+    def end(self, name):
+        """End a process, if it runs."""
         if name in self.processes:
             self.kill(name)
+
+    def restart(self, name):
+        """End a process, if it runs, and start it again."""
+        self.end(name)
         self.start(name)
 
     def get_process(self, name):
@@ -116,11 +130,18 @@
     def _spawn(self, key, command, env):
         super()._spawn(key, limit_command(command), env)
 
-    def restart(self, key):
-        """End a process, if it runs, and start it again."""
+    def end(self, key):
+        """End a process, if it runs."""
         if key in self.processes:
             self.kill(*key)
-        self.start(*key)
+
+    def restart(self, key):
+        """End a process, if it runs, and start it again."""
+        self.end(key)
+        if key[1] == 'worker':
+            self.start_worker(key[0])
+        else:
+            self.start(*key)
 
     def get_process(self, key):
         """Return the ``Popen`` of a process."""
@@ -359,3 +380,103 @@
             timeout=CALL_TIMEOUT_S,
         )
         return status
+
+
+class Caller(Listener):
+    """Base of processes that call a peer; the peer is replaced.
+
+    Attributes:
+        peer: Key of the peer's process in the rig.
+    """
+
+    ordinary = '/healthz'
+    peer = ''
+
+    def find_peer(self):
+        """Return HOST:PORT of the peer."""
+        return self._rig.addresses[self.peer]
+
+    def end_peer(self):
+        """End the peer's process."""
+        self._rig.end(self.peer)
+
+    def restore_peer(self):
+        """Start the peer's process again."""
+        self._rig.restart(self.peer)
+
+    def provoke(self):
+        """Cause a call, if the process sends none by itself."""
+
+
+@register_caller('entry_to_control')
+class EntryToControl(Caller):
+    """An entry whose control instance answers without end."""
+
+    process = 'entry-1'
+    peer = 'control-1'
+
+
+@register_caller('agent_to_control')
+class AgentToControl(Caller):
+    """An agent whose control instance answers without end."""
+
+    process = 'agent-1'
+    peer = 'control-1'
+
+
+@register_caller('agent_to_backend')
+class AgentToBackend(Caller):
+    """An agent whose backend server answers without end."""
+
+    process = 'agent-1'
+    peer = 'backend-1'
+
+
+class PlatformCaller(Caller, PlatformListener):
+    """Base of the platform's processes that call a peer.
+
+    Attributes:
+        peer_port: Name of the peer's port in the rig.
+    """
+
+    rig = Platform
+    peer_port = 'internal'
+
+    def find_address(self):
+        return PlatformListener.find_address(self)
+
+    def find_peer(self):
+        return self._rig.find_address(self.peer[0], self.peer_port)
+
+
+@register_caller('platform_entry_to_control')
+class PlatformEntryToControl(PlatformCaller):
+    """The platform's entry whose control instance answers without end."""
+
+    process = (FRONT, 'entry')
+    peer = (FRONT, 'control')
+    port = 'ready'
+    ordinary = '/readyz'
+
+
+@register_caller('platform_agent_to_server')
+class PlatformAgentToServer(PlatformCaller, PlatformHeartbeats):
+    """The platform's agent whose backend server answers without end."""
+
+    process = (SIDE, 'agent')
+    peer = (SIDE, 'worker')
+    peer_port = 'app'
+    port = 'control'
+
+    def send_ordinary(self):
+        return PlatformHeartbeats.send_ordinary(self)
+
+    def provoke(self):
+        # Nobody else sends a heartbeat for the peer.
+        deployment.call(
+            self.find_address(),
+            'POST',
+            '/Instances.Heartbeat/i-peer',
+            {**self.body, 'address': self.find_peer()},
+            timeout=CALL_TIMEOUT_S,
+        )
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -79,6 +79,8 @@
         kind: Number of the kind in issue 50's list.
         connections: Number of connections that act at the same time.
         max_bytes: Most bytes that a connection sends.
+        counts_unread: Whether bytes that have arrived at the port and haven't
+            been read are counted to the memory of the process.
         block: What is sent again and again after the start.
 
     Args:
@@ -90,6 +92,7 @@
     kind = 0
     connections = 8
     max_bytes = 16 * MIB
+    counts_unread = False
     block = b''
 
     def __init__(self, *, target, index, end):
@@ -418,6 +421,27 @@
         sock.shutdown(socket.SHUT_WR)
 
 
+@register('unread_requests')
+class UnreadRequests(Holder):
+    """Bytes that arrive at connections which no thread reads.
+
+    The pages count them to the memory of the process.
+    """
+
+    connections = 1_000
+    max_bytes = MIB
+    counts_unread = True
+    block = b' ' * 16 * KIB
+
+    def act(self, sock):
+        length = f'Content-Length: {self.max_bytes}'
+        self.send(sock, self.target.build_head(length) + b'\r\n')
+        sock.setblocking(False)
+        # Raises an error once the window is full.
+        while self.sent + len(self.block) < self.max_bytes:
+            self.sent += sock.send(self.block)
+
+
 @register('unread_answers')
 class UnreadAnswers(Client):
     """Requests by the thousand, whose answers are never read."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,6 +13,7 @@
 
 import testtools
 
+from tests import client_peers
 from tests import client_rigs
 from tests import clients
 
@@ -53,6 +54,16 @@
         return 0
 
 
+def count_unread_mib(port):
+    """Return the MiB that have arrived at a port and haven't been read."""
+    total = 0
+    for line in _read_proc('net', 'tcp').splitlines()[1:]:
+        _, local, _, _, queues, *_ = line.split()
+        if int(local.partition(':')[2], 16) == port:
+            total += int(queues.partition(':')[2], 16)
+    return total / clients.MIB
+
+
 class Monitor:
     """Samples a process while a crowd acts.
 
@@ -62,9 +73,11 @@
 
     Args:
         pid: Id of the process.
+        port: Port whose unread bytes are counted to the memory, or None.
     """
 
-    def __init__(self, pid):
+    def __init__(self, pid, port=None):
+        self._port = port
         self.memory_mib = 0
         self.descriptors = 0
         self._pid = pid
@@ -81,7 +94,10 @@
 
     def _sample(self):
         while True:
-            self.memory_mib = max(self.memory_mib, read_memory_mib(self._pid))
+            memory_mib = read_memory_mib(self._pid)
+            if self._port is not None:
+                memory_mib += count_unread_mib(self._port)
+            self.memory_mib = max(self.memory_mib, memory_mib)
             self.descriptors = max(
                 self.descriptors, count_descriptors(self._pid)
             )
@@ -144,12 +160,21 @@
     def check(self, client_name):
         """Let a crowd act, then check the process."""
         client_class = clients.get_client_by_name(client_name)
+        self.watch(
+            lambda: clients.run_crowd(
+                client_class, self._listener.build_target()
+            ),
+            counts_unread=client_class.counts_unread,
+        )
+
+    def watch(self, act, *, counts_unread=False):
+        """Check the process while and after ``act()``, which returns bytes."""
         rest_mib = self._prepare()
         process = self._listener.get_process()
-        with Monitor(process.pid) as monitor:
-            sent = clients.run_crowd(
-                client_class, self._listener.build_target()
-            )
+        _, _, port = self._listener.find_address().rpartition(':')
+        port = int(port) if counts_unread else None
+        with Monitor(process.pid, port) as monitor:
+            sent = act()
             is_answered = self._listener.wait_ordinary()
         found = (
             f'{sent / clients.MIB:.0f} MiB sent, memory {rest_mib:.0f} to '
@@ -168,37 +193,84 @@
         self.assertTrue(is_answered, found)
 
 
-def build_case(listener, client_names):
-    """Return a test case of a listener with one test a kind of client."""
+class PeersTestCase(ClientsTestCase):
+    """Base of the tests of one process that calls a peer."""
+
+    @classmethod
+    def setUpClass(cls):
+        testtools.TestCase.setUpClass()
+        caller_class = client_rigs.get_caller_by_name(cls.listener)
+        cls._listener = caller_class(get_rig(caller_class.rig))
+        cls._rest_mib = 0
+
+    @classmethod
+    def tearDownClass(cls):
+        cls._listener.restore_peer()
+        super().tearDownClass()
+
+    def check(self, answer_name):
+        """Let the peer answer without end, then check the process."""
+        answer_class = client_peers.get_answer_by_name(answer_name)
+        self._listener.end_peer()
+        self.watch(lambda: self._answer_without_end(answer_class))
+
+    def _answer_without_end(self, answer_class):
+        peer = client_peers.Peer(
+            address=self._listener.find_peer(), answer=answer_class
+        )
+        thread = threading.Thread(target=peer.run, daemon=True)
+        thread.start()
+        self._listener.provoke()
+        thread.join()
+        self.assertGreater(peer.calls, 0, 'the peer was not called')
+        return peer.sent
+
+
+def build_case(listener, names, *, base=ClientsTestCase):
+    """Return a test case of a listener with one test a kind of client.
+
+    With the base ``PeersTestCase``, it is one of a caller with one test a
+    kind of answer.
+    """
+    get_kind = (
+        client_peers.get_answer_by_name
+        if base is PeersTestCase
+        else clients.get_client_by_name
+    )
 
     def build_test(name):
-        client_class = clients.get_client_by_name(name)
 
         def test(self):
             self.check(name)
 
         # Says against which failure the test guards.
-        test.__doc__ = client_class.__doc__
+        test.__doc__ = get_kind(name).__doc__
         return test
 
     title = ''.join(part.title() for part in listener.split('_'))
     return type(
         f'Test{title}',
-        (ClientsTestCase,),
+        (base,),
         {
             'listener': listener,
             '__module__': __name__,
-            **{f'test_{name}': build_test(name) for name in client_names},
+            **{f'test_{name}': build_test(name) for name in names},
         },
     )
 
 
 def build_complete_suite(listeners):
     """Return the tests of all kinds at these listeners; none means all."""
-    names = listeners or [name for name, _ in client_rigs.list_listeners()]
+    all_listeners = [name for name, _ in client_rigs.list_listeners()]
+    all_callers = [name for name, _ in client_rigs.list_callers()]
     suite = unittest.TestSuite()
-    for name in names:
-        case = build_case(name, clients.list_names())
+    for name in listeners or [*all_listeners, *all_callers]:
+        if name in all_callers:
+            case = build_case(
+                name, client_peers.list_names(), base=PeersTestCase
+            )
+        else:
+            case = build_case(name, clients.list_names())
         case.prints = True
         suite.addTests(unittest.defaultTestLoader.loadTestsFromTestCase(case))
     return suite
@@ -239,9 +311,28 @@
         'reset',
         'half_closed',
         'unread_answers',
+        'unread_requests',
         'nested_lists',
         'expect_continue',
         'length_with_chunks',
         'names',
     ],
 )
+# One process of each kind whose peer answers without end.
+TestEntryToControl = build_case(
+    'entry_to_control', ['chunks'], base=PeersTestCase
+)
+TestAgentToControl = build_case(
+    'agent_to_control', ['chunks'], base=PeersTestCase
+)
+TestAgentToBackend = build_case(
+    'agent_to_backend', ['chunks'], base=PeersTestCase
+)
+TestPlatformEntryToControl = build_case(
+    'platform_entry_to_control', ['chunks'], base=PeersTestCase
+)
+TestPlatformAgentToServer = build_case(
+    'platform_agent_to_server',
+    ['chunks', 'unlimited_body', 'trailers'],
+    base=PeersTestCase,
+)
