Start the platform's roles in tests with the tests' interpreter

Cause: the deploy file's build puts the libraries into a folder that no fresh clone has, so five classes of test_clients failed in one: no configuration was acknowledged. Change: the command's interpreter is that of the tests. Result: TestPlatformReadiness.test_chunk_extension passes in a clone without that folder.

--- a/tests/client_rigs.py
+++ b/tests/client_rigs.py
@@ -4,6 +4,7 @@
 import json
 import os
 import shutil
+import sys
 import time
 
 from bilberryhaven import registry
@@ -128,6 +129,10 @@
         return path
 
     def _spawn(self, key, command, env):
+        # The tests' interpreter has the libraries; those of the deploy file's
+        # build are in no fresh clone.
+        if command[0] == 'python3':
+            command = [sys.executable, *command[1:]]
         super()._spawn(key, limit_command(command), env)
 
     def end(self, key):
