Start the platform's roles without target/deps in tests

Cause: a fresh clone has no target/deps, where the deploy file's python3 finds the libraries, so no role started, and the backend server beside the agent was left running. Change: the tests put the folder of their own Python first in PATH, and end all processes if the configuration isn't acknowledged.

--- a/tests/client_rigs.py
+++ b/tests/client_rigs.py
@@ -3,7 +3,9 @@
 import http.client
 import json
 import os
+import pathlib
 import shutil
+import sys
 import time
 
 from bilberryhaven import registry
@@ -112,6 +114,7 @@
         super().__init__(machines=machines, seeds=[FRONT], record=_Silence())
         self.start_all()
         if not self.send_config():
+            self.close()
             raise RuntimeError('the configuration was not acknowledged')
 
     def _write_settings(self, name, role):
@@ -128,6 +131,9 @@
         return path
 
     def _spawn(self, key, command, env):
+        # A clone without target/deps has the libraries in its .venv.
+        folder = pathlib.Path(sys.executable).parent
+        env = {**env, 'PATH': f'{folder}:{env.get("PATH", "")}'}
         super()._spawn(key, limit_command(command), env)
 
     def end(self, key):
