Cut off long names of authors

Cause: the header that names the author of a change was stored with each of the newest 50,000 changes, whatever its length.

Change: it is cut off at 200 characters, like texts in log lines.

Result: unit test (1 passed).

--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -11,6 +11,7 @@
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
+from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import codec
 from bilberryhaven.wire import deferral
@@ -95,8 +96,12 @@
 
 
 def read_author(environ):
-    """Return the sender of an API request: its header or its address."""
-    return environ.get(AUTHOR_HEADER) or environ.get('REMOTE_ADDR', '')
+    """Return the sender of an API request: its header or its address.
+
+    It is stored with each change, so a long name is cut off.
+    """
+    author = environ.get(AUTHOR_HEADER) or environ.get('REMOTE_ADDR', '')
+    return util.shorten(author)
 
 
 class Server:
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -102,6 +102,12 @@
 
 
 class CallersTest(testtools.TestCase):
+    def test_a_long_author_is_cut_off(self):
+        environ = {'HTTP_X_BILBERRYHAVEN_BY': 'x' * 10_000}
+        author = server.read_author(environ)
+        self.assertTrue(author.startswith('xxx') and len(author) < 300)
+        self.assertEqual('::1', server.read_author({'REMOTE_ADDR': '::1'}))
+
     def test_a_listener_without_handlers_decodes_no_message(self):
         paths = []
 
