--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -3,6 +3,7 @@
 A call that is meant for the former incarnation must not reach the next one.
 """
 
+import contextlib
 import json
 import socket
 import threading
@@ -261,3 +262,34 @@
         thread.join(5)
         self.assertEqual([b'/hold'], self.requests)
         self.assertNotIsInstance(error, errors.CutOffError)
+
+    def start_changing_server(self):
+        """Start a server whose next life follows the check of a connection.
+
+        The former life closes the connection with its answer.
+        """
+        host, port = self.address.split(':')
+        listener = socket.create_server((host, int(port)))
+        self.addCleanup(listener.close)
+        self.requests = []
+
+        def serve():
+            for born in (1, 2):
+                conn, _ = listener.accept()
+                with conn:
+                    path = conn.recv(65536).split(b' ')[1]
+                    self.requests.append((born, path))
+                    body = b'{"clock_ms":5,"born":%d}' % born
+                    conn.sendall(
+                        b'HTTP/1.1 200 OK\r\nConnection: close\r\n'
+                        b'Content-Length: %d\r\n\r\n' % len(body) + body
+                    )
+
+        threading.Thread(target=serve, daemon=True).start()
+
+    # Guards against a start that is carried out by the next incarnation.
+    def test_connection_that_is_closed_by_the_answer_to_its_check(self):
+        self.start_changing_server()
+        with contextlib.suppress(errors.BilberryhavenError):
+            self.start(self.build_target(1))
+        self.assertNotIn((2, b'/run-start'), self.requests)
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import json
+import os
 import socket
 import threading
 import time
@@ -294,6 +295,65 @@
         self.assertEqual(200, self.read_answer(waiting)[0])
 
 
+class HeldPoll:
+    """Poll object; threads that serve requests wait before they register.
+
+    Attributes:
+        held: Descriptor that is to be registered, or None.
+    """
+
+    def __init__(self, poll, release):
+        self.poll_object, self.release = poll, release
+        self.held = None
+
+    def register(self, fd, events):
+        if threading.current_thread().name != 'server':
+            self.held = fd
+            self.release.wait(TIMEOUT)
+        self.poll_object.register(fd, events)
+
+    def __getattr__(self, name):
+        return getattr(self.poll_object, name)
+
+
+class ReusedDescriptorTest(ListenerTestCase):
+    limits = {'descriptors': 64}
+
+    def fill_descriptors(self, upto):
+        """Leave no descriptor free below ``upto``."""
+        while True:
+            fd = os.open(os.devnull, os.O_RDONLY)
+            self.addCleanup(os.close, fd)
+            if fd > upto:
+                return
+
+    # Guards against a new connection whose requests are never received.
+    def test_connection_that_is_closed_before_it_is_registered(self):
+        queues = self.listener._server._connections
+        for _ in range(CrowdTest.ROOM - 1):
+            self.send(build_request(b'{}')[:-1])
+        self.wait_until(lambda: len(queues._reading) == CrowdTest.ROOM - 1)
+        clients = [socket.socket() for _ in range(2)]
+        for sock in clients:
+            self.addCleanup(sock.close)
+            sock.settimeout(TIMEOUT / 4)
+        poll = HeldPoll(queues._poll, self.release)
+        queues._poll = poll
+        self.check_served()
+        self.wait_until(lambda: poll.held is not None)
+        self.fill_descriptors(poll.held)
+        address = util.parse_address(self.listener.address)
+        for sock in clients:
+            known = set(queues._idle.values())
+            sock.connect(address)
+            self.wait_until(lambda: set(queues._idle.values()) - known)
+        self.assertEqual([poll.held], list(queues._idle))
+        self.release.set()
+        time.sleep(0.5)
+        clients[1].sendall(build_request(b'[]'))
+        self.assertEqual(200, self.read_answer(clients[1])[0])
+
+
 class UnreadAnswerTest(ListenerTestCase):
     limits = {'answer_ms': 1_000, 'kept_bytes': 64 * KIB * KIB}
     ANSWER = b'x' * 8 * KIB * KIB
--- a/tests/test_wire_input.py
+++ b/tests/test_wire_input.py
@@ -4,10 +4,13 @@
 once grew with what its sender sent (incident of issue 50, second matter).
 """
 
+import time
+
 import hypothesis
 from hypothesis import strategies as st
 import testtools
 
+from bilberryhaven import settings
 from bilberryhaven.wire import input as wire_input
 
 LINE, HEAD, BODY = 256, 1024, 2048
@@ -190,3 +193,21 @@
         self.assertTrue(reader.feed(b'x'))
         reader.take()
         self.assertFalse(reader.wants_continue)
+
+
+class DripTest(testtools.TestCase):
+    # Guards against a sender whose single bytes occupy the listener's thread.
+    def test_single_bytes_of_a_long_head_cost_little(self):
+        limits = settings.InputLimits()
+        reader = wire_input.RequestReader(
+            line_bytes=limits.line_bytes,
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+        )
+        lines = b'a:\r\n' * (limits.head_bytes // 4 - 500)
+        self.assertFalse(reader.feed(b'GET / HTTP/1.1\r\n' + lines))
+        started = time.process_time()
+        for _ in range(100):
+            for byte in b'a:\r\n':
+                reader.feed(bytes([byte]))
+        self.assertTrue(time.process_time() - started < 0.2)
--- a/tests/test_workflow_agent.py
+++ b/tests/test_workflow_agent.py
@@ -331,6 +331,18 @@
         self.assertEqual(['stop', 'stop'], self.client.calls)
 
 
+class RefusedStopTest(OneOrderTest):
+    # Guards against a run that is at work while taken for rejected.
+    def test_refused_stop_does_not_rule_out_an_unanswered_start(self):
+        lost = errors.PeerError('no answer', step='start')
+        self.client.starts = [lost] * agent.START_ATTEMPTS
+        self.client.stops = [errors.RefusedError('HTTP status', step='stop')]
+        self.start()
+        rejected = self.list_rejected()
+        is_repeated = self.client.calls.count('stop') > 1
+        self.assertTrue(is_repeated or not rejected)
+
+
 class OutdatedOrderTest(OneOrderTest):
     """An order's outcome must not be applied to a later session's order.
 
