Register a connection before it can be closed

What clients would see: a new connection on which no request is answered, on a listener whose connections are all in use.

Cause: a thread that had served a request put its connection into a queue and registered it afterwards. In between, the thread of all connections could close it as the longest idle one and accept another with its descriptor. The registration then failed, and the cleaning up took that one out of the poll.

Change: the queue and the poll change together, under the lock. The test pauses before the registration instead of waiting in it.

--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -387,14 +387,16 @@
         return found
 
     def _watch(self, conn, queue, events=select.EPOLLIN):
-        with self._lock:
-            conn.place = queue
-            conn.since = time.monotonic()
-            queue[conn.fd] = conn
         try:
-            self._poll.register(conn.fd, events)
+            # Under the lock: it must not be closed before it is registered,
+            # or another connection may have its descriptor by then.
+            with self._lock:
+                conn.place = queue
+                conn.since = time.monotonic()
+                queue[conn.fd] = conn
+                self._poll.register(conn.fd, events)
         except (OSError, ValueError):
-            # The connection or the server has been closed meanwhile.
+            # The server has been closed meanwhile.
             self._drop(conn)
 
     def _move(self, conn, queue):
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -22,6 +22,7 @@
 KIB = 1024
 TIMEOUT = 20
 THREADS = 2
+HOLD_SECONDS = 1.5
 
 
 def build_head(*headers):
@@ -296,20 +297,20 @@
 
 
 class HeldPoll:
-    """Poll object; threads that serve requests wait before they register.
+    """Poll object; threads that serve requests pause before they register.
 
     Attributes:
         held: Descriptor that is to be registered, or None.
     """
 
-    def __init__(self, poll, release):
-        self.poll_object, self.release = poll, release
+    def __init__(self, poll):
+        self.poll_object = poll
         self.held = None
 
     def register(self, fd, events):
         if threading.current_thread().name != 'server':
-            self.held = fd
-            self.release.wait(TIMEOUT)
+            self.held = self.held or fd
+            time.sleep(HOLD_SECONDS)
         self.poll_object.register(fd, events)
 
     def __getattr__(self, name):
@@ -337,7 +338,7 @@
         for sock in clients:
             self.addCleanup(sock.close)
             sock.settimeout(TIMEOUT / 4)
-        poll = HeldPoll(queues._poll, self.release)
+        poll = HeldPoll(queues._poll)
         queues._poll = poll
         self.check_served()
         self.wait_until(lambda: poll.held is not None)
@@ -348,8 +349,7 @@
             sock.connect(address)
             self.wait_until(lambda: set(queues._idle.values()) - known)
         self.assertEqual([poll.held], list(queues._idle))
-        self.release.set()
-        time.sleep(0.5)
+        time.sleep(2 * HOLD_SECONDS)
         clients[1].sendall(build_request(b'[]'))
         self.assertEqual(200, self.read_answer(clients[1])[0])
 
