Say that an error of an application has no known outcome

What callers would see: an answer with the outcome not_run for a request that was carried out before its handler failed; they may send it again elsewhere.

Cause: each error that the HTTP library answers itself counted as one of reading the request.

Change: once the request was parsed, the outcome is unknown.

Result: FailingApplicationTest failed before; test_wire_connections (19 tests) and test_wire (14) pass.

--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -69,7 +69,11 @@
             # can't parse, because they raise an exception in it.
             number, status = BAD_REQUEST[:3], BAD_REQUEST
         self.close_connection = True
-        error = _build_error(number, msg or str(status))
+        # Once it was parsed, the application may have carried it out.
+        outcome = (
+            errors.Outcome.UNKNOWN if self.ready else errors.Outcome.NOT_RUN
+        )
+        error = _build_error(number, msg or str(status), outcome)
         self.conn.wfile.write(encode_refusal(status, error))
 
 
@@ -196,6 +200,6 @@
     return (head + body).encode()
 
 
-def _build_error(number, text):
+def _build_error(number, text, outcome):
     cls = CODES.get(number) or CODES.get(number[:1]) or errors.BadInputError
-    return cls(text, step='read request', outcome=errors.Outcome.NOT_RUN)
+    return cls(text, step='read request', outcome=outcome)
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -296,6 +296,20 @@
         self.assertEqual(200, self.read_answer(waiting)[0])
 
 
+class FailingApplicationTest(ListenerTestCase):
+    def serve(self, environ, start_response):
+        super().serve(environ, start_response)
+        raise ValueError('after the work was done')
+
+    # Guards against work that is repeated since it is said not to have run.
+    def test_error_after_the_work_was_done_does_not_say_not_run(self):
+        status, _, body = self.read_answer(self.send(build_request(b'{}')))
+        self.assertEqual([b'{}'], self.served)
+        self.assertEqual(
+            (500, 'unknown'), (status, json.loads(body)['outcome'])
+        )
+
+
 class HeldPoll:
     """Poll object; threads that serve requests pause before they register.
 
