Bound the elements of a message by its size

What operators would see: a process that stands still, or exceeds its memory, after a request of a few hundred bytes to any of its listeners.

Change: a message may be read twice over.

Result: test_elements_without_a_size failed before; test_wire_amplification (2 tests), test_wire (14) and test_odd_messages (6) pass.

--- a/bilberryhaven/wire/codec.py
+++ b/bilberryhaven/wire/codec.py
@@ -14,7 +14,10 @@
 __all__ = ['decode', 'encode']
 
 SCHEMA = pathlib.Path(__file__).with_name('schema.capnp')
-MAX_MESSAGE_WORDS = 64 * 1024 * 1024 // 8
+WORD_BYTES = 8
+# Words that may be read for each word of a message: each is read once, but
+# pointers to the same one, and elements of no size, would multiply them.
+MAX_READS_PER_WORD = 2
 
 _GUARD = border.Guard(
     what='message', step='decode message', catches=(capnp.KjException,)
@@ -125,7 +128,9 @@
     with (
         _GUARD,
         schema.Envelope.from_bytes(
-            data, traversal_limit_in_words=MAX_MESSAGE_WORDS
+            data,
+            traversal_limit_in_words=MAX_READS_PER_WORD
+            * (len(data) // WORD_BYTES + 1),
         ) as envelope,
     ):
         field = str(envelope.which())
