Let workers of the rig start again and refuse calls without a name

Change: status 503 carries the clock only; the kind 'reborn, unhealthy' lets workers crash and start again under their ids, and refuse a share of the calls for some seconds.

--- a/soak/rig_sheet_faults.py
+++ b/soak/rig_sheet_faults.py
@@ -422,6 +422,20 @@
         time.sleep(FLAP_INTERVAL_S)
 
 
+@register('reborn, unhealthy')
+def crash_and_refuse(rig, random):
+    """Workers start again under their ids and refuse calls at first."""
+    names = rig_faults.choose_workers(rig, random, 0.2)
+    for name in names:
+        rig.kill((name, 'worker'))
+    time.sleep(random.uniform(0.0, 0.5))
+    for name in names:
+        rig.start_worker(name, same_id=True)
+        share, seconds = random.choice([0.45, 0.8]), random.uniform(1.0, 4.0)
+        rig.write_mode(name, 'busy', share, seconds)
+    time.sleep(random.uniform(2.0, 5.0))
+
+
 @register('lapse, leader changes')
 def change_leader_at_lapse(rig, random):
     """Agents are stopped for about a lease; the leader ends as they go on."""
--- a/soak/rig_worker.py
+++ b/soak/rig_worker.py
@@ -50,6 +50,7 @@
     'fail': ('fail', ('/run-start',)),
 }
 CLOSE_INTERVAL_S = 0.15
+STATUS_UNHEALTHY = 503
 
 
 class Model(stand_in.Model):
@@ -460,11 +461,10 @@
             self._give_no_answer(HANG_S)
             return
         model = self.worker.model
-        fields = {
-            'clock_ms': model.read_clock_ms(),
-            'born': model.born,
-            **fields,
-        }
+        fields = {'clock_ms': model.read_clock_ms(), **fields}
+        if status != STATUS_UNHEALTHY:
+            # Without it, nothing shows which life has answered.
+            fields['born'] = model.born
         data = json.dumps(fields).encode()
         with contextlib.suppress(OSError):
             self.send_response(status)
