--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -30,6 +30,8 @@
 CALL_TIMEOUT_S = 0.4
 CONNECT_TIMEOUT_S = 0.4
 MAX_CONNECTIONS = 8
+# An end and a running task for each of hundreds, with their checkpoints.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 INSTANCE_HEADER = 'X-Expected-Instance'
 MAX_LABELS = 64
 MAX_CHECKPOINT_CHARS = 65_536
@@ -196,6 +198,12 @@
     return worker_id, born_ms
 
 
+class _WorkerConnection(answer.Connection):
+    """Connection to a worker, whose lists are its largest answers."""
+
+    max_answer_bytes = MAX_ANSWER_BYTES
+
+
 class _IncarnationPool(answer.Pool):
     """Connections to one incarnation of a worker.
 
@@ -208,6 +216,8 @@
             connection must not be used.
     """
 
+    ConnectionCls = _WorkerConnection
+
     def __init__(self, *, check, **kwargs):
         super().__init__(**kwargs)
         self._check = check
--- a/bilberryhaven/wire/answer.py
+++ b/bilberryhaven/wire/answer.py
@@ -28,7 +28,7 @@
 class _BoundedSource(io.RawIOBase):
     """Bytes of one answer, up to its largest size and its time."""
 
-    def __init__(self, sock, until):
+    def __init__(self, sock, until, max_bytes):
         super().__init__()
         self._sock = sock
         # Keeps the socket open until the answer is read.
@@ -36,14 +36,15 @@
         self._until = until
         self._timeout = sock.gettimeout()
         self._has_read = False
-        self.left_bytes = MAX_ANSWER_BYTES
+        self._max_bytes = max_bytes
+        self.left_bytes = max_bytes
 
     def readable(self):
         return True
 
     def readinto(self, buffer):
         if not self.left_bytes:
-            raise AnswerTooLargeError(f'over {MAX_ANSWER_BYTES} bytes')
+            raise AnswerTooLargeError(f'over {self._max_bytes} bytes')
         # The first part has the time-out that the connection has set.
         if self._has_read and self._until is not None:
             left_s = self._until - time.monotonic()
@@ -68,6 +69,10 @@
 class _BoundedFile(io.BufferedReader):
     """Buffered bytes of one answer."""
 
+    def __init__(self, source, max_bytes):
+        super().__init__(source)
+        self._max_bytes = max_bytes
+
     def readline(self, size=-1):
         if 0 <= size <= MAX_LINE_BYTES:
             return super().readline(size)
@@ -78,7 +83,7 @@
 
     def read(self, size=-1):
         # The library reserves the memory for all that is declared.
-        if size is not None and size > MAX_ANSWER_BYTES:
+        if size is not None and size > self._max_bytes:
             raise AnswerTooLargeError(f'a body of {size} bytes')
         return super().read(size)
 
@@ -86,14 +91,21 @@
 class _Response(http.client.HTTPResponse):
     """Response that is read within the bounds of its connection."""
 
-    def __init__(self, sock, *args, until=None, **kwargs):
+    def __init__(self, sock, *args, until, max_bytes, **kwargs):
         super().__init__(sock, *args, **kwargs)
         self.fp.close()
-        self.fp = _BoundedFile(_BoundedSource(sock, until))
+        source = _BoundedSource(sock, until, max_bytes)
+        self.fp = _BoundedFile(source, max_bytes)
 
 
 class Connection(urllib3.connection.HTTPConnection):
-    """Connection whose time-out is that of a whole answer."""
+    """Connection whose time-out is that of a whole answer.
+
+    Attributes:
+        max_answer_bytes: Largest size of an answer with its framing.
+    """
+
+    max_answer_bytes = MAX_ANSWER_BYTES
 
     def request(self, *args, **kwargs):
         """Send a request whose answer is never decompressed."""
@@ -107,7 +119,7 @@
             until = time.monotonic() + timeout
         # The library creates the response without a way to pass the time.
         self.response_class = lambda *args, **kwargs: _Response(
-            *args, until=until, **kwargs
+            *args, until=until, max_bytes=self.max_answer_bytes, **kwargs
         )
         return super().getresponse()
 
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -404,7 +404,9 @@
         for sock in clients:
             known = set(queues._idle.values())
             sock.connect(address)
-            self.wait_until(lambda: set(queues._idle.values()) - known)
+            self.wait_until(
+                lambda known=known: set(queues._idle.values()) - known
+            )
         self.assertEqual([poll.held], list(queues._idle))
         time.sleep(2 * HOLD_SECONDS)
         clients[1].sendall(build_request(b'[]'))
