Test the token of a check while another server is asked

Cause: the client keeps one token for the checks of connections, whichever incarnation they lead to.

--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -179,6 +179,24 @@
         ]
         self.assertEqual([4, 5, 5, 6, 6], tokens)
 
+    # Guards against a stop that is never sent and counts as answered.
+    def test_candidate_does_not_change_the_token_of_a_check(self):
+        incarnation = self.start_incarnation(1)
+        target = self.build_target(1)
+        self.start(target, epoch=5)
+        self.drop_connections()
+        pool = self.client._pool
+        validate = pool._validate_conn
+
+        def validate_late(conn):
+            # Another thread asks an announced server who it is.
+            self.client._get_pool(self.build_target(2), 0)
+            validate(conn)
+
+        pool._validate_conn = validate_late
+        self.client.stop_run(target, RUN, epoch=5)
+        self.assertEqual('/run-stop', incarnation.calls[-1][0])
+
     def test_connection_of_a_replaced_agent(self):
         """It is refused; nothing shows that the server has ended."""
         self.start_incarnation(1).token = 5
