Keep the token of checks with the incarnation

What operators would see: a run that was ordered to stop goes on.

If that happened between the choice of a connection to the followed server and its check, the check carried 0, too. The server refused it for its token, which counts as an answer to a stop that was never sent. It takes two announced servers and two threads within microseconds; not seen with real processes.

Change: each pool has the newest token of the calls to its own incarnation.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -204,20 +204,26 @@
     outlive the incarnation, so each new one is checked once.
 
     Args:
-        check: Called with each new connection; raises an error if the
-            connection must not be used.
+        check: Called with the fencing token and each new connection; raises
+            an error if the connection must not be used.
+
+    Attributes:
+        epoch: Newest fencing token of calls to the incarnation. With an older
+            one than it has seen, it would refuse without showing which
+            incarnation it is.
     """
 
     def __init__(self, *, check, **kwargs):
         super().__init__(**kwargs)
         self._check = check
+        self.epoch = 0
 
     def _validate_conn(self, conn):
         # The library calls this before each request on a connection.
         super()._validate_conn(conn)
         if conn.is_closed:
             conn.connect()
-            self._check(conn)
+            self._check(self.epoch, conn)
 
 
 class WorkerClient(server_client.ServerClient):
@@ -227,8 +233,6 @@
         self._lock = threading.Lock()
         self._incarnation = None
         self._pool = None
-        # Newest fencing token of calls to the incarnation.
-        self._epoch = 0
 
     def start_run(self, target, order, *, deadline_ms, epoch):
         """Start a run and return a ``StartResult``."""
@@ -307,20 +311,12 @@
                     port=port,
                     maxsize=MAX_CONNECTIONS,
                     retries=False,
-                    check=functools.partial(self._check_connection, target),
+                    check=functools.partial(_check_incarnation, target),
                 )
                 self._incarnation = incarnation
-                self._epoch = 0
-            self._epoch = max(self._epoch, epoch)
+            self._pool.epoch = max(self._pool.epoch, epoch)
             return self._pool
 
-    def _check_connection(self, target, conn):
-        # With an older token than the server has seen, it would refuse
-        # without showing which incarnation it is.
-        with self._lock:
-            epoch = self._epoch
-        _check_incarnation(target, epoch, conn)
-
     def _check(self, target, step, status, body):
         if status == 200:
             return
