Don't take blank lines between requests for a part of one

Cause: of several blank lines after a request only the first was discarded; a peer that then closed its side got a second answer (400, incomplete).

Change: all are discarded, and not kept.

--- a/bilberryhaven/wire/input.py
+++ b/bilberryhaven/wire/input.py
@@ -194,8 +194,9 @@
 
     def _read_head(self):
         buffer = self._buffer
-        if buffer.startswith(CRLF):
-            del buffer[:2]
+        # Blank lines between requests are no part of one.
+        while buffer.startswith(CRLF):
+            del buffer[: len(CRLF)]
         end = buffer.find(BLANK_LINE, max(0, self._scanned - 3))
         size = len(buffer) if end < 0 else end + len(BLANK_LINE)
         if size > self._head_bytes:
--- a/tests/test_wire_input.py
+++ b/tests/test_wire_input.py
@@ -179,6 +179,13 @@
             except wire_input.RefusedInputError as refused:
                 self.assertEqual('bad_input', refused.error.code)
 
+    def test_blank_lines_between_requests_are_not_kept(self):
+        reader = build_reader()
+        self.assertTrue(reader.feed(b'GET / HTTP/1.1\r\n\r\n' + b'\r\n' * 9))
+        reader.take()
+        self.assertFalse(reader.advance())
+        self.assertEqual(0, reader.kept_bytes)
+
     def test_interim_response_is_wanted_before_the_body_only(self):
         head = (
             b'POST / HTTP/1.1\r\nExpect: 100-continue\r\n'
