Name complete requests so

Cause: 'whole' and 'anew' read oddly in new comments and names. Change: names and comments only; one text of an error says 'complete'.

--- a/bilberryhaven/wire/answer.py
+++ b/bilberryhaven/wire/answer.py
@@ -1,7 +1,7 @@
 """Bounded reading of answers, between the socket and the HTTP client.
 
-The HTTP client reads lines, such as the size of a chunk and trailers, whole
-and without a bound, and its time-out starts again with each part. Here an
+The HTTP client reads lines, such as the size of a chunk and trailers,
+without a bound, and its time-out starts again with each part. Here an
 answer has a largest line, a largest size with all its framing, and a time by
 which it has to be complete.
 """
@@ -99,7 +99,7 @@
 
 
 class Connection(urllib3.connection.HTTPConnection):
-    """Connection whose time-out is that of a whole answer.
+    """Connection whose time-out covers an answer up to its end.
 
     Attributes:
         max_answer_bytes: Largest size of an answer with its framing.
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -1,4 +1,4 @@
-"""Connections of the HTTP server: whole requests and coded errors."""
+"""Connections of the HTTP server: complete requests and coded errors."""
 
 import contextlib
 import io
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -148,12 +148,12 @@
         """Wait for the next request, or hand over one that has arrived."""
         conn.resize_claim(0)
         try:
-            is_whole = conn.reader.advance()
+            is_complete = conn.reader.advance()
             self._claim(conn)
         except wire_input.RefusedInputError as refusal:
             self._refuse(conn, refusal)
             return
-        if is_whole:
+        if is_complete:
             self._server.process_conn(conn)
             return
         queue = self._reading if conn.reader.kept_bytes else self._idle
@@ -264,12 +264,12 @@
             if not data:
                 self._end_input(conn)
                 return
-            is_whole = conn.reader.feed(data)
+            is_complete = conn.reader.feed(data)
             self._claim(conn)
         except wire_input.RefusedInputError as refusal:
             self._refuse(conn, refusal)
             return
-        if is_whole:
+        if is_complete:
             self._forget(conn)
             self._server.process_conn(conn)
             return
@@ -360,7 +360,7 @@
                     reason='slow',
                     status='408 Request Timeout',
                     error=errors.DeadlineError(
-                        f'no whole request within {limits.request_ms} ms',
+                        f'no complete request within {limits.request_ms} ms',
                         step='read request',
                         outcome=errors.Outcome.NOT_RUN,
                     ),
--- a/bilberryhaven/wire/input.py
+++ b/bilberryhaven/wire/input.py
@@ -11,7 +11,7 @@
 
 from bilberryhaven import errors
 
-__all__ = ['RefusedInputError', 'RequestReader', 'WholeRequest']
+__all__ = ['RefusedInputError', 'RequestReader', 'CompleteRequest']
 
 CRLF = b'\r\n'
 BLANK_LINE = b'\r\n\r\n'
@@ -71,7 +71,7 @@
 
 
 @dataclasses.dataclass(kw_only=True, frozen=True)
-class WholeRequest:
+class CompleteRequest:
     """A request that has been received completely.
 
     Attributes:
@@ -168,8 +168,8 @@
         return True
 
     def take(self):
-        """Return the ``WholeRequest`` that is complete, and start anew."""
-        request = WholeRequest(head=self._head, body=bytes(self._body))
+        """Return the ``CompleteRequest``, and begin the next one."""
+        request = CompleteRequest(head=self._head, body=bytes(self._body))
         self._reset()
         return request
 
