Share the small sheet of the rig's tests, and test its refusals

Cause: two modules had the same sheet and base class; a test counts the kinds of a large sheet, of which 'reborn, unhealthy' made one more (31 became 32). Change: tests/rig_fakes.py has both; the count is 32; a test that an unhealthy server of the rig names its clock only.

--- a/tests/test_soak_rig_callers.py
+++ b/tests/test_soak_rig_callers.py
@@ -1,45 +1,18 @@
 """Tests of the rig's callers and of the verdict on what they have seen."""
 
 import itertools
-import pathlib
 import random
-import shutil
 
 import testtools
 
-from soak import rig
 from soak import rig_callers
 from soak import rig_oracle
+from tests import rig_fakes
 
-HERE = pathlib.Path(__file__).resolve().parent.parent
 DRAWS = 300
-MEAN = {'mean': 3.0}
-CLASS = {
-    'name': 'render',
-    'work_ms': {'mean': 1_000.0},
-    'jobs': {'steps': MEAN, 'width': MEAN, 'cpu': MEAN, 'mem_mb': MEAN},
-}
-SHEET = {
-    'zones': [{'name': 'a', 'region': 'r'}],
-    'machines': [
-        {'class': 'front', 'zone': 'a', 'count': 15, 'disk': {}},
-        {'class': 'side', 'zone': 'a', 'count': 1},
-    ],
-    'classes': [CLASS],
-    'traffic': [{'mix': {'render': 1.0}}],
-    'timing': {'hold_max_ms': 10_000},
-    'tolerate': {'machines': 2},
-}
-
-
-class RigCase(testtools.TestCase):
-    def setUp(self):
-        super().setUp()
-        self.rig = rig.Rig(sheet=SHEET, root=HERE, seed=1, most_sides=1)
-        self.addCleanup(shutil.rmtree, self.rig.folder)
-        self.addCleanup(self.rig.close)
-        self.choices = random.Random(1)
 
+
+class RigCase(rig_fakes.RigTestCase):
     def read_notes(self):
         return [(row['what'], row['job']) for row in self.rig._read_jobs()]
 
@@ -57,8 +30,8 @@
 
 class JobTest(testtools.TestCase):
     def build(self, extras=0.0, **changes):
-        row = {**CLASS, **changes}
-        row['jobs'] = {**CLASS['jobs'], **changes.get('jobs', {})}
+        row = {**rig_fakes.CLASS, **changes}
+        row['jobs'] = {**rig_fakes.CLASS['jobs'], **changes.get('jobs', {})}
         choices = random.Random(1)
         return [
             rig_callers.build_job(row, choices, extras) for _ in range(DRAWS)
--- a/tests/test_soak_rig_sheet.py
+++ b/tests/test_soak_rig_sheet.py
@@ -1,47 +1,19 @@
 """Tests of the rig's faults of a large sheet."""
 
+import io
 import json
-import pathlib
-import random
-import shutil
+from unittest import mock
 
 import testtools
 
-from soak import rig
 from soak import rig_callers
 from soak import rig_faults
 from soak import rig_sheet_faults
-
-HERE = pathlib.Path(__file__).resolve().parent.parent
-MEAN = {'mean': 3.0}
-CLASS = {
-    'name': 'render',
-    'work_ms': {'mean': 1_000.0},
-    'jobs': {'steps': MEAN, 'width': MEAN, 'cpu': MEAN, 'mem_mb': MEAN},
-}
-SHEET = {
-    'zones': [{'name': 'a', 'region': 'r'}],
-    'machines': [
-        {'class': 'front', 'zone': 'a', 'count': 15, 'disk': {}},
-        {'class': 'side', 'zone': 'a', 'count': 1},
-    ],
-    'classes': [CLASS],
-    'traffic': [{'mix': {'render': 1.0}}],
-    'timing': {'hold_max_ms': 10_000},
-    'tolerate': {'machines': 2},
-}
-
-
-class RigCase(testtools.TestCase):
-    def setUp(self):
-        super().setUp()
-        self.rig = rig.Rig(sheet=SHEET, root=HERE, seed=1, most_sides=1)
-        self.addCleanup(shutil.rmtree, self.rig.folder)
-        self.addCleanup(self.rig.close)
-        self.choices = random.Random(1)
+from soak import rig_worker
+from tests import rig_fakes
 
 
-class WipeTest(RigCase):
+class WipeTest(rig_fakes.RigTestCase):
     def setUp(self):
         super().setUp()
         self.core = [h.name for h in self.rig._list('control')]
@@ -93,7 +65,7 @@
         self.assertEqual([], self.wipe('aimed'))
 
 
-class KindTest(RigCase):
+class KindTest(rig_fakes.RigTestCase):
     def test_all_kinds_can_be_played(self):
         self.patch(rig_sheet_faults.time, 'sleep', lambda seconds: None)
         self.patch(rig_sheet_faults, 'ORDER_TIMEOUT_S', 0)
@@ -102,7 +74,7 @@
             for name, function in rig_faults._registry.items()
             if function.__module__ == rig_sheet_faults.__name__
         ]
-        self.assertEqual(31, len(names), names)
+        self.assertEqual(32, len(names), names)
         for name in names:
             rig_faults.inject(name, self.rig)
 
@@ -135,7 +107,7 @@
         self._processes['later', 'agent'] = self
 
 
-class ListTest(RigCase):
+class ListTest(rig_fakes.RigTestCase):
     def test_processes_may_start_meanwhile(self):
         # Guards against kinds that fail beside others, unseen but in a count.
         processes = self.rig.processes
@@ -143,3 +115,22 @@
         processes['first', 'agent'] = _Process(processes)
         self.assertEqual([('first', 'agent')], self.rig.list_keys('agent'))
         self.assertEqual(2, len(processes))
+
+
+class RefusalTest(testtools.TestCase):
+    # Guards against a rig that can't show calls to the next incarnation.
+    def answer(self, status):
+        handler = object.__new__(rig_worker._Handler)
+        handler.worker = mock.Mock(silent=set())
+        handler.worker.model.read_clock_ms.return_value = 5
+        handler.worker.model.born = 7
+        handler.connection = None
+        handler.wfile = io.BytesIO()
+        handler.send_response = handler.send_header = mock.Mock()
+        handler.end_headers = mock.Mock()
+        handler._answer(status, {})
+        return json.loads(handler.wfile.getvalue())
+
+    def test_an_unhealthy_server_names_its_clock_only(self):
+        self.assertEqual({'clock_ms': 5}, self.answer(503))
+        self.assertEqual({'clock_ms': 5, 'born': 7}, self.answer(200))
