Bound the answers that a process reads at once, and release their parts

Cause: an answer over its bound ends in an error whose frames hold the parts that were read, up to 16 MiB each, for as long as the error is kept; and several threads read answers at the same time, each within its own bound.

Change: the parts that an error holds are released where it is converted, and answers over 64 KiB claim from the process's budget while they are read.

A unit test of the budget passes.

--- a/bilberryhaven/platform/workers.py
+++ b/bilberryhaven/platform/workers.py
@@ -368,6 +368,7 @@
                 ) from error
             raise _build_peer_error(error, target, path) from error
         except urllib3.exceptions.HTTPError as error:
+            answer.release_parts(error)
             raise _build_peer_error(error, target, path) from error
         return response.status, response.data
 
--- a/bilberryhaven/wire/answer.py
+++ b/bilberryhaven/wire/answer.py
@@ -10,21 +10,45 @@
 import http.client
 import io
 import time
+import traceback
 
 import urllib3
 
-__all__ = ['AnswerTooLargeError', 'Connection', 'Pool', 'PoolManager']
+from bilberryhaven.wire import intake
+
+__all__ = [
+    'AnswerTooLargeError',
+    'Connection',
+    'Pool',
+    'PoolManager',
+    'release_parts',
+]
 
 MAX_LINE_BYTES = 64 * 1024
 # The largest lists that a leader sends to the entries of a large fleet have a
 # few MiB.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Answers up to this size are read without a claim on the process's memory.
+UNCLAIMED_BYTES = 64 * 1024
+# The library keeps an answer in parts, and joins them.
+COPIES = 2
 
 
 class AnswerTooLargeError(http.client.HTTPException):
     """An answer, or a line of it, is over its bound."""
 
 
+def release_parts(error):
+    """Release the parts of an answer that the frames of an error hold.
+
+    Args:
+        error: The error with which the reading of the answer has ended.
+    """
+    while error is not None:
+        traceback.clear_frames(error.__traceback__)
+        error = error.__cause__ or error.__context__
+
+
 class _BoundedSource(io.RawIOBase):
     """Bytes of one answer, up to its largest size and its time."""
 
@@ -37,6 +61,7 @@
         self._timeout = sock.gettimeout()
         self._has_read = False
         self._max_bytes = max_bytes
+        self._claimed_bytes = 0
         self.left_bytes = max_bytes
 
     def readable(self):
@@ -55,10 +80,22 @@
         size = min(len(buffer), self.left_bytes)
         count = self._sock.recv_into(memoryview(buffer)[:size])
         self.left_bytes -= count
+        self._claim(self._max_bytes - self.left_bytes)
         return count
 
+    def _claim(self, size):
+        """Claim memory for what was read; several threads read answers."""
+        if size <= UNCLAIMED_BYTES:
+            return
+        needed = COPIES * size
+        if not intake.PROCESS.resize(self._claimed_bytes, needed):
+            raise AnswerTooLargeError('no memory is left for answers')
+        self._claimed_bytes = needed
+
     def close(self):
         if not self.closed:
+            intake.PROCESS.resize(self._claimed_bytes, 0)
+            self._claimed_bytes = 0
             # The next request on the connection is sent with it.
             with contextlib.suppress(OSError):
                 self._sock.settimeout(self._timeout)
--- a/bilberryhaven/wire/client.py
+++ b/bilberryhaven/wire/client.py
@@ -69,6 +69,7 @@
                 redirect=False,
             )
         except urllib3.exceptions.HTTPError as error:
+            answer.release_parts(error)
             raise _build_peer_error(error, address, step) from error
         if response.status != 200:
             raise errors.PeerError(
--- a/tests/test_wire_answer.py
+++ b/tests/test_wire_answer.py
@@ -12,8 +12,10 @@
 from bilberryhaven.agent import backend
 from bilberryhaven import clock as clocks
 from bilberryhaven import errors
+from bilberryhaven import settings
 from bilberryhaven.wire import answer
 from bilberryhaven.wire import client
+from bilberryhaven.wire import intake
 from bilberryhaven.wire import message
 
 HEAD = b'HTTP/1.1 200 OK\r\n'
@@ -116,6 +118,17 @@
             self.send(peer, 1)
             self.assertTrue(time.monotonic() - started < TIMEOUT_S / 2)
 
+    def test_answers_share_the_memory_of_the_process(self):
+        # Guards against several answers at once that outgrow a process.
+        limits = settings.InputLimits(kept_bytes=4 * 1024 * 1024)
+        process = intake.Intake(limits=limits)
+        self.patch(answer.intake, 'PROCESS', process)
+        body = b'a' * 2**21
+        head = HEAD + b'Content-Length: %d\r\n\r\n' % len(body)
+        peer = self.start(head, body, total=1)
+        self.assertIn('no memory', str(self.send(peer, TIMEOUT_S)))
+        self.assertEqual(0, process.kept_bytes)
+
     def test_compressed_answer_is_not_expanded(self):
         data = gzip.compress(b'a' * 10**6)
         head = HEAD + b'Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n'
