Show that gangs are given differing checkpoints after a crash

The members of a gang go on from their own checkpoints, wait for each other and end alone, over and over; the job is never done.

--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -43,9 +43,19 @@
         cpu: Capacity of each worker in thousandths of a core.
         bounds: Bounds that differ from those of lianhe-ops, by name.
         kinds: Kinds of workers other than ``a``, by number.
+        program: File of the workers' program.
     """
 
-    def __init__(self, folder, *, sides, cpu=4000, bounds=None, kinds=None):
+    def __init__(
+        self,
+        folder,
+        *,
+        sides,
+        cpu=4000,
+        bounds=None,
+        kinds=None,
+        program='worker.py',
+    ):
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.temp = tempfile.TemporaryDirectory(prefix='case-')
         self.folder = pathlib.Path(self.temp.name)
@@ -57,6 +67,7 @@
         self.started_at = time.monotonic()
         self.cpu = cpu
         self.kinds = kinds or {}
+        self.program = program
         self.bounds = {
             'contact_ms': 3000,
             'ack_ms': 4000,
@@ -188,7 +199,7 @@
         number = self.sides.index(side)
         command = [
             sys.executable,
-            str(HERE / 'worker.py'),
+            str(HERE / self.program),
             f'--id=i-{number:08x}',
             f'--zone={ZONES[number % len(ZONES)]}',
             f'--rack=r{number % len(ZONES)}-1',
@@ -196,6 +207,7 @@
             f'--agent={self.find_address(side, "control")}',
             f'--cpu={cpu or self.cpu}',
             f'--max-lease-ms={self.bounds["max_lease_ms"]}',
+            f'--folder={self.folder / "gangs"}',
             f'--kind={self.kinds.get(number, "a")}',
             *args,
         ]
--- a/review/standin2/worker.py
+++ b/review/standin2/worker.py
@@ -57,17 +57,25 @@
         lapsed = 0 < self._deadline_ms <= self.read_clock_ms()
         now = time.monotonic()
         for task, run in list(self._runs.items()):
-            if lapsed:
-                self._end(task, 'lapsed')
-            elif now >= run['stops_at']:
-                self._end(task, 'stopped')
-            elif now >= run['ends_at']:
-                self._end(task, 'done')
+            how = 'lapsed' if lapsed else self.find_end(task, run, now)
+            if how:
+                self._end(task, how)
+
+    def find_end(self, task, run, now):
+        """Return how a run ends now, or an empty string."""
+        if now >= run['stops_at']:
+            return 'stopped'
+        return 'done' if now >= run['ends_at'] else ''
+
+    def find_saved(self, run):
+        """Return the newest checkpoint of a run."""
+        return run['given']
 
     def _end(self, task, how):
         run = self._runs.pop(task)
         self._count += 1
-        self._ends.append([self._count, task, run['run'], how, ''])
+        saved = '' if how == 'done' else self.find_saved(run)
+        self._ends.append([self._count, task, run['run'], how, saved])
         self._highest[task] = max(self._highest.get(task, 0), run['run'])
         self.record('end', task=task, run=run['run'], how=how)
         self.condition.notify_all()
@@ -109,8 +117,11 @@
             'work_s': work_s,
             'ends_at': now + work_s,
             'stops_at': float('inf'),
+            'given': fields.get('checkpoint', ''),
+            'spec': fields['spec'],
         }
-        self.record('begin', task=task, run=number)
+        given = fields.get('checkpoint', '')
+        self.record('begin', task=task, run=number, checkpoint=given)
         return 200, {}
 
     def stop(self, fields):
@@ -139,7 +150,7 @@
             [
                 task,
                 run['run'],
-                '',
+                self.find_saved(run),
                 int(100 * (now - run['began_at']) / run['work_s']),
                 0,
             ]
@@ -254,16 +265,21 @@
         """Take a connection that was closed for a matter of course."""
 
 
-def main():
-    """Run one life of a worker."""
+def main(kind=Worker):
+    """Run one life of a worker.
+
+    Args:
+        kind: Its class.
+    """
     parser = argparse.ArgumentParser()
+    parser.add_argument('--folder', default='')
     for name in ('id', 'zone', 'rack', 'listen', 'agent'):
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--kind', default='a')
     parser.add_argument('--cpu', type=int, default=4000)
     parser.add_argument('--heartbeat-ms', type=int, default=1500)
     parser.add_argument('--max-lease-ms', type=int, default=10_000)
-    worker = Worker(parser.parse_args())
+    worker = kind(parser.parse_args())
     host, _, port = worker.args.listen.partition(':')
     handler = type('WorkerHandler', (Handler,), {'worker': worker})
     server = Server((host, int(port)), handler)
