Show that the next life of a worker carries a former one's start out

Workers close each connection after its answer, so that orders go out on connections that aren't checked. A start that is held up while its worker crashes and returns is carried out by the next life, beside the run that has replaced it.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,11 @@
-"""A worker goes down and up by turns; the job that waits for it is given up.
+"""A start that is held up is carried out by the next life of a worker.
 
-Ten workers, one of them of kind ``b``. A job needs that kind. Its worker goes
-down five times within 6.5 s, as in ``srv_flap`` with a period of 1.4 s, and is
-sound from then on. No run of the job ever ends ``failed``.
+Eight workers that close each connection after its answer, as HTTP allows. The
+starts to one of them are held up on their way; it crashes and is back at once
+under its id, and then what was held up arrives.
 """
 
+import itertools
 import pathlib
 import signal
 import sys
@@ -15,13 +16,10 @@
 
 import deployment  # noqa: E402
 
-SIDES = 10
+SIDES = 8
 JOB = '5c0e7a21d94b36f8'
-WORK_S = 4.0
-# Together with the start of a process, a period of about 1.4 s.
-DOWN_S = 0.9
-UP_S = 0.4
-CRASHES = 5
+TASKS = 24
+WORK_S = 5.0
 START_S = 10
 WAIT_S = 30
 
@@ -29,63 +27,71 @@
 def play(fleet):
     """Return why the rule was broken, or an empty string."""
     side = fleet.sides[0]
-    status = fleet.submit(
-        JOB,
-        {
-            'spec': str(WORK_S),
-            'steps': [
-                {
-                    'task_count': 1,
-                    'cpu': 1000,
-                    'mem_mb': 256,
-                    'estimate_ms': int(WORK_S * 1000),
-                    'requirements': 'b',
-                }
-            ],
-        },
-    )
+    if fleet.trouble:
+        fleet.tell(side, 'hold /run-start', role='proxy')
+    step = {
+        'task_count': TASKS,
+        'cpu': 1000,
+        'mem_mb': 256,
+        'estimate_ms': int(WORK_S * 1000),
+    }
+    status = fleet.submit(JOB, {'spec': str(WORK_S), 'steps': [step]})
     if status != 200:
         raise deployment.NotRunError(f'the job was answered {status}')
-    time.sleep(1.0)
     if fleet.trouble:
-        go_down_and_up(fleet, side)
+        await_events(fleet, side, 'proxy: hold', 1)
+        fleet.signal(side, 'worker', signal.SIGKILL)
+        fleet.start_worker(side)
+        await_events(fleet, side, 'worker: born', 2)
+        fleet.tell(side, 'release all', role='proxy')
     until = time.monotonic() + WAIT_S
     state = ''
     while time.monotonic() < until and state not in ('completed', 'failed'):
         time.sleep(0.5)
         _, state = fleet.read_state(JOB)
-    failed = fleet.list_events('worker: end', how='failed')
-    if state == 'failed' and not failed:
-        return (
-            'LOST: the job is shown as failed, though none of its runs has '
-            'ended failed'
-        )
-    if state != 'completed':
-        return f'LOST: the job is {state} long after its worker is sound'
-    return ''
-
+    return find_overlap(fleet, side)
 
-def go_down_and_up(fleet, side):
-    """Let the worker go down and up by turns, then stay up."""
-    fleet.signal(side, 'worker', signal.SIGKILL)
-    for life in range(2, CRASHES + 1):
-        time.sleep(DOWN_S)
-        start_and_wait(fleet, side, life)
-        time.sleep(UP_S)
-        fleet.signal(side, 'worker', signal.SIGKILL)
-    time.sleep(DOWN_S)
-    start_and_wait(fleet, side, CRASHES + 1)
 
-
-def start_and_wait(fleet, side, life):
-    """Start the next life of a worker; return once it listens."""
-    fleet.start_worker(side)
+def await_events(fleet, side, what, count):
+    """Wait until a machine has shown so many events of a kind."""
     until = time.monotonic() + START_S
-    while len(fleet.list_events('worker: born', machine=side)) < life:
+    while len(fleet.list_events(what, machine=side)) < count:
         if time.monotonic() > until:
-            raise deployment.NotRunError('a worker did not start')
-        time.sleep(0.005)
+            raise deployment.NotRunError(f'{what}: fewer than {count}')
+        time.sleep(0.002)
+
+
+def find_overlap(fleet, side):
+    """Return which task ran twice at the same time, or ''."""
+    kills = [event['at'] for event in fleet.list_events('signal')]
+    ends = {
+        (event['machine'], event['task'], event['run']): event['at']
+        for event in fleet.list_events('worker: end')
+    }
+    spans = {}
+    for event in fleet.list_events('worker: begin'):
+        task, run, machine = event['task'], event['run'], event['machine']
+        until = ends.get((machine, task, run), float('inf'))
+        if machine == side:
+            # What ran there has ended with the worker's life.
+            until = min([until, *(at for at in kills if at > event['at'])])
+        spans.setdefault(task, []).append((event['at'], until, machine, run))
+    for task, found in spans.items():
+        found.sort()
+        for (_, until, *first), (at, end, *second) in itertools.pairwise(
+            found
+        ):
+            if at < until:
+                seconds = min(until, end) - at
+                return (
+                    f'TWICE: {task} at work at the same time for '
+                    f'{seconds:.2f} s: run {first[1]} on {first[0]} and run '
+                    f'{second[1]} on {second[0]}'
+                )
+    return ''
 
 
 if __name__ == '__main__':
-    deployment.run_case(play, HERE, sides=SIDES, kinds={0: 'b'})
+    deployment.run_case(
+        play, HERE, sides=SIDES, proxied=[0], worker_args=['--closes']
+    )
--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -23,7 +23,7 @@
 ZONES = ('pingtung', 'tainan', 'kaohsiung')
 HOST = 'nony24.example'
 PREFIX = '/lohu930/'
-PORTS = ('frontend', 'ready', 'control', 'internal', 'app')
+PORTS = ('frontend', 'ready', 'control', 'internal', 'app', 'inner')
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # Traffic starts this long after the machines do.
 LEAD_S = 12
@@ -44,6 +44,8 @@
         bounds: Bounds that differ from those of lianhe-ops, by name.
         kinds: Kinds of workers other than ``a``, by number.
         program: File of the workers' program.
+        proxied: Numbers of the workers that are called through a proxy.
+        worker_args: Further options of the workers' program.
     """
 
     def __init__(
@@ -55,6 +57,8 @@
         bounds=None,
         kinds=None,
         program='worker.py',
+        proxied=(),
+        worker_args=(),
     ):
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.temp = tempfile.TemporaryDirectory(prefix='case-')
@@ -68,6 +72,8 @@
         self.cpu = cpu
         self.kinds = kinds or {}
         self.program = program
+        self.proxied = frozenset(proxied)
+        self.worker_args = list(worker_args)
         self.bounds = {
             'contact_ms': 3000,
             'ack_ms': 4000,
@@ -197,20 +203,38 @@
         """Start a life of the worker beside an agent; keeps its id."""
         life = self._lives[side] = self._lives.get(side, 0) + 1
         number = self.sides.index(side)
+        port = 'inner' if number in self.proxied else 'app'
         command = [
             sys.executable,
             str(HERE / self.program),
             f'--id=i-{number:08x}',
             f'--zone={ZONES[number % len(ZONES)]}',
             f'--rack=r{number % len(ZONES)}-1',
-            f'--listen={self.find_address(side, "app")}',
+            f'--listen={self.find_address(side, port)}',
+            f'--announce={self.find_address(side, "app")}',
             f'--agent={self.find_address(side, "control")}',
             f'--cpu={cpu or self.cpu}',
             f'--max-lease-ms={self.bounds["max_lease_ms"]}',
             f'--folder={self.folder / "gangs"}',
+            *self.worker_args,
             f'--kind={self.kinds.get(number, "a")}',
             *args,
         ]
+        self.record('start worker', machine=side, life=life)
+        return self._spawn(side, 'worker', command)
+
+    def start_proxy(self, side):
+        """Start the proxy before a worker."""
+        command = [
+            sys.executable,
+            str(HERE / 'delay_proxy.py'),
+            self.find_address(side, 'app'),
+            self.find_address(side, 'inner'),
+        ]
+        return self._spawn(side, 'proxy', command)
+
+    def _spawn(self, side, role, command):
+        """Start a stand-in that writes events and reads lines."""
         process = subprocess.Popen(
             command,
             stdin=subprocess.PIPE,
@@ -218,24 +242,23 @@
             start_new_session=True,
             text=True,
         )
-        self.processes[side, 'worker'] = process
-        self.record('start worker', machine=side, life=life)
+        self.processes[side, role] = process
         threading.Thread(
-            target=self._read_events, args=(process, side), daemon=True
+            target=self._read_events, args=(process, side, role), daemon=True
         ).start()
         return process
 
-    def _read_events(self, process, side):
+    def _read_events(self, process, side, role):
         for line in process.stdout:
             event = json.loads(line)
             what = event.pop('what')
             event.pop('at')
-            self.record(f'worker: {what}', machine=side, **event)
+            self.record(f'{role}: {what}', machine=side, **event)
 
-    def tell(self, side, line):
-        """Write a line to a worker's standard input."""
-        self.record('tell worker', machine=side, line=line)
-        process = self.processes[side, 'worker']
+    def tell(self, side, line, *, role='worker'):
+        """Write a line to the standard input of a stand-in."""
+        self.record(f'tell {role}', machine=side, line=line)
+        process = self.processes[side, role]
         process.stdin.write(line + '\n')
         process.stdin.flush()
 
@@ -259,6 +282,8 @@
                 self.start(front, role)
         for side in self.sides:
             self.start(side, 'agent')
+            if self.sides.index(side) in self.proxied:
+                self.start_proxy(side)
             self.start_worker(side)
         until = time.monotonic() + LEAD_S
         while True:
--- a/review/standin2/worker.py
+++ b/review/standin2/worker.py
@@ -183,7 +183,7 @@
             sequence += 1
             body = {
                 'service': 'desk',
-                'address': self.args.listen,
+                'address': self.args.announce or self.args.listen,
                 'zone': self.args.zone,
                 'version': 'v1',
                 'slots': 8,
@@ -245,6 +245,8 @@
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
             self.send_header('Content-Length', str(len(body)))
+            if worker.args.closes:
+                self.send_header('Connection', 'close')
             self.end_headers()
             self.wfile.write(body)
         except OSError:
@@ -273,6 +275,8 @@
     """
     parser = argparse.ArgumentParser()
     parser.add_argument('--folder', default='')
+    parser.add_argument('--announce', default='')
+    parser.add_argument('--closes', action='store_true')
     for name in ('id', 'zone', 'rack', 'listen', 'agent'):
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--kind', default='a')
