--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,9 +12,9 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'standin2'))
+sys.path.insert(0, str(HERE.parent))
 
-import deployment  # noqa: E402
+import deployment_2 as deployment  # noqa: E402
 
 SIDES = 8
 JOB = '5c0e7a21d94b36f8'
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 shopt -s nullglob
-python3 - standin2/*.py [6-9]/case.py 10/case.p[y] <<'END'
+python3 - *_2.py [6-9]/case.py 10/case.p[y] <<'END'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/standin2/deployment.py
+++ b/review/deployment_2.py
@@ -19,7 +19,7 @@
 import tomllib
 
 HERE = pathlib.Path(__file__).resolve().parent
-ROOT = HERE.parent.parent
+ROOT = HERE.parent
 ZONES = ('pingtung', 'tainan', 'kaohsiung')
 HOST = 'nony24.example'
 PREFIX = '/lohu930/'
@@ -56,7 +56,7 @@
         cpu=4000,
         bounds=None,
         kinds=None,
-        program='worker.py',
+        program='worker_2.py',
         proxied=(),
         worker_args=(),
     ):
@@ -227,7 +227,7 @@
         """Start the proxy before a worker."""
         command = [
             sys.executable,
-            str(HERE / 'delay_proxy.py'),
+            str(HERE / 'delay_proxy_2.py'),
             self.find_address(side, 'app'),
             self.find_address(side, 'inner'),
         ]
--- a/review/standin2/gang_worker.py
+++ b/review/gang_worker_2.py
@@ -10,7 +10,7 @@
 import pathlib
 import time
 
-import worker
+import worker_2 as worker
 
 ALONE_S = 3.0
 SAVE_S = 2.0
