--- a/review/harness3.py
+++ b/review/harness3.py
@@ -23,6 +23,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = 'desk.example'
 PREFIX = '/surveys/'
+SERVICE = 'pond'
 PORTS = ('frontend', 'ready', 'control', 'internal', 'app')
 MAX_LEASE_MS = 10_000
 GANG_TIMEOUT_S = 3.0
@@ -166,15 +167,19 @@
         plan: The ``Plan``.
         cpu: Its capacity in thousandths of a core.
         rack: Its rack.
+        service: The service that it belongs to.
     """
 
-    def __init__(self, *, name, address, agent, record, plan, cpu, rack):
+    def __init__(
+        self, *, name, address, agent, record, plan, cpu, rack, service
+    ):
         self.name = name
         self.address = address
         self.cpu = cpu
         self.tail_ms = QUIET_TAIL_MS
         self._agent = agent
         self.rack = rack
+        self.service = service
         self._record = record
         self._plan = plan
         self._server = None
@@ -452,7 +457,7 @@
         """Send a heartbeat; return whether it was acknowledged."""
         self._sequence += 1
         body = {
-            'service': 'pond',
+            'service': self.service,
             'address': self.address,
             'zone': 'z1',
             'version': 'v1',
@@ -557,11 +562,21 @@
         sides: Number of side machines.
         cpu: Capacity of a worker in thousandths of a core.
         racks: Number of workers by rack.
+        services: Services of the workers that aren't of the usual one, by
+            name of the machine.
     """
 
     def __init__(
-        self, *, folder, fronts=3, sides=7, cpu=16_000, racks=(3, 3, 3, 3)
+        self,
+        *,
+        folder,
+        fronts=3,
+        sides=7,
+        cpu=16_000,
+        racks=(3, 3, 3, 3),
+        services=None,
     ):
+        services = services or {}
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self.plan = Plan()
         self._temp = pathlib.Path(tempfile.mkdtemp(prefix='review3-'))
@@ -583,6 +598,7 @@
                 plan=self.plan,
                 cpu=cpu,
                 rack=f'r1-{number}',
+                service=services.get(name, SERVICE),
             )
             for number, name in zip(numbers, self.sides, strict=False)
         }
@@ -686,7 +702,9 @@
         for side in sides:
             self.workers[side].start()
         self.replace(self.build_configuration(1))
-        self.await_ready(len(sides))
+        self.await_ready(
+            sum(self.workers[side].service == SERVICE for side in sides)
+        )
 
     def build_configuration(self, version, **route):
         """Return a configuration with one route."""
@@ -701,7 +719,7 @@
                     'timeout_ms': 3000,
                     'target_latency_ms': 1000,
                     'priority': 0,
-                    'service': 'pond',
+                    'service': SERVICE,
                     'max_attempts': 4,
                     'slack_factor': 2.0,
                     **route,
@@ -709,12 +727,15 @@
             ],
             'services': [
                 {
-                    'name': 'pond',
+                    'name': name,
                     'health_path': '/healthz',
                     'max_connections': 64,
                     'protocol': 'h1',
                     'enforces_capacity': False,
                 }
+                for name in sorted(
+                    {worker.service for worker in self.workers.values()}
+                )
             ],
             'limits': {'max_body_bytes': 262_144},
         }
@@ -830,7 +851,7 @@
                     for run in worker.runs.values()
                     if not run.step.get('fill_count')
                 )
-                room.setdefault(worker.rack, []).append(
+                room.setdefault(f'{worker.service} {worker.rack}', []).append(
                     (worker.cpu - used, worker.cpu)
                 )
         return room
