--- a/review/harness3.py
+++ b/review/harness3.py
@@ -24,6 +24,7 @@
 HOST = 'desk.example'
 PREFIX = '/surveys/'
 SERVICE = 'pond'
+KIND = 'a'
 PORTS = ('frontend', 'ready', 'control', 'internal', 'app')
 MAX_LEASE_MS = 10_000
 GANG_TIMEOUT_S = 3.0
@@ -168,10 +169,21 @@
         cpu: Its capacity in thousandths of a core.
         rack: Its rack.
         service: The service that it belongs to.
+        kind: Its kind, which is one of its labels.
     """
 
     def __init__(
-        self, *, name, address, agent, record, plan, cpu, rack, service
+        self,
+        *,
+        name,
+        address,
+        agent,
+        record,
+        plan,
+        cpu,
+        rack,
+        service,
+        kind,
     ):
         self.name = name
         self.address = address
@@ -180,6 +192,7 @@
         self._agent = agent
         self.rack = rack
         self.service = service
+        self._kind = kind
         self._record = record
         self._plan = plan
         self._server = None
@@ -465,7 +478,7 @@
             'state': self.state,
             'cold_remaining_ms': 0,
             'capacity': {'cpu': self.cpu, 'mem_mb': 64_000, 'gpu': 0},
-            'labels': ['a', self.rack],
+            'labels': [self._kind, self.rack],
             'clock_ms': self.read_clock_ms(),
             'sequence': self._sequence,
             'born': self.born,
@@ -564,6 +577,7 @@
         racks: Number of workers by rack.
         services: Services of the workers that aren't of the usual one, by
             name of the machine.
+        kinds: The same of the workers' kinds.
     """
 
     def __init__(
@@ -575,8 +589,10 @@
         cpu=16_000,
         racks=(3, 3, 3, 3),
         services=None,
+        kinds=None,
     ):
         services = services or {}
+        kinds = kinds or {}
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self.plan = Plan()
         self._temp = pathlib.Path(tempfile.mkdtemp(prefix='review3-'))
@@ -599,6 +615,7 @@
                 cpu=cpu,
                 rack=f'r1-{number}',
                 service=services.get(name, SERVICE),
+                kind=kinds.get(name, KIND),
             )
             for number, name in zip(numbers, self.sides, strict=False)
         }
@@ -706,8 +723,16 @@
             sum(self.workers[side].service == SERVICE for side in sides)
         )
 
-    def build_configuration(self, version, **route):
-        """Return a configuration with one route."""
+    def build_configuration(self, version, *, services=None, **route):
+        """Return a configuration with one route.
+
+        Args:
+            version: Its version.
+            services: Its services; None for those of all workers.
+            **route: Other values of the route.
+        """
+        if services is None:
+            services = {worker.service for worker in self.workers.values()}
         return {
             'version': version,
             'routes': [
@@ -733,9 +758,7 @@
                     'protocol': 'h1',
                     'enforces_capacity': False,
                 }
-                for name in sorted(
-                    {worker.service for worker in self.workers.values()}
-                )
+                for name in sorted(services)
             ],
             'limits': {'max_body_bytes': 262_144},
         }
