--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,10 @@
-"""A gang's worker loses its lease while its agent's machine is frozen."""
+"""A submission is held up in the network, and its caller cancels the job."""
 
+import json
 import pathlib
-import signal
+import socket
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -10,63 +12,123 @@
 
 import harness3  # noqa: E402
 
-MEMBERS = 3
-WORK_S = 14.0
-FREEZE_AFTER_S = 5.0
-FREEZE_S = 6.0
-CONTACT_S = 3.0
-WATCH_S = 25.0
+CUT_S = 5.5
+GIVE_UP_AFTER_S = 1.0
+CANCEL_S = 3.0
+WATCH_S = 10.0
+WORK_S = 2.0
+# After an outage TCP sends the oldest segment again, and the end of the
+# channel once that is acknowledged: a round trip of the caller's link, with
+# some time for a delayed acknowledgement.
+ROUND_TRIP_S = 0.01
 
 
-def find_breaks(deployment, job, calm_at):
-    """Return the sentences on what broke a rule."""
-    record = deployment.record
-    breaks = []
-    for row in record.find('ended', how='alone'):
-        (start,) = record.find(
-            'start', worker=row['worker'], task=row['task'], run=row['run']
-        )
-        if start['at'] >= calm_at:
-            others = {
-                item['task'].rpartition('.')[2]: item['given']
-                for item in record.find('start', run=row['run'])
-                if item['task'].startswith(job)
-            }
-            breaks.append(
-                f'GANG: run {row["run"]} of {row["task"]}, started at '
-                f'{start["at"]} s, ended alone at {row["at"]} s; the members '
-                f'of this run were started with the checkpoints {others}'
-            )
-    return breaks
+class Link:
+    """A channel's way to an entry, which can be cut silently for a while.
+
+    Args:
+        target: HOST:PORT of the entry.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._whole = threading.Event()
+        self._whole.set()
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = '{}:{}'.format(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self):
+        """Hold up all bytes, and the ends of channels, from now on."""
+        self._whole.clear()
+
+    def heal(self):
+        """Deliver what was held up, and all that comes."""
+        self._whole.set()
+
+    def _accept(self):
+        while True:
+            source, _ = self._listener.accept()
+            host, _, port = self._target.partition(':')
+            sink = socket.create_connection((host, int(port)))
+            for pair in ((source, sink), (sink, source)):
+                threading.Thread(
+                    target=self._forward, args=pair, daemon=True
+                ).start()
+
+    def _forward(self, source, sink):
+        try:
+            while data := source.recv(65_536):
+                self._whole.wait()
+                sink.sendall(data)
+            self._whole.wait()
+            time.sleep(ROUND_TRIP_S)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            # One side is closed.
+            return
+
+
+def send(sock, method, path, body=None):
+    """Send a request on an open channel."""
+    data = b'' if body is None else json.dumps(body).encode()
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: {harness3.HOST}\r\n'
+        f'Content-Type: application/json\r\nX-Deadline-Ms: 3000\r\n'
+        f'Content-Length: {len(data)}\r\n\r\n'
+    )
+    sock.sendall(head.encode() + data)
+
+
+def receive(sock, timeout):
+    """Return the first line of an answer, empty if there is none in time."""
+    sock.settimeout(timeout)
+    try:
+        return sock.recv(65_536).partition(b'\r\n')[0].decode()
+    except TimeoutError:
+        return ''
 
 
 def play(deployment, disrupts):
-    """Freeze the machine of one member's agent; watch the gang."""
-    steps = [
-        {
-            'task_count': MEMBERS,
-            'cpu': 1_000,
-            'mem_mb': 256,
-            'gang': True,
-            'saves_progress': True,
-            'estimate_ms': int(WORK_S * 1000),
-            'anti_affinity': 1,
-        }
-    ]
-    job = deployment.submit(steps, WORK_S)
-    time.sleep(FREEZE_AFTER_S)
-    calm_at = 0.0
-    worker = deployment.find_worker(f'{job}.0.0.0')
-    if worker is None:
-        raise harness3.CannotRunError('the gang was not started')
+    """Submit on a cut link, give up, cancel elsewhere, and let it heal."""
+    record = deployment.record
+    entry = deployment.find_address(deployment.fronts[0], 'frontend')
+    link = Link(entry)
+    host, _, port = link.address.partition(':')
+    sock = socket.create_connection((host, int(port)))
+    send(sock, 'GET', harness3.PREFIX)
+    record.add('channel open', answer=receive(sock, 3.0))
+    job = '5c0e7a21d94b36f8'
+    body = {
+        'spec': json.dumps({'work_s': WORK_S}),
+        'steps': [{'task_count': 3, 'cpu': 1_000, 'mem_mb': 256}],
+    }
+    with deployment.plan.lock:
+        deployment.plan.jobs[job] = body
     if disrupts:
-        deployment.signal(worker.name, 'agent', signal.SIGSTOP)
-        time.sleep(FREEZE_S)
-        deployment.signal(worker.name, 'agent', signal.SIGCONT)
-        calm_at = deployment.record.now() + CONTACT_S
-    is_completed = deployment.await_state(job, ('completed',), WATCH_S)
-    deployment.record.add('watched', job=job, completed=is_completed)
-    return find_breaks(deployment, job, calm_at)
+        link.cut()
+    cut_at = record.now()
+    record.add('post', job=job, front=deployment.fronts[0], body=body)
+    send(sock, 'POST', harness3.PREFIX + job, body)
+    record.add('post answered', job=job, answer=receive(sock, GIVE_UP_AFTER_S))
+    sock.close()
+    record.add('channel closed', job=job)
+    status = deployment.delete(job, deployment.fronts[1])
+    if status not in (200, 410):
+        raise harness3.CannotRunError(f'the cancel was answered {status}')
+    cancelled_at = record.now()
+    time.sleep(max(0.0, cut_at + CUT_S - record.now()))
+    link.heal()
+    record.add('link healed')
+    time.sleep(WATCH_S)
+    deployment.get(job, deployment.fronts[1])
+    return [
+        f'UNASKED: {row["task"]} was started at {row["at"]} s on '
+        f'{row["worker"]}, {row["at"] - cancelled_at:.1f} s after the cancel '
+        f'of its job was answered with {status}'
+        for row in record.find('start')
+        if row['task'].startswith(job) and row['at'] > cancelled_at + CANCEL_S
+    ]
 
 
 if __name__ == '__main__':
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A rack of a gang that wants one rack loses a worker for good."""
+"""The load of serving tasks rises beside lasting tasks that fill."""
 
 import pathlib
 import sys
@@ -9,49 +9,82 @@
 
 import harness3  # noqa: E402
 
-RACKS = (4, 3, 3)
-MEMBERS = 4
-WORK_S = 12.0
-CRASH_AFTER_S = 4.0
-FINISH_S = 14.0
-IDLE_S = 3.0
-WATCH_S = 25.0
+FIRST_WORKERS = 2
+MISS_TOLERANCE = 1
+LOADED_TAIL_MS = 90
+TARGET_MS = 100
+SETTLE_S = 8.0
+WATCH_S = 15.0
+
+
+def find_breaks(deployment, job):
+    """Return the sentences on what broke a rule."""
+    record = deployment.record
+    away = {}
+    breaks = []
+    for row in list(record.rows):
+        task = row.get('task', '')
+        if not task.startswith(job):
+            continue
+        if row['what'] == 'start':
+            # It is at work again once it has started up.
+            away[task] = row['at'] + harness3.STARTUP_S
+        elif row['what'] == 'ended' and row['how'] == 'stopped':
+            others = [
+                other
+                for other, until in away.items()
+                if other != task and row['at'] < until
+            ]
+            if len(others) >= MISS_TOLERANCE and row['at'] >= away[task]:
+                breaks.append(
+                    f'AVAIL: a stop ended {task} at {row["at"]} s on '
+                    f'{row["worker"]}, while {others} had been stopped and '
+                    f'were not at work; miss_tolerance is {MISS_TOLERANCE}'
+                )
+            away[task] = float('inf')
+    return breaks
 
 
 def play(deployment, disrupts):
-    """Crash a worker of the gang; ask for the job ``finish_s`` later."""
-    step = {
-        'task_count': MEMBERS,
-        'cpu': 10_000,
+    """Raise the load of two serving tasks once other workers are there."""
+    serving = {
+        'task_count': FIRST_WORKERS,
+        'cpu': 8_000,
+        'mem_mb': 256,
+        'long_running': True,
+        'image': 'desk',
+        'target_ms': TARGET_MS,
+        'anti_affinity': 1,
+    }
+    filling = {
+        'task_count': FIRST_WORKERS,
+        'cpu': 4_000,
         'mem_mb': 256,
-        'gang': True,
-        'rack_local': True,
-        'estimate_ms': int(WORK_S * 1000),
+        'long_running': True,
+        'saves_progress': True,
+        'image': 'index',
+        'fill_count': True,
+        'miss_tolerance': MISS_TOLERANCE,
+        'anti_affinity': 1,
     }
-    job = deployment.submit([step], WORK_S)
-    time.sleep(CRASH_AFTER_S)
-    worker = deployment.find_worker(f'{job}.0.0.0')
-    if worker is None:
-        raise harness3.CannotRunError('the gang was not started')
+    deployment.submit([serving], 1_000)
+    time.sleep(2)
+    job = deployment.submit([filling], 1_000)
+    time.sleep(SETTLE_S)
+    if not all(
+        deployment.find_worker(f'{job}.0.0.{n}') for n in range(FIRST_WORKERS)
+    ):
+        raise harness3.CannotRunError('the lasting tasks were not started')
+    for side in deployment.sides[FIRST_WORKERS:]:
+        deployment.workers[side].start()
+    time.sleep(SETTLE_S)
     if disrupts:
-        worker.crash()
-    time.sleep(FINISH_S)
-    status, state = deployment.get(job)
-    deployment.record.add('room', free_and_whole=deployment.describe_room())
-    is_idle = deployment.watch_idle(job, IDLE_S)
-    if status == 200 and state in ('queued', 'running') and is_idle:
-        # How long it lasts.
-        is_completed = deployment.await_state(job, ('completed',), WATCH_S)
-        return [
-            f'LOST: {FINISH_S} s after the crash nothing of {job} ran for '
-            f'{IDLE_S} s, though its turn had come; free and whole CPU by '
-            f'rack: {deployment.describe_room()}; '
-            f'completed {WATCH_S} s later: {is_completed}'
-        ]
-    if not deployment.await_state(job, ('completed',), WATCH_S):
-        deployment.record.add('not completed', job=job)
-    return []
+        for side in deployment.sides[:FIRST_WORKERS]:
+            deployment.workers[side].tail_ms = LOADED_TAIL_MS
+            deployment.record.add('load rises', machine=side)
+    time.sleep(WATCH_S)
+    return find_breaks(deployment, job)
 
 
 if __name__ == '__main__':
-    sys.exit(harness3.play(HERE, play, sides=10, racks=RACKS))
+    sys.exit(harness3.play(HERE, play, workers=FIRST_WORKERS, sides=5))
--- a/review/14/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Exit status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-cd "$(dirname "$0")" || exit 2
-exec timeout -k 2 118 python3 case.py
