Add review case 12: a late submission outlives its cancel

Tried: a submission is held up by a cut of 5.5 s, its caller gives up and cancels the job elsewhere, which is answered 410. When the cut heals, the submission is accepted and its tasks are started.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,8 @@
-"""The operator sends a queue to another service while a job waits."""
+"""A submission is held up in the network, and its caller cancels the job."""
 
+import json
 import pathlib
+import socket
 import sys
 import time
 
@@ -9,81 +11,74 @@
 
 import harness3  # noqa: E402
 
-OTHER_SERVICE = 'lake'
-USUAL_WORKERS = 2
-WORKERS = 7
-TASKS = 2
-TASK_CPU = 8_000
-CONFIG_APPLY_S = 2.0
-FINISH_S = 14.0
-IDLE_S = 3.0
-WATCH_S = 20.0
+CUT_S = 5.5
+GIVE_UP_AFTER_S = 1.0
+CANCEL_S = 3.0
+WATCH_S = 10.0
+WORK_S = 2.0
 
 
-def has_room(room, service):
-    """Return whether a service has room as the rule asks for it."""
-    rows = [
-        row
-        for name, group in room.items()
-        for row in group
-        if name.startswith(f'{service} ')
-    ]
-    fits = sum(free // TASK_CPU for free, _ in rows)
-    free, whole = (sum(column) for column in zip(*rows, strict=True))
-    return fits >= 2 * TASKS and free > whole / 2
+def send(sock, method, path, body=None):
+    """Send a request on an open channel."""
+    data = b'' if body is None else json.dumps(body).encode()
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: {harness3.HOST}\r\n'
+        f'Content-Type: application/json\r\nX-Deadline-Ms: 3000\r\n'
+        f'Content-Length: {len(data)}\r\n\r\n'
+    )
+    sock.sendall(head.encode() + data)
+
+
+def receive(sock, timeout):
+    """Return the first line of an answer, empty if there is none in time."""
+    sock.settimeout(timeout)
+    try:
+        return sock.recv(65_536).partition(b'\r\n')[0].decode()
+    except TimeoutError:
+        return ''
 
 
 def play(deployment, disrupts):
-    """Move the route; ask for the job that waits ``finish_s`` later."""
-    lasting = {
-        'task_count': USUAL_WORKERS,
-        'cpu': 15_000,
-        'mem_mb': 256,
-        'long_running': True,
-        'anti_affinity': 1,
+    """Submit on a cut link, give up, cancel elsewhere, and let it heal."""
+    record = deployment.record
+    entry = deployment.find_address(deployment.fronts[0], 'frontend')
+    link = harness3.Link(entry)
+    host, _, port = link.address.partition(':')
+    sock = socket.create_connection((host, int(port)))
+    send(sock, 'GET', harness3.PREFIX)
+    record.add('channel open', answer=receive(sock, 3.0))
+    job = '5c0e7a21d94b36f8'
+    body = {
+        'spec': json.dumps({'work_s': WORK_S}),
+        'steps': [{'task_count': 3, 'cpu': 1_000, 'mem_mb': 256}],
     }
-    waiting = {'task_count': TASKS, 'cpu': TASK_CPU, 'mem_mb': 256}
-    deployment.submit([lasting], 1_000)
-    time.sleep(3)
-    job = deployment.submit([waiting], 1.0)
-    time.sleep(3)
+    with deployment.plan.lock:
+        deployment.plan.jobs[job] = body
     if disrupts:
-        deployment.replace(
-            deployment.build_configuration(
-                2, service=OTHER_SERVICE, services=[OTHER_SERVICE]
-            )
-        )
-        time.sleep(CONFIG_APPLY_S)
-        # It shows which version is in force.
-        newer = deployment.submit([waiting], 1.0)
-        if not deployment.await_state(newer, ('completed',), 10):
-            raise harness3.CannotRunError('the new version is not in force')
-    time.sleep(FINISH_S)
-    status, state = deployment.get(job)
-    room = deployment.describe_room()
-    deployment.record.add('room', free_and_whole=room)
-    is_idle = deployment.watch_idle(job, IDLE_S)
-    service = OTHER_SERVICE if disrupts else harness3.SERVICE
-    is_lost = has_room(room, service) and is_idle
-    if status == 200 and state in ('queued', 'running') and is_lost:
-        is_completed = deployment.await_state(job, ('completed',), WATCH_S)
-        return [
-            f'LOST: {FINISH_S} s after a newer job of the same queue was '
-            f'done, {job} is {state} and nothing of it ran for {IDLE_S} '
-            f's; free and whole CPU by service and rack: {room}; '
-            f'completed {WATCH_S} s later: {is_completed}'
-        ]
-    return []
+        link.cut()
+    cut_at = record.now()
+    record.add('post', job=job, front=deployment.fronts[0], body=body)
+    send(sock, 'POST', harness3.PREFIX + job, body)
+    record.add('post answered', job=job, answer=receive(sock, GIVE_UP_AFTER_S))
+    sock.close()
+    record.add('channel closed', job=job)
+    status = deployment.delete(job, deployment.fronts[1])
+    if status not in (200, 410):
+        raise harness3.CannotRunError(f'the cancel was answered {status}')
+    cancelled_at = record.now()
+    time.sleep(max(0.0, cut_at + CUT_S - record.now()))
+    link.heal()
+    record.add('link healed')
+    time.sleep(WATCH_S)
+    deployment.get(job, deployment.fronts[1])
+    return [
+        f'UNASKED: {row["task"]} was started at {row["at"]} s on '
+        f'{row["worker"]}, {row["at"] - cancelled_at:.1f} s after the cancel '
+        f'of its job was answered with {status}'
+        for row in record.find('start')
+        if row['task'].startswith(job) and row['at'] > cancelled_at + CANCEL_S
+    ]
 
 
 if __name__ == '__main__':
-    others = [f'side-{n}' for n in range(USUAL_WORKERS + 1, WORKERS + 1)]
-    sys.exit(
-        harness3.play(
-            HERE,
-            play,
-            sides=WORKERS,
-            racks=(USUAL_WORKERS, WORKERS - USUAL_WORKERS),
-            services=dict.fromkeys(others, OTHER_SERVICE),
-        )
-    )
+    sys.exit(harness3.play(HERE, play))
