Add review case 13: a scheduling round that never ends

Tried: a job is accepted on a queue whose max_attempts is 0. The round plans and refuses its start for ever, so that a lasting task is neither moved from a worker that leaves nor started again.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,9 @@
-"""The load of serving tasks rises beside lasting tasks that fill."""
+"""A worker leaves while a job of a route without attempts is there."""
 
+import json
+import os
 import pathlib
+import signal
 import sys
 import time
 
@@ -9,82 +12,101 @@
 
 import harness3  # noqa: E402
 
-FIRST_WORKERS = 2
-MISS_TOLERANCE = 1
-LOADED_TAIL_MS = 90
-TARGET_MS = 100
-SETTLE_S = 8.0
-WATCH_S = 15.0
+WORKERS = 16
+LASTING_TASKS = 8
+NEW_PREFIX = '/extra/'
+MAX_ATTEMPTS = int(os.environ.get('MAX_ATTEMPTS', '0'))
+DRAIN_S = 2.0
+LINGER_S = 1.5
+LAST_RUN_S = 6.0
+CALM_S = 4.0
+IDLE_S = 3.0
 
 
-def find_breaks(deployment, job):
-    """Return the sentences on what broke a rule."""
-    record = deployment.record
-    away = {}
-    breaks = []
-    for row in list(record.rows):
-        task = row.get('task', '')
-        if not task.startswith(job):
-            continue
-        if row['what'] == 'start':
-            # It is at work again once it has started up.
-            away[task] = row['at'] + harness3.STARTUP_S
-        elif row['what'] == 'ended' and row['how'] == 'stopped':
-            others = [
-                other
-                for other, until in away.items()
-                if other != task and row['at'] < until
-            ]
-            if len(others) >= MISS_TOLERANCE and row['at'] >= away[task]:
-                breaks.append(
-                    f'AVAIL: a stop ended {task} at {row["at"]} s on '
-                    f'{row["worker"]}, while {others} had been stopped and '
-                    f'were not at work; miss_tolerance is {MISS_TOLERANCE}'
-                )
-            away[task] = float('inf')
-    return breaks
+def add_route(deployment):
+    """Send a configuration with one more route, and a job there."""
+    configuration = deployment.build_configuration(2)
+    configuration['routes'].append(
+        {
+            **configuration['routes'][0],
+            'name': 'r-2',
+            'path_prefix': NEW_PREFIX,
+            'max_attempts': MAX_ATTEMPTS,
+        }
+    )
+    deployment.replace(configuration)
+    time.sleep(2)
+    job = os.urandom(8).hex()
+    body = {
+        'spec': json.dumps({'work_s': 0.5}),
+        'steps': [{'task_count': 1, 'cpu': 100}],
+    }
+    with deployment.plan.lock:
+        deployment.plan.jobs[job] = body
+    status, _ = harness3.call(
+        deployment.find_address(deployment.fronts[0], 'frontend'),
+        'POST',
+        NEW_PREFIX + job,
+        body,
+    )
+    deployment.record.add('post to the new route', job=job, status=status)
+    return status
+
+
+def leave(deployment, worker):
+    """Let a worker drain and leave, and then its machine."""
+    worker.remaining_ms = int(DRAIN_S * 1000)
+    worker.state = 'draining'
+    while not worker.send_heartbeat():
+        time.sleep(0.2)
+    deployment.record.add('draining acknowledged', worker=worker.id)
+    time.sleep(DRAIN_S + LINGER_S)
+    status, _ = harness3.call(
+        deployment.find_address(worker.name, 'control'),
+        'POST',
+        f'/Instances.Deregister/{worker.id}',
+        {'born': worker.born},
+    )
+    deployment.record.add('deregistered', worker=worker.id, status=status)
+    worker.crash()
+    deployment.signal(worker.name, 'agent', signal.SIGTERM)
 
 
 def play(deployment, disrupts):
-    """Raise the load of two serving tasks once other workers are there."""
-    serving = {
-        'task_count': FIRST_WORKERS,
-        'cpu': 8_000,
-        'mem_mb': 256,
-        'long_running': True,
-        'image': 'desk',
-        'target_ms': TARGET_MS,
-        'anti_affinity': 1,
-    }
-    filling = {
-        'task_count': FIRST_WORKERS,
-        'cpu': 4_000,
-        'mem_mb': 256,
-        'long_running': True,
-        'saves_progress': True,
-        'image': 'index',
-        'fill_count': True,
-        'miss_tolerance': MISS_TOLERANCE,
-        'anti_affinity': 1,
-    }
-    deployment.submit([serving], 1_000)
-    time.sleep(2)
-    job = deployment.submit([filling], 1_000)
-    time.sleep(SETTLE_S)
-    if not all(
-        deployment.find_worker(f'{job}.0.0.{n}') for n in range(FIRST_WORKERS)
-    ):
+    """Hand a job in at the new route; take one worker away."""
+    job = deployment.submit(
+        [
+            {
+                'task_count': LASTING_TASKS,
+                'cpu': 1_000,
+                'mem_mb': 256,
+                'long_running': True,
+                'anti_affinity': 1,
+            }
+        ],
+        1_000,
+    )
+    add_route(deployment)
+    task = f'{job}.0.0.0'
+    worker = deployment.find_worker(task)
+    if worker is None:
         raise harness3.CannotRunError('the lasting tasks were not started')
-    for side in deployment.sides[FIRST_WORKERS:]:
-        deployment.workers[side].start()
-    time.sleep(SETTLE_S)
     if disrupts:
-        for side in deployment.sides[:FIRST_WORKERS]:
-            deployment.workers[side].tail_ms = LOADED_TAIL_MS
-            deployment.record.add('load rises', machine=side)
-    time.sleep(WATCH_S)
-    return find_breaks(deployment, job)
+        leave(deployment, worker)
+    time.sleep(LAST_RUN_S + CALM_S)
+    is_idle = deployment.watch_idle(task, IDLE_S)
+    _, state = deployment.get(job)
+    if is_idle and state == 'running':
+        return [
+            f'LOST: {task}, which lasts, has had no run for '
+            f'{LAST_RUN_S + CALM_S + IDLE_S} s since its worker has left, '
+            f'and its job is {state}; free and whole CPU by rack: '
+            f'{deployment.describe_room()}'
+        ]
+    return []
 
 
 if __name__ == '__main__':
-    sys.exit(harness3.play(HERE, play, workers=FIRST_WORKERS, sides=5))
+    sys.exit(
+        harness3.play(HERE, play, sides=WORKERS, racks=(3, 3, 3, 3, 3, 1))
+    )
