Log how long an order or a submission may have been under way

A request can't have been sent before its connection was opened, nor before the response to the one before it. The listener keeps that time (the time at which no connection waited to be accepted, since its thread may have been suspended), and instances pass it on as an age, which each receiver adds to its own bound. Decisions 'withdraw zone', 'restore zone' and 'accept workflow' have sent_within_s and before_relay_s; 'cancel unknown workflow' is new. No decision depends on them yet.

--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -60,11 +60,13 @@
             'path': environ['PATH_INFO'],
         }
         method = environ['REQUEST_METHOD']
+        sent_after = None
         if method == 'POST':
             # Its sender may have sent it elsewhere and been rejected there,
             # which stays true only if it isn't accepted late.
             server.check_connected(environ, step='submit')
             request = jobs.decode_job(body, **address, zone=zone)
+            sent_after = server.read_sent_after(environ)
         elif method == 'GET':
             request = message.Inquire(**address)
         elif method == 'DELETE':
@@ -77,6 +79,7 @@
             request,
             timeout=_read_deadline(environ) * LEADER_TIMEOUT_SHARE,
             step=type(request).__name__.lower(),
+            sent_after=sent_after,
         )
         if isinstance(reply, message.CountReply):
             return server.Response(body=jobs.encode_count(reply))
@@ -109,7 +112,12 @@
         step = type(order).__name__.lower()
         # Carried out late, it would undo an order given since.
         server.check_connected(environ, step=step)
-        gateway.send(order, timeout=OPERATOR_TIMEOUT, step=step)
+        gateway.send(
+            order,
+            timeout=OPERATOR_TIMEOUT,
+            step=step,
+            sent_after=server.read_sent_after(environ),
+        )
         return server.Response(body=b'{}')
 
     def _replace(body):
--- a/bilberryhaven/wire/answer.py
+++ b/bilberryhaven/wire/answer.py
@@ -144,9 +144,18 @@
 
     max_answer_bytes = MAX_ANSWER_BYTES
 
-    def request(self, *args, **kwargs):
-        """Send a request whose answer is never decompressed."""
-        super().request(*args, **{**kwargs, 'decode_content': False})
+    def request(self, method, url, body=None, **kwargs):
+        """Send a request whose answer is never decompressed.
+
+        A body that is a function is built once the connection is open.
+        """
+        if callable(body):
+            if self.sock is None:
+                self.connect()
+            body = body()
+        super().request(
+            method, url, body, **{**kwargs, 'decode_content': False}
+        )
 
     def read_head(self, max_bytes):
         """Return the head of the next response, and read no further.
--- a/bilberryhaven/wire/client.py
+++ b/bilberryhaven/wire/client.py
@@ -42,7 +42,8 @@
 
         Args:
             address: HOST:PORT of the peer.
-            msg: A typed message.
+            msg: A typed message, or a function that builds it. The function
+                is called once the connection is open.
             timeout: Longest wait, a timedelta.
             step: Purpose of the message, named in errors.
 
@@ -54,7 +55,11 @@
         """
         host, port = util.parse_address(address)
         pool = self._pools.connection_from_host(host, port, scheme='http')
-        body = codec.encode(msg)
+        body = (
+            (lambda: codec.encode(msg()))
+            if callable(msg)
+            else codec.encode(msg)
+        )
         limit = max(timeout.total_seconds(), 0.001)
         try:
             response = pool.urlopen(
--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -92,6 +92,10 @@
         reader: The ``RequestReader`` of its requests.
         claimed_bytes: What it may keep of the process's memory for requests.
         closes: Whether it is closed once the response is sent.
+        sent_after: Steady time, a timedelta, before which its current request
+            can't have been sent: when the connection was opened, or when the
+            response before was sent. It may be earlier than either.
+        answered_at: Steady time before the last part of a response was sent.
         has_room: Whether the process has room for one more connection.
     """
 
@@ -110,6 +114,9 @@
         self.place = None
         self.since = 0.0
         self.discarded = 0
+        self.sent_after = None
+        self.answered_at = None
+        self._is_ahead = False
         self.claimed_bytes = 0
         self.reader = wire_input.RequestReader(
             line_bytes=limits.line_bytes,
@@ -126,6 +133,22 @@
         body, self._body = self._body, b''
         return body
 
+    def note_early_input(self):
+        """Find out whether its peer sends ahead of the response.
+
+        Then responses say nothing of when later requests were sent.
+        """
+        self._is_ahead = (
+            self._is_ahead
+            or bool(self.reader.kept_bytes)
+            or _has_input(self.socket)
+        )
+
+    def note_answered(self):
+        """Note that the response was sent before the next request."""
+        if not self._is_ahead and self.answered_at is not None:
+            self.sent_after = self.answered_at
+
     def resize_claim(self, needed):
         """Change what it may keep; return whether the process has room.
 
@@ -183,6 +206,13 @@
             return
 
 
+def _has_input(sock):
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def encode_refusal(status, error):
     """Return the bytes of the response that refuses a request.
 
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -29,9 +29,8 @@
 # Longest wait for a peer to take an answer while the server stops.
 FINISH_SECONDS = 2.0
 
-_log = log.BoundedLog(
-    logger=log.get_logger('wire'), clock=clocks.SystemClock()
-)
+_clock = clocks.SystemClock()
+_log = log.BoundedLog(logger=log.get_logger('wire'), clock=_clock)
 
 
 class Connections:
@@ -42,10 +41,14 @@
 
     Args:
         server: The ``deferral.Server``, whose socket listens.
+        since: Steady time before it began to listen, a timedelta.
     """
 
-    def __init__(self, server):
+    def __init__(self, server, *, since):
         self._server = server
+        # When no connection waited to be accepted. This thread may have been
+        # suspended since, so the time of an accept says nothing.
+        self._queue_empty_at = since
         self._intake = server.intake
         self._limits = server.intake.limits
         self._poll = select.epoll()
@@ -103,8 +106,9 @@
         What the peer doesn't take at once is sent later, so that a peer that
         doesn't read occupies no thread.
         """
+        conn.note_early_input()
         try:
-            is_sent = conn.wfile.flush()
+            is_sent = self._flush(conn)
         except OSError:
             self._drop(conn)
             return
@@ -115,6 +119,12 @@
         else:
             self._await_request(conn)
 
+    def _flush(self, conn):
+        """Send what the peer takes; return whether that was everything."""
+        if conn.wfile.kept_bytes:
+            conn.answered_at = _clock.monotonic()
+        return conn.wfile.flush()
+
     def _keep_answer(self, conn):
         """Keep the rest of an answer, or close if the process has no room."""
         if conn.resize_claim(conn.wfile.kept_bytes):
@@ -133,7 +143,7 @@
     def _send(self, conn):
         before = conn.wfile.kept_bytes
         try:
-            is_sent = conn.wfile.flush()
+            is_sent = self._flush(conn)
         except OSError:
             self._drop(conn)
             return
@@ -147,6 +157,7 @@
     def _await_request(self, conn):
         """Wait for the next request, or hand over one that has arrived."""
         conn.resize_claim(0)
+        conn.note_answered()
         try:
             is_complete = conn.reader.advance()
             self._claim(conn)
@@ -165,7 +176,13 @@
             wait = expiration_interval
             if self._accept_at is not None:
                 wait = min(wait, ACCEPT_PAUSE_SECONDS)
-            for fd, _ in self._poll.poll(wait):
+            # Without waiting first, so that it is known what was ready then.
+            polled_at = _clock.monotonic()
+            events = self._poll.poll(0)
+            ready = {fd for fd, _ in events}
+            if self._listen_fd not in ready and self._accept_at is None:
+                self._queue_empty_at = polled_at
+            for fd, _ in events or self._poll.poll(wait):
                 self._handle(fd)
             now = time.monotonic()
             self._resume_accepting(now)
@@ -209,6 +226,7 @@
         sock.setblocking(False)
         conn = self._server.ConnectionClass(self._server, sock)
         conn.remote_addr, conn.remote_port = address[:2]
+        conn.sent_after = self._queue_empty_at
         if conn.has_room or self._close_longest_idle():
             self._watch(conn, self._idle)
         else:
--- a/bilberryhaven/wire/deferral.py
+++ b/bilberryhaven/wire/deferral.py
@@ -7,13 +7,16 @@
 
 from cheroot import wsgi
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import log
 from bilberryhaven.wire import connections
 
-__all__ = ['Deferred', 'Gateway', 'SOCKET_KEY', 'Server']
+__all__ = ['Deferred', 'Gateway', 'SENT_AFTER_KEY', 'SOCKET_KEY', 'Server']
 
 # Entry of the WSGI environ with the socket of the request's connection.
 SOCKET_KEY = 'bilberryhaven.socket'
+# Entry with the ``sent_after`` of the connection.
+SENT_AFTER_KEY = 'bilberryhaven.sent_after'
 
 _logger = log.get_logger('wire')
 
@@ -37,8 +40,13 @@
     """WSGI gateway for applications that may return ``Deferred``."""
 
     def get_environ(self):
-        """Return the environ, with the connection's socket."""
-        return {**super().get_environ(), SOCKET_KEY: self.req.conn.socket}
+        """Return the environ, with what is known of the connection."""
+        connection = self.req.conn
+        return {
+            **super().get_environ(),
+            SOCKET_KEY: connection.socket,
+            SENT_AFTER_KEY: connection.sent_after,
+        }
 
     def respond(self):
         """Write the response, or let the connection wait for it."""
@@ -74,9 +82,10 @@
 
     def prepare(self):
         """Listen, and receive requests without a thread for each."""
+        since = clocks.SystemClock().monotonic()
         super().prepare()
         self._connections.close()
-        self._connections = connections.Connections(self)
+        self._connections = connections.Connections(self, since=since)
 
     def put_conn(self, conn):
         """Send the response, or wait for one that is pending."""
--- a/bilberryhaven/wire/leader.py
+++ b/bilberryhaven/wire/leader.py
@@ -47,7 +47,8 @@
         """Send ``msg`` to the leader and return its reply.
 
         Args:
-            msg: A typed message.
+            msg: A typed message, or a function that builds it for each
+                attempt.
             timeout: Longest time for all attempts, a timedelta.
             step: Purpose of the message, named in errors.
             repeatable: Whether it may be sent again after an attempt with an
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -5,8 +5,13 @@
 """
 
 import dataclasses
+import datetime
+import math
 
-__all__ = ['get_messages']
+__all__ = ['Relayed', 'get_messages']
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+MAX_AGE_MS = 2**32 - 1
 
 _messages = {}
 
@@ -30,6 +35,66 @@
     return dataclasses.field(default_factory=list)
 
 
+class Relayed:
+    """Base class of messages that pass on a request from outside.
+
+    Its time of sending matters where a request that was held up would undo
+    what was done since. Clocks of instances are not compared, so the message
+    carries an age, and each receiver adds the time that it can't exclude.
+
+    Attributes:
+        age_ms: Longest time in ms between the sending of the request and that
+            of this message.
+    """
+
+    __slots__ = ('_sent_after',)
+
+    @property
+    def sent_after(self):
+        """Steady time before which the request can't have been sent.
+
+        A timedelta of the receiver's clock, which isn't part of the message;
+        None if the message didn't come over the network.
+        """
+        return getattr(self, '_sent_after', None)
+
+    def note_sending(self, sent_after, now):
+        """Set the age.
+
+        Args:
+            sent_after: As the property, of the sender's clock; None if the
+                request didn't come over the network.
+            now: Time of the sender's steady clock, a timedelta. The message
+                must be sent on a connection that was open by then.
+        """
+        if sent_after is not None:
+            age_ms = math.ceil((now - sent_after) / MILLISECOND)
+            self.age_ms = min(max(age_ms, 0), MAX_AGE_MS)
+
+    def note_received(self, sent_after):
+        """Set ``sent_after``.
+
+        Args:
+            sent_after: The same of this message, or None if it is unknown.
+        """
+        if sent_after is not None:
+            self._sent_after = sent_after - self.age_ms * MILLISECOND
+
+    def describe_sending(self, now):
+        """Return log fields that say when the request may have been sent.
+
+        Args:
+            now: Time of the receiver's steady clock, a timedelta.
+        """
+        if self.sent_after is None:
+            return {}
+        age_s = (now - self.sent_after).total_seconds()
+        return {
+            'sent_within_s': round(age_s, 3),
+            'before_relay_s': self.age_ms / 1000,
+        }
+
+
 @_declare
 class Pair:
     """A label."""
@@ -334,7 +399,7 @@
 
 
 @_declare_message
-class CallRequest:
+class CallRequest(Relayed):
     """API request relayed to the leader."""
 
     method: str
@@ -342,6 +407,7 @@
     query: str = ''
     body: bytes = b''
     by: str = ''
+    age_ms: int = 0
 
 
 @_declare_message
@@ -353,10 +419,11 @@
 
 
 @_declare_message
-class WorkRequest:
+class WorkRequest(Relayed):
     """Request about workflows, encoded by ``workflow.message``."""
 
     body: bytes
+    age_ms: int = 0
 
 
 @_declare_message
--- a/bilberryhaven/wire/schema.capnp
+++ b/bilberryhaven/wire/schema.capnp
@@ -234,6 +234,7 @@
   query @2 :Text;
   body @3 :Data;
   by @4 :Text;
+  ageMs @5 :UInt32;
 }
 
 struct CallReply {
@@ -242,8 +243,11 @@
 }
 
 # body is a message of bilberryhaven.workflow.message.
+# ageMs is the longest time between the sending of the request from outside
+# and that of this message.
 struct WorkRequest {
   body @0 :Data;
+  ageMs @1 :UInt32;
 }
 
 struct WorkReply {
--- a/bilberryhaven/wire/server.py
+++ b/bilberryhaven/wire/server.py
@@ -26,6 +26,7 @@
     'check_connected',
     'read_author',
     'read_body',
+    'read_sent_after',
 ]
 
 MS_PER_S = 1000
@@ -177,7 +178,7 @@
         body = read_body(environ)
         # A listener for callers only decodes no messages.
         if self._handlers and environ['PATH_INFO'] == client.MESSAGE_PATH:
-            return self._answer_message(body)
+            return self._answer_message(environ, body)
         if self._fallback is None:
             return Response(status=404)
         try:
@@ -185,7 +186,7 @@
         except Exception as error:  # noqa: BLE001
             return build_error_response(_convert_exception(error))
 
-    def _answer_message(self, body):
+    def _answer_message(self, environ, body):
         """Return the ``Response``, or a future of the reply message."""
         try:
             msg = codec.decode(body)
@@ -195,6 +196,8 @@
                     f'this role does not handle {type(msg).__name__}',
                     step='dispatch',
                 )
+            if isinstance(msg, message.Relayed):
+                msg.note_received(read_sent_after(environ))
             with self._claim_slot(msg):
                 reply = handler(msg)
         except Exception as error:  # noqa: BLE001
@@ -289,6 +292,18 @@
         return True
 
 
+def read_sent_after(environ):
+    """Return the steady time before which a request can't have been sent.
+
+    Args:
+        environ: The WSGI environ.
+
+    Returns:
+        A timedelta, as of ``SystemClock.monotonic``; None if it is unknown.
+    """
+    return environ.get(deferral.SENT_AFTER_KEY)
+
+
 def read_body(environ):
     """Return the body of a WSGI request.
 
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -35,11 +35,12 @@
         self._acceptance = acceptance
         self._clock = clock
 
-    def submit(self, request):
+    def submit(self, request, relayed):
         """Accept a workflow; resubmission of an id changes nothing.
 
         Args:
             request: The ``Submit`` message.
+            relayed: The ``Relayed`` message that it came with.
 
         Returns:
             The ``StateReply``.
@@ -59,7 +60,7 @@
                 row = self._build_row(request, queue, workflow_id)
                 decision = self._acceptance.check(row)
         if known is None:
-            known = self._accept(row, decision)
+            known = self._accept(row, decision, relayed)
         else:
             self._log_known(known, queue.name)
         return message.StateReply(state=describe_state(known))
@@ -81,7 +82,7 @@
             address=_build_address(queue),
         )
 
-    def _accept(self, row, decision):
+    def _accept(self, row, decision, relayed):
         command = workflow_commands.SubmitWorkflow(workflow=row)
         stored = self._leader.propose(command)
         self._leader.wake()
@@ -99,6 +100,7 @@
             tasks=sum(step.tasks for step in row.steps),
             submitted_at=row.submitted_at,
             term=self._leader.term,
+            **relayed.describe_sending(self._clock.monotonic()),
             **acceptances.describe_decision(decision),
         )
         return stored
@@ -159,6 +161,8 @@
         """
         with self._leader.read() as state:
             queue, workflow_id = _resolve(state, request)
+            if workflow_id not in state.workflows:
+                self._log_unknown(queue, workflow_id)
             row = _find(state, queue, workflow_id)
             ended = row.state != workflow.WorkflowState.ACTIVE
         if not ended:
@@ -176,6 +180,16 @@
             )
         return message.StateReply(state=describe_state(row))
 
+    def _log_unknown(self, queue, workflow_id):
+        log.log_decision(
+            _logger,
+            'cancel unknown workflow',
+            reason='requested by its caller',
+            workflow=workflow_id,
+            queue=queue.name,
+            term=self._leader.term,
+        )
+
     def replace_catalog(self, request):
         """Replace the catalog; a version that isn't higher changes nothing.
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -35,6 +35,10 @@
 # Characters of a command in a log line, some twenty starts or ends.
 MAX_COMMAND_CHARS = 2_000
 
+# Requests from outside that would undo what was done since they were sent, if
+# they were carried out late.
+TIMED_REQUESTS = (message.Submit, message.Withdraw, message.Restore)
+
 _logger = log.get_logger('workflow')
 
 
@@ -169,7 +173,11 @@
             The ``WorkReply``, or a future of it for a poll.
         """
         msg = message.decode_request(request.body)
-        reply = self._handlers[type(msg)](msg)
+        handler = self._handlers[type(msg)]
+        if isinstance(msg, TIMED_REQUESTS):
+            reply = handler(msg, request)
+        else:
+            reply = handler(msg)
         if isinstance(reply, concurrent.futures.Future):
             return _chain_future(reply, _wrap_reply)
         return _wrap_reply(reply)
--- a/bilberryhaven/workflow/gateway.py
+++ b/bilberryhaven/workflow/gateway.py
@@ -1,5 +1,6 @@
 """Client for workflow requests to the leader, usable in any process."""
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.wire import message as wire_message
@@ -22,18 +23,23 @@
 
     Args:
         leader: A ``LeaderClient``.
+        clock: The ``Clock``, or None for the system's.
     """
 
-    def __init__(self, *, leader):
+    def __init__(self, *, leader, clock=None):
         self._leader = leader
+        self._clock = clock or clocks.SystemClock()
 
-    def send(self, request, *, timeout, step):
+    def send(self, request, *, timeout, step, sent_after=None):
         """Return the reply to ``request``.
 
         Args:
             request: A request of ``workflow.message``.
             timeout: Longest wait as a timedelta.
             step: Name of the operation, for error messages.
+            sent_after: Steady time, a timedelta, before which the request
+                from outside that this passes on can't have been sent; None if
+                that is of no importance.
 
         Raises:
             UnavailableError: No leader answered in time; ``outcome`` says
@@ -41,9 +47,19 @@
             PeerError: The reply is not a ``WorkReply``.
             BilberryhavenError: The leader refused the request.
         """
-        wrapped = wire_message.WorkRequest(body=message.encode(request))
+        body = message.encode(request)
+
+        def wrap():
+            wrapped = wire_message.WorkRequest(body=body)
+            wrapped.note_sending(sent_after, self._clock.monotonic())
+            return wrapped
+
         try:
-            reply = self._leader.send(wrapped, timeout=timeout, step=step)
+            reply = self._leader.send(
+                wrap if sent_after is not None else wrap(),
+                timeout=timeout,
+                step=step,
+            )
         except errors.BilberryhavenError as error:
             if not isinstance(error, _UNLOGGED_ERRORS):
                 self._log_refusal(request, timeout, error)
--- a/bilberryhaven/workflow/zones.py
+++ b/bilberryhaven/workflow/zones.py
@@ -41,11 +41,12 @@
         self._clock = clock
         self._zones = frozenset(zones)
 
-    def withdraw(self, request):
+    def withdraw(self, request, relayed):
         """Withdraw an availability zone.
 
         Args:
             request: The ``Withdraw`` message.
+            relayed: The ``Relayed`` message that it came with.
 
         Returns:
             The ``ZoneReply``.
@@ -54,14 +55,15 @@
             NotFoundError: There is no such availability zone.
             NotLeaderError: This instance is not the leader.
         """
-        self._apply(zone_commands.WithdrawZone, request.zone)
+        self._apply(zone_commands.WithdrawZone, request.zone, relayed)
         return message.ZoneReply(withdrawn=True)
 
-    def restore(self, request):
+    def restore(self, request, relayed):
         """End the withdrawal of an availability zone.
 
         Args:
             request: The ``Restore`` message.
+            relayed: The ``Relayed`` message that it came with.
 
         Returns:
             The ``ZoneReply``.
@@ -70,12 +72,17 @@
             NotFoundError: There is no such availability zone.
             NotLeaderError: This instance is not the leader.
         """
-        self._apply(zone_commands.RestoreZone, request.zone)
+        self._apply(zone_commands.RestoreZone, request.zone, relayed)
         return message.ZoneReply(withdrawn=False)
 
-    def _apply(self, kind, zone):
+    def _apply(self, kind, zone, relayed):
         command = kind(zone=zone, at=self._clock.wall().timestamp())
-        commit_order(self._leader, command, zones=self._zones)
+        commit_order(
+            self._leader,
+            command,
+            zones=self._zones,
+            sending=relayed.describe_sending(self._clock.monotonic()),
+        )
         self._leader.wake()
 
 
@@ -136,7 +143,7 @@
                 )
 
 
-def commit_order(leader, command, *, zones, by=''):
+def commit_order(leader, command, *, zones, by='', sending=None):
     """Check, commit and log an operator's order on an availability zone.
 
     Args:
@@ -145,6 +152,7 @@
         zones: Names of the availability zones that are known besides those
             of backend servers and of earlier orders.
         by: Who gives the order, if known.
+        sending: Log fields that say when it may have been sent.
 
     Raises:
         NotFoundError: There is no such availability zone.
@@ -161,6 +169,7 @@
         else 'requested again; nothing changes',
         zone=command.zone,
         by=by,
+        **(sending or {}),
     )
 
 
--- a/tests/odd_leader.py
+++ b/tests/odd_leader.py
@@ -84,7 +84,7 @@
     def __init__(self, leader):
         self.leader = leader
 
-    def send(self, request, *, timeout, step):
+    def send(self, request, *, timeout, step, sent_after=None):
         assert timeout < clocks.seconds(10_000), timeout
         body = message.encode(request)
         reply = self.leader.handle(wire_message.WorkRequest(body=body))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -263,7 +263,7 @@
         self.answer = answer
         self.requests = []
 
-    def send(self, request, *, timeout, step):
+    def send(self, request, *, timeout, step, sent_after=None):
         self.requests.append(request)
         if isinstance(self.answer, Exception):
             raise self.answer
--- a/tests/test_wire_leader.py
+++ b/tests/test_wire_leader.py
@@ -65,7 +65,7 @@
 
     def answer(self, error):
         class Gateway:
-            def send(self, request, *, timeout, step):
+            def send(self, request, *, timeout, step, sent_after=None):
                 raise error
 
         handle = handlers.build_caller_handler(Gateway(), lambda: False)
