Reject orders on a zone that may be older than the last one

Cause: orders on zones carry no version, and the check against late ones sees only the end of their connection, which arrives after them.

The leader now commits an order that changes a zone only if it was certainly sent after the last one on it: after the connection was opened, and after the response before; ages are passed on between instances, so that no clocks are compared. An order of an earlier term is taken for one given when this term began. Others get 503 'outdated', and their connection is closed. Orders are committed one at a time, in the term of their check.

SentAfterTest covers the listener: suspended threads, pipelining, kept connections.

--- a/bilberryhaven/control/api/zones.py
+++ b/bilberryhaven/control/api/zones.py
@@ -43,8 +43,7 @@
 def _commit_order(request, kind):
     ctx, name = request.ctx, request.params['name']
     command = kind(zone=name, at=ctx.clock.wall().timestamp())
-    zones = {zone.name for zone in ctx.settings.zones}
-    workflow_zones.commit_order(ctx, command, zones=zones, by=request.by)
+    ctx.zone_orders.commit(ctx, command, by=request.by)
     with ctx.read():
         return {
             'name': name,
--- a/bilberryhaven/control/context.py
+++ b/bilberryhaven/control/context.py
@@ -36,11 +36,13 @@
         clock: The ``Clock``.
         state: The replicated tables; valid to read only inside ``read``.
         settings: The process's settings.
+        zone_orders: The ``ZoneOrders``.
     """
 
     clock = None
     state = None
     settings = None
+    zone_orders = None
 
     @abc.abstractmethod
     def read(self):
@@ -51,9 +53,13 @@
         """
 
     @abc.abstractmethod
-    def propose(self, command):
+    def propose(self, command, *, term=0):
         """Commit ``command`` and return its result.
 
+        Args:
+            command: The ``Command``.
+            term: The only term in which it may be proposed; 0 for any.
+
         Raises:
             BilberryhavenError: The command was rejected, or its outcome is
                 unknown because leadership was lost.
--- a/bilberryhaven/errors.py
+++ b/bilberryhaven/errors.py
@@ -20,6 +20,7 @@
     'NotListeningError',
     'OptionError',
     'Outcome',
+    'OutdatedError',
     'OverloadError',
     'PeerError',
     'RefusedError',
@@ -216,6 +217,12 @@
     status = 503
 
 
+class OutdatedError(UnavailableError):
+    """A request may be older than what it would undo; it may be repeated."""
+
+    code = 'outdated'
+
+
 class UnknownPoolError(BilberryhavenError):
     """The catalog in force doesn't name the backend server's pool."""
 
--- a/bilberryhaven/platform/handlers.py
+++ b/bilberryhaven/platform/handlers.py
@@ -192,6 +192,9 @@
         if not_run:
             retry_after_s = max(1, round(error.retry_after or 1))
             response.headers['Retry-After'] = str(retry_after_s)
+    if isinstance(error, errors.OutdatedError):
+        # A request on a new connection is newer.
+        response.headers['Connection'] = 'close'
     return response
 
 
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -118,6 +118,7 @@
             membership=members if manage_membership else None,
             zones=[zone.name for zone in settings.zones],
         )
+        self.leader.zone_orders = self.workflows.zone_orders
         self._heartbeats = heartbeat.HeartbeatHandler(leader=self.leader)
         self._sync = sync.SyncHandler(leader=self.leader)
         self._discovery = discovery.Discovery(
@@ -292,6 +293,11 @@
             'Availability zones that operators have withdrawn.',
             sum(row.withdrawn for row in state.zones),
         )
+        registry.set(
+            'outdated_orders',
+            'Orders on zones rejected since they may have been out of date.',
+            self.workflows.zone_orders.outdated,
+        )
         for table in ('workloads', 'instances', 'jobs'):
             rows = len(getattr(state, table))
             registry.set('rows', 'Rows by table.', rows, table=table)
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -24,6 +24,7 @@
 from bilberryhaven.workflow import reports
 from bilberryhaven.workflow import run_watch
 from bilberryhaven.workflow import upkeep
+from bilberryhaven.workflow import zone_orders
 from bilberryhaven.workflow import zones as workflow_zones
 
 __all__ = ['Dispatcher']
@@ -57,6 +58,9 @@
         options: The workflow ``Options``.
         membership: Handles ``Join`` requests; None if they aren't served.
         zones: Names of the deployment's availability zones.
+
+    Attributes:
+        zone_orders: The ``ZoneOrders``.
     """
 
     def __init__(
@@ -108,13 +112,14 @@
         self._zone_monitor = workflow_zones.ZoneMonitor(
             memory=self._memory, clock=clock
         )
+        self.zone_orders = zone_orders.ZoneOrders(clock=clock, zones=zones)
         self._ready_term = 0
         self._ready_lock = threading.Lock()
         self._wake = threading.Event()
         self._stopping = threading.Event()
-        self._handlers = self._build_handlers(zones)
+        self._handlers = self._build_handlers()
 
-    def _build_handlers(self, zones):
+    def _build_handlers(self):
         reports_handler = reports.ReportHandler(
             leader=self,
             memory=self._memory,
@@ -128,7 +133,7 @@
             clock=self._clock,
         )
         zone_requests = workflow_zones.ZoneRequestHandler(
-            leader=self, clock=self._clock, zones=zones
+            leader=self, clock=self._clock, orders=self.zone_orders
         )
         return {
             message.Poll: self._polls.handle,
@@ -202,6 +207,7 @@
                 with self._memory.lock:
                     self._memory.begin_term()
                 self._upkeep.begin_term()
+                self.zone_orders.begin_term(term)
                 self._ready_term = term
                 self._log_term(term)
 
--- a/bilberryhaven/workflow/gateway.py
+++ b/bilberryhaven/workflow/gateway.py
@@ -12,6 +12,8 @@
 # are not logged.
 _UNLOGGED_ERRORS = (errors.GoneError, errors.NotFoundError)
 
+NO_TIME = clocks.seconds(0)
+
 _logger = log.get_logger('gateway')
 
 
@@ -44,6 +46,7 @@
         Raises:
             UnavailableError: No leader answered in time; ``outcome`` says
                 whether the request may have been executed.
+            OutdatedError: It may be older than what it would undo.
             PeerError: The reply is not a ``WorkReply``.
             BilberryhavenError: The leader refused the request.
         """
@@ -55,10 +58,8 @@
             return wrapped
 
         try:
-            reply = self._leader.send(
-                wrap if sent_after is not None else wrap(),
-                timeout=timeout,
-                step=step,
+            reply = self._send(
+                wrap if sent_after is not None else wrap(), timeout, step
             )
         except errors.BilberryhavenError as error:
             if not isinstance(error, _UNLOGGED_ERRORS):
@@ -70,6 +71,19 @@
             )
         return message.decode_reply(reply.body)
 
+    def _send(self, wrapped, timeout, step):
+        until = self._clock.monotonic() + timeout
+        try:
+            return self._leader.send(wrapped, timeout=timeout, step=step)
+        except errors.OutdatedError as error:
+            left = until - self._clock.monotonic()
+            if error.outcome != errors.Outcome.NOT_RUN or left <= NO_TIME:
+                raise
+        # The connection to the leader may have been idle for long, so that
+        # the leader could not exclude that the message was held up on it. The
+        # rejection has shown that it was not.
+        return self._leader.send(wrapped, timeout=left, step=step)
+
     def _log_refusal(self, request, timeout, error):
         # Polls and reports, which have no path, are retried, and their
         # senders log the loss of the leader.
--- a/bilberryhaven/workflow/zones.py
+++ b/bilberryhaven/workflow/zones.py
@@ -8,18 +8,13 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import zone as zone_commands
-from bilberryhaven import errors
 from bilberryhaven import log
 from bilberryhaven.workflow import message
 
-__all__ = ['ZoneMonitor', 'ZoneRequestHandler', 'commit_order', 'count_runs']
+__all__ = ['ZoneMonitor', 'ZoneRequestHandler', 'count_runs']
 
 # Interval at which the runs left in a withdrawn zone are logged.
 LOG_INTERVAL = clocks.seconds(10)
-DECISIONS = {
-    zone_commands.WithdrawZone: 'withdraw zone',
-    zone_commands.RestoreZone: 'restore zone',
-}
 
 _logger = log.get_logger('workflow')
 
@@ -33,13 +28,13 @@
     Args:
         leader: The ``Dispatcher``.
         clock: The ``Clock``.
-        zones: Names of the deployment's availability zones.
+        orders: The ``ZoneOrders``.
     """
 
-    def __init__(self, *, leader, clock, zones):
+    def __init__(self, *, leader, clock, orders):
         self._leader = leader
         self._clock = clock
-        self._zones = frozenset(zones)
+        self._orders = orders
 
     def withdraw(self, request, relayed):
         """Withdraw an availability zone.
@@ -54,6 +49,7 @@
         Raises:
             NotFoundError: There is no such availability zone.
             NotLeaderError: This instance is not the leader.
+            OutdatedError: It may be older than the last order on the zone.
         """
         self._apply(zone_commands.WithdrawZone, request.zone, relayed)
         return message.ZoneReply(withdrawn=True)
@@ -71,18 +67,14 @@
         Raises:
             NotFoundError: There is no such availability zone.
             NotLeaderError: This instance is not the leader.
+            OutdatedError: It may be older than the last order on the zone.
         """
         self._apply(zone_commands.RestoreZone, request.zone, relayed)
         return message.ZoneReply(withdrawn=False)
 
     def _apply(self, kind, zone, relayed):
         command = kind(zone=zone, at=self._clock.wall().timestamp())
-        commit_order(
-            self._leader,
-            command,
-            zones=self._zones,
-            sending=relayed.describe_sending(self._clock.monotonic()),
-        )
+        self._orders.commit(self._leader, command, relayed=relayed)
         self._leader.wake()
 
 
@@ -143,48 +135,6 @@
                 )
 
 
-def commit_order(leader, command, *, zones, by='', sending=None):
-    """Check, commit and log an operator's order on an availability zone.
-
-    Args:
-        leader: Has ``read`` and ``propose``, as the ``Dispatcher`` does.
-        command: The command.
-        zones: Names of the availability zones that are known besides those
-            of backend servers and of earlier orders.
-        by: Who gives the order, if known.
-        sending: Log fields that say when it may have been sent.
-
-    Raises:
-        NotFoundError: There is no such availability zone.
-        NotLeaderError: This instance is not the leader.
-    """
-    with leader.read() as state:
-        _check_known(state, zones, command.zone)
-    changed = leader.propose(command)
-    log.log_decision(
-        _logger,
-        DECISIONS[type(command)],
-        reason='requested by an operator'
-        if changed
-        else 'requested again; nothing changes',
-        zone=command.zone,
-        by=by,
-        **(sending or {}),
-    )
-
-
-def _check_known(state, zones, name):
-    known = (
-        name in zones
-        or name in state.zones
-        or state.backends.count('zone', name)
-    )
-    if not name or not known:
-        raise errors.NotFoundError(
-            f'there is no availability zone {name!r}', step='find zone'
-        )
-
-
 def count_runs(state):
     """Return the number of workflow runs by availability zone.
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -18,6 +18,7 @@
 from bilberryhaven import settings
 from bilberryhaven import tables
 from bilberryhaven.tables import instance
+from bilberryhaven.workflow import zone_orders
 
 
 class FakeContext(context.Context):
@@ -29,12 +30,15 @@
         self.settings = settings.Settings(zones=[settings.Zone(name='a')])
         self.nodes = []
         self.members = [{'name': 'c1', 'address': '127.0.0.1:1'}]
+        self.zone_orders = zone_orders.ZoneOrders(
+            clock=self.clock, zones=['a']
+        )
 
     @contextlib.contextmanager
     def read(self):
         yield self.state
 
-    def propose(self, command):
+    def propose(self, command, *, term=0):
         result = commands.apply(
             self.state, commands.decode(commands.encode(command))
         )
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+from bilberryhaven import clock as clocks
 from bilberryhaven import errors
 from bilberryhaven import settings
 from bilberryhaven import util
@@ -450,3 +451,103 @@
         self.assertEqual(200, self.read_answer(sock)[0])
         stopping.join(TIMEOUT)
         self.assertFalse(stopping.is_alive())
+
+
+class SentAfterTest(ListenerTestCase):
+    """What the listener knows of the time at which a request was sent."""
+
+    def setUp(self):
+        self.clock = clocks.SystemClock()
+        self.bounds = []
+        super().setUp()
+
+    def serve(self, environ, start_response):
+        self.bounds.append(server.read_sent_after(environ))
+        return super().serve(environ, start_response)
+
+    def now(self):
+        return self.clock.monotonic()
+
+    def ask(self, sock, body=b''):
+        sent_at = self.now()
+        sock.sendall(build_request(body))
+        self.read_answer(sock)
+        return sent_at
+
+    def test_new_connection(self):
+        before = self.now()
+        sent_at = self.ask(self.connect())
+        (bound,) = self.bounds
+        self.assertTrue(before - clocks.seconds(1) < bound <= sent_at)
+
+    def test_connection_that_was_opened_long_ago(self):
+        sock = self.connect()
+        opened_at = self.now()
+        time.sleep(HOLD_SECONDS)
+        self.ask(sock)
+        self.assertTrue(self.bounds[0] <= opened_at)
+
+    def test_request_after_an_answer(self):
+        sock = self.connect()
+        time.sleep(HOLD_SECONDS)
+        first_at = self.ask(sock)
+        second_at = self.ask(sock)
+        self.assertTrue(first_at <= self.bounds[1] <= second_at)
+
+    def test_connection_that_is_accepted_late(self):
+        # The thread that accepts is suspended, the operating system isn't.
+        suspended, resume = threading.Event(), threading.Event()
+        connections = self.listener._server._connections
+        accept = connections._accept
+
+        def accept_late():
+            suspended.set()
+            resume.wait(TIMEOUT)
+            accept()
+
+        connections._accept = accept_late
+        sock = self.connect()
+        sock.sendall(build_request())
+        sent_at = self.now()
+        self.assertTrue(suspended.wait(TIMEOUT))
+        time.sleep(HOLD_SECONDS)
+        resume.set()
+        self.read_answer(sock)
+        self.assertTrue(self.bounds[0] <= sent_at)
+
+    def test_requests_sent_ahead_of_the_answer(self):
+        # In one part with the first one, and while that is served.
+        for parts in (1, 2):
+            del self.bounds[:]
+            self.release.clear()
+            sock = self.connect()
+            first, second = build_request(b'wait'), build_request()
+            opened_at = self.now()
+            if parts == 1:
+                sock.sendall(first + second)
+            else:
+                sock.sendall(first)
+                self.wait_until(lambda: self.bounds)
+                sock.sendall(second)
+            time.sleep(HOLD_SECONDS)
+            self.release.set()
+            for _ in range(2):
+                self.read_answer(sock)
+            self.ask(sock)
+            self.assertEqual(3, len(self.bounds))
+            self.assertTrue(max(self.bounds) <= opened_at, parts)
+
+    def test_answer_that_is_taken_late(self):
+        # The bound is that of its last part.
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * KIB)
+        sock.settimeout(TIMEOUT)
+        sock.connect(util.parse_address(self.listener.address))
+        body = b'x' * (6 * KIB * KIB)
+        sock.sendall(build_request(body))
+        time.sleep(HOLD_SECONDS)
+        read_at = self.now()
+        self.read_answer(sock)
+        sent_at = self.ask(sock)
+        self.assertTrue(read_at <= self.bounds[1] <= sent_at)
