Keep cancels of unknown workflows, so that late submissions are refused

Cause: a cancel of an unknown id left nothing behind, and the check against late submissions sees only the end of their connection, which arrives after them.

Such a cancel is committed before it is answered, and a submission of its id isn't accepted while it is stored. Age and number of the stored ones are bounded: a submission that may be older than what was removed or dropped gets 503 'outdated', and passes on a new connection. The same holds for late duplicates of workflows whose state is no longer kept, which were accepted as new ones.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -4,10 +4,12 @@
 
 from bilberryhaven import commands
 from bilberryhaven import errors
+from bilberryhaven.tables import cancellation
 from bilberryhaven.tables import workflow
 
 __all__ = [
     'CancelWorkflow',
+    'Cancelled',
     'ClearSuspects',
     'EndHow',
     'ExpireWorkflows',
@@ -142,29 +144,58 @@
     ignored: list[RunRef]
 
 
+class Cancelled(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of ``CancelWorkflow``.
+
+    Attributes:
+        state: State of the workflow; None if it isn't stored.
+        dropped: Ids of older cancels that were dropped to store this one.
+    """
+
+    state: workflow.WorkflowState | None
+    dropped: list[str] = []
+
+
 class SubmitWorkflow(commands.Command):
     """Accepts a workflow; resubmission of the same id changes nothing."""
 
     workflow: workflow.Workflow
 
     def apply(self, state):
-        """Store the workflow unless its id exists; return the stored one."""
+        """Store the workflow unless its id exists.
+
+        Returns:
+            The stored ``Workflow``; None if the id was cancelled before.
+        """
         found = state.workflows.find(self.workflow.id)
-        if found is None:
+        if found is None and self.workflow.id not in state.cancellations:
             state.workflows.put(self.workflow)
             found = self.workflow
         return found
 
 
 class CancelWorkflow(commands.Command):
-    """Cancels a workflow and orders its runs to stop."""
+    """Cancels a workflow and orders its runs to stop.
+
+    If it isn't stored, the cancel is, so that a submission that arrives later
+    isn't accepted.
+    """
 
     id: str
     at: float
 
     def apply(self, state):
-        """Cancel the workflow unless it has ended; return its state."""
-        row = state.workflows.get(self.id)
+        """Cancel the workflow unless it has ended.
+
+        Returns:
+            The ``Cancelled``.
+        """
+        row = state.workflows.find(self.id)
+        if row is None:
+            dropped = state.cancellations.record(
+                cancellation.Cancellation(id=self.id, at=self.at)
+            )
+            return Cancelled(state=None, dropped=dropped)
         if row.state == workflow.WorkflowState.ACTIVE:
             _end_workflow(
                 state,
@@ -173,7 +204,7 @@
                 self.at,
                 'cancelled by its caller',
             )
-        return row.state
+        return Cancelled(state=row.state)
 
 
 class FailWorkflow(commands.Command):
@@ -360,12 +391,23 @@
 
 
 class ExpireWorkflows(commands.Command):
-    """Removes workflows whose retention after their end has passed."""
+    """Removes workflows whose retention after their end has passed.
+
+    Attributes:
+        ids: Ids of the workflows.
+        cancellations: (id, time) pairs of stored cancels whose retention has
+            passed likewise, the time as in the ``Cancellation``.
+    """
 
     ids: list[str]
+    cancellations: list[tuple[str, float]] = []
 
     def apply(self, state):
         """Remove those that have ended and have no remaining runs."""
+        for workflow_id, at in self.cancellations:
+            found = state.cancellations.find(workflow_id)
+            if found is not None and found.at == at:
+                state.cancellations.remove(workflow_id)
         for workflow_id in self.ids:
             row = state.workflows.find(workflow_id)
             if row is None or row.state == workflow.WorkflowState.ACTIVE:
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -298,6 +298,11 @@
             'Orders on zones rejected since they may have been out of date.',
             self.workflows.zone_orders.outdated,
         )
+        registry.set(
+            'outdated_submissions',
+            'Submissions rejected since they may have been out of date.',
+            self.workflows.outdated_submissions,
+        )
         for table in ('workloads', 'instances', 'jobs'):
             rows = len(getattr(state, table))
             registry.set('rows', 'Rows by table.', rows, table=table)
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -26,13 +26,15 @@
 
     Args:
         leader: The ``Dispatcher``.
-        acceptance: The ``WorkflowAcceptance``.
+        memory: The ``LeaderMemory``.
         clock: The ``Clock``.
     """
 
-    def __init__(self, *, leader, acceptance, clock):
+    def __init__(self, *, leader, memory, clock):
         self._leader = leader
-        self._acceptance = acceptance
+        self._memory = memory
+        self._acceptance = memory.acceptance
+        self._late = memory.late_submissions
         self._clock = clock
 
     def submit(self, request, relayed):
@@ -49,7 +51,9 @@
             BadInputError: The steps, the schedule or the id is invalid.
             NotFoundError: No queue matches the host and path.
             NotLeaderError: This instance is not the leader.
-            RejectedError: The workflow can't be served at present.
+            RejectedError: The workflow can't be served at present, or was
+                cancelled before.
+            OutdatedError: The submission may be older than a cancel.
             UnavailableError: No catalog has been set yet.
         """
         checks.check_steps(request.steps, request.schedule)
@@ -57,10 +61,12 @@
             queue, workflow_id = _resolve(state, request)
             known = state.workflows.find(workflow_id)
             if known is None:
+                term = self._leader.term
+                self._late.check(workflow_id, relayed)
                 row = self._build_row(request, queue, workflow_id)
                 decision = self._acceptance.check(row)
         if known is None:
-            known = self._accept(row, decision, relayed)
+            known = self._accept(row, decision, relayed, term)
         else:
             self._log_known(known, queue.name)
         return message.StateReply(state=describe_state(known))
@@ -82,9 +88,12 @@
             address=_build_address(queue),
         )
 
-    def _accept(self, row, decision, relayed):
+    def _accept(self, row, decision, relayed, term):
         command = workflow_commands.SubmitWorkflow(workflow=row)
-        stored = self._leader.propose(command)
+        stored = self._leader.propose(command, term=term)
+        if stored is None:
+            # The cancel was committed since the check.
+            self._late.reject_cancelled(row.id, relayed)
         self._leader.wake()
         if stored.submitted_at != row.submitted_at:
             # Another submission of the id was committed before this one.
@@ -157,38 +166,47 @@
             The ``StateReply``.
 
         Raises:
-            GoneError: The queue has no such workflow.
+            GoneError: The queue has no such workflow, and a submission sent
+                before is not accepted any more.
         """
         with self._leader.read() as state:
             queue, workflow_id = _resolve(state, request)
-            if workflow_id not in state.workflows:
-                self._log_unknown(queue, workflow_id)
-            row = _find(state, queue, workflow_id)
-            ended = row.state != workflow.WorkflowState.ACTIVE
-        if not ended:
-            command = workflow_commands.CancelWorkflow(
-                id=workflow_id, at=self._clock.wall().timestamp()
-            )
-            self._leader.propose(command)
-            self._leader.wake()
-            log.log_decision(
-                _logger,
-                'cancel workflow',
-                reason='requested by its caller',
-                workflow=workflow_id,
-                queue=queue.name,
-            )
-        return message.StateReply(state=describe_state(row))
-
-    def _log_unknown(self, queue, workflow_id):
+            row = state.workflows.find(workflow_id)
+            if row is not None and not _belongs(row, queue):
+                raise _build_gone_error(queue, workflow_id)
+            if row is not None and row.state != workflow.WorkflowState.ACTIVE:
+                return message.StateReply(state=describe_state(row))
+            if row is None:
+                self._late.note_cancel(workflow_id)
+        cancelled = self._propose_cancel(workflow_id)
+        is_known = cancelled.state is not None
         log.log_decision(
             _logger,
-            'cancel unknown workflow',
+            'cancel workflow' if is_known else 'cancel unknown workflow',
             reason='requested by its caller',
             workflow=workflow_id,
             queue=queue.name,
             term=self._leader.term,
         )
+        if not is_known:
+            raise _build_gone_error(queue, workflow_id)
+        self._leader.wake()
+        return message.StateReply(state=str(cancelled.state))
+
+    def _propose_cancel(self, workflow_id):
+        command = workflow_commands.CancelWorkflow(
+            id=workflow_id, at=self._clock.wall().timestamp()
+        )
+        try:
+            cancelled = self._leader.propose(command)
+        except errors.BilberryhavenError as error:
+            if error.outcome == errors.Outcome.UNKNOWN:
+                with self._memory.lock:
+                    self._late.note_unknown_commit()
+            raise
+        with self._memory.lock:
+            self._late.note_dropped(cancelled.dropped)
+        return cancelled
 
     def replace_catalog(self, request):
         """Replace the catalog; a version that isn't higher changes nothing.
@@ -291,14 +309,18 @@
 def _find(state, queue, workflow_id):
     row = state.workflows.find(workflow_id)
     if row is None or not _belongs(row, queue):
-        raise errors.GoneError(
-            f'queue {queue.name} has no workflow {workflow_id}',
-            step='look-up',
-            request_id=workflow_id,
-        )
+        raise _build_gone_error(queue, workflow_id)
     return row
 
 
+def _build_gone_error(queue, workflow_id):
+    return errors.GoneError(
+        f'queue {queue.name} has no workflow {workflow_id}',
+        step='look-up',
+        request_id=workflow_id,
+    )
+
+
 def _build_address(queue):
     return f'{queue.host}{queue.prefix}'
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -128,9 +128,7 @@
             clock=self._clock,
         )
         caller_requests = callers.CallerRequestHandler(
-            leader=self,
-            acceptance=self._memory.acceptance,
-            clock=self._clock,
+            leader=self, memory=self._memory, clock=self._clock
         )
         zone_requests = workflow_zones.ZoneRequestHandler(
             leader=self, clock=self._clock, orders=self.zone_orders
@@ -148,6 +146,11 @@
             message.Join: self._join,
         }
 
+    @property
+    def outdated_submissions(self):
+        """Number of submissions rejected since they may be out of date."""
+        return self._memory.late_submissions.outdated
+
     @property
     def term(self):
         """The term for which sessions are kept; 0 before the first one."""
--- a/bilberryhaven/workflow/memory.py
+++ b/bilberryhaven/workflow/memory.py
@@ -6,6 +6,7 @@
 from bilberryhaven.workflow import health
 from bilberryhaven.workflow import initial_pace
 from bilberryhaven.workflow import interference
+from bilberryhaven.workflow import late_submissions
 from bilberryhaven.workflow import room
 from bilberryhaven.workflow import run_monitor
 from bilberryhaven.workflow import session
@@ -39,6 +40,7 @@
         rooms: The ``RoomTracker``.
         shares: The ``CallerShares``.
         acceptance: The ``WorkflowAcceptance``.
+        late_submissions: The ``LateSubmissions``.
     """
 
     def __init__(self, *, machine, lock, clock, options):
@@ -74,9 +76,13 @@
             clock=clock,
             options=options,
         )
+        self.late_submissions = late_submissions.LateSubmissions(
+            state=machine.state, clock=clock, options=options
+        )
 
     def begin_term(self):
         """Forget what was measured and decided in an earlier term."""
+        self.late_submissions.begin_term()
         self.health.clear()
         self.rooms.begin_term()
         self.shares.begin_term()
--- a/bilberryhaven/workflow/options.py
+++ b/bilberryhaven/workflow/options.py
@@ -57,6 +57,14 @@
     shares: bool = False
     zone_weights: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    @property
+    def max_submission_age(self):
+        """Age from which on a submission may be that of a removed workflow.
+
+        It is less than the retention by any leader's clock.
+        """
+        return self.ended_retention * (1 - MAX_DRIFT)
+
     @property
     def lease_expiry_delay(self):
         """Time after a poll at which its runs have certainly lapsed."""
--- a/bilberryhaven/workflow/upkeep.py
+++ b/bilberryhaven/workflow/upkeep.py
@@ -38,6 +38,8 @@
         # When each end was first seen here, by (id, time of the end). The
         # time of the end is another instance's wall clock, which may differ.
         self._ends_seen = {}
+        # The same of the stored cancels of workflows that aren't stored.
+        self._cancels_seen = {}
 
     def begin_term(self):
         """Forget which checkpoints were saved."""
@@ -63,15 +65,31 @@
                 for row in self._memory.state.workflows
                 if row.state != workflow.WorkflowState.ACTIVE
             ]
-        self._ends_seen = {end: self._ends_seen.get(end, now) for end in ends}
-        ended = [
-            workflow_id
-            for (workflow_id, _), seen_at in self._ends_seen.items()
+            cancels = [
+                (row.id, row.at) for row in self._memory.state.cancellations
+            ]
+        self._ends_seen = self._note_seen(self._ends_seen, ends, now)
+        self._cancels_seen = self._note_seen(self._cancels_seen, cancels, now)
+        ended = [key for key, _ in self._list_due(self._ends_seen, now)]
+        cancelled = self._list_due(self._cancels_seen, now)
+        if ended or cancelled:
+            self._leader.propose(
+                workflow_commands.ExpireWorkflows(
+                    ids=ended, cancellations=cancelled
+                )
+            )
+            self._log_removed(ended)
+
+    @staticmethod
+    def _note_seen(seen, pairs, now):
+        return {pair: seen.get(pair, now) for pair in pairs}
+
+    def _list_due(self, seen, now):
+        return [
+            pair
+            for pair, seen_at in seen.items()
             if now - seen_at >= self._options.ended_retention
         ]
-        if ended:
-            self._leader.propose(workflow_commands.ExpireWorkflows(ids=ended))
-            self._log_removed(ended)
 
     def _log_removed(self, ended):
         with self._memory.lock:
