--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -25,6 +25,7 @@
     'StopRuns',
     'SubmitWorkflow',
     'Suspicion',
+    'find_refusal',
     'record_crash',
     'save_checkpoints',
 ]
@@ -244,7 +245,7 @@
         for start in self.starts:
             if withdrawn and _build_unit(state, start) in withdrawn:
                 continue
-            if self._may_start(state, start):
+            if not find_refusal(state, start):
                 self._record_start(state, start)
                 allowed += 1
         return allowed
@@ -261,22 +262,6 @@
                 units.add(_build_unit(state, start))
         return units
 
-    def _may_start(self, state, start):
-        row = state.workflows.find(start.workflow)
-        if row is None or row.state != workflow.WorkflowState.ACTIVE:
-            return False
-        if start.backend not in state.backends:
-            return False
-        _, step, _ = workflow.split_task_key(start.task)
-        task = row.find_task(start.task)
-        if task.done or start.number <= task.last_run:
-            return False
-        # Each run that hasn't ended may use up another attempt.
-        attempts = task.failures + len(task.runs)
-        if attempts >= row.max_attempts and not row.steps[step].long_running:
-            return False
-        return not task.runs or _may_copy(row.steps[step], task, start)
-
     def _record_start(self, state, start):
         row = state.workflows.get(start.workflow)
         task = row.tasks.setdefault(start.task, workflow.Task())
@@ -291,6 +276,31 @@
         state.workflows.update(row.id, started=True)
 
 
+def find_refusal(state, start):
+    """Return why a run may not start, or an empty string.
+
+    Args:
+        state: The replicated tables.
+        start: The ``RunStart``.
+    """
+    row = state.workflows.find(start.workflow)
+    if row is None or row.state != workflow.WorkflowState.ACTIVE:
+        return 'its workflow has ended'
+    if start.backend not in state.backends:
+        return 'its backend server is gone'
+    _, index, _ = workflow.split_task_key(start.task)
+    step, task = row.steps[index], row.find_task(start.task)
+    if task.done or start.number <= task.last_run:
+        return 'its task is done, or has a newer run'
+    # Each run that hasn't ended may use up another attempt.
+    attempts = task.failures + len(task.runs)
+    if attempts >= row.max_attempts and not step.long_running:
+        return f'its task has used {attempts} of {row.max_attempts} attempts'
+    if task.runs and not _may_copy(step, task, start):
+        return 'its task has another run'
+    return ''
+
+
 def _build_unit(state, start):
     """Return the unit of a start, all of which starts or nothing of it.
 
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -332,10 +332,12 @@
             ]
 
     def _log_refused_start(self, start):
+        with self._memory.lock:
+            refusal = workflow_commands.find_refusal(self._state, start)
         log.log_decision(
             _logger,
             'refuse start',
-            reason='the tables had changed since it was planned',
+            reason=refusal or 'the tables had changed since it was planned',
             workflow=start.workflow,
             task=start.task,
             run=start.number,
