End scheduling rounds whose starts are refused

Cause: the planner started each task without a run, the command refused it since 0 attempts aren't less than 0, and the round planned until nothing was left to start. From then on the leader looked after no lease and no server that leaves.

One predicate for planner, copies and command; a round ends when nothing was committed, and plans for 0.5 s at most. With max_attempts 0 the first attempt is made and its failure is final, as the check of configurations says.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -292,10 +292,8 @@
     step, task = row.steps[index], row.find_task(start.task)
     if task.done or start.number <= task.last_run:
         return 'its task is done, or has a newer run'
-    # Each run that hasn't ended may use up another attempt.
-    attempts = task.failures + len(task.runs)
-    if attempts >= row.max_attempts and not step.long_running:
-        return f'its task has used {attempts} of {row.max_attempts} attempts'
+    if not row.has_attempt_left(step, task):
+        return f'its task has used up its {row.attempts} attempts'
     if task.runs and not _may_copy(step, task, start):
         return 'its task has another run'
     return ''
@@ -624,9 +622,7 @@
     elif end.how == FAILED:
         task.failures += 1
         task.failed_on = [*task.failed_on, backend][-MAX_FAILED_ON:]
-        attempts_exhausted = (
-            task.failures >= row.max_attempts and not task.done
-        )
+        attempts_exhausted = task.failures >= row.attempts and not task.done
         if attempts_exhausted and not step.long_running:
             _end_workflow(
                 state,
--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -184,7 +184,7 @@
         steps: Its steps.
         schedule: When its occurrences run; None to run once, immediately.
         priority: The queue's priority; 0 is the highest.
-        max_attempts: Failed runs of one task after which the workflow fails.
+        max_attempts: The queue's ``max_attempts``.
         slack_factor: The queue's ``slack_factor``.
         latency_ms: The queue's ``latency_ms``.
         submitted_at: When it was accepted, Unix time in seconds.
@@ -222,6 +222,26 @@
         """Number of times that its steps run."""
         return self.schedule.count if self.schedule else 1
 
+    @property
+    def attempts(self):
+        """Failed runs of one task after which the workflow fails.
+
+        The first run is made in any case: a workflow that was accepted has to
+        end, and fails only if a run of it does.
+        """
+        return max(1, self.max_attempts)
+
+    def has_attempt_left(self, step, task):
+        """Return whether another run of a task may be started.
+
+        Args:
+            step: The ``Step`` of the task.
+            task: The ``Task``.
+        """
+        # Each run that hasn't ended may use up another attempt.
+        used = task.failures + len(task.runs)
+        return step.long_running or used < self.attempts
+
     def find_task(self, key):
         """Return the task at ``key``; a blank one if it has never run."""
         return self.tasks.get(key) or Task()
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -33,6 +33,9 @@
 # Interval of the checks for due workflows, expired leases and ended
 # quarantines while no event wakes the scheduler.
 IDLE_SECONDS = 0.1
+# Longest time for which a round plans starts, before leases and servers that
+# leave are looked after again.
+MAX_PLANNING = clocks.seconds(0.5)
 # Characters of a command in a log line, some twenty starts or ends.
 MAX_COMMAND_CHARS = 2_000
 
@@ -305,6 +308,7 @@
         self._zone_monitor.tick()
         self._closer.close_lapsed()
         self._upkeep.run()
+        until = self._clock.monotonic() + MAX_PLANNING
         while not self._stopping.is_set():
             starts, servers = self._plan()
             if not starts:
@@ -312,12 +316,18 @@
             command = workflow_commands.StartRuns(
                 starts=starts, at=self._clock.wall().timestamp()
             )
-            self.propose(command)
+            allowed = self.propose(command)
             for start, task in self._list_tasks(starts):
                 if task is None or task.last_run < start.number:
                     self._log_refused_start(start)
                 else:
                     self._log_start(start, servers[start.backend], task)
+            if not allowed:
+                # Unless the tables change, the same starts would be planned.
+                return
+            if self._clock.monotonic() >= until:
+                self.wake()
+                return
 
     def _list_tasks(self, starts):
         """Return (start, its ``Task`` or None) pairs, as committed."""
--- a/bilberryhaven/workflow/speculation.py
+++ b/bilberryhaven/workflow/speculation.py
@@ -100,12 +100,10 @@
     if not server_speed.is_comparable(step):
         return False
     task = view.row.find_task(view.ref.task)
-    # Each run may fail and use an attempt up.
-    attempts_left = task.failures + len(task.runs) < view.row.max_attempts
     return (
         not task.done
         and len(task.runs) == 1
-        and attempts_left
+        and view.row.has_attempt_left(step, task)
         and task.last_run < MAX_STARTS
         and not task.is_suspect
     )
--- a/bilberryhaven/workflow/workflow_index.py
+++ b/bilberryhaven/workflow/workflow_index.py
@@ -325,7 +325,7 @@
                 startable.append(key)
             elif not task.done:
                 undone += 1
-                if not task.runs:
+                if not task.runs and row.has_attempt_left(step, task):
                     startable.append(key)
         scans.append(_StepScan(undone=undone, startable=startable))
     return scans
