--- a/bilberryhaven/tables/catalog.py
+++ b/bilberryhaven/tables/catalog.py
@@ -39,6 +39,11 @@
     slack_factor: float = 1.0
     latency_ms: int = 0
 
+    @property
+    def address(self):
+        """Host and path prefix at which callers address it."""
+        return f'{self.host}{self.prefix}'
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Pool:
@@ -74,6 +79,23 @@
     document: bytes
     name: str = CURRENT
 
+    def index_queues(self):
+        """Return a function from a ``Workflow`` to its queue, or None.
+
+        The queue may have been renamed or moved since the submission.
+        """
+        by_name = {queue.name: queue for queue in reversed(self.queues)}
+        by_address = {queue.address: queue for queue in self.queues}
+
+        def find(row):
+            named = by_name.get(row.queue)
+            addressed = by_address.get(row.address)
+            if addressed is not None and addressed.name == row.queue:
+                return addressed
+            return named or addressed
+
+        return find
+
     def names_pool(self, name):
         """Return whether there is a pool of this name."""
         return any(pool.name == name for pool in self.pools)
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -1,5 +1,6 @@
 """Handles workflow requests of callers and operators on the leader."""
 
+import collections
 import re
 
 from bilberryhaven.commands import catalog as catalog_commands
@@ -85,7 +86,7 @@
             latency_ms=queue.latency_ms,
             submitted_at=self._clock.wall().timestamp(),
             zone=request.zone,
-            address=_build_address(queue),
+            address=queue.address,
         )
 
     def _accept(self, row, decision, relayed, term):
@@ -239,9 +240,28 @@
             version=request.version,
             in_force=version,
             queues=len(request.queues),
+            former_pools=self._count_former_pools(),
         )
         return message.CatalogReply(version=version)
 
+    def _count_former_pools(self):
+        """Count active workflows whose queue names another pool than theirs.
+
+        Returns:
+            Their number by (pool, pool of the queue).
+        """
+        counts = collections.Counter()
+        with self._memory.lock:
+            state = self._memory.state
+            find_queue = state.catalogs.find_current().index_queues()
+            for row in state.workflows.iterate(
+                'state', workflow.WorkflowState.ACTIVE
+            ):
+                queue = find_queue(row)
+                if queue is not None and queue.pool != row.pool:
+                    counts[row.pool, queue.pool] += 1
+        return [(*pools, count) for pools, count in counts.items()]
+
     def read_catalog(self, request):
         """Return the catalog in force.
 
@@ -321,13 +341,9 @@
     )
 
 
-def _build_address(queue):
-    return f'{queue.host}{queue.prefix}'
-
-
 def _belongs(row, queue):
     """Return whether callers address a workflow at a queue.
 
     The queue may have been renamed or moved since the submission.
     """
-    return row.queue == queue.name or row.address == _build_address(queue)
+    return row.queue == queue.name or row.address == queue.address
