Let accepted workflows follow their queue to another pool

Cause: a workflow copies its queue's parameters when it is accepted, and a change of the catalog didn't reach the copies.

Pool, priority, slack factor and latency target are those in force: ReplaceCatalog updates the active workflows as it is applied, SubmitWorkflow a workflow that was checked with another version. Runs at work are left to end; the number of attempts stays the accepted one. The relocation of best-effort runs looks for servers of the workflow's pool.

--- a/bilberryhaven/commands/workflow.py
+++ b/bilberryhaven/commands/workflow.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bilberryhaven import commands
+from bilberryhaven.commands import catalog
 from bilberryhaven import errors
 from bilberryhaven.tables import cancellation
 from bilberryhaven.tables import workflow
@@ -158,9 +159,16 @@
 
 
 class SubmitWorkflow(commands.Command):
-    """Accepts a workflow; resubmission of the same id changes nothing."""
+    """Accepts a workflow; resubmission of the same id changes nothing.
+
+    Attributes:
+        workflow: The workflow.
+        catalog_version: Version of the catalog that it was checked with; 0
+            in entries of earlier versions.
+    """
 
     workflow: workflow.Workflow
+    catalog_version: int = 0
 
     def apply(self, state):
         """Store the workflow unless its id exists.
@@ -172,6 +180,9 @@
         if found is None and self.workflow.id not in state.cancellations:
             state.workflows.put(self.workflow)
             found = self.workflow
+            current = state.catalogs.find_current()
+            if current and current.version != self.catalog_version:
+                catalog.follow_queues(state, [found])
         return found
 
 
--- a/bilberryhaven/tables/workflow.py
+++ b/bilberryhaven/tables/workflow.py
@@ -174,19 +174,22 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Workflow:
-    """A workflow, with its queue's parameters as of its submission.
+    """A workflow, with the parameters of its queue.
+
+    Those marked with (*) are the ones in force, or the last ones if the queue
+    is no longer in the catalog; the others are those of the submission.
 
     Attributes:
         id: Id chosen by the caller.
         queue: Name of the queue that it was submitted to.
-        pool: Pool of the backend servers that run its tasks.
+        pool: Pool of the backend servers that run its tasks (*).
         spec: Opaque text that each of its tasks is started with.
         steps: Its steps.
         schedule: When its occurrences run; None to run once, immediately.
-        priority: The queue's priority; 0 is the highest.
+        priority: The queue's priority (*); 0 is the highest.
         max_attempts: The queue's ``max_attempts``.
-        slack_factor: The queue's ``slack_factor``.
-        latency_ms: The queue's ``latency_ms``.
+        slack_factor: The queue's ``slack_factor`` (*).
+        latency_ms: The queue's ``latency_ms`` (*).
         submitted_at: When it was accepted, Unix time in seconds.
         state: Its state.
         tasks: Tasks by key; a task that has never run may be missing.
--- a/bilberryhaven/workflow/callers.py
+++ b/bilberryhaven/workflow/callers.py
@@ -16,6 +16,7 @@
 __all__ = ['CallerRequestHandler']
 
 ID_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9_-]{0,99}')
+MAX_LOGGED_IDS = 20
 QUEUED = 'queued'
 RUNNING = 'running'
 
@@ -63,11 +64,15 @@
             known = state.workflows.find(workflow_id)
             if known is None:
                 term = self._leader.term
+                version = state.catalogs.find_current().version
                 self._late.check(workflow_id, relayed)
                 row = self._build_row(request, queue, workflow_id)
                 decision = self._acceptance.check(row)
         if known is None:
-            known = self._accept(row, decision, relayed, term)
+            command = workflow_commands.SubmitWorkflow(
+                workflow=row, catalog_version=version
+            )
+            known = self._accept(command, decision, relayed, term)
         else:
             self._log_known(known, queue.name)
         return message.StateReply(state=describe_state(known))
@@ -89,8 +94,8 @@
             address=queue.address,
         )
 
-    def _accept(self, row, decision, relayed, term):
-        command = workflow_commands.SubmitWorkflow(workflow=row)
+    def _accept(self, command, decision, relayed, term):
+        row = command.workflow
         stored = self._leader.propose(command, term=term)
         if stored is None:
             # The cancel was committed since the check.
@@ -229,9 +234,10 @@
             document=request.document,
         )
         self._leader.ensure_ready()
-        version = self._leader.propose(
+        replaced = self._leader.propose(
             catalog_commands.ReplaceCatalog(catalog=row)
         )
+        version = replaced.version
         self._leader.wake()
         log.log_decision(
             _logger,
@@ -240,27 +246,30 @@
             version=request.version,
             in_force=version,
             queues=len(request.queues),
-            former_pools=self._count_former_pools(),
         )
+        self._log_moved(replaced)
         return message.CatalogReply(version=version)
 
-    def _count_former_pools(self):
-        """Count active workflows whose queue names another pool than theirs.
-
-        Returns:
-            Their number by (pool, pool of the queue).
-        """
-        counts = collections.Counter()
-        with self._memory.lock:
-            state = self._memory.state
-            find_queue = state.catalogs.find_current().index_queues()
-            for row in state.workflows.iterate(
-                'state', workflow.WorkflowState.ACTIVE
-            ):
-                queue = find_queue(row)
-                if queue is not None and queue.pool != row.pool:
-                    counts[row.pool, queue.pool] += 1
-        return [(*pools, count) for pools, count in counts.items()]
+    def _log_moved(self, replaced):
+        counts = collections.Counter(
+            (item.former, item.pool) for item in replaced.moved
+        )
+        for (former, pool), count in counts.items():
+            log.log_decision(
+                _logger,
+                'move workflows',
+                reason='their queue names another pool',
+                former=former,
+                pool=pool,
+                workflows=[
+                    item.id
+                    for item in replaced.moved
+                    if (item.former, item.pool) == (former, pool)
+                ][:MAX_LOGGED_IDS],
+                count=count,
+                version=replaced.version,
+                term=self._leader.term,
+            )
 
     def read_catalog(self, request):
         """Return the catalog in force.
--- a/bilberryhaven/workflow/relocation.py
+++ b/bilberryhaven/workflow/relocation.py
@@ -35,7 +35,7 @@
             for other in others
             if other.key != server.key
             and other.open
-            and other.pool == server.pool
+            and other.pool == view.row.pool
             and server_cost.is_eligible(other, view.step)
             and other.has_capacity(view.step)
             and server_cost.can_take_best_effort(
