Bound the age of zone orders that come over the product's API

CallRequest carries the age of the call, as WorkRequest does, and the leader compares it with the last order on the zone.

Test: test_zone_withdrawal.ApiTest.test_order_that_may_be_older_than_the_last_one_is_refused; without relayed in control/api/zones.py it fails (200). No run of real processes shows it.

--- a/bilberryhaven/control/api/__init__.py
+++ b/bilberryhaven/control/api/__init__.py
@@ -50,6 +50,7 @@
         query: Last value of each query field.
         body: Bytes of the body.
         by: Author of the request as the receiving process knows it.
+        relayed: The ``Relayed`` message that it came with, or None.
         request_id: Id of the request in logs and errors.
     """
 
@@ -60,6 +61,7 @@
     query: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b''
     by: str = ''
+    relayed: object = None
     request_id: str = ''
 
     def decode(self, kind):
@@ -165,7 +167,7 @@
     return routes
 
 
-def handle(ctx, method, path, query, body, by):
+def handle(ctx, method, path, query, body, by, *, relayed=None):
     """Handle an API request.
 
     Args:
@@ -176,6 +178,7 @@
             the Idempotency-Key header.
         body: Bytes of the body.
         by: Author of the request as the receiving process knows it, or ''.
+        relayed: The ``Relayed`` message that it came with, or None.
 
     Returns:
         (status, JSON bytes).
@@ -195,6 +198,7 @@
         query=fields,
         body=body,
         by=by,
+        relayed=relayed,
         request_id=fields.get('request_id') or util.create_id('api'),
     )
     try:
--- a/bilberryhaven/control/api/zones.py
+++ b/bilberryhaven/control/api/zones.py
@@ -43,7 +43,9 @@
 def _commit_order(request, kind):
     ctx, name = request.ctx, request.params['name']
     command = kind(zone=name, at=ctx.clock.wall().timestamp())
-    ctx.zone_orders.commit(ctx, command, by=request.by)
+    ctx.zone_orders.commit(
+        ctx, command, relayed=request.relayed, by=request.by
+    )
     with ctx.read():
         return {
             'name': name,
--- a/bilberryhaven/entry/api.py
+++ b/bilberryhaven/entry/api.py
@@ -72,9 +72,11 @@
         leader: A ``LeaderClient``.
         metrics: The entry's ``Metrics``.
         call_limiter: ``ConcurrencyLimiter`` of the relayed calls.
+        clock: The ``Clock``.
     """
 
-    def __init__(self, *, service, leader, metrics, call_limiter):
+    def __init__(self, *, service, leader, metrics, call_limiter, clock):
+        self._clock = clock
         self._call_limiter = call_limiter
         self._service = service
         self._leader = leader
@@ -153,7 +155,7 @@
         )
         with self._call_limiter.enter():
             reply = self._leader.send(
-                call,
+                call.forward(server.read_sent_after(environ), self._clock),
                 timeout=CALL_TIMEOUT,
                 step='relay call',
                 repeatable=repeatable,
--- a/bilberryhaven/roles/control.py
+++ b/bilberryhaven/roles/control.py
@@ -207,6 +207,7 @@
             request.query,
             request.body,
             request.by,
+            relayed=request,
         )
         return message.CallReply(status=status, body=body)
 
@@ -229,6 +230,7 @@
             body=body,
             by=server.read_author(environ),
         )
+        request.note_received(server.read_sent_after(environ))
         return self._answer_call(request)
 
     def _answer_call(self, request):
@@ -245,7 +247,10 @@
         if not error.peer:
             raise error
         return self._client.send(
-            error.peer, request, timeout=RELAY_TIMEOUT, step='relay'
+            error.peer,
+            request.forward(request.sent_after, self._clock),
+            timeout=RELAY_TIMEOUT,
+            step='relay',
         )
 
     def _report_ready(self):
--- a/bilberryhaven/roles/entry.py
+++ b/bilberryhaven/roles/entry.py
@@ -122,6 +122,7 @@
             call_limiter=limiter.ConcurrencyLimiter(
                 limit=MAX_CALLS, step='relay call'
             ),
+            clock=self._clock,
         )
         self._server.start()
         self._start_tickers()
--- a/bilberryhaven/wire/message.py
+++ b/bilberryhaven/wire/message.py
@@ -71,6 +71,21 @@
             age_ms = math.ceil((now - sent_after) / MILLISECOND)
             self.age_ms = min(max(age_ms, 0), MAX_AGE_MS)
 
+    def forward(self, sent_after, clock):
+        """Return a function that builds this message with its age then.
+
+        Args:
+            sent_after: As for ``note_sending``.
+            clock: The ``Clock``.
+        """
+
+        def build():
+            copy = dataclasses.replace(self)
+            copy.note_sending(sent_after, clock.monotonic())
+            return copy
+
+        return build
+
     def note_received(self, sent_after):
         """Set ``sent_after``.
 
--- a/bilberryhaven/workflow/gateway.py
+++ b/bilberryhaven/workflow/gateway.py
@@ -50,17 +50,11 @@
             PeerError: The reply is not a ``WorkReply``.
             BilberryhavenError: The leader refused the request.
         """
-        body = message.encode(request)
-
-        def wrap():
-            wrapped = wire_message.WorkRequest(body=body)
-            wrapped.note_sending(sent_after, self._clock.monotonic())
-            return wrapped
-
+        wrapped = wire_message.WorkRequest(body=message.encode(request))
+        if sent_after is not None:
+            wrapped = wrapped.forward(sent_after, self._clock)
         try:
-            reply = self._send(
-                wrap if sent_after is not None else wrap(), timeout, step
-            )
+            reply = self._send(wrapped, timeout, step)
         except errors.BilberryhavenError as error:
             if not isinstance(error, _UNLOGGED_ERRORS):
                 self._log_refusal(request, timeout, error)
--- a/tests/test_zone_withdrawal.py
+++ b/tests/test_zone_withdrawal.py
@@ -18,10 +18,12 @@
 from bilberryhaven.commands import backend as backend_commands
 from bilberryhaven.commands import workflow as workflow_commands
 from bilberryhaven.commands import zone as zone_commands
+from bilberryhaven.control import api
 from bilberryhaven.control import machine
 from bilberryhaven import errors
 from bilberryhaven.tables import backend
 from bilberryhaven import util
+from bilberryhaven.wire import message as wire_message
 from bilberryhaven.wire import server
 from bilberryhaven.workflow import dispatcher
 from bilberryhaven.workflow import message
@@ -455,6 +457,23 @@
                 self.assertEqual(withdrawn, answer['withdrawn'])
             self.assertEqual((withdrawn, 0), self.find_zone('a'))
 
+    def test_order_that_may_be_older_than_the_last_one_is_refused(self):
+        # It was held up on its way and took back a later withdrawal.
+        call = wire_message.CallRequest(method='POST', path='/x')
+        call.note_received(self.ctx.clock.monotonic())
+        self.ctx.zone_orders.begin_term(1)
+        for order in ('withdraw', 'restore', 'withdraw'):
+            self.ctx.clock.advance(clocks.seconds(1))
+            self.call('POST', f'/v1/zones/a/{order}')
+        args = (self.ctx, 'POST', '/v1/zones/a/restore', '', b'', 'op')
+        status, _ = api.handle(*args, relayed=call)
+        self.assertEqual(errors.OutdatedError.status, status)
+        self.assertEqual((True, 0), self.find_zone('a'))
+        self.ctx.clock.advance(clocks.seconds(1))
+        call.note_received(self.ctx.clock.monotonic())
+        status, _ = api.handle(*args, relayed=call)
+        self.assertEqual(200, status)
+
     def test_runs_left_in_the_zone_are_counted(self):
         self.open_server()
         row = fakes.build_workflow('w', fakes.build_step())
