Look for early input once per response only

After a response that its peer takes in parts, the next request may have arrived by the time the listener goes on; it was taken for one sent ahead of the response, so that the connection kept an early bound for good. Found by reading; no run showed it. Measured: test_wire_connections, 28 passed.

--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -107,6 +107,10 @@
         doesn't read occupies no thread.
         """
         conn.note_early_input()
+        self._proceed(conn)
+
+    def _proceed(self, conn):
+        """Send the response, or the rest of it, and go on."""
         try:
             is_sent = self._flush(conn)
         except OSError:
@@ -149,7 +153,7 @@
             return
         if is_sent:
             self._forget(conn)
-            self.put(conn)
+            self._proceed(conn)
         elif conn.wfile.kept_bytes < before:
             conn.resize_claim(conn.wfile.kept_bytes)
             self._move(conn, self._writing)
