--- a/tests/test_late_submissions.py
+++ b/tests/test_late_submissions.py
@@ -1,6 +1,5 @@
 """Submissions that were held up while their caller cancelled the workflow."""
 
-import http.client
 from unittest import mock
 
 import msgspec
@@ -8,23 +7,16 @@
 
 from bilberryhaven import clock as clocks
 from bilberryhaven.commands import workflow as workflow_commands
-from bilberryhaven.control import machine
 from bilberryhaven import errors
 from bilberryhaven.platform import handlers
 from bilberryhaven.tables import cancellation
 from bilberryhaven.tables import catalog
-from bilberryhaven import util
-from bilberryhaven.wire import client
-from bilberryhaven.wire import leader as wire_leader
 from bilberryhaven.wire import message as wire_message
-from bilberryhaven.wire import server
-from bilberryhaven.workflow import dispatcher
-from bilberryhaven.workflow import gateway
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
+from tests import relays
 from tests import test_workflow_dispatcher
 from tests import workflow_fakes as fakes
-from tests import workflow_replica
 
 HOST = test_workflow_dispatcher.HOST
 PREFIX = test_workflow_dispatcher.PREFIX
@@ -258,20 +250,11 @@
             self.assertEqual(count, len(world.state.cancellations))
 
 
-class RelayTest(testtools.TestCase):
+class RelayTest(relays.RelayTestCase):
     """Two entries and a leader, each with a listener of its own."""
 
     def setUp(self):
         super().setUp()
-        self.clock = clocks.SystemClock()
-        self.machine = machine.TableStateMachine()
-        self.leader = dispatcher.Dispatcher(
-            replica=workflow_replica.FakeReplica(self.machine),
-            machine=self.machine,
-            clock=self.clock,
-            options=options.Options(),
-        )
-        self.addCleanup(self.leader.stop)
         queue = catalog.Queue(
             name='q', host=HOST, prefix=PREFIX, pool='p', timeout_ms=1
         )
@@ -284,38 +267,9 @@
         self.leader.handle(
             wire_message.WorkRequest(body=message.encode(replace))
         )
-        internal = self.serve(
-            handlers={wire_message.WorkRequest: self.leader.handle}
-        )
-        self.entries = [self.build_entry(internal) for _ in range(2)]
-
-    def serve(self, **fields):
-        fields.setdefault('handlers', {})
-        built = server.Server(address='127.0.0.1:0', threads=4, **fields)
-        built.start()
-        self.addCleanup(built.stop)
-        return built
-
-    def build_entry(self, internal):
-        peers = client.Client()
-        self.addCleanup(peers.close)
-        leader_client = wire_leader.LeaderClient(
-            list_addresses=lambda: [internal.address],
-            client=peers,
-            clock=self.clock,
-        )
-        return self.serve(
-            fallback=handlers.build_caller_handler(
-                gateway.Gateway(leader=leader_client), lambda: False
-            )
-        )
 
-    def connect(self, entry):
-        host, port = util.parse_address(self.entries[entry].address)
-        connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT)
-        connection.connect()
-        self.addCleanup(connection.close)
-        return connection
+    def build_handler(self, leader_gateway):
+        return handlers.build_caller_handler(leader_gateway, lambda: False)
 
     def send(self, method, connection, body=None):
         connection.request(method, f'{PREFIX}5c0e', body, {'Host': HOST})
--- a/tests/test_zone_orders.py
+++ b/tests/test_zone_orders.py
@@ -14,22 +14,18 @@
 import testtools
 
 from bilberryhaven import clock as clocks
-from bilberryhaven.control import machine
 from bilberryhaven import errors
 from bilberryhaven.platform import handlers
 from bilberryhaven.tables import zone
 from bilberryhaven import util
 from bilberryhaven.wire import client
 from bilberryhaven.wire import codec
-from bilberryhaven.wire import leader as wire_leader
 from bilberryhaven.wire import message as wire_message
-from bilberryhaven.wire import server
 from bilberryhaven.workflow import dispatcher
-from bilberryhaven.workflow import gateway
 from bilberryhaven.workflow import message
 from bilberryhaven.workflow import options
+from tests import relays
 from tests import test_workflow_dispatcher
-from tests import workflow_replica
 
 ZONE = 'north'
 TIMEOUT = 10
@@ -183,53 +179,13 @@
         self.assertTrue(self.is_withdrawn())
 
 
-class RelayTest(testtools.TestCase):
+class RelayTest(relays.RelayTestCase):
     """Control instances and a leader, each with a listener of its own."""
 
-    def setUp(self):
-        super().setUp()
-        self.clock = clocks.SystemClock()
-        self.machine = machine.TableStateMachine()
-        self.leader = dispatcher.Dispatcher(
-            replica=workflow_replica.FakeReplica(self.machine),
-            machine=self.machine,
-            clock=self.clock,
-            options=options.Options(),
-            zones=[ZONE],
-        )
-        self.addCleanup(self.leader.stop)
-        self.internal = self.serve(
-            handlers={wire_message.WorkRequest: self.leader.handle}
-        )
-        self.controls = [self.build_control() for _ in range(2)]
-
-    def serve(self, **fields):
-        fields.setdefault('handlers', {})
-        built = server.Server(address='127.0.0.1:0', threads=4, **fields)
-        built.start()
-        self.addCleanup(built.stop)
-        return built
-
-    def build_control(self):
-        peers = client.Client()
-        self.addCleanup(peers.close)
-        leader_client = wire_leader.LeaderClient(
-            list_addresses=lambda: [self.internal.address],
-            client=peers,
-            clock=self.clock,
-        )
-        return self.serve(
-            fallback=handlers.build_operator_handler(
-                gateway.Gateway(leader=leader_client)
-            )
-        )
+    zones = (ZONE,)
 
-    def connect(self, control=0):
-        host, port = util.parse_address(self.controls[control].address)
-        connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT)
-        connection.connect()
-        self.addCleanup(connection.close)
-        return connection
+    def build_handler(self, leader_gateway):
+        return handlers.build_operator_handler(leader_gateway)
 
     def send(self, path, connection):
         connection.request('POST', path)
@@ -237,11 +193,11 @@
         response.read()
         return response
 
-    def order(self, path, control=1):
+    def order(self, path, relay=1):
         """Give an order on new connections until it is acknowledged."""
         until = time.monotonic() + TIMEOUT
         while time.monotonic() < until:
-            if self.send(path, self.connect(control)).status == 200:
+            if self.send(path, self.connect(relay)).status == 200:
                 return
             time.sleep(0.05)
         self.fail(f'{path} was not acknowledged')
@@ -262,7 +218,7 @@
         )
         self.assertIsNotNone(response.getheader('Retry-After'))
         self.assertTrue(self.is_withdrawn())
-        self.order(END, control=0)
+        self.order(END, relay=0)
         self.assertFalse(self.is_withdrawn())
 
     def test_kept_connection_is_as_new_as_its_last_answer(self):
