--- a/tests/test_zone_orders.py
+++ b/tests/test_zone_orders.py
@@ -225,6 +225,8 @@
         kept = self.connect()
         self.assertEqual(200, self.send(START, kept).status)
         time.sleep(PAUSE_SECONDS)
+        self.assertEqual(404, self.send('/nothing', kept).status)
+        time.sleep(PAUSE_SECONDS)
         # The connection between the instances has been idle meanwhile.
         self.assertEqual(200, self.send(END, kept).status)
         self.assertFalse(self.is_withdrawn())
