Learn without a further system call when no connection waited

Cause: the listener polled once without waiting before each wait, and looked for early input after each response.

A wait that has timed out shows that nothing was ready at its end, one that has returned earlier that the queue was empty when it began. Messages between processes of the system are not sent ahead of responses, so only other listeners look for that.

--- a/bilberryhaven/wire/connection.py
+++ b/bilberryhaven/wire/connection.py
@@ -117,6 +117,7 @@
         self.sent_after = None
         self.answered_at = None
         self._is_ahead = False
+        self._is_message = False
         self.claimed_bytes = 0
         self.reader = wire_input.RequestReader(
             line_bytes=limits.line_bytes,
@@ -141,7 +142,8 @@
         self._is_ahead = (
             self._is_ahead
             or bool(self.reader.kept_bytes)
-            or _has_input(self.socket)
+            # Other processes of the system wait for each response.
+            or (not self._is_message and _has_input(self.socket))
         )
 
     def note_answered(self):
@@ -176,6 +178,7 @@
         request = self.reader.take()
         self.rfile = io.BytesIO(request.head)
         self._body = request.body
+        self._is_message = request.head.startswith(wire_input.MESSAGE_HEAD)
         del request
         self.closes = not super().communicate()
         return True
--- a/bilberryhaven/wire/connections.py
+++ b/bilberryhaven/wire/connections.py
@@ -180,13 +180,11 @@
             wait = expiration_interval
             if self._accept_at is not None:
                 wait = min(wait, ACCEPT_PAUSE_SECONDS)
-            # Without waiting first, so that it is known what was ready then.
             polled_at = _clock.monotonic()
-            events = self._poll.poll(0)
-            ready = {fd for fd, _ in events}
-            if self._listen_fd not in ready and self._accept_at is None:
-                self._queue_empty_at = polled_at
-            for fd, _ in events or self._poll.poll(wait):
+            ready = [fd for fd, _ in self._poll.poll(wait)]
+            if self._accept_at is None:
+                self._note_empty_queue(ready, polled_at, wait)
+            for fd in ready:
                 self._handle(fd)
             now = time.monotonic()
             self._resume_accepting(now)
@@ -194,6 +192,14 @@
                 self._expire(now)
                 next_check = now + expiration_interval
 
+    def _note_empty_queue(self, ready, polled_at, wait):
+        if not ready:
+            # It has returned after that wait at the earliest.
+            self._queue_empty_at = polled_at + clocks.seconds(wait)
+        elif self._listen_fd not in ready:
+            # It has returned at an unknown time since.
+            self._queue_empty_at = polled_at
+
     def _handle(self, fd):
         if fd == self._listen_fd:
             self._accept()
--- a/bilberryhaven/wire/input.py
+++ b/bilberryhaven/wire/input.py
@@ -11,7 +11,12 @@
 
 from bilberryhaven import errors
 
-__all__ = ['RefusedInputError', 'RequestReader', 'CompleteRequest']
+__all__ = [
+    'MESSAGE_HEAD',
+    'CompleteRequest',
+    'RefusedInputError',
+    'RequestReader',
+]
 
 CRLF = b'\r\n'
 BLANK_LINE = b'\r\n\r\n'
