--- a/bilberryhaven/tables/cancellation.py
+++ b/bilberryhaven/tables/cancellation.py
@@ -35,7 +35,7 @@
 
     @property
     def is_full(self):
-        """Whether the next cancel, or one before, has dropped others."""
+        """Whether a new cancel drops another one, as others may have."""
         return len(self) >= MAX_CANCELLATIONS
 
     def record(self, row):
--- a/bilberryhaven/workflow/dispatcher.py
+++ b/bilberryhaven/workflow/dispatcher.py
@@ -33,8 +33,8 @@
 # Interval of the checks for due workflows, expired leases and ended
 # quarantines while no event wakes the scheduler.
 IDLE_SECONDS = 0.1
-# Longest time for which a round plans starts, before leases and servers that
-# leave are looked after again.
+# Longest time for which a round plans starts before leases and servers that
+# leave are checked again.
 MAX_PLANNING = clocks.seconds(0.5)
 # Characters of a command in a log line, some twenty starts or ends.
 MAX_COMMAND_CHARS = 2_000
--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -480,7 +480,7 @@
             self.assertTrue(self.bounds[-1] <= sent_at)
             return sent_at - self.bounds[-1] < clocks.seconds(1)
 
-        # The thread that accepts may be slow on a busy machine.
+        # The thread that accepts may be slow under load.
         self.wait_until(is_close)
 
     def test_connection_that_was_opened_long_ago(self):
