Read answers that arrive together from one buffer in a test

Cause: each answer was read through a buffered file of its own, and the first one reads ahead, so that the second answer was lost if both had arrived. The test's fault, not the listener's; its assertions are unchanged.

--- a/tests/test_wire_connections.py
+++ b/tests/test_wire_connections.py
@@ -75,9 +75,15 @@
         sock.sendall(data)
         return sock
 
-    def read_answer(self, sock):
-        """Return the status, headers and body of an answer."""
-        reader = sock.makefile('rb')
+    def read_answer(self, sock, reader=None):
+        """Return the status, headers and body of an answer.
+
+        Args:
+            sock: The connected socket.
+            reader: A file of it, which several answers are read from; it
+                reads ahead.
+        """
+        reader = reader or sock.makefile('rb')
         status = int(reader.readline().split()[1])
         headers = {}
         while (line := reader.readline()) != b'\r\n':
@@ -534,8 +540,9 @@
                 sock.sendall(second)
             time.sleep(HOLD_SECONDS)
             self.release.set()
+            reader = sock.makefile('rb')
             for _ in range(2):
-                self.read_answer(sock)
+                self.read_answer(sock, reader)
             self.ask(sock)
             self.assertEqual(3, len(self.bounds))
             self.assertTrue(max(self.bounds) <= opened_at, parts)
